--- /dev/null
+++ b/cmd/lacewingctl/main.go
@@ -0,0 +1,4 @@
+// Command lacewingctl: see its help. All work is in the packages named for it.
+package main
+
+func main() {}
