--- /dev/null
+++ b/internal/command/standin/verbs.go
@@ -0,0 +1,84 @@
+// Package standin holds the verbs of lacewingstand: one for each outside system, and those that start,
+// show and stop a small deployment. Verbs are looked up in one table; each is a struct of its flags.
+package standin
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+)
+
+// Groups of the help text.
+const (
+	groupSystems    = "outside systems"
+	groupDeployment = "deployment"
+)
+
+// verb is one entry of the table.
+type verb struct {
+	group   string
+	command subcommands.Command
+}
+
+// verbs is the look-up table of the program.
+func verbs() []verb {
+	return []verb{
+		{group: groupSystems, command: &kvVerb{}},
+		{group: groupSystems, command: &listVerb{}},
+		{group: groupSystems, command: &weightsVerb{}},
+		{group: groupSystems, command: &engineVerb{}},
+		{group: groupSystems, command: &serviceVerb{}},
+		{group: groupDeployment, command: &upVerb{}},
+		{group: groupDeployment, command: &downVerb{}},
+		{group: groupDeployment, command: &demoVerb{}},
+		{command: &versionVerb{}},
+	}
+}
+
+// Main runs the verb that the arguments name and returns the exit code: 0 done, 1 failed, 2 wrong
+// usage.
+func Main(ctx context.Context, arguments []string) int {
+	flags := flag.NewFlagSet(arguments[0], flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "lacewingstand")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	for _, entry := range verbs() {
+		commander.Register(entry.command, entry.group)
+	}
+	if err := flags.Parse(arguments[1:]); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(ctx))
+}
+
+// exit prints a failure and chooses the exit code.
+func exit(err error) subcommands.ExitStatus {
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	fmt.Fprintln(os.Stderr, "lacewingstand:", err)
+	return subcommands.ExitFailure
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// versionVerb prints the version that the program was built from.
+type versionVerb struct{}
+
+func (*versionVerb) Name() string             { return "version" }
+func (*versionVerb) Synopsis() string         { return "print the version" }
+func (*versionVerb) Usage() string            { return "version\n\tPrint the version of this program.\n" }
+func (*versionVerb) SetFlags(_ *flag.FlagSet) {}
+
+func (*versionVerb) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	fmt.Printf("event=version program=lacewingstand Version=%s\n", version)
+	return subcommands.ExitSuccess
+}
