--- /dev/null
+++ b/internal/telemetry/logline/logline.go
@@ -0,0 +1,48 @@
+// Package logline makes the logger of a program: zerolog, writing one line of key=value pairs for
+// each event, so that an operator can read it as it is and cut it up with ordinary tools. Whoever
+// logs names each field; nothing here or elsewhere logs whole requests, keys or tokens.
+package logline
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// Field names that mean the same in every event.
+const (
+	FieldError     = "Error"
+	FieldInstance  = "Instance"
+	FieldRequest   = "RequestId"
+	FieldUpstream  = "Upstream"
+	FieldWorkspace = "Workspace"
+)
+
+// New gives a logger for a program that writes events of at least the given level ("debug", "info",
+// "warn" or "error") to out. The event's name comes first on each line.
+func New(out io.Writer, program, level string) (_ zerolog.Logger, err error) {
+	defer func() { err = errors.WithMessage(err, "logline: make a logger") }()
+
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	writer := zerolog.ConsoleWriter{
+		Out:             out,
+		NoColor:         true,
+		TimeFormat:      zerolog.TimeFormatUnixMs,
+		PartsOrder:      []string{zerolog.MessageFieldName, zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FormatMessage:   labelled("event"),
+		FormatTimestamp: labelled("time"),
+		FormatLevel:     labelled("level"),
+	}
+	return zerolog.New(zerolog.SyncWriter(writer)).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
+}
+
+func labelled(label string) zerolog.Formatter {
+	return func(value any) string {
+		return fmt.Sprintf("%s=%v", label, value)
+	}
+}
