Lay out the placement packages' exported types

Deciding packages take the time as an argument: testing/synctest pauses the clock in tests only, and the measuring program has to drive the same code.

--- /dev/null
+++ b/internal/placement/route/route.go
@@ -0,0 +1,120 @@
+// Package route chooses an upstream for a request at an entry instance, from what the holders tell of
+// their upstreams in heartbeats. The choice is a guess: the upstream's holder has the last word. It
+// decides without sockets; the caller reads the runtime's clock and passes the time in, so that the
+// measuring program can drive the same code on a simulated clock.
+package route
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+)
+
+// ErrNoUpstream tells that no upstream of the base model may get work now.
+var ErrNoUpstream = errors.New("route: no upstream takes work")
+
+// Summary is what a holder told of its upstream. At is when that was true, by this instance's clock:
+// the time the heartbeat was asked for.
+type Summary struct {
+	Upstream   string
+	Epoch      int64
+	FreePlaces int
+	Backlog    time.Duration
+	Resident   []model.Reference
+	Healthy    bool
+	At         time.Time
+}
+
+// Query describes the request to be placed. Cost is its expected tokens. Exclude names upstreams that
+// were tried before.
+type Query struct {
+	Model     model.Reference
+	BaseModel string
+	Cost      float64
+	Deadline  time.Time
+	Exclude   []string
+}
+
+// Why names the rule that decided, for logs and measurements.
+type Why string
+
+// The rules of a Choice.
+const (
+	// WhyResident: the version is loaded there and the wait is the shortest of those.
+	WhyResident Why = "resident"
+	// WhyHome: the version is loaded nowhere within reach, and this is its rendezvous home.
+	WhyHome Why = "home"
+	// WhySpill: the home or the resident ones are busy, and a load elsewhere is sooner.
+	WhySpill Why = "spill"
+	// WhyProbe: the upstream has failed and is tried with one request.
+	WhyProbe Why = "probe"
+)
+
+// Choice is the upstream to ask for a place. Expected is the time until dispatch as far as known.
+type Choice struct {
+	Upstream  string
+	Why       Why
+	Expected  time.Duration
+	NeedsLoad bool
+}
+
+// Outcome is how a request that was sent to an upstream ended there. Took is from dispatch to the
+// last token.
+type Outcome struct {
+	Upstream string
+	Tokens   float64
+	Took     time.Duration
+	Failed   bool
+}
+
+// Settings of a Router.
+type Settings struct {
+	// ExpectedLoad is how long a load is expected to take, the wait for a permit included.
+	ExpectedLoad time.Duration
+	// LoadPrice is added to the expected time of every choice that needs a load: what the load costs
+	// the others who wait for the weight store. A higher price means fewer loads and longer queues.
+	LoadPrice time.Duration
+	// StaleAfter is the age at which a summary is not used any more.
+	StaleAfter time.Duration
+	// ProbeEvery is the time between two requests to an upstream that has failed.
+	ProbeEvery time.Duration
+	// TokenTime is how long one token is expected to take until measured.
+	TokenTime time.Duration
+}
+
+// DefaultSettings for today's sizes.
+func DefaultSettings() Settings {
+	return Settings{
+		ExpectedLoad: 500 * time.Millisecond,
+		LoadPrice:    time.Second,
+		StaleAfter:   5 * time.Second,
+		ProbeEvery:   2 * time.Second,
+		TokenTime:    20 * time.Millisecond,
+	}
+}
+
+// Router chooses upstreams. Set the exported field before use. It is not safe for use by several
+// goroutines.
+type Router struct {
+	Settings Settings
+}
+
+// SetUpstreams tells the declared upstreams; call it when the configuration changes.
+func (r *Router) SetUpstreams(upstreams []resource.Upstream) {}
+
+// SetLeaving tells the upstreams seen to be leaving by other sources than the configuration.
+func (r *Router) SetLeaving(names []string) {}
+
+// Learn takes note of a holder's summary; one that is older than the known one is dropped.
+func (r *Router) Learn(now time.Time, summary Summary) {}
+
+// Choose picks an upstream and counts the request as sent there until a newer summary comes.
+func (r *Router) Choose(now time.Time, query Query) (choice Choice, err error) {
+	return Choice{}, ErrNoUpstream
+}
+
+// Ended takes note of how a request ended.
+func (r *Router) Ended(now time.Time, outcome Outcome) {}
