Talk between instances over gRPC

Cause: heartbeats, token transfers, placements, pins, load permits and burn counts have to cross between instances, and the deciding packages must not know their wire form. Ruled out: transparent retries of the library (a call that was sent may have taken effect); name resolution (instances are reached by IP and port).

--- /dev/null
+++ b/internal/fleet/peer/directory.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"lacewingrock.example/lacewingrock/internal/placement/broker"
+	"lacewingrock.example/lacewingrock/internal/report/burn"
+	"lacewingrock.example/lacewingrock/internal/wire/fleetpb"
+)
+
+// directory.go keeps one connection to each peer and makes calls on it.
+
+// A connection may go silent for good while new ones work. It would be noticed as heartbeats that
+// time out one after the other to a peer that others reach. Pings on the connection find that out and
+// open a new one; the figures keep the silence well under the freshness bound.
+const (
+	pingAfterIdle = 1 * time.Second
+	pingTimeout   = 1 * time.Second
+	longestRedial = 1 * time.Second
+	firstRedial   = 50 * time.Millisecond
+)
+
+// Directory makes calls to peers by address. Set Credentials before the first call.
+type Directory struct {
+	Credentials credentials.TransportCredentials
+
+	mutex       sync.Mutex
+	connections map[string]*grpc.ClientConn
+}
+
+// Keep closes the connections to all addresses but the given ones.
+func (d *Directory) Keep(addresses map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for address, connection := range d.connections {
+		if !addresses[address] {
+			connection.Close()
+			delete(d.connections, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (d *Directory) Close() {
+	d.Keep(nil)
+}
+
+func (d *Directory) client(address string) (_ fleetpb.FleetClient, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if connection, ok := d.connections[address]; ok {
+		return fleetpb.NewFleetClient(connection), nil
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(d.Credentials),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(), // a call that was sent may have taken effect; whoever calls decides about retries
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfterIdle, Timeout: pingTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: longestRedial},
+			MinConnectTimeout: pingTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, errors.WithMessage(err, "peer: connect")
+	}
+	if d.connections == nil {
+		d.connections = map[string]*grpc.ClientConn{}
+	}
+	d.connections[address] = connection
+	return fleetpb.NewFleetClient(connection), nil
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// Ping sends a heartbeat and returns what the peer knows.
+func (d *Directory) Ping(ctx context.Context, address string, beat Beat) (_ Beat, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: ping") }()
+	client, err := d.client(address)
+	if err != nil {
+		return Beat{}, err
+	}
+	wire, err := client.Ping(ctx, beatToWire(beat))
+	if err != nil {
+		return Beat{}, err
+	}
+	return beatFromWire(wire), nil
+}
+
+// AskTokens asks a peer for tokens. After an error tokens may have been deducted there; they are lost.
+func (d *Directory) AskTokens(ctx context.Context, address string, request TokenRequest) (_ TokenGift, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: ask for tokens") }()
+	client, err := d.client(address)
+	if err != nil {
+		return TokenGift{}, err
+	}
+	wire, err := client.Transfer(ctx, &fleetpb.TransferRequest{
+		Workspace:   request.Workspace,
+		Tokens:      request.Tokens,
+		Instance:    request.Instance,
+		Incarnation: request.Incarnation,
+	})
+	if err != nil {
+		return TokenGift{}, err
+	}
+	return TokenGift{Tokens: wire.GetTokens(), SpendWithin: millis(wire.GetSpendWithinMillis())}, nil
+}
+
+// Place asks the holder at address to place a request, and waits in its queue. After an error a pin
+// may have been granted there; release it by the request's identity.
+func (d *Directory) Place(ctx context.Context, address string, request PlaceRequest) (_ Placement, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: place") }()
+	client, err := d.client(address)
+	if err != nil {
+		return nil, err
+	}
+	wire, err := client.Acquire(ctx, placeToWire(request, time.Now()))
+	if err != nil {
+		return nil, err
+	}
+	return placementFromWire(wire), nil
+}
+
+// Release ends a pin.
+func (d *Directory) Release(ctx context.Context, address string, request ReleaseRequest) (err error) {
+	defer func() { err = errors.WithMessage(err, "peer: release") }()
+	client, err := d.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Release(ctx, releaseToWire(request))
+	return err
+}
+
+// Pins asks a member for its pins on an upstream.
+func (d *Directory) Pins(ctx context.Context, address, upstream string, epoch int64) (_ PinList, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: pins") }()
+	client, err := d.client(address)
+	if err != nil {
+		return PinList{}, err
+	}
+	wire, err := client.Pins(ctx, &fleetpb.PinsRequest{Upstream: upstream, Epoch: epoch})
+	if err != nil {
+		return PinList{}, err
+	}
+	return pinsFromWire(wire), nil
+}
+
+// PermitLoad asks the load broker at address for leave to load, and waits for its answer.
+func (d *Directory) PermitLoad(ctx context.Context, address string, asked broker.Asked) (_ LoadPermit, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: permit a load") }()
+	client, err := d.client(address)
+	if err != nil {
+		return LoadPermit{}, err
+	}
+	wire, err := client.PermitLoad(ctx, askedToWire(asked))
+	if err != nil {
+		return LoadPermit{}, err
+	}
+	return LoadPermit{
+		Granted:    wire.GetGranted(),
+		UseWithin:  millis(wire.GetUseWithinMillis()),
+		RetryAfter: millis(wire.GetRetryAfterMillis()),
+	}, nil
+}
+
+// EndLoad tells the load broker that a permit is used up or not wanted any more.
+func (d *Directory) EndLoad(ctx context.Context, address string, load broker.Load) (err error) {
+	defer func() { err = errors.WithMessage(err, "peer: end a load") }()
+	client, err := d.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.EndLoad(ctx, &fleetpb.EndLoadRequest{
+		Upstream: load.Upstream,
+		Adapter:  load.Model.Adapter,
+		Version:  load.Model.Version,
+	})
+	return err
+}
+
+// BurnCounts asks a peer for its counts behind the burn report.
+func (d *Directory) BurnCounts(ctx context.Context, address string) (_ []burn.Count, err error) {
+	defer func() { err = errors.WithMessage(err, "peer: burn counts") }()
+	client, err := d.client(address)
+	if err != nil {
+		return nil, err
+	}
+	wire, err := client.Burn(ctx, &fleetpb.BurnRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return burnFromWire(wire), nil
+}
