Add the configuration aggregate, its codec, its repository and the platform's clients

The request path needs look-ups of keys, adapters and upstreams, and operators need changes that are taken whole or refused whole, with every problem told. The resource version is called ResourceVersion in files, because an adapter version has a Version of its own.

--- /dev/null
+++ b/internal/catalog/codec/file_codec.go
@@ -0,0 +1,105 @@
+// Lists of resources: the file that an operator applies, and a part as the store keeps it.
+
+package codec
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+)
+
+// DecodeFile reads a file of the form {"Resources": [...]} as the change it asks for. A resource that
+// states no ResourceVersion is declared against whatever is current. All that is wrong with the file
+// is reported together, as configuration.Problems.
+func DecodeFile(data []byte) (change configuration.Change, err error) {
+	items, err := fileItems(data)
+	if err != nil {
+		return nil, err
+	}
+	var problems configuration.Problems
+	for _, item := range items {
+		r, stated, err := DecodeResource(item)
+		if err != nil {
+			problems = append(problems, problemsOf(err)...)
+			continue
+		}
+		expected := configuration.AnyVersion
+		if stated {
+			expected = r.ResourceVersion()
+		}
+		change = append(change, configuration.Declare{Resource: r, Expected: expected})
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return change, nil
+}
+
+func fileItems(data []byte) (items []json.RawMessage, err error) {
+	o, err := readObject(data)
+	if err != nil {
+		return nil, configuration.Problems{{Kind: "File", Problem: err.Error()}}
+	}
+	o.kind = "File"
+	if _, found := o.fields["Resources"]; !found {
+		o.problem("Resources", "is missing")
+	}
+	items = decoded[[]json.RawMessage](o, "Resources", "must be a list of resources")
+	o.finish()
+	if len(o.problems) > 0 {
+		return nil, configuration.Problems(o.problems)
+	}
+	return items, nil
+}
+
+func problemsOf(err error) configuration.Problems {
+	var problems configuration.Problems
+	if errors.As(err, &problems) {
+		return problems
+	}
+	return configuration.Problems{{Kind: "File", Problem: err.Error()}}
+}
+
+// EncodeFile writes resources as a file that can be applied again.
+func EncodeFile(resources []resource.Resource) (data []byte, err error) {
+	defer func() { err = errors.WithMessage(err, "encode resources") }()
+	wire := struct{ Resources []any }{Resources: make([]any, len(resources))}
+	for i, r := range resources {
+		wire.Resources[i] = wireOf(r)
+	}
+	return json.Marshal(wire)
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// EncodePart writes the resources of one part; equal resources in equal order give equal bytes.
+func EncodePart(resources []resource.Resource) (data []byte, err error) {
+	return EncodeFile(resources)
+}
+
+// DecodePart reads a part from the store. It takes each resource's version as the accepted one.
+func DecodePart(data []byte) (resources []resource.Resource, err error) {
+	defer func() { err = errors.WithMessage(err, "decode part") }()
+	change, err := DecodeFile(data)
+	if err != nil {
+		return nil, err
+	}
+	resources = make([]resource.Resource, 0, len(change))
+	for _, operation := range change {
+		if declare, ok := operation.(configuration.Declare); ok {
+			resources = append(resources, declare.Resource)
+		}
+	}
+	return resources, nil
+}
+
+// HashOf is the content name of a part: the SHA-256 of its bytes in lower-case hex.
+func HashOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/catalog/repository/read.go
@@ -0,0 +1,195 @@
+// Reading: the head comes from the store, parts that differ from those at hand are fetched, and the
+// snapshot made of them becomes the current one.
+
+package repository
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/codec"
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/platform/store"
+)
+
+const (
+	// DefaultPollEvery is how often Run reads the head when PollEvery is not set.
+	DefaultPollEvery = time.Second
+	// fetchWidth is how many parts are fetched or written at a time. It bounds what one instance asks
+	// of the store at once; the number has no measured reason yet.
+	fetchWidth = 8
+	// headReads is how often the head is read again when a part it names is missing. A part goes
+	// missing only when the head has moved on, so that the second read finds a newer one.
+	headReads = 5
+)
+
+// partKey is where the store keeps a part. The index stands first so that Sweep lists a small share of
+// all parts at a time.
+func partKey(index int, part head.Part) string {
+	return fmt.Sprintf("%s%d/%s", partPrefix(index), part.Revision, part.Hash)
+}
+
+func partPrefix(index int) string {
+	return fmt.Sprintf("part/%02d/", index)
+}
+
+// Load reads the configuration for the first time.
+func (r *Repository) Load(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "load the configuration") }()
+	_, err = r.Refresh(ctx)
+	return err
+}
+
+// Refresh reads the head, and the parts that changed, and gives the snapshot that is current then. The
+// snapshot is confirmed as of the moment the read began. An error leaves the current one as it was;
+// it is ErrWentBack when the store's head is older than the current one.
+func (r *Repository) Refresh(ctx context.Context) (snapshot Snapshot, err error) {
+	known := r.Current().Head
+	began := time.Now()
+	entry, err := r.readHead(ctx)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return r.take(ctx, known, entry, began)
+}
+
+// Await waits for a head newer than the current one, up to wait, with one call to the store. It gives
+// the snapshot that is current then, confirmed as of the moment the call began.
+func (r *Repository) Await(ctx context.Context, wait time.Duration) (snapshot Snapshot, err error) {
+	current := r.Current()
+	if current.storeRevision == store.Absent {
+		return r.Refresh(ctx)
+	}
+	began := time.Now()
+	entry, err := r.Store.Watch(ctx, HeadKey, current.storeRevision, wait)
+	if errors.Is(err, store.ErrNotChanged) {
+		current.ConfirmedAt = began
+		return r.adopt(current), nil
+	}
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return r.take(ctx, current.Head, entry, began)
+}
+
+// readHead reads the head's entry; before the first swap there is none, which is the empty entry.
+func (r *Repository) readHead(ctx context.Context) (entry store.Entry, err error) {
+	entry, err = r.Store.Get(ctx, HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Entry{}, nil
+	}
+	return entry, err
+}
+
+// take makes the snapshot of a head that was read from the store, and adopts it. known is the head
+// that was current before the read began.
+func (r *Repository) take(
+	ctx context.Context, known head.Head, entry store.Entry, began time.Time,
+) (snapshot Snapshot, err error) {
+	for range headReads {
+		snapshot, err = r.assemble(ctx, known, entry)
+		if err == nil {
+			snapshot.ConfirmedAt = began
+			return r.adopt(snapshot), nil
+		}
+		if !errors.Is(err, ErrPartMissing) {
+			return Snapshot{}, err
+		}
+		began = time.Now()
+		entry, err = r.readHead(ctx)
+		if err != nil {
+			return Snapshot{}, err
+		}
+	}
+	return Snapshot{}, ErrPartMissing
+}
+
+// assemble makes the snapshot of a head from the current one and the parts that differ from it.
+func (r *Repository) assemble(
+	ctx context.Context, known head.Head, entry store.Entry,
+) (snapshot Snapshot, err error) {
+	h, err := decodeHead(entry)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	if err := notOlder(known, h); err != nil {
+		return Snapshot{}, err
+	}
+	base := r.Current()
+	if h.Revision < base.Head.Revision {
+		// A newer head was taken up while this one was read. This read still says that at its beginning
+		// there was none beyond that one, so it confirms it.
+		return base, nil
+	}
+	snapshot = Snapshot{Head: h, storeRevision: entry.Revision}
+	if h.Revision == base.Head.Revision {
+		snapshot.Configuration = base.Configuration
+		return snapshot, nil
+	}
+	parts, err := r.fetch(ctx, changedParts(base.Head, h), h)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	snapshot.Configuration = base.Configuration.WithParts(parts, h.Revision)
+	return snapshot, nil
+}
+
+func decodeHead(entry store.Entry) (h head.Head, err error) {
+	if entry.Revision == store.Absent {
+		return head.Head{}, nil
+	}
+	return codec.DecodeHead(entry.Value)
+}
+
+func changedParts(from, to head.Head) []int {
+	var changed []int
+	for i := range head.PartCount {
+		if from.Part(i) != to.Part(i) {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
+// fetch reads the parts with the given indexes.
+func (r *Repository) fetch(
+	ctx context.Context, indexes []int, h head.Head,
+) (parts map[int][]resource.Resource, err error) {
+	fetched := make([][]resource.Resource, len(indexes))
+	err = inParallel(ctx, len(indexes), func(ctx context.Context, i int) (err error) {
+		fetched[i], err = r.fetchPart(ctx, indexes[i], h.Part(indexes[i]))
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	parts = make(map[int][]resource.Resource, len(indexes))
+	for i, index := range indexes {
+		parts[index] = fetched[i]
+	}
+	return parts, nil
+}
+
+func (r *Repository) fetchPart(
+	ctx context.Context, index int, part head.Part,
+) (resources []resource.Resource, err error) {
+	if part.Hash == "" {
+		return nil, nil
+	}
+	key := partKey(index, part)
+	entry, err := r.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, errors.WithMessage(ErrPartMissing, key)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if codec.HashOf(entry.Value) != part.Hash {
+		return nil, errors.Errorf("repository: %s does not have the content it is named for", key)
+	}
+	return codec.DecodePart(entry.Value)
+}
