--- a/internal/placement/broker/events.go
+++ b/internal/placement/broker/events.go
@@ -78,11 +78,3 @@
 func DefaultSettings() Settings {
 	return Settings{Rate: 2, InFlight: 8, UseWithin: time.Second, Lapse: 3 * time.Second}
 }
-
-// Broker gives out permits. Set the exported field before use; one goroutine owns it.
-type Broker struct {
-	Settings Settings
-}
-
-// Handle takes one event that happened at now and returns the answers that are due.
-func (b *Broker) Handle(now time.Time, event Event) []Action { return nil }
--- a/internal/placement/holder/actions.go
+++ b/internal/placement/holder/actions.go
@@ -43,6 +43,9 @@
 	}
 	// AskPins asks every member for its pins on the upstream; answered by PinsTold for each.
 	AskPins struct{ Epoch int64 }
+	// OrderFence makes the upstream note the epoch, by any order that changes nothing; answered by
+	// FenceNoted. When it cannot be answered the holder waits longer instead.
+	OrderFence struct{ Fence int64 }
 	// AskPermit asks the load broker for leave to load; answered by PermitGranted or PermitRefused.
 	// Demand is the waiting tokens, Waited the longest wait, Patience the time until the last of the
 	// waiting gives up, Workspace that of the one who has waited longest.
@@ -67,6 +70,7 @@
 func (Grant) action()        {}
 func (Refuse) action()       {}
 func (AskPins) action()      {}
+func (OrderFence) action()   {}
 func (AskPermit) action()    {}
 func (ReturnPermit) action() {}
 func (OrderLoad) action()    {}
--- a/internal/placement/holder/events.go
+++ b/internal/placement/holder/events.go
@@ -69,7 +69,10 @@
 	}
 	// EpochInForce tells that no member acts on an epoch older than this one any more.
 	EpochInForce struct{ Epoch int64 }
-	// PinsTold tells that a member has noted the epoch and listed all the pins it has on the upstream.
+	// FenceNoted answers OrderFence: the upstream refuses orders of older epochs from now on.
+	FenceNoted struct{ Fence int64 }
+	// PinsTold tells that a member has noted the epoch, takes no grant of an older one any more, and
+	// has listed all the pins it has on the upstream.
 	PinsTold struct {
 		Instance string
 		Epoch    int64
@@ -87,8 +90,9 @@
 	Arrived struct{ Request Request }
 	// Cancelled tells that the caller of a waiting request has gone. A granted one is ended by Released.
 	Cancelled struct{ RequestID string }
-	// Released tells that a granted request ended. Tokens is what the upstream spent on it. UpstreamFailed means that the
-	// upstream was lost meanwhile. NotResident means that the upstream said that the version is not loaded.
+	// Released tells that a granted request ended. Tokens is what the upstream spent on it.
+	// UpstreamFailed means that the upstream was lost meanwhile, NotResident that the upstream said
+	// that the version is not loaded.
 	Released struct {
 		Pin            string
 		Tokens         float64
@@ -131,6 +135,7 @@
 
 func (Appointed) event()         {}
 func (EpochInForce) event()      {}
+func (FenceNoted) event()        {}
 func (PinsTold) event()          {}
 func (InstanceGone) event()      {}
 func (Yielded) event()           {}
--- a/internal/placement/route/route.go
+++ b/internal/placement/route/route.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"lacewingrock.example/lacewingrock/internal/catalog/resource"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
 )
 
@@ -95,26 +94,3 @@
 		TokenTime:    20 * time.Millisecond,
 	}
 }
-
-// Router chooses upstreams. Set the exported field before use. It is not safe for use by several
-// goroutines.
-type Router struct {
-	Settings Settings
-}
-
-// SetUpstreams tells the declared upstreams; call it when the configuration changes.
-func (r *Router) SetUpstreams(upstreams []resource.Upstream) {}
-
-// SetLeaving tells the upstreams seen to be leaving by other sources than the configuration.
-func (r *Router) SetLeaving(names []string) {}
-
-// Learn takes note of a holder's summary; one that is older than the known one is dropped.
-func (r *Router) Learn(now time.Time, summary Summary) {}
-
-// Choose picks an upstream and counts the request as sent there until a newer summary comes.
-func (r *Router) Choose(now time.Time, query Query) (choice Choice, err error) {
-	return Choice{}, ErrNoUpstream
-}
-
-// Ended takes note of how a request ended.
-func (r *Router) Ended(now time.Time, outcome Outcome) {}
--- a/internal/placement/suspect/register.go
+++ b/internal/placement/suspect/register.go
@@ -3,7 +3,16 @@
 // in heartbeats. The caller reads the runtime's clock and passes the time in.
 package suspect
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"time"
+)
+
+// fingerprintBytes is the length kept of the hash: 16 bytes make a chance match of two requests
+// unlikely beyond any number of requests a fleet serves.
+const fingerprintBytes = 16
 
 // Fingerprint identifies a request's content, so that a caller's second send is known again.
 type Fingerprint string
@@ -47,26 +56,142 @@
 
 // Register holds the counts. Set the exported field before use; it is not safe for use by several
 // goroutines.
+//
+// Made for the request that crashes each upstream that runs it and that its caller sends again. The
+// harm it prevents: one more upstream lost, with all that runs in the same batch, for each try.
 type Register struct {
 	Settings Settings
+
+	own   map[Fingerprint]record
+	peers map[string]map[Fingerprint]Count
+}
+
+// record is an own count and when it last changed.
+type record struct {
+	Count
+	at time.Time
 }
 
-// Of gives the fingerprint of a request.
-func Of(workspace, model string, body []byte) Fingerprint { return "" }
+// Of gives the fingerprint of a request: the same for the caller's next send of the same body.
+func Of(workspace, model string, body []byte) Fingerprint {
+	hash := sha256.New()
+	for _, part := range []string{workspace, model} {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	hash.Write(body)
+	return Fingerprint(hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes]))
+}
 
 // Crashed tells that the upstream was lost while these requests of this instance were in flight there.
-func (r *Register) Crashed(now time.Time, inFlight []Fingerprint) {}
+func (r *Register) Crashed(now time.Time, inFlight []Fingerprint) {
+	r.prepare()
+	r.forget(now)
+	for _, fingerprint := range inFlight {
+		known := r.own[fingerprint]
+		known.Fingerprint = fingerprint
+		known.Crashes++
+		known.at = now
+		r.own[fingerprint] = known
+	}
+	for len(r.own) > r.Settings.Most {
+		r.dropOldest()
+	}
+}
 
-// Completed tells that the request ran to its end, so it is no cause of crashes.
-func (r *Register) Completed(now time.Time, fingerprint Fingerprint) {}
+// Completed tells that the request ran to its end: it is no cause of the crashes so far. What peers
+// counted is cleared by an own count, which they learn in turn.
+func (r *Register) Completed(now time.Time, fingerprint Fingerprint) {
+	r.prepare()
+	open := r.suspicions(fingerprint)
+	if open <= 0 {
+		return
+	}
+	known := r.own[fingerprint]
+	known.Fingerprint = fingerprint
+	known.Cleared += open
+	known.at = now
+	r.own[fingerprint] = known
+}
 
 // Judge tells how the request may run, and when to come back if it is refused.
 func (r *Register) Judge(now time.Time, fingerprint Fingerprint) (verdict Verdict, retryAfter time.Duration) {
-	return Free, 0
+	r.prepare()
+	r.forget(now)
+	open := r.suspicions(fingerprint)
+	switch {
+	case open >= r.Settings.RefuseAfter:
+		return Refused, r.Settings.Forget
+	case open >= r.Settings.AloneAfter:
+		return Alone, 0
+	default:
+		return Free, 0
+	}
 }
 
-// Own lists this instance's counts, for its heartbeat.
-func (r *Register) Own(now time.Time) []Count { return nil }
+// Own lists this instance's counts, for its heartbeat, in the order of the fingerprints.
+func (r *Register) Own(now time.Time) []Count {
+	r.prepare()
+	r.forget(now)
+	counts := make([]Count, 0, len(r.own))
+	for _, known := range r.own {
+		counts = append(counts, known.Count)
+	}
+	sort.Slice(counts, func(i, j int) bool { return counts[i].Fingerprint < counts[j].Fingerprint })
+	return counts
+}
 
-// Merge replaces what a peer told earlier by what it tells now.
-func (r *Register) Merge(now time.Time, instance string, counts []Count) {}
+// Merge replaces what a peer told earlier by what it tells now. A peer tells all its counts each time,
+// so that a lost heartbeat loses nothing and one told twice counts once.
+func (r *Register) Merge(_ time.Time, instance string, counts []Count) {
+	r.prepare()
+	if len(counts) == 0 {
+		delete(r.peers, instance)
+		return
+	}
+	told := make(map[Fingerprint]Count, len(counts))
+	for _, count := range counts {
+		told[count.Fingerprint] = count
+	}
+	r.peers[instance] = told
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// suspicions is the number of crashes, seen by any instance, that the request is not cleared of.
+func (r *Register) suspicions(fingerprint Fingerprint) (open int) {
+	known := r.own[fingerprint]
+	open = known.Crashes - known.Cleared
+	for _, told := range r.peers {
+		open += told[fingerprint].Crashes - told[fingerprint].Cleared
+	}
+	return open
+}
+
+// forget drops own counts that have not changed for long. A caller that sends a refused request again
+// does not extend its time, so an engine that was mended is tried again.
+func (r *Register) forget(now time.Time) {
+	for fingerprint, known := range r.own {
+		if now.Sub(known.at) > r.Settings.Forget {
+			delete(r.own, fingerprint)
+		}
+	}
+}
+
+func (r *Register) dropOldest() {
+	var oldest Fingerprint
+	for fingerprint, known := range r.own {
+		if oldest == "" || known.at.Before(r.own[oldest].at) {
+			oldest = fingerprint
+		}
+	}
+	delete(r.own, oldest)
+}
+
+// prepare makes the zero value usable, as the exported field is set after it is made.
+func (r *Register) prepare() {
+	if r.own == nil {
+		r.own = make(map[Fingerprint]record)
+		r.peers = make(map[string]map[Fingerprint]Count)
+	}
+}
