Run the holders and the load broker

Cause: holder.Holder and broker.Broker decide without sockets; something has to feed them requests, reports, pins and epochs, and to carry out grants and loads. Ruled out: a goroutine with a lock for each holder (grants and releases of one upstream have to be in one order); dropping an instance's pins as soon as it is gone (its requests still run at the engine, so they are cancelled there first); trusting that each release arrives (pins are compared with what their instances know every five seconds).

--- /dev/null
+++ b/internal/entry/brokering/runner.go
@@ -0,0 +1,131 @@
+// Package brokering runs the load broker where this instance is the one that the head appoints: it
+// feeds broker.Broker what holders ask and hands its answers back to them. The decisions stand in
+// package broker.
+package brokering
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/placement/broker"
+)
+
+const (
+	// inboxLength bounds what waits for the loop; beyond it askers wait.
+	inboxLength = 256
+	// tickEvery is the longest a free permit waits to be given out.
+	tickEvery = 25 * time.Millisecond
+)
+
+// refused is the answer when the broker can't be asked.
+var refused = peer.LoadPermit{RetryAfter: 250 * time.Millisecond}
+
+// Runner owns the broker. Set the exported field before Run.
+type Runner struct {
+	Settings broker.Settings
+
+	broker  *broker.Broker
+	inbox   chan message
+	waiting map[broker.Load]chan peer.LoadPermit
+	ended   chan struct{}
+}
+
+type message struct {
+	event  broker.Event
+	answer chan peer.LoadPermit
+}
+
+// Prepare makes the runner ready to be called before Run has begun.
+func (r *Runner) Prepare() {
+	r.broker = &broker.Broker{Settings: r.Settings}
+	r.inbox = make(chan message, inboxLength)
+	r.waiting = map[broker.Load]chan peer.LoadPermit{}
+	r.ended = make(chan struct{})
+}
+
+// Run owns the broker until the context ends.
+func (r *Runner) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "brokering") }()
+	defer close(r.ended)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-r.inbox:
+			r.take(m)
+		case <-tick.C:
+			r.feed(broker.Tick{})
+		}
+	}
+}
+
+// Permit asks for leave to load, and waits for the answer.
+func (r *Runner) Permit(ctx context.Context, asked broker.Asked) peer.LoadPermit {
+	answer := make(chan peer.LoadPermit, 1)
+	if !r.send(ctx, message{event: asked, answer: answer}) {
+		return refused
+	}
+	select {
+	case permit := <-answer:
+		return permit
+	case <-r.ended:
+		return refused
+	case <-ctx.Done():
+		r.send(context.WithoutCancel(ctx), message{event: broker.Withdrawn{Load: asked.Load}})
+		return refused
+	}
+}
+
+// End tells that a load is done, has failed, or is not wanted any more.
+func (r *Runner) End(ctx context.Context, load broker.Load) {
+	r.send(ctx, message{event: broker.Ended{Load: load}})
+}
+
+func (r *Runner) send(ctx context.Context, m message) bool {
+	select {
+	case r.inbox <- m:
+		return true
+	case <-r.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// take hands one message on. Asking again for the same load replaces the earlier ask, so whoever
+// waited for that one is answered now.
+func (r *Runner) take(m message) {
+	if asked, ok := m.event.(broker.Asked); ok {
+		r.answer(asked.Load, refused)
+		r.waiting[asked.Load] = m.answer
+	}
+	if withdrawn, ok := m.event.(broker.Withdrawn); ok {
+		delete(r.waiting, withdrawn.Load)
+	}
+	r.feed(m.event)
+}
+
+func (r *Runner) feed(event broker.Event) {
+	for _, action := range r.broker.Handle(time.Now(), event) {
+		switch a := action.(type) {
+		case broker.Permit:
+			r.answer(a.Load, peer.LoadPermit{Granted: true, UseWithin: a.UseWithin})
+		case broker.Refuse:
+			r.answer(a.Load, peer.LoadPermit{RetryAfter: a.RetryAfter})
+		}
+	}
+}
+
+func (r *Runner) answer(load broker.Load, permit peer.LoadPermit) {
+	answer, ok := r.waiting[load]
+	if !ok {
+		return
+	}
+	delete(r.waiting, load)
+	answer <- permit
+}
--- /dev/null
+++ b/internal/entry/holding/orders.go
@@ -0,0 +1,300 @@
+package holding
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/placement/broker"
+	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/upstream/engine"
+)
+
+// orders.go makes the calls that a holder decided on, each in a goroutine that ends by telling the
+// loop what came of it.
+
+const (
+	// reportEvery is how often an engine is asked for its report. Reports lag by more than this anyway.
+	reportEvery = 300 * time.Millisecond
+	// unhealthyAfter is how many reports in a row may fail before the upstream gets no new work: one or
+	// two are lost to a slow connection, and a leaving upstream has to be noticed within seconds.
+	unhealthyAfter = 3
+	// askAgain is the pause before a member that has not noted the epoch, or did not answer, is asked
+	// again for its pins.
+	askAgain = 100 * time.Millisecond
+	// reconcileEvery is how often pins are compared with what their instances know. A release that was
+	// lost would otherwise take a batch place and a slot away for good.
+	reconcileEvery = 5 * time.Second
+	// roleServing is the role that engines have already; ordering it only makes them note the fence.
+	roleServing = "serve"
+)
+
+// runReports polls the engine's report.
+func (r *Runner) runReports(s *seat) {
+	incarnation := ""
+	failed := 0
+	for pause(s.context, reportEvery) {
+		report, err := s.engine.Report(s.context)
+		if err != nil {
+			failed++
+			if failed == unhealthyAfter {
+				r.Log.Warn().Str("Upstream", s.name()).Err(err).Msg("upstream_unreachable")
+				r.tell(s, holder.UpstreamHealth{Healthy: false})
+			}
+			continue
+		}
+		if failed >= unhealthyAfter {
+			r.Log.Info().Str("Upstream", s.name()).Msg("upstream_reachable")
+			r.tell(s, holder.UpstreamHealth{Healthy: true})
+		}
+		failed = 0
+		if incarnation != "" && incarnation != report.Incarnation {
+			r.Log.Warn().Str("Upstream", s.name()).Msg("upstream_restarted")
+			r.tell(s, holder.UpstreamRestarted{Incarnation: report.Incarnation})
+		}
+		incarnation = report.Incarnation
+		r.tell(s, holder.Reported{
+			Incarnation: report.Incarnation,
+			Resident:    references(report.Resident),
+			Age:         report.Age,
+		})
+	}
+}
+
+func references(texts []string) []model.Reference {
+	list := make([]model.Reference, 0, len(texts))
+	for _, text := range texts {
+		if ref, ok := model.Parse(text); ok {
+			list = append(list, ref)
+		}
+	}
+	return list
+}
+
+// ---------------------------------------------------------------------------------------------
+// Pins.
+
+func (r *Runner) askPins(s *seat, action holder.AskPins) {
+	for _, member := range r.tenure.Members {
+		go r.runAskPins(s, member, action.Epoch)
+	}
+}
+
+// runAskPins asks one member until it has noted the epoch and told its pins. A member that has died is
+// taken off the holder's list by InstanceGone.
+func (r *Runner) runAskPins(s *seat, member head.Member, epoch int64) {
+	for {
+		list, err := r.Peers.Pins(s.context, member, s.name(), epoch)
+		if err == nil && list.Noted && list.Incarnation == member.Incarnation {
+			r.tell(s, holder.PinsTold{Instance: member.Name, Epoch: epoch, Pins: list.Pins})
+			return
+		}
+		if !pause(s.context, askAgain) {
+			return
+		}
+	}
+}
+
+// runReconcile releases pins that their instance does not know any more.
+func (r *Runner) runReconcile(s *seat) {
+	before := map[string]bool{}
+	for pause(s.context, reconcileEvery) {
+		pins, ok := r.list(s)
+		if !ok {
+			return
+		}
+		now := map[string]bool{}
+		for instance, known := range byInstance(pins) {
+			r.reconcileInstance(s, instance, known, before)
+		}
+		for _, pin := range pins {
+			now[pin.ID] = true
+		}
+		before = now
+	}
+}
+
+// reconcileInstance asks one instance. Only pins that were there a round before count: the answer with
+// a younger one may still be on its way to the instance.
+func (r *Runner) reconcileInstance(s *seat, instance string, pins []holder.Pin, before map[string]bool) {
+	member, ok := r.member(s, instance)
+	if !ok {
+		return
+	}
+	list, err := r.Peers.Pins(s.context, member, s.name(), 0)
+	if err != nil || list.Incarnation != pins[0].Incarnation {
+		return
+	}
+	known := map[string]bool{}
+	for _, pin := range list.Pins {
+		known[pin.ID] = true
+	}
+	for _, pin := range pins {
+		if before[pin.ID] && !known[pin.ID] {
+			r.Log.Warn().Str("Upstream", s.name()).Str("Instance", instance).Msg("pin_release_was_lost")
+			r.tell(s, holder.Released{Pin: pin.ID})
+		}
+	}
+}
+
+func (r *Runner) list(s *seat) ([]holder.Pin, bool) {
+	answer := make(chan []holder.Pin, 1)
+	if !r.send(s.context, listMessage{seat: s, answer: answer}) {
+		return nil, false
+	}
+	select {
+	case pins := <-answer:
+		return pins, true
+	case <-s.context.Done():
+		return nil, false
+	}
+}
+
+func byInstance(pins []holder.Pin) map[string][]holder.Pin {
+	sorted := map[string][]holder.Pin{}
+	for _, pin := range pins {
+		sorted[pin.Instance] = append(sorted[pin.Instance], pin)
+	}
+	return sorted
+}
+
+// cancelStreams ends, at the engine, the requests of an instance that does nothing any more, and only
+// then lets the holder forget their pins. The engine does not know that the instance has died: its
+// requests would run on, and their adapter version could be evicted under them.
+func (r *Runner) cancelStreams(s *seat, instance, incarnation string) {
+	var pins []holder.Pin
+	for _, pin := range s.holder.Pins() {
+		if pin.Instance == instance && pin.Incarnation == incarnation {
+			pins = append(pins, pin)
+		}
+	}
+	go r.runCancelStreams(s, pins, holder.InstanceGone{Instance: instance, Incarnation: incarnation})
+}
+
+func (r *Runner) runCancelStreams(s *seat, pins []holder.Pin, gone holder.InstanceGone) {
+	for _, pin := range pins {
+		for s.engine.Cancel(s.context, pin.RequestID) != nil {
+			if !pause(s.context, askAgain) {
+				return
+			}
+		}
+	}
+	r.tell(s, gone)
+}
+
+// ---------------------------------------------------------------------------------------------
+// Loads.
+
+func (r *Runner) runFence(s *seat, action holder.OrderFence) {
+	if r.Fresh() != nil {
+		return
+	}
+	err := s.engine.Role(s.context, roleServing, action.Fence)
+	if err == nil {
+		r.tell(s, holder.FenceNoted(action))
+		return
+	}
+	r.Log.Warn().Str("Upstream", s.name()).Int64("Fence", action.Fence).Err(err).Msg("fence_not_noted")
+}
+
+func (r *Runner) runPermit(s *seat, action holder.AskPermit) {
+	ctx, cancel := context.WithTimeout(s.context, action.Patience)
+	defer cancel()
+	permit, err := r.Peers.PermitLoad(ctx, broker.Asked{
+		Load:      broker.Load{Upstream: s.name(), Model: action.Model},
+		Workspace: action.Workspace,
+		Demand:    action.Demand,
+		Waited:    action.Waited,
+		Patience:  action.Patience,
+	})
+	switch {
+	case err != nil:
+		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: askAgain})
+	case permit.Granted:
+		r.tell(s, holder.PermitGranted{Model: action.Model, UseWithin: permit.UseWithin})
+	default:
+		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: permit.RetryAfter})
+	}
+}
+
+// runReturn gives a permit back; when that is lost the permit lapses by itself.
+func (r *Runner) runReturn(s *seat, ref model.Reference) {
+	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref})
+	if err != nil {
+		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("permit_not_returned")
+	}
+}
+
+func (r *Runner) runLoad(s *seat, action holder.OrderLoad) {
+	ctx, cancel := context.WithTimeout(s.context, r.Settings.LongestOrder)
+	defer cancel()
+	began := time.Now()
+	evicted, err := r.load(ctx, s, action)
+	r.runReturn(s, action.Load)
+	event := r.Log.Info()
+	if err != nil {
+		event = r.Log.Warn().Err(err)
+	}
+	event.Str("Upstream", s.name()).Str("Load", action.Load.String()).Str("Evict", evictText(action.Evict)).
+		Int64("Fence", action.Fence).Dur("Took", time.Since(began)).Msg("adapter_load")
+	if err != nil {
+		r.tell(s, holder.LoadFailed{Load: action.Load, Evicted: evicted, Cause: causeOf(err)})
+		return
+	}
+	r.tell(s, holder.LoadDone{Load: action.Load})
+}
+
+// load unloads what has to make room and loads. An instance that was paused before the order asks for
+// freshness at the last moment: by then another may be the holder.
+func (r *Runner) load(ctx context.Context, s *seat, action holder.OrderLoad) (evicted bool, err error) {
+	if !action.Evict.IsZero() {
+		if err := r.Fresh(); err != nil {
+			return false, err
+		}
+		if err := s.engine.Unload(ctx, r.order(action.Evict, action.Fence)); err != nil {
+			return errors.Is(err, engine.ErrUnknown), err
+		}
+	}
+	if err := r.Fresh(); err != nil {
+		return !action.Evict.IsZero(), err
+	}
+	return !action.Evict.IsZero(), s.engine.Load(ctx, r.order(action.Load, action.Fence))
+}
+
+func (r *Runner) order(ref model.Reference, fence int64) engine.Order {
+	return engine.Order{Adapter: ref.Adapter, Version: ref.Version, Source: r.Source(ref), Fence: fence}
+}
+
+func causeOf(err error) holder.Cause {
+	switch {
+	case errors.Is(err, engine.ErrStaleFence):
+		return holder.CauseStaleFence
+	case errors.Is(err, engine.ErrNoSlot):
+		return holder.CauseNoSlot
+	case errors.Is(err, engine.ErrInUse):
+		return holder.CauseInUse
+	case errors.Is(err, engine.ErrLoadFailed):
+		return holder.CauseWeightStore
+	}
+	return holder.CauseUpstream
+}
+
+func evictText(ref model.Reference) string {
+	if ref.IsZero() {
+		return "none"
+	}
+	return ref.String()
+}
+
+// pause waits, and tells whether the context still lives.
+func pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/holding/runner.go
@@ -0,0 +1,305 @@
+// Package holding runs the holders of those upstreams that this instance holds: it feeds each
+// holder.Holder its events and carries out what it decides. All decisions stand in package holder;
+// here are the queue of events, the calls to engines and peers, and the answers to waiting requests.
+package holding
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/placement/broker"
+	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/upstream/engine"
+)
+
+// runner.go holds what the rest of the instance calls, and the loop that owns all holders.
+
+// Peers are the calls that holders need made to other instances, this one included.
+type Peers interface {
+	Pins(ctx context.Context, member head.Member, upstream string, epoch int64) (peer.PinList, error)
+	PermitLoad(ctx context.Context, asked broker.Asked) (peer.LoadPermit, error)
+	EndLoad(ctx context.Context, load broker.Load) error
+}
+
+// Engine is the part of an engine's client that holders use.
+type Engine interface {
+	Load(ctx context.Context, order engine.Order) error
+	Unload(ctx context.Context, order engine.Order) error
+	Role(ctx context.Context, role string, fence int64) error
+	Report(ctx context.Context) (engine.Report, error)
+	Cancel(ctx context.Context, id string) error
+}
+
+// Tenure is what a new head says about this instance: which upstreams it holds, under which epoch and
+// among which members. Continued names the upstreams that it certainly held in the epoch before.
+type Tenure struct {
+	Epoch     int64
+	Members   []head.Member
+	Upstreams []resource.Upstream
+	Continued map[string]bool
+}
+
+// Runner owns the holders. Set the exported fields before Run.
+type Runner struct {
+	Settings holder.Settings
+	Peers    Peers
+	// Engine gives the client of the engine at an address.
+	Engine func(address string) Engine
+	// Source gives where the weight store keeps an adapter version.
+	Source func(ref model.Reference) string
+	// Fresh fails when this instance's knowledge may not be used any more.
+	Fresh func() error
+	Log   zerolog.Logger
+
+	inbox chan message
+	seats map[string]*seat
+	// tenure is the newest one told.
+	tenure Tenure
+	done   context.Context
+	ended  chan struct{}
+}
+
+const (
+	// inboxLength bounds what waits for the loop. A message takes some microseconds, so a full inbox
+	// means milliseconds of delay; beyond that senders wait.
+	inboxLength = 1024
+	// tickEvery lets holders notice deadlines and lapsed permits. They ask for at most 100 ms.
+	tickEvery = 50 * time.Millisecond
+)
+
+// message is something for the loop to do. It is sealed.
+type message interface{ message() }
+
+type (
+	placeMessage struct {
+		request peer.PlaceRequest
+		answer  chan peer.Placement
+	}
+	leaveMessage struct {
+		request peer.PlaceRequest
+	}
+	tenureMessage  struct{ tenure Tenure }
+	inForceMessage struct{ revision int64 }
+	goneMessage    struct{ instance, incarnation string }
+	summaryMessage struct{ answer chan []holder.Summary }
+	// eventMessage is an event for one upstream's holder, from a goroutine that began in a tenure.
+	// Events of an earlier seat of the same upstream are dropped.
+	eventMessage struct {
+		seat  *seat
+		event holder.Event
+	}
+	releaseMessage struct {
+		upstream string
+		event    holder.Released
+	}
+	listMessage struct {
+		seat   *seat
+		answer chan []holder.Pin
+	}
+	membersMessage struct{ answer chan []head.Member }
+)
+
+func (placeMessage) message()   {}
+func (leaveMessage) message()   {}
+func (tenureMessage) message()  {}
+func (inForceMessage) message() {}
+func (goneMessage) message()    {}
+func (summaryMessage) message() {}
+func (eventMessage) message()   {}
+func (releaseMessage) message() {}
+func (listMessage) message()    {}
+func (membersMessage) message() {}
+
+// Prepare makes the runner ready to be called before Run has begun.
+func (r *Runner) Prepare() {
+	r.inbox = make(chan message, inboxLength)
+	r.seats = map[string]*seat{}
+	r.ended = make(chan struct{})
+}
+
+// Run owns the holders until the context ends.
+func (r *Runner) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "holding") }()
+	defer close(r.ended)
+	r.done = ctx
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-r.inbox:
+			r.take(m)
+		case <-tick.C:
+			for _, s := range r.seats {
+				r.feed(s, holder.Tick{})
+			}
+		}
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+// What the rest of the instance calls.
+
+// Place asks for a place on an upstream and waits for the answer. When the context ends first, the
+// request leaves the queue, or gives its pin back.
+func (r *Runner) Place(ctx context.Context, request peer.PlaceRequest) peer.Placement {
+	answer := make(chan peer.Placement, 1)
+	if !r.send(ctx, placeMessage{request: request, answer: answer}) {
+		return notHolder
+	}
+	select {
+	case placement := <-answer:
+		return placement
+	case <-r.ended:
+		return notHolder
+	case <-ctx.Done():
+		r.send(context.WithoutCancel(ctx), leaveMessage{request: request})
+		return notHolder
+	}
+}
+
+// Release ends a pin.
+func (r *Runner) Release(ctx context.Context, upstream string, event holder.Released) {
+	r.send(ctx, releaseMessage{upstream: upstream, event: event})
+}
+
+// SetTenure tells what a newly installed head says.
+func (r *Runner) SetTenure(ctx context.Context, tenure Tenure) {
+	r.send(ctx, tenureMessage{tenure: tenure})
+}
+
+// SetInForce tells the highest revision that is in force everywhere.
+func (r *Runner) SetInForce(ctx context.Context, revision int64) {
+	r.send(ctx, inForceMessage{revision: revision})
+}
+
+// SetGone tells that an incarnation of an instance certainly does nothing any more.
+func (r *Runner) SetGone(ctx context.Context, instance, incarnation string) {
+	r.send(ctx, goneMessage{instance: instance, incarnation: incarnation})
+}
+
+// Summaries lists what is to be told of the upstreams held here.
+func (r *Runner) Summaries(ctx context.Context) []holder.Summary {
+	answer := make(chan []holder.Summary, 1)
+	if !r.send(ctx, summaryMessage{answer: answer}) {
+		return nil
+	}
+	select {
+	case summaries := <-answer:
+		return summaries
+	case <-r.ended:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (r *Runner) send(ctx context.Context, m message) bool {
+	select {
+	case r.inbox <- m:
+		return true
+	case <-r.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+// The loop's work.
+
+func (r *Runner) take(m message) {
+	switch m := m.(type) {
+	case placeMessage:
+		r.place(m)
+	case leaveMessage:
+		r.leave(m.request)
+	case tenureMessage:
+		r.setTenure(m.tenure)
+	case inForceMessage:
+		for _, s := range r.seats {
+			if m.revision >= r.tenure.Epoch {
+				r.feed(s, holder.EpochInForce{Epoch: r.tenure.Epoch})
+			}
+		}
+	case goneMessage:
+		for _, s := range r.seats {
+			r.cancelStreams(s, m.instance, m.incarnation)
+		}
+	case summaryMessage:
+		m.answer <- r.summaries()
+	case eventMessage:
+		if r.seats[m.seat.name()] == m.seat {
+			r.feed(m.seat, m.event)
+		}
+	case releaseMessage:
+		if s, ok := r.seats[m.upstream]; ok {
+			r.feed(s, m.event)
+		}
+	case listMessage:
+		m.answer <- m.seat.holder.Pins()
+	case membersMessage:
+		m.answer <- r.tenure.Members
+	}
+}
+
+func (r *Runner) summaries() []holder.Summary {
+	now := time.Now()
+	summaries := make([]holder.Summary, 0, len(r.seats))
+	for _, s := range r.seats {
+		if s.appointed {
+			summaries = append(summaries, s.holder.Summary(now))
+		}
+	}
+	return summaries
+}
+
+// setTenure takes a new head in: seats of upstreams no longer held are given up, new ones taken.
+func (r *Runner) setTenure(tenure Tenure) {
+	r.tenure = tenure
+	held := map[string]bool{}
+	names := make([]string, len(tenure.Members))
+	for i, member := range tenure.Members {
+		names[i] = member.Name
+	}
+	for _, upstream := range tenure.Upstreams {
+		name := upstream.Meta.Name
+		held[name] = true
+		s, ok := r.seats[name]
+		if ok && s.holder.Upstream.Address != upstream.Address {
+			r.giveUp(s)
+			ok = false
+		}
+		if !ok {
+			s = r.newSeat(upstream)
+		}
+		s.holder.Upstream = upstream
+		r.feed(s, holder.Appointed{
+			Epoch:     tenure.Epoch,
+			Members:   names,
+			Continued: ok && tenure.Continued[name],
+		})
+		r.feed(s, holder.UpstreamLeaving{Leaving: upstream.Leaving})
+		s.appointed = true
+	}
+	for name, s := range r.seats {
+		if !held[name] {
+			r.giveUp(s)
+		}
+	}
+}
+
+func (r *Runner) giveUp(s *seat) {
+	r.feed(s, holder.Yielded{})
+	s.stop()
+	delete(r.seats, s.name())
+	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("upstream_yielded")
+}
