--- /dev/null
+++ b/internal/fleet/freshness/tracker.go
@@ -0,0 +1,524 @@
+package freshness
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// This file holds the aggregate: facts come in through Install, ReadConfirmed, ReadFailed and Replied,
+// questions are answered from them. It starts no goroutine and makes no call.
+
+// Tracker keeps what one instance knows and since when. Set the exported fields before the first call;
+// zero durations and counts take the defaults. It is safe for concurrent use.
+type Tracker struct {
+	// Self is this process. It is fresh only while its head lists it.
+	Self Member
+	// Bound is how long a confirmation lasts, and must be equal on all instances.
+	Bound time.Duration
+	// ReadEvery is the time between two reads of the store by one that reads.
+	ReadEvery time.Duration
+	// Readers is how many instances read while all goes well.
+	Readers int
+
+	mutex     sync.Mutex
+	head      Head
+	installed time.Time
+	changed   chan struct{}
+	// read is the newest confirmation by a read of the store, our own or relayed, of the head's
+	// revision; ahead is the same for a revision that is not installed yet.
+	read  time.Time
+	ahead confirmation
+	// quorum is the start of the newest confirmation by a majority.
+	quorum   time.Time
+	told     map[identity]Status
+	asked    map[identity]question
+	highest  int64
+	pending  []pendingRevision
+	inForce  int64
+	departed map[identity]int64
+	// blind is the revision up to which members may have left that this process never saw.
+	blind       int64
+	lastRead    time.Time
+	readSucceed bool
+}
+
+// maxPending bounds the revisions kept while none gets in force; dropping the oldest is safe, since a
+// newer one takes it along.
+const maxPending = 256
+
+type identity struct {
+	name        string
+	incarnation string
+}
+
+type confirmation struct {
+	revision int64
+	at       time.Time
+}
+
+// question is the newest heartbeat that a member answered, and what it knew then.
+type question struct {
+	asked    time.Time
+	revision int64
+}
+
+// pendingRevision is an installed revision that is not known to be in force everywhere. Majority is
+// when a majority had told it; zero before.
+type pendingRevision struct {
+	revision int64
+	majority time.Time
+}
+
+func (m Member) identity() identity {
+	return identity{name: m.Name, incarnation: m.Incarnation}
+}
+
+// ---------------------------------------------------------------------------------------------
+// Facts.
+
+// Install says that a head is in force in this process from now on. A head that is not newer than the
+// one installed changes nothing.
+func (t *Tracker) Install(head Head) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if head.Revision <= t.head.Revision {
+		return
+	}
+	t.noteDepartures(head)
+	t.head = Head{Revision: head.Revision, Epoch: head.Epoch, Members: slices.Clone(head.Members)}
+	t.installed = time.Now()
+	t.read, t.quorum = time.Time{}, time.Time{}
+	if t.ahead.revision == head.Revision {
+		t.read = t.ahead.at
+	}
+	t.ahead = confirmation{}
+	t.highest = max(t.highest, head.Revision)
+	t.pending = append(t.pending, pendingRevision{revision: head.Revision})
+	if len(t.pending) > maxPending {
+		t.pending = slices.Delete(t.pending, 0, 1)
+	}
+	t.tell(t.Self, head.Revision, time.Now())
+	t.forget()
+	t.review(time.Now())
+}
+
+// ReadConfirmed says that a read of the store which began at that time showed the revision as newest.
+func (t *Tracker) ReadConfirmed(began time.Time, revision int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.lastRead, t.readSucceed = began, true
+	t.confirm(began, revision)
+	t.review(time.Now())
+}
+
+// ReadFailed says that a read of the store which began at that time brought nothing.
+func (t *Tracker) ReadFailed(began time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.lastRead, t.readSucceed = began, false
+}
+
+// Replied says what a peer answered to a heartbeat. The daemon asks every member; an answer counts for
+// the process that gave it and for no other of the same name.
+func (t *Tracker) Replied(reply Reply) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	t.highest = max(t.highest, reply.Revision)
+	if reply.ConfirmedAge >= 0 {
+		t.confirm(reply.Asked.Add(-reply.ConfirmedAge), reply.Revision)
+	}
+	t.noteReplaced(reply)
+	id := reply.Member.identity()
+	if t.concerns(id) {
+		t.tell(reply.Member, reply.Revision, now)
+		if known := t.asked[id]; reply.Asked.After(known.asked) {
+			t.asked[id] = question{asked: reply.Asked, revision: reply.Revision}
+		}
+		t.extendByMajority(now)
+	}
+	t.review(now)
+}
+
+// Ended says that a process has certainly ended, so that it counts as having told every revision. The
+// caller must be sure: a process that is only silent may be frozen, and would be fresh again by a
+// majority of its like. Without this a fleet that was restarted whole could not make a single change
+// of members, since the majority of the old head will never answer.
+func (t *Tracker) Ended(member Member) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.tell(member, math.MaxInt64, time.Now())
+	t.review(time.Now())
+}
+
+// ---------------------------------------------------------------------------------------------
+// Questions.
+
+// Fresh answers nil while the knowledge may be used, otherwise a *StaleError. Ask at the moment of use.
+func (t *Tracker) Fresh() error {
+	return t.FreshAt(time.Now())
+}
+
+// FreshAt is Fresh for a moment that the caller has just read from the clock.
+func (t *Tracker) FreshAt(now time.Time) error {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.isMember(t.Self.identity()) {
+		return &StaleError{Revision: t.head.Revision, NotMember: true, RetryAfter: t.readEvery()}
+	}
+	age := elapsed(t.confirmedAt(), now)
+	if age >= t.bound() {
+		return &StaleError{Revision: t.head.Revision, Age: age, RetryAfter: t.readEvery()}
+	}
+	return nil
+}
+
+// FreshUntil returns the installed revision and until when it may be used if nothing more is heard;
+// the zero time when it may not be used at all.
+func (t *Tracker) FreshUntil() (revision int64, until time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	at := t.confirmedAt()
+	if at.IsZero() || !t.isMember(t.Self.identity()) {
+		return t.head.Revision, time.Time{}
+	}
+	return t.head.Revision, at.Add(t.bound())
+}
+
+// Confirmed returns the installed revision and how long ago a read of the store showed it as newest;
+// negative when that is not known. It is what heartbeats tell.
+func (t *Tracker) Confirmed() (revision int64, age time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.read.IsZero() {
+		return t.head.Revision, -1
+	}
+	return t.head.Revision, elapsed(t.read, time.Now())
+}
+
+// Behind tells whether a higher revision than the installed one was heard of, and which.
+func (t *Tracker) Behind() (revision int64, behind bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.highest, t.highest > t.head.Revision
+}
+
+// InForce returns the highest revision known to be in force everywhere: no member can act on an older
+// one any more, now or later.
+func (t *Tracker) InForce() int64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.review(time.Now())
+	return t.inForce
+}
+
+// InForceEverywhere tells whether no member can act on anything older than the revision.
+func (t *Tracker) InForceEverywhere(revision int64) bool {
+	return t.InForce() >= revision
+}
+
+// WaitInForce returns when the revision is in force everywhere, or with the context's error.
+func (t *Tracker) WaitInForce(ctx context.Context, revision int64) (err error) {
+	defer func() { err = errors.WithMessagef(err, "wait for revision %d in force", revision) }()
+	for {
+		if t.InForceEverywhere(revision) {
+			return nil
+		}
+		changed, wait := t.nextReview()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Status returns what is known of each member of the head, in the head's order.
+func (t *Tracker) Status() []Status {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	list := make([]Status, 0, len(t.head.Members))
+	for _, m := range t.head.Members {
+		status, found := t.told[m.identity()]
+		status.Member, status.Told = m, found
+		list = append(list, status)
+	}
+	return list
+}
+
+// ShouldReadStore tells whether this instance should read the head from the store now. Made for a
+// fleet in which every instance would otherwise read each second: at 330 instances that is a sixth of
+// all the reads the store takes. A few, chosen by rendezvous hashing, read each ReadEvery. The others
+// read when what they hear is older than half the Bound: as often while their reads succeed (the
+// readers are gone, or they are cut off from them), else the more rarely the larger the fleet is, so
+// that a store coming back is not met by all at once.
+func (t *Tracker) ShouldReadStore() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	since := elapsed(t.lastRead, now)
+	if t.highest > t.head.Revision || t.isReader() {
+		return since >= t.readEvery()
+	}
+	if elapsed(t.read, now) < t.bound()/2 {
+		return false
+	}
+	if t.readSucceed {
+		return since >= t.readEvery()
+	}
+	spread := time.Duration(len(t.head.Members)) * time.Second / fallbackReads
+	return since >= max(t.readEvery(), spread)
+}
+
+// ---------------------------------------------------------------------------------------------
+// Confirmations.
+
+func (t *Tracker) confirm(at time.Time, revision int64) {
+	t.highest = max(t.highest, revision)
+	switch {
+	case revision == t.head.Revision:
+		t.read = later(t.read, at)
+	case revision > t.head.Revision && revision >= t.ahead.revision:
+		if revision > t.ahead.revision {
+			t.ahead = confirmation{revision: revision}
+		}
+		t.ahead.at = later(t.ahead.at, at)
+	}
+}
+
+// extendByMajority counts the members, this process included, that were asked and knew nothing newer.
+// The confirmation begins at the oldest question that is needed for the majority: an instance that
+// heard one peer now and the others long ago must not take the newest answer for all of them.
+// Nothing is counted while a read is young: with many members the count costs more than it brings.
+func (t *Tracker) extendByMajority(now time.Time) {
+	if t.highest > t.head.Revision || elapsed(t.read, now) < t.bound()/4 {
+		return
+	}
+	var starts []time.Time
+	for _, m := range t.head.Members {
+		id := m.identity()
+		if id == t.Self.identity() {
+			starts = append(starts, now)
+			continue
+		}
+		if q, found := t.asked[id]; found && q.revision <= t.head.Revision {
+			starts = append(starts, q.asked)
+		}
+	}
+	need := majority(len(t.head.Members))
+	if len(t.head.Members) == 0 || len(starts) < need {
+		return
+	}
+	slices.SortFunc(starts, func(a, b time.Time) int { return b.Compare(a) })
+	t.quorum = later(t.quorum, starts[need-1])
+}
+
+func (t *Tracker) confirmedAt() time.Time {
+	return later(t.read, t.quorum)
+}
+
+// ---------------------------------------------------------------------------------------------
+// In force everywhere.
+
+func (t *Tracker) tell(m Member, revision int64, now time.Time) {
+	if t.told == nil {
+		t.told = map[identity]Status{}
+		t.asked = map[identity]question{}
+	}
+	known, found := t.told[m.identity()]
+	if found && known.Revision >= revision {
+		return
+	}
+	t.told[m.identity()] = Status{Member: m, Revision: revision, Since: now, Told: true}
+}
+
+// noteReplaced takes a listed member for ended when another incarnation of its name answered in its
+// place. Heartbeats go to the address that the head lists, and an instance stops using its knowledge
+// before it closes its listener, so the old process can neither answer nor serve.
+// Only questions asked under the installed head count: a late answer of the old process must not speak
+// for the new one.
+func (t *Tracker) noteReplaced(reply Reply) {
+	if !reply.Asked.After(t.installed) {
+		return
+	}
+	for _, m := range t.head.Members {
+		if m.Name == reply.Member.Name && m.Incarnation != reply.Member.Incarnation {
+			t.tell(m, math.MaxInt64, time.Now())
+		}
+	}
+}
+
+// review moves inForce forward as far as the facts allow. A revision that is in force takes all older
+// ones with it.
+func (t *Tracker) review(now time.Time) {
+	before := t.inForce
+	for i := range t.pending {
+		p := &t.pending[i]
+		count := t.countTold(p.revision)
+		if p.majority.IsZero() && count >= majority(len(t.head.Members)) && count > 0 {
+			p.majority = now
+		}
+		if t.allTold(p.revision, count) || t.boundRanOut(*p, now) {
+			t.inForce = max(t.inForce, p.revision)
+		}
+	}
+	t.pending = slices.DeleteFunc(t.pending, func(p pendingRevision) bool { return p.revision <= t.inForce })
+	for id, left := range t.departed {
+		if left <= t.inForce {
+			delete(t.departed, id)
+		}
+	}
+	if t.inForce > before || t.changed == nil {
+		t.wake()
+	}
+}
+
+func (t *Tracker) countTold(revision int64) int {
+	count := 0
+	for _, m := range t.head.Members {
+		if t.told[m.identity()].Revision >= revision {
+			count++
+		}
+	}
+	return count
+}
+
+// allTold also asks the members that a head removed: such a one may still be fresh on an older head.
+// Once it told the head that removed it, it is no member any more and never fresh again.
+func (t *Tracker) allTold(revision int64, count int) bool {
+	if count == 0 || count < len(t.head.Members) || t.blind > t.inForce {
+		return false
+	}
+	for id, left := range t.departed {
+		if t.told[id].Revision < min(revision, left) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Tracker) boundRanOut(p pendingRevision, now time.Time) bool {
+	return !p.majority.IsZero() && now.Sub(p.majority) >= t.bound()+t.bound()/clockRateMargin
+}
+
+// noteDepartures remembers who left between the installed head and the next one. A process that saw
+// no earlier head, or skipped some, may have missed a departure: then only the Bound can tell. It has
+// missed none when the last change of members or upstreams added a member that is still there.
+func (t *Tracker) noteDepartures(next Head) {
+	if t.departed == nil {
+		t.departed = map[identity]int64{}
+	}
+	for _, m := range t.head.Members {
+		if !slices.ContainsFunc(next.Members, func(n Member) bool { return n.identity() == m.identity() }) {
+			t.departed[m.identity()] = next.Revision
+		}
+	}
+	sawAll := t.head.Revision > 0 && (next.Revision == t.head.Revision+1 || next.Epoch <= t.head.Revision)
+	added := slices.ContainsFunc(next.Members, func(m Member) bool { return m.Since == next.Epoch })
+	if !sawAll && !added {
+		t.blind = next.Revision
+	}
+}
+
+// forget drops what was told by processes that no longer matter.
+func (t *Tracker) forget() {
+	for id := range t.told {
+		if !t.concerns(id) {
+			delete(t.told, id)
+			delete(t.asked, id)
+		}
+	}
+}
+
+func (t *Tracker) nextReview() (changed <-chan struct{}, wait time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.changed == nil {
+		t.wake()
+	}
+	wait = t.bound()
+	now := time.Now()
+	for _, p := range t.pending {
+		if !p.majority.IsZero() {
+			left := t.bound() + t.bound()/clockRateMargin - now.Sub(p.majority)
+			wait = min(wait, max(left, time.Millisecond))
+		}
+	}
+	return t.changed, wait
+}
+
+func (t *Tracker) wake() {
+	if t.changed != nil {
+		close(t.changed)
+	}
+	t.changed = make(chan struct{})
+}
+
+// ---------------------------------------------------------------------------------------------
+// Who counts.
+
+func (t *Tracker) isMember(id identity) bool {
+	return slices.ContainsFunc(t.head.Members, func(m Member) bool { return m.identity() == id })
+}
+
+func (t *Tracker) concerns(id identity) bool {
+	_, left := t.departed[id]
+	return left || t.isMember(id) || id == t.Self.identity()
+}
+
+// isReader ranks the members by rendezvous hashing. An instance that is no member yet reads for itself.
+func (t *Tracker) isReader() bool {
+	if !t.isMember(t.Self.identity()) {
+		return true
+	}
+	own, ahead := readerScore(t.Self.Name), 0
+	for _, m := range t.head.Members {
+		if m.Name != t.Self.Name && readerScore(m.Name) > own {
+			ahead++
+		}
+	}
+	return ahead < t.readers()
+}
+
+func readerScore(name string) uint64 {
+	return xxhash.Sum64String("reader/" + name)
+}
+
+func majority(count int) int {
+	return count/2 + 1
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (t *Tracker) bound() time.Duration {
+	if t.Bound > 0 {
+		return t.Bound
+	}
+	return Bound
+}
+
+func (t *Tracker) readEvery() time.Duration {
+	if t.ReadEvery > 0 {
+		return t.ReadEvery
+	}
+	return ReadEvery
+}
+
+func (t *Tracker) readers() int {
+	if t.Readers > 0 {
+		return t.Readers
+	}
+	return DefaultReaders
+}
