Answer operators and give them lacewingctl

Operators declare resources, grant and withdraw keys, and watch what comes into force, through any instance. The verbs run in a test against the API before a repository over a store in memory: 24 command lines with their exit codes, keys whose secret stands neither in the store, nor in a list, nor in the log, and a store that is down or loses answers. A removal that is a conflict is not also refused as invalid: what names the resource is looked at again when the operator has read it anew.

--- a/cmd/lacewingctl/main.go
+++ b/cmd/lacewingctl/main.go
@@ -1,4 +1,19 @@
-// Command lacewingctl: see its help. All work is in the packages named for it.
+// Command lacewingctl is the operators' client; see its help. All work is in the packages named for it.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"lacewingrock.example/lacewingrock/internal/command/control"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	program := &control.Program{Environment: os.Getenv, In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	code := program.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- a/internal/catalog/configuration/apply.go
+++ b/internal/catalog/configuration/apply.go
@@ -20,6 +20,7 @@
 	var problems Problems
 	var conflicts Conflicts
 	seen := map[resource.ID]bool{}
+	var taken Change // the operations that are made on current versions
 	for _, operation := range change {
 		id := operation.target()
 		if seen[id] {
@@ -32,6 +33,7 @@
 			conflicts = append(conflicts, conflict)
 			continue
 		}
+		taken = append(taken, operation)
 		switch operation := operation.(type) {
 		case Declare:
 			invalid := fieldProblems(operation.Resource)
@@ -42,8 +44,8 @@
 			d.remove(id)
 		}
 	}
-	problems = append(problems, d.referenceProblems(change)...)
-	problems = append(problems, d.uniquenessProblems(change)...)
+	problems = append(problems, d.referenceProblems(taken)...)
+	problems = append(problems, d.uniquenessProblems()...)
 	if len(problems) > 0 {
 		return c, append(problems, conflicts...)
 	}
--- a/internal/catalog/configuration/references.go
+++ b/internal/catalog/configuration/references.go
@@ -110,7 +110,7 @@
 // uniquenessProblems looks for two keys with one secret and two upstreams at one address. Two keys
 // with one secret would leave open whose workspace a request runs for. An engine declared twice would
 // have two holders, and one would evict what the other had pinned.
-func (b *builder) uniquenessProblems(change Change) []Problem {
+func (b *builder) uniquenessProblems() []Problem {
 	var problems []Problem
 	for _, id := range b.duplicateHashes {
 		problems = append(problems, ProblemOf(id, "Hash", "another key has the same hash"))
--- /dev/null
+++ b/internal/command/control/apply.go
@@ -0,0 +1,82 @@
+// The verb apply: declares the resources of a file, all of them or none.
+
+package control
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+type applyVerb struct {
+	program *Program
+	output  output
+	file    string
+	wait    time.Duration
+}
+
+// Name of the verb.
+func (*applyVerb) Name() string { return "apply" }
+
+// Synopsis is one line for the list of verbs.
+func (*applyVerb) Synopsis() string { return "declare the resources of a file, all or none" }
+
+// Usage is the help text.
+func (*applyVerb) Usage() string {
+	return `apply -f FILE [-wait 5s] [-o table|json]
+  Declares the resources of a JSON file {"Resources": [{"Kind": ..., "Name": ..., ...}]}.
+  All are accepted or none. A resource that states the ResourceVersion it was read at is refused
+  as a conflict when it has changed since; 0 says that it must be new. A resource that states none is
+  declared against whatever is current. Applying the same file again changes nothing.
+`
+}
+
+// SetFlags sets the verb's flags.
+func (v *applyVerb) SetFlags(f *flag.FlagSet) {
+	v.output.setFlags(f)
+	f.StringVar(&v.file, "f", "", "the file, or - for standard input")
+	setWait(f, &v.wait)
+}
+
+// Execute carries the verb out.
+func (v *applyVerb) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return v.program.finish(v.run(ctx, f))
+}
+
+func (v *applyVerb) run(ctx context.Context, f *flag.FlagSet) error {
+	c, _, err := v.program.begin(f, v.output)
+	if err != nil {
+		return err
+	}
+	if v.file == "" {
+		return usageError("name a file with -f")
+	}
+	file, err := v.read()
+	if err != nil {
+		return err
+	}
+	accepted, err := c.Apply(ctx, file, v.wait)
+	if err != nil {
+		return err
+	}
+	if err := v.output.print(v.program.Out, accepted, acceptedTable(accepted)); err != nil {
+		return err
+	}
+	return inForce(accepted, v.wait > 0)
+}
+
+func (v *applyVerb) read() ([]byte, error) {
+	if v.file == "-" {
+		return io.ReadAll(v.program.In)
+	}
+	return os.ReadFile(v.file)
+}
+
+// setWait sets the flag -wait of a verb that changes something.
+func setWait(f *flag.FlagSet, wait *time.Duration) {
+	f.DurationVar(wait, "wait", 0, "wait up to that long until the change is in force on every instance, at most 25s")
+}
--- /dev/null
+++ b/internal/command/control/control_test.go
@@ -0,0 +1,193 @@
+package control_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/repository"
+	"lacewingrock.example/lacewingrock/internal/command/control"
+	"lacewingrock.example/lacewingrock/internal/operator/api"
+	"lacewingrock.example/lacewingrock/internal/operator/message"
+	"lacewingrock.example/lacewingrock/internal/platform/store"
+)
+
+const token = "operator-token"
+
+// fleet is one instance that has everything in force, or is stuck.
+type fleet struct{ stuck bool }
+
+func (f *fleet) Status() []api.InstanceStatus {
+	return []api.InstanceStatus{{Name: "entry-1", DataCentre: "south", Revision: 3, Reachable: true}}
+}
+
+func (f *fleet) WaitInForce(ctx context.Context, _ int64) error {
+	if f.stuck {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (f *fleet) BurnReport(context.Context) (api.Report, error) {
+	return api.Report{ShortWindow: time.Hour, LongWindow: 24 * time.Hour, Lines: []api.BurnLine{{
+		Workspace: "lines", Objective: "Answered", Target: 0.99, ShortBurn: 2.5, LongBurn: 1, BudgetLeft: 0.25,
+	}}}, nil
+}
+
+// deployment is one instance's API before a store in memory.
+type deployment struct {
+	kv     *store.Memory
+	fleet  *fleet
+	server *httptest.Server
+	log    *strings.Builder
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{kv: &store.Memory{}, fleet: &fleet{}, log: &strings.Builder{}}
+	sum := sha256.Sum256([]byte(token))
+	s := &api.Server{
+		Configurations: &repository.Repository{Store: d.kv, Writer: "entry-1"},
+		Fleet:          d.fleet,
+		Reports:        d.fleet,
+		TokenHashes:    []string{strings.Repeat("0", 64), hex.EncodeToString(sum[:])},
+		Log:            zerolog.New(d.log),
+	}
+	d.server = httptest.NewServer(s.Handler())
+	t.Cleanup(d.server.Close)
+	return d
+}
+
+// run carries out one command line.
+func (d *deployment) run(in string, arguments ...string) (code int, out, errors string) {
+	var stdout, stderr strings.Builder
+	environment := map[string]string{"LACEWING_SERVER": d.server.URL, "LACEWING_TOKEN": token}
+	p := &control.Program{
+		Environment: func(name string) string { return environment[name] },
+		In:          strings.NewReader(in), Out: &stdout, Err: &stderr,
+	}
+	code = p.Run(context.Background(), arguments)
+	return code, stdout.String(), stderr.String()
+}
+
+const example = `{"Resources": [
+	{"Kind": "Workspace", "Name": "lines", "Rate": 100, "Burst": 500, "Objectives": {"FirstTokenWithin": "540ms"}},
+	{"Kind": "AdapterVersion", "Adapter": "bids", "Version": "1", "Source": "bids/1"},
+	{"Kind": "Adapter", "Name": "bids", "BaseModel": "base", "Current": "1"},
+	{"Kind": "BaseModel", "Name": "base"}
+]}`
+
+func TestVerbs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "example.json")
+	if err := os.WriteFile(path, []byte(example), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name      string
+		in        string
+		arguments string
+		code      int
+		out       string
+		errors    string
+	}{
+		{"apply", "", "apply -f " + path + " -wait 5s", 0, "changed", ""},
+		{"apply again changes nothing", example, "apply -f -", 0, "unchanged", ""},
+		{"get", "", "get Workspace lines -o json", 0, `"FirstTokenWithin": "540ms"`, ""},
+		{"get a version", "", "get AdapterVersion bids@1", 0, "bids/1", ""},
+		{"get what is not there", "", "get Workspace nobody", 1, "", "no Workspace/nobody"},
+		{"list", "", "list Adapter", 0, "bids", ""},
+		{"list of no kind", "", "list Adaptor", 1, "", "no such kind"},
+		{"bad file", `{"Resources": [{"Kind": "Workspace", "Name": "x", "Rat": 1, "Burst": "y"}]}`, "apply -f -", 4, "", "Workspace/x Rat: no such field"},
+		{"refers to nothing", `{"Resources": [{"Kind": "Adapter", "Name": "x", "BaseModel": "none"}]}`, "apply -f -", 4, "", "Adapter/x BaseModel"},
+		{"old version", `{"Resources": [{"Kind": "BaseModel", "Name": "base", "ResourceVersion": 7}]}`, "apply -f -", 3, "", "made on version 7"},
+		{"delete of an old version", "", "delete BaseModel base -version 7", 3, "", "made on version 7"},
+		{"delete of what is named", "", "delete BaseModel base -version 1", 4, "", "still named by Adapter/bids"},
+		{"delete", "", "delete Workspace lines", 0, "removed", ""},
+		{"watch", "", "watch -after 1 -count 1", 0, "Workspace/lines version 0 removed", ""},
+		{"watch from the beginning", "", "watch -after 0 -count 1", 0, "BaseModel/base version 1 changed", ""},
+		{"status", "", "status", 0, "entry-1", ""},
+		{"burn", "", "report burn", 0, "2.50", ""},
+		{"version", "", "version -o json", 0, `"Go"`, ""},
+		{"wrong token", "", "-token wrong status", 1, "", "token is needed"},
+		{"instance that is not there", "", "-server http://127.0.0.1:1 status", 5, "", "nothing was sent"},
+		{"no verb", "", "", 2, "", "Exit codes"},
+		{"unknown verb", "", "destroy", 2, "", "Usage"},
+		{"too few arguments", "", "get Workspace", 2, "", "KIND NAME"},
+		{"unknown format", "", "status -o xml", 2, "", "table or json"},
+	}
+	d := deploy(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errors := d.run(c.in, strings.Fields(c.arguments)...)
+			t.Log(out, errors)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(out, c.out))
+			is.True(strings.Contains(errors, c.errors))
+		})
+	}
+}
+
+// A key's secret is shown to the operator once. Were it kept or logged anywhere, whoever reads the
+// store or a log could send requests for that workspace.
+func TestKeyIsShownOnceAndNowhereElse(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	code, _, _ := d.run(example, "apply", "-f", "-")
+	is.Equal(code, 0)
+	code, out, _ := d.run("", "key", "grant", "-workspace", "lines", "-name", "night", "-o", "json")
+	is.Equal(code, 0)
+	var granted message.Granted
+	is.NoErr(json.Unmarshal([]byte(out), &granted))
+	is.True(len(granted.Secret) > 40)
+
+	code, _, _ = d.run("", "key", "grant", "-workspace", "lines", "-name", "night")
+	is.Equal(code, 3) // there is one of that name
+	code, out, _ = d.run("", "list", "Key", "-o", "json")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "night"))
+	is.True(!strings.Contains(out, granted.Secret))
+	entries, err := d.kv.List(t.Context(), "")
+	is.NoErr(err)
+	for _, entry := range entries {
+		is.True(!strings.Contains(string(entry.Value), granted.Secret))
+	}
+	code, _, _ = d.run("", "key", "withdraw", "-name", "night", "-wait", "5s")
+	is.Equal(code, 0)
+	_, out, _ = d.run("", "get", "Key", "night")
+	is.True(strings.Contains(out, "true"))
+	is.True(!strings.Contains(d.log.String(), granted.Secret))
+	is.True(!strings.Contains(d.log.String(), token))
+}
+
+// The store is down, or its answer is lost and stays lost, while an operator changes something. Told
+// "nothing was changed" about a change that was made, she would make it a second time.
+func TestStoreFailures(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.kv.SetOutage(true)
+	code, _, errors := d.run(example, "apply", "-f", "-")
+	is.Equal(code, 5)
+	is.True(strings.Contains(errors, "nothing was changed"))
+
+	d.kv.SetOutage(false)
+	d.kv.LoseAnswers(3) // of parts and of the head; the instance finds out what became of them
+	code, _, _ = d.run(example, "apply", "-f", "-")
+	is.Equal(code, 0)
+
+	d.fleet.stuck = true
+	code, _, errors = d.run("", "delete", "Workspace", "lines", "-wait", "50ms")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errors, "not yet in force"))
+}
--- /dev/null
+++ b/internal/operator/api/look.go
@@ -0,0 +1,93 @@
+// Look-ups of resources, from what this instance has in force, and the watch.
+
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/codec"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/operator/message"
+)
+
+func (s *Server) list(c echo.Context) error {
+	kind, err := kindOf(c)
+	if err != nil {
+		return err
+	}
+	current := s.Configurations.Current()
+	return s.answerResources(c, current.Head.Revision, current.Configuration.Resources(kind))
+}
+
+func (s *Server) get(c echo.Context) error {
+	id, err := idOf(c)
+	if err != nil {
+		return err
+	}
+	current := s.Configurations.Current()
+	r, found := current.Configuration.Resource(id)
+	if !found {
+		return notFound("no " + id.String())
+	}
+	return s.answerResources(c, current.Head.Revision, []resource.Resource{r})
+}
+
+func (s *Server) answerResources(c echo.Context, revision int64, resources []resource.Resource) error {
+	answer := message.Resources{Revision: revision, Resources: make([]json.RawMessage, len(resources))}
+	for i, r := range resources {
+		encoded, err := codec.EncodeResource(r)
+		if err != nil {
+			return err
+		}
+		answer.Resources[i] = encoded
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// watch waits until this instance has a revision above after in force, or for the time asked for, and
+// tells what changed. An operator calls it again with the revision it was told.
+func (s *Server) watch(c echo.Context) error {
+	after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	if err != nil || after < 0 {
+		return invalid("after must be a revision")
+	}
+	wait, err := waitOf(c, longestWait)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), wait)
+	defer cancel()
+	current, changed, complete := s.Configurations.ChangesAfter(ctx, after)
+	answer := message.Changes{Revision: current.Head.Revision, Complete: complete, Changes: []message.Version{}}
+	for _, change := range changed {
+		answer.Changes = append(answer.Changes, message.Version{
+			Kind: string(change.ID.Kind), Name: change.ID.Name, ResourceVersion: change.Version,
+			Changed: true, Removed: change.Removed,
+		})
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func kindOf(c echo.Context) (kind resource.Kind, err error) {
+	kind = resource.Kind(c.Param("kind"))
+	if !slices.Contains(resource.Kinds(), kind) {
+		return "", notFound("no such kind: " + string(kind))
+	}
+	return kind, nil
+}
+
+func idOf(c echo.Context) (id resource.ID, err error) {
+	kind, err := kindOf(c)
+	if err != nil {
+		return resource.ID{}, err
+	}
+	return resource.ID{Kind: kind, Name: c.Param("name")}, nil
+}
