--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -102,8 +102,8 @@
 	return decodeList(answer.body)
 }
 
-// Watch waits for a revision of the key above after. A wait below a second is sent as it is; the
-// service answers at once when it is zero.
+// Watch waits for a revision of the key above after. wait must be above zero: the service takes zero
+// for its own default.
 func (c *Client) Watch(
 	ctx context.Context, key string, after int64, wait time.Duration,
 ) (entry Entry, err error) {
@@ -208,8 +208,9 @@
 	return answer{header: response.Header, body: body}, nil
 }
 
-// statusError sorts the statuses of the service. An unexpected one, such as that of something that
-// stands in between, does not say that nothing was written.
+// statusError sorts the statuses of the service. It refuses before doing anything when it is out, over
+// its rate, or does not take the request. An unexpected status, such as that of something that stands
+// in between, does not say that nothing was written.
 func statusError(status int, writes bool) error {
 	switch status {
 	case http.StatusOK:
@@ -223,7 +224,8 @@
 		return ErrNotFound
 	case http.StatusPreconditionFailed:
 		return ErrConflict
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		return because(ErrUnavailable, errors.Errorf("status %d", status))
 	}
 	return lost(writes, errors.Errorf("unexpected status %d", status))
--- a/internal/platform/store/memory.go
+++ b/internal/platform/store/memory.go
@@ -28,6 +28,17 @@
 	lostAnswers  int
 	lostRequests int
 	staleReads   int
+	lateWrites   int
+	lateBy       int64
+	late         []lateWrite
+	callNumber   int64
+}
+
+// lateWrite is a write whose sender has given up on it, and which still takes effect when the call
+// with the number due arrives.
+type lateWrite struct {
+	due int64
+	do  func()
 }
 
 var _ Store = (*Memory)(nil)
@@ -54,6 +65,14 @@
 	m.lostRequests = count
 }
 
+// LateWrites makes the next writes end in ErrUnknown at once and arrive only just before the call
+// that comes so many calls after each.
+func (m *Memory) LateWrites(count int, calls int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.lateWrites, m.lateBy = count, int64(calls)
+}
+
 // StaleReads makes the next reads of single keys return the value before the last write.
 func (m *Memory) StaleReads(count int) {
 	m.mutex.Lock()
@@ -88,11 +107,15 @@
 	if err := m.begin(ctx); err != nil {
 		return Entry{}, err
 	}
-	if m.lostRequests > 0 {
-		m.lostRequests--
+	write := func() (Entry, error) { return m.write(key, expected, value) }
+	if m.loseRequest(func() { _, _ = write() }) {
 		return Entry{}, ErrUnknown
 	}
 	defer func() { err = m.loseAnswer(err) }()
+	return write()
+}
+
+func (m *Memory) write(key string, expected int64, value []byte) (entry Entry, err error) {
 	if m.entries[key].Revision != expected {
 		return Entry{}, ErrConflict
 	}
@@ -114,11 +137,14 @@
 	if err := m.begin(ctx); err != nil {
 		return err
 	}
-	if m.lostRequests > 0 {
-		m.lostRequests--
+	if m.loseRequest(func() { _ = m.remove(key, expected) }) {
 		return ErrUnknown
 	}
 	defer func() { err = m.loseAnswer(err) }()
+	return m.remove(key, expected)
+}
+
+func (m *Memory) remove(key string, expected int64) error {
 	entry, found := m.entries[key]
 	if !found {
 		return ErrNotFound
@@ -152,7 +178,7 @@
 func (m *Memory) Watch(
 	ctx context.Context, key string, after int64, wait time.Duration,
 ) (entry Entry, err error) {
-	m.Calls.Add(1)
+	m.countCall()
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
@@ -175,6 +201,7 @@
 // begin counts a call and says whether it can be done.
 func (m *Memory) begin(ctx context.Context) error {
 	m.Calls.Add(1)
+	m.deliver()
 	if err := ctx.Err(); err != nil {
 		return because(ErrUnavailable, err)
 	}
@@ -184,6 +211,41 @@
 	return nil
 }
 
+func (m *Memory) countCall() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.Calls.Add(1)
+	m.deliver()
+}
+
+// deliver counts a call and makes the late writes that are due.
+func (m *Memory) deliver() {
+	m.callNumber++
+	waiting := m.late
+	m.late = nil
+	for _, write := range waiting {
+		if write.due <= m.callNumber {
+			write.do()
+			continue
+		}
+		m.late = append(m.late, write)
+	}
+}
+
+// loseRequest tells whether a write is lost or late.
+func (m *Memory) loseRequest(write func()) bool {
+	if m.lostRequests > 0 {
+		m.lostRequests--
+		return true
+	}
+	if m.lateWrites > 0 {
+		m.lateWrites--
+		m.late = append(m.late, lateWrite{due: m.callNumber + m.lateBy, do: write})
+		return true
+	}
+	return false
+}
+
 // look gives the key's entry and a channel that is closed at the next change of anything.
 func (m *Memory) look(key string, after int64) (entry Entry, changed <-chan struct{}, err error) {
 	m.mutex.Lock()
