Check the repository against an oracle and its history for linearizability

The state machine found a fault at once: a change that finds itself done already was answered on the ground of a stale read ("accepted as revision 1 after 2"), so that an operator would be told something is in force which a later change has undone. Such a change now swaps the head for itself; a conflict makes it look again. The history of six writers under lost and late writes is linearizable for 20 seeds, and no accepted change is lost. A stale read that repeats the head an instance already has cannot be told from a confirmation; freshness stays as good as the store's reads are.

--- a/internal/catalog/repository/commit.go
+++ b/internal/catalog/repository/commit.go
@@ -68,8 +68,8 @@
 }
 
 // Commit changes head and configuration together. It begins with a read, so that nothing is refused
-// or found to be done already on the ground of old knowledge. A mutation that changes nothing writes
-// nothing. Errors are as those of Apply. Revision, parts and marks of the mutation's head are not
+// or found to be done already on the ground of old knowledge. A mutation that changes nothing makes no
+// new revision, and gives the current one. Errors are as those of Apply. Revision, parts and marks of the mutation's head are not
 // looked at.
 func (r *Repository) Commit(ctx context.Context, mutate Mutation) (revision int64, err error) {
 	defer func() { err = errors.WithMessage(err, "commit") }()
@@ -103,7 +103,7 @@
 	}
 	changed := c.ChangedParts(base.Configuration)
 	if len(changed) == 0 && h.Equal(base.Head) {
-		return base.Head.Revision, nil
+		return base.Head.Revision, r.confirm(ctx, base)
 	}
 	if placesChanged(base.Configuration, c) {
 		h = h.WithEpoch()
@@ -117,6 +117,25 @@
 	return next.Head.Revision, r.swap(ctx, base, next)
 }
 
+// confirm swaps the head for itself. The read that a change began with may have been stale, where the
+// store's copies lag. A change that does something finds that out when its swap conflicts; one that
+// finds itself done already has to look, or an operator would be told that something is in force which
+// a later change, not seen here, has undone.
+func (r *Repository) confirm(ctx context.Context, base Snapshot) error {
+	value, err := codec.EncodeHead(base.Head)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	entry, err := r.Store.CompareAndSwap(ctx, HeadKey, base.storeRevision, value)
+	if err != nil {
+		return nothingChanged(err)
+	}
+	base.storeRevision, base.ConfirmedAt = entry.Revision, began
+	r.adopt(base)
+	return nil
+}
+
 // nothingChanged turns the unknown outcome of writing a part into a failure: as long as the head is
 // not swapped, a part that was written counts for nothing.
 func nothingChanged(err error) error {
--- a/internal/catalog/repository/repository.go
+++ b/internal/catalog/repository/repository.go
@@ -85,9 +85,8 @@
 	defer r.mutex.Unlock()
 	loaded := !r.current.InForceSince.IsZero()
 	if loaded && next.Head.Revision <= r.current.Head.Revision {
-		same := next.Head.Revision == r.current.Head.Revision
-		if same && next.ConfirmedAt.After(r.current.ConfirmedAt) {
-			r.current.ConfirmedAt = next.ConfirmedAt
+		if next.Head.Revision == r.current.Head.Revision {
+			r.confirmCurrent(next)
 		}
 		return r.current
 	}
@@ -103,6 +102,14 @@
 	return next
 }
 
+// confirmCurrent takes over what a later read of the same head says; it is called with the mutex held.
+func (r *Repository) confirmCurrent(next Snapshot) {
+	if next.ConfirmedAt.After(r.current.ConfirmedAt) {
+		r.current.ConfirmedAt = next.ConfirmedAt
+	}
+	r.current.storeRevision = max(r.current.storeRevision, next.storeRevision)
+}
+
 // notOlder fails with ErrWentBack unless the head, which was read from the store, is the one known
 // when the read began or one that follows it.
 func notOlder(known, h head.Head) error {
--- /dev/null
+++ b/internal/catalog/repository/repository_history_test.go
@@ -0,0 +1,359 @@
+package repository_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/catalog/repository"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/platform/store"
+)
+
+// Everything that goes wrong with the store comes in any order, at several instances: outages, lost
+// answers, lost and late writes, stale reads, sweeps, instances that join late. A user notices an error
+// here as a change that was told to be accepted and is gone, or one told to have failed and is there.
+//
+// The oracle is the list of accepted configurations. A change that was accepted is the next one in it;
+// one that was refused is not in it; one whose outcome was unknown may be, as the store itself shows.
+func TestRepositoryAgainstOracle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			m := &machine{kv: &store.Memory{}, accepted: []map[string]float64{{}}}
+			m.join(t)
+			t.Repeat(map[string]func(*rapid.T){
+				"":        m.check,
+				"declare": m.declare,
+				"remove":  m.remove,
+				"member":  m.member,
+				"refresh": m.refresh,
+				"sweep":   m.sweep,
+				"join":    m.join,
+				"fault":   m.fault,
+				"mend":    m.mend,
+			})
+			m.mend(t)
+			m.kv.StaleReads(0)
+			for _, r := range m.instances {
+				m.read(t, r)
+			}
+		})
+	})
+}
+
+// bubble hides the test's deadline, which rapid would ask for and synctest does not allow.
+type bubble struct{ rapid.TB }
+
+type machine struct {
+	kv        *store.Memory
+	instances []*repository.Repository
+	seen      []int64
+	// accepted holds the rates by workspace as of each revision.
+	accepted []map[string]float64
+}
+
+func (m *machine) any(t *rapid.T) *repository.Repository {
+	return m.instances[rapid.IntRange(0, len(m.instances)-1).Draw(t, "instance")]
+}
+
+func (m *machine) name(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"v", "w", "x"}).Draw(t, "workspace")
+}
+
+func (m *machine) join(*rapid.T) {
+	if len(m.instances) < 4 {
+		m.instances = append(m.instances, &repository.Repository{Store: m.kv, Writer: fmt.Sprint(len(m.instances))})
+		m.seen = append(m.seen, 0)
+	}
+}
+
+func (m *machine) newest() map[string]float64 { return m.accepted[len(m.accepted)-1] }
+
+func (m *machine) declare(t *rapid.T) {
+	r, name, rate := m.any(t), m.name(t), float64(rapid.IntRange(1, 5).Draw(t, "rate"))
+	expected := configuration.AnyVersion
+	if rapid.Bool().Draw(t, "stated") {
+		if w, found := r.Current().Configuration.Workspace(name); found {
+			expected = w.Meta.Version
+		}
+	}
+	next := maps.Clone(m.newest())
+	next[name] = rate
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	revision, err := declare(ctx, r, workspace(name, rate), expected)
+	m.outcome(t, r, revision, err, next)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	r, name := m.any(t), m.name(t)
+	next := maps.Clone(m.newest())
+	delete(next, name)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	revision, err := r.Apply(ctx, func(configuration.Configuration) (configuration.Change, error) {
+		id := resource.ID{Kind: resource.KindWorkspace, Name: name}
+		return configuration.Change{configuration.Remove{ID: id, Expected: configuration.AnyVersion}}, nil
+	})
+	m.outcome(t, r, revision, err, next)
+}
+
+func (m *machine) member(t *rapid.T) {
+	r := m.any(t)
+	incarnation := fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "incarnation"))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	revision, err := r.CommitHead(ctx, func(h head.Head) (head.Head, error) {
+		return h.WithMember(head.Member{Name: "member", Incarnation: incarnation}), nil
+	})
+	m.outcome(t, r, revision, err, m.newest())
+}
+
+// outcome takes down what a change was told to have done. Only one change runs at a time, so the next
+// revision can only be its own.
+func (m *machine) outcome(
+	t *rapid.T, r *repository.Repository, revision int64, err error, next map[string]float64,
+) {
+	before := int64(len(m.accepted) - 1)
+	var conflicts configuration.Conflicts
+	switch {
+	case err == nil && revision == before: // it changed nothing
+	case err == nil && revision == before+1:
+		m.accepted = append(m.accepted, next)
+	case err == nil:
+		t.Fatalf("accepted as revision %d after %d", revision, before)
+	case errors.As(err, &conflicts):
+	case errors.Is(err, store.ErrUnknown):
+		m.settle(next)
+	case !errors.Is(err, store.ErrUnavailable):
+		t.Fatalf("unexpected error: %v", err)
+	}
+	if err == nil && r.Current().Head.Revision < revision {
+		t.Fatalf("the writer has revision %d in force, not %d", r.Current().Head.Revision, revision)
+	}
+}
+
+// settle looks into the store, past all faults, after an unknown outcome. Late writes have arrived
+// by then or never take effect.
+func (m *machine) settle(next map[string]float64) {
+	m.kv.SetOutage(false)
+	m.kv.StaleReads(0)
+	m.kv.LateWrites(0, 0)
+	fresh := &repository.Repository{Store: m.kv, Writer: "settle"}
+	for range 8 {
+		_, _ = fresh.Refresh(context.Background())
+	}
+	if fresh.Current().Head.Revision == int64(len(m.accepted)) {
+		m.accepted = append(m.accepted, next)
+	}
+}
+
+func (m *machine) refresh(t *rapid.T) {
+	r := m.any(t)
+	began := time.Now()
+	snapshot, err := r.Refresh(context.Background())
+	if err == nil && snapshot.ConfirmedAt.After(began.Add(time.Millisecond)) {
+		t.Fatal("confirmed as of a moment after the read began")
+	}
+}
+
+func (m *machine) sweep(t *rapid.T) {
+	s := &repository.Sweeper{Repository: m.any(t), Grace: time.Second}
+	for range 2 {
+		for index := range head.PartCount {
+			_, _ = s.Sweep(context.Background(), index)
+		}
+		time.Sleep(2 * time.Second)
+	}
+}
+
+func (m *machine) fault(t *rapid.T) {
+	count := rapid.IntRange(1, 4).Draw(t, "count")
+	switch rapid.IntRange(0, 4).Draw(t, "fault") {
+	case 0:
+		m.kv.SetOutage(true)
+	case 1:
+		m.kv.LoseAnswers(count)
+	case 2:
+		m.kv.LoseRequests(count)
+	case 3:
+		m.kv.LateWrites(count, rapid.IntRange(1, 6).Draw(t, "late by"))
+	case 4:
+		m.kv.StaleReads(count)
+	}
+}
+
+func (m *machine) mend(*rapid.T) {
+	m.kv.SetOutage(false)
+	m.kv.LoseAnswers(0)
+	m.kv.LoseRequests(0)
+	m.kv.LateWrites(0, 0)
+}
+
+// check holds every instance to the oracle: its revision never falls, and what it has in force is
+// what was accepted as that revision.
+func (m *machine) check(t *rapid.T) {
+	for i, r := range m.instances {
+		current := r.Current()
+		revision := current.Head.Revision
+		if revision < m.seen[i] {
+			t.Fatalf("instance %d went back from revision %d to %d", i, m.seen[i], revision)
+		}
+		m.seen[i] = revision
+		if revision >= int64(len(m.accepted)) {
+			t.Fatalf("instance %d has revision %d, which was not accepted", i, revision)
+		}
+		if found := rates(current.Configuration); !maps.Equal(found, m.accepted[revision]) {
+			t.Fatalf("instance %d has %v as revision %d, accepted was %v", i, found, revision, m.accepted[revision])
+		}
+	}
+}
+
+func (m *machine) read(t *rapid.T, r *repository.Repository) {
+	if _, err := r.Refresh(context.Background()); err != nil {
+		t.Fatalf("the store works, but it cannot be read: %v", err)
+	}
+	if r.Current().Head.Revision != int64(len(m.accepted)-1) {
+		t.Fatalf("revision %d after a read, accepted was %d", r.Current().Head.Revision, len(m.accepted)-1)
+	}
+	m.check(t)
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// slow takes a random time before and after each call, so that calls of several writers overlap.
+type slow struct {
+	store.Store
+	random *rand.Rand
+	mutex  sync.Mutex
+}
+
+func (s *slow) pause() {
+	s.mutex.Lock()
+	pause := time.Duration(s.random.IntN(5)) * time.Millisecond
+	s.mutex.Unlock()
+	time.Sleep(pause)
+}
+
+func (s *slow) Get(ctx context.Context, key string) (store.Entry, error) {
+	s.pause()
+	defer s.pause()
+	return s.Store.Get(ctx, key)
+}
+
+func (s *slow) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (store.Entry, error) {
+	s.pause()
+	defer s.pause()
+	return s.Store.CompareAndSwap(ctx, key, expected, value)
+}
+
+// change and look are the operations of the history; outcome is the revision, or unknown.
+type operation struct{ change bool }
+
+type outcome struct {
+	revision int64
+	unknown  bool
+}
+
+// headModel is a counter: each change makes the next revision, and a look gives the current one.
+var headModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{int64(0)} },
+	Step: func(state, input, output any) []any {
+		current, in, out := state.(int64), input.(operation), output.(outcome)
+		switch {
+		case in.change && out.unknown:
+			return []any{current, current + 1}
+		case in.change && out.revision == current+1:
+			return []any{current + 1}
+		case !in.change && out.revision == current:
+			return []any{current}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+// Many instances change the configuration at the same time while answers are lost. The history of
+// changes and reads must be one that a single instance could have shown; otherwise an operator who was
+// told that a change is accepted could read the configuration without it at the next instance.
+func TestHistoryIsLinearizable(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkHistory(t, seed) })
+		})
+	}
+}
+
+func checkHistory(t *testing.T, seed uint64) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(seed, 0))
+	kv := &store.Memory{}
+	shared := &slow{Store: kv, random: random}
+	began := time.Now()
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	changed := map[string]bool{}
+	note := func(client int, in operation, call time.Duration, out outcome) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		end := int64(time.Since(began))
+		if out.unknown {
+			end = int64(time.Hour) // it may take effect at any time after
+		}
+		history = append(history, porcupine.Operation{
+			ClientId: client, Input: in, Call: int64(call), Output: out, Return: end,
+		})
+	}
+	var group sync.WaitGroup
+	for client := range 6 {
+		r := &repository.Repository{Store: shared, Writer: fmt.Sprint(client)}
+		group.Go(func() {
+			for i := range 6 {
+				name := fmt.Sprintf("w-%d-%d", client, i)
+				call := time.Since(began)
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				revision, err := declare(ctx, r, workspace(name, 1), configuration.MustBeNew)
+				cancel()
+				unknown := errors.Is(err, store.ErrUnknown)
+				if err == nil || unknown {
+					note(client, operation{change: true}, call, outcome{revision: revision, unknown: unknown})
+				}
+				mutex.Lock()
+				changed[name] = err == nil
+				mutex.Unlock()
+				call = time.Since(began)
+				if snapshot, err := r.Refresh(context.Background()); err == nil {
+					note(client, operation{}, call, outcome{revision: snapshot.Head.Revision})
+				}
+			}
+		})
+	}
+	group.Go(func() {
+		for range 20 {
+			time.Sleep(10 * time.Millisecond)
+			kv.LoseAnswers(1)
+			kv.LateWrites(1, 3)
+		}
+	})
+	group.Wait()
+	is.Equal(porcupine.CheckOperationsTimeout(headModel, history, time.Minute), porcupine.Ok)
+	fresh := &repository.Repository{Store: kv, Writer: "fresh"}
+	is.NoErr(fresh.Load(context.Background()))
+	for name, accepted := range changed {
+		_, found := fresh.Current().Configuration.Workspace(name)
+		is.True(found || !accepted) // no accepted change is lost
+	}
+	t.Logf("%d operations, %d store calls", len(history), kv.Calls.Load())
+}
