Let lost answers hit the swap of the head and the write of a part apart

The faults of the test were used up by the retried write of a part, so that the swap was never hit: with the swap settled by reading alone it still passed. Each case now says which write it hits.

--- a/internal/catalog/repository/repository_test.go
+++ b/internal/catalog/repository/repository_test.go
@@ -65,23 +65,34 @@
 // a user would otherwise see a key that was "not withdrawn" refused, or make a change twice.
 func TestLostAnswersAreSettled(t *testing.T) {
 	cases := []struct {
-		name  string
+		name string
+		// head: the swap of the head is hit; otherwise the write of a part.
+		head  bool
 		fault func(kv *store.Memory)
 	}{
-		{"answers lost", func(kv *store.Memory) { kv.LoseAnswers(4) }},
-		{"requests lost", func(kv *store.Memory) { kv.LoseRequests(4) }},
-		{"requests late by one call", func(kv *store.Memory) { kv.LateWrites(2, 1) }},
-		{"requests late by two calls", func(kv *store.Memory) { kv.LateWrites(2, 2) }},
-		{"requests late by five calls", func(kv *store.Memory) { kv.LateWrites(4, 5) }},
+		{"part: answers lost", false, func(kv *store.Memory) { kv.LoseAnswers(4) }},
+		{"part: requests lost", false, func(kv *store.Memory) { kv.LoseRequests(4) }},
+		{"part: requests late", false, func(kv *store.Memory) { kv.LateWrites(4, 3) }},
+		{"answers lost", true, func(kv *store.Memory) { kv.LoseAnswers(4) }},
+		{"requests lost", true, func(kv *store.Memory) { kv.LoseRequests(4) }},
+		{"requests late by one call", true, func(kv *store.Memory) { kv.LateWrites(2, 1) }},
+		{"requests late by two calls", true, func(kv *store.Memory) { kv.LateWrites(2, 2) }},
+		{"requests late by five calls", true, func(kv *store.Memory) { kv.LateWrites(4, 5) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is, ctx, kv := is.New(t), withTimeout(t), &store.Memory{}
-				r := &repository.Repository{Store: kv, Writer: "a"}
+				h := &hooked{Store: kv}
+				r := &repository.Repository{Store: h, Writer: "a"}
 				_, err := declare(ctx, r, workspace("w", 1), configuration.MustBeNew)
 				is.NoErr(err)
-				c.fault(kv)
+				h.before = func(key string) {
+					if (key == repository.HeadKey) == c.head {
+						h.before = nil
+						c.fault(kv)
+					}
+				}
 				revision, err := declare(ctx, r, workspace("w", 2), 1)
 				is.NoErr(err)
 				is.Equal(revision, int64(2))
