--- a/internal/catalog/repository/repository_test.go
+++ b/internal/catalog/repository/repository_test.go
@@ -324,3 +324,22 @@
 	}
 	return entry, err
 }
+
+// A new instance's first read shows an old head, in which a workspace has the rate that the operator
+// asks for; a later change, which the read does not show, has given it another. Told that nothing need
+// be changed, she would believe a rate to be in force that is not. The oracle test found this once, as
+// "accepted as revision 1 after 2".
+func TestUnchangedOnAStaleReadIsLookedAtAgain(t *testing.T) {
+	is, ctx, kv := is.New(t), t.Context(), &store.Memory{}
+	first := &repository.Repository{Store: kv, Writer: "a"}
+	for i, rate := range []float64{1, 2} {
+		_, err := declare(ctx, first, workspace("w", rate), int64(i))
+		is.NoErr(err)
+	}
+	kv.StaleReads(1)
+	second := &repository.Repository{Store: kv, Writer: "b"}
+	revision, err := declare(ctx, second, workspace("w", 1), configuration.AnyVersion)
+	is.NoErr(err)
+	is.Equal(revision, int64(3))
+	is.Equal(rates(second.Current().Configuration), map[string]float64{"w": 1})
+}
