Tell each client of a deployment its own way to a process

One instance alone must be cut off from the store in the proofs, so the proxy in between has to know which client it stands before. Engines' slots and batch places become settings of the deployment, since the eviction proofs need fewer slots than adapters. Nothing else changes; the packages' tests pass.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -18,13 +18,15 @@
 //
 // Binaries is the directory of lacewingd, lacewingctl and lacewingstand; Directory takes settings,
 // records and output. Template is the resource file to apply (empty: none is applied). Through, if
-// not nil, gives the address that the others are told in place of a process's own: it is how a test
-// puts a proxy between them. The extra arguments go to the stand-ins of that kind.
+// not nil, gives the address at which client ("" for all of them) is told to find a process: it is
+// how a test puts a proxy between them. The extra arguments go to the stand-ins of that kind.
 type Deployment struct {
 	Binaries        string
 	Directory       string
 	Template        string
 	Engines         int
+	EngineSlots     int
+	EngineBatch     int
 	Services        int
 	Instances       int
 	StoreArguments  []string
@@ -32,7 +34,7 @@
 	EngineArguments []string
 	// CheckFencing tells whether the engine of a number (from 0) checks fencing; nil: all do.
 	CheckFencing func(number int) bool
-	Through      func(name, address string) string
+	Through      func(client, name, address string) string
 	// ExtraSettings is added to the settings file of each instance.
 	ExtraSettings string
 
@@ -52,10 +54,10 @@
 // DataCentres of the example, given out in turn.
 var dataCentres = []string{"kingston", "spanish-town", "portmore"}
 
-// Slots and batch places of the example's engines.
+// Slots and batch places of the engines when the deployment does not say.
 const (
-	EngineSlots = 4
-	EngineBatch = 8
+	usualEngineSlots = 4
+	usualEngineBatch = 8
 )
 
 // Start starts everything and applies the template. On failure it stops what it started.
@@ -68,6 +70,12 @@
 	if err := os.MkdirAll(d.Directory, 0o700); err != nil {
 		return err
 	}
+	if d.EngineSlots == 0 {
+		d.EngineSlots = usualEngineSlots
+	}
+	if d.EngineBatch == 0 {
+		d.EngineBatch = usualEngineBatch
+	}
 	d.OperatorToken, err = secret()
 	if err != nil {
 		return err
@@ -123,8 +131,8 @@
 		"-name", name,
 		"-weights", d.Weights.Announced("Address"),
 		"-record", d.RecordPath(name),
-		fmt.Sprintf("-slots=%d", EngineSlots),
-		fmt.Sprintf("-batch=%d", EngineBatch),
+		fmt.Sprintf("-slots=%d", d.EngineSlots),
+		fmt.Sprintf("-batch=%d", d.EngineBatch),
 		fmt.Sprintf("-check-fencing=%t", d.ChecksFencing(number)),
 	}
 	return d.startStandin(ctx, name, "engine", append(arguments, d.EngineArguments...)...)
@@ -163,13 +171,13 @@
 	}
 }
 
-// through is the address of a process as the others are told it.
-func (d *Deployment) through(process *Process, announced string) string {
+// through is the address of a process as a client is told it.
+func (d *Deployment) through(client string, process *Process, announced string) string {
 	address := process.Announced(announced)
 	if d.Through == nil {
 		return address
 	}
-	return d.Through(process.Name, address)
+	return d.Through(client, process.Name, address)
 }
 
 // -----------------------------------------------------------------------------------------------
--- a/internal/standin/deployment/instance.go
+++ b/internal/standin/deployment/instance.go
@@ -73,12 +73,13 @@
 }
 
 func (d *Deployment) writeSettings(path string, number int, places [3]string) error {
+	name := fmt.Sprintf("instance-%d", number+1)
 	text := fmt.Sprintf(settingsText,
-		fmt.Sprintf("instance-%d", number+1),
+		name,
 		dataCentres[number%len(dataCentres)],
 		places[0], places[1], places[2],
-		d.through(d.Store, "Address"),
-		d.through(d.List, "Address"),
+		d.through(name, d.Store, "Address"),
+		d.through(name, d.List, "Address"),
 		hash(d.OperatorToken),
 		FreshnessBound,
 	)
@@ -100,7 +101,7 @@
 			members = append(members, list.Member{
 				Name:       process.Name,
 				Role:       role,
-				Address:    d.through(process, announced),
+				Address:    d.through("", process, announced),
 				DataCentre: dataCentres[number%len(dataCentres)],
 			})
 		}
@@ -186,15 +187,15 @@
 	for number, process := range d.EngineOf {
 		data.Engines = append(data.Engines, templateEngine{
 			Name:          process.Name,
-			Address:       d.through(process, "Address"),
+			Address:       d.through("", process, "Address"),
 			DataCentre:    dataCentres[number%len(dataCentres)],
-			Slots:         EngineSlots,
-			Batch:         EngineBatch,
+			Slots:         d.EngineSlots,
+			Batch:         d.EngineBatch,
 			ChecksFencing: d.ChecksFencing(number),
 		})
 	}
 	for _, process := range d.ServiceOf {
-		data.Services = append(data.Services, d.through(process, "Address"))
+		data.Services = append(data.Services, d.through("", process, "Address"))
 	}
 	var rendered bytes.Buffer
 	err = parsed.Execute(&rendered, data)
