Repeat the request's identity on the engine's refusals

A refusal without the identity could be another request's, so a client has to ask for the stream before it may say that nothing ran: one more call for each refusal. The test of the engine asks for it now and passes.

--- a/internal/command/standin/demo.go
+++ b/internal/command/standin/demo.go
@@ -136,7 +136,8 @@
 			continue
 		}
 		for _, request := range record.Requests {
-			if request.RequestID == id {
+			// The instance may add to the identity, one for each try.
+			if strings.HasPrefix(request.RequestID, id) {
 				return process.Name
 			}
 		}
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -21,6 +21,7 @@
 
 func (s *Server) routes() *echo.Echo {
 	routes := fault.NewRouter()
+	routes.Use(repeatIdentity)
 	routes.POST("/v1/completions", s.serveCompletion)
 	routes.POST("/v1/chat/completions", s.serveChat)
 	routes.GET("/v1/streams/:id", s.serveResume)
@@ -33,6 +34,17 @@
 	return routes
 }
 
+// repeatIdentity puts the request's identity on every answer, refusals included: without it a refusal
+// could be another request's.
+func repeatIdentity(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if id := c.Request().Header.Get(headerRequestID); id != "" {
+			c.Response().Header().Set(headerRequestID, id)
+		}
+		return next(c)
+	}
+}
+
 func (s *Server) serveCompletion(c echo.Context) error {
 	asked, err := decodeCompletion(c.Request())
 	if err != nil {
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -105,7 +105,11 @@
 func TestAnswersOnTheModelAskedFor(t *testing.T) {
 	is := is.New(t)
 	s := start(t, &engine.Server{LoadTime: time.Millisecond})
-	is.Equal(status(t, s, "/v1/completions", `{"model":"bids@1","prompt":"x"}`), http.StatusNotFound)
+	refused, err := post(t, s, "/v1/completions", "r0", `{"model":"bids@1","prompt":"x"}`)
+	is.NoErr(err)
+	is.NoErr(refused.Body.Close())
+	is.Equal(refused.StatusCode, http.StatusNotFound)
+	is.Equal(refused.Header.Get("X-Request-Id"), "r0")
 	is.Equal(status(t, s, "/orders/load", `{"Adapter":"bids","Version":"1","Fence":1}`), http.StatusOK)
 
 	answer, err := post(t, s, "/v1/completions", "r1", `{"model":"bids@1","prompt":"a tender","max_tokens":4}`)
