--- /dev/null
+++ b/internal/measure/policy/goals.go
@@ -0,0 +1,134 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+// goals.go holds the project's goals against the results. A goal is met only if it is met in every
+// case that it speaks of.
+
+// The limits of the goals, as the users set them.
+const (
+	mostStallRatio    = 0.25
+	mostWrongful      = 0.001
+	leastWorstShare   = 0.9
+	mostRetries       = 0.1
+	mostCrashesEach   = 3
+	equalEfficiency   = 0.005
+	comparableByBasis = 1
+)
+
+// Goal is one goal and whether the run met it. Measured names the cases that missed it.
+type Goal struct {
+	Name     string
+	Policy   string
+	Measured string
+	Met      bool
+}
+
+// judge holds all goals against the results, for either deployment's settings.
+func judge(report Report) (goals []Goal) {
+	for _, policy := range []string{nameBlueMountain, nameHellenic} {
+		goals = append(
+			goals,
+			stallGoal(report, policy, "load stalls, count", func(r Result) float64 { return r.Stalls }),
+			stallGoal(report, policy, "load stalls, seconds", func(r Result) float64 { return r.StallSeconds }),
+			atMost(report, policy, "no wrongful refusal below capacity", 0, isBelowCapacity, wrongful),
+			atMost(report, policy, "wrongful refusals under faults and skew at most 1 in 1,000", mostWrongful, hasRoom, wrongful),
+			floodGoal(report, policy),
+			efficiencyGoal(report, policy),
+			atMost(report, policy, "dispatched after the deadline: 0", 0, all, func(r Result) float64 { return r.LateDispatches }),
+			atMost(report, policy, "evicted while serving: 0", 0, all, func(r Result) float64 { return r.EvictedServing }),
+			atMost(report, policy, "retries add at most 10%", mostRetries, all, func(r Result) float64 { return r.Retries }),
+			atMost(report, policy, "crashes for each poisonous request at most 3", mostCrashesEach, isPoison, func(r Result) float64 { return r.Crashes / 3 }),
+		)
+	}
+	return goals
+}
+
+func wrongful(r Result) float64 { return r.Wrongful }
+
+func all(Case) bool { return true }
+
+func isPoison(c Case) bool { return c.Poison > 0 }
+
+func isBelowCapacity(c Case) bool { return c.BelowCapacity }
+
+// hasRoom tells that the work offered fits, faults aside.
+func hasRoom(c Case) bool { return c.Load < 1 && c.Flood == 0 }
+
+// atMost demands a value up to limit in all cases that apply.
+func atMost(report Report, policy, name string, limit float64, applies func(Case) bool, value func(Result) float64) Goal {
+	worst := 0.0
+	var missed []string
+	for _, load := range Cases() {
+		if !applies(load) {
+			continue
+		}
+		v := value(report.find(load.Name, policy))
+		worst = max(worst, v)
+		if v > limit {
+			missed = append(missed, load.Name)
+		}
+	}
+	return goal(name, policy, fmt.Sprintf("worst %.4f", worst), missed)
+}
+
+// stallGoal demands at most a quarter of the stalls of the least loaded upstream with LRU.
+func stallGoal(report Report, policy, name string, value func(Result) float64) Goal {
+	worst := 0.0
+	sum, base := 0.0, 0.0
+	var missed []string
+	for _, load := range Cases() {
+		ours := value(report.find(load.Name, policy))
+		theirs := value(report.find(load.Name, nameLeastLoaded))
+		sum += ours
+		base += theirs
+		ratio := ours / math.Max(theirs, comparableByBasis)
+		worst = max(worst, ratio)
+		if ratio > mostStallRatio {
+			missed = append(missed, load.Name)
+		}
+	}
+	name += " at most a quarter of least-loaded"
+	return goal(name, policy, fmt.Sprintf("%.2f over all cases, worst %.2f", sum/base, worst), missed)
+}
+
+func floodGoal(report Report, policy string) Goal {
+	share := report.find("flood", policy).WorstShare
+	var missed []string
+	if share < leastWorstShare {
+		missed = append(missed, "flood")
+	}
+	return goal("worst-served workspace at 90% of its fair share in a flood", policy, fmt.Sprintf("%.3f", share), missed)
+}
+
+// efficiencyGoal demands at least every baseline's efficiency; differences below half a percent are
+// taken as equal.
+func efficiencyGoal(report Report, policy string) Goal {
+	worst := math.Inf(1)
+	var missed []string
+	for _, load := range Cases() {
+		ours := report.find(load.Name, policy).Efficiency
+		best := 0.0
+		for _, v := range variants() {
+			if !isOurs(v.name) {
+				best = max(best, report.find(load.Name, v.name).Efficiency)
+			}
+		}
+		worst = min(worst, ours/best)
+		if ours < best-equalEfficiency {
+			missed = append(missed, load.Name)
+		}
+	}
+	return goal("batch efficiency at least every baseline's", policy, fmt.Sprintf("worst ratio %.3f", worst), missed)
+}
+
+func goal(name, policy, measured string, missed []string) Goal {
+	if len(missed) > 0 {
+		measured += "; missed in " + strings.Join(missed, ", ")
+	}
+	return Goal{Name: name, Policy: policy, Measured: measured, Met: len(missed) == 0}
+}
--- /dev/null
+++ b/internal/measure/policy/tables.go
@@ -0,0 +1,126 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+
+	"lacewingrock.example/lacewingrock/internal/placement/deployment"
+)
+
+// tables.go writes the results as Markdown: one table for each measure, cases down and policies
+// across, then what the two deployments' settings buy, then the goals.
+
+// measure is one figure of a result. ratio tells that a table of ratios to least-loaded is wanted too.
+type measure struct {
+	name   string
+	file   string
+	format string
+	value  func(Result) float64
+	ratio  bool
+}
+
+func measures() []measure {
+	return []measure{
+		{"Load stalls (requests that waited for a load)", "load_stalls", "%.0f", func(r Result) float64 { return r.Stalls }, true},
+		{"Load stalls (seconds waited)", "load_stall_seconds", "%.0f", func(r Result) float64 { return r.StallSeconds }, true},
+		{"Batch efficiency (share of batch places' time that worked for answers)", "batch_efficiency", "%.3f", func(r Result) float64 { return r.Efficiency }, true},
+		{"Worst-served workspace: goodput as a share of what is fair", "worst_share", "%.3f", func(r Result) float64 { return r.WorstShare }, true},
+		{"Worst-served workspace: first token, 95th percentile in seconds", "worst_first_token", "%.2f", func(r Result) float64 { return r.WorstFirstToken }, true},
+		{"Wrongful refusals (share of the requests within their rates)", "wrongful_refusals", "%.4f", func(r Result) float64 { return r.Wrongful }, true},
+		{"Loads a second", "loads", "%.2f", func(r Result) float64 { return r.Loads }, false},
+		{"Retries (share of first sends)", "retries", "%.3f", func(r Result) float64 { return r.Retries }, false},
+	}
+}
+
+func markdown(report Report, seed int64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "`make measure`, seeds %d to %d: %d instances, %d upstreams with %d slots and %d batch places each, ",
+		seed, seed+seedsEach-1, instances, upstreams, slots, batch)
+	fmt.Fprintf(&b, "%d adapters (Zipf %.1f within each workspace), %d workspaces; %s of arrivals after %s of warming up. Means over the seeds.\n",
+		adapters, skew, workspaces, length-warm, warm)
+	writeCases(&b)
+	for _, m := range measures() {
+		writeMeasure(&b, report, m, false)
+		if m.ratio {
+			writeMeasure(&b, report, m, true)
+		}
+	}
+	writeSettings(&b, report)
+	writeGoals(&b, report.Goals)
+	return b.String()
+}
+
+func writeCases(b *strings.Builder) {
+	b.WriteString("\n| case | load | offered |\n|---|---|---|\n")
+	for _, load := range Cases() {
+		fmt.Fprintf(b, "| %s | %s | %.0f%% of capacity |\n", load.Name, load.About, load.Load*100)
+	}
+}
+
+func writeMeasure(b *strings.Builder, report Report, m measure, ratio bool) {
+	title := m.name
+	if ratio {
+		title += ", as a ratio to " + nameLeastLoaded
+	}
+	fmt.Fprintf(b, "\n### %s\n\n| case |", title)
+	for _, v := range variants() {
+		fmt.Fprintf(b, " %s |", v.name)
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(variants())) + "\n")
+	for _, load := range Cases() {
+		fmt.Fprintf(b, "| %s |", load.Name)
+		base := m.value(report.find(load.Name, nameLeastLoaded))
+		for _, v := range variants() {
+			fmt.Fprintf(b, " %s |", cell(m, m.value(report.find(load.Name, v.name)), base, ratio))
+		}
+		b.WriteString("\n")
+	}
+}
+
+func cell(m measure, value, base float64, ratio bool) string {
+	if !ratio {
+		return fmt.Sprintf(m.format, value)
+	}
+	if base == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", value/base)
+}
+
+// writeSettings shows what the settings that differ buy and cost, summed or averaged over the cases.
+func writeSettings(b *strings.Builder, report Report) {
+	b.WriteString("\n### What the settings buy and cost\n\nMeans over all cases.\n\n")
+	b.WriteString("| policy | longest backlog | price of a load | stalls | stall seconds | efficiency | worst share | worst first token | wrongful |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|\n")
+	for _, p := range []deployment.Policy{deployment.BlueMountain(), deployment.Hellenic()} {
+		mean := meanOverCases(report, p.Name)
+		fmt.Fprintf(b, "| %s | %s | %s | %.0f | %.0f | %.3f | %.3f | %.2f s | %.4f |\n",
+			p.Name, p.Holder.LongestBacklog, p.Route.LoadPrice, mean.Stalls, mean.StallSeconds,
+			mean.Efficiency, mean.WorstShare, mean.WorstFirstToken, mean.Wrongful)
+	}
+}
+
+func meanOverCases(report Report, policy string) (mean Result) {
+	part := 1 / float64(len(Cases()))
+	for _, load := range Cases() {
+		r := report.find(load.Name, policy)
+		mean.Stalls += part * r.Stalls
+		mean.StallSeconds += part * r.StallSeconds
+		mean.Efficiency += part * r.Efficiency
+		mean.WorstShare += part * r.WorstShare
+		mean.WorstFirstToken += part * r.WorstFirstToken
+		mean.Wrongful += part * r.Wrongful
+	}
+	return mean
+}
+
+func writeGoals(b *strings.Builder, goals []Goal) {
+	b.WriteString("\n### Goals\n\n| goal | policy | met | measured |\n|---|---|---|---|\n")
+	for _, g := range goals {
+		met := "no"
+		if g.Met {
+			met = "yes"
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | %s |\n", g.Name, g.Policy, met, g.Measured)
+	}
+}
--- a/internal/placement/holder/actions.go
+++ b/internal/placement/holder/actions.go
@@ -36,10 +36,12 @@
 	}
 	// Refuse answers a request that did not run and will not.
 	Refuse struct {
-		RequestID  string
-		Instance   string
-		Reason     Reason
-		RetryAfter time.Duration
+		RequestID   string
+		Instance    string
+		Reason      Reason
+		RetryAfter  time.Duration
+		WaitedLoad  time.Duration
+		WaitedQueue time.Duration
 	}
 	// AskPins asks every member for its pins on the upstream; answered by PinsTold for each.
 	AskPins struct{ Epoch int64 }
--- a/internal/placement/holder/dispatch.go
+++ b/internal/placement/holder/dispatch.go
@@ -49,7 +49,7 @@
 	}
 	h.pins.add(running{Pin: pin, since: now, cost: request.Cost, weight: request.Weight, alone: request.Alone})
 	h.residency.use(now, request.Model)
-	load, queued := w.granted(now)
+	load, queued := w.waited(now)
 	h.act(Grant{Pin: pin, WaitedLoad: load, WaitedQueue: queued})
 }
 
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -31,7 +31,9 @@
 	times     loadTimes
 	unhealthy bool
 	leaving   bool
-	actions   []Action
+	// now and actions are those of the event being handled.
+	now     time.Time
+	actions []Action
 }
 
 // waiter is a request in the queue. loadSince is when it began to wait for a load, zero if it did not.
@@ -42,14 +44,19 @@
 	waitedLoad time.Duration
 }
 
-// granted is how long the waiter waited for a load and in the queue, at the moment of its grant.
-func (w *waiter) granted(now time.Time) (load, queue time.Duration) {
-	return w.waitedLoad, now.Sub(w.arrived) - w.waitedLoad
+// waited is how long the waiter has waited for a load and, apart from that, in the queue.
+func (w *waiter) waited(now time.Time) (load, queue time.Duration) {
+	load = w.waitedLoad
+	if !w.loadSince.IsZero() {
+		load += now.Sub(w.loadSince)
+	}
+	return load, now.Sub(w.arrived) - load
 }
 
 // Handle takes one event that happened at now and returns what has to be done.
 func (h *Holder) Handle(now time.Time, event Event) []Action {
 	h.prepare()
+	h.now = now
 	h.actions = nil
 	switch e := event.(type) {
 	case Appointed:
@@ -161,11 +168,11 @@
 // arrived queues a request, or refuses it at once.
 func (h *Holder) arrived(now time.Time, request Request) {
 	if !h.tenure.holding {
-		h.act(Refuse{request.ID, request.Instance, ReasonNotHolder, retryElsewhere})
+		h.refuseNew(request, ReasonNotHolder, retryElsewhere)
 		return
 	}
 	if !h.takesWork() {
-		h.act(Refuse{request.ID, request.Instance, ReasonLeaving, retryElsewhere})
+		h.refuseNew(request, ReasonLeaving, retryElsewhere)
 		return
 	}
 	if _, known := h.waiting[request.ID]; known {
@@ -173,7 +180,7 @@
 	}
 	h.demand.add(now, request.Model)
 	if wait := h.untilLoaded(now, request.Model); now.Add(wait).After(request.Deadline) {
-		h.act(Refuse{request.ID, request.Instance, ReasonBusy, wait})
+		h.refuseNew(request, ReasonBusy, wait)
 		return
 	}
 	h.enqueue(now, request)
@@ -193,7 +200,7 @@
 		h.refuse(out.ID, ReasonBusy, h.queue.Backlog())
 	}
 	if refusal, refused := err.(queue.Refusal); refused {
-		h.act(Refuse{request.ID, request.Instance, ReasonBusy, refusal.RetryAfter})
+		h.refuseNew(request, ReasonBusy, refusal.RetryAfter)
 		return
 	}
 	w := &waiter{request: request, arrived: now}
@@ -215,7 +222,20 @@
 		return
 	}
 	delete(h.waiting, id)
-	h.act(Refuse{id, w.request.Instance, reason, retryAfter})
+	load, queued := w.waited(h.now)
+	h.act(Refuse{
+		RequestID:   id,
+		Instance:    w.request.Instance,
+		Reason:      reason,
+		RetryAfter:  retryAfter,
+		WaitedLoad:  load,
+		WaitedQueue: queued,
+	})
+}
+
+// refuseNew answers a request that was never queued.
+func (h *Holder) refuseNew(request Request, reason Reason, retryAfter time.Duration) {
+	h.act(Refuse{RequestID: request.ID, Instance: request.Instance, Reason: reason, RetryAfter: retryAfter})
 }
 
 // refuseWhere answers and removes the waiting requests that match.
