--- a/internal/admission/rate/ledger.go
+++ b/internal/admission/rate/ledger.go
@@ -214,6 +214,17 @@
 	return asks
 }
 
+// Available is how many tokens could be reserved here now, without borrowing.
+func (l *Ledger) Available(workspace string) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	b, err := l.usable(workspace)
+	if err != nil {
+		return 0
+	}
+	return max(b.level, 0)
+}
+
 // Give lends tokens to a peer: at most what is in the bucket and what this instance owns. They are
 // deducted before the answer is sent, so that a lost answer cannot make them count twice.
 func (l *Ledger) Give(workspace string, tokens float64, borrower Identity) Loan {
