Run completions at an engine over as many connections as they take

Cause: a connection to an engine can be cut at any byte or go silent for good while new ones work, and engines mix up answers or run another version.

Each exchange has a connection of its own. A stream that makes no progress within its phase's limit is resumed on a new connection from the tokens passed on; events are told apart by their count, so none comes twice and none is missing. "Not run" is said only when no byte left (the connection is sealed first) or when the engine said so under the request's identity; a refusal without one is checked by asking for the stream. Weighed and left: pooled connections with pings, which can't tell whether the request that a silent connection swallowed has run.

--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -5,12 +5,22 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lacewingrock.example/lacewingrock/internal/caller/completion"
 	"lacewingrock.example/lacewingrock/internal/caller/stream"
+	"lacewingrock.example/lacewingrock/internal/upstream/exchange"
+)
+
+// The headers of the engines' protocol.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerPriority    = "X-Priority"
+	headerServedModel = "X-Served-Model"
+	headerRetryAfter  = "Retry-After"
 )
 
 // Limits bound each phase of an exchange. None has a measured reason yet but for the target's first
@@ -55,6 +65,10 @@
 	Limits  Limits
 	// Observe, when set, is told of each fault that the client got over or gave up on, for counters.
 	Observe func(Fault)
+
+	once      sync.Once
+	limits    Limits
+	transport exchange.Transport
 }
 
 // Fault is something an engine or the way to it did wrong.
@@ -68,6 +82,7 @@
 	FaultCrossed    Fault = "crossed"
 	FaultWrongModel Fault = "wrong_model"
 	FaultMalformed  Fault = "malformed"
+	FaultRefused    Fault = "refused"
 )
 
 // Dispatch is one run of a request at an engine. ID must differ between two runs of one request at
@@ -151,51 +166,44 @@
 
 // ---------------------------------------------------------------------------------------------
 
-// Errors of orders, told apart with errors.Is.
-var (
-	// ErrStaleFence: the engine knows a higher fencing number; nothing was done.
-	ErrStaleFence = errors.New("engine: order with an old fencing number")
-	// ErrNoSlot: all slots are taken; nothing was done.
-	ErrNoSlot = errors.New("engine: no free slot")
-	// ErrInUse: the adapter version is serving; nothing was done.
-	ErrInUse = errors.New("engine: adapter version in use")
-	// ErrLoadFailed: the engine could not get the weights.
-	ErrLoadFailed = errors.New("engine: load failed")
-	// ErrNotSent: the order did not leave this process.
-	ErrNotSent = errors.New("engine: order not sent")
-	// ErrUnknown: the order may have been carried out, now or later.
-	ErrUnknown = errors.New("engine: outcome of the order unknown")
-)
+// Complete runs one completion and returns when it has ended, one way or another. When ctx ends, the
+// stream is cancelled at the engine before Complete returns.
+func (c *Client) Complete(ctx context.Context, dispatch Dispatch, sink Sink) Outcome {
+	c.prepare()
+	r := &runner{client: c, dispatch: dispatch, sink: sink}
+	return r.complete(ctx)
+}
 
-// Order to load or unload an adapter version.
-type Order struct {
-	Adapter string
-	Version string
-	Source  string
-	Fence   int64
+// prepare fixes the limits at the first use.
+func (c *Client) prepare() {
+	c.once.Do(func() {
+		c.limits = c.Limits
+		if c.limits == (Limits{}) {
+			c.limits = DefaultLimits()
+		}
+		c.transport.Connect = c.limits.Connect
+	})
 }
 
-// Report is an engine's own view of itself; Age says how old it is. Resident names "adapter@version".
-type Report struct {
-	Incarnation string
-	Slots       int
-	Batch       int
-	Running     int
-	Waiting     int
-	Resident    []string
-	Age         time.Duration
+func (c *Client) observe(fault Fault) {
+	if c.Observe != nil {
+		c.Observe(fault)
+	}
 }
 
-// CacheEvent tells of a change in an engine's memory. Kind is "loaded", "evicted" or "prefix".
-type CacheEvent struct {
-	Number  int64
-	Kind    string
-	Adapter string
-	Version string
-	Prefix  string
+// jsonHeader is the header of a request with a JSON body and an identity.
+func jsonHeader(id string) http.Header {
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRequestID, id)
+	return header
 }
 
-// Complete runs one completion and returns when it has ended, one way or another.
-func (c *Client) Complete(ctx context.Context, dispatch Dispatch, sink Sink) Outcome {
-	return NotRun{Err: errors.New("engine: not built yet")}
+// retryAfter reads when to come back; a second when the engine does not say.
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get(headerRetryAfter))
+	if err != nil || seconds < 1 {
+		return time.Second
+	}
+	return time.Duration(seconds) * time.Second
 }
--- /dev/null
+++ b/internal/upstream/engine/fake_engine_test.go
@@ -0,0 +1,267 @@
+package engine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/caller/completion"
+	"lacewingrock.example/lacewingrock/internal/caller/stream"
+	"lacewingrock.example/lacewingrock/internal/upstream/engine"
+)
+
+const (
+	askedModel = "bids@2"
+	requestID  = "request-1"
+)
+
+// fakeEngine speaks the engines' protocol and generates the tokens t1, t2, ... without pause. Spoil,
+// when set, may answer an exchange in its place; number counts the exchanges from 1.
+type fakeEngine struct {
+	tokens int
+	spoil  func(number int, w http.ResponseWriter, r *http.Request) bool
+
+	mu        sync.Mutex
+	exchanges int
+	runs      int
+	cancels   int
+	known     map[string]bool
+}
+
+func (e *fakeEngine) start(t *testing.T) string {
+	t.Helper()
+	e.known = map[string]bool{}
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (e *fakeEngine) counts() (runs, cancels int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs, e.cancels
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.exchanges++
+	number := e.exchanges
+	id := r.Header.Get("X-Request-Id")
+	known := e.known[id]
+	if r.Method == http.MethodPost {
+		e.runs++
+		e.known[id] = true
+	}
+	if r.Method == http.MethodDelete {
+		e.cancels++
+	}
+	e.mu.Unlock()
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Served-Model", askedModel)
+	if e.spoil != nil && e.spoil(number, w, r) {
+		return
+	}
+	from := 0
+	fmt.Sscan(r.URL.Query().Get("from"), &from)
+	switch {
+	case r.Method == http.MethodDelete:
+		w.WriteHeader(http.StatusNoContent)
+	case r.Method == http.MethodGet && !known:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		sendEvents(w, id, from, e.tokens)
+	}
+}
+
+// sendEvents sends the tokens after from, the finish reason, the usage and the end.
+func sendEvents(w http.ResponseWriter, id string, from, tokens int) {
+	for n := from + 1; n <= tokens; n++ {
+		sendToken(w, id, n)
+	}
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"index\":0,\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n", tokens, id)
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d}}\n\n", tokens, id, tokens)
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func sendToken(w http.ResponseWriter, id string, n int) {
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"model\":%q,\"choices\":[{\"index\":0,\"text\":\"t%d \"}]}\n\n", n, id, askedModel, n)
+	w.(http.Flusher).Flush()
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// textSink joins the tokens; fail, when above zero, is the event at which it fails.
+type textSink struct {
+	mu     sync.Mutex
+	begun  int
+	events int
+	text   string
+	fail   int
+	slow   time.Duration
+}
+
+func (s *textSink) Begin(string) error {
+	s.begun++
+	return nil
+}
+
+func (s *textSink) Event(event stream.Event, _ int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events++
+	if s.fail > 0 && s.events >= s.fail {
+		return io.ErrClosedPipe
+	}
+	time.Sleep(s.slow)
+	var chunk struct{ Choices []struct{ Text string } }
+	if err := json.Unmarshal(event.Data, &chunk); err != nil {
+		return err
+	}
+	for _, choice := range chunk.Choices {
+		s.text += choice.Text
+	}
+	return nil
+}
+
+func wholeText(tokens int) string {
+	var text strings.Builder
+	for n := 1; n <= tokens; n++ {
+		fmt.Fprintf(&text, "t%d ", n)
+	}
+	return text.String()
+}
+
+// quickLimits make the failure cases end soon; none of them is asserted on.
+func quickLimits() engine.Limits {
+	limits := engine.DefaultLimits()
+	limits.FirstToken = 300 * time.Millisecond
+	limits.BetweenTokens = 300 * time.Millisecond
+	limits.Resumes = 2
+	return limits
+}
+
+func dispatch() engine.Dispatch {
+	return engine.Dispatch{ID: requestID, API: completion.Text, Model: askedModel, Body: []byte(`{"model":"bids@2"}`)}
+}
+
+// faults counts what a client observes.
+type faults struct {
+	mu     sync.Mutex
+	counts map[engine.Fault]int
+}
+
+func (f *faults) observe(fault engine.Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.counts == nil {
+		f.counts = map[engine.Fault]int{}
+	}
+	f.counts[fault]++
+}
+
+func (f *faults) count(fault engine.Fault) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts[fault]
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// cutProxy passes connections on and cuts the first one after so many bytes of the request or of the
+// answer; below zero means never.
+type cutProxy struct {
+	target   string
+	requests int
+	answers  int
+
+	mu       sync.Mutex
+	count    int
+	sent     int
+	answered int
+}
+
+func (p *cutProxy) start(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go p.run(listener)
+	return listener.Addr().String()
+}
+
+func (p *cutProxy) run(listener net.Listener) {
+	for {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.count++
+		first := p.count == 1
+		p.mu.Unlock()
+		go p.pass(caller, first)
+	}
+}
+
+func (p *cutProxy) pass(caller net.Conn, first bool) {
+	defer caller.Close()
+	upstream, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer upstream.Close()
+	requests, answers := -1, -1
+	if first {
+		requests, answers = p.requests, p.answers
+	}
+	ended := make(chan struct{}, 2)
+	copyUpTo := func(to io.Writer, from io.Reader, most int, passed *int) {
+		source := from
+		if most >= 0 {
+			source = io.LimitReader(from, int64(most))
+		}
+		copied, _ := io.Copy(to, source)
+		if most >= 0 {
+			from.Read(make([]byte, 1)) // cut when the next byte comes, not before
+		}
+		p.mu.Lock()
+		*passed += int(copied)
+		p.mu.Unlock()
+		ended <- struct{}{}
+	}
+	go copyUpTo(upstream, caller, requests, &p.sent)
+	go copyUpTo(caller, upstream, answers, &p.answered)
+	<-ended
+	caller.Close()
+	upstream.Close()
+	<-ended
+}
+
+// lengths measures an exchange that is not cut: the bytes of its request and of its answer.
+func lengths(t *testing.T, target string) (request, answer int) {
+	t.Helper()
+	proxy := &cutProxy{target: target, requests: -1, answers: -1}
+	client := &engine.Client{Address: proxy.start(t), Limits: quickLimits()}
+	client.Complete(t.Context(), dispatch(), &textSink{})
+	for {
+		proxy.mu.Lock()
+		request, answer = proxy.sent, proxy.answered
+		proxy.mu.Unlock()
+		if request > 0 && answer > 0 {
+			return request, answer
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
