Check that the example configuration is accepted

Its test only read it as JSON. It is now decoded by the operators' codec and applied to an empty configuration, which takes it as it stands.

--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/codec"
+	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
 )
 
 func TestParsePairs(t *testing.T) {
@@ -32,34 +34,36 @@
 	}
 }
 
-func TestExampleIsJSON(t *testing.T) {
+func TestExampleIsAccepted(t *testing.T) {
 	is := is.New(t)
 	announcing := func(name, address string) *Process {
 		return &Process{Name: name, announced: map[string]string{"Address": address}}
 	}
 	d := &Deployment{
+		EngineSlots: 4, EngineBatch: 8,
 		EngineOf:  []*Process{announcing("engine-1", "127.0.0.1:1"), announcing("engine-2", "127.0.0.1:2")},
 		ServiceOf: []*Process{announcing("service-1", "127.0.0.1:3"), announcing("service-2", "127.0.0.1:4")},
 	}
 	text, err := d.Render(filepath.Join("..", "..", "..", "examples", "cooperatives.json.tmpl"))
 	is.NoErr(err)
-	var file struct {
-		Resources []struct {
-			Kind      string
-			Name      string
-			Address   string
-			Addresses []string
-		}
+	change, err := codec.DecodeFile(text)
+	is.NoErr(err)
+	accepted, err := (configuration.Configuration{}).Apply(change, 1)
+	is.NoErr(err)
+	is.Equal(len(accepted.Upstreams()), 2)
+	service, found := accepted.Service(ServiceOne)
+	is.True(found)
+	is.Equal(service.Addresses, []string{"127.0.0.1:3", "127.0.0.1:4"})
+	for _, workspace := range []string{WorkspaceA, WorkspaceB} {
+		_, found := accepted.Workspace(workspace)
+		is.True(found)
 	}
-	is.NoErr(json.Unmarshal(text, &file))
-	kinds := make(map[string]int)
-	for _, resource := range file.Resources {
-		kinds[resource.Kind]++
+	for _, adapter := range []string{AdapterA, AdapterB} {
+		declared, found := accepted.Adapter(adapter)
+		is.True(found)
+		_, found = accepted.AdapterVersion(adapter, declared.Current)
+		is.True(found)
 	}
-	is.Equal(kinds["Upstream"], 2)
-	last := file.Resources[len(file.Resources)-1]
-	is.Equal(last.Name, ServiceOne)
-	is.Equal(last.Addresses, []string{"127.0.0.1:3", "127.0.0.1:4"})
 }
 
 // By the time "down" runs, a noted process may be gone and its id may belong to another's process,
