--- a/internal/catalog/configuration/configuration.go
+++ b/internal/catalog/configuration/configuration.go
@@ -47,7 +47,13 @@
 	if !found {
 		return resource.Key{}, false
 	}
-	return lookUp[resource.Key](c, resource.KindKey, name)
+	key, found = lookUp[resource.Key](c, resource.KindKey, name)
+	if !found || key.Hash != hash {
+		// Only a fault of the index leads here. Without the comparison it would let a secret be used
+		// as another key.
+		return resource.Key{}, false
+	}
+	return key, true
 }
 
 // Key finds a key by its name.
--- a/internal/catalog/configuration/configuration_test.go
+++ b/internal/catalog/configuration/configuration_test.go
@@ -179,6 +179,24 @@
 	is.Equal(c.Count(), 7)
 }
 
+// A key is removed and one of the same name is granted to another workspace. Were the old secret still
+// found under the name, its holder would run requests for a workspace that is not hers.
+func TestOldSecretOfANameUsedAgain(t *testing.T) {
+	is := is.New(t)
+	night := resource.Key{Meta: named("night"), Workspace: "lines", Hash: hashOf("a")}
+	removed, err := example(t).Apply(configuration.Change{configuration.Remove{ID: night.ID(), Expected: 1}}, 2)
+	is.NoErr(err)
+	_, found := removed.KeyByHash(hashOf("a"))
+	is.True(!found)
+	night.Workspace, night.Hash = "feed", hashOf("b")
+	again, err := removed.Apply(declared(workspace("feed", 1), night), 3)
+	is.NoErr(err)
+	_, found = again.KeyByHash(hashOf("a"))
+	is.True(!found)
+	key, _ := again.KeyByHash(hashOf("b"))
+	is.Equal(key.Workspace, "feed")
+}
+
 // BenchmarkApplyOne measures one adapter version added to 45,000 adapters.
 func BenchmarkApplyOne(b *testing.B) {
 	c := large(b)
