--- a/internal/catalog/codec/file_codec.go
+++ b/internal/catalog/codec/file_codec.go
@@ -1,10 +1,8 @@
-// Lists of resources: the file that an operator applies, and a part as the store keeps it.
+// The file of resources that an operator applies.
 
 package codec
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -74,32 +72,3 @@
 	}
 	return json.Marshal(wire)
 }
-
-// ---------------------------------------------------------------------------------------------
-
-// EncodePart writes the resources of one part; equal resources in equal order give equal bytes.
-func EncodePart(resources []resource.Resource) (data []byte, err error) {
-	return EncodeFile(resources)
-}
-
-// DecodePart reads a part from the store. It takes each resource's version as the accepted one.
-func DecodePart(data []byte) (resources []resource.Resource, err error) {
-	defer func() { err = errors.WithMessage(err, "decode part") }()
-	change, err := DecodeFile(data)
-	if err != nil {
-		return nil, err
-	}
-	resources = make([]resource.Resource, 0, len(change))
-	for _, operation := range change {
-		if declare, ok := operation.(configuration.Declare); ok {
-			resources = append(resources, declare.Resource)
-		}
-	}
-	return resources, nil
-}
-
-// HashOf is the content name of a part: the SHA-256 of its bytes in lower-case hex.
-func HashOf(data []byte) string {
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/catalog/repository/parallel.go
+++ b/internal/catalog/repository/parallel.go
@@ -12,25 +12,23 @@
 	"lacewingrock.example/lacewingrock/internal/platform/store"
 )
 
-// workers share out numbered tasks. The first error ends the others.
+// workers share out numbered tasks. After an error no further task begins, but those under way are
+// done: what they fetch is of use to the next try.
 type workers struct {
-	task   func(ctx context.Context, i int) error
-	count  int64
-	next   atomic.Int64
-	done   atomic.Int64
-	group  sync.WaitGroup
-	once   sync.Once
-	err    error
-	cancel context.CancelFunc
+	task  func(ctx context.Context, i int) error
+	count int64
+	next  atomic.Int64
+	done  atomic.Int64
+	group sync.WaitGroup
+	once  sync.Once
+	err   error
 }
 
 // inParallel does the tasks 0 to count-1, fetchWidth at a time, and gives the first error. It succeeds
 // only if every task was done: a part that was not fetched because the caller had gone would otherwise
 // pass for an empty one, and its resources for removed.
 func inParallel(ctx context.Context, count int, task func(ctx context.Context, i int) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w := &workers{task: task, count: int64(count), cancel: cancel}
+	w := &workers{task: task, count: int64(count)}
 	for range min(count, fetchWidth) {
 		w.group.Go(func() { w.run(ctx) })
 	}
@@ -49,7 +47,7 @@
 		}
 		if err := w.task(ctx, int(i)); err != nil {
 			w.once.Do(func() { w.err = err })
-			w.cancel()
+			w.next.Store(w.count)
 			return
 		}
 		w.done.Add(1)
--- a/internal/catalog/repository/read.go
+++ b/internal/catalog/repository/read.go
@@ -159,6 +159,11 @@
 func (r *Repository) fetch(
 	ctx context.Context, indexes []int, h head.Head,
 ) (parts map[int][]resource.Resource, err error) {
+	wanted := make(map[string]bool, len(indexes))
+	for _, index := range indexes {
+		wanted[partKey(index, h.Part(index))] = true
+	}
+	r.pending.keepOnly(wanted)
 	fetched := make([][]resource.Resource, len(indexes))
 	err = inParallel(ctx, len(indexes), func(ctx context.Context, i int) (err error) {
 		fetched[i], err = r.fetchPart(ctx, indexes[i], h.Part(indexes[i]))
@@ -171,6 +176,7 @@
 	for i, index := range indexes {
 		parts[index] = fetched[i]
 	}
+	r.pending.keepOnly(nil)
 	return parts, nil
 }
 
@@ -181,6 +187,9 @@
 		return nil, nil
 	}
 	key := partKey(index, part)
+	if resources, found := r.pending.get(key); found {
+		return resources, nil
+	}
 	entry, err := r.Store.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, errors.WithMessage(ErrPartMissing, key)
@@ -191,5 +200,10 @@
 	if codec.HashOf(entry.Value) != part.Hash {
 		return nil, errors.Errorf("repository: %s does not have the content it is named for", key)
 	}
-	return codec.DecodePart(entry.Value)
+	resources, err = codec.DecodePart(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	r.pending.put(key, resources)
+	return resources, nil
 }
--- a/internal/catalog/repository/repository.go
+++ b/internal/catalog/repository/repository.go
@@ -65,6 +65,7 @@
 	subscribers map[*subscriber]struct{}
 	history     history
 	committing  semaphore
+	pending     pendingParts
 }
 
 // Current gives the newest snapshot without reading the store. It is cheap: the path of each request
--- a/internal/catalog/repository/repository_test.go
+++ b/internal/catalog/repository/repository_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -343,3 +344,41 @@
 	is.Equal(revision, int64(3))
 	is.Equal(rates(second.Current().Configuration), map[string]float64{"w": 1})
 }
+
+// All instances of a fleet start at once, and the store allows each only a few reads a second. Beginning
+// anew with each try, an instance would never have read all parts, and stay unready.
+func TestLoadMakesProgressAtTheStoresLimit(t *testing.T) {
+	is, ctx, kv := is.New(t), t.Context(), &store.Memory{}
+	writer := &repository.Repository{Store: kv, Writer: "a"}
+	_, err := writer.Apply(ctx, func(configuration.Configuration) (change configuration.Change, err error) {
+		for i := range 500 {
+			w := workspace(fmt.Sprint("w", i), 1)
+			change = append(change, configuration.Declare{Resource: w, Expected: configuration.MustBeNew})
+		}
+		return change, nil
+	})
+	is.NoErr(err)
+	limited := &rateLimited{Store: kv}
+	reader := &repository.Repository{Store: limited, Writer: "b"}
+	tries := 0
+	for reader.Current().Head.Revision == 0 && tries < 20 {
+		limited.left.Store(10)
+		_, _ = reader.Refresh(ctx)
+		tries++
+	}
+	is.Equal(rates(reader.Current().Configuration), rates(writer.Current().Configuration))
+	is.True(tries <= 8) // 64 parts, nine to a try beside the head
+}
+
+// rateLimited allows as many reads as are left.
+type rateLimited struct {
+	store.Store
+	left atomic.Int64
+}
+
+func (l *rateLimited) Get(ctx context.Context, key string) (store.Entry, error) {
+	if l.left.Add(-1) < 0 {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return l.Store.Get(ctx, key)
+}
