--- a/internal/measure/policy/run.go
+++ b/internal/measure/policy/run.go
@@ -45,7 +45,8 @@
 	// Requests that arrived, and those of them within their workspace's rate.
 	Requests   float64
 	WithinRate float64
-	// Stalls are the requests that waited for a load, StallSeconds how long they did in all.
+	// Stalls are the requests that waited for a load or were refused for want of it, StallSeconds how
+	// long they waited in all.
 	Stalls       float64
 	StallSeconds float64
 	// Efficiency is the share of the batch places' time that worked for answers.
--- a/internal/measure/policy/simulation.go
+++ b/internal/measure/policy/simulation.go
@@ -125,7 +125,7 @@
 	case holder.Refuse:
 		c := s.calls[a.RequestID]
 		c.waitedLoad += a.WaitedLoad
-		s.clock.after(hop, func() { c.entry.refused(c, e.name()) })
+		s.clock.after(hop, func() { c.entry.refused(c, e) })
 	case holder.OrderFence:
 		s.clock.after(2*hop, func() { s.tell(e, holder.FenceNoted(a)) })
 	case holder.AskPermit:
--- a/internal/placement/queue/fair_queue.go
+++ b/internal/placement/queue/fair_queue.go
@@ -191,22 +191,26 @@
 	return len(q.items) >= q.Longest || q.spread(q.work+next.Work) > q.LongestBacklog
 }
 
-// lastOfTheHeaviest is the last entry of the workspace with the most waiting work for its weight. It
-// fails when that is the workspace of next itself: then next has to go. So a workspace that floods
-// the queue pushes out its own requests and nobody else's.
+// lastOfTheHeaviest is the last entry of the workspace that even without it has the most waiting work
+// for its weight. It fails when that is the workspace of next itself: then next has to go. So a
+// workspace that floods the queue pushes out its own requests and nobody else's.
 func (q *Queue) lastOfTheHeaviest(next Entry) (at int, ok bool) {
 	if q.FirstInFirstOut {
 		return 0, false
 	}
 	load := map[string]float64{next.Workspace: next.Work.Seconds() / positive(next.Weight)}
-	for _, it := range q.items {
+	last := make(map[string]int)
+	for i, it := range q.items {
 		load[it.Workspace] += it.Work.Seconds() / positive(it.Weight)
+		last[it.Workspace] = i
 	}
 	at = -1
 	heaviest := load[next.Workspace]
-	for i, it := range q.items {
-		if load[it.Workspace] > heaviest || (at >= 0 && it.Workspace == q.items[at].Workspace) {
-			heaviest = load[it.Workspace]
+	for _, it := range q.items {
+		i := last[it.Workspace]
+		without := load[it.Workspace] - q.items[i].Work.Seconds()/positive(it.Weight)
+		if it.Workspace != next.Workspace && without > heaviest {
+			heaviest = without
 			at = i
 		}
 	}
