Let the broker alone decide whether a load comes too late

Cause: the holder refused a request at once when the mean wait for its last loads was longer than the request's patience, though the broker, a millisecond away, knows the turn of each ask. The holder now refuses only what even a load ordered at once would miss.

--- a/internal/placement/holder/loads.go
+++ b/internal/placement/holder/loads.go
@@ -313,11 +313,8 @@
 		return 0
 	}
 	l, ok := h.loads[ref]
-	if !ok {
-		return h.times.wait(now)
-	}
-	if l.state == loadOrdered {
+	if ok && l.state == loadOrdered {
 		return max(0, h.times.order-now.Sub(l.ordered))
 	}
-	return max(h.times.order, h.times.wait(now)-now.Sub(l.first))
+	return h.times.order
 }
