Let the orders' test server notice that its caller left

The test's own server never read the request's body, and net/http watches for a gone caller only after that, so its handler waited for ever and the server could not close. The client itself had returned ErrUnknown within its limit.

Ruled out: a fault in the client (the goroutine dump shows only the test's server). The test asserts the same as before.

--- a/internal/upstream/engine/orders_test.go
+++ b/internal/upstream/engine/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -15,7 +16,11 @@
 
 func answering(t *testing.T, handler http.HandlerFunc) *engine.Client {
 	t.Helper()
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A server notices that its caller is gone only after it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		handler(w, r)
+	}))
 	t.Cleanup(server.Close)
 	return &engine.Client{Address: server.Listener.Addr().String(), Limits: quickLimits()}
 }
