--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -41,18 +41,18 @@
 		if err != nil {
 			failed++
 			if failed == unhealthyAfter {
-				r.Log.Warn().Str("Upstream", s.name()).Err(err).Msg("upstream_unreachable")
+				r.Log.Warn().Str("Upstream", s.name()).Err(err).Msg("UpstreamUnreachable")
 				r.tell(s, holder.UpstreamHealth{Healthy: false})
 			}
 			continue
 		}
 		if failed >= unhealthyAfter {
-			r.Log.Info().Str("Upstream", s.name()).Msg("upstream_reachable")
+			r.Log.Info().Str("Upstream", s.name()).Msg("UpstreamReachable")
 			r.tell(s, holder.UpstreamHealth{Healthy: true})
 		}
 		failed = 0
 		if incarnation != "" && incarnation != report.Incarnation {
-			r.Log.Warn().Str("Upstream", s.name()).Msg("upstream_restarted")
+			r.Log.Warn().Str("Upstream", s.name()).Msg("UpstreamRestarted")
 			r.tell(s, holder.UpstreamRestarted{Incarnation: report.Incarnation})
 		}
 		incarnation = report.Incarnation
@@ -134,7 +134,7 @@
 	}
 	for _, pin := range pins {
 		if before[pin.ID] && !known[pin.ID] {
-			r.Log.Warn().Str("Upstream", s.name()).Str("Instance", instance).Msg("pin_release_was_lost")
+			r.Log.Warn().Str("Upstream", s.name()).Str("Instance", instance).Msg("PinReleaseWasLost")
 			r.tell(s, holder.Released{Pin: pin.ID})
 		}
 	}
@@ -197,7 +197,7 @@
 		r.tell(s, holder.FenceNoted(action))
 		return
 	}
-	r.Log.Warn().Str("Upstream", s.name()).Int64("Fence", action.Fence).Err(err).Msg("fence_not_noted")
+	r.Log.Warn().Str("Upstream", s.name()).Int64("Fence", action.Fence).Err(err).Msg("FenceNotNoted")
 }
 
 func (r *Runner) runPermit(s *seat, action holder.AskPermit) {
@@ -224,7 +224,7 @@
 func (r *Runner) runReturn(s *seat, ref model.Reference) {
 	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref})
 	if err != nil {
-		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("permit_not_returned")
+		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("PermitNotReturned")
 	}
 }
 
@@ -239,7 +239,7 @@
 		event = r.Log.Warn().Err(err)
 	}
 	event.Str("Upstream", s.name()).Str("Load", action.Load.String()).Str("Evict", evictText(action.Evict)).
-		Int64("Fence", action.Fence).Dur("Took", time.Since(began)).Msg("adapter_load")
+		Int64("Fence", action.Fence).Dur("Took", time.Since(began)).Msg("AdapterLoad")
 	if err != nil {
 		r.tell(s, holder.LoadFailed{Load: action.Load, Evicted: evicted, Cause: causeOf(err)})
 		return
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -46,6 +46,9 @@
 	Continued map[string]bool
 }
 
+// Leaving names the upstreams that are said to be leaving by others than the configuration.
+type Leaving map[string]bool
+
 // Runner owns the holders. Set the exported fields before Run.
 type Runner struct {
 	Settings holder.Settings
@@ -60,10 +63,11 @@
 
 	inbox chan message
 	seats map[string]*seat
-	// tenure is the newest one told.
-	tenure Tenure
-	done   context.Context
-	ended  chan struct{}
+	// tenure and leaving are the newest ones told.
+	tenure  Tenure
+	leaving Leaving
+	done    context.Context
+	ended   chan struct{}
 }
 
 const (
@@ -85,7 +89,11 @@
 	leaveMessage struct {
 		request peer.PlaceRequest
 	}
-	tenureMessage  struct{ tenure Tenure }
+	tenureMessage struct {
+		tenure Tenure
+		taken  chan struct{}
+	}
+	leavingMessage struct{ leaving Leaving }
 	inForceMessage struct{ revision int64 }
 	goneMessage    struct{ instance, incarnation string }
 	summaryMessage struct{ answer chan []holder.Summary }
@@ -109,6 +117,7 @@
 func (placeMessage) message()   {}
 func (leaveMessage) message()   {}
 func (tenureMessage) message()  {}
+func (leavingMessage) message() {}
 func (inForceMessage) message() {}
 func (goneMessage) message()    {}
 func (summaryMessage) message() {}
@@ -171,9 +180,24 @@
 	r.send(ctx, releaseMessage{upstream: upstream, event: event})
 }
 
-// SetTenure tells what a newly installed head says.
+// SetTenure tells what a newly installed head says, and waits until it is taken in: from then on nothing
+// is granted or ordered for upstreams that this instance does not hold any more. Only after that may the
+// instance tell others that it has the head in force.
 func (r *Runner) SetTenure(ctx context.Context, tenure Tenure) {
-	r.send(ctx, tenureMessage{tenure: tenure})
+	taken := make(chan struct{})
+	if !r.send(ctx, tenureMessage{tenure: tenure, taken: taken}) {
+		return
+	}
+	select {
+	case <-taken:
+	case <-r.ended:
+	case <-ctx.Done():
+	}
+}
+
+// SetLeaving tells which upstreams are said to be leaving.
+func (r *Runner) SetLeaving(ctx context.Context, leaving Leaving) {
+	r.send(ctx, leavingMessage{leaving: leaving})
 }
 
 // SetInForce tells the highest revision that is in force everywhere.
@@ -224,6 +248,12 @@
 		r.leave(m.request)
 	case tenureMessage:
 		r.setTenure(m.tenure)
+		close(m.taken)
+	case leavingMessage:
+		r.leaving = m.leaving
+		for _, s := range r.seats {
+			r.feedLeaving(s)
+		}
 	case inForceMessage:
 		for _, s := range r.seats {
 			if m.revision >= r.tenure.Epoch {
@@ -287,7 +317,7 @@
 			Members:   names,
 			Continued: ok && tenure.Continued[name],
 		})
-		r.feed(s, holder.UpstreamLeaving{Leaving: upstream.Leaving})
+		r.feedLeaving(s)
 		s.appointed = true
 	}
 	for name, s := range r.seats {
@@ -297,9 +327,14 @@
 	}
 }
 
+// feedLeaving tells a holder whether its upstream is leaving by any word.
+func (r *Runner) feedLeaving(s *seat) {
+	r.feed(s, holder.UpstreamLeaving{Leaving: s.holder.Upstream.Leaving || r.leaving[s.name()]})
+}
+
 func (r *Runner) giveUp(s *seat) {
 	r.feed(s, holder.Yielded{})
 	s.stop()
 	delete(r.seats, s.name())
-	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("upstream_yielded")
+	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamYielded")
 }
--- a/internal/entry/holding/seat.go
+++ b/internal/entry/holding/seat.go
@@ -48,7 +48,7 @@
 	r.seats[s.name()] = s
 	go r.runReports(s)
 	go r.runReconcile(s)
-	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("upstream_held")
+	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamHeld")
 	return s
 }
 
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
@@ -36,6 +37,13 @@
 			Cleared:     int32(count.Cleared),
 		})
 	}
+	for _, back := range b.Returns {
+		wire.Returns = append(wire.Returns, &fleetpb.LoanReturn{
+			Workspace: back.Workspace,
+			Loan:      back.Loan,
+			Remaining: back.Remaining,
+		})
+	}
 	return wire
 }
 
@@ -59,6 +67,13 @@
 			Cleared:     int(count.GetCleared()),
 		})
 	}
+	for _, back := range wire.GetReturns() {
+		b.Returns = append(b.Returns, rate.Return{
+			Workspace: back.GetWorkspace(),
+			Loan:      back.GetLoan(),
+			Remaining: back.GetRemaining(),
+		})
+	}
 	return b
 }
 
--- a/internal/fleet/peer/directory.go
+++ b/internal/fleet/peer/directory.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/report/burn"
 	"lacewingrock.example/lacewingrock/internal/wire/fleetpb"
@@ -95,23 +96,28 @@
 	return beatFromWire(wire), nil
 }
 
-// AskTokens asks a peer for tokens. After an error tokens may have been deducted there; they are lost.
-func (d *Directory) AskTokens(ctx context.Context, address string, request TokenRequest) (_ TokenGift, err error) {
+// AskTokens asks a peer for a loan. After an error tokens may have been deducted there; the lender
+// takes them back once they can't be spent any more.
+func (d *Directory) AskTokens(ctx context.Context, address string, request TokenRequest) (_ rate.Loan, err error) {
 	defer func() { err = errors.WithMessage(err, "peer: ask for tokens") }()
 	client, err := d.client(address)
 	if err != nil {
-		return TokenGift{}, err
+		return rate.Loan{}, err
 	}
 	wire, err := client.Transfer(ctx, &fleetpb.TransferRequest{
 		Workspace:   request.Workspace,
 		Tokens:      request.Tokens,
-		Instance:    request.Instance,
-		Incarnation: request.Incarnation,
+		Instance:    request.Borrower.Name,
+		Incarnation: request.Borrower.Incarnation,
 	})
 	if err != nil {
-		return TokenGift{}, err
+		return rate.Loan{}, err
 	}
-	return TokenGift{Tokens: wire.GetTokens(), SpendWithin: millis(wire.GetSpendWithinMillis())}, nil
+	return rate.Loan{
+		ID:     wire.GetLoan(),
+		Lender: rate.Identity{Name: wire.GetInstance(), Incarnation: wire.GetIncarnation()},
+		Tokens: wire.GetTokens(),
+	}, nil
 }
 
 // Place asks the holder at address to place a request, and waits in its queue. After an error a pin
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
@@ -25,21 +26,14 @@
 	Suspects     []suspect.Count
 	Leaving      []string
 	Stopping     bool
+	Returns      []rate.Return
 }
 
-// TokenRequest asks a peer for tokens of a workspace's share.
+// TokenRequest asks a peer for tokens of a workspace's share; the answer is a rate.Loan.
 type TokenRequest struct {
-	Workspace   string
-	Tokens      float64
-	Instance    string
-	Incarnation string
-}
-
-// TokenGift answers a TokenRequest: the tokens were deducted at the giver, and may be spent until
-// SpendWithin after the request was sent.
-type TokenGift struct {
-	Tokens      float64
-	SpendWithin time.Duration
+	Workspace string
+	Tokens    float64
+	Borrower  rate.Identity
 }
 
 // PlaceRequest asks the holder of Upstream to place a request; Request.Deadline travels as the time
@@ -98,7 +92,7 @@
 // gone.
 type Handler interface {
 	Beat(beat Beat) Beat
-	GiveTokens(request TokenRequest) TokenGift
+	LendTokens(request TokenRequest) rate.Loan
 	Place(ctx context.Context, request PlaceRequest) Placement
 	Release(request ReleaseRequest)
 	Pins(upstream string, epoch int64) PinList
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc"
 
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
 	"lacewingrock.example/lacewingrock/internal/wire/fleetpb"
@@ -28,13 +29,17 @@
 }
 
 func (s service) Transfer(_ context.Context, wire *fleetpb.TransferRequest) (*fleetpb.TransferReply, error) {
-	gift := s.handler.GiveTokens(TokenRequest{
-		Workspace:   wire.GetWorkspace(),
-		Tokens:      wire.GetTokens(),
-		Instance:    wire.GetInstance(),
-		Incarnation: wire.GetIncarnation(),
+	loan := s.handler.LendTokens(TokenRequest{
+		Workspace: wire.GetWorkspace(),
+		Tokens:    wire.GetTokens(),
+		Borrower:  rate.Identity{Name: wire.GetInstance(), Incarnation: wire.GetIncarnation()},
 	})
-	return &fleetpb.TransferReply{Tokens: gift.Tokens, SpendWithinMillis: gift.SpendWithin.Milliseconds()}, nil
+	return &fleetpb.TransferReply{
+		Tokens:      loan.Tokens,
+		Loan:        loan.ID,
+		Instance:    loan.Lender.Name,
+		Incarnation: loan.Lender.Incarnation,
+	}, nil
 }
 
 func (s service) Acquire(ctx context.Context, wire *fleetpb.AcquireRequest) (*fleetpb.AcquireReply, error) {
--- a/internal/telemetry/logline/logline.go
+++ b/internal/telemetry/logline/logline.go
@@ -20,6 +20,10 @@
 	FieldWorkspace = "Workspace"
 )
 
+func init() {
+	zerolog.ErrorFieldName = FieldError // the library keeps this name for the whole program
+}
+
 // New gives a logger for a program that writes events of at least the given level ("debug", "info",
 // "warn" or "error") to out. The event's name comes first on each line.
 func New(out io.Writer, program, level string) (_ zerolog.Logger, err error) {
--- a/internal/upstream/engine/complete.go
+++ b/internal/upstream/engine/complete.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -82,15 +81,11 @@
 	return exchange.Request{
 		Address: r.client.Address,
 		Method:  http.MethodGet,
-		Target:  r.streamTarget() + "?from=" + strconv.Itoa(r.position.tokens),
+		Target:  streamTarget(r.dispatch.ID) + "?from=" + strconv.Itoa(r.position.tokens),
 		Header:  http.Header{headerRequestID: {r.dispatch.ID}},
 	}
 }
 
-func (r *runner) streamTarget() string {
-	return "/v1/streams/" + url.PathEscape(r.dispatch.ID)
-}
-
 // attempt makes one exchange. It returns an outcome when the run has ended, or why the connection was
 // given up.
 func (r *runner) attempt(ctx context.Context, request exchange.Request) (Outcome, error) {
@@ -326,23 +321,7 @@
 // It outlives the caller's context, which has often ended by now: an uncancelled stream keeps its batch
 // place until its last token.
 func (r *runner) stop(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.client.limits.Cancel)
-	defer cancel()
-	response, err := r.client.transport.Do(ctx, exchange.Request{
-		Address: r.client.Address,
-		Method:  http.MethodDelete,
-		Target:  r.streamTarget(),
-		Header:  http.Header{headerRequestID: {r.dispatch.ID}},
-	})
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	if crossed(response, r.dispatch.ID) {
-		r.client.observe(FaultCrossed)
-		return false
-	}
-	return response.StatusCode < http.StatusMultipleChoices || response.StatusCode == http.StatusNotFound
+	return r.client.Cancel(context.WithoutCancel(ctx), r.dispatch.ID) == nil
 }
 
 func pause(ctx context.Context, wait time.Duration) {
