Serve callers: completions plain and streamed, models, plain services

Cause: callers speak the completion API, and a failure must reach them in its error shape, with whether the request was run.

A stopping server goes on serving for a while and tells each connection to close, and closes idle ones only then: net/http's own switch closes them at once, under requests that are on their way.

--- /dev/null
+++ b/internal/caller/api/server.go
@@ -0,0 +1,114 @@
+package api
+
+// The server's life: listening, the limits on what a connection may do, and the planned stop.
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/caller/completion"
+)
+
+// Limits of the callers' side. None has a measured reason yet; each bounds what one caller can take
+// from the others.
+type Limits struct {
+	Completion completion.Limits
+	// ServiceBodyBytes bounds the body of a plain service's call, AnswerBytes an assembled answer.
+	ServiceBodyBytes, AnswerBytes int
+	// HeaderBytes and HeaderWithin bound a request's headers, BodyWithin its body.
+	HeaderBytes              int
+	HeaderWithin, BodyWithin time.Duration
+	// WriteWithin is how long a caller may take to make room for the next part of its answer.
+	WriteWithin time.Duration
+	// Idle is how long a connection is kept open between two requests.
+	Idle time.Duration
+	// Connections bounds the open connections, Requests the requests in flight.
+	Connections, Requests int
+	// Settle is how long a stopping server goes on serving new requests, which is to be longer than the
+	// balancer takes to notice; Drain is how long it then waits for requests in flight.
+	Settle, Drain time.Duration
+}
+
+// DefaultLimits suit a small instance.
+func DefaultLimits() Limits {
+	return Limits{
+		Completion:       completion.DefaultLimits(),
+		ServiceBodyBytes: 1 << 20,
+		AnswerBytes:      4 << 20,
+		HeaderBytes:      32 << 10,
+		HeaderWithin:     5 * time.Second,
+		BodyWithin:       10 * time.Second,
+		WriteWithin:      15 * time.Second,
+		Idle:             60 * time.Second,
+		Connections:      4096,
+		Requests:         1024,
+		Settle:           3 * time.Second,
+		Drain:            10 * time.Minute,
+	}
+}
+
+// Server answers callers. Listener and Pipeline are set before Run; the zero Limits mean
+// DefaultLimits. Observe, when set, is told of each request that has ended. ErrorLog receives what
+// net/http has to say about connections, which may hold callers' addresses but no keys.
+type Server struct {
+	Listener net.Listener
+	Pipeline Pipeline
+	Limits   Limits
+	Observe  func(Observation)
+	ErrorLog io.Writer
+
+	stopping atomic.Bool
+	open     atomic.Int64
+	places   chan struct{}
+}
+
+// Run serves until ctx ends, and then stops without cutting a request: for Settle it goes on serving,
+// since the balancer and callers with open connections don't know yet, and tells each connection with
+// its next answer to close. Only then it stops listening and waits for the requests in flight.
+//
+// Closing idle connections at once, as net/http does, would meet requests that are already on their
+// way; their callers would see a reset and not know whether they ran.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "callers' server") }()
+	server := s.httpServer()
+	served := make(chan error, 1)
+	go s.run(server, served)
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	s.stopping.Store(true)
+	time.Sleep(s.Limits.Settle)
+	draining, cancel := context.WithTimeout(context.Background(), s.Limits.Drain)
+	defer cancel()
+	return server.Shutdown(draining)
+}
+
+func (s *Server) run(server *http.Server, served chan<- error) {
+	served <- server.Serve(&limitedListener{Listener: s.Listener, open: &s.open, most: int64(s.Limits.Connections)})
+}
+
+func (s *Server) httpServer() *http.Server {
+	if s.Limits == (Limits{}) {
+		s.Limits = DefaultLimits()
+	}
+	errorLog := s.ErrorLog
+	if errorLog == nil {
+		errorLog = io.Discard
+	}
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: s.Limits.HeaderWithin,
+		IdleTimeout:       s.Limits.Idle,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ErrorLog:          log.New(errorLog, "", 0),
+	}
+}
--- /dev/null
+++ b/internal/caller/api/services.go
@@ -0,0 +1,104 @@
+package api
+
+// Calls of plain services. Whether a call may be repeated is the pipeline's to judge; here its parts are
+// checked and cleaned.
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/upstream/service"
+)
+
+// headerIdempotencyKey names a call that may not be repeated.
+const headerIdempotencyKey = "Idempotency-Key"
+
+// longestIdempotencyKey keeps the claims small, of which many share one value of the store.
+const longestIdempotencyKey = 255
+
+const servicesPath = "/services/"
+
+func (s *Server) services(c echo.Context) error {
+	call, err := s.serviceCall(c)
+	if err != nil {
+		return err
+	}
+	v := visitOf(c)
+	answer, err := s.Pipeline.Call(c.Request().Context(), v.identity, call)
+	if err != nil {
+		return err
+	}
+	header := c.Response().Header()
+	for name, values := range service.SafeHeader(answer.Header) {
+		header[name] = values
+	}
+	header.Set(refusal.HeaderRun, string(refusal.Ran))
+	s.boundWrite(c)
+	c.Response().WriteHeader(answer.Status)
+	if len(answer.Body) == 0 {
+		return nil
+	}
+	_, err = c.Response().Write(answer.Body)
+	return err
+}
+
+func (s *Server) serviceCall(c echo.Context) (call ServiceCall, err error) {
+	request := c.Request()
+	name, path, err := servicePath(request.URL)
+	if err != nil {
+		return ServiceCall{}, err
+	}
+	key, err := idempotencyKey(request.Header)
+	if err != nil {
+		return ServiceCall{}, err
+	}
+	body, err := s.body(c, s.Limits.ServiceBodyBytes)
+	if err != nil {
+		return ServiceCall{}, err
+	}
+	return ServiceCall{Service: name, Call: service.Call{
+		ID:             visitOf(c).observation.RequestID,
+		Method:         request.Method,
+		Path:           path,
+		RawQuery:       request.URL.RawQuery,
+		Header:         service.SafeHeader(request.Header),
+		Body:           body,
+		IdempotencyKey: key,
+	}}, nil
+}
+
+// servicePath parts "/services/{name}/..." and keeps the rest as it was escaped. Dot segments are
+// refused: what they lead to depends on who resolves them, so a check made on the path here might not
+// hold at the service.
+func servicePath(url *url.URL) (name, path string, err error) {
+	name, path, _ = strings.Cut(strings.TrimPrefix(url.EscapedPath(), servicesPath), "/")
+	for segment := range strings.SplitSeq(url.Path, "/") {
+		if segment == "." || segment == ".." {
+			return "", "", refusal.New(refusal.BadRequest, "the path has dot segments")
+		}
+	}
+	return name, "/" + path, nil
+}
+
+// idempotencyKey reads the key, if there is one: up to 255 visible ASCII characters.
+func idempotencyKey(header http.Header) (string, error) {
+	lines := header.Values(headerIdempotencyKey)
+	if len(lines) == 0 {
+		return "", nil
+	}
+	invalid := refusal.New(refusal.IdempotencyKeyInvalid,
+		"send one Idempotency-Key of 1 to 255 visible ASCII characters").WithParam(headerIdempotencyKey)
+	if len(lines) > 1 || lines[0] == "" || len(lines[0]) > longestIdempotencyKey {
+		return "", invalid
+	}
+	for _, b := range []byte(lines[0]) {
+		if b <= ' ' || b > '~' {
+			return "", invalid
+		}
+	}
+	return lines[0], nil
+}
--- a/internal/caller/refusal/wire_format.go
+++ b/internal/caller/refusal/wire_format.go
@@ -4,7 +4,9 @@
 // the only place that knows the field names.
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,3 +59,24 @@
 	_, err = w.Write(r.Body())
 	return err
 }
+
+// RawResponse is a whole HTTP/1.1 response that closes its connection, for connections that are turned
+// away before a request is read.
+func (r Refusal) RawResponse() []byte {
+	body := r.Body()
+	response := http.Response{
+		StatusCode:    r.Status(),
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        http.Header{"Content-Type": {"application/json"}},
+		ContentLength: int64(len(body)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		Close:         true,
+	}
+	r.SetHeaders(response.Header)
+	var raw bytes.Buffer
+	if err := response.Write(&raw); err != nil {
+		panic("refusal: " + err.Error()) // a buffer takes every write
+	}
+	return raw.Bytes()
+}
