Put an instance together: the whole path, thin

Cause: the deciding packages were there, nothing carried a request through them. This adds the pipeline (authenticate, admit, place, forward, settle), the daemon's duties and lacewingd's verbs. First run of the demo: every completion was refused as over the rate for two minutes after start, since a new member's capacity waits for the longest reservation under the older, larger shares. Ruled out: shares not in force (the rate's refill was). So members now tell in heartbeats the oldest head under which a reservation or loan still open was made, and capacity grows once all are past it; a member that died still counts for as long as its reservations can last.

--- a/internal/admission/rate/bucket.go
+++ b/internal/admission/rate/bucket.go
@@ -39,6 +39,7 @@
 	borrower Identity
 	amount   float64
 	until    time.Time
+	revision int64
 }
 
 // borrowed is a loan from a peer.
--- a/internal/admission/rate/ledger.go
+++ b/internal/admission/rate/ledger.go
@@ -105,14 +105,6 @@
 	return 1 / float64(len(l.head.Members))
 }
 
-// Settled says that no reservation made under shares older than the revision is left anywhere, so that
-// capacity may grow to the shares of that revision without waiting for the longest reservation.
-func (l *Ledger) Settled(revision int64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.settled = max(l.settled, revision)
-}
-
 // ---------------------------------------------------------------------------------------------
 // Requests.
 
@@ -134,7 +126,7 @@
 	}
 	b.level -= tokens
 	b.reserved += tokens
-	reservation = &Reservation{ledger: l, bucket: b, left: tokens, deadline: time.Now().Add(l.longest())}
+	reservation = &Reservation{ledger: l, bucket: b, left: tokens, deadline: time.Now().Add(l.longest()), revision: l.head.Revision}
 	reservation.element = b.open.PushBack(reservation)
 	return reservation, nil
 }
@@ -243,7 +235,7 @@
 	b.level -= amount
 	hold := l.hold()
 	b.lent = append(b.lent, lent{
-		id: id, borrower: borrower, amount: amount, until: time.Now().Add(hold + hold/holdMargin),
+		id: id, borrower: borrower, amount: amount, until: time.Now().Add(hold + hold/holdMargin), revision: l.head.Revision,
 	})
 	return Loan{ID: id, Lender: l.Self, Tokens: amount}
 }
--- a/internal/admission/rate/reservation.go
+++ b/internal/admission/rate/reservation.go
@@ -13,6 +13,7 @@
 	left     float64
 	spent    float64
 	deadline time.Time
+	revision int64
 	element  *list.Element
 	closed   bool
 }
--- /dev/null
+++ b/internal/admission/rate/settled.go
@@ -0,0 +1,32 @@
+package rate
+
+// settled.go is about what is left of older shares. When a share shrinks, reservations and loans made
+// under it go on; others may fill their larger or new shares only when these have ended. Without the
+// instances telling each other, a new member would have to wait for the longest reservation there can
+// be, minutes in which its callers are refused within their rate.
+
+// OldestRevision is the revision of the oldest head under which a reservation or a loan that is still
+// open was made here; the installed revision when none is. It is told to the other members.
+func (l *Ledger) OldestRevision() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	oldest := l.head.Revision
+	for _, b := range l.buckets {
+		l.advance(b)
+		for e := b.open.Front(); e != nil; e = e.Next() {
+			oldest = min(oldest, e.Value.(*Reservation).revision)
+		}
+		for _, loan := range b.lent {
+			oldest = min(oldest, loan.revision)
+		}
+	}
+	return oldest
+}
+
+// Settled says that no reservation and no loan made under shares older than the revision is left
+// anywhere, so that capacity may grow to the shares of that revision at once.
+func (l *Ledger) Settled(revision int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.settled = max(l.settled, revision)
+}
--- /dev/null
+++ b/internal/entry/daemon/assemble.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"lacewingrock.example/lacewingrock/internal/admission/claim"
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/caller/api"
+	"lacewingrock.example/lacewingrock/internal/entry/brokering"
+	"lacewingrock.example/lacewingrock/internal/entry/holding"
+	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
+	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
+	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/placement/broker"
+	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+	"lacewingrock.example/lacewingrock/internal/placement/route"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/platform/listing"
+	"lacewingrock.example/lacewingrock/internal/platform/store"
+	"lacewingrock.example/lacewingrock/internal/report/burn"
+	"lacewingrock.example/lacewingrock/internal/telemetry/metrics"
+	"lacewingrock.example/lacewingrock/internal/upstream/engine"
+	"lacewingrock.example/lacewingrock/internal/upstream/service"
+
+	operatorapi "lacewingrock.example/lacewingrock/internal/operator/api"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/repository"
+)
+
+// assemble.go makes the parts of an instance from its settings and joins them.
+
+// pingAtMostEvery is how often a peer may ping a connection; see the peers' directory for why they do.
+const pingAtMostEvery = 500 * time.Millisecond
+
+// assemble makes all parts. The function it returns closes what they hold open.
+func (d *Daemon) assemble() (closeParts func(), err error) {
+	serverCredentials, clientCredentials, err := peer.Credentials(d.Settings.Peers)
+	if err != nil {
+		return nil, err
+	}
+	scope, exposition, scopeCloser := metrics.New("lacewingd")
+	d.scope = scope
+	d.directory = &peer.Directory{Credentials: clientCredentials}
+	d.assembleKnowledge()
+	d.assemblePlacement()
+	d.assemblePipeline()
+	d.peers = grpc.NewServer(
+		grpc.Creds(serverCredentials),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAtMostEvery, PermitWithoutStream: true}),
+	)
+	peer.Register(d.peers, handler{daemon: d})
+	d.callers = &api.Server{Listener: d.listeners.caller, Pipeline: d.pipeline, Limits: d.callerLimits()}
+	d.operators = &http.Server{Handler: d.operatorHandler(exposition), ReadHeaderTimeout: headerWithin}
+	return func() {
+		d.directory.Close()
+		_ = scopeCloser.Close()
+	}, nil
+}
+
+// assembleKnowledge makes what the instance knows, and for how long it may use it.
+func (d *Daemon) assembleKnowledge() {
+	platform := d.Settings.Platform
+	client := &store.Client{Address: platform.StoreAddress, Timeout: platform.StoreTimeout}
+	d.repository = &repository.Repository{
+		Store:  client,
+		Writer: d.self.Name + "/" + d.self.Incarnation,
+		Log:    d.Log,
+	}
+	d.listing = &listing.Client{Address: platform.ListAddress}
+	d.tracker = &freshness.Tracker{Self: trackerMember(d.self), Bound: d.Settings.Freshness.Bound}
+	d.ledger = &rate.Ledger{Self: d.identity(), Knowledge: d.tracker}
+	d.claims = &claim.Registry{Store: client}
+	d.detector.detector = &membership.Detector{Self: d.self.Name}
+}
+
+// assemblePlacement makes the holders' and the load broker's loops.
+func (d *Daemon) assemblePlacement() {
+	calls := fleet{daemon: d, own: handler{daemon: d}}
+	d.holding = &holding.Runner{
+		Settings: holder.DefaultSettings(),
+		Peers:    calls,
+		Engine:   func(address string) holding.Engine { return d.engines.at(address, d.engineLimits()) },
+		Source:   d.source,
+		Fresh:    d.tracker.Fresh,
+		Log:      d.Log,
+	}
+	d.holding.Prepare()
+	d.brokering = &brokering.Runner{Settings: broker.DefaultSettings()}
+	d.brokering.Prepare()
+}
+
+func (d *Daemon) assemblePipeline() {
+	d.pipeline = &pipeline.Pipeline{
+		Self:     d.identity(),
+		Current:  d.repository.Current,
+		Tracker:  d.tracker,
+		Ledger:   d.ledger,
+		Claims:   d.claims,
+		Fleet:    fleet{daemon: d, own: handler{daemon: d}},
+		Engine:   func(address string) pipeline.Engine { return d.engines.at(address, d.engineLimits()) },
+		Services: &service.Client{},
+		Pins:     &pipeline.Pins{},
+		Running:  &pipeline.Running{},
+		Burn:     noObjectives{},
+		Advice: &pipeline.Advice{
+			Router:   &route.Router{Settings: route.DefaultSettings()},
+			Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
+			Retries:  retry.New(retry.DefaultRatio, retry.DefaultMost),
+		},
+		Patience: d.Settings.Limits.Patience,
+		Log:      d.Log,
+		Scope:    d.scope,
+	}
+}
+
+func (d *Daemon) callerLimits() api.Limits {
+	limits := api.DefaultLimits()
+	limits.Completion.BodyBytes = int(d.Settings.Limits.BodyBytes)
+	limits.ServiceBodyBytes = int(d.Settings.Limits.BodyBytes)
+	limits.Drain = d.Settings.Limits.StopWithin
+	return limits
+}
+
+func (d *Daemon) engineLimits() engine.Limits {
+	limits := engine.DefaultLimits()
+	limits.FirstToken = d.Settings.Limits.FirstToken
+	limits.BetweenTokens = d.Settings.Limits.BetweenTokens
+	return limits
+}
+
+// source gives where the weight store keeps an adapter version.
+func (d *Daemon) source(ref model.Reference) string {
+	version, found := d.repository.Current().Configuration.AdapterVersion(ref.Adapter, ref.Version)
+	if !found {
+		return ""
+	}
+	return version.Source
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// headerWithin bounds how long a client may take to send its headers.
+const headerWithin = 10 * time.Second
+
+// operatorHandler serves operators, and without a token the probes and metrics.
+func (d *Daemon) operatorHandler(exposition http.Handler) http.Handler {
+	operators := &operatorapi.Server{
+		Configurations: d.repository,
+		Fleet:          views{daemon: d},
+		Reports:        views{daemon: d},
+		TokenHashes:    d.Settings.Operators.TokenHashes,
+		Log:            d.Log,
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", operators.Handler())
+	mux.Handle("GET /metrics", exposition)
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", d.ready)
+	return mux
+}
+
+// ready tells the balancer whether to send requests here.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.tracker.Fresh() != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// views shows operators what the fleet knows.
+type views struct {
+	daemon *Daemon
+}
+
+// unheardFor is how long a member may be silent before operators are shown that it is.
+const unheardFor = 5 * time.Second
+
+// Status tells how far each member is.
+func (v views) Status() []operatorapi.InstanceStatus {
+	d := v.daemon
+	var list []operatorapi.InstanceStatus
+	current := d.repository.Current().Head
+	for _, status := range d.tracker.Status() {
+		member, _ := current.Member(status.Member.Name)
+		list = append(list, operatorapi.InstanceStatus{
+			Name:         status.Member.Name,
+			DataCentre:   member.DataCentre,
+			Revision:     status.Revision,
+			InForceSince: status.Since,
+			Reachable:    member.Name == d.self.Name || d.detector.heardWithin(member.Name, unheardFor),
+		})
+	}
+	return list
+}
+
+// noObjectives counts nothing: the burn report is not built yet.
+type noObjectives struct{}
+
+// Record counts nothing.
+func (noObjectives) Record(string, burn.Objective, bool) {}
+
+// BurnReport fails: the burn report is not built yet.
+func (views) BurnReport(context.Context) (operatorapi.Report, error) {
+	return operatorapi.Report{}, errors.New("the burn report is not built yet")
+}
+
+// WaitInForce waits until a revision is in force everywhere.
+func (v views) WaitInForce(ctx context.Context, revision int64) error {
+	return v.daemon.tracker.WaitInForce(ctx, revision)
+}
--- /dev/null
+++ b/internal/entry/daemon/heartbeats.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
+	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+	"lacewingrock.example/lacewingrock/internal/placement/route"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// heartbeats.go exchanges with the other members what each knows: the revision and how lately it was
+// confirmed, upstreams, suspects, who is leaving, and loans given back.
+
+const (
+	// beatEvery and beatsAtOnce bound what heartbeats cost an instance, however large the fleet: eight
+	// small calls a second. With eight instances each peer is asked about once a second.
+	beatEvery   = 500 * time.Millisecond
+	beatsAtOnce = 4
+	// beatWithin bounds one heartbeat. A peer that takes longer tells nothing that is still of use.
+	beatWithin = time.Second
+)
+
+// runHeartbeats asks some members each time, in turn.
+func (d *Daemon) runHeartbeats(ctx context.Context) error {
+	var queue []head.Member
+	for pause(ctx, beatEvery) {
+		members := d.others()
+		count := min(d.beats(len(members)), len(members))
+		if len(queue) < count {
+			queue = shuffled(members)
+		}
+		for _, member := range queue[:count] {
+			if d.pinging.begin(member.Address) {
+				go d.runPing(ctx, member)
+			}
+		}
+		queue = queue[count:]
+		d.learnOwn(ctx)
+	}
+	return nil
+}
+
+// beats is how many members are asked at a time. While reads of the store confirm nothing, a majority
+// has to be heard within the freshness bound instead, and more are asked.
+func (d *Daemon) beats(others int) int {
+	_, age := d.tracker.Confirmed()
+	bound := d.Settings.Freshness.Bound
+	if age >= 0 && age < bound/2 {
+		return beatsAtOnce
+	}
+	rounds := float64(bound/2) / float64(beatEvery)
+	return max(beatsAtOnce, int(math.Ceil(float64(others)/max(rounds, 1))))
+}
+
+func shuffled(members []head.Member) []head.Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
+func (d *Daemon) others() []head.Member {
+	var list []head.Member
+	for _, m := range d.repository.Current().Head.Members {
+		if m.Name != d.self.Name {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// runPing asks one member and takes in its answer.
+func (d *Daemon) runPing(ctx context.Context, member head.Member) {
+	defer d.pinging.end(member.Address)
+	ctx, cancel := context.WithTimeout(ctx, beatWithin)
+	defer cancel()
+	lender := rate.Identity{Name: member.Name, Incarnation: member.Incarnation}
+	beat := d.beat(ctx)
+	beat.Returns = d.ledger.Returns(lender)
+	asked := time.Now()
+	answer, err := d.directory.Ping(ctx, member.Address, beat)
+	if err != nil {
+		d.scope.Counter("heartbeats_failed").Inc(1)
+		return
+	}
+	if answer.Incarnation == member.Incarnation {
+		d.ledger.Returned(lender, beat.Returns)
+	}
+	d.tracker.Replied(freshness.Reply{
+		Member:       freshness.Member{Name: answer.Instance, Incarnation: answer.Incarnation},
+		Asked:        asked,
+		Revision:     answer.Revision,
+		ConfirmedAge: answer.ConfirmedAge,
+	})
+	d.learn(asked, answer)
+}
+
+// learn takes in what any heartbeat tells that needs no question of ours to be true.
+func (d *Daemon) learn(at time.Time, beat peer.Beat) {
+	d.detector.handle(membership.Heard{Name: beat.Instance, Incarnation: beat.Incarnation})
+	d.settlement.tell(rate.Identity{Name: beat.Instance, Incarnation: beat.Incarnation}, beat.OldestRevision)
+	d.leaving.tell(beat.Instance, beat.Leaving)
+	now := time.Now()
+	d.pipeline.Advice.With(func(router *route.Router, suspects *suspect.Register, _ *retry.Budget) {
+		for _, summary := range beat.Upstreams {
+			router.Learn(now, routeSummary(summary, at))
+		}
+		suspects.Merge(now, beat.Instance, beat.Suspects)
+	})
+}
+
+// learnOwn tells the router of the upstreams held here.
+func (d *Daemon) learnOwn(ctx context.Context) {
+	now := time.Now()
+	summaries := d.holding.Summaries(ctx)
+	d.pipeline.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
+		for _, summary := range summaries {
+			router.Learn(now, routeSummary(summary, now))
+		}
+	})
+}
+
+func routeSummary(s holder.Summary, at time.Time) route.Summary {
+	return route.Summary{
+		Upstream:   s.Upstream,
+		Epoch:      s.Epoch,
+		FreePlaces: s.FreePlaces,
+		Backlog:    s.Backlog,
+		Resident:   s.Resident,
+		Healthy:    s.Healthy,
+		At:         at,
+	}
+}
+
+// beat is what this instance tells.
+func (d *Daemon) beat(ctx context.Context) peer.Beat {
+	revision, age := d.tracker.Confirmed()
+	beat := peer.Beat{
+		Instance:       d.self.Name,
+		Incarnation:    d.self.Incarnation,
+		Revision:       revision,
+		ConfirmedAge:   age,
+		InForceSince:   d.repository.Current().InForceSince,
+		Upstreams:      d.holding.Summaries(ctx),
+		Leaving:        d.leaving.own(),
+		Stopping:       d.stopping.Load(),
+		OldestRevision: d.ledger.OldestRevision(),
+	}
+	d.pipeline.Advice.With(func(_ *route.Router, suspects *suspect.Register, _ *retry.Budget) {
+		beat.Suspects = suspects.Own(time.Now())
+	})
+	return beat
+}
+
+// pinging keeps a member that does not answer from being asked by many goroutines at once.
+type pinging struct {
+	mutex sync.Mutex
+	asked map[string]bool
+}
+
+func (p *pinging) begin(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.asked[address] {
+		return false
+	}
+	if p.asked == nil {
+		p.asked = map[string]bool{}
+	}
+	p.asked[address] = true
+	return true
+}
+
+func (p *pinging) end(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.asked, address)
+}
--- /dev/null
+++ b/internal/entry/daemon/leaving.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"lacewingrock.example/lacewingrock/internal/entry/holding"
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+	"lacewingrock.example/lacewingrock/internal/placement/route"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// leaving.go gathers who is said to be leaving: by the platform's list as read here, and by what other
+// members have seen. The list lags and may be unreachable from here, so one source is enough.
+
+// leavingNames keeps the names by who told them; a source's newest word replaces its older one.
+type leavingNames struct {
+	mutex   sync.Mutex
+	sources map[string][]string
+	applied []string
+}
+
+// ownSource is the source name of this instance's own reading, which no member can have.
+const ownSource = ""
+
+func (l *leavingNames) setOwn(names []string) { l.tell(ownSource, names) }
+
+func (l *leavingNames) tell(source string, names []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.sources == nil {
+		l.sources = map[string][]string{}
+	}
+	l.sources[source] = names
+}
+
+// own is what this instance itself has read. Hearsay is not passed on: a name would never die out.
+func (l *leavingNames) own() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.sources[ownSource]
+}
+
+func (l *leavingNames) all() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.union()
+}
+
+func (l *leavingNames) union() []string {
+	names := map[string]bool{}
+	for _, list := range l.sources {
+		for _, name := range list {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// changed tells whether the names differ from those last applied, and takes them as applied.
+func (l *leavingNames) changed() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.union()
+	if slices.Equal(now, l.applied) {
+		return false
+	}
+	l.applied = now
+	return true
+}
+
+// tellLeaving brings the names to the route and to the holders.
+func (d *Daemon) tellLeaving(ctx context.Context) {
+	names := d.leaving.all()
+	d.Log.Info().Strs("Names", names).Msg("LeavingChanged")
+	d.pipeline.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
+		router.SetLeaving(names)
+	})
+	leaving := holding.Leaving{}
+	for _, name := range names {
+		leaving[name] = true
+	}
+	d.holding.SetLeaving(ctx, leaving)
+}
--- /dev/null
+++ b/internal/entry/daemon/stop.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+)
+
+// stop.go is the planned stop. Callers notice nothing of it: the balancer is told first, requests run to
+// their end, and only then shares and upstreams are handed over.
+
+const (
+	// leaveWithin bounds the handing over. With the store down it can't be done; the others then find
+	// this instance silent and take over by themselves.
+	leaveWithin = 10 * time.Second
+	// leaveAgain is the pause while another change of members is not in force yet.
+	leaveAgain = 200 * time.Millisecond
+)
+
+// runStop waits for the order to stop and carries it out; the callers' server drains meanwhile. Working ends when another duty has failed.
+func (d *Daemon) runStop(ordered, working context.Context) error {
+	select {
+	case <-ordered.Done():
+	case <-working.Done():
+		return nil
+	}
+	d.stopping.Store(true)
+	d.Log.Info().Int("Running", d.pipeline.Running.Count()).Msg("StopBegins")
+	select {
+	case err := <-d.drained:
+		if err != nil {
+			d.Log.Warn().Int("Running", d.pipeline.Running.Count()).Err(err).Msg("RequestsCut")
+		}
+	case <-working.Done():
+		return nil
+	}
+	d.leave(working)
+	d.Log.Info().Msg("StopEnds")
+	return nil
+}
+
+// leave takes this instance out of the head, and stays until that is in force everywhere or the others
+// have had time to take over: requests of theirs may still wait in a holder here.
+func (d *Daemon) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWithin)
+	defer cancel()
+	for ctx.Err() == nil {
+		revision, err := d.repository.CommitHead(ctx, func(h head.Head) (head.Head, error) {
+			next, _, err := membership.Leave(h, d.self.Name, d.self.Incarnation, d.tracker.InForce())
+			return next, err
+		})
+		if err == nil {
+			d.Log.Info().Int64("Revision", revision).Msg("MemberLeaves")
+			_ = d.tracker.WaitInForce(ctx, revision) // the context's error means that it is not known; the stop goes on
+			return
+		}
+		pause(ctx, leaveAgain)
+	}
+	d.Log.Warn().Msg("MemberCouldNotLeave")
+}
--- /dev/null
+++ b/internal/entry/pipeline/service_call.go
@@ -0,0 +1,200 @@
+package pipeline
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/claim"
+	"lacewingrock.example/lacewingrock/internal/caller/api"
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/upstream/service"
+)
+
+// service_call.go takes one call of a plain service through its stages. A call that may not be repeated
+// is claimed first and sent at most once, whatever happens to its caller, to this instance or to the
+// answer.
+
+const (
+	// claimWithin bounds how long a claim may take. Past it the call is refused, not run: the store is
+	// down or slow, and the caller is better told at once.
+	claimWithin = 3 * time.Second
+	// recordWithin bounds how long the answer waits for its outcome to be recorded; after that it is
+	// recorded behind the caller's back.
+	recordWithin = 500 * time.Millisecond
+)
+
+// Call calls a plain service.
+func (p *Pipeline) Call(
+	ctx context.Context, identity api.Identity, call api.ServiceCall,
+) (answer service.Answer, err error) {
+	began := time.Now()
+	defer func() { p.finishedCall(identity, call, began, err) }()
+	target, err := p.resolveService(identity, call.Service)
+	if err != nil {
+		return service.Answer{}, err
+	}
+	if slices.Contains(target.Repeatable, call.Call.Method) {
+		return p.callRepeatable(ctx, identity, target, call.Call)
+	}
+	return p.callOnce(ctx, identity, target, call.Call)
+}
+
+func (p *Pipeline) resolveService(identity api.Identity, name string) (resource.Service, error) {
+	current, err := p.stillServed(identity)
+	if err != nil {
+		return resource.Service{}, err
+	}
+	return serviceOf(current, identity, name)
+}
+
+func serviceOf(current configuration.Configuration, identity api.Identity, name string) (resource.Service, error) {
+	target, found := current.Service(name)
+	if !found || !allowed(target.Workspaces, identity.Workspace) {
+		return resource.Service{}, refusal.New(refusal.ServiceNotFound, "there is no service "+name)
+	}
+	return target, nil
+}
+
+// callRepeatable tries the service's addresses in a random order until one answers.
+func (p *Pipeline) callRepeatable(
+	ctx context.Context, identity api.Identity, target resource.Service, call service.Call,
+) (answer service.Answer, err error) {
+	err = refusal.New(refusal.ServiceUnavailable, "no address of the service answers").WithRetryAfter(time.Second)
+	for i, at := range rand.Perm(len(target.Addresses)) {
+		if i > 0 && !p.mayRetry() {
+			return service.Answer{}, err
+		}
+		if _, err := p.stillServed(identity); err != nil {
+			return service.Answer{}, err
+		}
+		outcome := p.Services.Do(ctx, target.Addresses[at], call)
+		if ran, ok := outcome.(service.Ran); ok {
+			return ran.Answer, nil
+		}
+		if ctx.Err() != nil {
+			return service.Answer{}, ended(ctx, refusal.Unknown)
+		}
+		if _, unknown := outcome.(service.Unknown); unknown {
+			err = refusal.From(err).WithRun(refusal.Unknown)
+		}
+	}
+	return service.Answer{}, err
+}
+
+// callOnce claims the call's idempotency key and sends the call once.
+func (p *Pipeline) callOnce(
+	ctx context.Context, identity api.Identity, target resource.Service, call service.Call,
+) (service.Answer, error) {
+	if call.IdempotencyKey == "" {
+		return service.Answer{}, refusal.New(refusal.IdempotencyKeyMissing,
+			"a call that may not be repeated needs the header Idempotency-Key")
+	}
+	claiming, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	body := claim.BodyHash(call.Method, target.Meta.Name+call.Path+"?"+call.RawQuery, call.Body)
+	decision, err := p.Claims.Claim(claiming, identity.Workspace, call.IdempotencyKey, body)
+	if err != nil {
+		return service.Answer{}, storeUnavailable(time.Second)
+	}
+	switch d := decision.(type) {
+	case claim.Proceed:
+		return p.sendOnce(ctx, identity, target, call, d.Ticket)
+	case claim.Replay:
+		return replayed(d)
+	case claim.InProgress:
+		return service.Answer{}, refusal.New(refusal.InProgress, "a call with this idempotency key is running").
+			WithRetryAfter(d.RetryAfter)
+	case claim.RanUnknown:
+		return service.Answer{}, refusal.New(refusal.OutcomeUnknown,
+			"a call with this idempotency key may have run; its outcome is not known")
+	case claim.DifferentBody:
+		return service.Answer{}, refusal.New(refusal.IdempotencyKeyReused,
+			"this idempotency key was used for another call")
+	case claim.Refuse:
+		return service.Answer{}, storeUnavailable(d.RetryAfter)
+	}
+	return service.Answer{}, refusal.New(refusal.Internal, "unknown decision")
+}
+
+func storeUnavailable(retryAfter time.Duration) refusal.Refusal {
+	return refusal.New(refusal.StoreUnavailable, "the call could not be claimed; it was not run").
+		WithRetryAfter(retryAfter)
+}
+
+// replayed answers a repeated call with what the first one answered.
+func replayed(d claim.Replay) (service.Answer, error) {
+	if !d.Kept {
+		return service.Answer{}, refusal.New(refusal.IdempotencyKeyReused,
+			"the call ran; its answer was too large to be kept").WithRun(refusal.Ran)
+	}
+	answer := service.Answer{Status: d.Answer.Status, Body: d.Answer.Body, Header: map[string][]string{}}
+	answer.Header.Set("Content-Type", d.Answer.ContentType)
+	answer.Header.Set("Idempotency-Replayed", "true")
+	return answer, nil
+}
+
+// sendOnce sends a claimed call. The caller may go away meanwhile: the call is finished all the same,
+// so that its outcome is known when the caller asks again.
+func (p *Pipeline) sendOnce(
+	ctx context.Context, identity api.Identity, target resource.Service, call service.Call, ticket *claim.Ticket,
+) (service.Answer, error) {
+	if err := p.mayDispatch(identity, target, ticket); err != nil {
+		p.record(ticket.NotRun)
+		return service.Answer{}, err
+	}
+	address := target.Addresses[rand.IntN(len(target.Addresses))]
+	switch o := p.Services.Do(context.WithoutCancel(ctx), address, call).(type) {
+	case service.Ran:
+		p.record(func(ctx context.Context) error {
+			return ticket.Ran(ctx, claim.Answer{
+				Status:      o.Answer.Status,
+				ContentType: o.Answer.Header.Get("Content-Type"),
+				Body:        o.Answer.Body,
+			})
+		})
+		return o.Answer, nil
+	case service.NotRun:
+		p.record(ticket.NotRun)
+		return service.Answer{}, refusal.New(refusal.ServiceUnavailable, "the service cannot be reached").
+			WithRetryAfter(time.Second)
+	default:
+		p.record(ticket.Unknown)
+		return service.Answer{}, refusal.New(refusal.OutcomeUnknown,
+			"the service did not answer; whether the call ran is not known")
+	}
+}
+
+// mayDispatch is the last check before the first byte goes out.
+func (p *Pipeline) mayDispatch(identity api.Identity, target resource.Service, ticket *claim.Ticket) error {
+	if _, err := p.resolveService(identity, target.Meta.Name); err != nil {
+		return err
+	}
+	if err := ticket.Dispatch(); err != nil {
+		return storeUnavailable(time.Second)
+	}
+	return nil
+}
+
+func (p *Pipeline) record(write func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordWithin)
+	defer cancel()
+	if err := write(ctx); err != nil {
+		p.Log.Warn().Err(err).Msg("OutcomeRecordedLater")
+	}
+}
+
+func (p *Pipeline) finishedCall(identity api.Identity, call api.ServiceCall, began time.Time, err error) {
+	event := p.Log.Info()
+	if err != nil {
+		refused := refusal.From(err)
+		event = p.Log.Warn().Str("Code", string(refused.Code())).Str("Run", string(refused.Run()))
+	}
+	event.Str("RequestId", call.Call.ID).Str("Workspace", identity.Workspace).
+		Str("Service", call.Service).Str("Method", call.Call.Method).
+		Dur("Took", time.Since(began)).Msg("ServiceCall")
+	p.Scope.Counter("service_calls").Inc(1)
+}
--- /dev/null
+++ b/internal/entry/pipeline/tokens.go
@@ -0,0 +1,94 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/report/burn"
+)
+
+// tokens.go reserves a request's tokens: from this instance's share, and where that is short from the
+// shares of others.
+
+// askWithin bounds one ask for tokens. Peers answer within a millisecond or two; one that does not is
+// passed over, so that a frozen peer costs a caller little.
+const askWithin = 150 * time.Millisecond
+
+// reserve takes the most a request may cost, or refuses. The caller must settle the reservation.
+func (p *Pipeline) reserve(ctx context.Context, workspace string, tokens float64) (*rate.Reservation, error) {
+	reservation, err := p.Ledger.Reserve(workspace, tokens)
+	var short *rate.ShortError
+	if errors.As(err, &short) {
+		p.borrow(ctx, workspace, tokens)
+		reservation, err = p.Ledger.Reserve(workspace, tokens)
+	}
+	if err != nil {
+		return nil, p.rateRefusal(workspace, err)
+	}
+	p.Burn.Record(workspace, burn.Admitted, true)
+	return reservation, nil
+}
+
+// borrow asks peers, most promising first, until the bucket has what the request needs. The ledger's
+// plan is empty when the peers together cannot have it.
+func (p *Pipeline) borrow(ctx context.Context, workspace string, tokens float64) {
+	for range p.Current().Head.Members {
+		plan := p.Ledger.Plan(workspace, tokens)
+		if len(plan) == 0 || ctx.Err() != nil {
+			return
+		}
+		p.ask(ctx, plan[0])
+	}
+}
+
+func (p *Pipeline) ask(ctx context.Context, ask rate.Ask) {
+	member, found := memberOf(p.Current().Head, ask.Peer)
+	if !found {
+		p.Ledger.Receive(ask, rate.Loan{Lender: ask.Peer})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	loan, err := p.Fleet.AskTokens(ctx, member, peer.TokenRequest{
+		Workspace: ask.Workspace,
+		Tokens:    ask.Tokens,
+		Borrower:  p.Self,
+	})
+	p.Scope.Counter("token_asks").Inc(1)
+	if err != nil {
+		// It may have lent: then its tokens are lost for a while. Receiving nothing keeps this instance
+		// from asking it again at once.
+		loan = rate.Loan{Lender: ask.Peer}
+	}
+	p.Ledger.Receive(ask, loan)
+}
+
+func memberOf(h head.Head, identity rate.Identity) (head.Member, bool) {
+	member, found := h.Member(identity.Name)
+	return member, found && member.Incarnation == identity.Incarnation
+}
+
+// rateRefusal turns the ledger's refusal into the caller's, and counts the wrongful ones.
+func (p *Pipeline) rateRefusal(workspace string, err error) error {
+	var short *rate.ShortError
+	var large *rate.TooLargeError
+	switch {
+	case errors.As(err, &short):
+		p.Scope.Tagged(map[string]string{"workspace": workspace}).Counter("refused_rate").Inc(1)
+		if short.WithinRate {
+			p.Scope.Tagged(map[string]string{"workspace": workspace}).Counter("refused_within_rate").Inc(1)
+			p.Burn.Record(workspace, burn.Admitted, false)
+		}
+		return refusal.New(refusal.RateLimited, "the workspace is over its rate").WithRetryAfter(short.RetryAfter)
+	case errors.As(err, &large):
+		return refusal.New(refusal.RequestExceedsBurst, "the request may cost more than the workspace's burst")
+	}
+	return refusal.New(refusal.NotFresh, "this instance cannot confirm the workspace's rate").
+		WithRetryAfter(time.Second)
+}
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -23,6 +23,7 @@
 		InForceSinceMicros: b.InForceSince.UnixMicro(),
 		Leaving:            b.Leaving,
 		Stopping:           b.Stopping,
+		OldestRevision:     b.OldestRevision,
 	}
 	if b.ConfirmedAge < 0 {
 		wire.ConfirmedAgeMicros = -1 // shorter than a microsecond would otherwise turn into 0: "just now"
@@ -49,13 +50,14 @@
 
 func beatFromWire(wire *fleetpb.Beat) Beat {
 	b := Beat{
-		Instance:     wire.GetInstance(),
-		Incarnation:  wire.GetIncarnation(),
-		Revision:     wire.GetRevision(),
-		ConfirmedAge: time.Duration(wire.GetConfirmedAgeMicros()) * time.Microsecond,
-		InForceSince: time.UnixMicro(wire.GetInForceSinceMicros()),
-		Leaving:      wire.GetLeaving(),
-		Stopping:     wire.GetStopping(),
+		Instance:       wire.GetInstance(),
+		Incarnation:    wire.GetIncarnation(),
+		Revision:       wire.GetRevision(),
+		ConfirmedAge:   time.Duration(wire.GetConfirmedAgeMicros()) * time.Microsecond,
+		InForceSince:   time.UnixMicro(wire.GetInForceSinceMicros()),
+		Leaving:        wire.GetLeaving(),
+		Stopping:       wire.GetStopping(),
+		OldestRevision: wire.GetOldestRevision(),
 	}
 	for _, summary := range wire.GetUpstreams() {
 		b.Upstreams = append(b.Upstreams, summaryFromWire(summary))
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -27,6 +27,8 @@
 	Leaving      []string
 	Stopping     bool
 	Returns      []rate.Return
+	// OldestRevision is the oldest head under which a reservation or loan still open was made.
+	OldestRevision int64
 }
 
 // TokenRequest asks a peer for tokens of a workspace's share; the answer is a rate.Loan.
