--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -87,6 +87,9 @@
 	d.departures.note(before.Head, now.Head)
 	d.settlement.install(now.Head)
 	d.directory.Keep(addresses(now.Head))
+	// The read or swap that brought the head confirms it; without this, each change of the configuration
+	// would have callers refused until the next read.
+	d.tracker.ReadConfirmed(now.ConfirmedAt, now.Head.Revision)
 	d.tracker.Install(trackerHead(now.Head))
 	d.Log.Info().Int64("Revision", now.Head.Revision).Int64("Epoch", now.Head.Epoch).
 		Int("Members", len(now.Head.Members)).Msg("RevisionInForceHere")
