Swap a small pointer to the head, and keep the head beside the parts

A reader looks at the newest head every second. What is swapped is now a pointer of 200 bytes; the head itself is a value named by its content, written before the swap and fetched when the revision changes. A change costs 7 store calls in place of 5 (writer 4, taking up at another instance 3). Ruled out: confirming an unchanged head by a watch without a wait, which sends no body but would take an older copy's "not changed" for a confirmation, where a read shows that the copy is older.

--- a/internal/catalog/codec/codec_test.go
+++ b/internal/catalog/codec/codec_test.go
@@ -66,6 +66,13 @@
 	}
 	_, err := codec.DecodeHead([]byte(`{"Parts":[{}]}`))
 	is.True(err != nil)
+
+	pointer := head.Pointer{Revision: 7, Mark: h.LastMark(), Hash: "hash"}
+	encoded, err := codec.EncodePointer(pointer)
+	is.NoErr(err)
+	decoded, err := codec.DecodePointer(encoded)
+	is.NoErr(err)
+	is.Equal(decoded, pointer)
 }
 
 func TestFilesThatAreWrong(t *testing.T) {
--- a/internal/catalog/codec/head_codec.go
+++ b/internal/catalog/codec/head_codec.go
@@ -1,4 +1,4 @@
-// The head as the store keeps it: one small JSON value.
+// The head as the store keeps it, and the small pointer to it that is swapped.
 
 package codec
 
@@ -33,8 +33,29 @@
 		Members  []wireMember
 		Changes  []wireChange
 	}
+	wirePointer struct {
+		Revision int64
+		Mark     string
+		Hash     string
+	}
 )
 
+// EncodePointer writes a pointer.
+func EncodePointer(p head.Pointer) (data []byte, err error) {
+	defer func() { err = errors.WithMessage(err, "encode pointer to the head") }()
+	return json.Marshal(wirePointer(p))
+}
+
+// DecodePointer reads a pointer.
+func DecodePointer(data []byte) (p head.Pointer, err error) {
+	defer func() { err = errors.WithMessage(err, "decode pointer to the head") }()
+	var wire wirePointer
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return head.Pointer{}, err
+	}
+	return head.Pointer(wire), nil
+}
+
 // EncodeHead writes a head.
 func EncodeHead(h head.Head) (data []byte, err error) {
 	defer func() { err = errors.WithMessage(err, "encode head") }()
--- a/internal/catalog/head/head.go
+++ b/internal/catalog/head/head.go
@@ -54,6 +54,24 @@
 	Changes  []Change
 }
 
+// Pointer is the value that is swapped: it names the whole head, which is kept beside the parts. Readers
+// look at the newest head every second; at 330 members the whole would be some 50 kB each time, the
+// pointer is 200 bytes. Mark is the mark of the swap that made the revision, and Hash the SHA-256 of the
+// head's bytes. The zero Pointer stands for the head before the first swap.
+type Pointer struct {
+	Revision int64
+	Mark     string
+	Hash     string
+}
+
+// LastMark gives the mark of the swap that made this head, or nothing before the first.
+func (h Head) LastMark() string {
+	if len(h.Changes) == 0 {
+		return ""
+	}
+	return h.Changes[len(h.Changes)-1].Mark
+}
+
 // Part returns the name of a part, the empty Part while there is none.
 func (h Head) Part(index int) Part {
 	if index >= len(h.Parts) {
--- a/internal/catalog/repository/commit.go
+++ b/internal/catalog/repository/commit.go
@@ -114,7 +114,23 @@
 	}
 	next := Snapshot{Head: h.WithSwap(r.Writer + "/" + uuid.NewString())}
 	next.Configuration = c.WithRevision(next.Head.Revision)
-	return next.Head.Revision, r.swap(ctx, base, next)
+	whole, pointer, err := encoded(next.Head)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.writeValue(ctx, wholeKey(pointer), whole); err != nil {
+		return 0, nothingChanged(err)
+	}
+	return next.Head.Revision, r.swap(ctx, base, next, pointer)
+}
+
+// encoded gives the bytes of a head and the pointer to it.
+func encoded(h head.Head) (whole []byte, p head.Pointer, err error) {
+	if h.Revision == 0 {
+		return nil, head.Pointer{}, nil
+	}
+	whole, err = codec.EncodeHead(h)
+	return whole, head.Pointer{Revision: h.Revision, Mark: h.LastMark(), Hash: codec.HashOf(whole)}, err
 }
 
 // confirm swaps the head for itself. The read that a change began with may have been stale, where the
@@ -122,7 +138,11 @@
 // finds itself done already has to look, or an operator would be told that something is in force which
 // a later change, not seen here, has undone.
 func (r *Repository) confirm(ctx context.Context, base Snapshot) error {
-	value, err := codec.EncodeHead(base.Head)
+	_, pointer, err := encoded(base.Head)
+	if err != nil {
+		return err
+	}
+	value, err := codec.EncodePointer(pointer)
 	if err != nil {
 		return err
 	}
@@ -189,14 +209,14 @@
 		if contents[i] == nil {
 			return nil
 		}
-		return r.writePart(ctx, partKey(changed[i], h.Part(changed[i])), contents[i])
+		return r.writeValue(ctx, partKey(changed[i], h.Part(changed[i])), contents[i])
 	})
 	return h, err
 }
 
-// writePart writes one part. Its key names its content, so a conflict says that it is there already,
-// which is also how a lost answer is settled.
-func (r *Repository) writePart(ctx context.Context, key string, content []byte) error {
+// writeValue writes an immutable value. Its key names its content, so a conflict says that it is there
+// already, which is also how a lost answer is settled.
+func (r *Repository) writeValue(ctx context.Context, key string, content []byte) error {
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		_, err := r.Store.CompareAndSwap(ctx, key, store.Absent, content)
 		if err == nil || errors.Is(err, store.ErrConflict) {
@@ -211,12 +231,12 @@
 	}
 }
 
-// swap puts the head in place. An answer that was lost leaves open whether the write took effect, or
+// swap puts the pointer to the next head in place. An answer that was lost leaves open whether the write took effect, or
 // still will: the request may yet arrive. So the same write is sent again. If the first one arrives
 // before it, the second one conflicts and the mark is found in the head; if it arrives later, it
 // conflicts itself. Either way the answer to the operator is true.
-func (r *Repository) swap(ctx context.Context, base, next Snapshot) error {
-	value, err := codec.EncodeHead(next.Head)
+func (r *Repository) swap(ctx context.Context, base, next Snapshot, pointer head.Pointer) error {
+	value, err := codec.EncodePointer(pointer)
 	if err != nil {
 		return err
 	}
@@ -231,7 +251,7 @@
 			r.adopt(next)
 			return nil
 		case errors.Is(err, store.ErrConflict) && lost:
-			return r.settle(ctx, base, lastMark(next.Head))
+			return r.settle(ctx, base, pointer.Mark)
 		case errors.Is(err, store.ErrUnknown):
 			lost = true
 		case errors.Is(err, store.ErrUnavailable) && lost:
@@ -244,18 +264,14 @@
 	}
 }
 
-// settle finds out, after a lost answer, whether a swap with the mark took effect. The head in the
-// store is not the one the swap was made on any more. If the mark is in it, it did; if it follows
-// base within the marks that are kept and has not the mark, another writer's swap came first.
+// settle finds out, after a lost answer, whether a swap with the mark took effect. The pointer in the
+// store is not the one the swap was made on any more. If the mark is in the head, it did; if the head
+// follows base within the marks that are kept and has not the mark, another writer's swap came first.
 func (r *Repository) settle(ctx context.Context, base Snapshot, mark string) error {
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		began := time.Now()
-		entry, err := r.readHead(ctx)
+		entry, h, err := r.readWhole(ctx)
 		if err == nil {
-			h, err := decodeHead(entry)
-			if err != nil {
-				return errors.WithMessage(store.ErrUnknown, err.Error())
-			}
 			if _, found := h.Marked(mark); found {
 				_, _ = r.take(ctx, base.Head, entry, began) // what cannot be taken up now is read again later
 				return nil
@@ -274,6 +290,21 @@
 	}
 }
 
+// readWhole reads the pointer and the head it names. A head that is missing has been replaced and swept
+// since; the next read finds a newer one.
+func (r *Repository) readWhole(ctx context.Context) (entry store.Entry, h head.Head, err error) {
+	entry, err = r.readHead(ctx)
+	if err != nil {
+		return store.Entry{}, head.Head{}, err
+	}
+	pointer, err := decodePointer(entry)
+	if err != nil {
+		return store.Entry{}, head.Head{}, err
+	}
+	h, err = r.fetchHead(ctx, pointer)
+	return entry, h, err
+}
+
 // sleep pauses for about that long, or fails when the context ends first.
 func sleep(ctx context.Context, pause time.Duration) error {
 	timer := time.NewTimer(pause/2 + rand.N(pause))
--- a/internal/catalog/repository/parts_test.go
+++ b/internal/catalog/repository/parts_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
-	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/catalog/repository"
 	"lacewingrock.example/lacewingrock/internal/platform/store"
 )
@@ -26,7 +25,7 @@
 		sweep := func() (deleted int) {
 			s := &repository.Sweeper{Repository: other, Grace: time.Minute}
 			for range 2 {
-				for index := range head.PartCount {
+				for index := range repository.SweepIndexes {
 					count, err := s.Sweep(ctx, index)
 					is.NoErr(err)
 					deleted += count
@@ -43,7 +42,7 @@
 				is.Equal(sweep(), 0) // its parts may still be named
 				_, err := declare(ctx, other, workspace("w", 1), configuration.MustBeNew)
 				is.NoErr(err)
-				is.Equal(sweep(), 1) // now they cannot
+				is.Equal(sweep(), 2) // now they cannot, nor its head
 			}
 		}
 		_, err := declare(ctx, paused, workspace("w", 2), configuration.AnyVersion)
@@ -70,10 +69,13 @@
 		ended := make(chan error)
 		go func() { ended <- s.Run(ctx) }()
 		left := func() int {
-			time.Sleep(2 * (head.PartCount + 1) * repository.DefaultSweepEvery)
-			entries, err := kv.List(ctx, "part/")
+			time.Sleep(2 * (repository.SweepIndexes + 1) * repository.DefaultSweepEvery)
+			parts, err := kv.List(ctx, "part/")
 			is.NoErr(err)
-			return len(entries)
+			heads, err := kv.List(ctx, "heads/")
+			is.NoErr(err)
+			is.Equal(len(heads), len(parts)) // each change wrote one of either
+			return len(parts)
 		}
 		is.Equal(left(), 10)
 		chosen.Store(true)
--- a/internal/catalog/repository/pending.go
+++ b/internal/catalog/repository/pending.go
@@ -9,13 +9,28 @@
 import (
 	"sync"
 
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/catalog/resource"
 )
 
-// pendingParts holds fetched parts by their keys; the zero value is empty.
+// pendingParts holds fetched parts by their keys, and the head that names them; the zero value is empty.
 type pendingParts struct {
-	mutex sync.Mutex
-	parts map[string][]resource.Resource
+	mutex   sync.Mutex
+	headKey string
+	head    head.Head
+	parts   map[string][]resource.Resource
+}
+
+func (p *pendingParts) getHead(key string) (h head.Head, found bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.head, p.headKey == key
+}
+
+func (p *pendingParts) putHead(key string, h head.Head) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.headKey, p.head = key, h
 }
 
 func (p *pendingParts) get(key string) (resources []resource.Resource, found bool) {
--- a/internal/catalog/repository/read.go
+++ b/internal/catalog/repository/read.go
@@ -1,5 +1,5 @@
-// Reading: the head comes from the store, parts that differ from those at hand are fetched, and the
-// snapshot made of them becomes the current one.
+// Reading: the pointer to the head comes from the store; if it names another head than the one at hand,
+// that is fetched, with the parts that differ, and the snapshot made of them becomes the current one.
 
 package repository
 
@@ -37,6 +37,14 @@
 	return fmt.Sprintf("part/%02d/", index)
 }
 
+// headPrefix begins the keys under which whole heads are kept.
+const headPrefix = "heads/"
+
+// wholeKey is where the store keeps the whole head that a pointer names.
+func wholeKey(p head.Pointer) string {
+	return fmt.Sprintf("%s%d/%s", headPrefix, p.Revision, p.Hash)
+}
+
 // Load reads the configuration for the first time.
 func (r *Repository) Load(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "load the configuration") }()
@@ -76,7 +84,7 @@
 	return r.take(ctx, current.Head, entry, began)
 }
 
-// readHead reads the head's entry; before the first swap there is none, which is the empty entry.
+// readHead reads the pointer's entry; before the first swap there is none, which is the empty entry.
 func (r *Repository) readHead(ctx context.Context) (entry store.Entry, err error) {
 	entry, err = r.Store.Get(ctx, HeadKey)
 	if errors.Is(err, store.ErrNotFound) {
@@ -112,37 +120,79 @@
 func (r *Repository) assemble(
 	ctx context.Context, known head.Head, entry store.Entry,
 ) (snapshot Snapshot, err error) {
-	h, err := decodeHead(entry)
+	pointer, err := decodePointer(entry)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	if err := notOlder(known, h); err != nil {
+	if err := notOlder(known, pointer); err != nil {
 		return Snapshot{}, err
 	}
 	base := r.Current()
-	if h.Revision < base.Head.Revision {
+	if pointer.Revision < base.Head.Revision {
 		// A newer head was taken up while this one was read. This read still says that at its beginning
 		// there was none beyond that one, so it confirms it.
 		return base, nil
 	}
-	snapshot = Snapshot{Head: h, storeRevision: entry.Revision}
-	if h.Revision == base.Head.Revision {
-		snapshot.Configuration = base.Configuration
-		return snapshot, nil
+	if pointer.Revision == base.Head.Revision {
+		return Snapshot{Head: base.Head, Configuration: base.Configuration, storeRevision: entry.Revision}, nil
+	}
+	h, err := r.fetchHead(ctx, pointer)
+	if err != nil {
+		return Snapshot{}, err
 	}
 	parts, err := r.fetch(ctx, changedParts(base.Head, h), h)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	snapshot.Configuration = base.Configuration.WithParts(parts, h.Revision)
-	return snapshot, nil
+	return Snapshot{
+		Head: h, Configuration: base.Configuration.WithParts(parts, h.Revision), storeRevision: entry.Revision,
+	}, nil
 }
 
-func decodeHead(entry store.Entry) (h head.Head, err error) {
+func decodePointer(entry store.Entry) (p head.Pointer, err error) {
 	if entry.Revision == store.Absent {
+		return head.Pointer{}, nil
+	}
+	return codec.DecodePointer(entry.Value)
+}
+
+// fetchHead reads the whole head that a pointer names.
+func (r *Repository) fetchHead(ctx context.Context, p head.Pointer) (h head.Head, err error) {
+	if p.Revision == 0 {
 		return head.Head{}, nil
 	}
-	return codec.DecodeHead(entry.Value)
+	key := wholeKey(p)
+	if h, found := r.pending.getHead(key); found {
+		return h, nil
+	}
+	content, err := r.fetchNamed(ctx, key, p.Hash)
+	if err != nil {
+		return head.Head{}, err
+	}
+	h, err = codec.DecodeHead(content)
+	if err != nil {
+		return head.Head{}, err
+	}
+	if h.Revision != p.Revision {
+		return head.Head{}, errors.Errorf("repository: %s is of revision %d", key, h.Revision)
+	}
+	r.pending.putHead(key, h)
+	return h, nil
+}
+
+// fetchNamed reads a value that is named by its content.
+func (r *Repository) fetchNamed(ctx context.Context, key, hash string) (content []byte, err error) {
+	entry, err := r.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, errors.WithMessage(ErrPartMissing, key)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if codec.HashOf(entry.Value) != hash {
+		return nil, errors.Errorf("repository: %s does not have the content it is named for", key)
+	}
+	return entry.Value, nil
 }
 
 func changedParts(from, to head.Head) []int {
@@ -190,17 +240,11 @@
 	if resources, found := r.pending.get(key); found {
 		return resources, nil
 	}
-	entry, err := r.Store.Get(ctx, key)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, errors.WithMessage(ErrPartMissing, key)
-	}
+	content, err := r.fetchNamed(ctx, key, part.Hash)
 	if err != nil {
 		return nil, err
 	}
-	if codec.HashOf(entry.Value) != part.Hash {
-		return nil, errors.Errorf("repository: %s does not have the content it is named for", key)
-	}
-	resources, err = codec.DecodePart(entry.Value)
+	resources, err = codec.DecodePart(content)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/catalog/repository/repository.go
+++ b/internal/catalog/repository/repository.go
@@ -1,6 +1,6 @@
 // Package repository keeps the configuration in the store and gives an instance its newest Snapshot
-// of it. A change writes immutable parts first and then swaps the head that names them; only the swap
-// counts. Whoever decides when to read (the freshness of an instance) calls Refresh or Await, or lets
+// of it. A change writes immutable values first, the parts and the head that names them, and then swaps
+// the pointer to the head; only the swap counts. Whoever decides when to read (the freshness of an instance) calls Refresh or Await, or lets
 // Run do it; operators and membership change the head through Commit.
 package repository
 
@@ -16,7 +16,7 @@
 	"lacewingrock.example/lacewingrock/internal/platform/store"
 )
 
-// HeadKey is where the store keeps the head.
+// HeadKey is where the store keeps the pointer to the head.
 const HeadKey = "head"
 
 // ErrWentBack tells that the store gave a head of a lower revision than one it gave before, or another one of
@@ -111,25 +111,18 @@
 	r.current.storeRevision = max(r.current.storeRevision, next.storeRevision)
 }
 
-// notOlder fails with ErrWentBack unless the head, which was read from the store, is the one known
-// when the read began or one that follows it.
-func notOlder(known, h head.Head) error {
-	if h.Revision < known.Revision {
-		return errors.WithMessagef(ErrWentBack, "revision %d after %d", h.Revision, known.Revision)
+// notOlder fails with ErrWentBack unless the pointer, which was read from the store, is to the head
+// known when the read began or to one that follows it.
+func notOlder(known head.Head, p head.Pointer) error {
+	if p.Revision < known.Revision {
+		return errors.WithMessagef(ErrWentBack, "revision %d after %d", p.Revision, known.Revision)
 	}
-	if h.Revision == known.Revision && lastMark(h) != lastMark(known) {
-		return errors.WithMessagef(ErrWentBack, "another head of revision %d", h.Revision)
+	if p.Revision == known.Revision && p.Mark != known.LastMark() {
+		return errors.WithMessagef(ErrWentBack, "another head of revision %d", p.Revision)
 	}
 	return nil
 }
 
-func lastMark(h head.Head) string {
-	if len(h.Changes) == 0 {
-		return ""
-	}
-	return h.Changes[len(h.Changes)-1].Mark
-}
-
 // ---------------------------------------------------------------------------------------------
 
 // subscriber is a ring of one: a slow reader misses snapshots in between but always finds the newest.
--- a/internal/catalog/repository/sweep.go
+++ b/internal/catalog/repository/sweep.go
@@ -24,7 +24,10 @@
 // of one index a minute.
 const DefaultSweepEvery = time.Minute
 
-// Sweeper deletes parts that no head names any more. Several at a time do no harm. Set the exported
+// SweepIndexes is how many indexes there are to sweep: one for each part, and the last one for heads.
+const SweepIndexes = head.PartCount + 1
+
+// Sweeper deletes parts that no head names any more, and heads that were replaced. Several at a time do no harm. Set the exported
 // fields before the first call.
 type Sweeper struct {
 	Repository *Repository
@@ -57,7 +60,7 @@
 			continue
 		}
 		s.sweepAndLog(ctx, index)
-		index = (index + 1) % head.PartCount
+		index = (index + 1) % SweepIndexes
 	}
 }
 
@@ -72,7 +75,7 @@
 	}
 }
 
-// Sweep looks at the parts of one index, lists them with one call, and deletes those that have been
+// Sweep looks at the parts, or heads, of one index, lists them with one call, and deletes those that have been
 // unnamed for Grace. A part written for a revision above the head's is left alone: its writer may be
 // about to swap the head. At or below it, no swap that names the part can succeed any more, so it is
 // deleted safely however long its writer was paused.
@@ -82,12 +85,16 @@
 	if err != nil {
 		return 0, err
 	}
-	entries, err := s.Repository.Store.List(ctx, partPrefix(index))
+	named, err := namedKey(index, snapshot.Head)
+	if err != nil {
+		return 0, err
+	}
+	entries, err := s.Repository.Store.List(ctx, sweepPrefix(index))
 	if err != nil {
 		return 0, err
 	}
 	for _, entry := range entries {
-		if !s.due(entry.Key, index, snapshot.Head) {
+		if entry.Key == named || !s.due(entry.Key, sweepPrefix(index), snapshot.Head.Revision) {
 			continue
 		}
 		err := s.Repository.Store.Delete(ctx, entry.Key, entry.Revision)
@@ -100,10 +107,27 @@
 	return deleted, nil
 }
 
-// due tells whether a part has been unnamed for long enough, and notes since when it is.
-func (s *Sweeper) due(key string, index int, h head.Head) bool {
-	revision, valid := partRevision(key, index)
-	if !valid || revision > h.Revision || key == partKey(index, h.Part(index)) {
+// sweepPrefix begins the keys of one index.
+func sweepPrefix(index int) string {
+	if index < head.PartCount {
+		return partPrefix(index)
+	}
+	return headPrefix
+}
+
+// namedKey is the key of an index that is in use.
+func namedKey(index int, h head.Head) (key string, err error) {
+	if index < head.PartCount {
+		return partKey(index, h.Part(index)), nil
+	}
+	_, pointer, err := encoded(h)
+	return wholeKey(pointer), err
+}
+
+// due tells whether a value that is not in use has been so for long enough, and notes since when it is.
+func (s *Sweeper) due(key, prefix string, current int64) bool {
+	revision, valid := revisionOf(key, prefix)
+	if !valid || revision > current {
 		return false
 	}
 	if s.unnamedSince == nil {
@@ -124,9 +148,9 @@
 	return DefaultGrace
 }
 
-// partRevision reads the revision that a part was written for out of its key.
-func partRevision(key string, index int) (revision int64, valid bool) {
-	rest, found := strings.CutPrefix(key, partPrefix(index))
+// revisionOf reads the revision that a value was written for out of its key.
+func revisionOf(key, prefix string) (revision int64, valid bool) {
+	rest, found := strings.CutPrefix(key, prefix)
 	if !found {
 		return 0, false
 	}
