Run the operators' way over TCP with lost answers

The verbs were tested before a store in memory only. Now the command line, the API, the repository, the store's client and the stand-in of the store run together, with connections cut after writes: an apply and a grant make one revision each, and in an outage a withdrawal says that nothing was changed.

--- a/internal/command/control/control_test.go
+++ b/internal/command/control/control_test.go
@@ -20,6 +20,7 @@
 	"lacewingrock.example/lacewingrock/internal/operator/api"
 	"lacewingrock.example/lacewingrock/internal/operator/message"
 	"lacewingrock.example/lacewingrock/internal/platform/store"
+	"lacewingrock.example/lacewingrock/internal/standin/kv"
 )
 
 const token = "operator-token"
@@ -55,10 +56,19 @@
 
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{kv: &store.Memory{}, fleet: &fleet{}, log: &strings.Builder{}}
+	kv := &store.Memory{}
+	d := deployBefore(t, kv)
+	d.kv = kv
+	return d
+}
+
+// deployBefore makes the deployment before any store.
+func deployBefore(t *testing.T, kv store.Store) *deployment {
+	t.Helper()
+	d := &deployment{fleet: &fleet{}, log: &strings.Builder{}}
 	sum := sha256.Sum256([]byte(token))
 	s := &api.Server{
-		Configurations: &repository.Repository{Store: d.kv, Writer: "entry-1"},
+		Configurations: &repository.Repository{Store: kv, Writer: "entry-1"},
 		Fleet:          d.fleet,
 		Reports:        d.fleet,
 		TokenHashes:    []string{strings.Repeat("0", 64), hex.EncodeToString(sum[:])},
@@ -192,3 +202,33 @@
 	is.Equal(code, 1)
 	is.True(strings.Contains(errors, "not yet in force"))
 }
+
+// The whole way over TCP: command line, API, repository, the store's client and the stand-in of the
+// store, which cuts the connection after writes that it has made.
+func TestOverTCPWithLostAnswers(t *testing.T) {
+	is := is.New(t)
+	service := &kv.Server{}
+	is.NoErr(service.Listen())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- service.Run(ctx) }()
+	defer func() {
+		cancel()
+		is.NoErr(<-ended)
+	}()
+	d := deployBefore(t, &store.Client{Address: service.Address})
+	service.SetFaults(kv.Faults{LoseAnswers: 5})
+	code, out, errors := d.run(example, "apply", "-f", "-")
+	t.Log(out, errors)
+	is.Equal(code, 0)
+	service.SetFaults(kv.Faults{LoseAnswers: 2})
+	code, _, _ = d.run("", "key", "grant", "-workspace", "lines", "-name", "night")
+	is.Equal(code, 0)
+	code, out, _ = d.run("", "watch", "-after", "0", "-count", "1", "-o", "json")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"Revision":2`)) // each change was made once
+	service.SetFaults(kv.Faults{Outage: true})
+	code, _, errors = d.run("", "key", "withdraw", "-name", "night")
+	is.Equal(code, 5)
+	is.True(strings.Contains(errors, "nothing was changed"))
+}
