--- a/internal/placement/holder/loads.go
+++ b/internal/placement/holder/loads.go
@@ -126,7 +126,12 @@
 	}, ReasonBusy, h.times.wait(now))
 }
 
+// driveLoad moves the load of one version on. One whose eviction is under way is not loaded before that
+// has ended: orders may overtake each other, and the eviction would come after the load.
 func (h *Holder) driveLoad(now time.Time, n need, needs *needs) {
+	if h.residency.mayStillGo(now, n.ref) {
+		return
+	}
 	l, known := h.loads[n.ref]
 	switch {
 	case !known:
@@ -175,6 +180,7 @@
 		}
 		evict = victim
 		h.residency.remove(now, victim)
+		h.residency.notBefore(victim, now.Add(h.Settings.LongestOrder))
 	}
 	l.state = loadOrdered
 	l.ordered = now
@@ -229,6 +235,7 @@
 	}
 	h.times = h.times.with(now, now.Sub(l.first), now.Sub(l.ordered))
 	delete(h.loads, e.Load)
+	h.residency.settled(now, l.evict)
 	h.residency.add(now, e.Load)
 	h.loaded(now, e.Load)
 }
@@ -258,9 +265,14 @@
 	}
 }
 
-// takeBackEviction keeps the version that was to be evicted if it certainly still is loaded.
+// takeBackEviction keeps the version that was to be evicted if it certainly still is loaded. When the
+// outcome is unknown the order may take effect later still, so it is not believed to be loaded before.
 func (h *Holder) takeBackEviction(now time.Time, e LoadFailed, l *load) {
-	if l.evict.IsZero() || e.Evicted || e.Cause == CauseUpstream {
+	if l.evict.IsZero() || e.Cause == CauseUpstream {
+		return
+	}
+	h.residency.settled(now, l.evict)
+	if e.Evicted {
 		return
 	}
 	h.residency.add(now, l.evict)
--- a/internal/placement/holder/residency.go
+++ b/internal/placement/holder/residency.go
@@ -16,7 +16,9 @@
 	known       bool
 	incarnation string
 	resident    map[model.Reference]slot
-	// gone holds when a version was found to be not loaded, against older reports that still list it.
+	// gone holds, for a version that is evicted, the time from which on reports are believed that still
+	// list it: a report made while the eviction is under way lists it truly and too early. Believed, it
+	// would have a request sent to a version that is evicted while it runs.
 	gone map[model.Reference]time.Time
 	// doubtFrom is when the outcome of an order became unknown.
 	doubtFrom time.Time
@@ -62,6 +64,25 @@
 	r.resident[ref] = s
 }
 
+// notBefore drops reports of the version that are made earlier.
+func (r *residency) notBefore(ref model.Reference, from time.Time) {
+	if !ref.IsZero() && from.After(r.gone[ref]) {
+		r.gone[ref] = from
+	}
+}
+
+// mayStillGo tells that an eviction of the version may still take effect.
+func (r *residency) mayStillGo(now time.Time, ref model.Reference) bool {
+	return r.gone[ref].After(now)
+}
+
+// settled tells that the eviction has ended, one way or the other.
+func (r *residency) settled(now time.Time, ref model.Reference) {
+	if !ref.IsZero() {
+		r.gone[ref] = now
+	}
+}
+
 // doubt makes the residency unknown until a report that was made later.
 func (r *residency) doubt(now time.Time) {
 	r.known = false
@@ -82,7 +103,7 @@
 	seen := make(map[model.Reference]bool, len(listed))
 	for _, ref := range listed {
 		seen[ref] = true
-		if !r.has(ref) && !r.gone[ref].After(made) {
+		if !r.has(ref) && r.gone[ref].Before(made) {
 			r.add(made, ref)
 			added = append(added, ref)
 		}
--- /dev/null
+++ b/internal/placement/queue/fair_queue_test.go
@@ -0,0 +1,120 @@
+package queue_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/placement/queue"
+)
+
+var busy = queue.Occupancy{NextPlace: 100 * time.Millisecond}
+
+func newQueue() *queue.Queue {
+	return &queue.Queue{Places: 4, LongestBacklog: 10 * time.Second, Longest: 32}
+}
+
+func entry(id, workspace string, cost float64, patience time.Duration) queue.Entry {
+	return queue.Entry{
+		ID: id, Workspace: workspace, Weight: 1, Cost: cost,
+		Work: time.Duration(cost) * 10 * time.Millisecond, Deadline: time.Now().Add(patience),
+	}
+}
+
+func anything(queue.Entry) bool { return true }
+
+// One workspace sends five times what another does, in long requests. If the queue went by arrival, the
+// other's callers would wait behind all of it.
+func TestTokensAreSharedByWeight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		q.LongestBacklog = time.Hour
+		for i := range 20 {
+			_, err := q.Push(time.Now(), entry(fmt.Sprint("long", i), "flood", 400, time.Hour), busy)
+			is.NoErr(err)
+		}
+		for i := range 8 {
+			_, err := q.Push(time.Now(), entry(fmt.Sprint("short", i), "calm", 100, time.Hour), busy)
+			is.NoErr(err)
+		}
+		tokens := map[string]float64{}
+		for range 10 {
+			taken, _, ok := q.Take(anything)
+			is.True(ok)
+			tokens[taken.Workspace] += taken.Cost
+		}
+		is.Equal(tokens["calm"], 800.0)
+		is.Equal(tokens["flood"], 800.0)
+	})
+}
+
+// A queue is full of one workspace's requests when another's comes. Refusing the newcomer would let a
+// flood shut everybody else out.
+func TestFullQueuePushesOutTheFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		refused := 0
+		for i := range 60 {
+			if _, err := q.Push(time.Now(), entry(fmt.Sprint(i), "flood", 200, time.Hour), busy); err != nil {
+				refused++
+				refusal := queue.Refusal{}
+				is.True(errors.As(err, &refusal))
+				is.Equal(refusal.Reason, queue.ReasonFull)
+				is.True(refusal.RetryAfter > 0)
+			}
+		}
+		is.Equal(q.Len(), 20) // ten seconds of four places, two seconds each
+		is.Equal(refused, 40)
+		displaced, err := q.Push(time.Now(), entry("other", "calm", 200, time.Hour), busy)
+		is.NoErr(err)
+		is.Equal(len(displaced), 1)
+		is.Equal(displaced[0].Workspace, "flood")
+	})
+}
+
+// A caller can wait two seconds and the queue is four seconds long. Queued, it would wait in vain, and
+// its place would be taken from one that can wait.
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		for i := range 8 {
+			_, err := q.Push(time.Now(), entry(fmt.Sprint(i), "w", 200, time.Hour), busy)
+			is.NoErr(err)
+		}
+		_, err := q.Push(time.Now(), entry("late", "w", 200, 2*time.Second), busy)
+		refusal := queue.Refusal{}
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, queue.ReasonTooLate)
+		is.Equal(refusal.RetryAfter, 2*time.Second+100*time.Millisecond)
+		_, err = q.Push(time.Now(), entry("free", "w", 200, 2*time.Second), queue.Occupancy{Free: true})
+		is.NoErr(err) // with a place free, what is queued waits for loads and is in nobody's way
+	})
+}
+
+// The upstream stalls while requests wait. Those that will miss their deadlines are given back before
+// they do, and nothing is left behind of them.
+func TestExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		_, err := q.Push(time.Now(), entry("a", "w", 100, 5*time.Second), busy)
+		is.NoErr(err)
+		_, err = q.Push(time.Now(), entry("b", "w", 100, time.Minute), busy)
+		is.NoErr(err)
+		is.Equal(len(q.Expire(time.Now(), busy)), 0)
+		time.Sleep(5 * time.Second)
+		late := q.Expire(time.Now(), busy)
+		is.Equal(len(late), 1)
+		is.Equal(late[0].ID, "a")
+		_, ok := q.Remove("b")
+		is.True(ok)
+		is.Equal(q.Backlog(), time.Duration(0))
+	})
+}
--- /dev/null
+++ b/internal/placement/retry/budget_test.go
@@ -0,0 +1,44 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+)
+
+// In an outage every request fails and would be tried again. However first tries and retries follow
+// each other, the retries stay at a tenth of the first tries.
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.New(retry.DefaultRatio, retry.DefaultMost)
+		first, retries := 0, 0
+		for _, isFirst := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "steps") {
+			if isFirst {
+				budget.First()
+				first++
+			} else if budget.Allow() {
+				retries++
+			}
+			if float64(retries) > retry.DefaultRatio*float64(first)+1e-9 {
+				t.Fatalf("%d retries for %d first tries", retries, first)
+			}
+		}
+	})
+}
+
+// A quiet hour must not save up retries for a burst that hits an upstream just as it comes back.
+func TestUnusedRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	budget := retry.New(retry.DefaultRatio, retry.DefaultMost)
+	for range 100_000 {
+		budget.First()
+	}
+	allowed := 0
+	for budget.Allow() {
+		allowed++
+	}
+	is.Equal(allowed, retry.DefaultMost)
+}
--- /dev/null
+++ b/internal/placement/route/router_test.go
@@ -0,0 +1,178 @@
+package route_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/placement/route"
+)
+
+const baseModel = "base"
+
+func newRouter(upstreams int) *route.Router {
+	r := &route.Router{Settings: route.DefaultSettings()}
+	var declared []resource.Upstream
+	for i := range upstreams {
+		declared = append(declared, resource.Upstream{
+			Meta: resource.Meta{Name: fmt.Sprint("u", i)}, BaseModel: baseModel, Slots: 8, Batch: 8,
+		})
+	}
+	r.SetUpstreams(declared)
+	return r
+}
+
+func ref(i int) model.Reference { return model.Reference{Adapter: fmt.Sprint("a", i), Version: "v1"} }
+
+func query(i int) route.Query {
+	return route.Query{Model: ref(i), BaseModel: baseModel, Cost: 200, Deadline: time.Now().Add(10 * time.Second)}
+}
+
+func tell(r *route.Router, upstream string, free int, backlog time.Duration, resident ...model.Reference) {
+	r.Learn(time.Now(), route.Summary{
+		Upstream: upstream, Epoch: 1, FreePlaces: free, Backlog: backlog,
+		Resident: resident, Healthy: true, At: time.Now(),
+	})
+}
+
+// Instances that know nothing yet choose the same upstream for an adapter, so that equal requests meet
+// there and one load serves them all.
+func TestHomeIsTheSameEverywhere(t *testing.T) {
+	is := is.New(t)
+	used := map[string]int{}
+	for i := range 900 {
+		first, err := newRouterOnce.Choose(time.Now(), query(i))
+		is.NoErr(err)
+		second, err := newRouter(9).Choose(time.Now(), query(i))
+		is.NoErr(err)
+		is.Equal(first.Upstream, second.Upstream)
+		used[first.Upstream]++
+	}
+	for _, n := range used {
+		is.True(n > 50 && n < 170)
+	}
+	is.Equal(len(used), 9)
+}
+
+var newRouterOnce = newRouter(9)
+
+// Heartbeats come twice a second. If the requests sent since the last one did not count, all of them
+// would go to the one upstream that was idle then.
+func TestSentSinceTheReportCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(2)
+		tell(r, "u0", 4, 0, ref(1))
+		tell(r, "u1", 4, 0, ref(1))
+		used := map[string]int{}
+		for range 8 {
+			choice, err := r.Choose(time.Now(), query(1))
+			is.NoErr(err)
+			is.Equal(choice.Why, route.WhyResident)
+			used[choice.Upstream]++
+		}
+		is.Equal(used["u0"], 4)
+		is.Equal(used["u1"], 4)
+	})
+}
+
+// A hot adapter is loaded on one upstream. A short queue there is better than a load that others wait
+// for; behind a long one, callers would wait while another upstream stands idle.
+func TestQueueBehindOrLoad(t *testing.T) {
+	tests := []struct {
+		backlog   time.Duration
+		needsLoad bool
+	}{
+		{500 * time.Millisecond, false},
+		{30 * time.Second, true},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newRouter(3)
+			for i := range 3 {
+				tell(r, fmt.Sprint("u", i), 8, 0)
+			}
+			time.Sleep(time.Second)
+			tell(r, "u1", 0, tt.backlog, ref(1))
+			choice, err := r.Choose(time.Now(), query(1))
+			is.NoErr(err)
+			is.Equal(choice.NeedsLoad, tt.needsLoad)
+			is.Equal(choice.Upstream == "u1", !tt.needsLoad)
+		})
+	}
+}
+
+// An upstream is three times slower than the others. Callers sent there would wait three times as long
+// for each token; once it is well again it has to get its part.
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(2)
+		tell(r, "u0", 8, 0, ref(1))
+		tell(r, "u1", 8, 0, ref(1))
+		for range 20 {
+			r.Ended(time.Now(), route.Outcome{Upstream: "u0", Tokens: 100, Took: 6 * time.Second})
+			r.Ended(time.Now(), route.Outcome{Upstream: "u1", Tokens: 100, Took: 2 * time.Second})
+		}
+		for range 8 {
+			choice, err := r.Choose(time.Now(), query(1))
+			is.NoErr(err)
+			is.Equal(choice.Upstream, "u1")
+		}
+		time.Sleep(time.Minute)
+		tell(r, "u0", 8, 0, ref(1))
+		tell(r, "u1", 0, 5*time.Second, ref(1))
+		choice, err := r.Choose(time.Now(), query(1))
+		is.NoErr(err)
+		is.Equal(choice.Upstream, "u0")
+	})
+}
+
+// An upstream fails every request. It gets one every two seconds, so that its recovery is seen, and the
+// callers of all others are spared.
+func TestFailingUpstreamGetsProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(2)
+		tell(r, "u0", 8, 0, ref(1))
+		tell(r, "u1", 0, 2*time.Second, ref(1))
+		sent := 0
+		for range 100 {
+			choice, err := r.Choose(time.Now(), query(1))
+			is.NoErr(err)
+			if choice.Upstream == "u0" {
+				sent++
+				r.Ended(time.Now(), route.Outcome{Upstream: "u0", Failed: true})
+			}
+			time.Sleep(100 * time.Millisecond)
+			tell(r, "u0", 8, 0, ref(1))
+			tell(r, "u1", 0, 2*time.Second, ref(1))
+		}
+		is.True(sent >= 4 && sent <= 7) // two to find out, then one every two seconds
+	})
+}
+
+// An upstream is leaving, its holder finds it dead, or it was tried before: nothing new goes there.
+func TestNothingForTheLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(3)
+		tell(r, "u0", 8, 0, ref(1))
+		r.SetLeaving([]string{"u0"})
+		r.Learn(time.Now(), route.Summary{Upstream: "u1", Epoch: 1, Resident: []model.Reference{ref(1)}, At: time.Now()})
+		choice, err := r.Choose(time.Now(), query(1))
+		is.NoErr(err)
+		is.Equal(choice.Upstream, "u2")
+		tried := query(1)
+		tried.Exclude = []string{"u2"}
+		_, err = r.Choose(time.Now(), tried)
+		is.True(errors.Is(err, route.ErrNoUpstream))
+	})
+}
--- a/internal/placement/suspect/register.go
+++ b/internal/placement/suspect/register.go
@@ -63,7 +63,13 @@
 	Settings Settings
 
 	own   map[Fingerprint]record
-	peers map[string]map[Fingerprint]Count
+	peers map[string]told
+}
+
+// told is what a peer told last, and when.
+type told struct {
+	counts map[Fingerprint]Count
+	at     time.Time
 }
 
 // record is an own count and when it last changed.
@@ -143,17 +149,17 @@
 
 // Merge replaces what a peer told earlier by what it tells now. A peer tells all its counts each time,
 // so that a lost heartbeat loses nothing and one told twice counts once.
-func (r *Register) Merge(_ time.Time, instance string, counts []Count) {
+func (r *Register) Merge(now time.Time, instance string, counts []Count) {
 	r.prepare()
 	if len(counts) == 0 {
 		delete(r.peers, instance)
 		return
 	}
-	told := make(map[Fingerprint]Count, len(counts))
+	latest := told{counts: make(map[Fingerprint]Count, len(counts)), at: now}
 	for _, count := range counts {
-		told[count.Fingerprint] = count
+		latest.counts[count.Fingerprint] = count
 	}
-	r.peers[instance] = told
+	r.peers[instance] = latest
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -162,13 +168,13 @@
 func (r *Register) suspicions(fingerprint Fingerprint) (open int) {
 	known := r.own[fingerprint]
 	open = known.Crashes - known.Cleared
-	for _, told := range r.peers {
-		open += told[fingerprint].Crashes - told[fingerprint].Cleared
+	for _, peer := range r.peers {
+		open += peer.counts[fingerprint].Crashes - peer.counts[fingerprint].Cleared
 	}
 	return open
 }
 
-// forget drops own counts that have not changed for long. A caller that sends a refused request again
+// forget drops own counts that have not changed for long, and those of instances that are gone. A caller that sends a refused request again
 // does not extend its time, so an engine that was mended is tried again.
 func (r *Register) forget(now time.Time) {
 	for fingerprint, known := range r.own {
@@ -176,6 +182,11 @@
 			delete(r.own, fingerprint)
 		}
 	}
+	for instance, peer := range r.peers {
+		if now.Sub(peer.at) > r.Settings.Forget {
+			delete(r.peers, instance)
+		}
+	}
 }
 
 func (r *Register) dropOldest() {
@@ -192,6 +203,6 @@
 func (r *Register) prepare() {
 	if r.own == nil {
 		r.own = make(map[Fingerprint]record)
-		r.peers = make(map[string]map[Fingerprint]Count)
+		r.peers = make(map[string]told)
 	}
 }
