Measure what decisions, idle adapters and messages cost as the fleet grows

The first runs showed four costs that grew with something they should not, mended here.

Forwarding of tokens is not measured here.

--- /dev/null
+++ b/internal/measure/capacity/placement.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/placement/route"
+)
+
+// placement.go measures the packages that place requests.
+
+func upstreamName(i int) string { return fmt.Sprintf("upstream-%03d", i) }
+
+func workspaceName(i int) string { return fmt.Sprintf("workspace-%03d", i) }
+
+func reference(i int) model.Reference {
+	return model.Reference{Adapter: fmt.Sprintf("adapter-%05d", i), Version: "v1"}
+}
+
+// references are made beforehand, so that making their names is not measured.
+func references(n int) (list []model.Reference) {
+	for i := range n {
+		list = append(list, reference(i))
+	}
+	return list
+}
+
+// newRouter makes a router that has heard of all upstreams, each with other versions loaded.
+func newRouter(size Size, now time.Time) *route.Router {
+	r := &route.Router{Settings: route.DefaultSettings()}
+	var declared []resource.Upstream
+	for i := range size.Upstreams {
+		declared = append(declared, resource.Upstream{Meta: resource.Meta{Name: upstreamName(i)}, BaseModel: "base", Slots: residentsEach, Batch: residentsEach})
+	}
+	r.SetUpstreams(declared)
+	for i := range size.Upstreams {
+		r.Learn(now, summary(i, now))
+	}
+	return r
+}
+
+func summary(i int, at time.Time) route.Summary {
+	told := route.Summary{Upstream: upstreamName(i), Epoch: 1, FreePlaces: 4, Healthy: true, At: at}
+	for j := range residentsEach {
+		told.Resident = append(told.Resident, reference(i*residentsEach/2+j))
+	}
+	return told
+}
+
+// chooseTime asks for all adapters in turn: of those loaded nowhere as well as of those that are, each
+// upstream having been told of half a second ago at the most.
+func chooseTime(size Size) float64 {
+	now := time.Unix(0, 0)
+	r := newRouter(size, now)
+	all := references(size.Adapters)
+	return timeOf(func(i int) {
+		now = now.Add(10 * time.Microsecond)
+		query := route.Query{Model: all[i*7%len(all)], BaseModel: "base", Cost: 200, Deadline: now.Add(time.Second)}
+		if _, err := r.Choose(now, query); err != nil {
+			panic(fmt.Sprintf("capacity: no upstream was chosen: %v", err))
+		}
+	})
+}
+
+func learnTime(size Size) float64 {
+	now := time.Unix(0, 0)
+	r := newRouter(size, now)
+	var told []route.Summary
+	for i := range size.Upstreams {
+		told = append(told, summary(i, now))
+	}
+	return timeOf(func(i int) {
+		now = now.Add(time.Millisecond)
+		s := told[i%len(told)]
+		s.At = now
+		if i%2 == 1 {
+			s.Resident = told[(i+1)%len(told)].Resident
+		}
+		r.Learn(now, s)
+	})
+}
+
+func routerBytes(size Size) float64 {
+	return bytesOf(func() any { return newRouter(size, time.Unix(0, 0)) })
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// newHolder makes a holder in force with some versions loaded and the batch free.
+func newHolder(now time.Time) *holder.Holder {
+	h := &holder.Holder{
+		Upstream: resource.Upstream{Meta: resource.Meta{Name: "upstream"}, Slots: residentsEach, Batch: residentsEach, ChecksFencing: true},
+		Settings: holder.DefaultSettings(),
+	}
+	h.Settings.LongestBacklog = time.Hour
+	h.Handle(now, holder.Appointed{Epoch: 1, Members: []string{"i"}})
+	h.Handle(now, holder.EpochInForce{Epoch: 1})
+	h.Handle(now, holder.FenceNoted{Fence: 1})
+	h.Handle(now, holder.PinsTold{Instance: "i", Epoch: 1})
+	h.Handle(now, holder.Reported{Incarnation: "1", Resident: references(residentsEach)})
+	return h
+}
+
+func arrival(now time.Time, i int) holder.Arrived {
+	return holder.Arrived{Request: holder.Request{
+		ID: fmt.Sprint("r", i), Instance: "i", Incarnation: "1", Workspace: workspaceName(i % 5), Weight: 1,
+		Model: reference(i % residentsEach), Cost: 1, Deadline: now.Add(time.Hour),
+	}}
+}
+
+// holdTime is the cost of a request's arrival and of the release that makes room for the next, while
+// so many wait.
+func holdTime(waiting int) float64 {
+	now := time.Unix(0, 0)
+	h := newHolder(now)
+	var pins []string
+	handle := func(event holder.Event) {
+		for _, action := range h.Handle(now, event) {
+			if grant, ok := action.(holder.Grant); ok {
+				pins = append(pins, grant.Pin.ID)
+			}
+		}
+	}
+	next := 0
+	for ; next < waiting+residentsEach; next++ {
+		handle(arrival(now, next))
+	}
+	return timeOf(func(int) {
+		now = now.Add(time.Microsecond)
+		handle(holder.Released{Pin: pins[0], Tokens: 1})
+		pins = pins[1:]
+		handle(arrival(now, next))
+		next++
+	})
+}
+
+// holderIdleBytes lets every adapter be asked for once, all of them fall idle, and some hundred more
+// requests come: what is left is what an idle adapter costs.
+func holderIdleBytes(size Size) float64 {
+	return bytesOf(func() any {
+		now := time.Unix(0, 0)
+		h := newHolder(now)
+		for i := range size.Adapters {
+			request := arrival(now, i)
+			request.Request.Model = reference(i)
+			request.Request.Deadline = now.Add(time.Millisecond)
+			h.Handle(now, request)
+		}
+		now = now.Add(time.Hour)
+		for i := range 2048 {
+			request := arrival(now, i)
+			request.Request.Deadline = now.Add(time.Millisecond)
+			h.Handle(now, request)
+			h.Handle(now, holder.Cancelled{RequestID: request.Request.ID})
+		}
+		return h
+	})
+}
--- a/internal/placement/holder/demand.go
+++ b/internal/placement/holder/demand.go
@@ -52,12 +52,15 @@
 	return c.value * math.Exp2(-now.Sub(c.at).Seconds()/d.halfLife.Seconds())
 }
 
+// prune makes the table anew, as a map keeps the memory of what is deleted from it.
 func (d *demand) prune(now time.Time) {
-	for ref := range d.counts {
-		if d.of(now, ref) < leastDemand {
-			delete(d.counts, ref)
+	kept := make(map[model.Reference]count)
+	for ref, c := range d.counts {
+		if d.of(now, ref) >= leastDemand {
+			kept[ref] = c
 		}
 	}
+	d.counts = kept
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/internal/placement/holder/dispatch.go
+++ b/internal/placement/holder/dispatch.go
@@ -21,7 +21,7 @@
 	for h.pins.len() < h.Upstream.Batch && !h.pins.alone {
 		draining := false
 		entry, _, ok := h.queue.Take(func(entry queue.Entry) bool {
-			w := h.waiting[entry.ID]
+			w := h.waiting.byID[entry.ID]
 			if draining || !h.residency.has(w.request.Model) {
 				return false
 			}
@@ -36,8 +36,7 @@
 }
 
 func (h *Holder) grant(now time.Time, entry queue.Entry) {
-	w := h.waiting[entry.ID]
-	delete(h.waiting, entry.ID)
+	w := h.waiting.remove(entry.ID)
 	request := w.request
 	pin := Pin{
 		ID:          h.pins.nextID(h.Upstream.Meta.Name, h.tenure.epoch),
@@ -122,7 +121,7 @@
 // loaded notes, for those that wait for the version, how long they waited for the load.
 func (h *Holder) loaded(now time.Time, ref model.Reference) {
 	h.queue.Each(func(entry queue.Entry) {
-		w := h.waiting[entry.ID]
+		w := h.waiting.byID[entry.ID]
 		if w.request.Model == ref && !w.loadSince.IsZero() {
 			w.waitedLoad += now.Sub(w.loadSince)
 			w.loadSince = time.Time{}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -26,7 +26,7 @@
 
 	tenure    tenure
 	queue     *queue.Queue
-	waiting   map[string]*waiter
+	waiting   waiting
 	pins      pins
 	residency residency
 	loads     map[model.Reference]*load
@@ -40,23 +40,6 @@
 	actions []Action
 }
 
-// waiter is a request in the queue. loadSince is when it began to wait for a load, zero if it did not.
-type waiter struct {
-	request    Request
-	arrived    time.Time
-	loadSince  time.Time
-	waitedLoad time.Duration
-}
-
-// waited is how long the waiter has waited for a load and, apart from that, in the queue.
-func (w *waiter) waited(now time.Time) (load, queue time.Duration) {
-	load = w.waitedLoad
-	if !w.loadSince.IsZero() {
-		load += now.Sub(w.loadSince)
-	}
-	return load, now.Sub(w.arrived) - load
-}
-
 // Handle takes one event that happened at now and returns what has to be done.
 func (h *Holder) Handle(now time.Time, event Event) []Action {
 	h.prepare()
@@ -146,7 +129,7 @@
 		Longest:         h.Settings.LongestQueue,
 		FirstInFirstOut: h.Settings.FirstInFirstOut,
 	}
-	h.waiting = make(map[string]*waiter)
+	h.waiting = newWaiting()
 	h.loads = make(map[model.Reference]*load)
 	h.pins = newPins()
 	h.residency = newResidency()
@@ -183,7 +166,7 @@
 		h.refuseNew(request, ReasonLeaving, retryElsewhere)
 		return
 	}
-	if _, known := h.waiting[request.ID]; known {
+	if h.waiting.byID[request.ID] != nil {
 		return
 	}
 	h.demand.add(now, request.Model)
@@ -215,21 +198,20 @@
 	if !h.residency.has(request.Model) {
 		w.loadSince = now
 	}
-	h.waiting[request.ID] = w
+	h.waiting.add(w)
 }
 
 func (h *Holder) cancelled(e Cancelled) {
 	h.queue.Remove(e.RequestID)
-	delete(h.waiting, e.RequestID)
+	h.waiting.remove(e.RequestID)
 }
 
 // refuse answers a waiting request that is already out of the queue.
 func (h *Holder) refuse(id string, reason Reason, retryAfter time.Duration) {
-	w, ok := h.waiting[id]
-	if !ok {
+	w := h.waiting.remove(id)
+	if w == nil {
 		return
 	}
-	delete(h.waiting, id)
 	load, queued := w.waited(h.now)
 	h.act(Refuse{
 		RequestID:   id,
@@ -250,7 +232,7 @@
 func (h *Holder) refuseWhere(match func(Request) bool, reason Reason, retryAfter time.Duration) {
 	var ids []string
 	h.queue.Each(func(entry queue.Entry) {
-		if match(h.waiting[entry.ID].request) {
+		if match(h.waiting.byID[entry.ID].request) {
 			ids = append(ids, entry.ID)
 		}
 	})
--- a/internal/placement/holder/loads.go
+++ b/internal/placement/holder/loads.go
@@ -60,7 +60,7 @@
 func (h *Holder) needs() *needs {
 	n := &needs{at: make(map[model.Reference]int)}
 	h.queue.Each(func(entry queue.Entry) {
-		w := h.waiting[entry.ID]
+		w := h.waiting.byID[entry.ID]
 		i, known := n.at[w.request.Model]
 		if !known {
 			i = len(n.list)
@@ -81,7 +81,7 @@
 
 // driveLoads moves every load on that can be moved on.
 func (h *Holder) driveLoads(now time.Time) {
-	if h.queue.Len() == 0 && len(h.loads) == 0 {
+	if len(h.loads) == 0 && !h.awaitsLoad() {
 		return
 	}
 	h.refuseTooLateForLoad(now)
--- a/internal/placement/route/router.go
+++ b/internal/placement/route/router.go
@@ -31,6 +31,7 @@
 	rings     map[string]ring
 	resident  map[model.Reference][]*upstream
 	loading   map[model.Reference]loading
+	forgot    time.Time
 	turn      int
 }
 
@@ -90,7 +91,8 @@
 // every request (random or even spread), or all requests of a hot adapter behind one upstream.
 func (r *Router) Choose(now time.Time, query Query) (choice Choice, err error) {
 	best := candidate{}
-	for _, c := range r.candidates(now, query) {
+	room := [residentsSeen + homesSeen + 1]candidate{}
+	for _, c := range r.candidates(now, query, room[:0]) {
 		if best.at == nil || c.total < best.total {
 			best = c
 		}
@@ -131,9 +133,8 @@
 	needsLoad bool
 }
 
-// candidates lists the upstreams worth comparing; the first of equal ones is taken.
-func (r *Router) candidates(now time.Time, query Query) (list []candidate) {
-	list = make([]candidate, 0, residentsSeen+homesSeen+1)
+// candidates appends the upstreams worth comparing; the first of equal ones is taken.
+func (r *Router) candidates(now time.Time, query Query, list []candidate) []candidate {
 	with := r.resident[query.Model]
 	r.turn++
 	for i := 0; i < len(with) && len(list) < residentsSeen; i++ {
@@ -215,13 +216,16 @@
 	if l, ok := r.loading[ref]; ok && l.at == u && now.Sub(l.since) < r.Settings.StaleAfter {
 		return
 	}
-	if len(r.loading) > len(r.upstreams)*homesSeen {
+	if now.Sub(r.forgot) >= r.Settings.StaleAfter {
 		r.forgetLoading(now)
 	}
 	r.loading[ref] = loading{at: u, since: now}
 }
 
+// forgetLoading drops what is stale. It is done once in a while, so that its cost is spread over many
+// choices.
 func (r *Router) forgetLoading(now time.Time) {
+	r.forgot = now
 	for ref, l := range r.loading {
 		if now.Sub(l.since) >= r.Settings.StaleAfter {
 			delete(r.loading, ref)
--- a/internal/placement/route/upstream.go
+++ b/internal/placement/route/upstream.go
@@ -28,6 +28,7 @@
 	leaving   bool
 	summary   Summary
 	sent      []sent
+	sentWork  time.Duration
 	tokenTime time.Duration
 	measured  time.Time
 	failures  int
@@ -66,11 +67,7 @@
 	if len(u.sent) < u.summary.FreePlaces {
 		return 0
 	}
-	work := time.Duration(0)
-	for _, s := range u.sent {
-		work += s.work
-	}
-	return u.summary.Backlog + work/time.Duration(max(u.declared.Batch, 1))
+	return u.summary.Backlog + u.sentWork/time.Duration(max(u.declared.Batch, 1))
 }
 
 // speed is the time per token, as measured lately.
@@ -83,9 +80,11 @@
 
 func (u *upstream) noteSent(now time.Time, work time.Duration) {
 	if len(u.sent) >= mostSent {
+		u.sentWork -= u.sent[0].work
 		u.sent = u.sent[1:]
 	}
 	u.sent = append(u.sent, sent{at: now, work: work})
+	u.sentWork += work
 }
 
 // forgetSent drops what the summary made at made accounts for.
@@ -94,7 +93,9 @@
 	for _, s := range u.sent {
 		if s.at.After(made) {
 			kept = append(kept, s)
+			continue
 		}
+		u.sentWork -= s.work
 	}
 	u.sent = kept
 }
