Test callers' bad input, slow senders and the planned stop

Cause: oversized, deep or malformed bodies, headers and bodies without end, more connections than there is room for, callers that stop reading, and a stop under open connections are everyday cases of a public API.

--- a/internal/caller/api/fake_pipeline_test.go
+++ b/internal/caller/api/fake_pipeline_test.go
@@ -105,3 +105,21 @@
 }
 
 func (r *running) url(path string) string { return "http://" + r.address + path }
+
+// stoppingPipeline holds its streams after the first token until it may go on.
+type stoppingPipeline struct {
+	fakePipeline
+	begun, goOn chan struct{}
+}
+
+func (p *stoppingPipeline) Complete(_ context.Context, _ api.Identity, _ completion.Request, sink api.Sink) error {
+	if err := sink.Begin(api.Served{Model: "bids@2"}); err != nil {
+		return err
+	}
+	if err := token(sink, 1); err != nil {
+		return err
+	}
+	close(p.begun)
+	<-p.goOn
+	return threeTokens(sink)
+}
