Tell an engine that went away from a way that was down

Cause: a request that crashes engines is found by what was in flight when they crashed. The outcomes told only whether an engine had confirmed that it runs no more, and a restarted engine confirms that too, so a crash looked like an ordinary loss.

Failed and Unknown now say Lost when the engine no longer knows the stream or nothing listens at its address; silence and cuts alone are not a loss.

--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -133,18 +133,23 @@
 	Stopped bool
 }
 
-// Failed is the outcome in which the stream was lost after Tokens tokens and could not be resumed. Stopped tells whether the
-// engine confirmed that it runs no more.
+// Failed is the outcome in which the stream was lost after Tokens tokens and could not be resumed.
+// Stopped tells whether the engine confirmed that it runs no more. Lost tells that the engine itself
+// went away while the request ran there, as it does when it crashes: nothing listens at its address any
+// more, or it no longer knows the stream. Otherwise the way to it may be at fault.
 type Failed struct {
 	Tokens  int
 	Err     error
 	Stopped bool
+	Lost    bool
 }
 
 // Unknown is the outcome in which the request left this process, and whether it ran can't be told.
+// Stopped and Lost are as with Failed; a request that never arrived looks like one that was lost.
 type Unknown struct {
 	Err     error
 	Stopped bool
+	Lost    bool
 }
 
 // Cancelled is the outcome in which the caller went away or the sink failed. Stopped tells whether the engine confirmed.
--- a/internal/upstream/engine/complete.go
+++ b/internal/upstream/engine/complete.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -229,11 +230,11 @@
 	lost := errors.New("engine: the stream is not known any more")
 	switch {
 	case r.began:
-		return Failed{Tokens: r.position.tokens, Err: lost, Stopped: true}, nil
+		return Failed{Tokens: r.position.tokens, Err: lost, Stopped: true, Lost: true}, nil
 	case r.refused != nil:
 		return r.refused, nil
 	}
-	return Unknown{Err: lost, Stopped: true}, nil
+	return Unknown{Err: lost, Stopped: true, Lost: true}, nil
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -307,10 +308,11 @@
 // givenUp ends a run whose connections all failed.
 func (r *runner) givenUp(ctx context.Context, err error) Outcome {
 	stopped := r.stop(ctx)
+	lost := errors.Is(err, syscall.ECONNREFUSED)
 	if r.began {
-		return Failed{Tokens: r.position.tokens, Err: err, Stopped: stopped}
+		return Failed{Tokens: r.position.tokens, Err: err, Stopped: stopped, Lost: lost}
 	}
-	return Unknown{Err: err, Stopped: stopped}
+	return Unknown{Err: err, Stopped: stopped, Lost: lost}
 }
 
 func (r *runner) cancelled(ctx context.Context, cause error) Outcome {
--- a/internal/upstream/engine/complete_test.go
+++ b/internal/upstream/engine/complete_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -141,6 +142,7 @@
 	unknown, ok := client.Complete(context.Background(), dispatch(), &textSink{}).(engine.Unknown)
 	is.True(ok)
 	is.True(unknown.Stopped)
+	is.True(!unknown.Lost)
 	_, cancels := fake.counts()
 	is.Equal(cancels, 1)
 }
@@ -282,6 +284,28 @@
 	is.True(ok)
 	is.Equal(failed.Tokens, 2)
 	is.True(failed.Stopped)
+	is.True(failed.Lost)
+}
+
+// The engine's process dies in the middle of a stream and nothing listens at its address any more. The
+// request may be what killed it, which must be told from a way that was down.
+func TestEngineGoneMidStream(t *testing.T) {
+	is := is.New(t)
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Request-Id", requestID)
+		w.Header().Set("X-Served-Model", askedModel)
+		sendToken(w, requestID, 1)
+		is.NoErr(server.Listener.Close())
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	client := &engine.Client{Address: server.Listener.Addr().String(), Limits: quickLimits()}
+	failed, ok := client.Complete(context.Background(), dispatch(), &textSink{}).(engine.Failed)
+	is.True(ok)
+	is.Equal(failed.Tokens, 1)
+	is.True(failed.Lost)
+	is.True(!failed.Stopped)
 }
 
 // A caller hangs up in the middle of its stream. The engine would go on to the last token for nobody;
