--- a/internal/command/daemon/check.go
+++ b/internal/command/daemon/check.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -56,6 +55,6 @@
 	if _, _, err := peer.Credentials(read.Peers); err != nil {
 		return v.program.fail(exitInvalid, err)
 	}
-	fmt.Fprintln(v.program.Out, v.file+": no problems")
+	say(v.program.Out, v.file+": no problems\n")
 	return exitDone
 }
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 
 	"github.com/google/subcommands"
@@ -56,7 +55,7 @@
 	explain := commander.Explain
 	commander.Explain = func(out io.Writer) {
 		explain(out)
-		fmt.Fprint(out, exitCodes)
+		say(out, exitCodes)
 	}
 	if err := flags.Parse(arguments); err != nil {
 		return int(exitUsage)
@@ -66,6 +65,11 @@
 
 // fail prints why a verb failed.
 func (p *Program) fail(status subcommands.ExitStatus, err error) subcommands.ExitStatus {
-	fmt.Fprintln(p.Err, "lacewingd:", err)
+	say(p.Err, "lacewingd: "+err.Error()+"\n")
 	return status
 }
+
+// say writes text for the operator. When that fails there is nobody left to tell.
+func say(out io.Writer, text string) {
+	_, _ = io.WriteString(out, text)
+}
--- a/internal/command/daemon/version.go
+++ b/internal/command/daemon/version.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"runtime/debug"
 
 	"github.com/google/subcommands"
@@ -33,6 +32,6 @@
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version
 	}
-	fmt.Fprintln(v.program.Out, "lacewingd", version)
+	say(v.program.Out, "lacewingd "+version+"\n")
 	return exitDone
 }
--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
@@ -15,14 +15,15 @@
 	"lacewingrock.example/lacewingrock/internal/entry/brokering"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
+	"lacewingrock.example/lacewingrock/internal/entry/settings"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
-	"lacewingrock.example/lacewingrock/internal/placement/broker"
-	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/deployment"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/route"
+	"lacewingrock.example/lacewingrock/internal/placement/share"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 	"lacewingrock.example/lacewingrock/internal/platform/listing"
 	"lacewingrock.example/lacewingrock/internal/platform/store"
@@ -51,15 +52,21 @@
 	d.scope = scope
 	d.directory = &peer.Directory{Credentials: clientCredentials}
 	d.assembleKnowledge()
-	d.assemblePlacement()
-	d.assemblePipeline()
+	policy := d.policy()
+	d.assemblePlacement(policy)
+	d.assemblePipeline(policy)
 	d.peers = grpc.NewServer(
 		grpc.Creds(serverCredentials),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAtMostEvery, PermitWithoutStream: true}),
 	)
 	peer.Register(d.peers, handler{daemon: d})
 	d.callers = &api.Server{Listener: d.listeners.caller, Pipeline: d.pipeline, Limits: d.callerLimits()}
-	d.operators = &http.Server{Handler: d.operatorHandler(exposition), ReadHeaderTimeout: headerWithin}
+	d.callers.Observe = d.observe
+	d.operators = &http.Server{
+		Handler:           d.operatorHandler(exposition),
+		ReadHeaderTimeout: headerWithin,
+		ReadTimeout:       operatorBodyWithin,
+	}
 	return func() {
 		d.directory.Close()
 		_ = scopeCloser.Close()
@@ -75,6 +82,7 @@
 		Writer: d.self.Name + "/" + d.self.Incarnation,
 		Log:    d.Log,
 	}
+	d.sweeper = &repository.Sweeper{Repository: d.repository, Chosen: d.isBroker}
 	d.listing = &listing.Client{Address: platform.ListAddress}
 	d.tracker = &freshness.Tracker{Self: trackerMember(d.self), Bound: d.Settings.Freshness.Bound}
 	d.ledger = &rate.Ledger{Self: d.identity(), Knowledge: d.tracker}
@@ -82,11 +90,19 @@
 	d.detector.detector = &membership.Detector{Self: d.self.Name}
 }
 
+// policy is the one that the settings name.
+func (d *Daemon) policy() deployment.Policy {
+	if d.Settings.Policy.Preset == settings.PresetEfficiency {
+		return deployment.Hellenic()
+	}
+	return deployment.BlueMountain()
+}
+
 // assemblePlacement makes the holders' and the load broker's loops.
-func (d *Daemon) assemblePlacement() {
+func (d *Daemon) assemblePlacement(policy deployment.Policy) {
 	calls := fleet{daemon: d, own: handler{daemon: d}}
 	d.holding = &holding.Runner{
-		Settings: holder.DefaultSettings(),
+		Settings: policy.Holder,
 		Peers:    calls,
 		Engine:   func(address string) holding.Engine { return d.engines.at(address, d.engineLimits()) },
 		Source:   d.source,
@@ -94,11 +110,12 @@
 		Log:      d.Log,
 	}
 	d.holding.Prepare()
-	d.brokering = &brokering.Runner{Settings: broker.DefaultSettings()}
+	d.brokering = &brokering.Runner{Settings: policy.Broker}
 	d.brokering.Prepare()
 }
 
-func (d *Daemon) assemblePipeline() {
+func (d *Daemon) assemblePipeline(policy deployment.Policy) {
+	d.burn = &burn.Recorder{}
 	d.pipeline = &pipeline.Pipeline{
 		Self:     d.identity(),
 		Current:  d.repository.Current,
@@ -110,11 +127,12 @@
 		Services: &service.Client{},
 		Pins:     &pipeline.Pins{},
 		Running:  &pipeline.Running{},
-		Burn:     noObjectives{},
+		Burn:     d.burn,
 		Advice: &pipeline.Advice{
-			Router:   &route.Router{Settings: route.DefaultSettings()},
-			Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
-			Retries:  retry.New(retry.DefaultRatio, retry.DefaultMost),
+			Router:   &route.Router{Settings: policy.Route},
+			Suspects: &suspect.Register{Settings: policy.Suspect},
+			Retries:  retry.New(policy.RetryRatio, policy.RetryMost),
+			Shares:   &share.Tracker{},
 		},
 		Patience: d.Settings.Limits.Patience,
 		Log:      d.Log,
@@ -137,6 +155,18 @@
 	return limits
 }
 
+// isBroker tells whether this instance has the duties that one member of the fleet has.
+func (d *Daemon) isBroker() bool {
+	member, found := membership.Broker(d.repository.Current().Head)
+	return found && member.Incarnation == d.self.Incarnation
+}
+
+// observe counts each caller's request by its status.
+func (d *Daemon) observe(seen api.Observation) {
+	tags := map[string]string{"route": seen.Route, "status": strconv.Itoa(seen.Status)}
+	d.scope.Tagged(tags).Counter("requests").Inc(1)
+}
+
 // source gives where the weight store keeps an adapter version.
 func (d *Daemon) source(ref model.Reference) string {
 	version, found := d.repository.Current().Configuration.AdapterVersion(ref.Adapter, ref.Version)
@@ -148,8 +178,12 @@
 
 // ---------------------------------------------------------------------------------------------
 
-// headerWithin bounds how long a client may take to send its headers.
-const headerWithin = 10 * time.Second
+// headerWithin bounds how long an operator's client may take to send its headers, and
+// operatorBodyWithin its whole request: a file of tens of thousands of resources has some megabytes.
+const (
+	headerWithin       = 10 * time.Second
+	operatorBodyWithin = time.Minute
+)
 
 // operatorHandler serves operators, and without a token the probes and metrics.
 func (d *Daemon) operatorHandler(exposition http.Handler) http.Handler {
@@ -203,17 +237,6 @@
 	return list
 }
 
-// noObjectives counts nothing: the burn report is not built yet.
-type noObjectives struct{}
-
-// Record counts nothing.
-func (noObjectives) Record(string, burn.Objective, bool) {}
-
-// BurnReport fails: the burn report is not built yet.
-func (views) BurnReport(context.Context) (operatorapi.Report, error) {
-	return operatorapi.Report{}, errors.New("the burn report is not built yet")
-}
-
 // WaitInForce waits until a revision is in force everywhere.
 func (v views) WaitInForce(ctx context.Context, revision int64) error {
 	return v.daemon.tracker.WaitInForce(ctx, revision)
--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -9,13 +9,12 @@
 
 	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
-	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/route"
-	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // heartbeats.go exchanges with the other members what each knows: the revision and how lately it was
@@ -109,11 +108,11 @@
 	d.settlement.tell(rate.Identity{Name: beat.Instance, Incarnation: beat.Incarnation}, beat.OldestRevision)
 	d.leaving.tell(beat.Instance, beat.Leaving)
 	now := time.Now()
-	d.pipeline.Advice.With(func(router *route.Router, suspects *suspect.Register, _ *retry.Budget) {
+	d.pipeline.Advice.With(func(a *pipeline.Advice) {
 		for _, summary := range beat.Upstreams {
-			router.Learn(now, routeSummary(summary, at))
+			a.Router.Learn(now, routeSummary(summary, at))
 		}
-		suspects.Merge(now, beat.Instance, beat.Suspects)
+		a.Suspects.Merge(now, beat.Instance, beat.Suspects)
 	})
 }
 
@@ -121,9 +120,9 @@
 func (d *Daemon) learnOwn(ctx context.Context) {
 	now := time.Now()
 	summaries := d.holding.Summaries(ctx)
-	d.pipeline.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
+	d.pipeline.Advice.With(func(a *pipeline.Advice) {
 		for _, summary := range summaries {
-			router.Learn(now, routeSummary(summary, now))
+			a.Router.Learn(now, routeSummary(summary, now))
 		}
 	})
 }
@@ -154,8 +153,8 @@
 		Stopping:       d.stopping.Load(),
 		OldestRevision: d.ledger.OldestRevision(),
 	}
-	d.pipeline.Advice.With(func(_ *route.Router, suspects *suspect.Register, _ *retry.Budget) {
-		beat.Suspects = suspects.Own(time.Now())
+	d.pipeline.Advice.With(func(a *pipeline.Advice) {
+		beat.Suspects = a.Suspects.Own(time.Now())
 	})
 	return beat
 }
--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -10,11 +10,9 @@
 	"lacewingrock.example/lacewingrock/internal/catalog/repository"
 	"lacewingrock.example/lacewingrock/internal/catalog/resource"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
+	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
-	"lacewingrock.example/lacewingrock/internal/placement/retry"
-	"lacewingrock.example/lacewingrock/internal/placement/route"
-	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // knowledge.go keeps what this instance knows of the configuration: it reads the head when freshness
@@ -79,8 +77,8 @@
 	d.ledger.Install(ledgerHead(d.self, now))
 	d.pipeline.Running.EndWithdrawn(now.Configuration)
 	d.pipeline.Pins.Install(now.Head)
-	d.pipeline.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
-		router.SetUpstreams(now.Configuration.Upstreams())
+	d.pipeline.Advice.With(func(a *pipeline.Advice) {
+		a.Router.SetUpstreams(now.Configuration.Upstreams())
 	})
 	d.holding.SetTenure(ctx, d.tenure(before, now))
 	d.detector.handle(membership.Installed{Head: now.Head})
--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -7,9 +7,7 @@
 	"sync"
 
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
-	"lacewingrock.example/lacewingrock/internal/placement/retry"
-	"lacewingrock.example/lacewingrock/internal/placement/route"
-	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 )
 
 // leaving.go gathers who is said to be leaving: by the platform's list as read here, and by what other
@@ -75,8 +73,8 @@
 func (d *Daemon) tellLeaving(ctx context.Context) {
 	names := d.leaving.all()
 	d.Log.Info().Strs("Names", names).Msg("LeavingChanged")
-	d.pipeline.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
-		router.SetLeaving(names)
+	d.pipeline.Advice.With(func(a *pipeline.Advice) {
+		a.Router.SetLeaving(names)
 	})
 	leaving := holding.Leaving{}
 	for _, name := range names {
--- a/internal/entry/daemon/peer_handler.go
+++ b/internal/entry/daemon/peer_handler.go
@@ -65,5 +65,5 @@
 
 // BurnCounts are this instance's counts.
 func (h handler) BurnCounts() []burn.Count {
-	return nil
+	return h.daemon.burn.Counts()
 }
--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -11,10 +11,10 @@
 	"lacewingrock.example/lacewingrock/internal/caller/completion"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/catalog/configuration"
+	"lacewingrock.example/lacewingrock/internal/catalog/resource"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
-	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/route"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 	"lacewingrock.example/lacewingrock/internal/report/burn"
@@ -90,7 +90,7 @@
 		deadline:    now.Add(p.Patience),
 	}
 	if workspace, found := current.Workspace(identity.Workspace); found {
-		run.weight = workspace.Weight
+		run.weight = p.weight(now, workspace)
 	}
 	run.model, run.baseModel, err = resolve(current, identity, request)
 	if err != nil {
@@ -99,6 +99,14 @@
 	return run, p.judge(run)
 }
 
+// weight is the workspace's weight now: raised while it gets less for its weight than others do.
+func (p *Pipeline) weight(now time.Time, workspace resource.Workspace) (weight float64) {
+	p.Advice.With(func(a *Advice) {
+		weight = a.Shares.Weight(now, workspace.Meta.Name, workspace.Weight)
+	})
+	return weight
+}
+
 // resolve finds the adapter version that the request names, or its adapter's current one.
 func resolve(
 	current configuration.Configuration, identity api.Identity, request completion.Request,
@@ -121,9 +129,9 @@
 // judge refuses a request that has crashed upstreams, or has it run alone.
 func (p *Pipeline) judge(run *completionRun) error {
 	verdict, retryAfter := suspect.Free, time.Duration(0)
-	p.Advice.With(func(_ *route.Router, suspects *suspect.Register, retries *retry.Budget) {
-		verdict, retryAfter = suspects.Judge(time.Now(), run.fingerprint)
-		retries.First()
+	p.Advice.With(func(a *Advice) {
+		verdict, retryAfter = a.Suspects.Judge(time.Now(), run.fingerprint)
+		a.Retries.First()
 	})
 	run.alone = verdict == suspect.Alone
 	if verdict == suspect.Refused {
@@ -221,8 +229,8 @@
 
 // mayRetry asks the budget of retries, so that a failing fleet is not sent its whole load twice.
 func (p *Pipeline) mayRetry() (allowed bool) {
-	p.Advice.With(func(_ *route.Router, _ *suspect.Register, retries *retry.Budget) {
-		allowed = retries.Allow()
+	p.Advice.With(func(a *Advice) {
+		allowed = a.Retries.Allow()
 	})
 	if allowed {
 		p.Scope.Counter("retries").Inc(1)
@@ -233,8 +241,8 @@
 // learn tells the route how the upstream did, and the suspects whether the request survived it.
 func (p *Pipeline) learn(run *completionRun, found *place, outcome engine.Outcome, released holder.Released) {
 	now := time.Now()
-	p.Advice.With(func(router *route.Router, suspects *suspect.Register, _ *retry.Budget) {
-		router.Ended(now, route.Outcome{
+	p.Advice.With(func(a *Advice) {
+		a.Router.Ended(now, route.Outcome{
 			Upstream: found.upstream.Meta.Name,
 			Tokens:   released.Tokens,
 			Took:     now.Sub(found.granted),
@@ -242,14 +250,16 @@
 		})
 		switch o := outcome.(type) {
 		case engine.Completed:
-			suspects.Completed(now, run.fingerprint)
+			workspace, _ := p.Current().Configuration.Workspace(run.identity.Workspace)
+			a.Shares.Served(now, run.identity.Workspace, workspace.Weight, released.Tokens)
+			a.Suspects.Completed(now, run.fingerprint)
 		case engine.Failed:
 			if !o.Stopped {
-				suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
+				a.Suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
 			}
 		case engine.Unknown:
 			if !o.Stopped {
-				suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
+				a.Suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
 			}
 		}
 	})
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -27,6 +27,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/route"
+	"lacewingrock.example/lacewingrock/internal/placement/share"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 	"lacewingrock.example/lacewingrock/internal/report/burn"
 	"lacewingrock.example/lacewingrock/internal/upstream/engine"
@@ -82,15 +83,16 @@
 	Router   *route.Router
 	Suspects *suspect.Register
 	Retries  *retry.Budget
+	Shares   *share.Tracker
 
 	mutex sync.Mutex
 }
 
 // With gives the parts to one function at a time.
-func (a *Advice) With(use func(router *route.Router, suspects *suspect.Register, retries *retry.Budget)) {
+func (a *Advice) With(use func(a *Advice)) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	use(a.Router, a.Suspects, a.Retries)
+	use(a)
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -171,11 +173,6 @@
 	return len(workspaces) == 0 || slices.Contains(workspaces, workspace)
 }
 
-// identityOf is the member's identity as the ledger knows it.
-func identityOf(m head.Member) rate.Identity {
-	return rate.Identity{Name: m.Name, Incarnation: m.Incarnation}
-}
-
 // reasonRefusal turns a holder's refusal into what the caller is told.
 func reasonRefusal(refused peer.Refused) refusal.Refusal {
 	code, message := refusal.Busy, "the upstreams are busy"
--- a/internal/entry/pipeline/placing.go
+++ b/internal/entry/pipeline/placing.go
@@ -13,9 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
-	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/route"
-	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // placing.go finds a request its place: the route names an upstream, and the upstream's holder grants
@@ -70,7 +68,6 @@
 	}
 	upstream, err := p.choose(run)
 	if err != nil {
-		again = len(run.exclude) > 0
 		run.exclude = nil // all were tried; those that only changed their holder may take it now
 		if run.refused != nil {
 			return nil, run.refused.Reason == holder.ReasonNotHolder, reasonRefusal(*run.refused)
@@ -97,8 +94,8 @@
 
 func (p *Pipeline) choose(run *completionRun) (upstream resource.Upstream, err error) {
 	var choice route.Choice
-	p.Advice.With(func(router *route.Router, _ *suspect.Register, _ *retry.Budget) {
-		choice, err = router.Choose(time.Now(), route.Query{
+	p.Advice.With(func(a *Advice) {
+		choice, err = a.Router.Choose(time.Now(), route.Query{
 			Model:     run.model,
 			BaseModel: run.baseModel,
 			Cost:      run.cost,
