--- /dev/null
+++ b/internal/proof/integration/eviction_test.go
@@ -0,0 +1,175 @@
+package integration
+
+// An adapter version that is serving a request is never evicted, and every request runs on the adapter
+// version that it asked for. The engines of these tests evict whatever they are told to, and say so in
+// their records.
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/standin/engine"
+)
+
+// Members ask for more adapter versions than the engines have slots for, with long answers, so that
+// adapters are evicted all the time. Meanwhile the instance that orders loads and evictions at an
+// engine is killed, or stands still and wakes up with old orders in hand. An answer whose adapter
+// version is evicted breaks off, or goes on with another's weights.
+func TestServingAdapterIsNeverEvicted(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		ignoreFencing bool
+		disturb       func(w *world)
+	}{
+		{name: "nothing fails", disturb: func(w *world) { time.Sleep(6 * time.Second) }},
+		{name: "holder killed", disturb: func(w *world) { w.eachInstance(w.killAndStart) }},
+		{name: "holder frozen and woken", disturb: func(w *world) { w.eachInstance(w.freezeAndWake) }},
+		{name: "holder killed, engine ignores fencing", ignoreFencing: true, disturb: func(w *world) { w.eachInstance(w.killAndStart) }},
+		{name: "holder frozen and woken, engine ignores fencing", ignoreFencing: true, disturb: func(w *world) { w.eachInstance(w.freezeAndWake) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, options{slots: 2, ignoreFencing: tt.ignoreFencing})
+			w.warm(w.keyA, "bid-estimates@1")
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			var answered, failed atomic.Int64
+			for number := range 6 {
+				callers.Go(func() { w.shift(number, stop, &answered, &failed) })
+			}
+			tt.disturb(w)
+			close(stop)
+			callers.Wait()
+			t.Logf("%d answered, %d not", answered.Load(), failed.Load())
+			w.checkEvictions(t)
+			if answered.Load() == 0 {
+				t.Error("nothing was answered")
+			}
+		})
+	}
+}
+
+// shift asks for one adapter version after the other, with answers long enough to be evicted under.
+func (w *world) shift(number int, stop <-chan struct{}, answered, failed *atomic.Int64) {
+	models := []string{"bid-estimates@1", "bid-estimates@2", "site-summaries@1", "safety-briefings@1"}
+	chance := rand.New(rand.NewPCG(uint64(number), 1))
+	using := w.caller(w.keyA).within(20 * time.Second)
+	for round := 0; ; round++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		model := models[chance.IntN(len(models))]
+		prompt := fmt.Sprintf("shift %d %d", number, round)
+		tokens := 10 + chance.IntN(100)
+		came := using.stream(chance.IntN(len(w.d.InstanceOf)), model, prompt, tokens)
+		if !came.ok() {
+			failed.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		answered.Add(1)
+		if err := checkText(came, model, prompt, tokens); err != nil {
+			w.t.Errorf("%s: %v", prompt, err)
+		}
+	}
+}
+
+func (w *world) eachInstance(disturb func(instance int)) {
+	for instance := range w.d.InstanceOf {
+		time.Sleep(time.Second)
+		disturb(instance)
+	}
+	time.Sleep(time.Second)
+}
+
+func (w *world) killAndStart(instance int) {
+	w.must(w.d.InstanceOf[instance].Kill())
+	time.Sleep(2 * time.Second)
+	w.must(w.d.InstanceOf[instance].Start(w.ctx))
+}
+
+func (w *world) freezeAndWake(instance int) {
+	w.must(w.d.InstanceOf[instance].Freeze())
+	time.Sleep(6 * time.Second)
+	w.must(w.d.InstanceOf[instance].Wake())
+}
+
+// checkEvictions reads from the engines' own records that no serving adapter version was evicted, and
+// that some evictions took place at all.
+func (w *world) checkEvictions(t *testing.T) {
+	t.Helper()
+	evicted := 0
+	for number, record := range w.engineRecords() {
+		for _, eviction := range record.Evictions {
+			if eviction.Outcome != "done" {
+				continue
+			}
+			evicted++
+			if eviction.Serving > 0 {
+				t.Errorf("engine %d evicted %s@%s (fence %d) while it served %d requests",
+					number+1, eviction.Adapter, eviction.Version, eviction.Fence, eviction.Serving)
+			}
+		}
+		for _, request := range record.Requests {
+			if request.Outcome == engine.OutcomeEvicted {
+				t.Errorf("engine %d: request %s lost its adapter version", number+1, request.RequestID)
+			}
+		}
+	}
+	t.Logf("%d evictions", evicted)
+	if evicted == 0 {
+		t.Error("no eviction took place, so nothing was proved")
+	}
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// Loads fail, are answered as done though they are not, or the engine restarts empty between the
+// choice of it and the request. The caller must get the adapter version that it asked for, or a
+// refusal, and never another's answer.
+func TestRunsOnTheVersionAskedFor(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		fail func(w *world, number int)
+	}{
+		{name: "loads fail", fail: func(w *world, number int) { w.engineFaults(number, engine.Faults{FailLoads: 2}) }},
+		{name: "loads are lied about", fail: func(w *world, number int) { w.engineFaults(number, engine.Faults{LieAboutLoads: 2}) }},
+		{name: "the engine restarts", fail: func(w *world, number int) {
+			w.must(w.d.EngineOf[number].Kill())
+			w.must(w.d.EngineOf[number].Start(w.ctx))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, options{})
+			w.warm(w.keyA, "bid-estimates@1")
+			for number := range w.d.EngineOf {
+				tt.fail(w, number)
+			}
+			for _, model := range []string{"bid-estimates@1", "bid-estimates@2", "site-summaries@1"} {
+				prompt := tt.name + " " + model
+				w.eventually("answered on "+model, settleLimit, func() bool {
+					came := w.caller(w.keyA).completion(1, model, prompt, 5)
+					if !came.ok() {
+						t.Logf("not yet: %s", came)
+						time.Sleep(200 * time.Millisecond)
+						return false
+					}
+					if err := checkText(came, model, prompt, 5); err != nil {
+						t.Fatal(err)
+					}
+					return true
+				})
+				for _, request := range w.ranWith(prompt) {
+					if engine.Model(request.Adapter, request.Version) != model {
+						t.Errorf("ran on %s@%s", request.Adapter, request.Version)
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/integration/stop_test.go
@@ -0,0 +1,180 @@
+package integration
+
+// A planned stop cuts no request, and a leaving upstream gets no new work after a few seconds.
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/standin/deployment"
+	"lacewingrock.example/lacewingrock/internal/standin/kv"
+	"lacewingrock.example/lacewingrock/internal/standin/list"
+)
+
+// An instance is told to stop while a long answer streams through it, in one case while the store is
+// out. The caller must get the answer to its end, and the instance must end well.
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		outage bool
+	}{
+		{name: "nothing else fails"},
+		{name: "the store is out", outage: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, options{})
+			model := deployment.AdapterA + "@2"
+			w.warm(w.keyA, model)
+			if tt.outage {
+				w.storeFaults(kv.Faults{Outage: true})
+			}
+			var came reply
+			var stream sync.WaitGroup
+			stream.Go(func() { came = w.caller(w.keyA).stream(0, model, "long", 500) })
+			w.eventually("the stream runs", settleLimit, func() bool { return len(w.ranWith("long")) == 1 })
+			w.must(w.d.InstanceOf[0].Stop(w.ctx))
+			stream.Wait()
+			if !came.ok() {
+				t.Fatalf("the stream was cut: %s", came)
+			}
+			if err := checkText(came, model, "long", 500); err != nil {
+				t.Error(err)
+			}
+			if code := w.d.InstanceOf[0].ExitCode(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+}
+
+// All instances are replaced one after the other while members keep their connections open and go on
+// sending. The members' clients see an instance that is stopping as gone and go to the next; no
+// request that an instance took may break off.
+func TestRollingReplacement(t *testing.T) {
+	w := newWorld(t, options{})
+	model := deployment.AdapterA + "@2"
+	w.warm(w.keyA, model)
+	stop := make(chan struct{})
+	var answered, cut, elsewhere atomic.Int64
+	var callers sync.WaitGroup
+	for number := range 4 {
+		callers.Go(func() { w.roll(number, stop, &answered, &cut, &elsewhere) })
+	}
+	for _, process := range w.d.InstanceOf {
+		w.must(process.Stop(w.ctx))
+		w.must(process.Start(w.ctx))
+		w.must(w.d.AwaitKeys(w.ctx, w.keyA))
+	}
+	close(stop)
+	callers.Wait()
+	t.Logf("%d answered, %d cut, %d sent on to another instance", answered.Load(), cut.Load(), elsewhere.Load())
+	if cut.Load() > 0 {
+		t.Errorf("%d requests were cut", cut.Load())
+	}
+	if answered.Load() == 0 {
+		t.Error("nothing was answered")
+	}
+}
+
+// roll sends requests, each to the next instance when one is not there or not ready. A broken answer
+// counts as cut when the engines' records show that the request had run.
+func (w *world) roll(number int, stop <-chan struct{}, answered, cut, elsewhere *atomic.Int64) {
+	using := w.caller(w.keyA)
+	for round := 0; ; round++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		prompt := fmt.Sprintf("roll %d %d", number, round)
+		came := using.stream((number+round)%len(w.d.InstanceOf), deployment.AdapterA+"@2", prompt, 20)
+		switch {
+		case came.ok():
+			answered.Add(1)
+			if err := checkText(came, deployment.AdapterA+"@2", prompt, 20); err != nil {
+				w.t.Error(err)
+			}
+		case came.err != nil && len(w.ranWith(prompt)) > 0:
+			cut.Add(1)
+			w.t.Logf("cut: %s", came)
+		default:
+			elsewhere.Add(1)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// leavingWatched is how long requests are sent after an upstream was said to leave. "A few seconds" is
+// held to half of it.
+const leavingWatched = 16 * time.Second
+
+// An upstream is about to stop. The platform's list says so, seconds late; or only the operators'
+// resource does, with the list unreachable. Work sent there later is lost when it goes.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		leave func(w *world)
+	}{
+		{name: "the list says so, late", leave: func(w *world) {
+			w.must(w.d.Control(w.ctx, w.d.List, "faults", list.Faults{LagMillis: 2000}))
+			members := w.d.Members()
+			for i := range members {
+				members[i].Leaving = members[i].Name == "engine-1"
+			}
+			w.must(w.d.Control(w.ctx, w.d.List, "members", members))
+		}},
+		{name: "only the operators say so", leave: func(w *world) {
+			w.must(w.d.Control(w.ctx, w.d.List, "faults", list.Faults{Unreachable: true}))
+			w.apply(w.leavingEngine(0))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, options{})
+			w.warm(w.keyA, "bid-estimates@1", "bid-estimates@2", "site-summaries@1")
+			tt.leave(w)
+			told := time.Now()
+			using := w.caller(w.keyA)
+			sent, answered := 0, 0
+			for time.Since(told) < leavingWatched {
+				sent++
+				model := []string{"bid-estimates@1", "bid-estimates@2", "site-summaries@1"}[sent%3]
+				if using.completion(sent%len(w.d.InstanceOf), model, fmt.Sprintf("leave %d", sent), 2).ok() {
+					answered++
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			last := w.lastWork(0, "leave ").Sub(told)
+			t.Logf("%d of %d answered; the leaving engine's last new request came after %.1f s", answered, sent, last.Seconds())
+			if last > leavingWatched/2 {
+				t.Errorf("new work reached the leaving engine %s after it was said to leave", last)
+			}
+			if answered*2 < sent {
+				t.Errorf("only %d of %d answered by the engine that stays", answered, sent)
+			}
+		})
+	}
+}
+
+// leavingEngine is an engine's resource as declared, marked as leaving.
+func (w *world) leavingEngine(number int) string {
+	return fmt.Sprintf(`{"Kind":"Upstream","Name":"%s","Address":"%s","DataCentre":"kingston","BaseModel":"base",`+
+		`"Slots":%d,"Batch":%d,"ChecksFencing":true,"Leaving":true}`,
+		w.d.EngineOf[number].Name, w.engineProxy(number).address(), w.d.EngineSlots, w.d.EngineBatch)
+}
+
+// lastWork is when an engine began its last request whose prompt has a prefix.
+func (w *world) lastWork(number int, prefix string) time.Time {
+	var last time.Time
+	for _, request := range w.engineRecords()[number].Requests {
+		if strings.HasPrefix(request.Prompt, prefix) && request.StartedAt.After(last) {
+			last = request.StartedAt
+		}
+	}
+	return last
+}
