Keep requests of one crash apart before running them alone

Cause: the seven innocent requests that shared a batch with one that crashes engines were sent on together, to the other upstream with the same adapter, where the cause met them again; after two crashes each of them took an upstream for itself. After one crash a request now runs beside one other suspect at the most, with any number of others. The measured instance also sends a request four times instead of three, as two crashes and a refusal used up all tries of innocents.

Crashes stay at three for each poisonous request.

--- a/internal/measure/policy/entry.go
+++ b/internal/measure/policy/entry.go
@@ -24,7 +24,7 @@
 
 const (
 	// mostSends is how often one request is sent to an upstream at the most.
-	mostSends = 3
+	mostSends = 4
 	// callerAgain is when the caller of a poisonous request sends it again, mostCallerSends times.
 	callerAgain     = time.Second
 	mostCallerSends = 5
@@ -50,6 +50,7 @@
 	fingerprint suspect.Fingerprint
 	deadline    time.Time
 	alone       bool
+	apart       bool
 	sends       int
 	exclude     []string
 	waitedLoad  time.Duration
@@ -99,7 +100,7 @@
 		e.giveUp(c)
 		return
 	}
-	c.alone = verdict == suspect.Alone
+	c.alone, c.apart = verdict == suspect.Alone, verdict == suspect.Apart
 	e.budget.First()
 	e.sim.tally.firsts++
 	e.place(c)
@@ -115,7 +116,7 @@
 	asked := holder.Request{
 		ID: fmt.Sprintf("%s/%d", c.id, c.sends), Instance: e.name, Incarnation: "1",
 		Workspace: c.workspace(), Weight: e.shares.Weight(e.sim.clock.now, c.workspace(), shares[c.request.workspace]),
-		Model: c.request.ref, Cost: c.request.cost, Deadline: c.deadline, Alone: c.alone,
+		Model: c.request.ref, Cost: c.request.cost, Deadline: c.deadline, Alone: c.alone, Apart: c.apart,
 	}
 	e.sim.calls[asked.ID] = c
 	for _, engine := range e.sim.engines {
@@ -208,7 +209,7 @@
 		e.giveUp(c)
 		return
 	}
-	c.alone = verdict == suspect.Alone
+	c.alone, c.apart = verdict == suspect.Alone, verdict == suspect.Apart
 	e.again(c)
 }
 
--- a/internal/placement/holder/dispatch.go
+++ b/internal/placement/holder/dispatch.go
@@ -9,6 +9,10 @@
 
 // dispatch.go hands free batch places to waiting requests, and takes places back.
 
+// mostApart is how many requests that were in flight at one crash may run beside each other. Measured:
+// with 2 a third fewer innocent requests are refused than with 1, 3 or no bound.
+const mostApart = 2
+
 // dispatch grants places while there are any, in fair order, to requests whose version is loaded.
 //
 // Made for a full batch and for long and short requests mixed. A request whose version is still being
@@ -25,6 +29,9 @@
 			if draining || !h.residency.has(w.request.Model) {
 				return false
 			}
+			if w.request.Apart && h.pins.apart >= mostApart {
+				return false
+			}
 			draining = w.request.Alone && h.pins.len() > 0
 			return !draining
 		})
@@ -46,7 +53,7 @@
 		Workspace:   request.Workspace,
 		Model:       request.Model,
 	}
-	h.pins.add(running{Pin: pin, since: now, cost: request.Cost, weight: request.Weight, alone: request.Alone})
+	h.pins.add(running{Pin: pin, since: now, cost: request.Cost, weight: request.Weight, alone: request.Alone, apart: request.Apart})
 	h.residency.use(now, request.Model)
 	load, queued := w.waited(now)
 	h.act(Grant{Pin: pin, WaitedLoad: load, WaitedQueue: queued})
--- a/internal/placement/holder/events.go
+++ b/internal/placement/holder/events.go
@@ -17,7 +17,9 @@
 type Event interface{ event() }
 
 // Request asks for a batch place for one request. Cost is its expected tokens; it must be dispatched
-// by Deadline. Alone marks a suspect of crashing upstreams: nothing else may run beside it.
+// by Deadline. Alone marks a suspect of crashing upstreams: nothing else may run beside it. Apart marks
+// one that is less suspect: few of its kind may run beside each other, so that the next crash tells
+// more.
 type Request struct {
 	ID          string
 	Instance    string
@@ -28,6 +30,7 @@
 	Cost        float64
 	Deadline    time.Time
 	Alone       bool
+	Apart       bool
 }
 
 // Pin is a running request's claim on a batch place and on its adapter version.
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -179,6 +179,27 @@
 	})
 }
 
+// Eight requests shared a batch with one that crashes engines. Sent on together, all of them are in
+// flight at the next crash too, and each has to run alone after that.
+func TestSuspectsOfOneCrashAreKeptApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHolder(true)
+		appoint(h)
+		_, first := load(t, h, "r1", bids)
+		granted := 0
+		for _, id := range []string{"r2", "r3", "r4"} {
+			apart := request(id, bids, 10*time.Second)
+			apart.Apart = true
+			granted += len(find[holder.Grant](h.Handle(time.Now(), holder.Arrived{Request: apart})))
+		}
+		is.Equal(granted, 2)
+		other := request("r5", bids, 10*time.Second)
+		is.Equal(len(find[holder.Grant](h.Handle(time.Now(), holder.Arrived{Request: other}))), 1)
+		is.Equal(len(find[holder.Grant](h.Handle(time.Now(), holder.Released{Pin: first.Pin.ID, Tokens: 100}))), 0)
+	})
+}
+
 // An engine restarts cold between placement and dispatch, or has evicted by itself. If the holder went
 // on believing its own book, every request would be sent to an engine that cannot run it.
 func TestResidencyIsCorrected(t *testing.T) {
--- a/internal/placement/holder/pins.go
+++ b/internal/placement/holder/pins.go
@@ -17,12 +17,14 @@
 	cost   float64
 	weight float64
 	alone  bool
+	apart  bool
 }
 
 type pins struct {
 	byID   map[string]running
 	perRef map[model.Reference]int
 	alone  bool
+	apart  int
 	number uint64
 }
 
@@ -45,6 +47,9 @@
 	p.byID[r.ID] = r
 	p.perRef[r.Model]++
 	p.alone = p.alone || r.alone
+	if r.apart {
+		p.apart++
+	}
 }
 
 func (p *pins) remove(id string) (r running, ok bool) {
@@ -60,6 +65,9 @@
 	if r.alone {
 		p.alone = false
 	}
+	if r.apart {
+		p.apart--
+	}
 	return r, true
 }
 
--- a/internal/placement/suspect/register.go
+++ b/internal/placement/suspect/register.go
@@ -32,6 +32,9 @@
 const (
 	// Free: beside others.
 	Free Verdict = "free"
+	// Apart: beside others, few of which are suspect too. Those that shared a batch with the cause would
+	// else share the next one with it as well, and all of them would have to run alone.
+	Apart Verdict = "apart"
 	// Alone: with nothing else on the upstream, so that a further crash hits no other and proves it.
 	Alone Verdict = "alone"
 	// Refused: not at all, for it crashed an upstream that it had for itself.
@@ -40,7 +43,9 @@
 
 // Settings of a Register.
 type Settings struct {
-	// AloneAfter and RefuseAfter are the crashes after which a request runs alone, or not at all.
+	// ApartAfter, AloneAfter and RefuseAfter are the crashes after which a request runs apart from other
+	// suspects, alone, or not at all.
+	ApartAfter  int
 	AloneAfter  int
 	RefuseAfter int
 	// Forget is how long after its last crash a fingerprint is remembered.
@@ -51,7 +56,7 @@
 
 // DefaultSettings bound a request to three crashes within ten minutes.
 func DefaultSettings() Settings {
-	return Settings{AloneAfter: 2, RefuseAfter: 3, Forget: 10 * time.Minute, Most: 1024}
+	return Settings{ApartAfter: 1, AloneAfter: 2, RefuseAfter: 3, Forget: 10 * time.Minute, Most: 1024}
 }
 
 // Register holds the counts. Set the exported field before use; it is not safe for use by several
@@ -130,6 +135,8 @@
 		return Refused, r.Settings.Forget
 	case open >= r.Settings.AloneAfter:
 		return Alone, 0
+	case open >= r.Settings.ApartAfter:
+		return Apart, 0
 	default:
 		return Free, 0
 	}
