--- a/internal/upstream/engine/fake_engine_test.go
+++ b/internal/upstream/engine/fake_engine_test.go
@@ -93,8 +93,13 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// sendToken sends one token, which is another one for another request.
 func sendToken(w http.ResponseWriter, id string, n int) {
-	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"model\":%q,\"choices\":[{\"index\":0,\"text\":\"t%d \"}]}\n\n", n, id, askedModel, n)
+	letter := "t"
+	if id != requestID {
+		letter = "x"
+	}
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"model\":%q,\"choices\":[{\"index\":0,\"text\":\"%s%d \"}]}\n\n", n, id, askedModel, letter, n)
 	w.(http.Flusher).Flush()
 }
 
