--- a/Makefile
+++ b/Makefile
@@ -39,11 +39,11 @@
 demo: build
 	bin/lacewingstand demo
 
-measure:
-	go run ./cmd/lacewingstand measure
+measure: build
+	bin/lacewingstand measure
 
-capacity:
-	go run ./cmd/lacewingstand capacity
+capacity: build
+	bin/lacewingstand capacity
 
 # Generated code is committed; this runs only when a .proto file changes.
 generate:
--- a/internal/command/standin/verbs.go
+++ b/internal/command/standin/verbs.go
@@ -35,6 +35,8 @@
 		{group: groupDeployment, command: &upVerb{}},
 		{group: groupDeployment, command: &downVerb{}},
 		{group: groupDeployment, command: &demoVerb{}},
+		{group: groupMeasure, command: &measureVerb{}},
+		{group: groupMeasure, command: &capacityVerb{}},
 		{command: &versionVerb{}},
 	}
 }
