--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -219,8 +219,8 @@
 func releasedBy(outcome engine.Outcome, m *meter) holder.Released {
 	released := holder.Released{Tokens: float64(m.tokens)}
 	switch outcome.(type) {
-	case engine.NotResident:
-		released.NotResident = true
+	case engine.NotResident, engine.WrongModel:
+		released.NotResident = true // either way the holder's belief about the version is wrong
 	case engine.Failed, engine.Unknown:
 		released.UpstreamFailed = true
 	}
@@ -254,11 +254,11 @@
 			a.Shares.Served(now, run.identity.Workspace, workspace.Weight, released.Tokens)
 			a.Suspects.Completed(now, run.fingerprint)
 		case engine.Failed:
-			if !o.Stopped {
+			if o.Lost {
 				a.Suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
 			}
 		case engine.Unknown:
-			if !o.Stopped {
+			if o.Lost {
 				a.Suspects.Crashed(now, []suspect.Fingerprint{run.fingerprint})
 			}
 		}
--- a/internal/measure/live/load.go
+++ b/internal/measure/live/load.go
@@ -31,7 +31,8 @@
 			return err
 		}
 		caller := &caller{address: d.InstanceOf[0].Announced("CallerAddress"), key: key}
-		if err := caller.callOnce(ctx, 1); err != nil { // loads the adapter
+		// The first call waits for the instance's share and loads the adapter.
+		if err := d.Retry(ctx, func() error { return caller.callOnce(ctx, 1) }); err != nil {
 			return err
 		}
 		if short, err = caller.load(ctx, d, 1); err != nil {
