Start processes again at ports that nothing else takes

Restarted instances could not listen: the port of a killed one lies in the range from which outgoing connections get theirs, and one of them had it. Ruled out: a leftover of the killed process, which was gone.

The bookings' tests had passed for nothing: their idempotency keys held spaces and every send was refused as malformed. Keys are made well, and a malformed booking now fails the test. Outcomes are counted by code, since "not answered" said too little.

--- a/internal/proof/integration/booking_test.go
+++ b/internal/proof/integration/booking_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -67,7 +68,7 @@
 			if tt.fail != nil {
 				tt.fail()
 			}
-			key := "order " + tt.name
+			key := keyOf("order " + tt.name)
 			first := w.caller(w.keyA).within(15*time.Second).book(0, key, `{"Litres":40}`)
 			t.Logf("first send: %s", first)
 			if first.run() == "not-run" && len(w.bookings(key)) > 0 {
@@ -87,6 +88,9 @@
 	w.checkNoUpstreamSawKeys(w.keyA)
 }
 
+// keyOf makes an idempotency key of a test's name; keys hold no spaces.
+func keyOf(name string) string { return strings.ReplaceAll(name, " ", "-") }
+
 // sendAgain sends a booking once more to every instance, all at the same time.
 func (w *world) sendAgain(t *testing.T, key, body string) {
 	t.Helper()
@@ -118,7 +122,7 @@
 	for _, direction := range []string{"upstream", "downstream"} {
 		for bytes := 0; bytes < 600; bytes += 23 {
 			w.serviceProxy().cutAfter(direction, bytes)
-			key := fmt.Sprintf("cut %s %d", direction, bytes)
+			key := fmt.Sprintf("cut-%s-%d", direction, bytes)
 			first := w.caller(w.keyA).within(15*time.Second).book(bytes%3, key, "{}")
 			ran := len(w.bookings(key))
 			told[first.run()]++
@@ -133,6 +137,9 @@
 		}
 	}
 	t.Logf("what the first sends were told: %v", told)
+	if told["ran"] == 0 || told["unknown"] == 0 {
+		t.Error("not both outcomes were met, so less was proved than is said")
+	}
 }
 
 // An instance dies between sending a booking on and passing back its answer, or stands still there
@@ -172,7 +179,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			w.serviceFaults(service.Faults{DelayMillis: 2000})
-			key := "order " + tt.name
+			key := keyOf("order " + tt.name)
 			var first reply
 			var send sync.WaitGroup
 			send.Go(func() { first = w.caller(w.keyA).within(20*time.Second).book(0, key, "{}") })
@@ -188,7 +195,7 @@
 			t.Logf("first send: %s", first)
 			w.serviceFaults(service.Faults{})
 			w.eventually("the failed instance answers again", settleLimit, func() bool {
-				return w.caller(w.keyA).book(0, "probe "+tt.name+time.Now().String(), "{}").ok()
+				return w.caller(w.keyA).book(0, keyOf("probe "+time.Now().Format(time.RFC3339Nano)), "{}").ok()
 			})
 			w.sendAgain(t, key, "{}")
 		})
--- a/internal/proof/integration/calls_test.go
+++ b/internal/proof/integration/calls_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/standin/deployment"
@@ -33,6 +34,48 @@
 	return fmt.Sprintf("status %d, X-Run %q, error %v, body %.200q", r.status, r.run(), r.err, r.body)
 }
 
+// outcome names the reply in a tally: "answered", the code of its refusal, or how it broke.
+func (r reply) outcome() string {
+	if r.ok() {
+		return "answered"
+	}
+	if r.status == 0 {
+		return "no answer"
+	}
+	var refused struct{ Error struct{ Code string } }
+	if r.err != nil || json.Unmarshal([]byte(r.body), &refused) != nil || refused.Error.Code == "" {
+		return "broken off"
+	}
+	return refused.Error.Code
+}
+
+// tally counts outcomes.
+type tally struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (s *tally) add(outcome string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts == nil {
+		s.counts = make(map[string]int)
+	}
+	s.counts[outcome]++
+}
+
+func (s *tally) count(outcome string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[outcome]
+}
+
+func (s *tally) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(s.counts)
+}
+
 // caller keeps its connections open, as members' clients do.
 type caller struct {
 	w      *world
@@ -94,10 +137,14 @@
 	return string(body)
 }
 
-// book sends a booking that must run at most once.
+// book sends a booking that must run at most once. One that is refused as malformed proves nothing.
 func (c *caller) book(instance int, idempotencyKey, body string) reply {
-	return c.send(instance, http.MethodPost, "/services/"+deployment.ServiceOne+"/orders", body,
+	came := c.send(instance, http.MethodPost, "/services/"+deployment.ServiceOne+"/orders", body,
 		map[string]string{"Idempotency-Key": idempotencyKey})
+	if came.status == http.StatusBadRequest {
+		c.w.t.Errorf("the test's own booking is malformed: %s", came)
+	}
+	return came
 }
 
 // -----------------------------------------------------------------------------------------------
--- a/internal/proof/integration/eviction_test.go
+++ b/internal/proof/integration/eviction_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,20 +31,20 @@
 		{name: "holder frozen and woken, engine ignores fencing", ignoreFencing: true, disturb: func(w *world) { w.eachInstance(w.freezeAndWake) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			w := newWorld(t, options{slots: 2, ignoreFencing: tt.ignoreFencing})
+			w := newWorld(t, options{slots: 1, ignoreFencing: tt.ignoreFencing})
 			w.warm(w.keyA, "bid-estimates@1")
 			stop := make(chan struct{})
 			var callers sync.WaitGroup
-			var answered, failed atomic.Int64
+			seen := &tally{}
 			for number := range 6 {
-				callers.Go(func() { w.shift(number, stop, &answered, &failed) })
+				callers.Go(func() { w.shift(number, stop, seen) })
 			}
 			tt.disturb(w)
 			close(stop)
 			callers.Wait()
-			t.Logf("%d answered, %d not", answered.Load(), failed.Load())
+			t.Logf("outcomes: %s", seen)
 			w.checkEvictions(t)
-			if answered.Load() == 0 {
+			if seen.count("answered") == 0 {
 				t.Error("nothing was answered")
 			}
 		})
@@ -53,7 +52,7 @@
 }
 
 // shift asks for one adapter version after the other, with answers long enough to be evicted under.
-func (w *world) shift(number int, stop <-chan struct{}, answered, failed *atomic.Int64) {
+func (w *world) shift(number int, stop <-chan struct{}, seen *tally) {
 	models := []string{"bid-estimates@1", "bid-estimates@2", "site-summaries@1", "safety-briefings@1"}
 	chance := rand.New(rand.NewPCG(uint64(number), 1))
 	using := w.caller(w.keyA).within(20 * time.Second)
@@ -67,12 +66,11 @@
 		prompt := fmt.Sprintf("shift %d %d", number, round)
 		tokens := 10 + chance.IntN(100)
 		came := using.stream(chance.IntN(len(w.d.InstanceOf)), model, prompt, tokens)
+		seen.add(came.outcome())
 		if !came.ok() {
-			failed.Add(1)
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		answered.Add(1)
 		if err := checkText(came, model, prompt, tokens); err != nil {
 			w.t.Errorf("%s: %v", prompt, err)
 		}
--- a/internal/proof/integration/rate_test.go
+++ b/internal/proof/integration/rate_test.go
@@ -56,18 +56,20 @@
 			begun := time.Now()
 			stop := make(chan struct{})
 			var callers sync.WaitGroup
+			seen := &tally{}
 			for number := range 6 {
-				callers.Go(func() { w.hammer(number, stop) })
+				callers.Go(func() { w.hammer(number, stop, seen) })
 			}
 			tt.disturb(w)
 			close(stop)
 			callers.Wait()
+			t.Logf("outcomes: %s", seen)
 			w.checkLine(t, begun, measuredRate, measuredBurst)
 		})
 	}
 }
 
-func (w *world) hammer(number int, stop <-chan struct{}) {
+func (w *world) hammer(number int, stop <-chan struct{}, seen *tally) {
 	using := w.caller(w.measured).within(20 * time.Second)
 	for round := 0; ; round++ {
 		select {
@@ -77,6 +79,7 @@
 		}
 		came := using.completion((number+round)%len(w.d.InstanceOf), measuredModel,
 			fmt.Sprintf("hammer %d %d", number, round), askedTokens)
+		seen.add(came.outcome())
 		if !came.ok() {
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/internal/proof/integration/stop_test.go
+++ b/internal/proof/integration/stop_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,10 +58,10 @@
 	model := deployment.AdapterA + "@2"
 	w.warm(w.keyA, model)
 	stop := make(chan struct{})
-	var answered, cut, elsewhere atomic.Int64
+	seen := &tally{}
 	var callers sync.WaitGroup
 	for number := range 4 {
-		callers.Go(func() { w.roll(number, stop, &answered, &cut, &elsewhere) })
+		callers.Go(func() { w.roll(number, stop, seen) })
 	}
 	for _, process := range w.d.InstanceOf {
 		w.must(process.Stop(w.ctx))
@@ -71,18 +70,18 @@
 	}
 	close(stop)
 	callers.Wait()
-	t.Logf("%d answered, %d cut, %d sent on to another instance", answered.Load(), cut.Load(), elsewhere.Load())
-	if cut.Load() > 0 {
-		t.Errorf("%d requests were cut", cut.Load())
+	t.Logf("outcomes: %s", seen)
+	if cut := seen.count("cut"); cut > 0 {
+		t.Errorf("%d requests were cut", cut)
 	}
-	if answered.Load() == 0 {
+	if seen.count("answered") == 0 {
 		t.Error("nothing was answered")
 	}
 }
 
 // roll sends requests, each to the next instance when one is not there or not ready. A broken answer
 // counts as cut when the engines' records show that the request had run.
-func (w *world) roll(number int, stop <-chan struct{}, answered, cut, elsewhere *atomic.Int64) {
+func (w *world) roll(number int, stop <-chan struct{}, seen *tally) {
 	using := w.caller(w.keyA)
 	for round := 0; ; round++ {
 		select {
@@ -94,15 +93,15 @@
 		came := using.stream((number+round)%len(w.d.InstanceOf), deployment.AdapterA+"@2", prompt, 20)
 		switch {
 		case came.ok():
-			answered.Add(1)
+			seen.add("answered")
 			if err := checkText(came, deployment.AdapterA+"@2", prompt, 20); err != nil {
 				w.t.Error(err)
 			}
 		case came.err != nil && len(w.ranWith(prompt)) > 0:
-			cut.Add(1)
+			seen.add("cut")
 			w.t.Logf("cut: %s", came)
 		default:
-			elsewhere.Add(1)
+			seen.add(came.outcome())
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
@@ -140,22 +139,21 @@
 			tt.leave(w)
 			told := time.Now()
 			using := w.caller(w.keyA)
-			sent, answered := 0, 0
+			seen := &tally{}
+			sent := 0
 			for time.Since(told) < leavingWatched {
 				sent++
 				model := []string{"bid-estimates@1", "bid-estimates@2", "site-summaries@1"}[sent%3]
-				if using.completion(sent%len(w.d.InstanceOf), model, fmt.Sprintf("leave %d", sent), 2).ok() {
-					answered++
-				}
+				seen.add(using.completion(sent%len(w.d.InstanceOf), model, fmt.Sprintf("leave %d", sent), 2).outcome())
 				time.Sleep(30 * time.Millisecond)
 			}
 			last := w.lastWork(0, "leave ").Sub(told)
-			t.Logf("%d of %d answered; the leaving engine's last new request came after %.1f s", answered, sent, last.Seconds())
+			t.Logf("outcomes: %s; the leaving engine's last new request came after %.1f s", seen, last.Seconds())
 			if last > leavingWatched/2 {
 				t.Errorf("new work reached the leaving engine %s after it was said to leave", last)
 			}
-			if answered*2 < sent {
-				t.Errorf("only %d of %d answered by the engine that stays", answered, sent)
+			if seen.count("answered")*2 < sent {
+				t.Errorf("fewer than half of %d were answered by the engine that stays", sent)
 			}
 		})
 	}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -149,18 +149,23 @@
 }
 
 func (d *Deployment) startStandin(ctx context.Context, name, verb string, arguments ...string) (*Process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	control, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
 	started := &Process{
 		Name:      name,
 		Path:      filepath.Join(d.Binaries, "lacewingstand"),
-		Arguments: append([]string{verb}, arguments...),
+		Arguments: append([]string{verb, "-address", address, "-control", control}, arguments...),
 		Directory: d.Directory,
 	}
 	if err := started.Start(ctx); err != nil {
 		return nil, err
 	}
-	// A process started again must be found at the same place.
-	started.Arguments = append(started.Arguments,
-		"-address", started.Announced("Address"), "-control", started.Announced("ControlAddress"))
 	d.started(started)
 	return started, nil
 }
--- a/internal/standin/deployment/instance.go
+++ b/internal/standin/deployment/instance.go
@@ -19,7 +19,6 @@
 
 	"github.com/pkg/errors"
 
-	"lacewingrock.example/lacewingrock/internal/standin/endpoint"
 	"lacewingrock.example/lacewingrock/internal/standin/list"
 )
 
@@ -56,8 +55,7 @@
 		Arguments: []string{"run", "-settings", path},
 		Directory: d.Directory,
 	}
-	places := [3]string{endpoint.Loopback, endpoint.Loopback, endpoint.Loopback}
-	if err := d.writeSettings(path, number, places); err != nil {
+	if err := d.writeSettings(path, number); err != nil {
 		return err
 	}
 	if err := process.Start(ctx); err != nil {
@@ -65,14 +63,18 @@
 	}
 	d.InstanceOf = append(d.InstanceOf, process)
 	d.started(process)
-	// A process started again must be found at the same place.
-	for i, announced := range []string{"CallerAddress", "OperatorAddress", "PeerAddress"} {
-		places[i] = process.Announced(announced)
-	}
-	return d.writeSettings(path, number, places)
+	return nil
 }
 
-func (d *Deployment) writeSettings(path string, number int, places [3]string) error {
+func (d *Deployment) writeSettings(path string, number int) error {
+	var places [3]string
+	for i := range places {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		places[i] = address
+	}
 	name := fmt.Sprintf("instance-%d", number+1)
 	text := fmt.Sprintf(settingsText,
 		name,
--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -28,8 +28,7 @@
 )
 
 // Process is one process of the deployment. Its output goes to files in Directory: Name.out and
-// Name.log (standard error). Address flags are given by Arguments; after the first Start, Restart
-// uses what the process announced, so that others find it again at the same place.
+// Name.log (standard error). Start may be called again after the process has ended.
 type Process struct {
 	Name      string
 	Path      string
