Let the price of a load follow how busy the weight store is

Every instance hears of every load in the summaries, so each now counts them, and the price rises with the square of the used share of the store's rate.

So Blue Mountain takes 12 s and Hellenic 6 s.

--- a/internal/measure/policy/tables.go
+++ b/internal/measure/policy/tables.go
@@ -90,7 +90,7 @@
 // writeSettings shows what the settings that differ buy and cost, summed or averaged over the cases.
 func writeSettings(b *strings.Builder, report Report) {
 	b.WriteString("\n### What the settings buy and cost\n\nMeans over all cases.\n\n")
-	b.WriteString("| policy | longest backlog | price of a load | stalls | stall seconds | efficiency | worst share | worst first token | wrongful |\n")
+	b.WriteString("| policy | longest backlog | price of a load at a busy store | stalls | stall seconds | efficiency | worst share | worst first token | wrongful |\n")
 	b.WriteString("|---|---|---|---|---|---|---|---|---|\n")
 	for _, p := range []deployment.Policy{deployment.BlueMountain(), deployment.Hellenic()} {
 		mean := meanOverCases(report, p.Name)
--- a/internal/placement/deployment/policy.go
+++ b/internal/placement/deployment/policy.go
@@ -40,13 +40,13 @@
 
 // BlueMountain weighs load stalls and the worst-served workspace most. A high price of a load means
 // fewer loads, and callers queue behind a loaded version instead; queues are kept short, so that a
-// request that cannot be served in time is told so while its caller can still act. It costs a later
-// first token while there is room, and some efficiency in a flood.
+// request that cannot be served in time is told so while its caller can still act. It costs some
+// efficiency in a flood.
 func BlueMountain() Policy {
 	p := Default()
 	p.Name = "blue-mountain"
 	p.Holder.LongestBacklog = 10 * time.Second
-	p.Route.LoadPrice = 4 * time.Second
+	p.Route.LoadPrice = 12 * time.Second
 	return p
 }
 
@@ -57,6 +57,6 @@
 	p := Default()
 	p.Name = "hellenic"
 	p.Holder.LongestBacklog = time.Minute
-	p.Route.LoadPrice = 2 * time.Second
+	p.Route.LoadPrice = 6 * time.Second
 	return p
 }
--- a/internal/placement/route/route.go
+++ b/internal/placement/route/route.go
@@ -75,9 +75,13 @@
 type Settings struct {
 	// ExpectedLoad is how long a load is expected to take, the wait for a permit included.
 	ExpectedLoad time.Duration
-	// LoadPrice is added to the expected time of every choice that needs a load: what the load costs
-	// the others who wait for the weight store. A higher price means fewer loads and longer queues.
+	// LoadPrice is added to the expected time of a choice that needs a load while the weight store is
+	// fully used: what the load costs the others who wait for it. A higher price means fewer loads and
+	// longer queues.
 	LoadPrice time.Duration
+	// LoadRate is the loads a second that the weight store allows the whole fleet. The price of a load
+	// rises with the square of the share of it that is in use.
+	LoadRate float64
 	// StaleAfter is the age at which a summary is not used any more.
 	StaleAfter time.Duration
 	// ProbeEvery is the time between two requests to an upstream that has failed.
@@ -90,7 +94,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		ExpectedLoad: 500 * time.Millisecond,
-		LoadPrice:    time.Second,
+		LoadPrice:    4 * time.Second,
+		LoadRate:     2,
 		StaleAfter:   5 * time.Second,
 		ProbeEvery:   2 * time.Second,
 		TokenTime:    20 * time.Millisecond,
--- a/internal/placement/route/router.go
+++ b/internal/placement/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	resident  map[model.Reference][]*upstream
 	loading   map[model.Reference]loading
 	forgot    time.Time
+	loads     loads
 	turn      int
 }
 
@@ -75,11 +77,12 @@
 }
 
 // Learn takes note of a holder's summary; one that is older than the known one is dropped.
-func (r *Router) Learn(_ time.Time, summary Summary) {
+func (r *Router) Learn(now time.Time, summary Summary) {
 	u := r.upstreams[summary.Upstream]
 	if u == nil || summary.Epoch < u.summary.Epoch || !summary.At.After(u.summary.At) {
 		return
 	}
+	r.countLoads(now, u, summary)
 	r.index(u, summary.Resident)
 	u.summary = summary
 	u.forgetSent(summary.At)
@@ -167,7 +170,7 @@
 			continue
 		}
 		found++
-		list = append(list, r.weigh(now, u, query, why, r.loadCost(u)))
+		list = append(list, r.weigh(now, u, query, why, r.loadCost(now, u)))
 		why = WhySpill
 	}
 	return list
@@ -201,9 +204,11 @@
 
 // loadCost is what a load there costs: the wait for it, its price, and as often the price again as the
 // version it evicts is asked for and has to be loaded again.
-func (r *Router) loadCost(u *upstream) time.Duration {
+func (r *Router) loadCost(now time.Time, u *upstream) time.Duration {
 	again := min(u.summary.Coldest, mostEvictionCost)
-	return r.Settings.ExpectedLoad + r.Settings.LoadPrice + time.Duration(again*float64(r.Settings.LoadPrice))
+	used := min(1, r.loads.rate(now)/r.Settings.LoadRate)
+	price := used * used * float64(r.Settings.LoadPrice)
+	return r.Settings.ExpectedLoad + time.Duration((1+again)*price)
 }
 
 func (r *Router) work(now time.Time, u *upstream, query Query) time.Duration {
@@ -250,6 +255,40 @@
 	}
 }
 
+// countLoads counts what the upstream has loaded since its last summary: all instances hear of all
+// loads, and so know how much of the weight store's rate is in use.
+func (r *Router) countLoads(now time.Time, u *upstream, summary Summary) {
+	if !u.isFresh(now, r.Settings.StaleAfter) || summary.Epoch != u.summary.Epoch {
+		return
+	}
+	for _, ref := range summary.Resident {
+		if !slices.Contains(r.resident[ref], u) {
+			r.loads = r.loads.with(now)
+		}
+	}
+}
+
+// loadsHalfLife is the time in which past loads count half: long enough to tell one a second from two,
+// short enough to follow a shift of popularity.
+const loadsHalfLife = 10 * time.Second
+
+// loads is a count of loads that halves every loadsHalfLife.
+type loads struct {
+	value float64
+	at    time.Time
+}
+
+func (l loads) now(now time.Time) float64 {
+	return l.value * math.Exp2(-now.Sub(l.at).Seconds()/loadsHalfLife.Seconds())
+}
+
+func (l loads) with(now time.Time) loads { return loads{value: l.now(now) + 1, at: now} }
+
+// rate is the loads a second.
+func (l loads) rate(now time.Time) float64 {
+	return l.now(now) * math.Ln2 / loadsHalfLife.Seconds()
+}
+
 func (r *Router) unindex(ref model.Reference, u *upstream) {
 	kept := slices.DeleteFunc(r.resident[ref], func(other *upstream) bool { return other == u })
 	if len(kept) == 0 {
--- a/internal/placement/route/router_test.go
+++ b/internal/placement/route/router_test.go
@@ -82,29 +82,40 @@
 	})
 }
 
-// A hot adapter is loaded on one upstream. A short queue there is better than a load that others wait
-// for; behind a long one, callers would wait while another upstream stands idle.
+// A hot adapter is loaded on one upstream. Behind a long queue there, callers would wait while another
+// upstream stands idle; but while the weight store is busy, a load takes its time from others.
 func TestQueueBehindOrLoad(t *testing.T) {
 	tests := []struct {
+		name      string
 		backlog   time.Duration
+		loads     int
 		needsLoad bool
 	}{
-		{500 * time.Millisecond, false},
-		{30 * time.Second, true},
+		{"short queue", 400 * time.Millisecond, 0, false},
+		{"queue, idle store", 2 * time.Second, 0, true},
+		{"queue, busy store", 2 * time.Second, 40, false},
+		{"long queue, busy store", 30 * time.Second, 40, true},
 	}
 	for _, tt := range tests {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			r := newRouter(3)
-			for i := range 3 {
-				tell(r, fmt.Sprint("u", i), 8, 0)
-			}
-			time.Sleep(time.Second)
-			tell(r, "u1", 0, tt.backlog, ref(1))
-			choice, err := r.Choose(time.Now(), query(1))
-			is.NoErr(err)
-			is.Equal(choice.NeedsLoad, tt.needsLoad)
-			is.Equal(choice.Upstream == "u1", !tt.needsLoad)
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRouter(3)
+				for i := range 3 {
+					tell(r, fmt.Sprint("u", i), 8, 0)
+				}
+				for i := range tt.loads {
+					time.Sleep(500 * time.Millisecond)
+					tell(r, "u0", 8, 0, ref(100+i))
+					tell(r, "u2", 8, 0)
+				}
+				time.Sleep(time.Second)
+				tell(r, "u1", 0, tt.backlog, ref(1))
+				choice, err := r.Choose(time.Now(), query(1))
+				is.NoErr(err)
+				is.Equal(choice.NeedsLoad, tt.needsLoad)
+				is.Equal(choice.Upstream == "u1", !tt.needsLoad)
+			})
 		})
 	}
 }
