Keep what runs for dead instances from being evicted

An instance may die together with the holder of an upstream; they may be one process. The engine runs on with its requests, nobody tells the next holder of their pins, and it evicted the version under them. Engines' reports now name the versions that requests run on. A version that a new holder's first report shows running is not evicted until a report shows it idle; both reports are made after no older holder can act. Versions that the holder loaded itself are not concerned.

Weighed and left: to compare with the pins that are known. A request that is not told of may run beside a told one on the same version, and the report has no counts. The cost: a version in use without a gap at each report stays until there is one. No limit in time is set; none has a measured reason.

An upstream whose report lacks the field is treated as before: it is not protected.

TestChangeOfHolderEvictsNothingThatServes now kills instances, the holder included.

--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -59,6 +59,7 @@
 		r.tell(s, holder.Reported{
 			Incarnation: report.Incarnation,
 			Resident:    references(report.Resident),
+			Running:     references(report.RunningModels),
 			Age:         report.Age,
 		})
 	}
--- a/internal/placement/holder/change_of_holder_test.go
+++ b/internal/placement/holder/change_of_holder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,9 +32,11 @@
 	told    map[string]int64
 	made    time.Time
 	listed  []model.Reference
+	running []model.Reference
 	number  int
 	evicted int
 	granted int
+	orphans int
 }
 
 // sentOrder is an order on its way; the engine executes it or its sender gives it up.
@@ -44,6 +48,9 @@
 
 const worldSlots = 3
 
+// dead stands for the instances that died: their requests run on at the engine.
+const dead = "dead"
+
 // worldRounds is how often a sequence of some thirty steps is drawn in one world.
 const worldRounds = 8
 
@@ -56,16 +63,20 @@
 		holders: map[string]*holder.Holder{}, acting: map[string]bool{}, told: map[string]int64{},
 	}
 	for _, name := range worldInstances {
-		w.holders[name] = &holder.Holder{
-			Upstream: resource.Upstream{Meta: resource.Meta{Name: "u"}, Slots: worldSlots, Batch: 4, ChecksFencing: w.checks},
-			Settings: holder.DefaultSettings(),
-		}
+		w.holders[name] = w.newHolder()
 	}
 	w.appoint("i1")
 	w.settleDown()
 	return w
 }
 
+func (w *world) newHolder() *holder.Holder {
+	return &holder.Holder{
+		Upstream: resource.Upstream{Meta: resource.Meta{Name: "u"}, Slots: worldSlots, Batch: 4, ChecksFencing: w.checks},
+		Settings: holder.DefaultSettings(),
+	}
+}
+
 // settleDown lets all messages about the holder arrive, as they do most of the time.
 func (w *world) settleDown() {
 	w.inForce()
@@ -159,6 +170,46 @@
 	return names
 }
 
+// crash kills an instance, while the engine runs on with its requests, and starts it again. If it held the
+// upstream, the other one does from now on, and knows nothing of the dead one's pins. Otherwise the
+// holder cancels the streams it knows of before it forgets their pins.
+func (w *world) crash(name string) {
+	if len(w.acting) > 1 {
+		return
+	}
+	w.grants = slices.DeleteFunc(w.grants, func(g holder.Grant) bool { return g.Pin.Instance == name })
+	held := w.holding == name
+	for id, pin := range w.runs {
+		if pin.Instance != name {
+			continue
+		}
+		if !held {
+			delete(w.runs, id)
+			continue
+		}
+		pin.Instance = dead
+		w.runs[id] = pin
+		w.orphans++
+	}
+	if !held {
+		w.tell(w.holding, holder.InstanceGone{Instance: name, Incarnation: "1"})
+		return
+	}
+	delete(w.acting, name)
+	w.holders[name] = w.newHolder()
+	w.change()
+}
+
+// endOrphan ends a request of a dead instance at the engine; nobody hears of it.
+func (w *world) endOrphan() {
+	for _, id := range slices.Sorted(maps.Keys(w.runs)) {
+		if w.runs[id].Instance == dead {
+			delete(w.runs, id)
+			return
+		}
+	}
+}
+
 // run lets a grant arrive: the instance sends the request, unless it has told its pins to a newer
 // holder since; the engine runs it if the version is loaded.
 func (w *world) run() {
@@ -237,14 +288,17 @@
 
 func (w *world) makeReport() {
 	w.made = w.now
-	w.listed = nil
+	w.listed, w.running = nil, nil
 	for ref := range w.engine {
 		w.listed = append(w.listed, ref)
 	}
+	for _, pin := range w.runs {
+		w.running = append(w.running, pin.Model)
+	}
 }
 
 func (w *world) hearReport() {
-	w.tell(w.holding, holder.Reported{Incarnation: "a", Resident: w.listed, Age: w.now.Sub(w.made)})
+	w.tell(w.holding, holder.Reported{Incarnation: "a", Resident: w.listed, Running: w.running, Age: w.now.Sub(w.made)})
 }
 
 // wait lets time pass; orders that took too long are given up.
@@ -266,29 +320,31 @@
 	}
 }
 
-// The holder of an upstream changes while its orders and grants are still under way, at engines that
-// check fencing and at ones that do not. If a new holder acted too early, or evicted without knowing
+// The holder of an upstream changes, in order or because it died with requests of its own under way, while
+// its orders and grants are still on their way, at engines that check fencing and at ones that do not. If a new holder acted too early, or evicted without knowing
 // what still runs, a caller's stream would break off or go on with the wrong weights.
 func TestChangeOfHolderEvictsNothingThatServes(t *testing.T) {
-	evicted, granted := 0, 0
+	evicted, granted, orphans := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		step := func(do func()) func(*rapid.T) { return func(*rapid.T) { do() } }
+		crash := func() { w.crash(rapid.SampledFrom(worldInstances).Draw(t, "crashed")) }
 		tellPins := func() { w.tellPins(rapid.SampledFrom(worldInstances).Draw(t, "teller")) }
 		steps := map[string]func(*rapid.T){
 			"arrive": step(w.arrive), "arrive more": step(w.arrive), "run": step(w.run), "run more": step(w.run),
 			"finish": step(w.finish), "execute": step(w.execute), "execute more": step(w.execute),
 			"make report": step(w.makeReport), "hear report": step(w.hearReport), "wait": step(w.wait), "change": step(w.change), "in force": step(w.inForce),
-			"note fence": step(w.noteFence), "tell pins": step(tellPins), "settle down": step(w.settleDown),
+			"note fence": step(w.noteFence), "tell pins": step(tellPins), "crash": step(crash), "end orphan": step(w.endOrphan), "settle down": step(w.settleDown),
 		}
 		for range worldRounds {
 			t.Repeat(steps)
 		}
 		evicted += w.evicted
 		granted += w.granted
+		orphans += w.orphans
 	})
-	if evicted == 0 || granted == 0 {
-		t.Fatalf("nothing was tried: %d evictions, %d runs", evicted, granted)
+	if evicted == 0 || granted == 0 || orphans == 0 {
+		t.Fatalf("nothing was tried: %d evictions, %d runs, %d orphans", evicted, granted, orphans)
 	}
-	t.Logf("%d evictions, %d runs", evicted, granted)
+	t.Logf("%d evictions, %d runs, %d orphans", evicted, granted, orphans)
 }
--- a/internal/placement/holder/demand.go
+++ b/internal/placement/holder/demand.go
@@ -77,7 +77,7 @@
 	}
 	least := math.Inf(1)
 	for ref, s := range h.residency.resident {
-		if h.pins.isPinned(ref) || needs.awaits(ref) || now.Before(s.busyUntil) {
+		if h.pins.isPinned(ref) || s.orphaned || needs.awaits(ref) || now.Before(s.busyUntil) {
 			continue
 		}
 		value := h.keepValue(now, ref, s)
@@ -106,8 +106,8 @@
 		return 0
 	}
 	least := math.Inf(1)
-	for ref := range h.residency.resident {
-		if !h.pins.isPinned(ref) {
+	for ref, s := range h.residency.resident {
+		if !h.pins.isPinned(ref) && !s.orphaned {
 			least = min(least, h.demand.of(now, ref))
 		}
 	}
--- a/internal/placement/holder/events.go
+++ b/internal/placement/holder/events.go
@@ -120,10 +120,12 @@
 		Evicted bool
 		Cause   Cause
 	}
-	// Reported is the upstream's own report; Age is how old it was when it arrived.
+	// Reported is the upstream's own report; Age is how old it was when it arrived. Running are the
+	// versions it ran requests on; nil from an upstream that does not tell them.
 	Reported struct {
 		Incarnation string
 		Resident    []model.Reference
+		Running     []model.Reference
 		Age         time.Duration
 	}
 	// UpstreamRestarted tells that the engine is another process than before, with nothing loaded.
--- a/internal/placement/holder/residency.go
+++ b/internal/placement/holder/residency.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -25,11 +26,13 @@
 }
 
 // slot is a loaded version: since when that is known, its last use, and until when the upstream is
-// believed to run something on it that no pin tells of.
+// believed to run something on it that no pin tells of. Orphaned is true from the report that first shows
+// the version, if it shows it running, until one that shows it idle.
 type slot struct {
 	since     time.Time
 	used      time.Time
 	busyUntil time.Time
+	orphaned  bool
 }
 
 func newResidency() residency {
@@ -99,15 +102,23 @@
 }
 
 // apply takes a report that was made at made into account, and returns what it shows to be new.
-func (r *residency) apply(made time.Time, listed []model.Reference) (added []model.Reference) {
+//
+// An instance may die together with the holder of an upstream (they may be one process) while the engine
+// runs on with its requests. Nobody tells the next holder of their pins, and it would evict the version
+// under them. So a version that is found running is not evicted before it was seen idle once: from then on
+// every request on it has a pin of this holder. Whether a pin is known meanwhile does not matter, as an
+// untold request may run beside it; a version in steady use is no good choice for an eviction anyway.
+func (r *residency) apply(made time.Time, listed, running []model.Reference) (added []model.Reference) {
 	seen := make(map[model.Reference]bool, len(listed))
 	for _, ref := range listed {
 		seen[ref] = true
 		if !r.has(ref) && r.gone[ref].Before(made) {
 			r.add(made, ref)
+			r.orphan(ref)
 			added = append(added, ref)
 		}
 	}
+	r.adopt(running)
 	for ref, s := range r.resident {
 		if !seen[ref] && s.since.Before(made) {
 			delete(r.resident, ref)
@@ -124,6 +135,22 @@
 	return added
 }
 
+func (r *residency) orphan(ref model.Reference) {
+	s := r.resident[ref]
+	s.orphaned = true
+	r.resident[ref] = s
+}
+
+// adopt takes over the versions on which nothing runs any more that nobody tells of.
+func (r *residency) adopt(running []model.Reference) {
+	for ref, s := range r.resident {
+		if s.orphaned && !slices.Contains(running, ref) {
+			s.orphaned = false
+			r.resident[ref] = s
+		}
+	}
+}
+
 // ---------------------------------------------------------------------------------------------
 
 // reported takes note of the upstream's own report. One made while an older holder could still act is
@@ -138,7 +165,7 @@
 	if !known || made.Before(from) {
 		return
 	}
-	for _, ref := range h.residency.apply(made, e.Resident) {
+	for _, ref := range h.residency.apply(made, e.Resident, e.Running) {
 		h.loaded(now, ref)
 	}
 }
--- a/internal/standin/engine/contract_test.go
+++ b/internal/standin/engine/contract_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,3 +95,25 @@
 		return err == nil && report.Slots == 1 && len(report.Resident) == 0 && report.Incarnation != ""
 	})
 }
+
+// An instance died while its request runs. The report is all that tells a new holder of it, so it must
+// name the version, in a form that the client reads, and drop it once the request has ended.
+func TestReportNamesWhatRuns(t *testing.T) {
+	is := is.New(t)
+	s := start(t, &engine.Server{LoadTime: time.Millisecond, ReportLag: time.Millisecond})
+	using := &client.Client{Address: s.Address}
+	ctx := context.Background()
+	is.NoErr(using.Load(ctx, client.Order{Adapter: "a", Version: "1", Source: "x"}))
+	answer, err := post(t, s, "/v1/completions", "r1", `{"model":"a@1","prompt":"p","max_tokens":1000,"stream":true}`)
+	is.NoErr(err)
+	defer answer.Body.Close()
+	until(t, "the running version is named", func() bool {
+		report, err := using.Report(ctx)
+		return err == nil && slices.Equal(report.RunningModels, []string{"a@1"})
+	})
+	is.NoErr(using.Cancel(ctx, "r1"))
+	until(t, "nothing runs", func() bool {
+		report, err := using.Report(ctx)
+		return err == nil && len(report.RunningModels) == 0
+	})
+}
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -12,7 +12,7 @@
 	"github.com/labstack/echo/v4"
 )
 
-// Report is the engine's load as of AgeMillis ago.
+// Report is the engine's load as of AgeMillis ago. RunningModels are the versions that requests run on.
 type Report struct {
 	Incarnation string
 	Slots       int
@@ -21,6 +21,8 @@
 	Waiting     int
 	Resident    []string
 	AgeMillis   int64
+
+	RunningModels []string
 }
 
 // event is one event; it is shown from At on.
@@ -40,19 +42,25 @@
 }
 
 func (s *Server) sample() Report {
-	resident := []string{}
+	resident, running := []string{}, []string{}
 	for model, held := range s.resident {
 		if !held.loading {
 			resident = append(resident, model)
 		}
+		if held.serving > 0 {
+			running = append(running, model)
+		}
 	}
 	sort.Strings(resident)
+	sort.Strings(running)
 	return Report{
 		Incarnation: s.incarnation,
 		Slots:       s.Slots,
 		Batch:       s.Batch,
 		Running:     len(s.running),
 		Resident:    resident,
+
+		RunningModels: running,
 	}
 }
 
--- a/internal/upstream/engine/report.go
+++ b/internal/upstream/engine/report.go
@@ -16,7 +16,8 @@
 	"lacewingrock.example/lacewingrock/internal/upstream/exchange"
 )
 
-// Report is an engine's own view of itself; Age says how old it is. Resident names "adapter@version".
+// Report is an engine's own view of itself; Age says how old it is. Resident names "adapter@version", as
+// does RunningModels, the versions that requests run on; nil from an engine that does not tell.
 // An Incarnation other than the last one means that the engine was restarted and holds nothing.
 type Report struct {
 	Incarnation string
@@ -26,6 +27,8 @@
 	Waiting     int
 	Resident    []string
 	Age         time.Duration
+
+	RunningModels []string
 }
 
 // CacheEvent tells of a change in an engine's memory. Kind is "loaded", "evicted" or "prefix".
@@ -45,6 +48,8 @@
 	Waiting     int
 	Resident    []string
 	AgeMillis   int64
+
+	RunningModels []string
 }
 
 type wireEvents struct {
@@ -75,6 +80,8 @@
 		Waiting:     wire.Waiting,
 		Resident:    wire.Resident,
 		Age:         time.Duration(wire.AgeMillis) * time.Millisecond,
+
+		RunningModels: wire.RunningModels,
 	}, nil
 }
 
