--- a/internal/measure/capacity/target.go
+++ b/internal/measure/capacity/target.go
@@ -3,24 +3,29 @@
 import (
 	"fmt"
 	"strings"
+
+	"lacewingrock.example/lacewingrock/internal/placement/route"
 )
 
 // target.go works the measured slopes out for the fleet of the target.
 
 // The target, as the users set it.
 const (
-	targetInstances  = 330
-	targetUpstreams  = 810
-	targetAdapters   = 45_000
-	targetRequests   = 5_300
-	targetChanges    = 1_000
-	limitCore        = 0.03
-	limitMemory      = 256e6
-	limitNetwork     = 4e3
-	heartbeatsSecond = 1
-	reportsSecond    = 3
-	woken            = 0.23
-	frameBytes       = 150
+	targetInstances = 330
+	targetUpstreams = 810
+	targetAdapters  = 45_000
+	targetRequests  = 5_300
+	targetChanges   = 1_000
+	limitCore       = 0.03
+	limitMemory     = 256e6
+	limitNetwork    = 4e3
+	// askedSecond is how many members an instance asks for a heartbeat each second, whatever the size of
+	// the fleet; it is asked as often, and learns from both.
+	askedSecond   = 8
+	heardSecond   = 2 * askedSecond
+	reportsSecond = 3
+	woken         = 0.23
+	frameBytes    = 150
 )
 
 // cell is one figure of the page, with how it came about.
@@ -44,20 +49,23 @@
 	at := func(name string) float64 { return target(measured, name) }
 	perInstance := float64(targetRequests) / targetInstances
 	entry := perInstance * (at(nameChoose) + at(nameReserve) + at(nameLookUp)) / 1e6
-	learn := heartbeatsSecond * targetUpstreams * at(nameLearn) / 1e6
 	held := float64(targetUpstreams) / targetInstances
+	learn := heardSecond * held * at(nameLearn) / 1e6
+	age := float64(targetInstances-1) / heardSecond
+	stale := route.DefaultSettings().StaleAfter.Seconds()
 	holding := perInstance * at(nameHoldFull) / 1e6
-	heard := float64(targetInstances-1) * heartbeatsSecond * (at(nameHeartbeat) + frameBytes)
+	heard := 2 * heardSecond * (at(nameHeartbeat) + frameBytes)
 	memory := at(nameRouterBytes) + at(nameConfigBytes) + at(nameLedgerBytes) + held*at(nameHolderIdle)
 	changes := float64(targetChanges) / 86_400
 	loads := float64(targetAdapters) * woken / 3600
 	asks := float64(targetUpstreams) / 10
 	return []cell{
 		{"entry", "processor, deciding", fmt.Sprintf("%d/%d requests/s x (%s + %s + %s) us", targetRequests, targetInstances, figure(at(nameChoose)), figure(at(nameReserve)), figure(at(nameLookUp))), percent(entry), sourceDerived, within(entry, limitCore), "bounded candidates on a hash ring; buckets; hash tables"},
-		{"entry", "processor, learning summaries", fmt.Sprintf("%d upstreams x %d/s x %s us", targetUpstreams, heartbeatsSecond, figure(at(nameLearn))), percent(learn), sourceDerived, within(learn, limitCore), "index of loaded versions, replaced by difference"},
+		{"entry", "processor, learning summaries", fmt.Sprintf("%d heartbeats/s x %.2f upstreams x %s us", heardSecond, held, figure(at(nameLearn))), percent(learn), sourceDerived, within(learn, limitCore), "index of loaded versions, replaced by difference"},
 		{"entry", "processor, forwarding 1.1 million tokens/s", "not measured by this command", "-", sourceUnknown, "-", "-"},
 		{"entry", "memory", fmt.Sprintf("router %s + configuration %s + ledger %s + %.2f holders x %s", mega(at(nameRouterBytes)), mega(at(nameConfigBytes)), mega(at(nameLedgerBytes)), held, mega(at(nameHolderIdle))), mega(memory), sourceDerived, within(memory, limitMemory), "nothing kept for an idle adapter but its configuration"},
-		{"entry", "network, heartbeats heard", fmt.Sprintf("%d members x %d/s x (%s + %d) bytes", targetInstances-1, heartbeatsSecond, figure(at(nameHeartbeat)), frameBytes), kilo(heard) + "/s", sourceDerived, within(heard, limitNetwork), "every instance hears every other; would be replaced by summaries relayed within a data centre and asked for by adapter"},
+		{"entry", "network, heartbeats", fmt.Sprintf("%d/s sent and %d/s received x (%s + %d) bytes", heardSecond, heardSecond, figure(at(nameHeartbeat)), frameBytes), kilo(heard) + "/s", sourceDerived, within(heard, limitNetwork), "a fixed number asked each second; would be replaced by telling only what changed"},
+		{"entry", "age of an upstream's summary, at the most", fmt.Sprintf("%d other members / %d/s", targetInstances-1, heardSecond), fmt.Sprintf("%.1f s, used up to %.0f s", age, stale), sourceDerived, within(age, stale), "a fixed number asked each second; would be replaced by summaries relayed within a data centre"},
 		{"holder of upstreams", "upstreams held", fmt.Sprintf("%d/%d", targetUpstreams, targetInstances), fmt.Sprintf("%.2f", held), sourceDerived, "-", "rendezvous hashing"},
 		{"holder of upstreams", "processor, placing", fmt.Sprintf("%d/%d requests/s x %s us with 128 waiting", targetRequests, targetInstances, figure(at(nameHoldFull))), percent(holding), sourceDerived, within(holding, limitCore), "queue bounded by time and length"},
 		{"holder of upstreams", "memory for each adapter once asked for and idle now", fmt.Sprintf("%s / %d", mega(at(nameHolderIdle)), targetAdapters), fmt.Sprintf("%.1f bytes", at(nameHolderIdle)/targetAdapters), sourceMeasured, "-", "counts that decay and are dropped"},
@@ -77,8 +85,8 @@
 }
 
 func writeTarget(b *strings.Builder, measured map[string]series) {
-	fmt.Fprintf(b, "\nFor %d instances, %d upstreams, %d adapters, %d requests a second and %d changes a day; limits for control on each instance: %.0f%% of a core, %s, %s/s. A heartbeat from each instance to each a second, %d bytes of framing each (not measured).\n\n",
-		targetInstances, targetUpstreams, targetAdapters, targetRequests, targetChanges, limitCore*100, mega(limitMemory), kilo(limitNetwork), frameBytes)
+	fmt.Fprintf(b, "\nFor %d instances, %d upstreams, %d adapters, %d requests a second and %d changes a day; limits for control on each instance: %.0f%% of a core, %s, %s/s. Each instance asks %d others a second, %d bytes of framing each (not measured).\n\n",
+		targetInstances, targetUpstreams, targetAdapters, targetRequests, targetChanges, limitCore*100, mega(limitMemory), kilo(limitNetwork), askedSecond, frameBytes)
 	b.WriteString("| role | figure | arithmetic | value | source | within the limit | mechanism |\n|---|---|---|---|---|---|---|\n")
 	for _, c := range cells(measured) {
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s |\n", c.role, c.figure, c.arithmetic, c.value, c.source, c.verdict, c.mechanism)
--- a/internal/measure/policy/run_test.go
+++ b/internal/measure/policy/run_test.go
@@ -13,7 +13,7 @@
 // be compared with the one before a change.
 func TestSameSeedSameResult(t *testing.T) {
 	is := is.New(t)
-	for _, name := range []string{"poison", "failed-loads"} {
+	for _, name := range []string{"poison", "saturated"} {
 		for _, load := range Cases() {
 			if load.Name != name {
 				continue
--- a/internal/placement/share/tracker.go
+++ b/internal/placement/share/tracker.go
@@ -24,6 +24,9 @@
 // It is not safe for use by several goroutines.
 type Tracker struct {
 	served map[string]served
+	// names keeps the workspaces in the order of their first answer: sums of floats depend on their
+	// order, and equal runs are to decide equally.
+	names []string
 }
 
 // served is tokens that halve every halfLife, and the workspace's declared weight.
@@ -42,6 +45,9 @@
 	if t.served == nil {
 		t.served = make(map[string]served)
 	}
+	if _, known := t.served[workspace]; !known {
+		t.names = append(t.names, workspace)
+	}
 	t.served[workspace] = served{tokens: t.served[workspace].now(now) + tokens, weight: weight, at: now}
 }
 
@@ -51,7 +57,8 @@
 // ones get more than theirs.
 func (t *Tracker) Weight(now time.Time, workspace string, weight float64) float64 {
 	tokens, weights := 0.0, 0.0
-	for _, s := range t.served {
+	for _, name := range t.names {
+		s := t.served[name]
 		tokens += s.now(now)
 		weights += s.weight
 	}
