--- a/internal/measure/policy/tables.go
+++ b/internal/measure/policy/tables.go
@@ -75,6 +75,9 @@
 		}
 		b.WriteString("\n")
 	}
+	if !ratio {
+		fmt.Fprintf(b, "\n![%s](plots/%s.png)\n", m.name, m.file)
+	}
 }
 
 func cell(m measure, value, base float64, ratio bool) string {
--- a/internal/placement/broker/broker.go
+++ b/internal/placement/broker/broker.go
@@ -65,6 +65,7 @@
 	case Withdrawn:
 		b.withdrawn(e)
 	case Ended:
+		delete(b.asks, e.Load)
 		delete(b.inFlight, e.Load)
 	case Tick:
 	}
--- a/internal/placement/broker/events.go
+++ b/internal/placement/broker/events.go
@@ -32,7 +32,8 @@
 	}
 	// Withdrawn tells that the holder wants the permit no more, or gives it back unused.
 	Withdrawn struct{ Load Load }
-	// Ended tells that the load is done or has failed. Without it the permit lapses by itself.
+	// Ended tells that the load is done, has failed or is wanted no more, whether it was asked for or
+	// permitted. Without it the permit lapses by itself.
 	Ended struct{ Load Load }
 	// Tick lets time pass; send one at least every 50 milliseconds.
 	Tick struct{}
