Spend less on control at rest

Cause: at rest an instance moved 7.6 KB/s at 8 instances, over the 4 KB/s it may spend at the target. Every instance read the whole list each second and every engine's report three times a second, and heartbeats told a revision only to the one that asked. Ruled out: the store (3 calls a second for the whole fleet).

--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -21,10 +21,10 @@
 // confirmed, upstreams, suspects, who is leaving, and loans given back.
 
 const (
-	// beatEvery and beatsAtOnce bound what heartbeats cost an instance, however large the fleet: eight
-	// small calls a second. With eight instances each peer is asked about once a second.
+	// beatEvery and beatsAtOnce bound what heartbeats cost an instance, however large the fleet: four
+	// small calls a second. With eight instances each peer is asked within two seconds, and asks us too.
 	beatEvery   = 500 * time.Millisecond
-	beatsAtOnce = 4
+	beatsAtOnce = 2
 	// beatWithin bounds one heartbeat. A peer that takes longer tells nothing that is still of use.
 	beatWithin = time.Second
 )
--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -69,8 +69,11 @@
 	return true
 }
 
-// tellLeaving brings the names to the route and to the holders.
-func (d *Daemon) tellLeaving(ctx context.Context) {
+// applyLeaving brings the names to the route and to the holders when they have changed.
+func (d *Daemon) applyLeaving(ctx context.Context) {
+	if !d.leaving.changed() {
+		return
+	}
 	names := d.leaving.all()
 	d.Log.Info().Strs("Names", names).Msg("LeavingChanged")
 	d.pipeline.Advice.With(func(a *pipeline.Advice) {
--- a/internal/entry/daemon/members.go
+++ b/internal/entry/daemon/members.go
@@ -19,8 +19,12 @@
 	considerMembers = 200 * time.Millisecond
 	// commitWithin bounds one change of members.
 	commitWithin = 3 * time.Second
-	// listEvery is how often the platform's list is read.
-	listEvery = time.Second
+	// listEvery is how often the platform's list is read, and listReaders by how many members; the others
+	// hear of it in heartbeats. Read by all, the list alone would cost each instance more at 330 instances
+	// than it may spend on control, for it names every instance and upstream.
+	listEvery   = time.Second
+	listReaders = 3
+	listDuty    = "list"
 	// unlistedFor is how long a silent member must be missing from the platform's list before it counts
 	// as ended. The list lags by seconds; a member that is only cut off from us is still on it.
 	unlistedFor = 10 * time.Second
@@ -92,6 +96,12 @@
 func (d *Daemon) runListing(ctx context.Context) error {
 	missing := map[head.Member]time.Time{}
 	for pause(ctx, listEvery) {
+		if !membership.Among(d.repository.Current().Head, listDuty, d.self.Name, listReaders) {
+			d.leaving.setOwn(nil)
+			clear(missing)
+			d.applyLeaving(ctx)
+			continue
+		}
 		members, err := d.listing.Members(ctx)
 		if err == nil {
 			d.leaving.setOwn(leavingOn(members))
@@ -100,9 +110,7 @@
 			d.scope.Counter("list_unreadable").Inc(1)
 			clear(missing)
 		}
-		if d.leaving.changed() {
-			d.tellLeaving(ctx)
-		}
+		d.applyLeaving(ctx)
 	}
 	return nil
 }
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -17,8 +17,10 @@
 // loop what came of it.
 
 const (
-	// reportEvery is how often an engine is asked for its report. Reports lag by more than this anyway.
-	reportEvery = 300 * time.Millisecond
+	// reportEvery is how often an engine is asked for its report. Three that fail make an upstream
+	// unhealthy, which has to show within a few seconds; asked more often, reports would take most of
+	// what an instance may spend on control.
+	reportEvery = time.Second
 	// unhealthyAfter is how many reports in a row may fail before the upstream gets no new work: one or
 	// two are lost to a slow connection, and a leaving upstream has to be noticed within seconds.
 	unhealthyAfter = 3
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -146,6 +146,20 @@
 	t.review(now)
 }
 
+// Told says that a process told, unasked, which revision it goes by. That helps the revision into force
+// everywhere and shows that there is a newer one. It confirms nothing, since it may have been on its way
+// for long, and it says nothing of another process of the same name, which may be anywhere.
+func (t *Tracker) Told(member Member, revision int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.highest = max(t.highest, revision)
+	now := time.Now()
+	if t.concerns(member.identity()) {
+		t.tell(member, revision, now)
+	}
+	t.review(now)
+}
+
 // Ended says that a process has certainly ended, so that it counts as having told every revision. The
 // caller must be sure: a process that is only silent may be frozen, and would be fresh again by a
 // majority of its like. Without this a fleet that was restarted whole could not make a single change
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -102,6 +102,14 @@
 	return highest("broker", h.Members)
 }
 
+// Among tells whether a member is one of the few that have a duty which more than one should have, but
+// not all, since its cost would grow with the fleet.
+func Among(h head.Head, duty, name string, count int) bool {
+	ranked := rank(duty, h.Members)
+	own := slices.IndexFunc(ranked, func(m head.Member) bool { return m.Name == name })
+	return own >= 0 && own < count
+}
+
 func highest(duty string, members []head.Member) (best head.Member, found bool) {
 	ranked := rank(duty, members)
 	if len(ranked) == 0 {
