--- a/internal/fleet/freshness/told_test.go
+++ b/internal/fleet/freshness/told_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,6 +21,7 @@
 		namesake := freshness.Member{Name: "b", Incarnation: "2"}
 		tracker := &freshness.Tracker{Self: self}
 		tracker.Install(freshness.Head{Revision: 5, Epoch: 1, Members: []freshness.Member{self, listed}})
+		time.Sleep(time.Second)
 		tracker.Told(namesake, 5)
 		is.True(!tracker.InForceEverywhere(5))
 		tracker.Told(listed, 5)
