Give each deployment a block of ports of its own

A restarted instance once more could not listen, in one run of four, while another deployment ran on the machine: it had been handed the killed instance's port in between. Ruled out: the killed process itself, which was waited for, and outgoing connections, whose range is another. A block of ports now belongs to whoever listens at its first port.

--- a/internal/standin/deployment/address.go
+++ b/internal/standin/deployment/address.go
@@ -10,40 +10,60 @@
 )
 
 // Ports for processes that may be started again lie below the range from which the system takes the
-// ports of outgoing connections (from 32768 by default on Linux). A port of that range may be in use by
-// an outgoing connection just when its process is started again, which then cannot listen.
+// ports of outgoing connections (from 32768 by default on Linux): a port of that range may be in use
+// just when its process is started again, which then cannot listen. They are taken from a block that
+// belongs to this process alone, so that another deployment on the machine does not take one meanwhile
+// either. A block belongs to whoever listens at its first port.
 const (
-	lowestPort  = 15000
-	highestPort = 32000
-	addressTry  = 100
+	lowestPort = 15000
+	blockPorts = 500
+	blocks     = 34
 )
 
-// given remembers the ports handed out by this process, since those of a process that is just being
-// started again look free.
-var given struct {
+// block is the ports that this process may still hand out.
+var block struct {
 	sync.Mutex
-	ports map[int]bool
+	// owners keeps every claimed block, since a listener that nobody holds would be closed.
+	owners []net.Listener
+	next   int
+	end    int
 }
 
-// freeAddress picks a free address on loopback at random.
+// freeAddress hands out an address on loopback that was never handed out before by this process.
 func freeAddress() (string, error) {
-	given.Lock()
-	defer given.Unlock()
-	if given.ports == nil {
-		given.ports = make(map[int]bool)
+	block.Lock()
+	defer block.Unlock()
+	for {
+		if block.next == block.end {
+			if err := claimBlock(); err != nil {
+				return "", err
+			}
+		}
+		address := portAddress(block.next)
+		block.next++
+		if isFree(address) {
+			return address, nil
+		}
 	}
-	for range addressTry {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if given.ports[port] || !isFree(address) {
+}
+
+// claimBlock takes over a block that nobody has. The listener is kept open until the process ends.
+func claimBlock() error {
+	for _, number := range rand.Perm(blocks) {
+		first := lowestPort + number*blockPorts
+		owner, err := net.Listen("tcp", portAddress(first))
+		if err != nil {
 			continue
 		}
-		given.ports[port] = true
-		return address, nil
+		block.owners = append(block.owners, owner)
+		block.next, block.end = first+1, first+blockPorts
+		return nil
 	}
-	return "", errors.New("deployment: no free port found")
+	return errors.New("deployment: no block of ports is free")
 }
 
+func portAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
 func isFree(address string) bool {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
