--- a/internal/caller/stream/codec_test.go
+++ b/internal/caller/stream/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -167,3 +168,42 @@
 	is.NoErr(err)
 	is.True(!send)
 }
+
+// The caller must find its own id and no usage that it did not ask for, whichever way the event was
+// rewritten, and everything else as the engine sent it. A second id, or one spelled with escapes, would
+// win over the first at the caller.
+func FuzzForCaller(f *testing.F) {
+	for _, data := range []string{
+		`{"id":"x","model":"a@1","choices":[{"index":0,"text":" paint"}]}`,
+		`{"id":"x","choices":[{"text":"a"}],"usage":{"prompt_tokens":1}}`,
+		`{"id":"x","choices":[],"id":"y"}`,
+		`{"id":"x","\u0069d":"y","u\u0073age":null}`,
+		`{"id":"x\"","choices":[{"delta":{"tool_calls":[{"id":"c"}]}}]}`,
+		`{"id":"x","choices":[}`,
+	} {
+		f.Add([]byte(data), true)
+		f.Add([]byte(data), false)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, includeUsage bool) {
+		var want map[string]any
+		valid := json.Unmarshal(data, &want) == nil && want != nil
+		rewritten, send, err := stream.ForCaller(stream.Event{Data: data}, "r1", includeUsage)
+		if (err == nil) != valid {
+			t.Fatalf("valid %v, but %v", valid, err)
+		}
+		if err != nil || !send {
+			return
+		}
+		want["id"] = "r1"
+		if !includeUsage {
+			delete(want, "usage")
+		}
+		var got map[string]any
+		if err := json.Unmarshal(rewritten.Data, &got); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("sent %s for %s", rewritten.Data, data)
+		}
+	})
+}
