Read a stream's lines in place

Cause: the reader copied each line twice, and an event's data once more, before anyone looked at it. A line that is whole in the buffer is now looked at where it lies; only what the event keeps is copied. The bounds and the refusals are as they were.

--- a/internal/caller/stream/reader.go
+++ b/internal/caller/stream/reader.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -52,7 +51,7 @@
 			continue
 		}
 		pending.add(line)
-		if pending.data.Len() > r.limit {
+		if len(pending.data) > r.limit {
 			return Event{}, ErrTooLong
 		}
 	}
@@ -66,21 +65,12 @@
 	return err
 }
 
-// line reads one line without its end. A last line without an end is a cut one.
+// line reads one line without its end. A last line without an end is a cut one. The line is the
+// reader's own memory until the next call: a copy of each would be a good part of an event's cost.
 func (r *Reader) line() (line []byte, err error) {
-	for {
-		part, err := r.source.ReadSlice('\n')
-		if len(line)+len(part) > r.limit+len("\r\n") {
-			return nil, ErrTooLong
-		}
-		line = append(line, part...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return nil, endOf(err, len(line) > 0)
-		}
-		break
+	line, err = r.lineWithEnd()
+	if err != nil {
+		return nil, endOf(err, len(line) > 0)
 	}
 	line = bytes.TrimSuffix(line, []byte("\n"))
 	line = bytes.TrimSuffix(line, []byte("\r"))
@@ -94,34 +84,52 @@
 	return line, nil
 }
 
+// lineWithEnd reads up to the end of a line, and copies only what is longer than the source's buffer.
+// With an error it returns what came before it.
+func (r *Reader) lineWithEnd() (line []byte, err error) {
+	for {
+		part, err := r.source.ReadSlice('\n')
+		if len(line)+len(part) > r.limit+len("\r\n") {
+			return nil, ErrTooLong
+		}
+		if line == nil && err == nil {
+			return part, nil
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // pendingEvent gathers the lines of one event.
 type pendingEvent struct {
 	begun   bool
 	hasData bool
 	name    string
 	id      string
-	data    bytes.Buffer
+	data    []byte
 }
 
 // add takes one line. Unknown fields and comments are skipped, as the format asks.
 func (p *pendingEvent) add(line []byte) {
 	p.begun = true
-	field, value, _ := strings.Cut(string(line), ":")
-	value = strings.TrimPrefix(value, " ")
-	switch field {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
 	case "data":
 		if p.hasData {
-			p.data.WriteByte('\n')
+			p.data = append(p.data, '\n')
 		}
 		p.hasData = true
-		p.data.WriteString(value)
+		p.data = append(p.data, value...)
 	case "event":
-		p.name = value
+		p.name = string(value)
 	case "id":
-		p.id = value
+		p.id = string(value)
 	}
 }
 
 func (p *pendingEvent) event() Event {
-	return Event{Name: p.name, ID: p.id, Data: p.data.Bytes()}
+	return Event{Name: p.name, ID: p.id, Data: p.data}
 }
