Send no calls to leaving machines of plain services

Leaving engines got no new work, but calls of plain services went to any declared address. A call that may not be repeated and is cut when the machine goes has an outcome that nobody knows. The list names the machines of services with their addresses, and names are what is said to be leaving by the list or by other members; both are put together now. With all addresses leaving the call is refused and not run.

Limit: an instance that never read the list cannot tell which address belongs to a name that others say is leaving. TestLeavingServiceGetsNoCalls fails without the filter. Not tested yet with real processes.

--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -125,6 +125,7 @@
 		Fleet:    fleet{daemon: d, own: handler{daemon: d}},
 		Engine:   func(address string) pipeline.Engine { return d.engines.at(address, d.engineLimits()) },
 		Services: &service.Client{},
+		Leaving:  d.leaving.isLeaving,
 		Pins:     &pipeline.Pins{},
 		Running:  &pipeline.Running{},
 		Burn:     d.burn,
--- a/internal/entry/daemon/members.go
+++ b/internal/entry/daemon/members.go
@@ -95,6 +95,7 @@
 		members, err := d.listing.Members(ctx)
 		if err == nil {
 			d.leaving.setOwn(leavingOn(members))
+			d.leaving.setServices(members)
 			d.noteMissing(ctx, members, missing)
 		} else {
 			d.scope.Counter("list_unreadable").Inc(1)
--- a/internal/entry/pipeline/fixture_test.go
+++ b/internal/entry/pipeline/fixture_test.go
@@ -44,6 +44,8 @@
 	burst        = 1000
 	longPatience = 20 * time.Second
 	serviceAt    = "10.0.0.9:1"
+
+	otherServiceAt = "10.0.0.8:1"
 )
 
 var (
@@ -67,12 +69,14 @@
 	cancel   func() error
 	do       func(ctx context.Context, call service.Call) service.Outcome
 
+	leaving  map[string]bool
 	paused   atomic.Bool
 	mutex    sync.Mutex
 	pins     int
 	placed   []peer.PlaceRequest
 	sent     []string
 	calls    int
+	called   []string
 	released []peer.ReleaseRequest
 }
 
@@ -98,7 +102,7 @@
 	f.pipeline = &pipeline.Pipeline{
 		Self: self, Current: f.repository.Current, Tracker: f.tracker, Ledger: f.ledger, Claims: claims,
 		Fleet: f, Engine: func(address string) pipeline.Engine { return engineAt{f, upstream[address]} },
-		Services: f, Pins: &pipeline.Pins{}, Running: &pipeline.Running{}, Burn: &burn.Recorder{},
+		Services: f, Leaving: func(address string) bool { return f.leaving[address] }, Pins: &pipeline.Pins{}, Running: &pipeline.Running{}, Burn: &burn.Recorder{},
 		Advice: &pipeline.Advice{
 			Router:   &route.Router{Settings: route.DefaultSettings()},
 			Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
@@ -143,7 +147,7 @@
 		adapterVersion("1"), adapterVersion("2"),
 		resource.Upstream{Meta: named("u1"), Address: "10.0.0.1:1", DataCentre: "south", BaseModel: "base", Slots: 4, Batch: 4},
 		resource.Upstream{Meta: named("u2"), Address: "10.0.0.2:1", DataCentre: "south", BaseModel: "base", Slots: 4, Batch: 4},
-		resource.Service{Meta: named("paint"), Addresses: []string{serviceAt, "10.0.0.8:1"}, Repeatable: []string{"GET"}},
+		resource.Service{Meta: named("paint"), Addresses: []string{serviceAt, otherServiceAt}, Repeatable: []string{"GET"}},
 	)
 }
 
@@ -270,9 +274,10 @@
 	return f.lend(ctx, member, request)
 }
 
-func (f *fixture) Do(ctx context.Context, _ string, call service.Call) service.Outcome {
+func (f *fixture) Do(ctx context.Context, address string, call service.Call) service.Outcome {
 	f.mutex.Lock()
 	f.calls++
+	f.called = append(f.called, address)
 	f.mutex.Unlock()
 	return f.do(ctx, call)
 }
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -68,10 +68,12 @@
 	Fleet    Fleet
 	Engine   func(address string) Engine
 	Services Services
-	Pins     *Pins
-	Running  *Running
-	Burn     Objectives
-	Advice   *Advice
+	// Leaving tells whether the machine at an address is said to be leaving.
+	Leaving func(address string) bool
+	Pins    *Pins
+	Running *Running
+	Burn    Objectives
+	Advice  *Advice
 	// Patience is the longest a request may wait before it is dispatched.
 	Patience time.Duration
 	Log      zerolog.Logger
--- a/internal/entry/pipeline/service_call.go
+++ b/internal/entry/pipeline/service_call.go
@@ -48,7 +48,22 @@
 	if err != nil {
 		return resource.Service{}, err
 	}
-	return serviceOf(current, identity, name)
+	target, err := serviceOf(current, identity, name)
+	if err != nil {
+		return target, err
+	}
+	return p.withoutLeaving(target)
+}
+
+// withoutLeaving leaves out the addresses that are leaving. A call sent to one of them may be cut when it
+// goes, and one that may not be repeated then has an outcome that nobody knows.
+func (p *Pipeline) withoutLeaving(target resource.Service) (resource.Service, error) {
+	target.Addresses = slices.DeleteFunc(slices.Clone(target.Addresses), p.Leaving)
+	if len(target.Addresses) == 0 {
+		return target, refusal.New(refusal.ServiceUnavailable, "all addresses of the service are leaving").
+			WithRetryAfter(time.Second)
+	}
+	return target, nil
 }
 
 func serviceOf(current configuration.Configuration, identity api.Identity, name string) (resource.Service, error) {
--- a/internal/entry/pipeline/service_call_test.go
+++ b/internal/entry/pipeline/service_call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,3 +191,25 @@
 		is.New(f.T).Equal(time.Since(began), time.Second)
 	})
 }
+
+// One of a service's machines is leaving. Calls go to the other; once that leaves as well they are refused
+// and not run, for one that was cut when the machine went would have an outcome that nobody knows.
+func TestLeavingServiceGetsNoCalls(t *testing.T) {
+	inBubble(t, 2, func(f *fixture) {
+		is := is.New(f.T)
+		f.leaving = map[string]bool{serviceAt: true}
+		for range 20 {
+			_, err := f.callService(f.context, http.MethodGet, "")
+			is.NoErr(err)
+		}
+		_, err := f.callService(f.context, http.MethodPost, "order-1")
+		is.NoErr(err)
+		is.True(!slices.Contains(f.called, serviceAt))
+		f.leaving[otherServiceAt] = true
+		for method, key := range map[string]string{http.MethodGet: "", http.MethodPost: "order-2"} {
+			_, err := f.callService(f.context, method, key)
+			refused(f.T, err, refusal.ServiceUnavailable, refusal.NotRun)
+		}
+		is.Equal(f.calls, 21)
+	})
+}
