--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -135,6 +135,7 @@
 		Backlog:    s.Backlog,
 		Resident:   s.Resident,
 		Healthy:    s.Healthy,
+		Coldest:    s.Coldest,
 		At:         at,
 	}
 }
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -86,6 +86,7 @@
 		FreePlaces:    int32(s.FreePlaces),
 		BacklogMillis: s.Backlog.Milliseconds(),
 		Healthy:       s.Healthy,
+		Coldest:       s.Coldest,
 	}
 	for _, ref := range s.Resident {
 		wire.Resident = append(wire.Resident, ref.String())
@@ -100,6 +101,7 @@
 		FreePlaces: int(wire.GetFreePlaces()),
 		Backlog:    millis(wire.GetBacklogMillis()),
 		Healthy:    wire.GetHealthy(),
+		Coldest:    wire.GetColdest(),
 	}
 	for _, text := range wire.GetResident() {
 		if ref, ok := model.Parse(text); ok {
