--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -106,7 +106,9 @@
 func (d *Daemon) learn(at time.Time, beat peer.Beat) {
 	d.detector.handle(membership.Heard{Name: beat.Instance, Incarnation: beat.Incarnation})
 	d.settlement.tell(rate.Identity{Name: beat.Instance, Incarnation: beat.Incarnation}, beat.OldestRevision)
-	d.leaving.tell(beat.Instance, beat.Leaving)
+	if _, member := d.repository.Current().Head.Member(beat.Instance); member {
+		d.leaving.tell(beat.Instance, beat.Leaving)
+	}
 	now := time.Now()
 	d.pipeline.Advice.With(func(a *pipeline.Advice) {
 		for _, summary := range beat.Upstreams {
--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -83,6 +83,7 @@
 	d.holding.SetTenure(ctx, d.tenure(before, now))
 	d.detector.handle(membership.Installed{Head: now.Head})
 	d.departures.note(before.Head, now.Head)
+	d.leaving.keepMembers(now.Head)
 	d.settlement.install(now.Head)
 	d.directory.Keep(addresses(now.Head))
 	// The read or swap that brought the head confirms it; without this, each change of the configuration
--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 	"lacewingrock.example/lacewingrock/internal/platform/listing"
@@ -38,6 +39,19 @@
 	l.sources[source] = names
 }
 
+// keepMembers drops the words of instances that are members no more. One that died after it had told that a
+// machine is leaving could never take it back: the machine, or a new one of its name, would get no work
+// from this instance for good.
+func (l *leavingNames) keepMembers(h head.Head) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for source := range l.sources {
+		if _, found := h.Member(source); !found && source != ownSource {
+			delete(l.sources, source)
+		}
+	}
+}
+
 // setServices notes which machine has which address.
 func (l *leavingNames) setServices(members []listing.Member) {
 	l.mutex.Lock()
--- /dev/null
+++ b/internal/entry/daemon/leaving_test.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/platform/listing"
+)
+
+// An instance told that a machine is leaving, and died. Its word must count while it is a member, since it
+// may be the only one that could read the list, and end with it: nobody else could take it back.
+func TestWordOfADeadInstanceEnds(t *testing.T) {
+	is := is.New(t)
+	l := &leavingNames{}
+	both := head.Head{}.WithMember(head.Member{Name: "i1"}).WithMember(head.Member{Name: "i2"})
+	l.setOwn([]string{"engine-1"})
+	l.tell("i2", []string{"engine-2"})
+	l.keepMembers(both)
+	is.Equal(l.all(), []string{"engine-1", "engine-2"})
+	is.True(l.changed())
+	l.keepMembers(both.WithoutMember("i2"))
+	is.Equal(l.all(), []string{"engine-1"})
+	is.True(l.changed())
+	is.True(!l.changed())
+}
+
+// The configuration declares a service's addresses, the list says which machine has which, and the names
+// of leaving machines come from any member.
+func TestLeavingMachineOfAService(t *testing.T) {
+	is := is.New(t)
+	l := &leavingNames{}
+	is.True(!l.isLeaving("10.0.0.9:1"))
+	l.setServices([]listing.Member{
+		{Name: "paint-1", Role: listing.RoleService, Address: "10.0.0.9:1"},
+		{Name: "paint-2", Role: listing.RoleService, Address: "10.0.0.8:1"},
+		{Name: "engine-1", Role: listing.RoleEngine, Address: "10.0.0.7:1"},
+	})
+	l.tell("i2", []string{"paint-1", "engine-1"})
+	is.True(l.isLeaving("10.0.0.9:1"))
+	is.True(!l.isLeaving("10.0.0.8:1"))
+	l.tell("i2", nil)
+	is.True(!l.isLeaving("10.0.0.9:1"))
+}
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -53,6 +53,9 @@
 		})
 		if err == nil {
 			d.Log.Info().Int64("Revision", revision).Msg("MemberLeaves")
+			if len(d.repository.Current().Head.Members) == 0 {
+				return // the last one: nobody is left who could tell that the head is in force
+			}
 			_ = d.tracker.WaitInForce(ctx, revision) // the context's error means that it is not known; the stop goes on
 			return
 		}
