--- a/internal/admission/rate/settled.go
+++ b/internal/admission/rate/settled.go
@@ -5,8 +5,8 @@
 // instances telling each other, a new member would have to wait for the longest reservation there can
 // be, minutes in which its callers are refused within their rate.
 
-// OldestRevision is the revision of the oldest head under which a reservation or a loan that is still
-// open was made here; the installed revision when none is. It is told to the other members.
+// OldestRevision is the revision of the oldest head under which a reservation or a loan, lent or
+// borrowed, that is still open was made here; the installed revision when none is. It is told to the other members.
 func (l *Ledger) OldestRevision() int64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -19,6 +19,9 @@
 		for _, loan := range b.lent {
 			oldest = min(oldest, loan.revision)
 		}
+		for _, loan := range b.borrowed {
+			oldest = min(oldest, loan.revision)
+		}
 	}
 	return oldest
 }
--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -272,8 +272,8 @@
 func releasedBy(outcome engine.Outcome, m *meter) holder.Released {
 	released := holder.Released{Tokens: float64(m.tokens)}
 	switch outcome.(type) {
-	case engine.NotResident:
-		released.NotResident = true
+	case engine.NotResident, engine.WrongModel:
+		released.NotResident = true // either way the holder's belief about the version is wrong
 	case engine.Failed, engine.Unknown:
 		released.UpstreamFailed = true
 	}
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -146,6 +146,20 @@
 	t.review(now)
 }
 
+// Told says that a process told, unasked, which revision it goes by. That helps the revision into force
+// everywhere and shows that there is a newer one. It confirms nothing, since it may have been on its way
+// for long, and it says nothing of another process of the same name, which may be anywhere.
+func (t *Tracker) Told(member Member, revision int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.highest = max(t.highest, revision)
+	now := time.Now()
+	if t.concerns(member.identity()) {
+		t.tell(member, revision, now)
+	}
+	t.review(now)
+}
+
 // Ended says that a process has certainly ended, so that it counts as having told every revision. The
 // caller must be sure: a process that is only silent may be frozen, and would be fresh again by a
 // majority of its like. Without this a fleet that was restarted whole could not make a single change
@@ -277,190 +291,6 @@
 	return since >= max(t.readEvery(), spread)
 }
 
-// ---------------------------------------------------------------------------------------------
-// Confirmations.
-
-func (t *Tracker) confirm(at time.Time, revision int64) {
-	t.highest = max(t.highest, revision)
-	switch {
-	case revision == t.head.Revision:
-		t.read = later(t.read, at)
-	case revision > t.head.Revision && revision >= t.ahead.revision:
-		if revision > t.ahead.revision {
-			t.ahead = confirmation{revision: revision}
-		}
-		t.ahead.at = later(t.ahead.at, at)
-	}
-}
-
-// extendByMajority counts the members, this process included, that were asked and knew nothing newer.
-// The confirmation begins at the oldest question that is needed for the majority: an instance that
-// heard one peer now and the others long ago must not take the newest answer for all of them.
-// Nothing is counted while a read is young: with many members the count costs more than it brings.
-func (t *Tracker) extendByMajority(now time.Time) {
-	if t.highest > t.head.Revision || elapsed(t.read, now) < t.bound()/4 {
-		return
-	}
-	var starts []time.Time
-	for _, m := range t.head.Members {
-		id := m.identity()
-		if id == t.Self.identity() {
-			starts = append(starts, now)
-			continue
-		}
-		if q, found := t.asked[id]; found && q.revision <= t.head.Revision {
-			starts = append(starts, q.asked)
-		}
-	}
-	need := majority(len(t.head.Members))
-	if len(t.head.Members) == 0 || len(starts) < need {
-		return
-	}
-	slices.SortFunc(starts, func(a, b time.Time) int { return b.Compare(a) })
-	t.quorum = later(t.quorum, starts[need-1])
-}
-
-func (t *Tracker) confirmedAt() time.Time {
-	return later(t.read, t.quorum)
-}
-
-// ---------------------------------------------------------------------------------------------
-// In force everywhere.
-
-func (t *Tracker) tell(m Member, revision int64, now time.Time) {
-	if t.told == nil {
-		t.told = map[identity]Status{}
-		t.asked = map[identity]question{}
-	}
-	known, found := t.told[m.identity()]
-	if found && known.Revision >= revision {
-		return
-	}
-	t.told[m.identity()] = Status{Member: m, Revision: revision, Since: now, Told: true}
-}
-
-// noteReplaced takes a listed member for ended when another incarnation of its name answered in its
-// place. Heartbeats go to the address that the head lists, and an instance stops using its knowledge
-// before it closes its listener, so the old process can neither answer nor serve.
-// Only questions asked under the installed head count: a late answer of the old process must not speak
-// for the new one.
-func (t *Tracker) noteReplaced(reply Reply) {
-	if !reply.Asked.After(t.installed) {
-		return
-	}
-	for _, m := range t.head.Members {
-		if m.Name == reply.Member.Name && m.Incarnation != reply.Member.Incarnation {
-			t.tell(m, math.MaxInt64, time.Now())
-		}
-	}
-}
-
-// review moves inForce forward as far as the facts allow. A revision that is in force takes all older
-// ones with it.
-func (t *Tracker) review(now time.Time) {
-	before := t.inForce
-	for i := range t.pending {
-		p := &t.pending[i]
-		count := t.countTold(p.revision)
-		if p.majority.IsZero() && count >= majority(len(t.head.Members)) && count > 0 {
-			p.majority = now
-		}
-		if t.allTold(p.revision, count) || t.boundRanOut(*p, now) {
-			t.inForce = max(t.inForce, p.revision)
-		}
-	}
-	t.pending = slices.DeleteFunc(t.pending, func(p pendingRevision) bool { return p.revision <= t.inForce })
-	for id, left := range t.departed {
-		if left <= t.inForce {
-			delete(t.departed, id)
-		}
-	}
-	if t.inForce > before || t.changed == nil {
-		t.wake()
-	}
-}
-
-func (t *Tracker) countTold(revision int64) int {
-	count := 0
-	for _, m := range t.head.Members {
-		if t.told[m.identity()].Revision >= revision {
-			count++
-		}
-	}
-	return count
-}
-
-// allTold also asks the members that a head removed: such a one may still be fresh on an older head.
-// Once it told the head that removed it, it is no member any more and never fresh again.
-func (t *Tracker) allTold(revision int64, count int) bool {
-	if count == 0 || count < len(t.head.Members) || t.blind > t.inForce {
-		return false
-	}
-	for id, left := range t.departed {
-		if t.told[id].Revision < min(revision, left) {
-			return false
-		}
-	}
-	return true
-}
-
-func (t *Tracker) boundRanOut(p pendingRevision, now time.Time) bool {
-	return !p.majority.IsZero() && now.Sub(p.majority) >= t.bound()+t.bound()/clockRateMargin
-}
-
-// noteDepartures remembers who left between the installed head and the next one. A process that saw
-// no earlier head, or skipped some, may have missed a departure: then only the Bound can tell. It has
-// missed none when the last change of members or upstreams added a member that is still there.
-func (t *Tracker) noteDepartures(next Head) {
-	if t.departed == nil {
-		t.departed = map[identity]int64{}
-	}
-	for _, m := range t.head.Members {
-		if !slices.ContainsFunc(next.Members, func(n Member) bool { return n.identity() == m.identity() }) {
-			t.departed[m.identity()] = next.Revision
-		}
-	}
-	sawAll := t.head.Revision > 0 && (next.Revision == t.head.Revision+1 || next.Epoch <= t.head.Revision)
-	added := slices.ContainsFunc(next.Members, func(m Member) bool { return m.Since == next.Epoch })
-	if !sawAll && !added {
-		t.blind = next.Revision
-	}
-}
-
-// forget drops what was told by processes that no longer matter.
-func (t *Tracker) forget() {
-	for id := range t.told {
-		if !t.concerns(id) {
-			delete(t.told, id)
-			delete(t.asked, id)
-		}
-	}
-}
-
-func (t *Tracker) nextReview() (changed <-chan struct{}, wait time.Duration) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.changed == nil {
-		t.wake()
-	}
-	wait = t.bound()
-	now := time.Now()
-	for _, p := range t.pending {
-		if !p.majority.IsZero() {
-			left := t.bound() + t.bound()/clockRateMargin - now.Sub(p.majority)
-			wait = min(wait, max(left, time.Millisecond))
-		}
-	}
-	return t.changed, wait
-}
-
-func (t *Tracker) wake() {
-	if t.changed != nil {
-		close(t.changed)
-	}
-	t.changed = make(chan struct{})
-}
-
 // ---------------------------------------------------------------------------------------------
 // Who counts.
 
