--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -76,9 +76,9 @@
 // assembleKnowledge makes what the instance knows, and for how long it may use it.
 func (d *Daemon) assembleKnowledge() {
 	platform := d.Settings.Platform
-	client := &store.Client{Address: platform.StoreAddress, Timeout: platform.StoreTimeout}
+	d.store = &store.Client{Address: platform.StoreAddress, Timeout: platform.StoreTimeout}
 	d.repository = &repository.Repository{
-		Store:  client,
+		Store:  d.store,
 		Writer: d.self.Name + "/" + d.self.Incarnation,
 		Log:    d.Log,
 	}
@@ -86,7 +86,7 @@
 	d.listing = &listing.Client{Address: platform.ListAddress}
 	d.tracker = &freshness.Tracker{Self: trackerMember(d.self), Bound: d.Settings.Freshness.Bound}
 	d.ledger = &rate.Ledger{Self: d.identity(), Knowledge: d.tracker}
-	d.claims = &claim.Registry{Store: client}
+	d.claims = &claim.Registry{Store: d.store}
 	d.detector.detector = &membership.Detector{Self: d.self.Name}
 }
 
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/platform/listing"
+	"lacewingrock.example/lacewingrock/internal/platform/store"
 	"lacewingrock.example/lacewingrock/internal/report/burn"
 	"lacewingrock.example/lacewingrock/internal/upstream/engine"
 )
@@ -41,6 +42,7 @@
 
 	self       head.Member
 	scope      tally.Scope
+	store      *store.Client
 	repository *repository.Repository
 	sweeper    *repository.Sweeper
 	listing    listing.Listing
@@ -148,6 +150,7 @@
 	add(d.runInForce)
 	add(d.runListing)
 	add(d.sweeper.Run)
+	add(d.runGauges)
 	group.Add(d.servePeers, func(error) { d.peers.Stop() })
 	group.Add(d.serveOperators, func(error) { _ = d.operators.Close() })
 	add(func(working context.Context) error { return d.serveCallers(ctx, working) })
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 )
@@ -19,7 +21,11 @@
 	leaveAgain = 200 * time.Millisecond
 )
 
-// runStop waits for the order to stop and carries it out; the callers' server drains meanwhile. Working ends when another duty has failed.
+// errCut means that a planned stop had to cut requests, since they ran for longer than it may wait.
+var errCut = errors.New("daemon: requests were cut")
+
+// runStop waits for the order to stop and carries it out; the callers' server drains meanwhile. Working
+// ends when another duty has failed.
 func (d *Daemon) runStop(ordered, working context.Context) error {
 	select {
 	case <-ordered.Done():
@@ -28,17 +34,19 @@
 	}
 	d.stopping.Store(true)
 	d.Log.Info().Int("Running", d.pipeline.Running.Count()).Msg("StopBegins")
+	var cut error
 	select {
 	case err := <-d.drained:
 		if err != nil {
 			d.Log.Warn().Int("Running", d.pipeline.Running.Count()).Err(err).Msg("RequestsCut")
+			cut = errCut
 		}
 	case <-working.Done():
 		return nil
 	}
 	d.leave(working)
 	d.Log.Info().Msg("StopEnds")
-	return nil
+	return cut
 }
 
 // leave takes this instance out of the head, and stays until that is in force everywhere or the others
