--- a/internal/entry/brokering/runner.go
+++ b/internal/entry/brokering/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 )
@@ -28,9 +29,8 @@
 	Settings broker.Settings
 
 	broker  *broker.Broker
-	inbox   chan message
+	inbox   *inbox.Inbox[message]
 	waiting map[broker.Load]chan peer.LoadPermit
-	ended   chan struct{}
 }
 
 type message struct {
@@ -41,22 +41,21 @@
 // Prepare makes the runner ready to be called before Run has begun.
 func (r *Runner) Prepare() {
 	r.broker = &broker.Broker{Settings: r.Settings}
-	r.inbox = make(chan message, inboxLength)
+	r.inbox = inbox.New[message](inboxLength)
 	r.waiting = map[broker.Load]chan peer.LoadPermit{}
-	r.ended = make(chan struct{})
 }
 
 // Run owns the broker until the context ends.
 func (r *Runner) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "brokering") }()
-	defer close(r.ended)
+	defer r.inbox.End()
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-r.inbox:
+		case m := <-r.inbox.Messages():
 			r.take(m)
 		case <-tick.C:
 			r.feed(broker.Tick{})
@@ -67,34 +66,20 @@
 // Permit asks for leave to load, and waits for the answer.
 func (r *Runner) Permit(ctx context.Context, asked broker.Asked) peer.LoadPermit {
 	answer := make(chan peer.LoadPermit, 1)
-	if !r.send(ctx, message{event: asked, answer: answer}) {
+	if !r.inbox.Send(ctx, message{event: asked, answer: answer}) {
 		return refused
 	}
-	select {
-	case permit := <-answer:
-		return permit
-	case <-r.ended:
-		return refused
-	case <-ctx.Done():
-		r.send(context.WithoutCancel(ctx), message{event: broker.Withdrawn{Load: asked.Load}})
+	permit, ok := inbox.Await(ctx, r.inbox, answer)
+	if !ok {
+		r.inbox.Send(context.WithoutCancel(ctx), message{event: broker.Withdrawn{Load: asked.Load}})
 		return refused
 	}
+	return permit
 }
 
 // End tells that a load is done, has failed, or is not wanted any more.
 func (r *Runner) End(ctx context.Context, load broker.Load) {
-	r.send(ctx, message{event: broker.Ended{Load: load}})
-}
-
-func (r *Runner) send(ctx context.Context, m message) bool {
-	select {
-	case r.inbox <- m:
-		return true
-	case <-r.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
+	r.inbox.Send(ctx, message{event: broker.Ended{Load: load}})
 }
 
 // take hands one message on. Asking again for the same load replaces the earlier ask, so whoever
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
@@ -145,15 +146,10 @@
 
 func (r *Runner) list(s *seat) ([]holder.Pin, bool) {
 	answer := make(chan []holder.Pin, 1)
-	if !r.send(s.context, listMessage{seat: s, answer: answer}) {
-		return nil, false
-	}
-	select {
-	case pins := <-answer:
-		return pins, true
-	case <-s.context.Done():
+	if !r.inbox.Send(s.context, listMessage{seat: s, answer: answer}) {
 		return nil, false
 	}
+	return inbox.Await(s.context, r.inbox, answer)
 }
 
 func byInstance(pins []holder.Pin) map[string][]holder.Pin {
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -12,6 +12,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
@@ -61,13 +62,12 @@
 	Fresh func() error
 	Log   zerolog.Logger
 
-	inbox chan message
+	inbox *inbox.Inbox[message]
 	seats map[string]*seat
 	// tenure and leaving are the newest ones told.
 	tenure  Tenure
 	leaving Leaving
 	done    context.Context
-	ended   chan struct{}
 }
 
 const (
@@ -128,15 +128,14 @@
 
 // Prepare makes the runner ready to be called before Run has begun.
 func (r *Runner) Prepare() {
-	r.inbox = make(chan message, inboxLength)
+	r.inbox = inbox.New[message](inboxLength)
 	r.seats = map[string]*seat{}
-	r.ended = make(chan struct{})
 }
 
 // Run owns the holders until the context ends.
 func (r *Runner) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "holding") }()
-	defer close(r.ended)
+	defer r.inbox.End()
 	r.done = ctx
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -144,7 +143,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-r.inbox:
+		case m := <-r.inbox.Messages():
 			r.take(m)
 		case <-tick.C:
 			for _, s := range r.seats {
@@ -161,23 +160,20 @@
 // request leaves the queue, or gives its pin back.
 func (r *Runner) Place(ctx context.Context, request peer.PlaceRequest) peer.Placement {
 	answer := make(chan peer.Placement, 1)
-	if !r.send(ctx, placeMessage{request: request, answer: answer}) {
+	if !r.inbox.Send(ctx, placeMessage{request: request, answer: answer}) {
 		return notHolder
 	}
-	select {
-	case placement := <-answer:
-		return placement
-	case <-r.ended:
-		return notHolder
-	case <-ctx.Done():
-		r.send(context.WithoutCancel(ctx), leaveMessage{request: request})
+	placement, ok := inbox.Await(ctx, r.inbox, answer)
+	if !ok {
+		r.inbox.Send(context.WithoutCancel(ctx), leaveMessage{request: request})
 		return notHolder
 	}
+	return placement
 }
 
 // Release ends a pin.
 func (r *Runner) Release(ctx context.Context, upstream string, event holder.Released) {
-	r.send(ctx, releaseMessage{upstream: upstream, event: event})
+	r.inbox.Send(ctx, releaseMessage{upstream: upstream, event: event})
 }
 
 // SetTenure tells what a newly installed head says, and waits until it is taken in: from then on nothing
@@ -185,56 +181,34 @@
 // instance tell others that it has the head in force.
 func (r *Runner) SetTenure(ctx context.Context, tenure Tenure) {
 	taken := make(chan struct{})
-	if !r.send(ctx, tenureMessage{tenure: tenure, taken: taken}) {
-		return
-	}
-	select {
-	case <-taken:
-	case <-r.ended:
-	case <-ctx.Done():
+	if r.inbox.Send(ctx, tenureMessage{tenure: tenure, taken: taken}) {
+		inbox.Await(ctx, r.inbox, taken)
 	}
 }
 
 // SetLeaving tells which upstreams are said to be leaving.
 func (r *Runner) SetLeaving(ctx context.Context, leaving Leaving) {
-	r.send(ctx, leavingMessage{leaving: leaving})
+	r.inbox.Send(ctx, leavingMessage{leaving: leaving})
 }
 
 // SetInForce tells the highest revision that is in force everywhere.
 func (r *Runner) SetInForce(ctx context.Context, revision int64) {
-	r.send(ctx, inForceMessage{revision: revision})
+	r.inbox.Send(ctx, inForceMessage{revision: revision})
 }
 
 // SetGone tells that an incarnation of an instance certainly does nothing any more.
 func (r *Runner) SetGone(ctx context.Context, instance, incarnation string) {
-	r.send(ctx, goneMessage{instance: instance, incarnation: incarnation})
+	r.inbox.Send(ctx, goneMessage{instance: instance, incarnation: incarnation})
 }
 
 // Summaries lists what is to be told of the upstreams held here.
 func (r *Runner) Summaries(ctx context.Context) []holder.Summary {
 	answer := make(chan []holder.Summary, 1)
-	if !r.send(ctx, summaryMessage{answer: answer}) {
-		return nil
-	}
-	select {
-	case summaries := <-answer:
-		return summaries
-	case <-r.ended:
-		return nil
-	case <-ctx.Done():
+	if !r.inbox.Send(ctx, summaryMessage{answer: answer}) {
 		return nil
 	}
-}
-
-func (r *Runner) send(ctx context.Context, m message) bool {
-	select {
-	case r.inbox <- m:
-		return true
-	case <-r.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
+	summaries, _ := inbox.Await(ctx, r.inbox, answer)
+	return summaries
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/internal/entry/holding/seat.go
+++ b/internal/entry/holding/seat.go
@@ -6,6 +6,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 )
@@ -139,23 +140,20 @@
 
 // tell brings an event from a goroutine of the seat to the loop.
 func (r *Runner) tell(s *seat, event holder.Event) {
-	r.send(s.context, eventMessage{seat: s, event: event})
+	r.inbox.Send(s.context, eventMessage{seat: s, event: event})
 }
 
 // member finds an instance among the members of the newest tenure.
 func (r *Runner) member(s *seat, instance string) (member head.Member, ok bool) {
 	answer := make(chan []head.Member, 1)
-	if !r.send(s.context, membersMessage{answer: answer}) {
+	if !r.inbox.Send(s.context, membersMessage{answer: answer}) {
 		return head.Member{}, false
 	}
-	select {
-	case members := <-answer:
-		for _, m := range members {
-			if m.Name == instance {
-				return m, true
-			}
+	members, _ := inbox.Await(s.context, r.inbox, answer)
+	for _, m := range members {
+		if m.Name == instance {
+			return m, true
 		}
-	case <-s.context.Done():
 	}
 	return head.Member{}, false
 }
--- a/internal/telemetry/metrics/metrics_test.go
+++ b/internal/telemetry/metrics/metrics_test.go
@@ -28,3 +28,13 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Two instances live in one process, as in the daemon's tests. In the library's shared registry the
+// second one's metrics met the first one's, and the process panicked.
+func TestTwoRootsInOneProcess(t *testing.T) {
+	for range 2 {
+		scope, _, closer := metrics.New("lacewingd")
+		scope.Gauge("fresh").Update(1)
+		is.New(t).NoErr(closer.Close())
+	}
+}
