Keep suspects of one crash apart, tell a replaced ask so, give unused permits back

Cause: three things the placement's measurements rest on were not wired: a request that was in flight at one crash ran beside others of its kind; an ask for a load that a newer one replaced was answered as a refusal, so that holders asked four times a second while they waited; a permit given back unused counted as a load.

--- a/internal/entry/brokering/runner.go
+++ b/internal/entry/brokering/runner.go
@@ -77,16 +77,20 @@
 	return permit
 }
 
-// End tells that a load is done, has failed, or is not wanted any more.
-func (r *Runner) End(ctx context.Context, load broker.Load) {
-	r.inbox.Send(ctx, message{event: broker.Ended{Load: load}})
+// End tells that a load is done or has failed, or that its permit is given back unused.
+func (r *Runner) End(ctx context.Context, load broker.Load, unused bool) {
+	var event broker.Event = broker.Ended{Load: load}
+	if unused {
+		event = broker.Withdrawn{Load: load}
+	}
+	r.inbox.Send(ctx, message{event: event})
 }
 
 // take hands one message on. Asking again for the same load replaces the earlier ask, so whoever
-// waited for that one is answered now.
+// waited for that one is told so; taken for a refusal, it would make the holder ask on and on.
 func (r *Runner) take(m message) {
 	if asked, ok := m.event.(broker.Asked); ok {
-		r.answer(asked.Load, refused)
+		r.answer(asked.Load, peer.LoadPermit{Replaced: true})
 		r.waiting[asked.Load] = m.answer
 	}
 	if withdrawn, ok := m.event.(broker.Withdrawn); ok {
--- a/internal/entry/daemon/peer_calls.go
+++ b/internal/entry/daemon/peer_calls.go
@@ -71,14 +71,14 @@
 }
 
 // EndLoad tells the load broker that a load has ended.
-func (f fleet) EndLoad(ctx context.Context, load broker.Load) error {
+func (f fleet) EndLoad(ctx context.Context, load broker.Load, unused bool) error {
 	member, found := membership.Broker(f.daemon.repository.Current().Head)
 	if !found {
 		return errNoBroker
 	}
 	if f.isSelf(member) {
-		f.own.EndLoad(load)
+		f.own.EndLoad(load, unused)
 		return nil
 	}
-	return f.daemon.directory.EndLoad(ctx, member.Address, load)
+	return f.daemon.directory.EndLoad(ctx, member.Address, load, unused)
 }
--- a/internal/entry/daemon/peer_handler.go
+++ b/internal/entry/daemon/peer_handler.go
@@ -61,8 +61,8 @@
 }
 
 // EndLoad tells the load broker here that a load has ended.
-func (h handler) EndLoad(load broker.Load) {
-	h.daemon.brokering.End(context.Background(), load)
+func (h handler) EndLoad(load broker.Load, unused bool) {
+	h.daemon.brokering.End(context.Background(), load, unused)
 }
 
 // BurnCounts are this instance's counts.
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -210,6 +210,8 @@
 		Patience:  action.Patience,
 	})
 	switch {
+	case err == nil && permit.Replaced:
+		return // the newer ask tells what came of it
 	case err != nil:
 		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: askAgain})
 	case permit.Granted:
@@ -219,9 +221,10 @@
 	}
 }
 
-// runReturn gives a permit back; when that is lost the permit lapses by itself.
-func (r *Runner) runReturn(s *seat, ref model.Reference) {
-	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref})
+// runEndLoad tells the broker that a load has ended, or that its permit is given back unused. When that
+// is lost the permit lapses by itself.
+func (r *Runner) runEndLoad(s *seat, ref model.Reference, unused bool) {
+	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref}, unused)
 	if err != nil {
 		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("PermitNotReturned")
 	}
@@ -232,7 +235,7 @@
 	defer cancel()
 	began := time.Now()
 	evicted, err := r.load(ctx, s, action)
-	r.runReturn(s, action.Load)
+	r.runEndLoad(s, action.Load, false)
 	event := r.Log.Info()
 	if err != nil {
 		event = r.Log.Warn().Err(err)
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -26,7 +26,7 @@
 type Peers interface {
 	Pins(ctx context.Context, member head.Member, upstream string, epoch int64) (peer.PinList, error)
 	PermitLoad(ctx context.Context, asked broker.Asked) (peer.LoadPermit, error)
-	EndLoad(ctx context.Context, load broker.Load) error
+	EndLoad(ctx context.Context, load broker.Load, unused bool) error
 }
 
 // Engine is the part of an engine's client that holders use.
--- a/internal/entry/holding/runner_test.go
+++ b/internal/entry/holding/runner_test.go
@@ -103,7 +103,7 @@
 	return peer.LoadPermit{Granted: true, UseWithin: time.Second}, nil
 }
 
-func (s *scene) EndLoad(context.Context, broker.Load) error { return nil }
+func (s *scene) EndLoad(context.Context, broker.Load, bool) error { return nil }
 
 // hold runs a runner that holds the upstream, with everything in force, for one test.
 func hold(t *testing.T, s *scene, test func(ctx context.Context, r *holding.Runner)) {
--- a/internal/entry/holding/seat.go
+++ b/internal/entry/holding/seat.go
@@ -109,7 +109,7 @@
 	case holder.AskPermit:
 		go r.runPermit(s, a)
 	case holder.ReturnPermit:
-		go r.runReturn(s, a.Model)
+		go r.runEndLoad(s, a.Model, true)
 	case holder.OrderLoad:
 		go r.runLoad(s, a)
 	}
--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -33,6 +33,7 @@
 	cost        float64
 	fingerprint suspect.Fingerprint
 	alone       bool
+	apart       bool
 	began       time.Time
 	deadline    time.Time
 
@@ -135,13 +136,14 @@
 	return model.Reference{Adapter: request.Adapter, Version: version}, adapter.BaseModel, nil
 }
 
-// judge refuses a request that has crashed upstreams, or has it run alone.
+// judge refuses a request that has crashed upstreams, or has it run apart from other suspects or alone.
 func (p *Pipeline) judge(run *completionRun) error {
 	verdict, retryAfter := suspect.Free, time.Duration(0)
 	p.Advice.With(func(a *Advice) {
 		verdict, retryAfter = a.Suspects.Judge(time.Now(), run.fingerprint)
 	})
 	run.alone = verdict == suspect.Alone
+	run.apart = verdict == suspect.Apart
 	if verdict == suspect.Refused {
 		return refusal.New(refusal.SuspectRefused, "upstreams crashed each time this request ran").
 			WithRetryAfter(retryAfter)
--- a/internal/entry/pipeline/placing.go
+++ b/internal/entry/pipeline/placing.go
@@ -140,6 +140,7 @@
 			Cost:        run.cost,
 			Deadline:    run.deadline,
 			Alone:       run.alone,
+			Apart:       run.apart,
 		},
 	})
 	return placement, granter, err
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -127,6 +127,7 @@
 		PatienceMillis: p.Request.Deadline.Sub(now).Milliseconds(),
 		Epoch:          p.Epoch,
 		Alone:          p.Request.Alone,
+		Apart:          p.Request.Apart,
 	}
 }
 
@@ -144,6 +145,7 @@
 			Cost:        wire.GetCost(),
 			Deadline:    now.Add(millis(wire.GetPatienceMillis())),
 			Alone:       wire.GetAlone(),
+			Apart:       wire.GetApart(),
 		},
 	}
 }
--- a/internal/fleet/peer/directory.go
+++ b/internal/fleet/peer/directory.go
@@ -175,11 +175,12 @@
 		Granted:    wire.GetGranted(),
 		UseWithin:  millis(wire.GetUseWithinMillis()),
 		RetryAfter: millis(wire.GetRetryAfterMillis()),
+		Replaced:   wire.GetReplaced(),
 	}, nil
 }
 
-// EndLoad tells the load broker that a permit is used up or not wanted any more.
-func (d *Directory) EndLoad(ctx context.Context, address string, load broker.Load) (err error) {
+// EndLoad tells the load broker that a load has ended, or that its permit is given back unused.
+func (d *Directory) EndLoad(ctx context.Context, address string, load broker.Load, unused bool) (err error) {
 	defer func() { err = errors.WithMessage(err, "peer: end a load") }()
 	client, err := d.client(address)
 	if err != nil {
@@ -189,6 +190,7 @@
 		Upstream: load.Upstream,
 		Adapter:  load.Model.Adapter,
 		Version:  load.Model.Version,
+		Unused:   unused,
 	})
 	return err
 }
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -83,9 +83,11 @@
 	Pins        []holder.Pin
 }
 
-// LoadPermit answers a broker.Asked.
+// LoadPermit answers a broker.Asked. Replaced means that a newer ask for the same load took this one's
+// place, and that the answer goes to that one.
 type LoadPermit struct {
 	Granted    bool
+	Replaced   bool
 	UseWithin  time.Duration
 	RetryAfter time.Duration
 }
@@ -99,6 +101,6 @@
 	Release(request ReleaseRequest)
 	Pins(upstream string, epoch int64) PinList
 	PermitLoad(ctx context.Context, asked broker.Asked) LoadPermit
-	EndLoad(load broker.Load)
+	EndLoad(load broker.Load, unused bool)
 	BurnCounts() []burn.Count
 }
--- a/internal/fleet/peer/round_trip_test.go
+++ b/internal/fleet/peer/round_trip_test.go
@@ -70,7 +70,13 @@
 	return r.permit
 }
 
-func (r *recorder) EndLoad(load broker.Load) { r.asked = load }
+func (r *recorder) EndLoad(load broker.Load, unused bool) { r.asked = ended{load, unused} }
+
+// ended is what EndLoad was asked.
+type ended struct {
+	load   broker.Load
+	unused bool
+}
 
 func (r *recorder) BurnCounts() []burn.Count { return r.burn }
 
@@ -224,6 +230,7 @@
 		ID: name.Draw(t, "id"), Instance: name.Draw(t, "instance"), Incarnation: name.Draw(t, "incarnation"),
 		Workspace: name.Draw(t, "workspace"), Weight: amount.Draw(t, "weight"), Model: reference.Draw(t, "model"),
 		Cost: amount.Draw(t, "cost"), Deadline: time.Now().Add(hours), Alone: rapid.Bool().Draw(t, "alone"),
+		Apart: rapid.Bool().Draw(t, "apart"),
 	}}
 	handler.placement = placement.Draw(t, "placement")
 	placed, err := directory.Place(ctx, address, place)
@@ -249,12 +256,13 @@
 		Load: load, Workspace: name.Draw(t, "workspace"), Demand: amount.Draw(t, "demand"),
 		Waited: millis.Draw(t, "waited"), Patience: millis.Draw(t, "patience"),
 	}
-	handler.permit = peer.LoadPermit{Granted: rapid.Bool().Draw(t, "granted"), UseWithin: millis.Draw(t, "use"), RetryAfter: millis.Draw(t, "retry")}
+	handler.permit = peer.LoadPermit{Granted: rapid.Bool().Draw(t, "granted"), Replaced: rapid.Bool().Draw(t, "replaced"), UseWithin: millis.Draw(t, "use"), RetryAfter: millis.Draw(t, "retry")}
 	permit, err := directory.PermitLoad(ctx, address, asked)
 	same("PermitLoad", err, asked, handler.permit, permit)
-	same("EndLoad", directory.EndLoad(ctx, address, load), load, nil, nil)
+	end := ended{load, rapid.Bool().Draw(t, "unused")}
+	same("EndLoad", directory.EndLoad(ctx, address, end.load, end.unused), end, nil, nil)
 
 	handler.burn = list(t, counted)
 	counts, err := directory.BurnCounts(ctx, address)
-	same("BurnCounts", err, load, handler.burn, counts)
+	same("BurnCounts", err, end, handler.burn, counts)
 }
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -61,6 +61,7 @@
 		Granted:          permit.Granted,
 		UseWithinMillis:  permit.UseWithin.Milliseconds(),
 		RetryAfterMillis: permit.RetryAfter.Milliseconds(),
+		Replaced:         permit.Replaced,
 	}, nil
 }
 
@@ -68,7 +69,7 @@
 	s.handler.EndLoad(broker.Load{
 		Upstream: wire.GetUpstream(),
 		Model:    model.Reference{Adapter: wire.GetAdapter(), Version: wire.GetVersion()},
-	})
+	}, wire.GetUnused())
 	return &fleetpb.EndLoadReply{}, nil
 }
 
