Make the proofs of rate and of crossed answers able to fail

Causes: the rate's requests were so short that what the instances charge beyond the engines' count hid a threefold share, and the answers' fault was set at one engine, which the requests did not reach.

Requests ask for 30 tokens now, the oracle counts the prompt as well, and every engine has the fault.

--- a/internal/proof/integration/answer_test.go
+++ b/internal/proof/integration/answer_test.go
@@ -14,8 +14,8 @@
 	"lacewingrock.example/lacewingrock/internal/standin/engine"
 )
 
-// Many members ask at once while an engine answers with another request's identity, late, cuts its
-// streams in the middle, or loses its connections without a word. A member who is given another's
+// Many members ask at once while the engines answer with another request's identity, late, cut their
+// streams in the middle, or lose their connections without a word. A member who is given another's
 // feeding plan, or half of one, has no way to tell.
 func TestWholeAnswerToOnesOwnRequest(t *testing.T) {
 	for _, tt := range []struct {
@@ -37,7 +37,9 @@
 			w := newWorld(t, options{})
 			model := deployment.AdapterA + "@2"
 			w.warm(w.keyA, model)
-			w.engineFaults(0, tt.faults)
+			for number := range w.d.EngineOf {
+				w.engineFaults(number, tt.faults)
+			}
 			var callers sync.WaitGroup
 			var mu sync.Mutex
 			answered, failed := 0, 0
@@ -69,7 +71,7 @@
 			callers.Wait()
 			t.Logf("%d answered, %d not", answered, failed)
 			if answered == 0 {
-				t.Error("nothing was answered, though one engine works")
+				t.Error("nothing was answered, though every request can be resumed")
 			}
 		})
 	}
--- a/internal/proof/integration/rate_test.go
+++ b/internal/proof/integration/rate_test.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	measuredRate  = 60
-	measuredBurst = 180
+	measuredRate  = 120
+	measuredBurst = 360
 	measuredModel = "open@1"
 	// askedTokens is what each request asks for.
-	askedTokens = 10
+	askedTokens = 30
 	// hammerWords is the length of hammer's prompts in tokens, as the engines count them.
 	hammerWords = 3
 )
@@ -36,10 +36,10 @@
 		// least is the part of what was bought that must get through all the same.
 		least float64
 	}{
-		{name: "nothing fails", least: 0.7, disturb: func(*world) { time.Sleep(8 * time.Second) }},
+		{name: "nothing fails", least: 0.9, disturb: func(*world) { time.Sleep(8 * time.Second) }},
 		{name: "instances killed in turn", disturb: func(w *world) { w.eachInstance(w.killAndStart) }},
 		{name: "instances frozen in turn", disturb: func(w *world) { w.eachInstance(w.freezeAndWake) }},
-		{name: "store out", least: 0.7, disturb: func(w *world) {
+		{name: "store out", least: 0.9, disturb: func(w *world) {
 			w.storeFaults(kv.Faults{Outage: true})
 			time.Sleep(10 * time.Second)
 			w.storeFaults(kv.Faults{})
@@ -90,10 +90,10 @@
 	}
 }
 
-// checkLine adds up the tokens that the engines generated for the prompts of hammer, by the time at
-// which each request began, and holds them against burst + rate * time since the workspace's buckets
-// were full at the latest. Of what the rate alone bought in that time, the given part must have got
-// through: the prompts' tokens count too, as the engines counted them.
+// checkLine adds up the tokens of hammer's requests, prompt and answer as the engines counted them, by
+// the time at which each request began, and holds them against burst + rate * time since the workspace's
+// buckets were full at the latest. Of what the rate alone bought in that time, the given part must have
+// got through.
 func (w *world) checkLine(t *testing.T, begun time.Time, least float64) {
 	t.Helper()
 	const rate, burst = float64(measuredRate), float64(measuredBurst)
@@ -104,12 +104,12 @@
 			continue
 		}
 		requests++
-		total += float64(request.Tokens)
+		total += float64(request.Tokens + hammerWords)
 		allowed := burst + rate*request.StartedAt.Sub(begun).Seconds()
 		worst = max(worst, total-allowed)
 	}
 	elapsed := time.Since(begun).Seconds()
-	t.Logf("%d requests, %.0f tokens generated in %.1f s; the line ends at %.0f; nearest to it %.0f below",
+	t.Logf("%d requests, %.0f tokens in %.1f s; the line ends at %.0f; nearest to it %.0f below",
 		requests, total, elapsed, burst+rate*elapsed, -worst)
 	if worst > 0 {
 		t.Errorf("%.0f tokens above the line of burst %.0f and rate %.0f", worst, burst, rate)
@@ -117,9 +117,8 @@
 	if requests == 0 {
 		t.Error("nothing ran, so nothing was proved")
 	}
-	cost := total + float64(requests*hammerWords)
-	if cost < least*rate*elapsed {
-		t.Errorf("%.0f tokens got through, of %.0f bought by the rate alone", cost, rate*elapsed)
+	if total < least*rate*elapsed {
+		t.Errorf("%.0f tokens got through, of %.0f bought by the rate alone", total, rate*elapsed)
 	}
 }
 
@@ -134,8 +133,8 @@
 	using := w.caller(w.measured)
 	var refused atomic.Int64
 	sent := 0
-	// A request costs its prompt too; half the rate in generated tokens leaves room for that.
-	interval := 2 * askedTokens * time.Second / measuredRate
+	// A request costs its prompt too; a third of the rate in generated tokens leaves room for that.
+	interval := 3 * askedTokens * time.Second / measuredRate
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(interval) {
 		sent++
 		if came := using.completion(0, measuredModel, fmt.Sprintf("skew %d", sent), askedTokens); !came.ok() {
