--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -6,8 +6,10 @@
 	"slices"
 	"sync"
 
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
+	"lacewingrock.example/lacewingrock/internal/platform/listing"
 )
 
 // leaving.go gathers who is said to be leaving: by the platform's list as read here, and by what other
@@ -18,6 +20,9 @@
 	mutex   sync.Mutex
 	sources map[string][]string
 	applied []string
+	// services names the machines of plain services by their addresses, as the list had them last: the
+	// configuration declares addresses, while names are what is said to be leaving.
+	services map[string]string
 }
 
 // ownSource is the source name of this instance's own reading, which no member can have.
@@ -34,6 +39,39 @@
 	l.sources[source] = names
 }
 
+// keepMembers drops the words of instances that are members no more. One that died after it had told that a
+// machine is leaving could never take it back: the machine, or a new one of its name, would get no work
+// from this instance for good.
+func (l *leavingNames) keepMembers(h head.Head) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for source := range l.sources {
+		if _, found := h.Member(source); !found && source != ownSource {
+			delete(l.sources, source)
+		}
+	}
+}
+
+// setServices notes which machine has which address.
+func (l *leavingNames) setServices(members []listing.Member) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.services = map[string]string{}
+	for _, m := range members {
+		if m.Role == listing.RoleService {
+			l.services[m.Address] = m.Name
+		}
+	}
+}
+
+// isLeaving tells whether the service's machine at an address is said to be leaving.
+func (l *leavingNames) isLeaving(address string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	name, listed := l.services[address]
+	return listed && slices.Contains(l.union(), name)
+}
+
 // own is what this instance itself has read. Hearsay is not passed on: a name would never die out.
 func (l *leavingNames) own() []string {
 	l.mutex.Lock()
