Prove freshness and membership, and keep the last member from being removed

Trackers on the paused clock, 2 to 5 instances at first, partitions in groups, freezes, restarts under old names, late and lost messages; oracle: nobody is fresh on a revision below one that anybody ever declared in force everywhere.

Installing a head no longer drops the confirmation of the older one: what showed R as newest at some time shows that nobody had more than R then, so it holds for every later head. The fuzzing had not seen a difference, and an instance was briefly not fresh between installing and confirming.

--- a/internal/admission/rate/world_test.go
+++ b/internal/admission/rate/world_test.go
@@ -169,6 +169,10 @@
 func (w *world) leave(by, gone *node) {
 	v := w.stored()
 	next, step, err := membership.Leave(v.head, gone.member.Name, gone.member.Incarnation, by.tracker.InForce())
+	if by != gone {
+		next, step, err = membership.Expel(
+			v.head, by.member.Name, gone.member.Name, gone.member.Incarnation, by.tracker.InForce())
+	}
 	if err == nil && step != membership.StepNone {
 		w.swap(next, v.limit)
 	}
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -83,7 +83,8 @@
 // Facts.
 
 // Install says that a head is in force in this process from now on. A head that is not newer than the
-// one installed changes nothing.
+// one installed changes nothing. What confirmed the older head confirms the newer one as well: at that
+// time nobody had anything higher.
 func (t *Tracker) Install(head Head) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -93,9 +94,8 @@
 	t.noteDepartures(head)
 	t.head = Head{Revision: head.Revision, Epoch: head.Epoch, Members: slices.Clone(head.Members)}
 	t.installed = time.Now()
-	t.read, t.quorum = time.Time{}, time.Time{}
 	if t.ahead.revision == head.Revision {
-		t.read = t.ahead.at
+		t.read = later(t.read, t.ahead.at)
 	}
 	t.ahead = confirmation{}
 	t.highest = max(t.highest, head.Revision)
--- a/internal/fleet/membership/detector.go
+++ b/internal/fleet/membership/detector.go
@@ -43,7 +43,7 @@
 	sealedAction()
 }
 
-// Remove says: take a member out of the head, with Leave.
+// Remove says: take a member out of the head, with Expel.
 type Remove struct {
 	Name        string
 	Incarnation string
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -59,8 +59,7 @@
 	return h.WithMember(member), StepAdd, nil
 }
 
-// Leave returns the head without a process, whether it leaves by itself or was found dead; StepNone
-// when it is no member.
+// Leave returns the head without a process that ends by itself; StepNone when it is no member.
 func Leave(h head.Head, name, incarnation string, inForce int64) (next head.Head, step Step, err error) {
 	listed, found := h.Member(name)
 	if !found || listed.Incarnation != incarnation {
@@ -72,8 +71,19 @@
 	return h.WithoutMember(name), StepRemove, nil
 }
 
-// settled refuses while the last change is not in force. With no members nobody can be fresh, except
-// that the last to leave was, and it knows of its own leaving.
+// Expel returns the head without a process that was found dead. By is the name of the process that
+// found it, which must be a member itself, also in the head as it is now: the last member of all can only
+// leave by itself. Alone it is the majority of its head, and would stay fresh for ever if it was cut off
+// and not dead.
+func Expel(h head.Head, by, name, incarnation string, inForce int64) (next head.Head, step Step, err error) {
+	if _, found := h.Member(by); !found || by == name {
+		return h, StepNone, nil
+	}
+	return Leave(h, name, incarnation, inForce)
+}
+
+// settled refuses while the last change is not in force. With no members nobody can be fresh: the last
+// to leave left by itself.
 func settled(h head.Head, inForce int64) error {
 	if len(h.Members) == 0 || h.Epoch <= inForce {
 		return nil
