Count the reads anew with the fewer heartbeats

The daemon now asks two peers each half second instead of four, and the asked one takes the asker's revision in.

--- a/internal/fleet/freshness/store_budget_test.go
+++ b/internal/fleet/freshness/store_budget_test.go
@@ -21,7 +21,7 @@
 const (
 	step        = 100 * time.Millisecond
 	beatSteps   = 5
-	beatsAtOnce = 4
+	beatsAtOnce = 2
 	// readsOfChange is what taking up a new head reads: its pointer, the head and one changed part.
 	readsOfChange = 3
 	// storeReads is what the store takes in a second.
@@ -136,6 +136,8 @@
 			continue
 		}
 		w.pings++
+		asker, _ := m.tracker.Confirmed()
+		w.members[peer].tracker.Told(m.self, asker)
 		revision, age := w.members[peer].tracker.Confirmed()
 		m.tracker.Replied(freshness.Reply{
 			Member: w.members[peer].self, Asked: time.Now(), Revision: revision, ConfirmedAge: age,
