Tell leaving machines of services by their address

Only three members read the platform's list now; the others had no names for the addresses of services, and would have sent calls to machines that are leaving. The readers' heartbeats list such machines by address as well, which is what the configuration declares. The test of one member that hears from another fails with the names alone.

By calculation, not measured: hearsay is not passed on, and at 330 instances a member hears from one of three readers every 14 seconds in the mean, too late for a leaving machine; at 8 instances within two.

--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -9,7 +9,6 @@
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
-	"lacewingrock.example/lacewingrock/internal/platform/listing"
 )
 
 // leaving.go gathers who is said to be leaving: by the platform's list as read here, and by what other
@@ -20,9 +19,6 @@
 	mutex   sync.Mutex
 	sources map[string][]string
 	applied []string
-	// services names the machines of plain services by their addresses, as the list had them last: the
-	// configuration declares addresses, while names are what is said to be leaving.
-	services map[string]string
 }
 
 // ownSource is the source name of this instance's own reading, which no member can have.
@@ -52,24 +48,11 @@
 	}
 }
 
-// setServices notes which machine has which address.
-func (l *leavingNames) setServices(members []listing.Member) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.services = map[string]string{}
-	for _, m := range members {
-		if m.Role == listing.RoleService {
-			l.services[m.Address] = m.Name
-		}
-	}
-}
-
-// isLeaving tells whether the service's machine at an address is said to be leaving.
+// isLeaving tells whether the machine at an address is said to be leaving; see leavingOn.
 func (l *leavingNames) isLeaving(address string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	name, listed := l.services[address]
-	return listed && slices.Contains(l.union(), name)
+	return slices.Contains(l.union(), address)
 }
 
 // own is what this instance itself has read. Hearsay is not passed on: a name would never die out.
--- a/internal/entry/daemon/leaving_test.go
+++ b/internal/entry/daemon/leaving_test.go
@@ -26,20 +26,23 @@
 	is.True(!l.changed())
 }
 
-// The configuration declares a service's addresses, the list says which machine has which, and the names
-// of leaving machines come from any member.
+// A machine of a plain service is leaving. The configuration declares its address and the list gives it a
+// name; a member that does not read the list has only what another one tells.
 func TestLeavingMachineOfAService(t *testing.T) {
 	is := is.New(t)
-	l := &leavingNames{}
-	is.True(!l.isLeaving("10.0.0.9:1"))
-	l.setServices([]listing.Member{
-		{Name: "paint-1", Role: listing.RoleService, Address: "10.0.0.9:1"},
+	reader, other := &leavingNames{}, &leavingNames{}
+	reader.setOwn(leavingOn([]listing.Member{
+		{Name: "paint-1", Role: listing.RoleService, Address: "10.0.0.9:1", Leaving: true},
 		{Name: "paint-2", Role: listing.RoleService, Address: "10.0.0.8:1"},
-		{Name: "engine-1", Role: listing.RoleEngine, Address: "10.0.0.7:1"},
-	})
-	l.tell("i2", []string{"paint-1", "engine-1"})
-	is.True(l.isLeaving("10.0.0.9:1"))
-	is.True(!l.isLeaving("10.0.0.8:1"))
-	l.tell("i2", nil)
-	is.True(!l.isLeaving("10.0.0.9:1"))
+		{Name: "engine-1", Role: listing.RoleEngine, Address: "10.0.0.7:1", Leaving: true},
+	}))
+	is.True(!other.isLeaving("10.0.0.9:1"))
+	other.tell("i1", reader.own())
+	is.Equal(other.all(), []string{"10.0.0.9:1", "engine-1", "paint-1"})
+	for _, l := range []*leavingNames{reader, other} {
+		is.True(l.isLeaving("10.0.0.9:1"))
+		is.True(!l.isLeaving("10.0.0.8:1"))
+	}
+	other.tell("i1", nil)
+	is.True(!other.isLeaving("10.0.0.9:1"))
 }
--- a/internal/entry/daemon/members.go
+++ b/internal/entry/daemon/members.go
@@ -105,7 +105,6 @@
 		members, err := d.listing.Members(ctx)
 		if err == nil {
 			d.leaving.setOwn(leavingOn(members))
-			d.leaving.setServices(members)
 			d.noteMissing(ctx, members, missing)
 		} else {
 			d.scope.Counter("list_unreadable").Inc(1)
@@ -116,10 +115,16 @@
 	return nil
 }
 
+// leavingOn lists who is leaving. Machines of plain services stand there by their address as well: that is
+// what the configuration declares of them, and most members never read the list to know their names.
 func leavingOn(members []listing.Member) (names []string) {
 	for _, m := range members {
-		if m.Leaving {
-			names = append(names, m.Name)
+		if !m.Leaving {
+			continue
+		}
+		names = append(names, m.Name)
+		if m.Role == listing.RoleService {
+			names = append(names, m.Address)
 		}
 	}
 	return names
