Test that an engine running another version is told of

The release of a request that an engine ran on another version says that the version is not resident, so that the holder sends no further one there. The case fails without WrongModel in releasedBy.

--- a/internal/entry/pipeline/completion_failures_test.go
+++ b/internal/entry/pipeline/completion_failures_test.go
@@ -258,27 +258,30 @@
 }
 
 // An engine restarted with nothing loaded, or a late report listed what is gone: it answers that the
-// version is not resident. Nothing ran, so the request is placed anew; its holder has to hear why.
+// version is not resident, or runs another one. Nothing of that reached the caller, so the request is
+// placed anew; the holder has to hear why, or it sends the next one there too.
 func TestNotResident(t *testing.T) {
-	inBubble(t, 2, func(f *fixture) {
-		f.complete = func(_ context.Context, sink engine.Sink) engine.Outcome {
-			if len(f.dispatched()) > 1 {
-				return answer(sink)
+	for _, first := range []engine.Outcome{engine.NotResident{}, engine.WrongModel{Served: "bids@2", Stopped: true}} {
+		inBubble(t, 2, func(f *fixture) {
+			f.complete = func(_ context.Context, sink engine.Sink) engine.Outcome {
+				if len(f.dispatched()) > 1 {
+					return answer(sink)
+				}
+				return first
 			}
-			return engine.NotResident{}
-		}
-		is := is.New(t)
-		is.NoErr(f.ask("bids", 10))
-		synctest.Wait()
-		told := 0
-		for _, request := range f.given() {
-			if request.Released.NotResident {
-				told++
+			is := is.New(t)
+			is.NoErr(f.ask("bids", 10))
+			synctest.Wait()
+			told := 0
+			for _, request := range f.given() {
+				if request.Released.NotResident {
+					told++
+				}
 			}
-		}
-		is.Equal(told, 1)
-		is.Equal(len(f.given()), 2)
-	})
+			is.Equal(told, 1)
+			is.Equal(len(f.given()), 2)
+		})
+	}
 }
 
 // A grant was on its way for seconds, through a process or connection that stood still. By now the holder
