Tell every member of a crash at once

Cause: instances shared the counts of crashes with the next heartbeat, up to two seconds later; a caller that sent its crashing request to the next instance meanwhile crashed one engine more. Ruled out: the judgement itself (each instance refused right by what it had heard).

--- a/internal/entry/brokering/runner_test.go
+++ b/internal/entry/brokering/runner_test.go
@@ -59,6 +59,12 @@
 func TestUnusedPermitIsGivenBack(t *testing.T) {
 	run(t, func(ctx context.Context, r *brokering.Runner) {
 		is := is.New(t)
+		for took := time.Duration(0); took < time.Second; { // until the store's rate is used up
+			began := time.Now()
+			is.True(r.Permit(ctx, asked("first")).Granted)
+			r.End(ctx, asked("first").Load, false)
+			took = time.Since(began)
+		}
 		is.True(r.Permit(ctx, asked("first")).Granted)
 		r.End(ctx, asked("first").Load, true)
 		began := time.Now()
--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -136,6 +136,7 @@
 			Shares:   &share.Tracker{},
 		},
 		Patience: d.Settings.Limits.Patience,
+		Crashed:  d.tellAll,
 		Log:      d.Log,
 		Scope:    d.scope,
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -65,6 +65,7 @@
 	leaving    leavingNames
 	departures departures
 	pinging    pinging
+	urgent     chan struct{}
 	settlement settlement
 	stopping   atomic.Bool
 	drained    chan error
@@ -92,6 +93,7 @@
 		DataCentre:  d.Settings.Instance.DataCentre,
 	}
 	d.drained = make(chan error, 1)
+	d.urgent = make(chan struct{}, 1)
 	d.Log = d.Log.With().Str("Instance", d.self.Name).Logger()
 	closeParts, err := d.assemble()
 	if err != nil {
--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -29,24 +29,44 @@
 	beatWithin = time.Second
 )
 
-// runHeartbeats asks some members each time, in turn.
+// runHeartbeats asks some members each time, in turn, and all of them when there is something that they
+// must hear at once.
 func (d *Daemon) runHeartbeats(ctx context.Context) error {
 	var queue []head.Member
-	for pause(ctx, beatEvery) {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.urgent:
+			d.ping(ctx, d.others())
+			continue
+		case <-time.After(beatEvery):
+		}
 		members := d.others()
 		count := min(d.beats(len(members)), len(members))
 		if len(queue) < count {
 			queue = shuffled(members)
 		}
-		for _, member := range queue[:count] {
-			if d.pinging.begin(member.Address) {
-				go d.runPing(ctx, member)
-			}
-		}
+		d.ping(ctx, queue[:count])
 		queue = queue[count:]
 		d.learnOwn(ctx)
 	}
-	return nil
+}
+
+// tellAll has all members told at once what this instance knows. It does not wait.
+func (d *Daemon) tellAll() {
+	select {
+	case d.urgent <- struct{}{}:
+	default: // already asked for, and not begun
+	}
+}
+
+func (d *Daemon) ping(ctx context.Context, members []head.Member) {
+	for _, member := range members {
+		if d.pinging.begin(member.Address) {
+			go d.runPing(ctx, member)
+		}
+	}
 }
 
 // beats is how many members are asked at a time. While reads of the store confirm nothing, a majority
--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -314,6 +314,15 @@
 			}
 		}
 	})
+	p.tellCrash(outcome)
+}
+
+// tellCrash has the other instances told of a crash at once. Told with the next heartbeat only, a caller
+// that sends its request again to another instance crashes one engine more there.
+func (p *Pipeline) tellCrash(outcome engine.Outcome) {
+	if isCrash(outcome) && p.Crashed != nil {
+		p.Crashed()
+	}
 }
 
 // isCrash tells whether the upstream itself went away under the request. A connection that went silent
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -76,8 +76,11 @@
 	Advice  *Advice
 	// Patience is the longest a request may wait before it is dispatched.
 	Patience time.Duration
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// Crashed, when set, is told that a request was in flight when an upstream was lost, so that the other
+	// instances hear of it before its caller sends it to one of them.
+	Crashed func()
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Advice is what this instance has learnt about upstreams and requests: where to send the next one,
