Part the names of two freshness tests

Cause: two tests of one package, merged at once, both named their world and its members; the package's tests did not build. Measured: go vet and the tests of internal/fleet pass.

--- a/internal/fleet/freshness/store_budget_test.go
+++ b/internal/fleet/freshness/store_budget_test.go
@@ -37,8 +37,8 @@
 	fleet  = flag.Int("fleet", 100, "how many instances the larger fleet has")
 )
 
-// member is one instance.
-type member struct {
+// fleetMember is one instance.
+type fleetMember struct {
 	tracker  *freshness.Tracker
 	self     freshness.Member
 	revision int64
@@ -46,9 +46,9 @@
 	silent   bool
 }
 
-// world is the instances and the store.
-type world struct {
-	members  []*member
+// fleetWorld is the instances and the store.
+type fleetWorld struct {
+	members  []*fleetMember
 	random   *rand.Rand
 	revision int64
 	down     bool
@@ -59,11 +59,11 @@
 	pings    int
 }
 
-func newWorld(size int) *world {
-	w := &world{random: rand.New(rand.NewPCG(1, 2)), revision: 1}
+func newFleetWorld(size int) *fleetWorld {
+	w := &fleetWorld{random: rand.New(rand.NewPCG(1, 2)), revision: 1}
 	for i := range size {
 		self := freshness.Member{Name: fmt.Sprint("instance-", i), Incarnation: "a"}
-		w.members = append(w.members, &member{self: self, tracker: &freshness.Tracker{Self: self}})
+		w.members = append(w.members, &fleetMember{self: self, tracker: &freshness.Tracker{Self: self}})
 	}
 	for _, m := range w.members {
 		w.install(m)
@@ -71,7 +71,7 @@
 	return w
 }
 
-func (w *world) install(m *member) {
+func (w *fleetWorld) install(m *fleetMember) {
 	head := freshness.Head{Revision: w.revision, Epoch: 1}
 	for _, other := range w.members {
 		head.Members = append(head.Members, other.self)
@@ -81,7 +81,7 @@
 }
 
 // run lets time pass and returns the reads a second in the mean, and the most in any second.
-func (w *world) run(duration time.Duration) (mean, peak float64) {
+func (w *fleetWorld) run(duration time.Duration) (mean, peak float64) {
 	w.total, w.peak, w.second, w.pings = 0, 0, 0, 0
 	for range duration / step {
 		time.Sleep(step)
@@ -100,12 +100,12 @@
 	return float64(w.total) / duration.Seconds(), float64(w.peak)
 }
 
-func (w *world) count(reads int) {
+func (w *fleetWorld) count(reads int) {
 	w.second += reads
 	w.total += reads
 }
 
-func (w *world) read(m *member) {
+func (w *fleetWorld) read(m *fleetMember) {
 	if !m.tracker.ShouldReadStore() {
 		return
 	}
@@ -122,7 +122,7 @@
 }
 
 // beat asks some members, in turn.
-func (w *world) beat(i int) {
+func (w *fleetWorld) beat(i int) {
 	m := w.members[i]
 	others := len(w.members) - 1
 	count := min(beats(m.tracker, others), others)
@@ -155,7 +155,7 @@
 }
 
 // until lets time pass until the condition holds, and returns how long it took; at most two minutes.
-func (w *world) until(condition func() bool) (took time.Duration, most float64) {
+func (w *fleetWorld) until(condition func() bool) (took time.Duration, most float64) {
 	began := time.Now()
 	for !condition() && time.Since(began) < 2*time.Minute {
 		_, peak := w.run(time.Second)
@@ -165,12 +165,12 @@
 }
 
 // beatsEach is how many heartbeats a second each of the senders asked for in the last run.
-func (w *world) beatsEach(duration time.Duration, senders int) float64 {
+func (w *fleetWorld) beatsEach(duration time.Duration, senders int) float64 {
 	return float64(w.pings) / duration.Seconds() / float64(senders)
 }
 
 // fresh counts the members that may act.
-func (w *world) fresh() (count int) {
+func (w *fleetWorld) fresh() (count int) {
 	for _, m := range w.members {
 		if m.tracker.Fresh() == nil {
 			count++
@@ -179,7 +179,7 @@
 	return count
 }
 
-func (w *world) allHave(revision int64) bool {
+func (w *fleetWorld) allHave(revision int64) bool {
 	for _, m := range w.members {
 		if m.revision < revision {
 			return false
@@ -207,7 +207,7 @@
 		t.Run(fmt.Sprint(c.instances), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w := newWorld(c.instances)
+				w := newFleetWorld(c.instances)
 				w.run(10 * time.Second)
 				mean, peak := w.run(20 * time.Second)
 				t.Logf("at rest: %.1f reads/s, %.0f in the worst second, %d of %d fresh, %.1f heartbeats/s asked by each",
@@ -247,7 +247,7 @@
 }
 
 // silence lets only the first so many members send heartbeats.
-func (w *world) silence(speaking int) {
+func (w *fleetWorld) silence(speaking int) {
 	for i, m := range w.members {
 		m.silent = i >= speaking
 	}
