Let a fleet that was replaced whole come back

Cause: since only three members read the instance list, nobody did when all members had died: new instances are no members, so they never found the old ones gone and could not join. Ruled out: the wait for a majority (the list says who has ended; the tracker takes it). Now an instance that is no member, or that does not hear somebody, reads the list too, and takes all gone members for ended before it takes them out one by one. A member is expelled only by a member, so that the last one is not removed by an outsider.

--- a/internal/entry/daemon/members.go
+++ b/internal/entry/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +71,7 @@
 func (d *Daemon) remove(ctx context.Context, name, incarnation string) {
 	d.Log.Warn().Str("Member", name).Msg("MemberSilent")
 	d.changeMembers(ctx, "MemberRemoved", func(h head.Head) (head.Head, error) {
-		next, _, err := membership.Leave(h, name, incarnation, d.tracker.InForce())
+		next, _, err := membership.Expel(h, d.self.Name, name, incarnation, d.tracker.InForce())
 		return next, err
 	})
 }
@@ -96,7 +97,7 @@
 func (d *Daemon) runListing(ctx context.Context) error {
 	missing := map[head.Member]time.Time{}
 	for pause(ctx, listEvery) {
-		if !membership.Among(d.repository.Current().Head, listDuty, d.self.Name, listReaders) {
+		if !d.readsList() {
 			d.leaving.setOwn(nil)
 			clear(missing)
 			d.applyLeaving(ctx)
@@ -115,6 +116,21 @@
 	return nil
 }
 
+// readsList tells whether this instance reads the list. Besides the few members that have the duty, those
+// do that are no members or hear somebody no more: the few may be just the ones that have died.
+func (d *Daemon) readsList() bool {
+	current := d.repository.Current().Head
+	if membership.Among(current, listDuty, d.self.Name, listReaders) {
+		return true
+	}
+	if own, found := current.Member(d.self.Name); !found || own.Incarnation != d.self.Incarnation {
+		return true
+	}
+	return slices.ContainsFunc(d.others(), func(m head.Member) bool {
+		return !d.detector.heardWithin(m.Name, unlistedFor)
+	})
+}
+
 // leavingOn lists who is leaving. Machines of plain services stand there by their address as well: that is
 // what the configuration declares of them, and most members never read the list to know their names.
 func leavingOn(members []listing.Member) (names []string) {
@@ -137,8 +153,9 @@
 	for _, m := range members {
 		listed[m.Name] = true
 	}
+	var gone []head.Member
 	for _, m := range d.others() {
-		if listed[m.Name] || d.reachable(m) {
+		if listed[m.Name] || d.detector.heardWithin(m.Name, unlistedFor) || d.reachable(m) {
 			delete(missing, m)
 			continue
 		}
@@ -147,10 +164,12 @@
 		}
 		if time.Since(missing[m]) >= unlistedFor {
 			d.tracker.Ended(trackerMember(m))
-			d.remove(ctx, m.Name, m.Incarnation)
-			return
+			gone = append(gone, m)
 		}
 	}
+	if len(gone) > 0 {
+		d.remove(ctx, gone[0].Name, gone[0].Incarnation) // one at a time, as all changes of members
+	}
 }
 
 // reachable tells whether a member answers now.
--- a/internal/entry/daemon/start_and_stop_test.go
+++ b/internal/entry/daemon/start_and_stop_test.go
@@ -84,6 +84,11 @@
 
 // start runs an instance and waits until it would be given requests.
 func (p *platform) start(t *testing.T) *instance {
+	t.Helper()
+	return p.startWithin(t, 10*time.Second)
+}
+
+func (p *platform) startWithin(t *testing.T, limit time.Duration) *instance {
 	t.Helper()
 	text := fmt.Sprintf(`
 [Instance]
@@ -111,7 +116,7 @@
 	t.Cleanup(cancel)
 	go func() { i.ended <- i.daemon.Run(ctx) }()
 	address := regexp.MustCompile(`"OperatorAddress":"([^"]+)"`)
-	within(t, 10*time.Second, "the instance is ready", func() bool {
+	within(t, limit, "the instance is ready", func() bool {
 		found := address.FindStringSubmatch(log.String())
 		return found != nil && ready(found[1])
 	})
