--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -21,32 +21,52 @@
 // confirmed, upstreams, suspects, who is leaving, and loans given back.
 
 const (
-	// beatEvery and beatsAtOnce bound what heartbeats cost an instance, however large the fleet: eight
-	// small calls a second. With eight instances each peer is asked about once a second.
+	// beatEvery and beatsAtOnce bound what heartbeats cost an instance, however large the fleet: four
+	// small calls a second. With eight instances each peer is asked within two seconds, and asks us too.
 	beatEvery   = 500 * time.Millisecond
-	beatsAtOnce = 4
+	beatsAtOnce = 2
 	// beatWithin bounds one heartbeat. A peer that takes longer tells nothing that is still of use.
 	beatWithin = time.Second
 )
 
-// runHeartbeats asks some members each time, in turn.
+// runHeartbeats asks some members each time, in turn, and all of them when there is something that they
+// must hear at once.
 func (d *Daemon) runHeartbeats(ctx context.Context) error {
 	var queue []head.Member
-	for pause(ctx, beatEvery) {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.urgent:
+			d.ping(ctx, d.others())
+			continue
+		case <-time.After(beatEvery):
+		}
 		members := d.others()
 		count := min(d.beats(len(members)), len(members))
 		if len(queue) < count {
 			queue = shuffled(members)
 		}
-		for _, member := range queue[:count] {
-			if d.pinging.begin(member.Address) {
-				go d.runPing(ctx, member)
-			}
-		}
+		d.ping(ctx, queue[:count])
 		queue = queue[count:]
 		d.learnOwn(ctx)
 	}
-	return nil
+}
+
+// tellAll has all members told at once what this instance knows. It does not wait.
+func (d *Daemon) tellAll() {
+	select {
+	case d.urgent <- struct{}{}:
+	default: // already asked for, and not begun
+	}
+}
+
+func (d *Daemon) ping(ctx context.Context, members []head.Member) {
+	for _, member := range members {
+		if d.pinging.begin(member.Address) {
+			go d.runPing(ctx, member)
+		}
+	}
 }
 
 // beats is how many members are asked at a time. While reads of the store confirm nothing, a majority
@@ -106,7 +126,9 @@
 func (d *Daemon) learn(at time.Time, beat peer.Beat) {
 	d.detector.handle(membership.Heard{Name: beat.Instance, Incarnation: beat.Incarnation})
 	d.settlement.tell(rate.Identity{Name: beat.Instance, Incarnation: beat.Incarnation}, beat.OldestRevision)
-	d.leaving.tell(beat.Instance, beat.Leaving)
+	if _, member := d.repository.Current().Head.Member(beat.Instance); member {
+		d.leaving.tell(beat.Instance, beat.Leaving)
+	}
 	now := time.Now()
 	d.pipeline.Advice.With(func(a *pipeline.Advice) {
 		for _, summary := range beat.Upstreams {
@@ -135,6 +157,7 @@
 		Backlog:    s.Backlog,
 		Resident:   s.Resident,
 		Healthy:    s.Healthy,
+		Coldest:    s.Coldest,
 		At:         at,
 	}
 }
--- a/internal/entry/daemon/leaving.go
+++ b/internal/entry/daemon/leaving.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/entry/holding"
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 )
@@ -34,6 +35,26 @@
 	l.sources[source] = names
 }
 
+// keepMembers drops the words of instances that are members no more. One that died after it had told that a
+// machine is leaving could never take it back: the machine, or a new one of its name, would get no work
+// from this instance for good.
+func (l *leavingNames) keepMembers(h head.Head) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for source := range l.sources {
+		if _, found := h.Member(source); !found && source != ownSource {
+			delete(l.sources, source)
+		}
+	}
+}
+
+// isLeaving tells whether the machine at an address is said to be leaving; see leavingOn.
+func (l *leavingNames) isLeaving(address string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Contains(l.union(), address)
+}
+
 // own is what this instance itself has read. Hearsay is not passed on: a name would never die out.
 func (l *leavingNames) own() []string {
 	l.mutex.Lock()
@@ -69,8 +90,11 @@
 	return true
 }
 
-// tellLeaving brings the names to the route and to the holders.
-func (d *Daemon) tellLeaving(ctx context.Context) {
+// applyLeaving brings the names to the route and to the holders when they have changed.
+func (d *Daemon) applyLeaving(ctx context.Context) {
+	if !d.leaving.changed() {
+		return
+	}
 	names := d.leaving.all()
 	d.Log.Info().Strs("Names", names).Msg("LeavingChanged")
 	d.pipeline.Advice.With(func(a *pipeline.Advice) {
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
+	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
@@ -17,8 +18,10 @@
 // loop what came of it.
 
 const (
-	// reportEvery is how often an engine is asked for its report. Reports lag by more than this anyway.
-	reportEvery = 300 * time.Millisecond
+	// reportEvery is how often an engine is asked for its report. Three that fail make an upstream
+	// unhealthy, which has to show within a few seconds; asked more often, reports would take most of
+	// what an instance may spend on control.
+	reportEvery = time.Second
 	// unhealthyAfter is how many reports in a row may fail before the upstream gets no new work: one or
 	// two are lost to a slow connection, and a leaving upstream has to be noticed within seconds.
 	unhealthyAfter = 3
@@ -143,15 +146,10 @@
 
 func (r *Runner) list(s *seat) ([]holder.Pin, bool) {
 	answer := make(chan []holder.Pin, 1)
-	if !r.send(s.context, listMessage{seat: s, answer: answer}) {
-		return nil, false
-	}
-	select {
-	case pins := <-answer:
-		return pins, true
-	case <-s.context.Done():
+	if !r.inbox.Send(s.context, listMessage{seat: s, answer: answer}) {
 		return nil, false
 	}
+	return inbox.Await(s.context, r.inbox, answer)
 }
 
 func byInstance(pins []holder.Pin) map[string][]holder.Pin {
@@ -212,6 +210,8 @@
 		Patience:  action.Patience,
 	})
 	switch {
+	case err == nil && permit.Replaced:
+		return // the newer ask tells what came of it
 	case err != nil:
 		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: askAgain})
 	case permit.Granted:
@@ -221,9 +221,10 @@
 	}
 }
 
-// runReturn gives a permit back; when that is lost the permit lapses by itself.
-func (r *Runner) runReturn(s *seat, ref model.Reference) {
-	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref})
+// runEndLoad tells the broker that a load has ended, or that its permit is given back unused. When that
+// is lost the permit lapses by itself.
+func (r *Runner) runEndLoad(s *seat, ref model.Reference, unused bool) {
+	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref}, unused)
 	if err != nil {
 		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("PermitNotReturned")
 	}
@@ -234,7 +235,7 @@
 	defer cancel()
 	began := time.Now()
 	evicted, err := r.load(ctx, s, action)
-	r.runReturn(s, action.Load)
+	r.runEndLoad(s, action.Load, false)
 	event := r.Log.Info()
 	if err != nil {
 		event = r.Log.Warn().Err(err)
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -68,14 +68,19 @@
 	Fleet    Fleet
 	Engine   func(address string) Engine
 	Services Services
-	Pins     *Pins
-	Running  *Running
-	Burn     Objectives
-	Advice   *Advice
+	// Leaving tells whether the machine at an address is said to be leaving.
+	Leaving func(address string) bool
+	Pins    *Pins
+	Running *Running
+	Burn    Objectives
+	Advice  *Advice
 	// Patience is the longest a request may wait before it is dispatched.
 	Patience time.Duration
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// Crashed, when set, is told that a request was in flight when an upstream was lost, so that the other
+	// instances hear of it before its caller sends it to one of them.
+	Crashed func()
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Advice is what this instance has learnt about upstreams and requests: where to send the next one,
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -86,6 +86,7 @@
 		FreePlaces:    int32(s.FreePlaces),
 		BacklogMillis: s.Backlog.Milliseconds(),
 		Healthy:       s.Healthy,
+		Coldest:       s.Coldest,
 	}
 	for _, ref := range s.Resident {
 		wire.Resident = append(wire.Resident, ref.String())
@@ -100,6 +101,7 @@
 		FreePlaces: int(wire.GetFreePlaces()),
 		Backlog:    millis(wire.GetBacklogMillis()),
 		Healthy:    wire.GetHealthy(),
+		Coldest:    wire.GetColdest(),
 	}
 	for _, text := range wire.GetResident() {
 		if ref, ok := model.Parse(text); ok {
@@ -125,6 +127,7 @@
 		PatienceMillis: p.Request.Deadline.Sub(now).Milliseconds(),
 		Epoch:          p.Epoch,
 		Alone:          p.Request.Alone,
+		Apart:          p.Request.Apart,
 	}
 }
 
@@ -142,6 +145,7 @@
 			Cost:        wire.GetCost(),
 			Deadline:    now.Add(millis(wire.GetPatienceMillis())),
 			Alone:       wire.GetAlone(),
+			Apart:       wire.GetApart(),
 		},
 	}
 }
