Let the planned stop's proof outlast the time to settle

With the drain taken out (connections closed in place of waiting), the test still passed: its stream of 500 tokens ended within the time in which a stopping instance goes on serving anyway. It streams 1600 tokens now. Seen since, on a scratch copy: without the drain both cases cut the stream.

--- a/internal/proof/integration/stop_test.go
+++ b/internal/proof/integration/stop_test.go
@@ -14,6 +14,10 @@
 	"lacewingrock.example/lacewingrock/internal/standin/list"
 )
 
+// longTokens makes an answer that streams for longer than a stopping instance goes on serving anyway;
+// a shorter one ends by itself and proves nothing.
+const longTokens = 1600
+
 // An instance is told to stop while a long answer streams through it, in one case while the store is
 // out. The caller must get the answer to its end, and the instance must end well.
 func TestPlannedStopCutsNoStream(t *testing.T) {
@@ -33,14 +37,14 @@
 			}
 			var came reply
 			var stream sync.WaitGroup
-			stream.Go(func() { came = w.caller(w.keyA).stream(0, model, "long", 500) })
+			stream.Go(func() { came = w.caller(w.keyA).stream(0, model, "long", longTokens) })
 			w.eventually("the stream runs", settleLimit, func() bool { return len(w.ranWith("long")) == 1 })
 			w.must(w.d.InstanceOf[0].Stop(w.ctx))
 			stream.Wait()
 			if !came.ok() {
 				t.Fatalf("the stream was cut: %s", came)
 			}
-			if err := checkText(came, model, "long", 500); err != nil {
+			if err := checkText(came, model, "long", longTokens); err != nil {
 				t.Error(err)
 			}
 			if code := w.d.InstanceOf[0].ExitCode(); code != 0 {
