Relay who has a revision in force, so that all know within seconds

Cause: an instance hears four members a second, so that at 330 instances it knew only after 31 s that a change was in force everywhere; operators were promised 5, and shares and upstreams wait for it. Ruled out: asking more members (control bytes), and asking the few readers first (they would bear the fleet's heartbeats). Heartbeats now carry a bit for each member of the head: who is known to have the revision. That stays true once it is, so hearsay counts; it counts only between two instances of the same head.

--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -124,6 +124,7 @@
 
 // learn takes in what any heartbeat tells that needs no question of ours to be true.
 func (d *Daemon) learn(at time.Time, beat peer.Beat) {
+	d.tracker.Relayed(beat.Revision, beat.Told)
 	d.detector.handle(membership.Heard{Name: beat.Instance, Incarnation: beat.Incarnation})
 	d.settlement.tell(rate.Identity{Name: beat.Instance, Incarnation: beat.Incarnation}, beat.OldestRevision)
 	if _, member := d.repository.Current().Head.Member(beat.Instance); member {
@@ -176,6 +177,9 @@
 		Stopping:       d.stopping.Load(),
 		OldestRevision: d.ledger.OldestRevision(),
 	}
+	if relayed, told := d.tracker.Relay(); relayed == revision {
+		beat.Told = told
+	}
 	d.pipeline.Advice.With(func(a *pipeline.Advice) {
 		beat.Suspects = a.Suspects.Own(time.Now())
 	})
--- a/internal/fleet/freshness/fuzz_test.go
+++ b/internal/fleet/freshness/fuzz_test.go
@@ -153,13 +153,19 @@
 
 func (w *world) beat(from, to *node) func() bool {
 	asked := time.Now()
+	hearsay, told := from.tracker.Relay()
 	return w.toNode(to, func() {
+		to.tracker.Relayed(hearsay, told)
 		revision, age := to.tracker.Confirmed()
 		reply := freshness.Reply{
 			Member: freshness.Member{Name: to.member.Name, Incarnation: to.member.Incarnation},
 			Asked:  asked, Revision: revision, ConfirmedAge: age,
 		}
-		w.waiting = append(w.waiting, w.toNode(from, func() { from.tracker.Replied(reply) }))
+		answered, answeredTold := to.tracker.Relay()
+		w.waiting = append(w.waiting, w.toNode(from, func() {
+			from.tracker.Replied(reply)
+			from.tracker.Relayed(answered, answeredTold)
+		}))
 	})
 }
 
--- a/internal/fleet/freshness/store_budget_test.go
+++ b/internal/fleet/freshness/store_budget_test.go
@@ -138,10 +138,12 @@
 		w.pings++
 		asker, _ := m.tracker.Confirmed()
 		w.members[peer].tracker.Told(m.self, asker)
+		w.members[peer].tracker.Relayed(m.tracker.Relay())
 		revision, age := w.members[peer].tracker.Confirmed()
 		m.tracker.Replied(freshness.Reply{
 			Member: w.members[peer].self, Asked: time.Now(), Revision: revision, ConfirmedAge: age,
 		})
+		m.tracker.Relayed(w.members[peer].tracker.Relay())
 	}
 }
 
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -28,6 +28,7 @@
 	if b.ConfirmedAge < 0 {
 		wire.ConfirmedAgeMicros = -1 // shorter than a microsecond would otherwise turn into 0: "just now"
 	}
+	wire.Told = b.Told
 	for _, summary := range b.Upstreams {
 		wire.Upstreams = append(wire.Upstreams, summaryToWire(summary))
 	}
@@ -59,6 +60,7 @@
 		Stopping:       wire.GetStopping(),
 		OldestRevision: wire.GetOldestRevision(),
 	}
+	b.Told = wire.GetTold()
 	for _, summary := range wire.GetUpstreams() {
 		b.Upstreams = append(b.Upstreams, summaryFromWire(summary))
 	}
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -29,6 +29,8 @@
 	Returns      []rate.Return
 	// OldestRevision is the oldest head under which a reservation or loan still open was made.
 	OldestRevision int64
+	// Told has a bit for each member of the head of Revision: who is known to have it in force.
+	Told []byte
 }
 
 // TokenRequest asks a peer for tokens of a workspace's share; the answer is a rate.Loan.
--- a/internal/fleet/peer/round_trip_test.go
+++ b/internal/fleet/peer/round_trip_test.go
@@ -153,6 +153,7 @@
 			InForceSince: time.UnixMicro(number.Draw(t, "since")), Upstreams: list(t, summary), Suspects: list(t, suspected),
 			Leaving: list(t, name), Stopping: rapid.Bool().Draw(t, "stopping"), Returns: list(t, returned),
 			OldestRevision: number.Draw(t, "oldest"),
+			Told:           list(t, rapid.Byte()),
 		}
 	})
 	pin = rapid.Custom(func(t *rapid.T) holder.Pin {
