Say what an instance has to tell of members that left unsettled

Trial: three instances, one frozen with its whole bucket reserved at an engine that goes on, removed, and a fourth joins; the joiner counts what the listed members tell of their oldest reservation. The telling is the daemon's; only the comment changes here.

--- a/internal/admission/rate/settled.go
+++ b/internal/admission/rate/settled.go
@@ -7,6 +7,11 @@
 
 // OldestRevision is the revision of the oldest head under which a reservation or a loan, lent or
 // borrowed, that is still open was made here; the installed revision when none is. It is told to the other members.
+//
+// What an instance tells must be the smaller of this and of the last that was told by members which
+// left without having settled and whose reservations may still run. A process that joins later never
+// heard of those: by the listed members alone it would fill its share while the requests of a frozen and
+// removed instance still run.
 func (l *Ledger) OldestRevision() int64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
