--- a/internal/entry/pipeline/meter.go
+++ b/internal/entry/pipeline/meter.go
@@ -20,16 +20,17 @@
 // meter stands between the engine's stream and the caller: it counts the tokens that go by and spends
 // them from the request's reservation. It belongs to one goroutine.
 type meter struct {
-	sink         api.Sink
-	reservation  *rate.Reservation
+	sink        api.Sink
+	reservation *rate.Reservation
+	// promptTokens is the prompt's estimate, mostTokens the most that may be generated; the reservation
+	// holds at least both.
 	promptTokens int
 	mostTokens   int
 
 	began      bool
 	firstToken time.Time
 	tokens     int
-	// left is what the reservation held when it was last told, untold how many tokens came since.
-	left   float64
+	// untold is how many tokens the reservation has not been told of.
 	untold int
 	usage  stream.Usage
 }
@@ -44,8 +45,8 @@
 	return m.sink.Begin(api.Served{Model: served})
 }
 
-// Event passes on one event and spends its tokens. An event that goes beyond the reservation is not
-// passed on and ends the stream: its tokens would be more than the workspace bought. The prompt's tokens
+// Event passes on one event and spends its tokens. An event beyond what was asked for is not passed on
+// and ends the stream: its tokens were not reserved, and would be more than the workspace bought. The prompt's tokens
 // are not spent until the engine has counted them: what is spent is not given back, and the estimate is
 // several times the count of a short prompt.
 func (m *meter) Event(event stream.Event, tokens int) error {
@@ -54,37 +55,16 @@
 	}
 	if m.firstToken.IsZero() && tokens > 0 {
 		m.firstToken = time.Now()
-		m.tell()
 	}
 	if tokens > m.tokens {
-		generated := tokens - m.tokens
+		m.untold += tokens - m.tokens
 		m.tokens = tokens
-		if !m.spend(generated) {
-			return errOverspent
-		}
-	}
-	return m.sink.Event(event, tokens)
-}
-
-// spend takes tokens from the reservation and reports whether it held them. Only this request spends
-// from it, so what is left is known without asking, unless the reservation has outlived its deadline;
-// that also ends the request itself.
-func (m *meter) spend(tokens int) bool {
-	m.untold += tokens
-	if float64(m.untold) > m.left {
-		m.tell()
-		return false
 	}
 	if m.untold >= toldTogether {
-		m.tell()
+		m.reservation.Spend(float64(m.untold))
+		m.untold = 0
 	}
-	return true
-}
-
-// tell spends what was not told yet. What is left for the answer is the rest without the prompt's part.
-func (m *meter) tell() {
-	m.left = m.reservation.Spend(float64(m.untold)) - float64(m.promptTokens)
-	m.untold = 0
+	return m.sink.Event(event, tokens)
 }
 
 // used is what the request cost: the engine's own count if it gave one, else what went by.
--- a/internal/entry/pipeline/meter_test.go
+++ b/internal/entry/pipeline/meter_test.go
@@ -88,7 +88,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			sink := &countingSink{}
-			m := &meter{sink: sink, promptTokens: c.prompt, reservation: reservationOf(t, float64(c.reserved), 1, true)}
+			m := &meter{
+				sink: sink, promptTokens: c.prompt, mostTokens: c.reserved - c.prompt,
+				reservation: reservationOf(t, float64(c.reserved), 1, true),
+			}
 			var err error
 			tokens := 0
 			for err == nil {
