Test that other members are told of each crash

TestRequestThatCrashesUpstreams counts the calls of Crashed: one for each of the three crashes. It fails without the call in the pipeline.

--- a/internal/entry/pipeline/completion_failures_test.go
+++ b/internal/entry/pipeline/completion_failures_test.go
@@ -226,6 +226,7 @@
 				is := is.New(t)
 				is.Equal(len(f.dispatched()), 3)
 				is.True(f.placed[2].Request.Alone)
+				is.Equal(f.told.Load(), int32(3)) // each crash, so that no other instance tries it anew
 			})
 		})
 	}
--- a/internal/entry/pipeline/fixture_test.go
+++ b/internal/entry/pipeline/fixture_test.go
@@ -76,6 +76,7 @@
 	placed   []peer.PlaceRequest
 	sent     []string
 	calls    int
+	told     atomic.Int32
 	called   []string
 	released []peer.ReleaseRequest
 }
@@ -102,7 +103,8 @@
 	f.pipeline = &pipeline.Pipeline{
 		Self: self, Current: f.repository.Current, Tracker: f.tracker, Ledger: f.ledger, Claims: claims,
 		Fleet: f, Engine: func(address string) pipeline.Engine { return engineAt{f, upstream[address]} },
-		Services: f, Leaving: func(address string) bool { return f.leaving[address] }, Pins: &pipeline.Pins{}, Running: &pipeline.Running{}, Burn: &burn.Recorder{},
+		Services: f, Leaving: func(address string) bool { return f.leaving[address] },
+		Crashed: func() { f.told.Add(1) }, Pins: &pipeline.Pins{}, Running: &pipeline.Running{}, Burn: &burn.Recorder{},
 		Advice: &pipeline.Advice{
 			Router:   &route.Router{Settings: route.DefaultSettings()},
 			Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
