--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -28,6 +28,7 @@
 	if b.ConfirmedAge < 0 {
 		wire.ConfirmedAgeMicros = -1 // shorter than a microsecond would otherwise turn into 0: "just now"
 	}
+	wire.Told = b.Told
 	for _, summary := range b.Upstreams {
 		wire.Upstreams = append(wire.Upstreams, summaryToWire(summary))
 	}
@@ -43,6 +44,7 @@
 			Workspace: back.Workspace,
 			Loan:      back.Loan,
 			Remaining: back.Remaining,
+			Unspent:   back.Unspent,
 		})
 	}
 	return wire
@@ -59,6 +61,7 @@
 		Stopping:       wire.GetStopping(),
 		OldestRevision: wire.GetOldestRevision(),
 	}
+	b.Told = wire.GetTold()
 	for _, summary := range wire.GetUpstreams() {
 		b.Upstreams = append(b.Upstreams, summaryFromWire(summary))
 	}
@@ -74,6 +77,7 @@
 			Workspace: back.GetWorkspace(),
 			Loan:      back.GetLoan(),
 			Remaining: back.GetRemaining(),
+			Unspent:   back.GetUnspent(),
 		})
 	}
 	return b
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -29,13 +29,17 @@
 	Returns      []rate.Return
 	// OldestRevision is the oldest head under which a reservation or loan still open was made.
 	OldestRevision int64
+	// Told has a bit for each member of the head of Revision: who is known to have it in force.
+	Told []byte
 }
 
-// TokenRequest asks a peer for tokens of a workspace's share; the answer is a rate.Loan.
+// TokenRequest asks a peer for tokens of a workspace's share; the answer is a rate.Loan. Spare asks only
+// for what the peer's bucket can hardly hold any longer.
 type TokenRequest struct {
 	Workspace string
 	Tokens    float64
 	Borrower  rate.Identity
+	Spare     bool
 }
 
 // PlaceRequest asks the holder of Upstream to place a request; Request.Deadline travels as the time
