Call an upstream that an instance holds a held upstream

Cause: the holders' loop called them seats, a word of its own that a newcomer has to look up. Measured: go test -race ./internal/entry/holding passes, lint clean; nothing but names has changed.

--- a/internal/entry/holding/seat.go
+++ b/internal/entry/holding/held_upstream.go
@@ -11,11 +11,11 @@
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 )
 
-// seat.go is one held upstream: its holder, the requests that wait for an answer of it, and how the
+// held_upstream.go is one held upstream: its holder, the requests that wait for its answer, and how the
 // holder's actions are carried out.
 
-// seat is one held upstream.
-type seat struct {
+// heldUpstream is one upstream that this instance holds.
+type heldUpstream struct {
 	holder    *holder.Holder
 	engine    Engine
 	waiting   map[waiterKey]chan peer.Placement
@@ -33,20 +33,20 @@
 // notHolder is the answer when this instance does not hold the upstream; another one does by now.
 var notHolder = peer.Refused{Reason: holder.ReasonNotHolder, RetryAfter: time.Second}
 
-func (s *seat) name() string {
+func (s *heldUpstream) name() string {
 	return s.holder.Upstream.Meta.Name
 }
 
-func (r *Runner) newSeat(upstream resource.Upstream) *seat {
+func (r *Runner) newHeld(upstream resource.Upstream) *heldUpstream {
 	ctx, cancel := context.WithCancel(r.done)
-	s := &seat{
+	s := &heldUpstream{
 		holder:  &holder.Holder{Upstream: upstream, Settings: r.Settings},
 		engine:  r.Engine(upstream.Address),
 		waiting: map[waiterKey]chan peer.Placement{},
 		context: ctx,
 		stop:    cancel,
 	}
-	r.seats[s.name()] = s
+	r.held[s.name()] = s
 	go r.runReports(s)
 	go r.runReconcile(s)
 	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamHeld")
@@ -54,7 +54,7 @@
 }
 
 func (r *Runner) place(m placeMessage) {
-	s, ok := r.seats[m.request.Upstream]
+	s, ok := r.held[m.request.Upstream]
 	if !ok {
 		m.answer <- notHolder
 		return
@@ -67,7 +67,7 @@
 // leave ends the wait of a request whose caller has gone. If it was granted meanwhile, its answer lies
 // unread in the channel and the pin has to be given back.
 func (r *Runner) leave(request peer.PlaceRequest) {
-	s, ok := r.seats[request.Upstream]
+	s, ok := r.held[request.Upstream]
 	if !ok {
 		return
 	}
@@ -89,13 +89,13 @@
 // An instance that was paused finds old events in its inbox when it wakes up, and by then another may
 // hold the upstream. Granting or ordering on them would run a request on an adapter version that the
 // other is just evicting. So whatever would have an effect outside asks for freshness first.
-func (r *Runner) feed(s *seat, event holder.Event) {
+func (r *Runner) feed(s *heldUpstream, event holder.Event) {
 	for _, action := range s.holder.Handle(time.Now(), event) {
 		r.carryOut(s, action)
 	}
 }
 
-func (r *Runner) carryOut(s *seat, action holder.Action) {
+func (r *Runner) carryOut(s *heldUpstream, action holder.Action) {
 	switch a := action.(type) {
 	case holder.Grant:
 		r.grant(s, a)
@@ -115,7 +115,7 @@
 	}
 }
 
-func (r *Runner) grant(s *seat, grant holder.Grant) {
+func (r *Runner) grant(s *heldUpstream, grant holder.Grant) {
 	key := waiterKey{instance: grant.Pin.Instance, request: grant.Pin.RequestID}
 	if r.Fresh() != nil {
 		r.answer(s, key, notHolder)
@@ -128,7 +128,7 @@
 	}
 }
 
-func (r *Runner) answer(s *seat, key waiterKey, placement peer.Placement) bool {
+func (r *Runner) answer(s *heldUpstream, key waiterKey, placement peer.Placement) bool {
 	answer, ok := s.waiting[key]
 	if !ok {
 		return false
@@ -138,13 +138,13 @@
 	return true
 }
 
-// tell brings an event from a goroutine of the seat to the loop.
-func (r *Runner) tell(s *seat, event holder.Event) {
-	r.inbox.Send(s.context, eventMessage{seat: s, event: event})
+// tell brings an event from a goroutine of the held upstream to the loop.
+func (r *Runner) tell(s *heldUpstream, event holder.Event) {
+	r.inbox.Send(s.context, eventMessage{held: s, event: event})
 }
 
 // member finds an instance among the members of the newest tenure.
-func (r *Runner) member(s *seat, instance string) (member head.Member, ok bool) {
+func (r *Runner) member(s *heldUpstream, instance string) (member head.Member, ok bool) {
 	answer := make(chan []head.Member, 1)
 	if !r.inbox.Send(s.context, membersMessage{answer: answer}) {
 		return head.Member{}, false
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -36,7 +36,7 @@
 )
 
 // runReports polls the engine's report.
-func (r *Runner) runReports(s *seat) {
+func (r *Runner) runReports(s *heldUpstream) {
 	incarnation := ""
 	failed := 0
 	for pause(s.context, reportEvery) {
@@ -81,7 +81,7 @@
 // ---------------------------------------------------------------------------------------------
 // Pins.
 
-func (r *Runner) askPins(s *seat, action holder.AskPins) {
+func (r *Runner) askPins(s *heldUpstream, action holder.AskPins) {
 	for _, member := range r.tenure.Members {
 		go r.runAskPins(s, member, action.Epoch)
 	}
@@ -89,7 +89,7 @@
 
 // runAskPins asks one member until it has noted the epoch and told its pins. A member that has died is
 // taken off the holder's list by InstanceGone.
-func (r *Runner) runAskPins(s *seat, member head.Member, epoch int64) {
+func (r *Runner) runAskPins(s *heldUpstream, member head.Member, epoch int64) {
 	for {
 		list, err := r.Peers.Pins(s.context, member, s.name(), epoch)
 		if err == nil && list.Noted && list.Incarnation == member.Incarnation {
@@ -103,7 +103,7 @@
 }
 
 // runReconcile releases pins that their instance does not know any more.
-func (r *Runner) runReconcile(s *seat) {
+func (r *Runner) runReconcile(s *heldUpstream) {
 	before := map[string]bool{}
 	for pause(s.context, reconcileEvery) {
 		pins, ok := r.list(s)
@@ -123,7 +123,7 @@
 
 // reconcileInstance asks one instance. Only pins that were there a round before count: the answer with
 // a younger one may still be on its way to the instance.
-func (r *Runner) reconcileInstance(s *seat, instance string, pins []holder.Pin, before map[string]bool) {
+func (r *Runner) reconcileInstance(s *heldUpstream, instance string, pins []holder.Pin, before map[string]bool) {
 	member, ok := r.member(s, instance)
 	if !ok {
 		return
@@ -144,9 +144,9 @@
 	}
 }
 
-func (r *Runner) list(s *seat) ([]holder.Pin, bool) {
+func (r *Runner) list(s *heldUpstream) ([]holder.Pin, bool) {
 	answer := make(chan []holder.Pin, 1)
-	if !r.inbox.Send(s.context, listMessage{seat: s, answer: answer}) {
+	if !r.inbox.Send(s.context, listMessage{held: s, answer: answer}) {
 		return nil, false
 	}
 	return inbox.Await(s.context, r.inbox, answer)
@@ -163,7 +163,7 @@
 // cancelStreams ends, at the engine, the requests of an instance that does nothing any more, and only
 // then lets the holder forget their pins. The engine does not know that the instance has died: its
 // requests would run on, and their adapter version could be evicted under them.
-func (r *Runner) cancelStreams(s *seat, instance, incarnation string) {
+func (r *Runner) cancelStreams(s *heldUpstream, instance, incarnation string) {
 	var pins []holder.Pin
 	for _, pin := range s.holder.Pins() {
 		if pin.Instance == instance && pin.Incarnation == incarnation {
@@ -173,7 +173,7 @@
 	go r.runCancelStreams(s, pins, holder.InstanceGone{Instance: instance, Incarnation: incarnation})
 }
 
-func (r *Runner) runCancelStreams(s *seat, pins []holder.Pin, gone holder.InstanceGone) {
+func (r *Runner) runCancelStreams(s *heldUpstream, pins []holder.Pin, gone holder.InstanceGone) {
 	for _, pin := range pins {
 		for s.engine.Cancel(s.context, pin.RequestID) != nil {
 			if !pause(s.context, askAgain) {
@@ -187,7 +187,7 @@
 // ---------------------------------------------------------------------------------------------
 // Loads.
 
-func (r *Runner) runFence(s *seat, action holder.OrderFence) {
+func (r *Runner) runFence(s *heldUpstream, action holder.OrderFence) {
 	if r.Fresh() != nil {
 		return
 	}
@@ -199,7 +199,7 @@
 	r.Log.Warn().Str("Upstream", s.name()).Int64("Fence", action.Fence).Err(err).Msg("FenceNotNoted")
 }
 
-func (r *Runner) runPermit(s *seat, action holder.AskPermit) {
+func (r *Runner) runPermit(s *heldUpstream, action holder.AskPermit) {
 	ctx, cancel := context.WithTimeout(s.context, action.Patience)
 	defer cancel()
 	permit, err := r.Peers.PermitLoad(ctx, broker.Asked{
@@ -223,14 +223,14 @@
 
 // runEndLoad tells the broker that a load has ended, or that its permit is given back unused. When that
 // is lost the permit lapses by itself.
-func (r *Runner) runEndLoad(s *seat, ref model.Reference, unused bool) {
+func (r *Runner) runEndLoad(s *heldUpstream, ref model.Reference, unused bool) {
 	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref}, unused)
 	if err != nil {
 		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("PermitNotReturned")
 	}
 }
 
-func (r *Runner) runLoad(s *seat, action holder.OrderLoad) {
+func (r *Runner) runLoad(s *heldUpstream, action holder.OrderLoad) {
 	ctx, cancel := context.WithTimeout(s.context, r.Settings.LongestOrder)
 	defer cancel()
 	began := time.Now()
@@ -251,7 +251,7 @@
 
 // load unloads what has to make room and loads. An instance that was paused before the order asks for
 // freshness at the last moment: by then another may be the holder.
-func (r *Runner) load(ctx context.Context, s *seat, action holder.OrderLoad) (evicted bool, err error) {
+func (r *Runner) load(ctx context.Context, s *heldUpstream, action holder.OrderLoad) (evicted bool, err error) {
 	if !action.Evict.IsZero() {
 		if err := r.Fresh(); err != nil {
 			return false, err
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -63,7 +63,7 @@
 	Log   zerolog.Logger
 
 	inbox *inbox.Inbox[message]
-	seats map[string]*seat
+	held  map[string]*heldUpstream
 	// tenure and leaving are the newest ones told.
 	tenure  Tenure
 	leaving Leaving
@@ -98,9 +98,9 @@
 	goneMessage    struct{ instance, incarnation string }
 	summaryMessage struct{ answer chan []holder.Summary }
 	// eventMessage is an event for one upstream's holder, from a goroutine that began in a tenure.
-	// Events of an earlier seat of the same upstream are dropped.
+	// Events of an earlier holding of the same upstream are dropped.
 	eventMessage struct {
-		seat  *seat
+		held  *heldUpstream
 		event holder.Event
 	}
 	releaseMessage struct {
@@ -108,7 +108,7 @@
 		event    holder.Released
 	}
 	listMessage struct {
-		seat   *seat
+		held   *heldUpstream
 		answer chan []holder.Pin
 	}
 	membersMessage struct{ answer chan []head.Member }
@@ -129,7 +129,7 @@
 // Prepare makes the runner ready to be called before Run has begun.
 func (r *Runner) Prepare() {
 	r.inbox = inbox.New[message](inboxLength)
-	r.seats = map[string]*seat{}
+	r.held = map[string]*heldUpstream{}
 }
 
 // Run owns the holders until the context ends.
@@ -146,7 +146,7 @@
 		case m := <-r.inbox.Messages():
 			r.take(m)
 		case <-tick.C:
-			for _, s := range r.seats {
+			for _, s := range r.held {
 				r.feed(s, holder.Tick{})
 			}
 		}
@@ -225,31 +225,31 @@
 		close(m.taken)
 	case leavingMessage:
 		r.leaving = m.leaving
-		for _, s := range r.seats {
+		for _, s := range r.held {
 			r.feedLeaving(s)
 		}
 	case inForceMessage:
-		for _, s := range r.seats {
+		for _, s := range r.held {
 			if m.revision >= r.tenure.Epoch {
 				r.feed(s, holder.EpochInForce{Epoch: r.tenure.Epoch})
 			}
 		}
 	case goneMessage:
-		for _, s := range r.seats {
+		for _, s := range r.held {
 			r.cancelStreams(s, m.instance, m.incarnation)
 		}
 	case summaryMessage:
 		m.answer <- r.summaries()
 	case eventMessage:
-		if r.seats[m.seat.name()] == m.seat {
-			r.feed(m.seat, m.event)
+		if r.held[m.held.name()] == m.held {
+			r.feed(m.held, m.event)
 		}
 	case releaseMessage:
-		if s, ok := r.seats[m.upstream]; ok {
+		if s, ok := r.held[m.upstream]; ok {
 			r.feed(s, m.event)
 		}
 	case listMessage:
-		m.answer <- m.seat.holder.Pins()
+		m.answer <- m.held.holder.Pins()
 	case membersMessage:
 		m.answer <- r.tenure.Members
 	}
@@ -257,8 +257,8 @@
 
 func (r *Runner) summaries() []holder.Summary {
 	now := time.Now()
-	summaries := make([]holder.Summary, 0, len(r.seats))
-	for _, s := range r.seats {
+	summaries := make([]holder.Summary, 0, len(r.held))
+	for _, s := range r.held {
 		if s.appointed {
 			summaries = append(summaries, s.holder.Summary(now))
 		}
@@ -266,7 +266,7 @@
 	return summaries
 }
 
-// setTenure takes a new head in: seats of upstreams no longer held are given up, new ones taken.
+// setTenure takes a new head in: upstreams no longer held are given up, new ones taken.
 func (r *Runner) setTenure(tenure Tenure) {
 	r.tenure = tenure
 	held := map[string]bool{}
@@ -277,13 +277,13 @@
 	for _, upstream := range tenure.Upstreams {
 		name := upstream.Meta.Name
 		held[name] = true
-		s, ok := r.seats[name]
+		s, ok := r.held[name]
 		if ok && s.holder.Upstream.Address != upstream.Address {
 			r.giveUp(s)
 			ok = false
 		}
 		if !ok {
-			s = r.newSeat(upstream)
+			s = r.newHeld(upstream)
 		}
 		s.holder.Upstream = upstream
 		r.feed(s, holder.Appointed{
@@ -294,7 +294,7 @@
 		r.feedLeaving(s)
 		s.appointed = true
 	}
-	for name, s := range r.seats {
+	for name, s := range r.held {
 		if !held[name] {
 			r.giveUp(s)
 		}
@@ -302,13 +302,13 @@
 }
 
 // feedLeaving tells a holder whether its upstream is leaving by any word.
-func (r *Runner) feedLeaving(s *seat) {
+func (r *Runner) feedLeaving(s *heldUpstream) {
 	r.feed(s, holder.UpstreamLeaving{Leaving: s.holder.Upstream.Leaving || r.leaving[s.name()]})
 }
 
-func (r *Runner) giveUp(s *seat) {
+func (r *Runner) giveUp(s *heldUpstream) {
 	r.feed(s, holder.Yielded{})
 	s.stop()
-	delete(r.seats, s.name())
+	delete(r.held, s.name())
 	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamYielded")
 }
