--- a/internal/entry/brokering/runner.go
+++ b/internal/entry/brokering/runner.go
@@ -7,8 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lacewingrock.example/lacewingrock/internal/entry/inbox"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
@@ -46,21 +44,9 @@
 }
 
 // Run owns the broker until the context ends.
-func (r *Runner) Run(ctx context.Context) (err error) {
-	defer func() { err = errors.WithMessage(err, "brokering") }()
-	defer r.inbox.End()
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-r.inbox.Messages():
-			r.take(m)
-		case <-tick.C:
-			r.feed(broker.Tick{})
-		}
-	}
+func (r *Runner) Run(ctx context.Context) error {
+	r.inbox.Loop(ctx, tickEvery, r.take, func() { r.feed(broker.Tick{}) })
+	return nil
 }
 
 // Permit asks for leave to load, and waits for the answer.
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -7,7 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
@@ -133,23 +132,15 @@
 }
 
 // Run owns the holders until the context ends.
-func (r *Runner) Run(ctx context.Context) (err error) {
-	defer func() { err = errors.WithMessage(err, "holding") }()
-	defer r.inbox.End()
+func (r *Runner) Run(ctx context.Context) error {
 	r.done = ctx
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-r.inbox.Messages():
-			r.take(m)
-		case <-tick.C:
-			for _, s := range r.held {
-				r.feed(s, holder.Tick{})
-			}
-		}
+	r.inbox.Loop(ctx, tickEvery, r.take, r.tick)
+	return nil
+}
+
+func (r *Runner) tick() {
+	for _, s := range r.held {
+		r.feed(s, holder.Tick{})
 	}
 }
 
--- a/internal/entry/inbox/inbox.go
+++ b/internal/entry/inbox/inbox.go
@@ -3,7 +3,10 @@
 // stop they would otherwise wait for good for somebody who reads no more.
 package inbox
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Inbox takes messages of one kind. Make it with New; one goroutine reads it.
 type Inbox[M any] struct {
@@ -16,11 +19,23 @@
 	return &Inbox[M]{messages: make(chan M, length), ended: make(chan struct{})}
 }
 
-// Messages is what the owner reads.
-func (i *Inbox[M]) Messages() <-chan M { return i.messages }
-
-// End tells that nobody reads any more. The owner calls it once.
-func (i *Inbox[M]) End() { close(i.ended) }
+// Loop is the owner's work: it takes each message, and each time that the interval has passed lets time
+// pass. It returns when the context ends, and lets all who still wait go. It is called once.
+func (i *Inbox[M]) Loop(ctx context.Context, every time.Duration, take func(M), tick func()) {
+	defer close(i.ended)
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-i.messages:
+			take(m)
+		case <-ticker.C:
+			tick()
+		}
+	}
+}
 
 // Send hands a message over. It fails when the owner has ended or the context ends first.
 func (i *Inbox[M]) Send(ctx context.Context, m M) bool {
