Finish the renaming of held upstreams, and say placing once in the holders' tests

Ruled out: a limited wait in the test of a stale instance. Its answer must be the runner's own, and the end of a wait gives the same one; it keeps its unlimited wait.

--- a/internal/entry/holding/held_upstream.go
+++ b/internal/entry/holding/held_upstream.go
@@ -33,53 +33,53 @@
 // notHolder is the answer when this instance does not hold the upstream; another one does by now.
 var notHolder = peer.Refused{Reason: holder.ReasonNotHolder, RetryAfter: time.Second}
 
-func (s *heldUpstream) name() string {
-	return s.holder.Upstream.Meta.Name
+func (u *heldUpstream) name() string {
+	return u.holder.Upstream.Meta.Name
 }
 
 func (r *Runner) newHeld(upstream resource.Upstream) *heldUpstream {
 	ctx, cancel := context.WithCancel(r.done)
-	s := &heldUpstream{
+	u := &heldUpstream{
 		holder:  &holder.Holder{Upstream: upstream, Settings: r.Settings},
 		engine:  r.Engine(upstream.Address),
 		waiting: map[waiterKey]chan peer.Placement{},
 		context: ctx,
 		stop:    cancel,
 	}
-	r.held[s.name()] = s
-	go r.runReports(s)
-	go r.runReconcile(s)
-	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamHeld")
-	return s
+	r.held[u.name()] = u
+	go r.runReports(u)
+	go r.runReconcile(u)
+	r.Log.Info().Str("Upstream", u.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamHeld")
+	return u
 }
 
 func (r *Runner) place(m placeMessage) {
-	s, ok := r.held[m.request.Upstream]
+	u, ok := r.held[m.request.Upstream]
 	if !ok {
 		m.answer <- notHolder
 		return
 	}
 	key := waiterKey{instance: m.request.Request.Instance, request: m.request.Request.ID}
-	s.waiting[key] = m.answer
-	r.feed(s, holder.Arrived{Request: m.request.Request})
+	u.waiting[key] = m.answer
+	r.feed(u, holder.Arrived{Request: m.request.Request})
 }
 
 // leave ends the wait of a request whose caller has gone. If it was granted meanwhile, its answer lies
 // unread in the channel and the pin has to be given back.
 func (r *Runner) leave(request peer.PlaceRequest) {
-	s, ok := r.held[request.Upstream]
+	u, ok := r.held[request.Upstream]
 	if !ok {
 		return
 	}
 	key := waiterKey{instance: request.Request.Instance, request: request.Request.ID}
-	if _, waits := s.waiting[key]; waits {
-		delete(s.waiting, key)
-		r.feed(s, holder.Cancelled{RequestID: request.Request.ID})
+	if _, waits := u.waiting[key]; waits {
+		delete(u.waiting, key)
+		r.feed(u, holder.Cancelled{RequestID: request.Request.ID})
 		return
 	}
-	for _, pin := range s.holder.Pins() {
+	for _, pin := range u.holder.Pins() {
 		if pin.RequestID == request.Request.ID && pin.Instance == request.Request.Instance {
-			r.feed(s, holder.Released{Pin: pin.ID})
+			r.feed(u, holder.Released{Pin: pin.ID})
 		}
 	}
 }
@@ -89,67 +89,67 @@
 // An instance that was paused finds old events in its inbox when it wakes up, and by then another may
 // hold the upstream. Granting or ordering on them would run a request on an adapter version that the
 // other is just evicting. So whatever would have an effect outside asks for freshness first.
-func (r *Runner) feed(s *heldUpstream, event holder.Event) {
-	for _, action := range s.holder.Handle(time.Now(), event) {
-		r.carryOut(s, action)
+func (r *Runner) feed(u *heldUpstream, event holder.Event) {
+	for _, action := range u.holder.Handle(time.Now(), event) {
+		r.carryOut(u, action)
 	}
 }
 
-func (r *Runner) carryOut(s *heldUpstream, action holder.Action) {
+func (r *Runner) carryOut(u *heldUpstream, action holder.Action) {
 	switch a := action.(type) {
 	case holder.Grant:
-		r.grant(s, a)
+		r.grant(u, a)
 	case holder.Refuse:
-		r.answer(s, waiterKey{instance: a.Instance, request: a.RequestID},
+		r.answer(u, waiterKey{instance: a.Instance, request: a.RequestID},
 			peer.Refused{Reason: a.Reason, RetryAfter: a.RetryAfter})
 	case holder.AskPins:
-		r.askPins(s, a)
+		r.askPins(u, a)
 	case holder.OrderFence:
-		go r.runFence(s, a)
+		go r.runFence(u, a)
 	case holder.AskPermit:
-		go r.runPermit(s, a)
+		go r.runPermit(u, a)
 	case holder.ReturnPermit:
-		go r.runEndLoad(s, a.Model, true)
+		go r.runEndLoad(u, a.Model, true)
 	case holder.OrderLoad:
-		go r.runLoad(s, a)
+		go r.runLoad(u, a)
 	}
 }
 
-func (r *Runner) grant(s *heldUpstream, grant holder.Grant) {
+func (r *Runner) grant(u *heldUpstream, grant holder.Grant) {
 	key := waiterKey{instance: grant.Pin.Instance, request: grant.Pin.RequestID}
 	if r.Fresh() != nil {
-		r.answer(s, key, notHolder)
-		r.feed(s, holder.Released{Pin: grant.Pin.ID})
+		r.answer(u, key, notHolder)
+		r.feed(u, holder.Released{Pin: grant.Pin.ID})
 		return
 	}
 	granted := peer.Granted{Pin: grant.Pin.ID, WaitedLoad: grant.WaitedLoad, WaitedQueue: grant.WaitedQueue}
-	if !r.answer(s, key, granted) {
-		r.feed(s, holder.Released{Pin: grant.Pin.ID})
+	if !r.answer(u, key, granted) {
+		r.feed(u, holder.Released{Pin: grant.Pin.ID})
 	}
 }
 
-func (r *Runner) answer(s *heldUpstream, key waiterKey, placement peer.Placement) bool {
-	answer, ok := s.waiting[key]
+func (r *Runner) answer(u *heldUpstream, key waiterKey, placement peer.Placement) bool {
+	answer, ok := u.waiting[key]
 	if !ok {
 		return false
 	}
-	delete(s.waiting, key)
+	delete(u.waiting, key)
 	answer <- placement
 	return true
 }
 
 // tell brings an event from a goroutine of the held upstream to the loop.
-func (r *Runner) tell(s *heldUpstream, event holder.Event) {
-	r.inbox.Send(s.context, eventMessage{held: s, event: event})
+func (r *Runner) tell(u *heldUpstream, event holder.Event) {
+	r.inbox.Send(u.context, eventMessage{held: u, event: event})
 }
 
 // member finds an instance among the members of the newest tenure.
-func (r *Runner) member(s *heldUpstream, instance string) (member head.Member, ok bool) {
+func (r *Runner) member(u *heldUpstream, instance string) (member head.Member, ok bool) {
 	answer := make(chan []head.Member, 1)
-	if !r.inbox.Send(s.context, membersMessage{answer: answer}) {
+	if !r.inbox.Send(u.context, membersMessage{answer: answer}) {
 		return head.Member{}, false
 	}
-	members, _ := inbox.Await(s.context, r.inbox, answer)
+	members, _ := inbox.Await(u.context, r.inbox, answer)
 	for _, m := range members {
 		if m.Name == instance {
 			return m, true
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -36,30 +36,30 @@
 )
 
 // runReports polls the engine's report.
-func (r *Runner) runReports(s *heldUpstream) {
+func (r *Runner) runReports(u *heldUpstream) {
 	incarnation := ""
 	failed := 0
-	for pause(s.context, reportEvery) {
-		report, err := s.engine.Report(s.context)
+	for pause(u.context, reportEvery) {
+		report, err := u.engine.Report(u.context)
 		if err != nil {
 			failed++
 			if failed == unhealthyAfter {
-				r.Log.Warn().Str("Upstream", s.name()).Err(err).Msg("UpstreamUnreachable")
-				r.tell(s, holder.UpstreamHealth{Healthy: false})
+				r.Log.Warn().Str("Upstream", u.name()).Err(err).Msg("UpstreamUnreachable")
+				r.tell(u, holder.UpstreamHealth{Healthy: false})
 			}
 			continue
 		}
 		if failed >= unhealthyAfter {
-			r.Log.Info().Str("Upstream", s.name()).Msg("UpstreamReachable")
-			r.tell(s, holder.UpstreamHealth{Healthy: true})
+			r.Log.Info().Str("Upstream", u.name()).Msg("UpstreamReachable")
+			r.tell(u, holder.UpstreamHealth{Healthy: true})
 		}
 		failed = 0
 		if incarnation != "" && incarnation != report.Incarnation {
-			r.Log.Warn().Str("Upstream", s.name()).Msg("UpstreamRestarted")
-			r.tell(s, holder.UpstreamRestarted{Incarnation: report.Incarnation})
+			r.Log.Warn().Str("Upstream", u.name()).Msg("UpstreamRestarted")
+			r.tell(u, holder.UpstreamRestarted{Incarnation: report.Incarnation})
 		}
 		incarnation = report.Incarnation
-		r.tell(s, holder.Reported{
+		r.tell(u, holder.Reported{
 			Incarnation: report.Incarnation,
 			Resident:    references(report.Resident),
 			Running:     references(report.RunningModels),
@@ -81,38 +81,38 @@
 // ---------------------------------------------------------------------------------------------
 // Pins.
 
-func (r *Runner) askPins(s *heldUpstream, action holder.AskPins) {
+func (r *Runner) askPins(u *heldUpstream, action holder.AskPins) {
 	for _, member := range r.tenure.Members {
-		go r.runAskPins(s, member, action.Epoch)
+		go r.runAskPins(u, member, action.Epoch)
 	}
 }
 
 // runAskPins asks one member until it has noted the epoch and told its pins. A member that has died is
 // taken off the holder's list by InstanceGone.
-func (r *Runner) runAskPins(s *heldUpstream, member head.Member, epoch int64) {
+func (r *Runner) runAskPins(u *heldUpstream, member head.Member, epoch int64) {
 	for {
-		list, err := r.Peers.Pins(s.context, member, s.name(), epoch)
+		list, err := r.Peers.Pins(u.context, member, u.name(), epoch)
 		if err == nil && list.Noted && list.Incarnation == member.Incarnation {
-			r.tell(s, holder.PinsTold{Instance: member.Name, Epoch: epoch, Pins: list.Pins})
+			r.tell(u, holder.PinsTold{Instance: member.Name, Epoch: epoch, Pins: list.Pins})
 			return
 		}
-		if !pause(s.context, askAgain) {
+		if !pause(u.context, askAgain) {
 			return
 		}
 	}
 }
 
 // runReconcile releases pins that their instance does not know any more.
-func (r *Runner) runReconcile(s *heldUpstream) {
+func (r *Runner) runReconcile(u *heldUpstream) {
 	before := map[string]bool{}
-	for pause(s.context, reconcileEvery) {
-		pins, ok := r.list(s)
+	for pause(u.context, reconcileEvery) {
+		pins, ok := r.list(u)
 		if !ok {
 			return
 		}
 		now := map[string]bool{}
 		for instance, known := range byInstance(pins) {
-			r.reconcileInstance(s, instance, known, before)
+			r.reconcileInstance(u, instance, known, before)
 		}
 		for _, pin := range pins {
 			now[pin.ID] = true
@@ -123,12 +123,12 @@
 
 // reconcileInstance asks one instance. Only pins that were there a round before count: the answer with
 // a younger one may still be on its way to the instance.
-func (r *Runner) reconcileInstance(s *heldUpstream, instance string, pins []holder.Pin, before map[string]bool) {
-	member, ok := r.member(s, instance)
+func (r *Runner) reconcileInstance(u *heldUpstream, instance string, pins []holder.Pin, before map[string]bool) {
+	member, ok := r.member(u, instance)
 	if !ok {
 		return
 	}
-	list, err := r.Peers.Pins(s.context, member, s.name(), 0)
+	list, err := r.Peers.Pins(u.context, member, u.name(), 0)
 	if err != nil || list.Incarnation != pins[0].Incarnation {
 		return
 	}
@@ -138,18 +138,18 @@
 	}
 	for _, pin := range pins {
 		if before[pin.ID] && !known[pin.ID] {
-			r.Log.Warn().Str("Upstream", s.name()).Str("Instance", instance).Msg("PinReleaseWasLost")
-			r.tell(s, holder.Released{Pin: pin.ID})
+			r.Log.Warn().Str("Upstream", u.name()).Str("Instance", instance).Msg("PinReleaseWasLost")
+			r.tell(u, holder.Released{Pin: pin.ID})
 		}
 	}
 }
 
-func (r *Runner) list(s *heldUpstream) ([]holder.Pin, bool) {
+func (r *Runner) list(u *heldUpstream) ([]holder.Pin, bool) {
 	answer := make(chan []holder.Pin, 1)
-	if !r.inbox.Send(s.context, listMessage{held: s, answer: answer}) {
+	if !r.inbox.Send(u.context, listMessage{held: u, answer: answer}) {
 		return nil, false
 	}
-	return inbox.Await(s.context, r.inbox, answer)
+	return inbox.Await(u.context, r.inbox, answer)
 }
 
 func byInstance(pins []holder.Pin) map[string][]holder.Pin {
@@ -163,47 +163,47 @@
 // cancelStreams ends, at the engine, the requests of an instance that does nothing any more, and only
 // then lets the holder forget their pins. The engine does not know that the instance has died: its
 // requests would run on, and their adapter version could be evicted under them.
-func (r *Runner) cancelStreams(s *heldUpstream, instance, incarnation string) {
+func (r *Runner) cancelStreams(u *heldUpstream, instance, incarnation string) {
 	var pins []holder.Pin
-	for _, pin := range s.holder.Pins() {
+	for _, pin := range u.holder.Pins() {
 		if pin.Instance == instance && pin.Incarnation == incarnation {
 			pins = append(pins, pin)
 		}
 	}
-	go r.runCancelStreams(s, pins, holder.InstanceGone{Instance: instance, Incarnation: incarnation})
+	go r.runCancelStreams(u, pins, holder.InstanceGone{Instance: instance, Incarnation: incarnation})
 }
 
-func (r *Runner) runCancelStreams(s *heldUpstream, pins []holder.Pin, gone holder.InstanceGone) {
+func (r *Runner) runCancelStreams(u *heldUpstream, pins []holder.Pin, gone holder.InstanceGone) {
 	for _, pin := range pins {
-		for s.engine.Cancel(s.context, pin.RequestID) != nil {
-			if !pause(s.context, askAgain) {
+		for u.engine.Cancel(u.context, pin.RequestID) != nil {
+			if !pause(u.context, askAgain) {
 				return
 			}
 		}
 	}
-	r.tell(s, gone)
+	r.tell(u, gone)
 }
 
 // ---------------------------------------------------------------------------------------------
 // Loads.
 
-func (r *Runner) runFence(s *heldUpstream, action holder.OrderFence) {
+func (r *Runner) runFence(u *heldUpstream, action holder.OrderFence) {
 	if r.Fresh() != nil {
 		return
 	}
-	err := s.engine.Role(s.context, roleServing, action.Fence)
+	err := u.engine.Role(u.context, roleServing, action.Fence)
 	if err == nil {
-		r.tell(s, holder.FenceNoted(action))
+		r.tell(u, holder.FenceNoted(action))
 		return
 	}
-	r.Log.Warn().Str("Upstream", s.name()).Int64("Fence", action.Fence).Err(err).Msg("FenceNotNoted")
+	r.Log.Warn().Str("Upstream", u.name()).Int64("Fence", action.Fence).Err(err).Msg("FenceNotNoted")
 }
 
-func (r *Runner) runPermit(s *heldUpstream, action holder.AskPermit) {
-	ctx, cancel := context.WithTimeout(s.context, action.Patience)
+func (r *Runner) runPermit(u *heldUpstream, action holder.AskPermit) {
+	ctx, cancel := context.WithTimeout(u.context, action.Patience)
 	defer cancel()
 	permit, err := r.Peers.PermitLoad(ctx, broker.Asked{
-		Load:      broker.Load{Upstream: s.name(), Model: action.Model},
+		Load:      broker.Load{Upstream: u.name(), Model: action.Model},
 		Workspace: action.Workspace,
 		Demand:    action.Demand,
 		Waited:    action.Waited,
@@ -213,57 +213,57 @@
 	case err == nil && permit.Replaced:
 		return // the newer ask tells what came of it
 	case err != nil:
-		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: askAgain})
+		r.tell(u, holder.PermitRefused{Model: action.Model, RetryAfter: askAgain})
 	case permit.Granted:
-		r.tell(s, holder.PermitGranted{Model: action.Model, UseWithin: permit.UseWithin})
+		r.tell(u, holder.PermitGranted{Model: action.Model, UseWithin: permit.UseWithin})
 	default:
-		r.tell(s, holder.PermitRefused{Model: action.Model, RetryAfter: permit.RetryAfter})
+		r.tell(u, holder.PermitRefused{Model: action.Model, RetryAfter: permit.RetryAfter})
 	}
 }
 
 // runEndLoad tells the broker that a load has ended, or that its permit is given back unused. When that
 // is lost the permit lapses by itself.
-func (r *Runner) runEndLoad(s *heldUpstream, ref model.Reference, unused bool) {
-	err := r.Peers.EndLoad(s.context, broker.Load{Upstream: s.name(), Model: ref}, unused)
+func (r *Runner) runEndLoad(u *heldUpstream, ref model.Reference, unused bool) {
+	err := r.Peers.EndLoad(u.context, broker.Load{Upstream: u.name(), Model: ref}, unused)
 	if err != nil {
-		r.Log.Debug().Str("Upstream", s.name()).Err(err).Msg("PermitNotReturned")
+		r.Log.Debug().Str("Upstream", u.name()).Err(err).Msg("PermitNotReturned")
 	}
 }
 
-func (r *Runner) runLoad(s *heldUpstream, action holder.OrderLoad) {
-	ctx, cancel := context.WithTimeout(s.context, r.Settings.LongestOrder)
+func (r *Runner) runLoad(u *heldUpstream, action holder.OrderLoad) {
+	ctx, cancel := context.WithTimeout(u.context, r.Settings.LongestOrder)
 	defer cancel()
 	began := time.Now()
-	evicted, err := r.load(ctx, s, action)
-	r.runEndLoad(s, action.Load, false)
+	evicted, err := r.load(ctx, u, action)
+	r.runEndLoad(u, action.Load, false)
 	event := r.Log.Info()
 	if err != nil {
 		event = r.Log.Warn().Err(err)
 	}
-	event.Str("Upstream", s.name()).Str("Load", action.Load.String()).Str("Evict", evictText(action.Evict)).
+	event.Str("Upstream", u.name()).Str("Load", action.Load.String()).Str("Evict", evictText(action.Evict)).
 		Int64("Fence", action.Fence).Dur("Took", time.Since(began)).Msg("AdapterLoad")
 	if err != nil {
-		r.tell(s, holder.LoadFailed{Load: action.Load, Evicted: evicted, Cause: causeOf(err)})
+		r.tell(u, holder.LoadFailed{Load: action.Load, Evicted: evicted, Cause: causeOf(err)})
 		return
 	}
-	r.tell(s, holder.LoadDone{Load: action.Load})
+	r.tell(u, holder.LoadDone{Load: action.Load})
 }
 
 // load unloads what has to make room and loads. An instance that was paused before the order asks for
 // freshness at the last moment: by then another may be the holder.
-func (r *Runner) load(ctx context.Context, s *heldUpstream, action holder.OrderLoad) (evicted bool, err error) {
+func (r *Runner) load(ctx context.Context, u *heldUpstream, action holder.OrderLoad) (evicted bool, err error) {
 	if !action.Evict.IsZero() {
 		if err := r.Fresh(); err != nil {
 			return false, err
 		}
-		if err := s.engine.Unload(ctx, r.order(action.Evict, action.Fence)); err != nil {
+		if err := u.engine.Unload(ctx, r.order(action.Evict, action.Fence)); err != nil {
 			return errors.Is(err, engine.ErrUnknown), err
 		}
 	}
 	if err := r.Fresh(); err != nil {
 		return !action.Evict.IsZero(), err
 	}
-	return !action.Evict.IsZero(), s.engine.Load(ctx, r.order(action.Load, action.Fence))
+	return !action.Evict.IsZero(), u.engine.Load(ctx, r.order(action.Load, action.Fence))
 }
 
 func (r *Runner) order(ref model.Reference, fence int64) engine.Order {
--- a/internal/entry/holding/runner.go
+++ b/internal/entry/holding/runner.go
@@ -139,8 +139,8 @@
 }
 
 func (r *Runner) tick() {
-	for _, s := range r.held {
-		r.feed(s, holder.Tick{})
+	for _, u := range r.held {
+		r.feed(u, holder.Tick{})
 	}
 }
 
@@ -216,18 +216,18 @@
 		close(m.taken)
 	case leavingMessage:
 		r.leaving = m.leaving
-		for _, s := range r.held {
-			r.feedLeaving(s)
+		for _, u := range r.held {
+			r.feedLeaving(u)
 		}
 	case inForceMessage:
-		for _, s := range r.held {
+		for _, u := range r.held {
 			if m.revision >= r.tenure.Epoch {
-				r.feed(s, holder.EpochInForce{Epoch: r.tenure.Epoch})
+				r.feed(u, holder.EpochInForce{Epoch: r.tenure.Epoch})
 			}
 		}
 	case goneMessage:
-		for _, s := range r.held {
-			r.cancelStreams(s, m.instance, m.incarnation)
+		for _, u := range r.held {
+			r.cancelStreams(u, m.instance, m.incarnation)
 		}
 	case summaryMessage:
 		m.answer <- r.summaries()
@@ -236,8 +236,8 @@
 			r.feed(m.held, m.event)
 		}
 	case releaseMessage:
-		if s, ok := r.held[m.upstream]; ok {
-			r.feed(s, m.event)
+		if u, ok := r.held[m.upstream]; ok {
+			r.feed(u, m.event)
 		}
 	case listMessage:
 		m.answer <- m.held.holder.Pins()
@@ -249,9 +249,9 @@
 func (r *Runner) summaries() []holder.Summary {
 	now := time.Now()
 	summaries := make([]holder.Summary, 0, len(r.held))
-	for _, s := range r.held {
-		if s.appointed {
-			summaries = append(summaries, s.holder.Summary(now))
+	for _, u := range r.held {
+		if u.appointed {
+			summaries = append(summaries, u.holder.Summary(now))
 		}
 	}
 	return summaries
@@ -268,38 +268,38 @@
 	for _, upstream := range tenure.Upstreams {
 		name := upstream.Meta.Name
 		held[name] = true
-		s, ok := r.held[name]
-		if ok && s.holder.Upstream.Address != upstream.Address {
-			r.giveUp(s)
+		u, ok := r.held[name]
+		if ok && u.holder.Upstream.Address != upstream.Address {
+			r.giveUp(u)
 			ok = false
 		}
 		if !ok {
-			s = r.newHeld(upstream)
+			u = r.newHeld(upstream)
 		}
-		s.holder.Upstream = upstream
-		r.feed(s, holder.Appointed{
+		u.holder.Upstream = upstream
+		r.feed(u, holder.Appointed{
 			Epoch:     tenure.Epoch,
 			Members:   names,
 			Continued: ok && tenure.Continued[name],
 		})
-		r.feedLeaving(s)
-		s.appointed = true
+		r.feedLeaving(u)
+		u.appointed = true
 	}
-	for name, s := range r.held {
+	for name, u := range r.held {
 		if !held[name] {
-			r.giveUp(s)
+			r.giveUp(u)
 		}
 	}
 }
 
 // feedLeaving tells a holder whether its upstream is leaving by any word.
-func (r *Runner) feedLeaving(s *heldUpstream) {
-	r.feed(s, holder.UpstreamLeaving{Leaving: s.holder.Upstream.Leaving || r.leaving[s.name()]})
+func (r *Runner) feedLeaving(u *heldUpstream) {
+	r.feed(u, holder.UpstreamLeaving{Leaving: u.holder.Upstream.Leaving || r.leaving[u.name()]})
 }
 
-func (r *Runner) giveUp(s *heldUpstream) {
-	r.feed(s, holder.Yielded{})
-	s.stop()
-	delete(r.held, s.name())
-	r.Log.Info().Str("Upstream", s.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamYielded")
+func (r *Runner) giveUp(u *heldUpstream) {
+	r.feed(u, holder.Yielded{})
+	u.stop()
+	delete(r.held, u.name())
+	r.Log.Info().Str("Upstream", u.name()).Int64("Epoch", r.tenure.Epoch).Msg("UpstreamYielded")
 }
--- a/internal/entry/holding/runner_test.go
+++ b/internal/entry/holding/runner_test.go
@@ -140,15 +140,29 @@
 	}}
 }
 
+// place asks for a place that must be granted, refuse for one that must not be, within a second.
+func place(ctx context.Context, is *is.I, r *holding.Runner, id string, from head.Member, ref model.Reference) peer.Granted {
+	is.Helper()
+	granted, ok := r.Place(ctx, request(id, from, ref)).(peer.Granted)
+	is.True(ok) // not granted
+	return granted
+}
+
+func refuse(ctx context.Context, is *is.I, r *holding.Runner, id string, from head.Member, ref model.Reference) {
+	is.Helper()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, ok := r.Place(ctx, request(id, from, ref)).(peer.Refused)
+	is.True(ok) // granted
+}
+
 func TestRequestIsPlacedOnceItsVersionIsLoaded(t *testing.T) {
 	s := &scene{}
 	hold(t, s, func(ctx context.Context, r *holding.Runner) {
 		is := is.New(t)
-		_, granted := r.Place(ctx, request("r1", self, bids)).(peer.Granted)
-		is.True(granted)
+		place(ctx, is, r, "r1", self, bids)
 		is.Equal(s.count("load bids"), 1)
-		_, granted = r.Place(ctx, request("r2", other, bids)).(peer.Granted)
-		is.True(granted)
+		place(ctx, is, r, "r2", other, bids)
 		is.Equal(s.count("load bids"), 1) // the second found it resident
 	})
 }
@@ -160,16 +174,15 @@
 	s := &scene{}
 	hold(t, s, func(ctx context.Context, r *holding.Runner) {
 		is := is.New(t)
-		first, granted := r.Place(ctx, request("r1", self, bids)).(peer.Granted)
-		is.True(granted)
+		first := place(ctx, is, r, "r1", self, bids)
 		s.setStale(errors.New("stale"))
+		// Without a limit of its own: the answer must be the runner's, not the end of the wait.
 		refused, ok := r.Place(ctx, request("r2", self, bids)).(peer.Refused)
 		is.True(ok)
 		is.Equal(refused.Reason, holder.ReasonNotHolder)
 		s.setStale(nil)
 		r.Release(ctx, "engine-1", holder.Released{Pin: first.Pin, Tokens: 1})
-		_, granted = r.Place(ctx, request("r3", self, bids)).(peer.Granted)
-		is.True(granted) // the refused grant left no pin behind
+		place(ctx, is, r, "r3", self, bids) // the refused grant left no pin behind
 	})
 }
 
@@ -180,16 +193,11 @@
 	s := &scene{}
 	hold(t, s, func(ctx context.Context, r *holding.Runner) {
 		is := is.New(t)
-		_, granted := r.Place(ctx, request("r1", other, bids)).(peer.Granted)
-		is.True(granted)
-		patience, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		_, refused := r.Place(patience, request("r2", self, sites)).(peer.Refused)
-		is.True(refused) // the only slot is pinned
+		place(ctx, is, r, "r1", other, bids)
+		refuse(ctx, is, r, "r2", self, sites) // the only slot is pinned
 		is.Equal(s.count("unload bids"), 0)
 		r.SetGone(ctx, other.Name, other.Incarnation)
-		_, granted = r.Place(ctx, request("r3", self, sites)).(peer.Granted)
-		is.True(granted)
+		place(ctx, is, r, "r3", self, sites)
 		is.Equal(s.record[1:], []string{"cancel r1", "unload bids", "load sites"})
 	})
 }
@@ -200,19 +208,13 @@
 	s := &scene{}
 	hold(t, s, func(ctx context.Context, r *holding.Runner) {
 		is := is.New(t)
-		kept, granted := r.Place(ctx, request("r1", other, bids)).(peer.Granted)
-		is.True(granted)
-		_, granted = r.Place(ctx, request("r2", other, bids)).(peer.Granted)
-		is.True(granted)
+		kept := place(ctx, is, r, "r1", other, bids)
+		place(ctx, is, r, "r2", other, bids)
 		s.mutex.Lock()
 		s.pins = []holder.Pin{{ID: kept.Pin, Instance: other.Name, Model: bids}}
 		s.mutex.Unlock()
 		time.Sleep(15 * time.Second)
-		_, granted = r.Place(ctx, request("r3", other, bids)).(peer.Granted)
-		is.True(granted) // one of the two batch places is free again
-		patience, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		_, refused := r.Place(patience, request("r4", other, bids)).(peer.Refused)
-		is.True(refused) // the other one is still pinned
+		place(ctx, is, r, "r3", other, bids)  // one of the two batch places is free again
+		refuse(ctx, is, r, "r4", other, bids) // the other one is still pinned
 	})
 }
