--- /dev/null
+++ b/internal/admission/quota/quota.go
@@ -0,0 +1,205 @@
+// Package quota holds each workspace to its rate and burst over all instances together. Every instance
+// tells the others, in its heartbeats, how much it has admitted in all; each keeps its own estimate of
+// the fleet's bucket from what it hears. The caller reads the runtime's clock and passes the time in.
+//
+// Made for a balancer that spreads callers unevenly and for one workspace that sends many times its
+// rate. Equal shares would refuse a workspace whose callers all reach one instance. An instance that asks
+// another first would refuse or wait whenever that one is away. With an estimate, two instances can admit
+// against the same tokens until they hear of each other; the bucket then is in debt, and nothing is
+// admitted until the debt is paid. So over any time the fleet admits at most rate times time, the burst,
+// and what arrives within one heartbeat.
+package quota
+
+import (
+	"maps"
+	"time"
+)
+
+// SilentAfter is how long a peer may be unheard until its possible admissions are reserved: three
+// heartbeats, so that one lost heartbeat reserves nothing.
+const SilentAfter = 700 * time.Millisecond
+
+// Limit is what a workspace bought.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+// Spent is what an instance has admitted for each workspace since it started.
+type Spent map[string]float64
+
+// Ledger is one instance's estimate of all buckets. Set Self before use. It is not safe for use by
+// several goroutines.
+type Ledger struct {
+	Self string
+
+	limits  map[string]Limit
+	buckets map[string]*bucket
+	own     Spent
+	peers   map[string]*peer
+}
+
+// bucket is the estimate for one workspace. Its level is negative while it is in debt.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// peer is another instance: what it told last, and what was reserved for it since.
+type peer struct {
+	incarnation string
+	heard       time.Time
+	spent       Spent
+	reserved    Spent
+}
+
+// SetLimits takes over what is declared. A bucket that is new starts empty: an instance that has just
+// started does not know what was admitted right before, and after a restart of the whole fleet a full
+// bucket would be the second within the same seconds.
+func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
+	l.prepare()
+	l.advance(now)
+	l.limits = limits
+	for workspace, limit := range limits {
+		b := l.buckets[workspace]
+		if b == nil {
+			l.buckets[workspace] = &bucket{at: now}
+			continue
+		}
+		b.level = min(b.level, limit.Burst)
+	}
+	for workspace := range l.buckets {
+		if _, found := limits[workspace]; !found {
+			delete(l.buckets, workspace)
+		}
+	}
+}
+
+// SetPeers tells which other instances may be admitting.
+func (l *Ledger) SetPeers(now time.Time, names []string) {
+	l.prepare()
+	l.advance(now)
+	known := make(map[string]*peer, len(names))
+	for _, name := range names {
+		p := l.peers[name]
+		if p == nil {
+			p = &peer{heard: now, reserved: Spent{}}
+		}
+		known[name] = p
+	}
+	l.peers = known
+}
+
+// Hear takes note of what a peer has admitted in all. What was reserved for it while it was silent is
+// settled against what it really admitted.
+func (l *Ledger) Hear(now time.Time, name, incarnation string, spent Spent) {
+	l.prepare()
+	p := l.peers[name]
+	if p == nil {
+		return
+	}
+	l.advance(now)
+	p.heard = now
+	first := p.spent == nil
+	before := p.spent
+	if p.incarnation != incarnation {
+		p.incarnation = incarnation
+		before = nil
+	}
+	if !first {
+		for workspace, total := range spent {
+			l.deduct(workspace, total-before[workspace])
+		}
+	}
+	for workspace, reserved := range p.reserved {
+		l.deduct(workspace, -reserved)
+	}
+	p.spent = maps.Clone(spent)
+	if p.spent == nil {
+		p.spent = Spent{}
+	}
+	p.reserved = Spent{}
+}
+
+// Admit takes a request's cost, or says when to come back. A request is admitted while the bucket is not
+// in debt, also if it costs more than is there: else one that costs more than the burst could never run.
+func (l *Ledger) Admit(now time.Time, workspace string, cost float64) (retryAfter time.Duration, admitted bool) {
+	limit, limited := l.limits[workspace]
+	if !limited || limit.Rate <= 0 {
+		return 0, true
+	}
+	l.advance(now)
+	b := l.buckets[workspace]
+	if b.level <= 0 {
+		return l.until(limit, -b.level), false
+	}
+	b.level -= cost
+	l.own[workspace] += cost
+	return 0, true
+}
+
+// Refund gives back what an admitted request that never ran had taken.
+func (l *Ledger) Refund(workspace string, cost float64) {
+	if _, limited := l.limits[workspace]; !limited {
+		return
+	}
+	l.deduct(workspace, -cost)
+	l.own[workspace] -= cost
+}
+
+// Own is what this instance has admitted, for its heartbeats.
+func (l *Ledger) Own() Spent { return maps.Clone(l.own) }
+
+// ---------------------------------------------------------------------------------------------
+
+// leastRetryAfter keeps callers from asking again at once when a bucket is almost out of debt.
+const leastRetryAfter = 50 * time.Millisecond
+
+func (l *Ledger) until(limit Limit, debt float64) time.Duration {
+	return leastRetryAfter + time.Duration(debt/limit.Rate*float64(time.Second))
+}
+
+// advance fills the buckets. Each silent peer may be cut off and admitting its part, which is not ours to
+// give out; nor may the bucket hold more than the parts of those who are heard. So an instance that hears
+// nobody gives out its own part, whatever the others do.
+func (l *Ledger) advance(now time.Time) {
+	silent := 0
+	for _, p := range l.peers {
+		if now.Sub(p.heard) > SilentAfter {
+			silent++
+		}
+	}
+	part := 1 / float64(len(l.peers)+1)
+	heard := 1 - float64(silent)*part
+	for workspace, b := range l.buckets {
+		limit := l.limits[workspace]
+		gained := limit.Rate * now.Sub(b.at).Seconds()
+		b.at = now
+		b.level += gained
+		for _, p := range l.peers {
+			if now.Sub(p.heard) > SilentAfter {
+				p.reserved[workspace] += gained * part
+				b.level -= gained * part
+			}
+		}
+		b.level = min(b.level, limit.Burst*heard)
+	}
+}
+
+// deduct changes the level by what was admitted elsewhere.
+func (l *Ledger) deduct(workspace string, amount float64) {
+	b := l.buckets[workspace]
+	if b == nil {
+		return
+	}
+	b.level = min(b.level-amount, l.limits[workspace].Burst)
+}
+
+// prepare makes the zero value usable.
+func (l *Ledger) prepare() {
+	if l.buckets == nil {
+		l.buckets = make(map[string]*bucket)
+		l.peers = make(map[string]*peer)
+		l.own = Spent{}
+	}
+}
--- a/internal/caller/refusal/refusal.go
+++ b/internal/caller/refusal/refusal.go
@@ -177,6 +177,10 @@
 	return 0
 }
 
+// ExactRetryAfter is when to come back, as it was stated, for callers that understand fractions of a
+// second; zero if it was not.
+func (r Refusal) ExactRetryAfter() time.Duration { return r.retryAfter }
+
 // Error is the code and the message.
 func (r Refusal) Error() string { return string(r.code) + ": " + r.message }
 
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -36,6 +36,7 @@
 func (p *Program) verbs() []subcommands.Command {
 	return []subcommands.Command{
 		&runVerb{program: p},
+		&serveVerb{program: p},
 		&checkVerb{program: p},
 		&versionVerb{program: p},
 	}
--- /dev/null
+++ b/internal/entry/node/holding.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/residence"
+)
+
+// holding.go carries out, at one upstream that this instance holds, what the planner decides.
+
+type holding struct {
+	node     *Node
+	upstream traffic.Upstream
+	fence    int64
+	stop     context.CancelFunc
+	wake     chan struct{}
+
+	mutex   sync.Mutex
+	planner residence.Planner
+	changed chan struct{}
+	fenced  bool
+	learnt  bool
+}
+
+func newHolding(n *Node, upstream traffic.Upstream, fence int64, stop context.CancelFunc) *holding {
+	h := &holding{
+		node: n, upstream: upstream, fence: fence, stop: stop,
+		wake: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
+	if engine := n.Table().Configuration.Services[upstream.Service].Engine; engine != nil {
+		h.planner.Engine = *engine
+	}
+	return h
+}
+
+// longestRest bounds a rest, so that adapters that came into use are noticed.
+const longestRest = 200 * time.Millisecond
+
+// run carries out steps until the context ends or another holder's fence was seen.
+func (h *holding) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch step := h.next().(type) {
+		case residence.Give:
+			h.give(ctx, step.Order)
+		case residence.Inspect:
+			h.inspect(ctx)
+		case residence.Rest:
+			h.rest(ctx, min(time.Until(step.Until), longestRest))
+		}
+		if h.isFenced() {
+			h.node.Log.Warn().Str("Upstream", h.upstream.ID).Int64("Fence", h.fence).Msg("Fenced")
+			return
+		}
+	}
+}
+
+func (h *holding) isFenced() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.fenced
+}
+
+// next asks the planner, with what is in use and declared by now.
+func (h *holding) next() residence.Step {
+	now := time.Now()
+	var inUse []traffic.Adapter
+	h.node.advice.With(func(a *serve.Advice) { inUse = a.Pool.InUse(now, h.upstream.ID) })
+	h.node.knowledge.mutex.Lock()
+	declared := make(map[traffic.Adapter]int64, len(h.node.knowledge.newest))
+	for adapter, newest := range h.node.knowledge.newest {
+		declared[adapter] = newest.version
+	}
+	h.node.knowledge.mutex.Unlock()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.planner.Use(now, inUse)
+	for adapter, version := range declared {
+		h.planner.SetNewest(adapter, version)
+	}
+	return h.planner.Next(now)
+}
+
+func (h *holding) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(max(wait, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-h.wake:
+	case <-ctx.Done():
+	}
+}
+
+// mayOrder tells whether this instance still is the holder as far as it can know. Where upstreams check
+// fences a holder whose lease has run out in an outage of the store goes on: nobody else can be holder
+// meanwhile, and its orders are refused as soon as somebody is.
+func (h *holding) mayOrder() bool {
+	if h.node.Settings.Upstreams.FencesChecked {
+		return true
+	}
+	_, ok := h.node.lease.current(time.Now())
+	return ok
+}
+
+func (h *holding) give(ctx context.Context, order residence.Order) {
+	if !h.mayOrder() {
+		h.rest(ctx, longestRest)
+		return
+	}
+	began := time.Now()
+	outcome, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	if ctx.Err() != nil {
+		return
+	}
+	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Fence", h.fence).Bool("Unload", order.Unload).
+		Str("Adapter", order.Adapter.String()).Int64("Version", order.Version).Int64("Sequence", order.Sequence).
+		Str("Outcome", string(outcome)).Err(err).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Order")
+	h.mutex.Lock()
+	h.planner.Ordered(time.Now(), order, outcome)
+	h.fenced = outcome == residence.Fenced
+	h.announce()
+	h.mutex.Unlock()
+	h.tellOwn()
+}
+
+// tellOwn tells this instance's own pool what the others learn by heartbeats.
+func (h *holding) tellOwn() {
+	residency, known := h.residency(time.Now())
+	if known {
+		h.node.advice.With(func(a *serve.Advice) { a.Pool.LearnResidency(residency) })
+	}
+}
+
+func (h *holding) inspect(ctx context.Context) {
+	report, err := h.node.Orders.Report(ctx, h.upstream)
+	if ctx.Err() != nil {
+		return
+	}
+	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Sequence", report.Sequence).
+		Bool("Busy", report.Busy).Interface("Models", report.Models).Interface("Pending", report.Pending).
+		Err(err).Msg("Report")
+	h.mutex.Lock()
+	if err != nil {
+		h.planner.ReportFailed(time.Now())
+		h.mutex.Unlock()
+		return
+	}
+	h.learnt = true
+	h.planner.Learn(time.Now(), report)
+	h.announce()
+	h.mutex.Unlock()
+	h.tellOwn()
+}
+
+// announce wakes the requests that wait; the lock is held.
+func (h *holding) announce() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// prepare waits until an adapter is there.
+func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+	for {
+		h.mutex.Lock()
+		now := time.Now()
+		version, has := h.planner.Has(now, request.Adapter, request.Version)
+		if !has {
+			h.planner.Want(now, request.Adapter, request.Version, now.Add(request.Patience), request.Priority)
+		}
+		changed := h.changed
+		fenced := h.fenced
+		h.mutex.Unlock()
+		if has {
+			return mesh.Loaded{Version: version}
+		}
+		if fenced {
+			return mesh.NotHolder{}
+		}
+		select {
+		case h.wake <- struct{}{}:
+		default: // the loop is about to look anyway
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return mesh.Busy{}
+		}
+	}
+}
+
+// residency is what the others are told of the upstream.
+func (h *holding) residency(now time.Time) (residency pool.Residency, known bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.learnt || h.fenced {
+		return residency, false
+	}
+	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence}
+	residency.Loaded, residency.Idle, residency.Waiting = h.planner.Residents(now)
+	return residency, true
+}
--- /dev/null
+++ b/internal/entry/node/holdings.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+// holdings.go decides which upstreams this instance holds, and keeps a loop for each of them. A holder is
+// made by a transaction on the upstream's key, whose revision is the fence of its orders.
+
+const (
+	// claimStep is how much longer each further instance in an upstream's line waits before it claims an
+	// upstream that has no holder: the first in line should have it, and two claims are one too many.
+	claimStep = 400 * time.Millisecond
+	// claimSettle is the first one's wait, in which the roster fills after a start of the fleet.
+	claimSettle = 300 * time.Millisecond
+	// claimPause is the pause between two looks.
+	claimPause = 100 * time.Millisecond
+)
+
+type holdings struct {
+	mutex  sync.Mutex
+	held   map[string]*holding
+	unheld map[string]time.Time
+}
+
+func (h *holdings) get(upstream string) *holding {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.held[upstream]
+}
+
+// residencies is what this instance tells of the upstreams it holds.
+func (h *holdings) residencies(now time.Time) (list []pool.Residency) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, one := range h.held {
+		if residency, known := one.residency(now); known {
+			list = append(list, residency)
+		}
+	}
+	return list
+}
+
+// runHoldings claims upstreams without a holder, and starts and ends the loops.
+func (n *Node) runHoldings(ctx context.Context) error {
+	n.holdings.held = make(map[string]*holding)
+	n.holdings.unheld = make(map[string]time.Time)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(claimPause)
+		select {
+		case <-timer.C:
+		case <-n.knowledge.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		n.matchHoldings(ctx, time.Now())
+	}
+	return nil
+}
+
+// matchHoldings brings the loops in line with the keys.
+func (n *Node) matchHoldings(ctx context.Context, now time.Time) {
+	upstreams := n.engines()
+	for id, upstream := range upstreams {
+		n.knowledge.mutex.Lock()
+		holder, found := n.knowledge.roster.Holder(id)
+		n.knowledge.mutex.Unlock()
+		if found && holder.Incarnation == n.self.Incarnation {
+			n.hold(ctx, upstream, holder.Fence)
+			continue
+		}
+		n.drop(id)
+		if n.stopping.Load() {
+			continue
+		}
+		if found && holder.Instance == n.self.Name {
+			n.claim(ctx, id, holder.Fence) // left by this instance's last incarnation
+			continue
+		}
+		if found {
+			delete(n.holdings.unheld, id)
+			continue
+		}
+		n.claimInTurn(ctx, id, now)
+	}
+	for id := range n.holdings.held {
+		if _, found := upstreams[id]; !found {
+			n.drop(id)
+		}
+	}
+}
+
+// engines lists the upstreams that have holders.
+func (n *Node) engines() map[string]traffic.Upstream {
+	engines := make(map[string]traffic.Upstream)
+	table := n.Table()
+	if table == nil {
+		return engines
+	}
+	n.advice.With(func(a *serve.Advice) {
+		for _, upstream := range a.Pool.Upstreams() {
+			if table.Configuration.Services[upstream.Service].Engine != nil {
+				engines[upstream.ID] = upstream
+			}
+		}
+	})
+	return engines
+}
+
+// claimInTurn claims an upstream that has no holder once this instance is in line.
+func (n *Node) claimInTurn(ctx context.Context, id string, now time.Time) {
+	since, found := n.holdings.unheld[id]
+	if !found {
+		n.holdings.unheld[id] = now
+		return
+	}
+	var names []string
+	n.knowledge.mutex.Lock()
+	for _, instance := range n.knowledge.roster.Instances() {
+		names = append(names, instance.Name)
+	}
+	n.knowledge.mutex.Unlock()
+	rank := roster.Rank(id, n.self.Name, names)
+	if now.Sub(since) < claimSettle+time.Duration(rank)*claimStep {
+		return
+	}
+	n.claim(ctx, id, 0)
+}
+
+// claim makes this instance the holder if the key is still as known.
+func (n *Node) claim(ctx context.Context, id string, revision int64) {
+	now := time.Now()
+	leaseID, ok := n.lease.current(now)
+	if !ok {
+		return
+	}
+	key := roster.HolderKey(id)
+	value, err := roster.EncodeHolder(roster.Holder{Instance: n.self.Name, Incarnation: n.self.Incarnation})
+	if err != nil {
+		n.Log.Error().Err(err).Msg("ClaimFailed")
+		return
+	}
+	fence, err := n.Store.Commit(ctx, coordination.Transaction{
+		Conditions: []coordination.Condition{{Key: key, Revision: revision}},
+		Writes:     []coordination.Write{{Key: key, Value: value, Lease: leaseID}},
+	})
+	n.holdings.unheld[id] = time.Now()
+	switch {
+	case errors.Is(err, coordination.ErrConflict):
+		n.Log.Info().Str("Upstream", id).Msg("ClaimLost")
+	case err != nil:
+		n.Log.Warn().Err(err).Str("Upstream", id).Msg("ClaimFailed")
+	default:
+		n.Log.Info().Str("Upstream", id).Int64("Fence", fence).Msg("Claimed")
+	}
+}
+
+// hold runs a loop for an upstream that this instance holds.
+func (n *Node) hold(ctx context.Context, upstream traffic.Upstream, fence int64) {
+	if one := n.holdings.get(upstream.ID); one != nil {
+		if one.fence == fence && one.upstream.Born == upstream.Born {
+			return
+		}
+		n.drop(upstream.ID)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	one := newHolding(n, upstream, fence, cancel)
+	n.holdings.mutex.Lock()
+	n.holdings.held[upstream.ID] = one
+	n.holdings.mutex.Unlock()
+	go one.run(ctx)
+}
+
+// drop ends the loop for an upstream.
+func (n *Node) drop(id string) {
+	n.holdings.mutex.Lock()
+	one := n.holdings.held[id]
+	delete(n.holdings.held, id)
+	n.holdings.mutex.Unlock()
+	if one != nil {
+		one.stop()
+		n.Log.Info().Str("Upstream", id).Int64("Fence", one.fence).Msg("HoldingEnded")
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// prepareWithin bounds the wait for an adapter at one upstream; past it another may be quicker.
+const prepareWithin = 1500 * time.Millisecond
+
+// Prepare has an adapter loaded, here or at the instance that holds the upstream.
+func (n *Node) Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+	request.Patience = min(request.Patience, prepareWithin)
+	ctx, cancel := context.WithTimeout(ctx, request.Patience)
+	defer cancel()
+	if one := n.holdings.get(request.Upstream); one != nil {
+		return one.prepare(ctx, request)
+	}
+	n.knowledge.mutex.Lock()
+	holder, held := n.knowledge.roster.Holder(request.Upstream)
+	instance, alive := n.knowledge.roster.Instance(holder.Instance)
+	n.knowledge.mutex.Unlock()
+	if !held || !alive || instance.Name == n.self.Name {
+		return mesh.NotHolder{}
+	}
+	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
+	if err != nil {
+		n.Log.Debug().Err(err).Str("Upstream", request.Upstream).Str("Holder", instance.Name).Msg("PrepareFailed")
+		return mesh.Busy{}
+	}
+	return prepared
+}
--- /dev/null
+++ b/internal/entry/node/knowledge.go
@@ -0,0 +1,279 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// knowledge.go keeps what the instance knows of the store's keys, whoever told it, and hands each change
+// to the parts that decide by it.
+
+const (
+	// outageGap is how long nobody may have had the store's word until its absence counts as an outage:
+	// several reads.
+	outageGap = 1500 * time.Millisecond
+	// returnsWithin is how long after an outage the entries of upstreams that lapsed meanwhile are
+	// waited for: they write again within two seconds if they live.
+	returnsWithin = 2300 * time.Millisecond
+	// versionRequiredAfter is how long requests may still begin on the version before the newest. It
+	// gives upstreams time to replace it, and ends well before the five seconds that operators allow.
+	versionRequiredAfter = 2500 * time.Millisecond
+)
+
+type knowledge struct {
+	wake chan struct{}
+
+	mutex   sync.Mutex
+	replica replica.Replica
+	roster  roster.Roster
+	// confirmed is when the store last vouched for the revision of the replica.
+	confirmed time.Time
+	// returned is when the last outage ended.
+	returned time.Time
+	newest   map[traffic.Adapter]newest
+	// lapsed upstreams have lost their entry around an outage.
+	lapsed map[string]time.Time
+	// gone are instances that have left the roster lately; their part of the rates is still theirs.
+	gone map[string]time.Time
+
+	table atomic.Pointer[traffic.Table]
+}
+
+type newest struct {
+	version int64
+	since   time.Time
+}
+
+// Table is the configuration in force, nil while none is known.
+func (n *Node) Table() *traffic.Table { return n.knowledge.table.Load() }
+
+// Newest is the newest declared version of an adapter.
+func (n *Node) Newest(adapter traffic.Adapter) (version int64, required bool) {
+	k := &n.knowledge
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	known := k.newest[adapter]
+	return known.version, known.version > 0 && time.Since(known.since) > versionRequiredAfter
+}
+
+// merge takes a batch in, and tells whether it joined what was known.
+func (n *Node) merge(batch replica.Batch, confirmed time.Time) bool {
+	k := &n.knowledge
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	n.confirm(confirmed)
+	changed, joined := k.replica.Merge(batch)
+	if !joined {
+		return false
+	}
+	for _, item := range changed {
+		n.apply(item)
+	}
+	if len(changed) > 0 {
+		n.signal()
+	}
+	return true
+}
+
+// confirm notes that the store vouched for what is known; the lock is held.
+func (n *Node) confirm(at time.Time) {
+	k := &n.knowledge
+	if !at.After(k.confirmed) {
+		return
+	}
+	if !k.confirmed.IsZero() && at.Sub(k.confirmed) > outageGap {
+		k.returned = time.Now()
+		n.Log.Warn().Int64("GapMillis", at.Sub(k.confirmed).Milliseconds()).Msg("StoreReturned")
+	}
+	k.confirmed = at
+}
+
+func (n *Node) signal() {
+	select {
+	case n.knowledge.wake <- struct{}{}:
+	default: // a wake-up is already due
+	}
+}
+
+// apply hands one change on; the lock is held.
+func (n *Node) apply(item replica.Item) {
+	k := &n.knowledge
+	ours, err := k.roster.Apply(item.Key, item.Value, item.Revision, item.Removed)
+	if err != nil {
+		n.Log.Warn().Err(err).Int64("Revision", item.Revision).Msg("EntryUnreadable")
+	}
+	if ours {
+		return
+	}
+	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
+		n.applyUpstream(id, item)
+		return
+	}
+	if item.Removed {
+		return
+	}
+	fact, err := n.Decoder.Decode(item.Key, item.Value)
+	if err != nil {
+		n.Log.Warn().Err(err).Int64("Revision", item.Revision).Msg("EntryUnreadable")
+		return
+	}
+	switch f := fact.(type) {
+	case traffic.Configuration:
+		n.applyConfiguration(f, item.Revision)
+	case traffic.AdapterVersion:
+		n.applyVersion(f, item.Revision)
+	}
+}
+
+func (n *Node) applyConfiguration(configuration traffic.Configuration, revision int64) {
+	k := &n.knowledge
+	if before := k.table.Load(); before != nil && before.Configuration.Version > configuration.Version {
+		n.Log.Warn().Int64("Version", configuration.Version).Int64("Revision", revision).Msg("ConfigurationOlder")
+		return
+	}
+	k.table.Store(traffic.NewTable(configuration))
+	limits := make(map[string]quota.Limit)
+	for _, workspace := range configuration.Workspaces {
+		limits[workspace.Name] = quota.Limit{Rate: workspace.Rate, Burst: workspace.Burst}
+	}
+	n.advice.With(func(a *serve.Advice) {
+		a.Pool.Configure(configuration.Services)
+		a.Ledger.SetLimits(time.Now(), limits)
+	})
+	n.Log.Info().Int64("Version", configuration.Version).Int64("Revision", revision).
+		Int("Routes", len(configuration.Routes)).Int("Workspaces", len(configuration.Workspaces)).
+		Msg("ConfigurationInForce")
+}
+
+func (n *Node) applyVersion(version traffic.AdapterVersion, revision int64) {
+	k := &n.knowledge
+	if k.newest == nil {
+		k.newest = make(map[traffic.Adapter]newest)
+	}
+	if k.newest[version.Adapter].version >= version.Version {
+		return
+	}
+	k.newest[version.Adapter] = newest{version: version.Version, since: time.Now()}
+	n.Log.Info().Str("Adapter", version.Adapter.String()).Int64("Version", version.Version).
+		Int64("Revision", revision).Msg("AdapterVersionDeclared")
+}
+
+// applyUpstream takes an upstream's entry over. Entries lapse while the store is away although their
+// upstreams live, so one that is missing around an outage is kept until it had the time to come back.
+func (n *Node) applyUpstream(id string, item replica.Item) {
+	k := &n.knowledge
+	if item.Removed {
+		if time.Since(k.returned) < returnsWithin {
+			if k.lapsed == nil {
+				k.lapsed = make(map[string]time.Time)
+			}
+			k.lapsed[id] = k.returned.Add(returnsWithin)
+			return
+		}
+		n.forgetUpstream(id, "removed", item.Revision)
+		return
+	}
+	delete(k.lapsed, id)
+	fact, err := n.Decoder.Decode(item.Key, item.Value)
+	upstream, ok := fact.(traffic.Upstream)
+	if err != nil || !ok {
+		n.Log.Warn().Err(err).Str("Upstream", id).Int64("Revision", item.Revision).Msg("EntryUnreadable")
+		n.forgetUpstream(id, "unreadable", item.Revision)
+		return
+	}
+	var before traffic.Upstream
+	known := false
+	n.advice.With(func(a *serve.Advice) {
+		before, known = a.Pool.Upstream(id)
+		a.Pool.Declare(time.Now(), upstream)
+	})
+	if !known || before.Draining != upstream.Draining || before.Born != upstream.Born {
+		n.Log.Info().Str("Upstream", id).Str("Service", upstream.Service).Str("Address", upstream.Address).
+			Bool("Draining", upstream.Draining).Int64("Revision", item.Revision).Msg("UpstreamDeclared")
+	}
+}
+
+func (n *Node) forgetUpstream(id, why string, revision int64) {
+	n.advice.With(func(a *serve.Advice) { a.Pool.Forget(id) })
+	n.Log.Info().Str("Upstream", id).Str("Why", why).Int64("Revision", revision).Msg("UpstreamGone")
+}
+
+// forgetLapsed drops the upstreams that have not come back after an outage.
+func (n *Node) forgetLapsed(now time.Time) {
+	k := &n.knowledge
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for id, until := range k.lapsed {
+		if now.After(until) {
+			delete(k.lapsed, id)
+			n.forgetUpstream(id, "lapsed", k.replica.Revision())
+		}
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+
+const (
+	// tick is how often duties without an event of their own are looked at.
+	tick = 200 * time.Millisecond
+	// goneFor is how long an instance that left the roster keeps its part of the rates: it may be cut off
+	// from the store and the others, and still admit for its callers.
+	goneFor = 20 * time.Second
+)
+
+// runTicks does what only time brings about.
+func (n *Node) runTicks(ctx context.Context) error {
+	for pause(ctx, tick) {
+		now := time.Now()
+		n.forgetLapsed(now)
+		n.tellPeers(now)
+		n.keepConnections()
+		if dropped := n.Dropped(); dropped > 0 {
+			n.Log.Error().Int("Events", dropped).Msg("LogDropped")
+		}
+	}
+	return nil
+}
+
+// tellPeers tells the ledger which other instances may be admitting.
+func (n *Node) tellPeers(now time.Time) {
+	k := &n.knowledge
+	k.mutex.Lock()
+	if k.gone == nil {
+		k.gone = make(map[string]time.Time)
+	}
+	for _, instance := range k.roster.Instances() {
+		if instance.Name != n.self.Name {
+			k.gone[instance.Name] = now
+		}
+	}
+	var names []string
+	for name, seen := range k.gone {
+		if now.Sub(seen) > goneFor {
+			delete(k.gone, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	k.mutex.Unlock()
+	n.advice.With(func(a *serve.Advice) { a.Ledger.SetPeers(now, names) })
+}
+
+// keepConnections drops the connections to upstreams that are gone.
+func (n *Node) keepConnections() {
+	ids := make(map[string]bool)
+	n.advice.With(func(a *serve.Advice) {
+		for _, upstream := range a.Pool.Upstreams() {
+			ids[upstream.ID] = true
+		}
+	})
+	n.forward.Keep(ids)
+}
--- /dev/null
+++ b/internal/entry/node/reading.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+)
+
+// reading.go reads the store. Each call is billed and a watch counts as one, so one instance watches for
+// all; the others follow by heartbeats. Each reads by itself as soon as nobody has the store's word.
+
+const (
+	// watchFor is how long one watch waits. It also bounds how old the store's word gets while nothing
+	// changes.
+	watchFor = 600 * time.Millisecond
+	// watchEvery paces the watches while there are many changes: a change is known this much later, of
+	// the two seconds that there are.
+	watchEvery = 350 * time.Millisecond
+	// readAfter is how old the store's word may get until the next instance in line reads by itself, and
+	// readStep what each further one waits on top.
+	readAfter = 1100 * time.Millisecond
+	readStep  = 150 * time.Millisecond
+	// readPause is the pause after a failure, and between two looks at whether to read.
+	readPause = 120 * time.Millisecond
+)
+
+// readingOrder is the subject by which the instances line up for reading.
+const readingOrder = "reading"
+
+// runReading reads the store whenever it is this instance's turn.
+func (n *Node) runReading(ctx context.Context) error {
+	reached := true
+	for ctx.Err() == nil {
+		if !n.shouldRead(time.Now()) {
+			pause(ctx, readPause)
+			continue
+		}
+		began := time.Now()
+		err := n.read(ctx)
+		if (err == nil) != reached && ctx.Err() == nil {
+			reached = err == nil
+			n.Log.Warn().Bool("Reached", reached).Err(err).Msg("Store")
+		}
+		if err != nil {
+			pause(ctx, readPause)
+			continue
+		}
+		pause(ctx, watchEvery-time.Since(began))
+	}
+	return nil
+}
+
+// shouldRead tells whether it is this instance's turn.
+func (n *Node) shouldRead(now time.Time) bool {
+	k := &n.knowledge
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.replica.Revision() == 0 {
+		return true
+	}
+	var names []string
+	for _, instance := range k.roster.Instances() {
+		if instance.Name == n.self.Name || n.beats.heardWithin(now, instance.Name, peerAlive) {
+			names = append(names, instance.Name)
+		}
+	}
+	rank := roster.Rank(readingOrder, n.self.Name, names)
+	if rank == 0 {
+		return true
+	}
+	return now.Sub(k.confirmed) > readAfter+time.Duration(rank)*readStep
+}
+
+// read makes one call: a snapshot at the beginning and where the history is gone, else a watch.
+func (n *Node) read(ctx context.Context) error {
+	k := &n.knowledge
+	k.mutex.Lock()
+	revision := k.replica.Revision()
+	k.mutex.Unlock()
+	if revision == 0 {
+		return n.readSnapshot(ctx)
+	}
+	began := time.Now()
+	batch, err := n.Store.Watch(ctx, revision, watchFor)
+	if errors.Is(err, coordination.ErrCompacted) {
+		return n.readSnapshot(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	confirmed := time.Now()
+	if len(batch.Items) > 0 {
+		confirmed = began // what came after the first of these changes may not be among them
+	}
+	n.merge(batch, confirmed)
+	return nil
+}
+
+func (n *Node) readSnapshot(ctx context.Context) error {
+	began := time.Now()
+	batch, err := n.Store.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	n.merge(batch, began)
+	n.Log.Info().Int64("Revision", batch.Through).Int("Items", len(batch.Items)).Msg("SnapshotRead")
+	return nil
+}
--- /dev/null
+++ b/internal/entry/node/settings.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/entry/inifile"
+)
+
+// settings.go lists what an instance is told when it starts.
+
+// Settings of a node. Addresses are IP and port.
+type Settings struct {
+	Instance  InstanceSettings
+	Platform  PlatformSettings
+	Callers   CallerSettings
+	Upstreams UpstreamSettings
+	Retries   RetrySettings
+	Log       LogSettings
+}
+
+// InstanceSettings say who the instance is and where it listens.
+type InstanceSettings struct {
+	Name           string
+	DataCentre     string
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+}
+
+// PlatformSettings say where the store is.
+type PlatformSettings struct {
+	StoreAddress string
+	StoreTimeout time.Duration
+}
+
+// CallerSettings bound what callers may do.
+type CallerSettings struct {
+	HeaderBytes   int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// StopWithin is how long a planned stop may take.
+	StopWithin time.Duration
+}
+
+// UpstreamSettings say what is known of upstreams beforehand.
+type UpstreamSettings struct {
+	// FencesChecked: they refuse orders under an earlier fence.
+	FencesChecked bool
+	PromptRate    float64
+}
+
+// RetrySettings bound the sends beyond the first of each request, over all instances and in any Window.
+type RetrySettings struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// LogSettings say how much is logged.
+type LogSettings struct {
+	Level  string
+	Budget int64
+}
+
+func settingsFormat() inifile.Format[Settings] {
+	type field = inifile.Field[Settings]
+	return inifile.Format[Settings]{Fields: []field{
+		{
+			Section: "Instance", Name: "Name", Required: true,
+			Help: "name of the instance, the same after a restart",
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Instance.Name }),
+		},
+		{
+			Section: "Instance", Name: "DataCentre", Required: true,
+			Help: "data centre the instance is in",
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Instance.DataCentre }),
+		},
+		{
+			Section: "Instance", Name: "CallerAddress", Required: true,
+			Help: "IP and port for callers",
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.CallerAddress }),
+		},
+		{
+			Section: "Instance", Name: "ReadyAddress", Required: true,
+			Help: "IP and port where the balancer asks whether the instance takes requests",
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.ReadyAddress }),
+		},
+		{
+			Section: "Instance", Name: "PeerAddress", Required: true,
+			Help: "IP and port for the other instances",
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.PeerAddress }),
+		},
+		{
+			Section: "Instance", Name: "MetricsAddress", Required: true,
+			Help: "IP and port where metrics are served, at /metrics",
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.MetricsAddress }),
+		},
+		{
+			Section: "Platform", Name: "StoreAddress", Required: true,
+			Help: "IP and port of the store",
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Platform.StoreAddress }),
+		},
+		{
+			Section: "Platform", Name: "StoreTimeout", Default: "600ms",
+			Help: "longest wait for an answer of the store",
+			Set: inifile.Duration(10*time.Millisecond, time.Minute,
+				func(s *Settings) *time.Duration { return &s.Platform.StoreTimeout }),
+		},
+		{
+			Section: "Callers", Name: "HeaderBytes", Default: "16384",
+			Help: "largest header of a request",
+			Set:  inifile.Whole(1024, 1<<20, func(s *Settings) *int64 { return &s.Callers.HeaderBytes }),
+		},
+		{
+			Section: "Callers", Name: "HeaderTimeout", Default: "3s",
+			Help: "longest time a caller may take for a request's header",
+			Set: inifile.Duration(100*time.Millisecond, time.Minute,
+				func(s *Settings) *time.Duration { return &s.Callers.HeaderTimeout }),
+		},
+		{
+			Section: "Callers", Name: "IdleTimeout", Default: "15s",
+			Help: "how long an idle connection of a caller is kept",
+			Set: inifile.Duration(time.Second, time.Hour,
+				func(s *Settings) *time.Duration { return &s.Callers.IdleTimeout }),
+		},
+		{
+			Section: "Callers", Name: "StopWithin", Default: "7s",
+			Help: "longest a planned stop waits for running requests",
+			Set: inifile.Duration(time.Second, time.Hour,
+				func(s *Settings) *time.Duration { return &s.Callers.StopWithin }),
+		},
+		{
+			Section: "Upstreams", Name: "FencesChecked", Default: "false",
+			Help: "whether upstreams refuse orders under an earlier fence",
+			Set:  inifile.Switch(func(s *Settings) *bool { return &s.Upstreams.FencesChecked }),
+		},
+		{
+			Section: "Upstreams", Name: "PromptRate", Default: "19000",
+			Help: "prompt tokens that an engine reads in a second",
+			Set:  inifile.Number(1, 1e9, func(s *Settings) *float64 { return &s.Upstreams.PromptRate }),
+		},
+		{
+			Section: "Retries", Name: "Ratio", Default: "0.1",
+			Help: "sends beyond the first, of all instances, for each request",
+			Set:  inifile.Number(0, 10, func(s *Settings) *float64 { return &s.Retries.Ratio }),
+		},
+		{
+			Section: "Retries", Name: "Slack", Default: "10",
+			Help: "sends beyond the first that all instances may add to that in a window",
+			Set:  inifile.Number(0, 1e6, func(s *Settings) *float64 { return &s.Retries.Slack }),
+		},
+		{
+			Section: "Log", Name: "Level", Default: "info",
+			Help: "debug, info, warn or error",
+			Set:  inifile.OneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error"),
+		},
+		{
+			Section: "Log", Name: "Budget", Default: "300",
+			Help: "events a second; failures may take twice as many",
+			Set:  inifile.Whole(1, 1e6, func(s *Settings) *int64 { return &s.Log.Budget }),
+		},
+	}}
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(file string) (Settings, error) { return settingsFormat().Load(file) }
+
+// SettingsHelp lists every setting with its default.
+func SettingsHelp() string { return settingsFormat().Help() }
--- a/internal/entry/settings/settings_fields.go
+++ b/internal/entry/settings/settings_fields.go
@@ -2,69 +2,59 @@
 
 import (
 	"encoding/hex"
-	"net/netip"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/entry/inifile"
 )
 
 // Every setting stands once in this file: its section and name, its default, the bounds it must keep
 // and where it goes. Reading, checking and the table in the help text all come from this list.
 
-// field is one setting. An empty Default with Required unset means empty is allowed.
-type field struct {
-	Section  string
-	Name     string
-	Default  string
-	Required bool
-	Help     string
-	Set      func(s *Settings, value string) error
-}
-
 // fields lists every setting in the order of the help text.
-func fields() []field {
-	return []field{
+func fields() []inifile.Field[Settings] {
+	return []inifile.Field[Settings]{
 		{
 			Section: "Instance", Name: "Name", Required: true,
 			Help: "name of the instance, the same after a restart",
-			Set:  word(func(s *Settings) *string { return &s.Instance.Name }),
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Instance.Name }),
 		},
 		{
 			Section: "Instance", Name: "DataCentre", Required: true,
 			Help: "data centre the instance is in",
-			Set:  word(func(s *Settings) *string { return &s.Instance.DataCentre }),
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Instance.DataCentre }),
 		},
 		{
 			Section: "Instance", Name: "CallerAddress", Required: true,
 			Help: "IP and port for callers; port 0 takes a free one",
-			Set:  address(func(s *Settings) *string { return &s.Instance.CallerAddress }),
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.CallerAddress }),
 		},
 		{
 			Section: "Instance", Name: "OperatorAddress", Required: true,
 			Help: "IP and port for operators, metrics and probes",
-			Set:  address(func(s *Settings) *string { return &s.Instance.OperatorAddress }),
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.OperatorAddress }),
 		},
 		{
 			Section: "Instance", Name: "PeerAddress", Required: true,
 			Help: "IP and port for the other instances",
-			Set:  address(func(s *Settings) *string { return &s.Instance.PeerAddress }),
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Instance.PeerAddress }),
 		},
 		{
 			Section: "Platform", Name: "StoreAddress", Required: true,
 			Help: "IP and port of the key-value store",
-			Set:  address(func(s *Settings) *string { return &s.Platform.StoreAddress }),
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Platform.StoreAddress }),
 		},
 		{
 			Section: "Platform", Name: "ListAddress", Required: true,
 			Help: "IP and port of the instance list",
-			Set:  address(func(s *Settings) *string { return &s.Platform.ListAddress }),
+			Set:  inifile.Address(func(s *Settings) *string { return &s.Platform.ListAddress }),
 		},
 		{
 			Section: "Platform", Name: "StoreTimeout", Default: "1s",
 			Help: "longest wait for an answer of the store",
-			Set: duration(10*time.Millisecond, time.Minute,
+			Set: inifile.Duration(10*time.Millisecond, time.Minute,
 				func(s *Settings) *time.Duration { return &s.Platform.StoreTimeout }),
 		},
 		{
@@ -75,68 +65,68 @@
 		{
 			Section: "Peers", Name: "Certificate",
 			Help: "file with this instance's certificate (PEM)",
-			Set:  word(func(s *Settings) *string { return &s.Peers.Certificate }),
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Peers.Certificate }),
 		},
 		{
 			Section: "Peers", Name: "Key",
 			Help: "file with this instance's private key (PEM)",
-			Set:  word(func(s *Settings) *string { return &s.Peers.Key }),
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Peers.Key }),
 		},
 		{
 			Section: "Peers", Name: "Authority",
 			Help: "file with the certificates that sign the instances' (PEM)",
-			Set:  word(func(s *Settings) *string { return &s.Peers.Authority }),
+			Set:  inifile.Word(func(s *Settings) *string { return &s.Peers.Authority }),
 		},
 		{
 			Section: "Freshness", Name: "Bound", Default: "3s",
 			Help: "how long an instance may act on what it last confirmed; a withdrawn key stops within this",
-			Set: duration(500*time.Millisecond, time.Minute,
+			Set: inifile.Duration(500*time.Millisecond, time.Minute,
 				func(s *Settings) *time.Duration { return &s.Freshness.Bound }),
 		},
 		{
 			Section: "Limits", Name: "BodyBytes", Default: "1048576",
 			Help: "largest body of a request",
-			Set:  whole(1024, 64<<20, func(s *Settings) *int64 { return &s.Limits.BodyBytes }),
+			Set:  inifile.Whole(1024, 64<<20, func(s *Settings) *int64 { return &s.Limits.BodyBytes }),
 		},
 		{
 			Section: "Limits", Name: "Patience", Default: "15s",
 			Help: "longest a request may wait before it is dispatched",
-			Set: duration(100*time.Millisecond, 10*time.Minute,
+			Set: inifile.Duration(100*time.Millisecond, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.Patience }),
 		},
 		{
 			Section: "Limits", Name: "FirstToken", Default: "15s",
 			Help: "longest wait for an upstream's first token",
-			Set: duration(100*time.Millisecond, 10*time.Minute,
+			Set: inifile.Duration(100*time.Millisecond, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.FirstToken }),
 		},
 		{
 			Section: "Limits", Name: "BetweenTokens", Default: "5s",
 			Help: "longest silence between two tokens before the stream is resumed on a new connection",
-			Set: duration(100*time.Millisecond, 10*time.Minute,
+			Set: inifile.Duration(100*time.Millisecond, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.BetweenTokens }),
 		},
 		{
 			Section: "Limits", Name: "StopWithin", Default: "10m",
 			Help: "longest a planned stop waits for running requests",
-			Set: duration(time.Second, 24*time.Hour,
+			Set: inifile.Duration(time.Second, 24*time.Hour,
 				func(s *Settings) *time.Duration { return &s.Limits.StopWithin }),
 		},
 		{
 			Section: "Limits", Name: "StaleStream", Default: "10s",
 			Help: "how long a running stream goes on at an instance that cannot confirm its key",
-			Set: duration(0, 10*time.Minute,
+			Set: inifile.Duration(0, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.StaleStream }),
 		},
 		{
 			Section: "Policy", Name: "Preset", Default: PresetLatency,
 			Help: "what placement favours: Latency (few load stalls, worst-served workspace) or Efficiency (batch use, few refusals)",
-			Set:  oneOf(func(s *Settings) *string { return &s.Policy.Preset }, PresetLatency, PresetEfficiency),
+			Set:  inifile.OneOf(func(s *Settings) *string { return &s.Policy.Preset }, PresetLatency, PresetEfficiency),
 		},
 		{
 			Section: "Log", Name: "Level", Default: "info",
 			Help: "debug, info, warn or error",
-			Set:  oneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error"),
+			Set:  inifile.OneOf(func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error"),
 		},
 	}
 }
@@ -147,66 +137,6 @@
 	PresetEfficiency = "Efficiency"
 )
 
-// ---------------------------------------------------------------------------------------------
-// Kinds of values.
-
-func word(target func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		*target(s) = value
-		return nil
-	}
-}
-
-func address(target func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			return errors.Errorf("%q is not an IP and port, such as 127.0.0.1:8080", value)
-		}
-		*target(s) = value
-		return nil
-	}
-}
-
-func duration(low, high time.Duration, target func(*Settings) *time.Duration) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		parsed, err := time.ParseDuration(value)
-		if err != nil {
-			return errors.Errorf("%q is not a duration, such as 3s or 500ms", value)
-		}
-		if parsed < low || parsed > high {
-			return errors.Errorf("%s is not between %s and %s", parsed, low, high)
-		}
-		*target(s) = parsed
-		return nil
-	}
-}
-
-func whole(low, high int64, target func(*Settings) *int64) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		parsed, err := strconv.ParseInt(value, 10, 64)
-		if err != nil {
-			return errors.Errorf("%q is not a whole number", value)
-		}
-		if parsed < low || parsed > high {
-			return errors.Errorf("%d is not between %d and %d", parsed, low, high)
-		}
-		*target(s) = parsed
-		return nil
-	}
-}
-
-func oneOf(target func(*Settings) *string, allowed ...string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		for _, one := range allowed {
-			if value == one {
-				*target(s) = value
-				return nil
-			}
-		}
-		return errors.Errorf("%q is not one of %s", value, strings.Join(allowed, ", "))
-	}
-}
-
 // sha256HexLength is the length of a SHA-256 in hex.
 const sha256HexLength = 64
 
--- /dev/null
+++ b/internal/fleet/mesh/messages.go
@@ -0,0 +1,61 @@
+// Package mesh carries what instances tell each other: heartbeats, the store's changes, and requests to
+// load adapters. It maps domain values to the wire and back, and keeps one connection to each peer.
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// Beat is a heartbeat.
+type Beat struct {
+	Instance    string
+	Incarnation string
+	Revision    int64
+	// ConfirmedAge is how long ago the store confirmed the revision as its newest; negative if not known.
+	ConfirmedAge time.Duration
+	Spent        quota.Spent
+	Loads        map[string]pool.Load
+	Residencies  []pool.Residency
+	Suspects     []suspect.Count
+	Stopping     bool
+}
+
+// PrepareRequest asks the holder of an upstream for an adapter.
+type PrepareRequest struct {
+	Upstream string
+	Adapter  traffic.Adapter
+	// Version that has to be there at least; 0 for any.
+	Version  int64
+	Patience time.Duration
+	Priority int
+}
+
+// Prepared is the answer to a PrepareRequest: Loaded, NotHolder or Busy.
+type Prepared interface{ isPrepared() }
+
+// Loaded: the adapter is there.
+type Loaded struct{ Version int64 }
+
+// NotHolder: the receiver does not order at the upstream.
+type NotHolder struct{}
+
+// Busy: no place becomes free in time.
+type Busy struct{ RetryAfter time.Duration }
+
+func (Loaded) isPrepared()    {}
+func (NotHolder) isPrepared() {}
+func (Busy) isPrepared()      {}
+
+// Handler answers the peers' calls.
+type Handler interface {
+	Exchange(beat Beat) Beat
+	CatchUp(after int64) replica.Batch
+	Prepare(ctx context.Context, request PrepareRequest) Prepared
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,157 @@
+// Package roster is who is in the fleet and who holds which upstream: the fleet's own keys in the store,
+// each bound to the lease of the instance that wrote it.
+package roster
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Keys of the fleet's own.
+const (
+	prefixInstances = "fleet/instances/"
+	prefixHolders   = "fleet/holders/"
+)
+
+// Instance is a live instance.
+type Instance struct {
+	Name        string
+	Incarnation string
+	DataCentre  string
+	// Address is where it talks to the other instances.
+	Address string
+}
+
+// Holder is the instance that orders at an upstream.
+type Holder struct {
+	Upstream    string
+	Instance    string
+	Incarnation string
+	// Fence rises with each change of holder; it is the revision of the key.
+	Fence int64
+}
+
+// InstanceKey is the key of an instance.
+func InstanceKey(name string) string { return prefixInstances + name }
+
+// HolderKey is the key of an upstream's holder.
+func HolderKey(upstream string) string { return prefixHolders + upstream }
+
+type instanceWire struct {
+	Incarnation string
+	DataCentre  string
+	Address     string
+}
+
+type holderWire struct {
+	Instance    string
+	Incarnation string
+}
+
+// EncodeInstance gives the value of an instance's key.
+func EncodeInstance(i Instance) ([]byte, error) {
+	return json.Marshal(instanceWire{Incarnation: i.Incarnation, DataCentre: i.DataCentre, Address: i.Address})
+}
+
+// EncodeHolder gives the value of a holder's key.
+func EncodeHolder(h Holder) ([]byte, error) {
+	return json.Marshal(holderWire{Instance: h.Instance, Incarnation: h.Incarnation})
+}
+
+// Roster is what the keys say. The zero value is empty. It is not safe for use by several goroutines.
+type Roster struct {
+	instances map[string]Instance
+	holders   map[string]Holder
+}
+
+// Apply takes a key's change over; removed keys have no value. It tells whether the key is the fleet's.
+func (r *Roster) Apply(key string, value []byte, revision int64, removed bool) (ours bool, err error) {
+	if r.instances == nil {
+		r.instances = make(map[string]Instance)
+		r.holders = make(map[string]Holder)
+	}
+	if name, found := strings.CutPrefix(key, prefixInstances); found {
+		return true, errors.WithMessage(r.applyInstance(name, value, removed), key)
+	}
+	if upstream, found := strings.CutPrefix(key, prefixHolders); found {
+		return true, errors.WithMessage(r.applyHolder(upstream, value, revision, removed), key)
+	}
+	return false, nil
+}
+
+func (r *Roster) applyInstance(name string, value []byte, removed bool) error {
+	if removed {
+		delete(r.instances, name)
+		return nil
+	}
+	var wire instanceWire
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return err
+	}
+	r.instances[name] = Instance{
+		Name: name, Incarnation: wire.Incarnation, DataCentre: wire.DataCentre, Address: wire.Address,
+	}
+	return nil
+}
+
+func (r *Roster) applyHolder(upstream string, value []byte, revision int64, removed bool) error {
+	if removed {
+		delete(r.holders, upstream)
+		return nil
+	}
+	var wire holderWire
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return err
+	}
+	r.holders[upstream] = Holder{
+		Upstream: upstream, Instance: wire.Instance, Incarnation: wire.Incarnation, Fence: revision,
+	}
+	return nil
+}
+
+// Instances lists the live instances in the order of their names.
+func (r *Roster) Instances() (list []Instance) {
+	for _, instance := range r.instances {
+		list = append(list, instance)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Instance finds a live instance.
+func (r *Roster) Instance(name string) (Instance, bool) {
+	instance, found := r.instances[name]
+	return instance, found
+}
+
+// Holder finds who holds an upstream.
+func (r *Roster) Holder(upstream string) (Holder, bool) {
+	holder, found := r.holders[upstream]
+	return holder, found
+}
+
+// Holders lists all holders.
+func (r *Roster) Holders() (list []Holder) {
+	for _, holder := range r.holders {
+		list = append(list, holder)
+	}
+	return list
+}
+
+// Rank is the place of an instance among the given names in the order that a subject spreads them in:
+// each subject has another order, and a name that comes or goes changes no other's place by more than one.
+func Rank(subject, name string, names []string) (rank int) {
+	own := weight(subject, name)
+	for _, other := range names {
+		if other != name && weight(subject, other) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(subject, name string) uint64 { return xxhash.Sum64String(subject + "\x00" + name) }
--- /dev/null
+++ b/internal/gateway/call/call.go
@@ -0,0 +1,104 @@
+// Package call is a caller's request as the instance passes it on: an opaque body with the facts that
+// decide where it may go. Which headers carry these facts is a Dialect's business.
+package call
+
+import (
+	"net/http"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// Call is one send of a caller. Its body, path and remaining headers pass unchanged.
+type Call struct {
+	// ID is the caller's own, a new one for each send.
+	ID     string
+	Method string
+	Host   string
+	// Target is the path and query as sent, Path only the path.
+	Target string
+	Path   string
+	// Header is what passes on, without what concerns one connection, the key and what only the
+	// instance may state.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's secret; it goes nowhere.
+	Key string
+	// Received is when the request's headers were read; Patience is how long the caller waits from then,
+	// 0 if it does not say.
+	Received time.Time
+	Patience time.Duration
+	Work     Work
+	// LastEvent is the id of the last event the caller has of an earlier stream; empty if none.
+	LastEvent string
+}
+
+// Work is the size of a generation.
+type Work struct {
+	// Adapter is empty for requests that no model answers.
+	Adapter traffic.Adapter
+	// PromptTokens and OutputTokens (the most that are wanted) are stated if Stated.
+	Stated       bool
+	PromptTokens int
+	OutputTokens int
+	// Prompt lists the parts of the prompt in order; requests share parts.
+	Prompt []Part
+}
+
+// Part is a piece of a prompt that other requests may have in common.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Cost is what the call takes of its workspace's rate.
+func (c Call) Cost(workspace traffic.Workspace) float64 {
+	if !workspace.ByTokens {
+		return 1
+	}
+	if !c.Work.Stated {
+		return workspace.PlainCost
+	}
+	return float64(c.Work.PromptTokens + c.Work.OutputTokens)
+}
+
+// Send is what one send to an upstream states besides the call.
+type Send struct {
+	// Upstream is the only one that may run it.
+	Upstream string
+	// Workspace is empty on routes that need no key.
+	Workspace string
+	// Left is the time the upstream has.
+	Left     time.Duration
+	Priority int
+	// Version of the adapter, if the upstream has to check it; 0 if not.
+	Version int64
+	// LastEvent is the id after which a stream goes on.
+	LastEvent string
+}
+
+// Reply is what an upstream's answer states in its headers.
+type Reply struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// NotRun: the upstream promises that the request did not run.
+	NotRun bool
+	// OtherUpstream: another upstream has the address now, or lacks the model or version.
+	Misdirected bool
+	// Signed: the answer bears the upstream's signature.
+	Signed bool
+	// KeepAlive is how long the upstream keeps an idle connection; 0 if it does not say.
+	KeepAlive time.Duration
+}
+
+// Dialect maps between HTTP messages and calls.
+type Dialect interface {
+	// Decode reads all but the body. It keeps no reference to the request's headers.
+	Decode(request *http.Request) (Call, error)
+	// Header is what a send states, added to the call's own headers.
+	Header(c Call, send Send) http.Header
+	// Reply reads an upstream's answer.
+	Reply(response *http.Response) Reply
+	// Refusal writes the headers of an instance's own answer.
+	Refusal(header http.Header, id string, retryAfter time.Duration)
+}
--- /dev/null
+++ b/internal/gateway/serve/dispatch.go
@@ -0,0 +1,276 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+// dispatch.go places a request, sends it, and sends it again where that is allowed and worth it.
+
+const (
+	// mostTries bounds the upstreams that one request is offered to, whatever its route allows: past some
+	// refusals in a row the service is full, and more offers only add load.
+	mostTries = 6
+	// busyRetryAfter is when a caller is asked to come back to a service that has no room: some requests
+	// have ended by then.
+	busyRetryAfter = 350 * time.Millisecond
+	// awayRetryAfter is the same where no upstream can be reached.
+	awayRetryAfter = 500 * time.Millisecond
+)
+
+// result is how one send ended.
+type result string
+
+const (
+	resultServed    result = "served"
+	resultNotRun    result = "not_run"
+	resultMissing   result = "missing"
+	resultUnreached result = "unreached"
+	resultBroken    result = "broken"
+	resultFailed    result = "failed"
+)
+
+// run brings the request to its end. The error is a refusal, or what broke an answer that was begun.
+func (j *job) run(ctx context.Context) error {
+	h := j.handler
+	h.Advice.With(func(a *Advice) { a.Retries.First() })
+	var last error
+	for try := 0; try < mostTries; try++ {
+		if ctx.Err() != nil {
+			return j.gaveUp(ctx)
+		}
+		choice, query, err := j.choose()
+		if err != nil {
+			return j.noUpstream(last)
+		}
+		if !choice.Loaded && !j.prepare(ctx, &choice, query) {
+			j.tried = append(j.tried, choice.Upstream.ID)
+			continue
+		}
+		if j.sends > 0 && !j.mayResend() {
+			return j.exhausted(last)
+		}
+		var ended result
+		ended, last = j.send(ctx, choice, query)
+		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Outcome", string(ended)).Err(last).
+			Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
+			Float64("Slow", choice.Slow).Float64("Failing", choice.Failing).
+			Int64("ExpectedMillis", choice.Expected.Milliseconds()).Msg("Decision")
+		switch ended {
+		case resultServed:
+			return nil
+		case resultMissing, resultUnreached:
+		case resultNotRun:
+			j.tried = append(j.tried, choice.Upstream.ID)
+		case resultBroken, resultFailed:
+			j.tried = append(j.tried, choice.Upstream.ID)
+			if !j.mayRunAgain() {
+				return j.exhausted(last)
+			}
+		}
+	}
+	return j.exhausted(last)
+}
+
+// choose picks an upstream.
+func (j *job) choose() (choice pool.Choice, query pool.Query, err error) {
+	newest, required := j.handler.Fleet.Newest(j.call.Work.Adapter)
+	query = pool.Query{
+		Service: j.service,
+		Adapter: j.call.Work.Adapter,
+		Tokens:  j.call.Work.PromptTokens,
+		Output:  j.call.Work.OutputTokens,
+		Exclude: j.tried,
+		Alone:   j.alone,
+	}
+	if required {
+		query.Version = newest
+	}
+	j.handler.Advice.With(func(a *Advice) { choice, err = a.Pool.Choose(time.Now(), query) })
+	return choice, query, err
+}
+
+// prepare has the adapter loaded at the chosen upstream.
+func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
+		Upstream: choice.Upstream.ID,
+		Adapter:  query.Adapter,
+		Version:  query.Version,
+		Patience: time.Until(j.deadline),
+		Priority: j.priority,
+	})
+	loaded, ok := prepared.(mesh.Loaded)
+	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
+		Bool("Loaded", ok).Msg("Decision")
+	if !ok {
+		return false
+	}
+	j.handler.Advice.With(func(a *Advice) {
+		a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
+	})
+	return true
+}
+
+// mayRunAgain tells whether the request may be sent again although it may have run.
+func (j *job) mayRunAgain() bool {
+	return j.route.MayRepeat() && j.runs < j.route.Attempts
+}
+
+// mayResend takes a retry from the budget.
+func (j *job) mayResend() (allowed bool) {
+	j.handler.Advice.With(func(a *Advice) { allowed = a.Retries.Allow() })
+	return allowed
+}
+
+// send makes one send and relays its answer.
+func (j *job) send(ctx context.Context, choice pool.Choice, query pool.Query) (ended result, err error) {
+	h := j.handler
+	j.upstream = choice.Upstream.ID
+	j.sends++
+	now := time.Now()
+	var sending *pool.Send
+	h.Advice.With(func(a *Advice) { sending = a.Pool.Begin(now, choice, query) })
+	ended, err = j.exchange(ctx, choice, query, sending)
+	if ended != resultUnreached && ended != resultNotRun && ended != resultMissing {
+		j.runs++
+		j.mayHaveRun = true
+	}
+	j.finish(ctx, choice.Upstream, query, sending, ended, err)
+	return ended, err
+}
+
+// finish tells the deciding packages how a send ended.
+func (j *job) finish(
+	ctx context.Context, upstream traffic.Upstream, query pool.Query, sending *pool.Send, ended result, err error,
+) {
+	end := pool.EndOther
+	switch {
+	case ended == resultServed:
+		end = pool.EndServed
+	case ctx.Err() != nil:
+	case ended == resultFailed:
+		end = pool.EndFailed
+	case ended == resultUnreached:
+		end = pool.EndUnreachable
+	case ended == resultBroken:
+		end = pool.EndFailed
+	case ended == resultNotRun:
+		end = pool.EndRefused
+	}
+	j.handler.Advice.With(func(a *Advice) {
+		now := time.Now()
+		a.Pool.Finish(now, sending, end)
+		if ended == resultMissing {
+			a.Pool.Missing(upstream.ID, query.Adapter)
+		}
+		if ended == resultServed {
+			a.Suspects.Completed(now, j.fingerprint)
+		}
+	})
+}
+
+// exchange sends the call and relays the answer.
+func (j *job) exchange(
+	ctx context.Context, choice pool.Choice, query pool.Query, sending *pool.Send,
+) (result, error) {
+	send := call.Send{
+		Upstream:  choice.Upstream.ID,
+		Workspace: j.workspace.Name,
+		Left:      time.Until(j.deadline),
+		Priority:  j.priority,
+		Version:   query.Version,
+		LastEvent: j.call.LastEvent,
+	}
+	if j.lastEvent != "" {
+		send.LastEvent = j.lastEvent
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := j.patience(choice)
+	silent := time.AfterFunc(patience, func() { cancel(errSilent) })
+	defer silent.Stop()
+	answer, err := j.handler.Forward.Do(ctx, choice.Upstream, j.call, send, !j.route.MayRepeat())
+	if err != nil {
+		if errors.Is(err, forward.ErrUnreached) {
+			return resultUnreached, err
+		}
+		return resultBroken, err
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.Reply.Misdirected:
+		return resultMissing, errors.New("upstream lacks the model or version, or another has its address")
+	case answer.Reply.NotRun:
+		return resultNotRun, errors.Errorf("upstream refused with status %d", answer.Status)
+	}
+	relay := relay{job: j, answer: answer, sending: sending, silent: silent, cancel: cancel}
+	return relay.run()
+}
+
+var errSilent = errors.New("upstream is silent")
+
+const (
+	// silentAtLeast is how long an upstream may be silent before a request that may run again is sent to
+	// another; silentFactor the same in terms of what was expected.
+	silentAtLeast = 1200 * time.Millisecond
+	silentFactor  = 4
+	// silentService is silentAtLeast for plain calls, which take some ten milliseconds.
+	silentService = 400 * time.Millisecond
+)
+
+// patience is how long the upstream may be silent. A request that may not run again waits to the end:
+// cutting it would lose an answer that may still come.
+func (j *job) patience(choice pool.Choice) time.Duration {
+	left := time.Until(j.deadline)
+	if !j.route.MayRepeat() || j.runs+1 >= j.route.Attempts {
+		return left + time.Second
+	}
+	least := silentAtLeast
+	if j.route.Repetition != traffic.Streaming {
+		least = silentService
+	}
+	return max(least, silentFactor*choice.Expected)
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// gaveUp is the end of a request whose time is over, or whose caller is gone.
+func (j *job) gaveUp(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refused := refusal.New(refusal.Deadline, "no answer within the time for it")
+		if !j.mayHaveRun {
+			refused = refused.WithRun(refusal.NotRun)
+		}
+		return refused
+	}
+	return refusal.New(refusal.Cancelled, "the caller closed the connection")
+}
+
+// noUpstream is the end of a request for which there is no upstream to send it to.
+func (j *job) noUpstream(last error) error {
+	if j.mayHaveRun {
+		return j.exhausted(last)
+	}
+	return refusal.New(refusal.ServiceUnavailable, "no upstream can take the request").WithRetryAfter(awayRetryAfter)
+}
+
+// exhausted is the end of a request that may not be sent again, or not often enough.
+func (j *job) exhausted(last error) error {
+	if !j.mayHaveRun {
+		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(busyRetryAfter)
+	}
+	message := "the upstream failed"
+	if last != nil {
+		message += ": " + last.Error()
+	}
+	return refusal.New(refusal.UpstreamFailed, message)
+}
--- /dev/null
+++ b/internal/gateway/serve/job.go
@@ -0,0 +1,101 @@
+package serve
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
+)
+
+// job.go is the state of one request, and what its end leaves in the log.
+
+type job struct {
+	handler *Handler
+	writer  http.ResponseWriter
+	began   time.Time
+
+	table     *traffic.Table
+	call      call.Call
+	route     traffic.Route
+	service   string
+	workspace traffic.Workspace
+	priority  int
+	deadline  time.Time
+
+	cost        float64
+	fingerprint suspect.Fingerprint
+	alone       bool
+
+	// tried lists the upstreams that are not to be chosen again.
+	tried []string
+	// sends counts the sends, runs those that may have run.
+	sends      int
+	runs       int
+	mayHaveRun bool
+	// started: the answer's header went out to the caller.
+	started   bool
+	status    int
+	firstByte time.Time
+	lastEvent string
+	upstream  string
+	// events and bytes that went to the caller.
+	bytes int64
+}
+
+// refuse answers a request that got no answer from an upstream.
+func (j *job) refuse(err error) {
+	if j.started {
+		return
+	}
+	refused := refusal.From(err)
+	j.status = refused.Status()
+	j.handler.Dialect.Refusal(j.writer.Header(), j.call.ID, refused.ExactRetryAfter())
+	j.writer.Header().Set(refusal.HeaderRun, string(refused.Run()))
+	j.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	text := refused.Error() + "\n"
+	j.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	j.writer.WriteHeader(refused.Status())
+	_, _ = j.writer.Write([]byte(text)) // a caller that is gone needs no answer
+}
+
+// log writes the request's line: what it was, what decided it, and how it ended.
+func (j *job) log(err error) {
+	level := zerolog.InfoLevel
+	if err != nil {
+		level = zerolog.WarnLevel
+	}
+	event := j.handler.Log.WithLevel(level).
+		Str(logline.FieldRequest, j.call.ID).
+		Str("Route", j.route.Name).
+		Str(logline.FieldWorkspace, j.workspace.Name).
+		Int("Status", j.status).
+		Int("Sends", j.sends).
+		Int("Runs", j.runs).
+		Str(logline.FieldUpstream, j.upstream).
+		Int64("Bytes", j.bytes).
+		Int64("TookMillis", time.Since(j.began).Milliseconds())
+	if j.table != nil {
+		event = event.Int64("Configuration", j.table.Configuration.Version)
+	}
+	if !j.firstByte.IsZero() {
+		event = event.Int64("FirstMillis", j.firstByte.Sub(j.began).Milliseconds())
+	}
+	if err != nil {
+		event = event.Err(err)
+	}
+	event.Msg("Request")
+	j.handler.Scope.Tagged(map[string]string{"status": strconv.Itoa(j.status)}).Counter("requests").Inc(1)
+	j.handler.Scope.Timer("request_time").Record(time.Since(j.began))
+}
+
+// step logs one decision about the request.
+func (j *job) step(name string) *zerolog.Event {
+	return j.handler.Log.Debug().Str(logline.FieldRequest, j.call.ID).Str("Step", name)
+}
--- /dev/null
+++ b/internal/gateway/serve/server.go
@@ -0,0 +1,191 @@
+// Package serve takes callers' requests through their stages: decode, find the route, authenticate, read
+// the body, admit, and then place, send and relay until there is an answer. The deciding packages have
+// the rules; here they are asked in their order, and the calls they lead to are made.
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// Fleet is what the handler asks of the instance.
+type Fleet interface {
+	// Table is the configuration in force, nil while none is known.
+	Table() *traffic.Table
+	// Newest is the newest declared version of an adapter, 0 if none was declared. Required tells that
+	// requests must not begin on an older one any more.
+	Newest(adapter traffic.Adapter) (version int64, required bool)
+	// Prepare has an adapter loaded at an upstream and waits for it.
+	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
+	// Crashed tells that an upstream was lost with requests in flight.
+	Crashed()
+}
+
+// Advice is what this instance has learnt and decides by. Its parts are not safe for several goroutines,
+// so all of them are used under one lock; each use takes microseconds.
+type Advice struct {
+	Pool     *pool.Pool
+	Ledger   *quota.Ledger
+	Suspects *suspect.Register
+	Retries  *retry.Budget
+
+	mutex sync.Mutex
+}
+
+// With gives the parts to one function at a time.
+func (a *Advice) With(use func(a *Advice)) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	use(a)
+}
+
+// Handler serves callers. Set the exported fields before the first request.
+type Handler struct {
+	Dialect call.Dialect
+	Fleet   Fleet
+	Forward *forward.Client
+	Advice  *Advice
+	Log     zerolog.Logger
+	Scope   tally.Scope
+}
+
+// bodyBytesUnstated bounds a body where the configuration does not.
+const bodyBytesUnstated = 4 << 20
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{handler: h, writer: w, began: time.Now()}
+	err := h.serve(r, j)
+	if err != nil {
+		j.refuse(err)
+	}
+	j.log(err)
+	if err != nil && j.started {
+		panic(http.ErrAbortHandler) // an answer that was begun and cannot be completed must not look complete
+	}
+}
+
+func (h *Handler) serve(r *http.Request, j *job) (err error) {
+	j.table = h.Fleet.Table()
+	if j.table == nil {
+		return refusal.New(refusal.NotFresh, "no configuration is known yet").WithRetryAfter(startingRetryAfter)
+	}
+	j.call, err = h.Dialect.Decode(r)
+	j.call.Received = j.began
+	if err != nil {
+		return refusal.New(refusal.BadRequest, err.Error())
+	}
+	if err := j.resolve(); err != nil {
+		return err
+	}
+	if err := j.readBody(r); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	if err := j.admit(); err != nil {
+		return err
+	}
+	err = j.run(ctx)
+	if !j.mayHaveRun {
+		h.Advice.With(func(a *Advice) { a.Ledger.Refund(j.workspace.Name, j.cost) })
+	}
+	return err
+}
+
+// startingRetryAfter is about what an instance needs to learn a configuration.
+const startingRetryAfter = 300 * time.Millisecond
+
+// resolve finds the route and whom the request is for.
+func (j *job) resolve() error {
+	route, found := j.table.Route(j.call.Host, j.call.Path)
+	if !found {
+		return refusal.New(refusal.NotFound, "no route matches the host and path")
+	}
+	j.route = route
+	j.service = route.Target()
+	j.priority = route.Priority
+	j.deadline = j.began.Add(route.Timeout)
+	if j.call.Patience > 0 && j.call.Patience < route.Timeout {
+		j.deadline = j.began.Add(j.call.Patience)
+	}
+	if !j.table.NeedsKey(route) {
+		return nil
+	}
+	if j.call.Key == "" {
+		return refusal.New(refusal.MissingKey, "the route needs a key")
+	}
+	workspace, found := j.table.Workspace(j.call.Key)
+	if !found {
+		return refusal.New(refusal.InvalidKey, "the key is not known")
+	}
+	j.workspace = workspace
+	if workspace.HasPriority {
+		j.priority = workspace.Priority
+	}
+	return nil
+}
+
+// readBody reads the whole body: a request that is sent again needs it, and an upstream that a slow
+// caller holds is lost to others.
+func (j *job) readBody(r *http.Request) error {
+	most := j.table.Configuration.Limits.BodyBytes
+	if most <= 0 {
+		most = bodyBytesUnstated
+	}
+	if r.ContentLength > most {
+		return refusal.New(refusal.BodyTooLarge, "the body is longer than the limit")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.writer, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal.New(refusal.BodyTooLarge, "the body is longer than the limit")
+	case err != nil:
+		return refusal.New(refusal.BadRequest, "the body could not be read")
+	}
+	j.call.Body = body
+	return nil
+}
+
+// admit takes the request's cost from its workspace's rate, and stops what crashes upstreams.
+func (j *job) admit() error {
+	now := time.Now()
+	j.cost = j.call.Cost(j.workspace)
+	j.fingerprint = suspect.Of(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
+	var retryAfter time.Duration
+	admitted := false
+	verdict := suspect.Free
+	j.handler.Advice.With(func(a *Advice) {
+		verdict, retryAfter = a.Suspects.Judge(now, j.fingerprint)
+		if verdict != suspect.Refused {
+			retryAfter, admitted = a.Ledger.Admit(now, j.workspace.Name, j.cost)
+		}
+	})
+	j.alone = verdict == suspect.Alone
+	switch {
+	case verdict == suspect.Refused:
+		return refusal.New(refusal.ServiceUnavailable, "the request was in flight at several crashes of upstreams").
+			WithRetryAfter(retryAfter)
+	case !admitted:
+		return refusal.New(refusal.RateLimited, "the workspace is over its rate").WithRetryAfter(retryAfter)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/traffic/traffic.go
@@ -0,0 +1,169 @@
+// Package traffic is what operators and upstreams declare about the requests that an instance passes on:
+// routes, services, workspaces, the limits of callers, and the upstreams behind the services. Values are
+// immutable; a new declaration replaces the old one as a whole.
+package traffic
+
+import "time"
+
+// Fact is one declaration: a Configuration, an Upstream or an AdapterVersion.
+type Fact interface{ isFact() }
+
+// Configuration is all that operators declare. Version only rises.
+type Configuration struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   CallerLimits
+	// Workspaces is empty where callers need no key.
+	Workspaces []Workspace
+}
+
+func (Configuration) isFact() {}
+
+// Repetition says how often a request may run.
+type Repetition string
+
+// The repetitions.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Repetition = "idempotent"
+	// Once requests run at most once.
+	Once Repetition = "once"
+	// Streaming requests are answered by events and run at most once, unless they may be resumed.
+	Streaming Repetition = "streaming"
+)
+
+// Route sends the requests of a host below a path to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Targets share the requests by weight.
+	Targets    []Target
+	Repetition Repetition
+	// Timeout is the longest a caller may be kept waiting; Objective is the time within which an answer,
+	// or the first event of a stream, is on time.
+	Timeout   time.Duration
+	Objective time.Duration
+	// LongestPause between two events of a stream that is on time.
+	LongestPause time.Duration
+	// Priority is the rank of the requests, 0 first.
+	Priority int
+	// Attempts is the most upstreams that one request may run at.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another upstream after the last event that arrived.
+	Resumable bool
+}
+
+// MayRepeat tells whether a request of the route may run again after it may have run.
+func (r Route) MayRepeat() bool {
+	return r.Repetition == Idempotent || r.Repetition == Streaming && r.Resumable
+}
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of upstreams that run the same.
+type Service struct {
+	Name string
+	// MaxConnections is what one upstream takes from all callers together; 0 means not stated.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine says what the model engines of a service have room for.
+type Engine struct {
+	BatchPlaces int
+	// MemoryTokens is the room for the prompts and answers of running requests.
+	MemoryTokens  int
+	WeightsMB     float64
+	AdapterPlaces int
+	Models        []Model
+}
+
+// Model is a base model that the engines of a service can load.
+type Model struct {
+	Name      string
+	SizeMB    float64
+	AdapterMB float64
+	LoadTime  time.Duration
+}
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+}
+
+// Workspace is a paying customer.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority replaces that of the route where HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Rate, in units a second, and Burst, in units, hold over the whole fleet; a rate of 0 is no limit.
+	Rate  float64
+	Burst float64
+	// ByTokens: units are tokens, and a request that states none costs PlainCost. Else each costs 1.
+	ByTokens  bool
+	PlainCost float64
+}
+
+// Adapter names an adapter of a base model; an empty Name is the base model itself.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// String is MODEL/NAME, or MODEL alone.
+func (a Adapter) String() string {
+	if a.Name == "" {
+		return a.Model
+	}
+	return a.Model + "/" + a.Name
+}
+
+// AdapterVersion declares the newest version of an adapter.
+type AdapterVersion struct {
+	Adapter Adapter
+	Version int64
+}
+
+func (AdapterVersion) isFact() {}
+
+// Upstream is what an upstream says of itself.
+type Upstream struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Places     int
+	// Draining upstreams take no new requests.
+	Draining bool
+	// Born is the Unix millisecond of its start: an upstream with another one has forgotten everything.
+	Born int64
+	// Models is what it had loaded when it last said so.
+	Models []LoadedModel
+}
+
+func (Upstream) isFact() {}
+
+// LoadedModel is a base model in an upstream's memory, with its adapters.
+type LoadedModel struct {
+	Name     string
+	Version  int64
+	Adapters []LoadedAdapter
+}
+
+// LoadedAdapter is an adapter in an upstream's memory.
+type LoadedAdapter struct {
+	Name    string
+	Version int64
+}
--- /dev/null
+++ b/internal/placement/pool/choose.go
@@ -0,0 +1,129 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// choose.go compares upstreams by when a request would be answered there.
+
+const (
+	// awayCost is what another data centre costs: the way there and back, and bytes that are billed.
+	awayCost = 4 * time.Millisecond
+	// failureCost is what a certain failure costs: the time of a retry. Callers of a request that may not
+	// be repeated lose it altogether, so they gain as well from the upstream that fails less.
+	failureCost = 800 * time.Millisecond
+	// fullCost is added where nothing can be evicted: a running stream has to end first.
+	fullCost = 500 * time.Millisecond
+	// evictCost is what the next request for the evicted adapter pays.
+	evictCost = 40 * time.Millisecond
+	// waitingCost is for each adapter that waits for a place before this one.
+	waitingCost = 120 * time.Millisecond
+	// transitCost is what is left, on average, of a load that is under way.
+	transitCost = 150 * time.Millisecond
+	// stepTime is what one more running request adds to the first event's time: its share of each step
+	// that the prompt is read in.
+	stepTime = 2 * time.Millisecond
+	// engineBase is what a generation takes at the least until its first event.
+	engineBase = 25 * time.Millisecond
+	// memoryCost is added where the running requests would not fit: the newest of them is read anew.
+	memoryCost = 700 * time.Millisecond
+)
+
+// Choose picks the upstream where the request is expected to be answered first.
+func (p *Pool) Choose(now time.Time, query Query) (Choice, error) {
+	var best Choice
+	found := false
+	bestTotal := time.Duration(0)
+	p.turn++
+	ids := p.candidates(query)
+	for i := range ids {
+		u := p.upstreams[ids[(i+p.turn)%len(ids)]]
+		if now.Before(u.bannedUntil) {
+			continue
+		}
+		choice, total := p.weigh(now, u, query)
+		if !found || total < bestTotal {
+			best = choice
+			bestTotal = total
+			found = true
+		}
+	}
+	if !found {
+		return Choice{}, ErrNone
+	}
+	return best, nil
+}
+
+// candidates lists the upstreams of a service that take requests, in a fixed order.
+func (p *Pool) candidates(query Query) (ids []string) {
+	for id, u := range p.upstreams {
+		if u.declared.Service != query.Service || u.declared.Draining || slices.Contains(query.Exclude, id) {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// weigh gives the choice of an upstream and what it is compared by.
+func (p *Pool) weigh(now time.Time, u *upstream, query Query) (choice Choice, total time.Duration) {
+	load := p.load(now, u.declared.ID)
+	failing := u.failing(now)
+	slow := u.slowness(now)
+	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.Prompt, Failing: failing, Slow: slow}
+	engine, isEngine := p.engines[u.declared.Service]
+	if isEngine && query.Adapter.Model != "" {
+		choice.Expected = p.firstEvent(load, slow, query)
+		total = choice.Expected + p.loadCost(u, query, &choice)
+		if engine.MemoryTokens > 0 && load.Memory+query.Tokens+query.Output > engine.MemoryTokens {
+			total += memoryCost
+		}
+	} else {
+		places := max(u.declared.Places, 1)
+		queued := float64(max(load.Running+1-places, 0)) / float64(places)
+		choice.Expected = time.Duration(float64(p.Settings.ServiceTime) * slow * (1 + queued))
+		total = choice.Expected + time.Duration(float64(load.Running)/float64(places)*float64(p.Settings.ServiceTime))
+	}
+	total += time.Duration(failing * float64(failureCost))
+	if u.declared.DataCentre != p.Settings.DataCentre {
+		total += awayCost
+	}
+	if query.Alone && load.Running > 0 {
+		total += time.Hour
+	}
+	return choice, total
+}
+
+// firstEvent is the time until the first event: the prompts that are read before, its own, and the steps
+// of what runs beside it.
+func (p *Pool) firstEvent(load Load, slow float64, query Query) time.Duration {
+	reading := time.Duration(float64(load.Prompt+query.Tokens) / p.Settings.PromptRate * float64(time.Second))
+	return time.Duration(slow * float64(engineBase+reading+time.Duration(load.Running)*stepTime))
+}
+
+// loadCost is what it takes until the adapter is there, and what that costs others.
+func (p *Pool) loadCost(u *upstream, query Query, choice *Choice) time.Duration {
+	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
+		if !known.InTransit {
+			return 0
+		}
+		choice.Loaded = false
+		return transitCost
+	}
+	choice.Loaded = false
+	cost := p.Settings.LoadTime
+	if u.hadLately(query.Adapter) {
+		cost = p.Settings.ReloadTime
+	}
+	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
+		cost += time.Second
+	}
+	if u.idle <= 0 && u.fence != 0 {
+		cost += fullCost
+	}
+	return cost + evictCost + time.Duration(u.waiting)*waitingCost
+}
--- /dev/null
+++ b/internal/placement/pool/pool.go
@@ -0,0 +1,240 @@
+// Package pool knows the upstreams of all services and chooses one for each request. Its figures come
+// from what upstreams declare, from this instance's own sends and from the other instances' heartbeats.
+// It decides without sockets; the caller reads the runtime's clock and passes the time in.
+package pool
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// Settings of a Pool.
+type Settings struct {
+	// DataCentre of this instance: its own upstreams are preferred slightly.
+	DataCentre string
+	// PromptRate is the prompt tokens that an engine of usual speed reads in a second.
+	PromptRate float64
+	// LoadTime is what loading an adapter takes; ReloadTime the same where the upstream had it lately.
+	LoadTime   time.Duration
+	ReloadTime time.Duration
+	// ServiceTime is what a plain call usually takes, until measured.
+	ServiceTime time.Duration
+}
+
+// DefaultSettings were read off the engines' answers at one request at a time.
+func DefaultSettings() Settings {
+	return Settings{
+		PromptRate:  19_000,
+		LoadTime:    300 * time.Millisecond,
+		ReloadTime:  60 * time.Millisecond,
+		ServiceTime: 40 * time.Millisecond,
+	}
+}
+
+// ErrNone means that no upstream of the service can take the request now.
+var ErrNone = errors.New("pool: no upstream")
+
+// Query describes a request to place.
+type Query struct {
+	Service string
+	// Adapter is empty for requests that no model answers.
+	Adapter traffic.Adapter
+	// Version that the upstream has to have; 0 for any.
+	Version int64
+	Tokens  int
+	Output  int
+	// Exclude lists upstreams that have already been tried.
+	Exclude []string
+	// Alone asks for an upstream with nothing else running, as far as there is one.
+	Alone bool
+}
+
+// Choice is where to send a request.
+type Choice struct {
+	Upstream traffic.Upstream
+	// Loaded: the adapter is there in a version that will do. Else it has to be prepared first.
+	Loaded bool
+	// Expected is the time until the first event or the answer.
+	Expected time.Duration
+	// Inputs of the decision, for the log.
+	Running int
+	Waiting int
+	Failing float64
+	Slow    float64
+}
+
+// Residency is what the instance that orders at an upstream tells of it.
+type Residency struct {
+	Upstream string
+	// Fence of the holder: what an earlier holder tells is dropped.
+	Fence  int64
+	Loaded []Resident
+	// Idle is how many adapter places are empty or can be emptied at once; Waiting how many adapters
+	// wait for a place.
+	Idle    int
+	Waiting int
+}
+
+// Resident is a loaded adapter, or a base model. InTransit: ordered, but not there yet.
+type Resident struct {
+	Adapter   traffic.Adapter
+	Version   int64
+	InTransit bool
+}
+
+// Load is what one instance has under way at an upstream.
+type Load struct {
+	Running int
+	// Prompt is the tokens of prompts that have no first event yet, Memory the tokens of all running.
+	Prompt int
+	Memory int
+	// InUse are the adapters of the running requests.
+	InUse []traffic.Adapter
+}
+
+// Pool is all upstreams. Set Settings before use. It is not safe for use by several goroutines.
+type Pool struct {
+	Settings Settings
+
+	upstreams map[string]*upstream
+	engines   map[string]traffic.Engine
+	peers     map[string]peerLoads
+	turn      int
+}
+
+// peerLoads is what another instance has under way.
+type peerLoads struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// peerLoadFor is how long another instance's loads count: some heartbeats. One that is silent for longer
+// may be gone, and its requests with it.
+const peerLoadFor = time.Second
+
+// Configure takes over which services are engines.
+func (p *Pool) Configure(services map[string]traffic.Service) {
+	p.prepare()
+	p.engines = make(map[string]traffic.Engine)
+	for name, service := range services {
+		if service.Engine != nil {
+			p.engines[name] = *service.Engine
+		}
+	}
+}
+
+// Declare takes over what an upstream says of itself. One with another birth has forgotten everything.
+func (p *Pool) Declare(now time.Time, declared traffic.Upstream) {
+	p.prepare()
+	u := p.upstreams[declared.ID]
+	if u == nil || u.declared.Born != declared.Born || u.declared.Address != declared.Address {
+		u = newUpstream(now)
+		p.upstreams[declared.ID] = u
+	}
+	u.declared = declared
+	if u.fence == 0 {
+		u.setResident(residentOf(declared.Models))
+	}
+}
+
+// Forget drops an upstream that is gone.
+func (p *Pool) Forget(id string) { delete(p.upstreams, id) }
+
+// Upstreams lists all that are declared.
+func (p *Pool) Upstreams() (list []traffic.Upstream) {
+	for _, u := range p.upstreams {
+		list = append(list, u.declared)
+	}
+	return list
+}
+
+// Upstream gives one that is declared.
+func (p *Pool) Upstream(id string) (traffic.Upstream, bool) {
+	u := p.upstreams[id]
+	if u == nil {
+		return traffic.Upstream{}, false
+	}
+	return u.declared, true
+}
+
+// LearnResidency takes note of what a holder tells.
+func (p *Pool) LearnResidency(residency Residency) {
+	u := p.upstreams[residency.Upstream]
+	if u == nil || residency.Fence < u.fence {
+		return
+	}
+	u.fence = residency.Fence
+	u.idle = residency.Idle
+	u.waiting = residency.Waiting
+	u.setResident(residency.Loaded)
+}
+
+// LearnLoads takes note of what another instance has under way.
+func (p *Pool) LearnLoads(now time.Time, instance string, loads map[string]Load) {
+	p.prepare()
+	p.peers[instance] = peerLoads{at: now, loads: loads}
+}
+
+// Own is what this instance has under way, for its heartbeats.
+func (p *Pool) Own() map[string]Load {
+	loads := make(map[string]Load)
+	for id, u := range p.upstreams {
+		if own := u.ownLoad(); own.Running > 0 {
+			loads[id] = own
+		}
+	}
+	return loads
+}
+
+// InUse lists the adapters with requests under way at an upstream, from any instance.
+func (p *Pool) InUse(now time.Time, id string) (adapters []traffic.Adapter) {
+	if u := p.upstreams[id]; u != nil {
+		adapters = append(adapters, u.ownLoad().InUse...)
+	}
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) <= peerLoadFor {
+			adapters = append(adapters, peer.loads[id].InUse...)
+		}
+	}
+	return adapters
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func (p *Pool) prepare() {
+	if p.upstreams == nil {
+		p.upstreams = make(map[string]*upstream)
+		p.peers = make(map[string]peerLoads)
+	}
+}
+
+// load is what all instances have under way at an upstream.
+func (p *Pool) load(now time.Time, id string) (total Load) {
+	total = p.upstreams[id].ownLoad()
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) > peerLoadFor {
+			continue
+		}
+		load := peer.loads[id]
+		total.Running += load.Running
+		total.Prompt += load.Prompt
+		total.Memory += load.Memory
+	}
+	return total
+}
+
+func residentOf(models []traffic.LoadedModel) (list []Resident) {
+	for _, model := range models {
+		list = append(list, Resident{Adapter: traffic.Adapter{Model: model.Name}, Version: model.Version})
+		for _, adapter := range model.Adapters {
+			list = append(list, Resident{
+				Adapter: traffic.Adapter{Model: model.Name, Name: adapter.Name},
+				Version: adapter.Version,
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/placement/pool/upstream.go
@@ -0,0 +1,235 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// upstream.go is what the pool knows of one upstream, and how each send changes it.
+
+const (
+	// recentResidents is how many adapters an upstream is taken to reload quickly. Engines keep some
+	// dozens in host memory.
+	recentResidents = 30
+	// failureHalfLife is the time in which the evidence of failures counts half. Upstreams that fail for
+	// a reason of their own are back after some seconds, and are to be noticed then.
+	failureHalfLife = 2 * time.Second
+	// slownessHalfLife is the same for slowness.
+	slownessHalfLife = 4 * time.Second
+	// learning is the weight of the newest of the samples that measure slowness.
+	learning = 0.25
+	// shortestBan and longestBan bound how long an upstream that cannot be reached gets nothing. The
+	// first is about a restart of its process; the last is how late its return may be noticed.
+	shortestBan = 300 * time.Millisecond
+	longestBan  = 1500 * time.Millisecond
+)
+
+type upstream struct {
+	declared traffic.Upstream
+	fence    int64
+	resident map[traffic.Adapter]Resident
+	recent   []traffic.Adapter
+	idle     int
+	waiting  int
+
+	sends map[*Send]bool
+	// failures and successes are decaying counts of ends.
+	failures  float64
+	successes float64
+	counted   time.Time
+	// slow is how many times longer than expected answers take.
+	slow     float64
+	measured time.Time
+	// bannedUntil is when an upstream that could not be reached is tried again.
+	bannedUntil time.Time
+	ban         time.Duration
+}
+
+// Send is a request under way at an upstream.
+type Send struct {
+	upstream *upstream
+	query    Query
+	began    time.Time
+	expected time.Duration
+	answered bool
+}
+
+func newUpstream(now time.Time) *upstream {
+	return &upstream{
+		resident: make(map[traffic.Adapter]Resident),
+		sends:    make(map[*Send]bool),
+		slow:     1,
+		counted:  now,
+		measured: now,
+	}
+}
+
+// Begin counts a request as under way.
+func (p *Pool) Begin(now time.Time, choice Choice, query Query) *Send {
+	send := &Send{query: query, began: now, expected: choice.Expected, upstream: p.upstreams[choice.Upstream.ID]}
+	if send.upstream != nil {
+		send.upstream.sends[send] = true
+	}
+	return send
+}
+
+// Restart counts the wait from now: the adapter had to be prepared before.
+func (s *Send) Restart(now time.Time, expected time.Duration) {
+	s.began = now
+	s.expected = expected
+}
+
+// Answered takes note of the first event, or of the whole answer.
+func (s *Send) Answered(now time.Time) {
+	if s.answered || s.upstream == nil {
+		return
+	}
+	s.answered = true
+	if s.expected <= 0 {
+		return
+	}
+	u := s.upstream
+	sample := float64(now.Sub(s.began)) / float64(s.expected)
+	slow := u.slowness(now)
+	u.slow = slow + learning*(min(sample, slowest)-slow)
+	u.measured = now
+}
+
+// slowest bounds one sample, so that a single stall does not count as an upstream that is hopeless.
+const slowest = 20
+
+// End tells how a request ended.
+type End string
+
+// The ends.
+const (
+	// EndServed: a complete answer.
+	EndServed End = "served"
+	// EndFailed: an answer that is a failure of the upstream, or is broken.
+	EndFailed End = "failed"
+	// EndUnreachable: no connection, or it broke without an answer.
+	EndUnreachable End = "unreachable"
+	// EndRefused: the upstream did not run it, for want of room.
+	EndRefused End = "refused"
+	// EndOther: says nothing about the upstream.
+	EndOther End = "other"
+)
+
+// Finish takes note of how a request ended.
+func (p *Pool) Finish(now time.Time, send *Send, end End) {
+	u := send.upstream
+	if u == nil {
+		return
+	}
+	delete(u.sends, send)
+	switch end {
+	case EndServed:
+		u.count(now, 0)
+		u.ban = 0
+	case EndFailed:
+		u.count(now, 1)
+	case EndRefused:
+		u.count(now, refusalWeight)
+	case EndUnreachable:
+		u.count(now, 1)
+		u.ban = min(max(2*u.ban, shortestBan), longestBan)
+		u.bannedUntil = now.Add(u.ban)
+	case EndOther:
+	}
+}
+
+// refusalWeight: a refusal for want of room tells less than a failure; the load has to be compared too.
+const refusalWeight = 0.5
+
+// Missing takes note that an upstream lacks an adapter that was believed to be there.
+func (p *Pool) Missing(id string, adapter traffic.Adapter) {
+	if u := p.upstreams[id]; u != nil {
+		delete(u.resident, adapter)
+	}
+}
+
+// Prepared takes note that the holder has just seen an adapter to be there.
+func (p *Pool) Prepared(id string, adapter traffic.Adapter, version int64) {
+	if u := p.upstreams[id]; u != nil {
+		u.resident[adapter] = Resident{Adapter: adapter, Version: version}
+		u.remember(adapter)
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func (u *upstream) setResident(list []Resident) {
+	u.resident = make(map[traffic.Adapter]Resident, len(list))
+	for _, resident := range list {
+		u.resident[resident.Adapter] = resident
+		u.remember(resident.Adapter)
+	}
+}
+
+// remember keeps the order of last being resident, newest last.
+func (u *upstream) remember(adapter traffic.Adapter) {
+	for i, known := range u.recent {
+		if known == adapter {
+			copy(u.recent[i:], u.recent[i+1:])
+			u.recent[len(u.recent)-1] = adapter
+			return
+		}
+	}
+	u.recent = append(u.recent, adapter)
+	if len(u.recent) > recentResidents {
+		u.recent = u.recent[1:]
+	}
+}
+
+func (u *upstream) hadLately(adapter traffic.Adapter) bool {
+	for _, known := range u.recent {
+		if known == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *upstream) ownLoad() (load Load) {
+	for send := range u.sends {
+		load.Running++
+		if !send.answered {
+			load.Prompt += send.query.Tokens
+		}
+		load.Memory += send.query.Tokens + send.query.Output
+		if send.query.Adapter.Name != "" {
+			load.InUse = append(load.InUse, send.query.Adapter)
+		}
+	}
+	return load
+}
+
+func (u *upstream) count(now time.Time, failure float64) {
+	u.decay(now)
+	u.failures += failure
+	u.successes += 1 - failure
+}
+
+func (u *upstream) decay(now time.Time) {
+	factor := math.Exp2(-now.Sub(u.counted).Seconds() / failureHalfLife.Seconds())
+	u.failures *= factor
+	u.successes *= factor
+	u.counted = now
+}
+
+// failing is the share of sends that fail, from 0 to 1. The prior of priorSuccesses keeps one failure
+// from counting as an upstream that always fails.
+func (u *upstream) failing(now time.Time) float64 {
+	u.decay(now)
+	return u.failures / (u.failures + u.successes + priorSuccesses)
+}
+
+const priorSuccesses = 2
+
+// slowness falls back to 1 without new samples, so that a recovery is tried.
+func (u *upstream) slowness(now time.Time) float64 {
+	factor := math.Exp2(-now.Sub(u.measured).Seconds() / slownessHalfLife.Seconds())
+	return 1 + (u.slow-1)*factor
+}
--- /dev/null
+++ b/internal/placement/residence/planner.go
@@ -0,0 +1,499 @@
+package residence
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+const (
+	// reportLag is how old a report may be when it arrives, by the upstreams' description; a report read
+	// sooner after an order may not show it.
+	reportLag = 300 * time.Millisecond
+	// inspectAgain is the pause between two reports while the state is not known: each one is billed.
+	inspectAgain = 150 * time.Millisecond
+	// inspectAnyway is how old the last report may get. It finds out what changed without an order, such
+	// as a restart that nobody has noticed.
+	inspectAnyway = 10 * time.Second
+	// mostInTransit is how many adapters an upstream takes at once.
+	mostInTransit = 4
+	// quickLoad and fullLoad are what a load takes at the least, with and without a copy of the adapter
+	// near the upstream; the first check is made then. checkAgain is the pause until the next.
+	quickLoad  = 30 * time.Millisecond
+	fullLoad   = 255 * time.Millisecond
+	checkAgain = 25 * time.Millisecond
+	// reserved is how long an adapter that was just prepared for a request counts as in use: until the
+	// request shows in the heartbeat of the instance that sends it.
+	reserved = 600 * time.Millisecond
+	// lately is how many evicted adapters the upstream is taken to have a copy of.
+	lately = 30
+)
+
+// Planner decides for one upstream. Set Engine before use. It is not safe for use by several goroutines.
+type Planner struct {
+	Engine traffic.Engine
+
+	// known: sequence and places are what the upstream has, as far as its answers tell.
+	known     bool
+	sequence  int64
+	inspected time.Time
+	inspectAt time.Time
+	places    map[traffic.Adapter]*place
+	wants     map[traffic.Adapter]*want
+	newest    map[traffic.Adapter]int64
+	recent    []traffic.Adapter
+}
+
+type state int
+
+const (
+	loaded state = iota
+	loading
+	unloading
+)
+
+// place is an adapter's or a model's place in the upstream's memory.
+type place struct {
+	state   state
+	version int64
+	// ordered is the version of a load under way.
+	ordered int64
+	checkAt time.Time
+	used    time.Time
+}
+
+// want is an adapter that requests wait for.
+type want struct {
+	version  int64
+	since    time.Time
+	until    time.Time
+	priority int
+}
+
+// SetNewest tells the newest version of an adapter. One that is loaded in an older version is replaced.
+func (p *Planner) SetNewest(adapter traffic.Adapter, version int64) {
+	p.prepare()
+	p.newest[adapter] = max(p.newest[adapter], version)
+}
+
+// Want asks for an adapter, until a time.
+func (p *Planner) Want(now time.Time, adapter traffic.Adapter, version int64, until time.Time, priority int) {
+	p.prepare()
+	w := p.wants[adapter]
+	if w == nil {
+		w = &want{since: now, priority: priority}
+		p.wants[adapter] = w
+	}
+	w.version = max(w.version, version)
+	w.priority = min(w.priority, priority)
+	if until.After(w.until) {
+		w.until = until
+	}
+}
+
+// Has tells whether an adapter is there, in a version at least as new, and marks it as in use.
+func (p *Planner) Has(now time.Time, adapter traffic.Adapter, version int64) (at int64, ok bool) {
+	known := p.places[adapter]
+	if !p.known || known == nil || known.state != loaded || known.version < version {
+		return 0, false
+	}
+	if known.ordered > known.version {
+		return 0, false // being replaced: the upstream refuses what comes until that is done
+	}
+	known.used = now
+	return known.version, true
+}
+
+// Use marks adapters that have requests under way.
+func (p *Planner) Use(now time.Time, adapters []traffic.Adapter) {
+	for _, adapter := range adapters {
+		if known := p.places[adapter]; known != nil {
+			known.used = now
+		}
+	}
+}
+
+// Residents lists what is there or on its way, with how many places are empty or idle and how many
+// adapters wait for one.
+func (p *Planner) Residents(now time.Time) (list []pool.Resident, idle, waiting int) {
+	taken := 0
+	for adapter, known := range p.places {
+		if known.state == unloading {
+			taken++
+			continue
+		}
+		list = append(list, pool.Resident{
+			Adapter:   adapter,
+			Version:   known.version,
+			InTransit: known.state == loading || known.ordered > known.version,
+		})
+		if adapter.Name != "" && !p.isIdle(now, adapter, known) {
+			taken++
+		}
+	}
+	for adapter := range p.wants {
+		if p.places[adapter] == nil {
+			waiting++
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Adapter.String() < list[j].Adapter.String() })
+	return list, p.Engine.AdapterPlaces - taken, waiting
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// Next gives the next step.
+func (p *Planner) Next(now time.Time) Step {
+	p.prepare()
+	if !p.known || now.Sub(p.inspected) > inspectAnyway {
+		if now.Before(p.inspectAt) {
+			return Rest{Until: p.inspectAt}
+		}
+		return Inspect{}
+	}
+	p.forgetWants(now)
+	rest := p.inspected.Add(inspectAnyway)
+	if order, at, found := p.check(now); found {
+		return Give{Order: order}
+	} else if !at.IsZero() && at.Before(rest) {
+		rest = at
+	}
+	if order, found := p.load(now); found {
+		order.Sequence = p.sequence
+		return Give{Order: order}
+	}
+	if at := now.Add(idleCheck); len(p.wants) > 0 && at.Before(rest) {
+		rest = at
+	}
+	return Rest{Until: rest}
+}
+
+// idleCheck is how soon a place that became idle is noticed while an adapter waits for one.
+const idleCheck = 20 * time.Millisecond
+
+// Ordered takes note of an order's outcome.
+func (p *Planner) Ordered(now time.Time, order Order, outcome Outcome) {
+	p.prepare()
+	switch outcome {
+	case Accepted:
+		p.accepted(now, order)
+	case Holds:
+		p.holds(now, order)
+	case Conflict, Rejected:
+		p.known = false
+		p.inspectAt = now.Add(inspectAgain)
+	case NoAnswer:
+		p.known = false
+		p.inspectAt = now.Add(reportLag)
+	case Fenced, OtherUpstream:
+		p.known = false
+		p.inspectAt = now.Add(reportLag)
+	}
+}
+
+// Learn takes a report over. One that is older than the orders accepted since is dropped.
+func (p *Planner) Learn(now time.Time, report Report) {
+	p.prepare()
+	if p.known && report.Sequence < p.sequence {
+		p.inspectAt = now.Add(inspectAgain)
+		return
+	}
+	if report.Busy {
+		p.inspectAt = now.Add(inspectAgain)
+		return
+	}
+	before := p.places
+	p.places = make(map[traffic.Adapter]*place)
+	for _, model := range report.Models {
+		p.found(before, traffic.Adapter{Model: model.Name}, model.Version)
+		for _, adapter := range model.Adapters {
+			p.found(before, traffic.Adapter{Model: model.Name, Name: adapter.Name}, adapter.Version)
+		}
+	}
+	for _, pending := range report.Pending {
+		known := p.found(before, pending.Adapter, 0)
+		known.ordered = pending.Version
+		known.state = loading
+		known.checkAt = now
+	}
+	p.sequence = report.Sequence
+	p.known = true
+	p.inspected = now
+}
+
+// ReportFailed takes note that no report came.
+func (p *Planner) ReportFailed(now time.Time) {
+	p.inspectAt = now.Add(inspectAgain)
+	p.known = false
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func (p *Planner) found(before map[traffic.Adapter]*place, adapter traffic.Adapter, version int64) *place {
+	known := &place{version: version}
+	if old := before[adapter]; old != nil {
+		known.used = old.used
+	}
+	if there := p.places[adapter]; there != nil {
+		return there
+	}
+	p.places[adapter] = known
+	return known
+}
+
+func (p *Planner) accepted(now time.Time, order Order) {
+	p.sequence = order.Sequence + 1
+	known := p.places[order.Adapter]
+	if order.Unload {
+		if known != nil {
+			known.state = unloading
+			known.checkAt = now.Add(checkAgain)
+		}
+		return
+	}
+	if known == nil {
+		known = &place{state: loading, used: now}
+		p.places[order.Adapter] = known
+	}
+	known.ordered = order.Version
+	if order.Version == 0 {
+		known.ordered = known.version + 1
+	}
+	known.checkAt = now.Add(p.firstCheck(order.Adapter))
+	p.remember(order.Adapter)
+}
+
+// holds: a check found a load or unload done.
+func (p *Planner) holds(now time.Time, order Order) {
+	if order.Unload {
+		delete(p.places, order.Adapter)
+		if order.Sequence == p.sequence && !p.wasUnloading(order.Adapter) {
+			p.sequence++
+		}
+		return
+	}
+	known := p.places[order.Adapter]
+	if known == nil {
+		known = &place{}
+		p.places[order.Adapter] = known
+	}
+	known.state = loaded
+	known.version = max(order.Version, known.version, known.ordered)
+	known.ordered = 0
+	known.used = now
+	delete(p.wants, order.Adapter)
+}
+
+func (p *Planner) wasUnloading(adapter traffic.Adapter) bool {
+	known := p.places[adapter]
+	return known != nil && known.state == unloading
+}
+
+func (p *Planner) firstCheck(adapter traffic.Adapter) time.Duration {
+	if adapter.Name == "" {
+		for _, model := range p.Engine.Models {
+			if model.Name == adapter.Model {
+				return model.LoadTime
+			}
+		}
+	}
+	if slices.Contains(p.recent, adapter) {
+		return quickLoad
+	}
+	return fullLoad
+}
+
+func (p *Planner) remember(adapter traffic.Adapter) {
+	p.recent = slices.DeleteFunc(p.recent, func(known traffic.Adapter) bool { return known == adapter })
+	p.recent = append(p.recent, adapter)
+	if len(p.recent) > lately {
+		p.recent = p.recent[1:]
+	}
+}
+
+func (p *Planner) forgetWants(now time.Time) {
+	for adapter, w := range p.wants {
+		if now.After(w.until) {
+			delete(p.wants, adapter)
+			continue
+		}
+		known := p.places[adapter]
+		if known != nil && known.state == loaded && known.ordered == 0 && known.version >= w.version {
+			delete(p.wants, adapter)
+		}
+	}
+}
+
+// check gives the order again whose end is due to be seen, or when the next is due.
+func (p *Planner) check(now time.Time) (order Order, at time.Time, found bool) {
+	for adapter, known := range p.places {
+		if known.state == loaded && known.ordered == 0 {
+			continue
+		}
+		if now.Before(known.checkAt) {
+			if at.IsZero() || known.checkAt.Before(at) {
+				at = known.checkAt
+			}
+			continue
+		}
+		known.checkAt = now.Add(checkAgain)
+		return Order{
+			Unload:   known.state == unloading,
+			Adapter:  adapter,
+			Version:  known.ordered,
+			Sequence: p.sequence,
+		}, at, true
+	}
+	return Order{}, at, false
+}
+
+// load gives the order that the wants ask for: to load, or to make room first.
+func (p *Planner) load(now time.Time) (order Order, found bool) {
+	if model, missing := p.missingModel(); missing {
+		return Order{Adapter: model}, true
+	}
+	if adapter, version, stale := p.staleVersion(); stale {
+		return Order{Adapter: adapter, Version: version}, true
+	}
+	for _, adapter := range p.wantedFirst() {
+		known := p.places[adapter]
+		if known != nil || adapter.Name == "" {
+			continue
+		}
+		if p.inTransit() >= mostInTransit {
+			return Order{}, false
+		}
+		if p.adapters() < p.Engine.AdapterPlaces && p.fits(adapter) {
+			return Order{Adapter: adapter, Version: max(p.newest[adapter], p.wants[adapter].version)}, true
+		}
+		if victim, idle := p.victim(now); idle {
+			return Order{Unload: true, Adapter: victim}, true
+		}
+		return Order{}, false
+	}
+	return Order{}, false
+}
+
+// missingModel finds the base model to load where none is there: the wanted one, or the first.
+func (p *Planner) missingModel() (traffic.Adapter, bool) {
+	for adapter := range p.places {
+		if adapter.Name == "" {
+			return traffic.Adapter{}, false
+		}
+	}
+	for _, adapter := range p.wantedFirst() {
+		return traffic.Adapter{Model: adapter.Model}, true
+	}
+	if len(p.Engine.Models) == 0 {
+		return traffic.Adapter{}, false
+	}
+	return traffic.Adapter{Model: p.Engine.Models[0].Name}, true
+}
+
+// staleVersion finds a loaded adapter of which a newer version was declared.
+func (p *Planner) staleVersion() (adapter traffic.Adapter, version int64, found bool) {
+	if p.inTransit() >= mostInTransit {
+		return adapter, 0, false
+	}
+	for adapter, known := range p.places {
+		if known.state == loaded && known.ordered == 0 && known.version < p.newest[adapter] {
+			return adapter, p.newest[adapter], true
+		}
+	}
+	return adapter, 0, false
+}
+
+// wantedFirst lists what is wanted, the most urgent and then the longest waiting first.
+func (p *Planner) wantedFirst() (list []traffic.Adapter) {
+	for adapter := range p.wants {
+		list = append(list, adapter)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := p.wants[list[i]], p.wants[list[j]]
+		if a.priority != b.priority {
+			return a.priority < b.priority
+		}
+		if !a.since.Equal(b.since) {
+			return a.since.Before(b.since)
+		}
+		return list[i].String() < list[j].String()
+	})
+	return list
+}
+
+func (p *Planner) inTransit() (count int) {
+	for adapter, known := range p.places {
+		if adapter.Name != "" && (known.state == loading || known.ordered > 0) {
+			count++
+		}
+	}
+	return count
+}
+
+func (p *Planner) adapters() (count int) {
+	for adapter := range p.places {
+		if adapter.Name != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// fits tells whether the upstream's memory has room for one more adapter.
+func (p *Planner) fits(adapter traffic.Adapter) bool {
+	if p.Engine.WeightsMB <= 0 {
+		return true
+	}
+	total := p.size(adapter)
+	for present := range p.places {
+		total += p.size(present)
+	}
+	return total <= p.Engine.WeightsMB
+}
+
+func (p *Planner) size(adapter traffic.Adapter) float64 {
+	for _, model := range p.Engine.Models {
+		if model.Name != adapter.Model {
+			continue
+		}
+		if adapter.Name == "" {
+			return model.SizeMB
+		}
+		return model.AdapterMB
+	}
+	return 0
+}
+
+// victim is the idle adapter that was used longest ago.
+func (p *Planner) victim(now time.Time) (victim traffic.Adapter, found bool) {
+	for adapter, known := range p.places {
+		if adapter.Name == "" || !p.isIdle(now, adapter, known) {
+			continue
+		}
+		if !found || known.used.Before(p.places[victim].used) {
+			victim = adapter
+			found = true
+		}
+	}
+	return victim, found
+}
+
+func (p *Planner) isIdle(now time.Time, adapter traffic.Adapter, known *place) bool {
+	if known.state != loaded || known.ordered != 0 || now.Sub(known.used) < reserved {
+		return false
+	}
+	_, wanted := p.wants[adapter]
+	return !wanted
+}
+
+// prepare makes the zero value usable.
+func (p *Planner) prepare() {
+	if p.places == nil {
+		p.places = make(map[traffic.Adapter]*place)
+		p.wants = make(map[traffic.Adapter]*want)
+		p.newest = make(map[traffic.Adapter]int64)
+	}
+}
--- a/internal/telemetry/logline/logline.go
+++ b/internal/telemetry/logline/logline.go
@@ -26,14 +26,13 @@
 
 // New gives a logger for a program that writes events of at least the given level ("debug", "info",
 // "warn" or "error") to out. The event's name comes first on each line.
-func New(out io.Writer, program, level string) (_ zerolog.Logger, err error) {
-	defer func() { err = errors.WithMessage(err, "logline: make a logger") }()
+func New(out io.Writer, program, level string) (zerolog.Logger, error) {
+	return Through(zerolog.SyncWriter(Format(out)), program, level)
+}
 
-	parsed, err := zerolog.ParseLevel(level)
-	if err != nil {
-		return zerolog.Nop(), err
-	}
-	writer := zerolog.ConsoleWriter{
+// Format gives a writer that turns zerolog's events into lines.
+func Format(out io.Writer) io.Writer {
+	return zerolog.ConsoleWriter{
 		Out:             out,
 		NoColor:         true,
 		TimeFormat:      zerolog.TimeFormatUnixMs,
@@ -42,7 +41,17 @@
 		FormatTimestamp: labelled("time"),
 		FormatLevel:     labelled("level"),
 	}
-	return zerolog.New(zerolog.SyncWriter(writer)).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
+}
+
+// Through gives a logger whose events go to a writer that formats them itself.
+func Through(writer io.Writer, program, level string) (_ zerolog.Logger, err error) {
+	defer func() { err = errors.WithMessage(err, "logline: make a logger") }()
+
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	return zerolog.New(writer).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
 }
 
 func labelled(label string) zerolog.Formatter {
