Give an order without an answer again at once

Cause: each order whose answer was lost held up all adapters that waited at that upstream for half a second, and a check of a load that still runs was counted as an order, which made the next one conflict. Ruled out: shorter timeouts alone; the report lags 300 ms whatever the timeout. Conclusion: kept; the count of accepted orders makes the late copy void.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -95,8 +95,9 @@
 }
 
 const (
-	// orderTimeout bounds an upstream's answer to an order; one takes some milliseconds.
-	orderTimeout = 250 * time.Millisecond
+	// orderTimeout bounds an upstream's answer to an order. One takes some milliseconds, and an order that
+	// got none is simply given again.
+	orderTimeout = 80 * time.Millisecond
 	// connectWithin bounds a new connection to the store or to an upstream's orders.
 	connectWithin = 300 * time.Millisecond
 	// keptConnections to each address, and for how long.
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -22,9 +22,16 @@
 	mostInTransit = 4
 	// quickLoad and fullLoad are what a load takes at the least, with and without a copy of the adapter
 	// near the upstream; the first check is made then. checkAgain is the pause until the next.
-	quickLoad  = 30 * time.Millisecond
-	fullLoad   = 255 * time.Millisecond
-	checkAgain = 25 * time.Millisecond
+	quickLoad  = 28 * time.Millisecond
+	fullLoad   = 252 * time.Millisecond
+	checkAgain = 30 * time.Millisecond
+	// mostRepeats is how often an order without an answer is given again before the upstream is taken to
+	// be away and its report is waited for; repeatAfter is the pause between two.
+	mostRepeats = 6
+	repeatAfter = 15 * time.Millisecond
+	// replaceUsedWithin: an adapter that was used this lately is replaced as soon as a newer version is
+	// declared, the others once they are wanted.
+	replaceUsedWithin = 3 * time.Second
 	// reserved is how long an adapter that was just prepared for a request counts as in use: until the
 	// request shows in the heartbeat of the instance that sends it.
 	reserved = 600 * time.Millisecond
@@ -45,6 +52,10 @@
 	wants     map[traffic.Adapter]*want
 	newest    map[traffic.Adapter]int64
 	recent    []traffic.Adapter
+	// unanswered is the last order if no answer came, given repeats times.
+	unanswered *Order
+	repeats    int
+	repeatAt   time.Time
 }
 
 type state int
@@ -59,8 +70,9 @@
 type place struct {
 	state   state
 	version int64
-	// ordered is the version of a load under way.
+	// ordered is the version of a load under way, 0 if there is none; asked is what the order said.
 	ordered int64
+	asked   int64
 	checkAt time.Time
 	used    time.Time
 }
@@ -154,6 +166,12 @@
 		}
 		return Inspect{}
 	}
+	if p.unanswered != nil {
+		if now.Before(p.repeatAt) {
+			return Rest{Until: p.repeatAt}
+		}
+		return Give{Order: *p.unanswered}
+	}
 	p.forgetWants(now)
 	rest := p.inspected.Add(inspectAnyway)
 	if order, at, found := p.check(now); found {
@@ -175,25 +193,54 @@
 const idleCheck = 20 * time.Millisecond
 
 // Ordered takes note of an order's outcome.
+//
+// An order without an answer is given again at once, for the same count of accepted orders. If the first
+// was accepted, the second finds it so; if it was not, the second takes its place and the first is void
+// when it comes late. Waiting for the upstream's report instead would hold up everything that waits for an
+// adapter there for half a second each time.
 func (p *Planner) Ordered(now time.Time, order Order, outcome Outcome) {
 	p.prepare()
+	repeated := p.unanswered != nil
+	if outcome != NoAnswer {
+		p.unanswered = nil
+	}
 	switch outcome {
 	case Accepted:
 		p.accepted(now, order)
 	case Holds:
-		p.holds(now, order)
-	case Conflict, Rejected:
-		p.known = false
-		p.inspectAt = now.Add(inspectAgain)
+		p.holds(now, order, repeated)
+	case Conflict:
+		if repeated {
+			p.accepted(now, order) // the first one was
+			return
+		}
+		p.doubt(now, reportLag)
 	case NoAnswer:
-		p.known = false
-		p.inspectAt = now.Add(reportLag)
-	case Fenced, OtherUpstream:
-		p.known = false
-		p.inspectAt = now.Add(reportLag)
+		p.noAnswer(now, order)
+	case Rejected, Fenced, OtherUpstream:
+		p.doubt(now, reportLag)
+	}
+}
+
+func (p *Planner) noAnswer(now time.Time, order Order) {
+	if p.unanswered == nil {
+		p.repeats = 0
+	}
+	p.repeats++
+	p.unanswered = &order
+	p.repeatAt = now.Add(repeatAfter)
+	if p.repeats > mostRepeats {
+		p.unanswered = nil
+		p.doubt(now, reportLag)
 	}
 }
 
+// doubt makes the planner wait for a report that is newer than the last order.
+func (p *Planner) doubt(now time.Time, wait time.Duration) {
+	p.known = false
+	p.inspectAt = now.Add(wait)
+}
+
 // Learn takes a report over. One that is older than the orders accepted since is dropped.
 func (p *Planner) Learn(now time.Time, report Report) {
 	p.prepare()
@@ -202,9 +249,10 @@
 		return
 	}
 	if report.Busy {
-		p.inspectAt = now.Add(inspectAgain)
+		p.doubt(now, inspectAgain)
 		return
 	}
+	p.unanswered = nil
 	before := p.places
 	p.places = make(map[traffic.Adapter]*place)
 	for _, model := range report.Models {
@@ -215,7 +263,8 @@
 	}
 	for _, pending := range report.Pending {
 		known := p.found(before, pending.Adapter, 0)
-		known.ordered = pending.Version
+		known.ordered = max(pending.Version, 1)
+		known.asked = pending.Version
 		known.state = loading
 		known.checkAt = now
 	}
@@ -245,8 +294,12 @@
 }
 
 func (p *Planner) accepted(now time.Time, order Order) {
-	p.sequence = order.Sequence + 1
 	known := p.places[order.Adapter]
+	if known != nil && (known.state == unloading && order.Unload || known.ordered > 0 && !order.Unload) {
+		known.checkAt = now.Add(checkAgain) // a check, and the order is still being carried out
+		return
+	}
+	p.sequence = order.Sequence + 1
 	if order.Unload {
 		if known != nil {
 			known.state = unloading
@@ -258,28 +311,29 @@
 		known = &place{state: loading, used: now}
 		p.places[order.Adapter] = known
 	}
-	known.ordered = order.Version
-	if order.Version == 0 {
-		known.ordered = known.version + 1
-	}
+	known.ordered = max(order.Version, p.newest[order.Adapter], 1)
+	known.asked = order.Version
 	known.checkAt = now.Add(p.firstCheck(order.Adapter))
 	p.remember(order.Adapter)
 }
 
-// holds: a check found a load or unload done.
-func (p *Planner) holds(now time.Time, order Order) {
+// holds: a load or unload is done, by this order or before it.
+func (p *Planner) holds(now time.Time, order Order, repeated bool) {
+	known := p.places[order.Adapter]
 	if order.Unload {
-		delete(p.places, order.Adapter)
-		if order.Sequence == p.sequence && !p.wasUnloading(order.Adapter) {
-			p.sequence++
+		if known == nil || known.state != unloading {
+			p.sequence = order.Sequence + 1
 		}
+		delete(p.places, order.Adapter)
 		return
 	}
-	known := p.places[order.Adapter]
 	if known == nil {
 		known = &place{}
 		p.places[order.Adapter] = known
 	}
+	if repeated && known.ordered == 0 {
+		p.sequence = order.Sequence + 1
+	}
 	known.state = loaded
 	known.version = max(order.Version, known.version, known.ordered)
 	known.ordered = 0
@@ -287,11 +341,6 @@
 	delete(p.wants, order.Adapter)
 }
 
-func (p *Planner) wasUnloading(adapter traffic.Adapter) bool {
-	known := p.places[adapter]
-	return known != nil && known.state == unloading
-}
-
 func (p *Planner) firstCheck(adapter traffic.Adapter) time.Duration {
 	if adapter.Name == "" {
 		for _, model := range p.Engine.Models {
@@ -343,7 +392,7 @@
 		return Order{
 			Unload:   known.state == unloading,
 			Adapter:  adapter,
-			Version:  known.ordered,
+			Version:  known.asked,
 			Sequence: p.sequence,
 		}, at, true
 	}
@@ -355,7 +404,10 @@
 	if model, missing := p.missingModel(); missing {
 		return Order{Adapter: model}, true
 	}
-	if adapter, version, stale := p.staleVersion(); stale {
+	if p.isReplacing() {
+		return Order{}, false // the upstream refuses all else until that is done
+	}
+	if adapter, version, stale := p.staleVersion(now); stale {
 		return Order{Adapter: adapter, Version: version}, true
 	}
 	for _, adapter := range p.wantedFirst() {
@@ -393,13 +445,23 @@
 	return traffic.Adapter{Model: p.Engine.Models[0].Name}, true
 }
 
-// staleVersion finds a loaded adapter of which a newer version was declared.
-func (p *Planner) staleVersion() (adapter traffic.Adapter, version int64, found bool) {
-	if p.inTransit() >= mostInTransit {
-		return adapter, 0, false
+// isReplacing tells whether a version is being replaced, or a model loaded.
+func (p *Planner) isReplacing() bool {
+	for adapter, known := range p.places {
+		if known.ordered > 0 && (known.state == loaded || adapter.Name == "") {
+			return true
+		}
 	}
+	return false
+}
+
+// staleVersion finds a loaded adapter of which a newer version was declared, if it is in use or wanted.
+func (p *Planner) staleVersion(now time.Time) (adapter traffic.Adapter, version int64, found bool) {
 	for adapter, known := range p.places {
-		if known.state == loaded && known.ordered == 0 && known.version < p.newest[adapter] {
+		if known.state != loaded || known.ordered != 0 || known.version >= p.newest[adapter] {
+			continue
+		}
+		if p.wants[adapter] != nil || now.Sub(known.used) < replaceUsedWithin {
 			return adapter, p.newest[adapter], true
 		}
 	}
