Load for those who still wait, free places at once, and give adapters homes

Cause: adapters were loaded, and others evicted for them, for requests that had gone; a place stayed reserved for 600 ms after its last use; and cold adapters were loaded wherever it was quiet, so that no upstream had a copy when they came again.

--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -56,14 +56,33 @@
 	instance roster.Instance
 	seen     time.Time
 	stop     context.CancelFunc
+	touched  chan struct{}
+}
+
+// touchPause gathers what begins and ends within a few milliseconds into one heartbeat.
+const touchPause = 8 * time.Millisecond
+
+// touch has a heartbeat sent to a peer at once.
+func (b *beats) touch(name string) {
+	b.mutex.Lock()
+	loop := b.peers[name]
+	b.mutex.Unlock()
+	if loop == nil {
+		return
+	}
+	select {
+	case loop.touched <- struct{}{}:
+	default: // one is already due
+	}
 }
 
 // runBeats keeps a loop for each peer.
 func (n *Node) runBeats(ctx context.Context) error {
-	n.beats.peers = make(map[string]*peerLoop)
 	for pause(ctx, tick) {
 		n.matchPeers(ctx, time.Now())
 	}
+	n.beats.mutex.Lock()
+	defer n.beats.mutex.Unlock()
 	for _, loop := range n.beats.peers {
 		loop.stop()
 	}
@@ -75,6 +94,11 @@
 	n.knowledge.mutex.Lock()
 	instances := n.knowledge.roster.Instances()
 	n.knowledge.mutex.Unlock()
+	n.beats.mutex.Lock()
+	defer n.beats.mutex.Unlock()
+	if n.beats.peers == nil {
+		n.beats.peers = make(map[string]*peerLoop)
+	}
 	addresses := make(map[string]bool)
 	for _, instance := range instances {
 		if instance.Name == n.self.Name {
@@ -103,7 +127,7 @@
 
 func (n *Node) startPeer(ctx context.Context, instance roster.Instance) *peerLoop {
 	ctx, cancel := context.WithCancel(ctx)
-	loop := &peerLoop{node: n, instance: instance, stop: cancel}
+	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1)}
 	n.beats.peers[instance.Name] = loop
 	go loop.run(ctx)
 	return loop
@@ -111,7 +135,7 @@
 
 // run exchanges heartbeats until the context ends.
 func (l *peerLoop) run(ctx context.Context) {
-	for pause(ctx, beatEvery) {
+	for l.wait(ctx) {
 		exchanging, cancel := context.WithTimeout(ctx, beatTimeout)
 		beat, err := l.node.peers.Exchange(exchanging, l.instance.Address, l.node.beat())
 		cancel()
@@ -123,6 +147,20 @@
 	}
 }
 
+// wait ends when the next heartbeat is due.
+func (l *peerLoop) wait(ctx context.Context) bool {
+	timer := time.NewTimer(beatEvery)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.touched:
+		return pause(ctx, touchPause)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // catchUp asks a peer for the changes that it knows and this instance does not.
 func (l *peerLoop) catchUp(ctx context.Context, beat mesh.Beat) {
 	n := l.node
@@ -189,6 +227,7 @@
 			a.Pool.LearnResidency(residency)
 		}
 	})
+	n.holdings.look()
 }
 
 // Exchange answers a peer's heartbeat.
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -163,15 +163,38 @@
 	h.changed = make(chan struct{})
 }
 
-// prepare waits until an adapter is there.
+// turnover is how long a place takes, on average, until it is free for the next adapter: a load and a
+// short stream.
+const turnover = 700 * time.Millisecond
+
+// prepare waits until an adapter is there. A request that cannot have it within its patience is told at
+// once: it may find room elsewhere, or its caller can come back.
 func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+	h.mutex.Lock()
+	now := time.Now()
+	if version, has := h.planner.Has(now, request.Adapter, request.Version); has {
+		h.mutex.Unlock()
+		return mesh.Loaded{Version: version}
+	}
+	places := max(h.planner.Engine.AdapterPlaces, 1)
+	wait := time.Duration(h.planner.Ahead(request.Adapter, request.Priority)/places) * turnover
+	if wait > request.Patience {
+		h.mutex.Unlock()
+		return mesh.Busy{RetryAfter: wait}
+	}
+	h.planner.Want(now, request.Adapter, request.Version, request.Priority)
+	h.mutex.Unlock()
+	prepared := h.await(ctx, request)
+	h.mutex.Lock()
+	h.planner.Unwant(request.Adapter)
+	h.mutex.Unlock()
+	return prepared
+}
+
+func (h *holding) await(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
 	for {
 		h.mutex.Lock()
-		now := time.Now()
-		version, has := h.planner.Has(now, request.Adapter, request.Version)
-		if !has {
-			h.planner.Want(now, request.Adapter, request.Version, now.Add(request.Patience), request.Priority)
-		}
+		version, has := h.planner.Has(time.Now(), request.Adapter, request.Version)
 		changed := h.changed
 		fenced := h.fenced
 		h.mutex.Unlock()
@@ -181,10 +204,7 @@
 		if fenced {
 			return mesh.NotHolder{}
 		}
-		select {
-		case h.wake <- struct{}{}:
-		default: // the loop is about to look anyway
-		}
+		h.look()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -193,6 +213,20 @@
 	}
 }
 
+func (h *holding) hasWants() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.planner.HasWants()
+}
+
+// look has the loop ask the planner again.
+func (h *holding) look() {
+	select {
+	case h.wake <- struct{}{}:
+	default: // it is about to do so anyway
+	}
+}
+
 // residency is what the others are told of the upstream.
 func (h *holding) residency(now time.Time) (residency pool.Residency, known bool) {
 	h.mutex.Lock()
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -40,6 +40,17 @@
 	return h.held[upstream]
 }
 
+// look has the planners that have something waiting look again: what is in use may have changed.
+func (h *holdings) look() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, one := range h.held {
+		if one.hasWants() {
+			one.look()
+		}
+	}
+}
+
 // residencies is what this instance tells of the upstreams it holds.
 func (h *holdings) residencies(now time.Time) (list []pool.Residency) {
 	h.mutex.Lock()
@@ -197,7 +208,7 @@
 // ---------------------------------------------------------------------------------------------
 
 // prepareWithin bounds the wait for an adapter at one upstream; past it another may be quicker.
-const prepareWithin = 1500 * time.Millisecond
+const prepareWithin = 2 * time.Second
 
 // Prepare has an adapter loaded, here or at the instance that holds the upstream.
 func (n *Node) Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
@@ -211,7 +222,7 @@
 	holder, held := n.knowledge.roster.Holder(request.Upstream)
 	instance, alive := n.knowledge.roster.Instance(holder.Instance)
 	n.knowledge.mutex.Unlock()
-	if !held || !alive || instance.Name == n.self.Name {
+	if !held || !alive || instance.Name == n.self.Name || !n.beats.heardWithin(time.Now(), instance.Name, peerAlive) {
 		return mesh.NotHolder{}
 	}
 	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
@@ -221,3 +232,18 @@
 	}
 	return prepared
 }
+
+// Touch tells the holder of an upstream at once that this instance begins or ends to use an adapter
+// there. Without it a place would stay reserved, or be taken, for a heartbeat's time too long.
+func (n *Node) Touch(upstream string) {
+	if one := n.holdings.get(upstream); one != nil {
+		one.look()
+		return
+	}
+	n.knowledge.mutex.Lock()
+	holder, held := n.knowledge.roster.Holder(upstream)
+	n.knowledge.mutex.Unlock()
+	if held {
+		n.beats.touch(holder.Instance)
+	}
+}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -101,6 +101,8 @@
 
 // prepare has the adapter loaded at the chosen upstream.
 func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+	began := time.Now()
+	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, +1) })
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
 		Adapter:  query.Adapter,
@@ -108,9 +110,10 @@
 		Patience: time.Until(j.deadline),
 		Priority: j.priority,
 	})
+	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, -1) })
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
-		Bool("Loaded", ok).Msg("Decision")
+		Bool("Loaded", ok).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
 	if !ok {
 		return false
 	}
@@ -139,6 +142,10 @@
 	now := time.Now()
 	var sending *pool.Send
 	h.Advice.With(func(a *Advice) { sending = a.Pool.Begin(now, choice, query) })
+	if query.Adapter.Name != "" {
+		h.Fleet.Touch(choice.Upstream.ID)
+		defer h.Fleet.Touch(choice.Upstream.ID)
+	}
 	ended, err = j.exchange(ctx, choice, query, sending)
 	if ended != resultUnreached && ended != resultNotRun && ended != resultMissing {
 		j.runs++
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -97,5 +97,5 @@
 
 // step logs one decision about the request.
 func (j *job) step(name string) *zerolog.Event {
-	return j.handler.Log.Debug().Str(logline.FieldRequest, j.call.ID).Str("Step", name)
+	return j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str("Step", name)
 }
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -34,6 +34,8 @@
 	Newest(adapter traffic.Adapter) (version int64, required bool)
 	// Prepare has an adapter loaded at an upstream and waits for it.
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
+	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
+	Touch(upstream string)
 	// Crashed tells that an upstream was lost with requests in flight.
 	Crashed()
 }
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -19,8 +21,16 @@
 	fullCost = 500 * time.Millisecond
 	// evictCost is what the next request for the evicted adapter pays.
 	evictCost = 40 * time.Millisecond
+	// fetchCost is what an adapter that has to come from the weight store costs besides the wait: the
+	// store is shared by all upstreams, and each fetch is billed at a third of a generation's worth.
+	fetchCost = 250 * time.Millisecond
+	// strayCost is added for each upstream that is nearer to the adapter's home: where it is always
+	// loaded at the same few upstreams, these have a copy when it is wanted again.
+	strayCost = 50 * time.Millisecond
+	// mostStray bounds that: past some upstreams one is as good as another.
+	mostStray = 4
 	// waitingCost is for each adapter that waits for a place before this one.
-	waitingCost = 120 * time.Millisecond
+	waitingCost = 200 * time.Millisecond
 	// transitCost is what is left, on average, of a load that is under way.
 	transitCost = 150 * time.Millisecond
 	// stepTime is what one more running request adds to the first event's time: its share of each step
@@ -115,15 +125,31 @@
 		return transitCost
 	}
 	choice.Loaded = false
-	cost := p.Settings.LoadTime
-	if u.hadLately(query.Adapter) {
-		cost = p.Settings.ReloadTime
+	cost := p.Settings.ReloadTime
+	if !u.hadLately(query.Adapter) {
+		cost = p.Settings.LoadTime + fetchCost + time.Duration(p.stray(u, query))*strayCost
 	}
 	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
 		cost += time.Second
 	}
-	if u.idle <= 0 && u.fence != 0 {
+	waiting := max(u.waiting, u.preparing)
+	if u.idle <= waiting && u.fence != 0 {
 		cost += fullCost
 	}
-	return cost + evictCost + time.Duration(u.waiting)*waitingCost
+	return cost + evictCost + time.Duration(waiting)*waitingCost
+}
+
+// stray is how many upstreams of the service are nearer to the adapter's home than this one.
+func (p *Pool) stray(u *upstream, query Query) (count int) {
+	own := homeWeight(query.Adapter, u.declared.ID)
+	for id, other := range p.upstreams {
+		if other.declared.Service == query.Service && !other.declared.Draining && homeWeight(query.Adapter, id) > own {
+			count++
+		}
+	}
+	return min(count, mostStray)
+}
+
+func homeWeight(adapter traffic.Adapter, upstream string) uint64 {
+	return xxhash.Sum64String(adapter.String() + "\x00" + upstream)
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -33,6 +33,8 @@
 	recent   []traffic.Adapter
 	idle     int
 	waiting  int
+	// preparing is how many requests of this instance wait for adapters there.
+	preparing int
 
 	sends map[*Send]bool
 	// failures and successes are decaying counts of ends.
@@ -143,6 +145,13 @@
 // refusalWeight: a refusal for want of room tells less than a failure; the load has to be compared too.
 const refusalWeight = 0.5
 
+// Preparing counts the requests of this instance that wait for an adapter at an upstream.
+func (p *Pool) Preparing(id string, change int) {
+	if u := p.upstreams[id]; u != nil {
+		u.preparing += change
+	}
+}
+
 // Missing takes note that an upstream lacks an adapter that was believed to be there.
 func (p *Pool) Missing(id string, adapter traffic.Adapter) {
 	if u := p.upstreams[id]; u != nil {
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -32,9 +32,9 @@
 	// replaceUsedWithin: an adapter that was used this lately is replaced as soon as a newer version is
 	// declared, the others once they are wanted.
 	replaceUsedWithin = 3 * time.Second
-	// reserved is how long an adapter that was just prepared for a request counts as in use: until the
-	// request shows in the heartbeat of the instance that sends it.
-	reserved = 600 * time.Millisecond
+	// reserved is how long an adapter that was just prepared for a request counts as in use, unless the
+	// request shows before: instances tell the holder at once when they begin and end to use an adapter.
+	reserved = 350 * time.Millisecond
 	// lately is how many evicted adapters the upstream is taken to have a copy of.
 	lately = 30
 )
@@ -51,6 +51,7 @@
 	places    map[traffic.Adapter]*place
 	wants     map[traffic.Adapter]*want
 	newest    map[traffic.Adapter]int64
+	inUse     map[traffic.Adapter]bool
 	recent    []traffic.Adapter
 	// unanswered is the last order if no answer came, given repeats times.
 	unanswered *Order
@@ -75,13 +76,15 @@
 	asked   int64
 	checkAt time.Time
 	used    time.Time
+	// reservedUntil protects an adapter for a request that has not shown yet.
+	reservedUntil time.Time
 }
 
 // want is an adapter that requests wait for.
 type want struct {
 	version  int64
 	since    time.Time
-	until    time.Time
+	waiting  int
 	priority int
 }
 
@@ -91,22 +94,47 @@
 	p.newest[adapter] = max(p.newest[adapter], version)
 }
 
-// Want asks for an adapter, until a time.
-func (p *Planner) Want(now time.Time, adapter traffic.Adapter, version int64, until time.Time, priority int) {
+// Want asks for an adapter on behalf of one request, until Unwant is called for it.
+func (p *Planner) Want(now time.Time, adapter traffic.Adapter, version int64, priority int) {
 	p.prepare()
 	w := p.wants[adapter]
 	if w == nil {
 		w = &want{since: now, priority: priority}
 		p.wants[adapter] = w
 	}
+	w.waiting++
 	w.version = max(w.version, version)
 	w.priority = min(w.priority, priority)
-	if until.After(w.until) {
-		w.until = until
+}
+
+// Unwant takes a request's want back: it has its adapter, or does not wait any more. Without it the
+// upstream would load, and evict for it, what nobody is there to use.
+func (p *Planner) Unwant(adapter traffic.Adapter) {
+	w := p.wants[adapter]
+	if w == nil {
+		return
+	}
+	w.waiting--
+	if w.waiting <= 0 {
+		delete(p.wants, adapter)
+	}
+}
+
+// HasWants tells whether any request waits.
+func (p *Planner) HasWants() bool { return len(p.wants) > 0 }
+
+// Ahead is how many other adapters would be loaded before a new want of this priority.
+func (p *Planner) Ahead(adapter traffic.Adapter, priority int) (count int) {
+	for other, w := range p.wants {
+		if other != adapter && w.priority <= priority && p.places[other] == nil {
+			count++
+		}
 	}
+	return count
 }
 
-// Has tells whether an adapter is there, in a version at least as new, and marks it as in use.
+// Has tells whether an adapter is there, in a version at least as new, and reserves it for the request
+// that is about to use it.
 func (p *Planner) Has(now time.Time, adapter traffic.Adapter, version int64) (at int64, ok bool) {
 	known := p.places[adapter]
 	if !p.known || known == nil || known.state != loaded || known.version < version {
@@ -116,14 +144,18 @@
 		return 0, false // being replaced: the upstream refuses what comes until that is done
 	}
 	known.used = now
+	known.reservedUntil = now.Add(reserved)
 	return known.version, true
 }
 
-// Use marks adapters that have requests under way.
+// Use tells which adapters have requests under way, of all instances.
 func (p *Planner) Use(now time.Time, adapters []traffic.Adapter) {
+	p.inUse = make(map[traffic.Adapter]bool, len(adapters))
 	for _, adapter := range adapters {
+		p.inUse[adapter] = true
 		if known := p.places[adapter]; known != nil {
 			known.used = now
+			known.reservedUntil = time.Time{}
 		}
 	}
 }
@@ -172,7 +204,6 @@
 		}
 		return Give{Order: *p.unanswered}
 	}
-	p.forgetWants(now)
 	rest := p.inspected.Add(inspectAnyway)
 	if order, at, found := p.check(now); found {
 		return Give{Order: order}
@@ -285,6 +316,7 @@
 	known := &place{version: version}
 	if old := before[adapter]; old != nil {
 		known.used = old.used
+		known.reservedUntil = old.reservedUntil
 	}
 	if there := p.places[adapter]; there != nil {
 		return there
@@ -338,7 +370,7 @@
 	known.version = max(order.Version, known.version, known.ordered)
 	known.ordered = 0
 	known.used = now
-	delete(p.wants, order.Adapter)
+	known.reservedUntil = now.Add(reserved)
 }
 
 func (p *Planner) firstCheck(adapter traffic.Adapter) time.Duration {
@@ -363,19 +395,6 @@
 	}
 }
 
-func (p *Planner) forgetWants(now time.Time) {
-	for adapter, w := range p.wants {
-		if now.After(w.until) {
-			delete(p.wants, adapter)
-			continue
-		}
-		known := p.places[adapter]
-		if known != nil && known.state == loaded && known.ordered == 0 && known.version >= w.version {
-			delete(p.wants, adapter)
-		}
-	}
-}
-
 // check gives the order again whose end is due to be seen, or when the next is due.
 func (p *Planner) check(now time.Time) (order Order, at time.Time, found bool) {
 	for adapter, known := range p.places {
@@ -419,7 +438,7 @@
 			return Order{}, false
 		}
 		if p.adapters() < p.Engine.AdapterPlaces && p.fits(adapter) {
-			return Order{Adapter: adapter, Version: max(p.newest[adapter], p.wants[adapter].version)}, true
+			return Order{Adapter: adapter, Version: p.newest[adapter]}, true
 		}
 		if victim, idle := p.victim(now); idle {
 			return Order{Unload: true, Adapter: victim}, true
@@ -544,7 +563,7 @@
 }
 
 func (p *Planner) isIdle(now time.Time, adapter traffic.Adapter, known *place) bool {
-	if known.state != loaded || known.ordered != 0 || now.Sub(known.used) < reserved {
+	if known.state != loaded || known.ordered != 0 || p.inUse[adapter] || now.Before(known.reservedUntil) {
 		return false
 	}
 	_, wanted := p.wants[adapter]
