Order waiting adapters by who can be on time, and tell the wait by the measured pace

Ruled out: a shorter bound on the wait alone, which only moved the request to the end of another queue.

--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -163,10 +163,6 @@
 	h.changed = make(chan struct{})
 }
 
-// turnover is how long a place takes, on average, until it is free for the next adapter: a load and a
-// short stream.
-const turnover = 700 * time.Millisecond
-
 // prepare waits until an adapter is there. A request that cannot have it within its patience is told at
 // once: it may find room elsewhere, or its caller can come back.
 func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
@@ -176,13 +172,11 @@
 		h.mutex.Unlock()
 		return mesh.Loaded{Version: version}
 	}
-	places := max(h.planner.Engine.AdapterPlaces, 1)
-	wait := time.Duration(h.planner.Ahead(request.Adapter, request.Priority)/places) * turnover
-	if wait > request.Patience {
+	if wait := h.planner.Wait(now, request.Adapter); wait > request.Patience {
 		h.mutex.Unlock()
 		return mesh.Busy{RetryAfter: wait}
 	}
-	h.planner.Want(now, request.Adapter, request.Version, request.Priority)
+	h.planner.Want(now, request.Adapter, request.Version, request.Priority, now.Add(request.OnTime))
 	h.mutex.Unlock()
 	prepared := h.await(ctx, request)
 	h.mutex.Lock()
@@ -235,6 +229,7 @@
 		return residency, false
 	}
 	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence}
-	residency.Loaded, residency.Idle, residency.Waiting = h.planner.Residents(now)
+	residency.Loaded, residency.Idle = h.planner.Residents(now)
+	residency.Wait = h.planner.Wait(now, traffic.Adapter{})
 	return residency, true
 }
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -207,8 +207,9 @@
 
 // ---------------------------------------------------------------------------------------------
 
-// prepareWithin bounds the wait for an adapter at one upstream; past it another may be quicker.
-const prepareWithin = 2 * time.Second
+// prepareWithin bounds the wait for an adapter at one upstream, whatever the request's patience: a holder
+// that froze with requests waiting would hold them to their end.
+const prepareWithin = 3 * time.Second
 
 // Prepare has an adapter loaded, here or at the instance that holds the upstream.
 func (n *Node) Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -96,10 +96,10 @@
 
 func residencyToWire(r pool.Residency) *meshpb.Residency {
 	wire := &meshpb.Residency{
-		Upstream: r.Upstream,
-		Fence:    r.Fence,
-		Idle:     int32(r.Idle),
-		Waiting:  int32(r.Waiting),
+		Upstream:   r.Upstream,
+		Fence:      r.Fence,
+		Idle:       int32(r.Idle),
+		WaitMillis: r.Wait.Milliseconds(),
 	}
 	for _, resident := range r.Loaded {
 		wire.Loaded = append(wire.Loaded, &meshpb.Resident{
@@ -116,7 +116,7 @@
 		Upstream: wire.GetUpstream(),
 		Fence:    wire.GetFence(),
 		Idle:     int(wire.GetIdle()),
-		Waiting:  int(wire.GetWaiting()),
+		Wait:     millis(wire.GetWaitMillis()),
 	}
 	for _, resident := range wire.GetLoaded() {
 		r.Loaded = append(r.Loaded, pool.Resident{
@@ -163,6 +163,7 @@
 		Version:        r.Version,
 		PatienceMillis: r.Patience.Milliseconds(),
 		Priority:       int32(r.Priority),
+		OnTimeMillis:   r.OnTime.Milliseconds(),
 	}
 }
 
@@ -171,7 +172,8 @@
 		Upstream: wire.GetUpstream(),
 		Adapter:  adapterFromWire(wire.GetAdapter()),
 		Version:  wire.GetVersion(),
-		Patience: time.Duration(wire.GetPatienceMillis()) * time.Millisecond,
+		Patience: millis(wire.GetPatienceMillis()),
+		OnTime:   millis(wire.GetOnTimeMillis()),
 		Priority: int(wire.GetPriority()),
 	}
 }
@@ -195,8 +197,10 @@
 	case meshpb.PrepareVerdict_PREPARE_VERDICT_LOADED:
 		return Loaded{Version: wire.GetVersion()}
 	case meshpb.PrepareVerdict_PREPARE_VERDICT_BUSY:
-		return Busy{RetryAfter: time.Duration(wire.GetRetryAfterMillis()) * time.Millisecond}
+		return Busy{RetryAfter: millis(wire.GetRetryAfterMillis())}
 	default:
 		return NotHolder{}
 	}
 }
+
+func millis(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -34,6 +34,8 @@
 	// Version that has to be there at least; 0 for any.
 	Version  int64
 	Patience time.Duration
+	// OnTime is how long the request can wait and still be on time.
+	OnTime   time.Duration
 	Priority int
 }
 
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -108,12 +108,13 @@
 		Adapter:  query.Adapter,
 		Version:  query.Version,
 		Patience: time.Until(j.deadline),
+		OnTime:   time.Until(j.began.Add(j.route.Objective)) - choice.Expected,
 		Priority: j.priority,
 	})
 	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, -1) })
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
-		Bool("Loaded", ok).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
+		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
 	if !ok {
 		return false
 	}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -17,8 +17,6 @@
 	// failureCost is what a certain failure costs: the time of a retry. Callers of a request that may not
 	// be repeated lose it altogether, so they gain as well from the upstream that fails less.
 	failureCost = 800 * time.Millisecond
-	// fullCost is added where nothing can be evicted: a running stream has to end first.
-	fullCost = 500 * time.Millisecond
 	// evictCost is what the next request for the evicted adapter pays.
 	evictCost = 40 * time.Millisecond
 	// fetchCost is what an adapter that has to come from the weight store costs besides the wait: the
@@ -29,8 +27,9 @@
 	strayCost = 50 * time.Millisecond
 	// mostStray bounds that: past some upstreams one is as good as another.
 	mostStray = 4
-	// waitingCost is for each adapter that waits for a place before this one.
-	waitingCost = 200 * time.Millisecond
+	// preparingCost is for each request of this instance that already waits for an adapter there, and that
+	// the holder's last word may not count yet.
+	preparingCost = 60 * time.Millisecond
 	// transitCost is what is left, on average, of a load that is under way.
 	transitCost = 150 * time.Millisecond
 	// stepTime is what one more running request adds to the first event's time: its share of each step
@@ -132,11 +131,8 @@
 	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
 		cost += time.Second
 	}
-	waiting := max(u.waiting, u.preparing)
-	if u.idle <= waiting && u.fence != 0 {
-		cost += fullCost
-	}
-	return cost + evictCost + time.Duration(waiting)*waitingCost
+	choice.Wait = u.wait
+	return cost + evictCost + u.wait + time.Duration(u.preparing)*preparingCost
 }
 
 // stray is how many upstreams of the service are nearer to the adapter's home than this one.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -59,6 +59,8 @@
 	Loaded bool
 	// Expected is the time until the first event or the answer.
 	Expected time.Duration
+	// Wait is how long the adapter is expected to wait for a place, where it is not loaded.
+	Wait time.Duration
 	// Inputs of the decision, for the log.
 	Running int
 	Waiting int
@@ -72,10 +74,10 @@
 	// Fence of the holder: what an earlier holder tells is dropped.
 	Fence  int64
 	Loaded []Resident
-	// Idle is how many adapter places are empty or can be emptied at once; Waiting how many adapters
-	// wait for a place.
-	Idle    int
-	Waiting int
+	// Idle is how many adapter places are empty or can be emptied at once; Wait is how long another
+	// adapter would wait for one.
+	Idle int
+	Wait time.Duration
 }
 
 // Resident is a loaded adapter, or a base model. InTransit: ordered, but not there yet.
@@ -168,7 +170,7 @@
 	}
 	u.fence = residency.Fence
 	u.idle = residency.Idle
-	u.waiting = residency.Waiting
+	u.wait = residency.Wait
 	u.setResident(residency.Loaded)
 }
 
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -32,7 +32,7 @@
 	resident map[traffic.Adapter]Resident
 	recent   []traffic.Adapter
 	idle     int
-	waiting  int
+	wait     time.Duration
 	// preparing is how many requests of this instance wait for adapters there.
 	preparing int
 
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -35,6 +35,12 @@
 	// reserved is how long an adapter that was just prepared for a request counts as in use, unless the
 	// request shows before: instances tell the holder at once when they begin and end to use an adapter.
 	reserved = 350 * time.Millisecond
+	// usualTurnover is how long a place is taken until it is free for the next adapter, as long as nothing
+	// was measured: a load and a short stream. The measured pace follows the last few grants; gaps longer
+	// than longestPace say that nothing waited.
+	usualTurnover = 700 * time.Millisecond
+	paceLearning  = 0.2
+	longestPace   = time.Second
 	// lately is how many evicted adapters the upstream is taken to have a copy of.
 	lately = 30
 )
@@ -53,6 +59,8 @@
 	newest    map[traffic.Adapter]int64
 	inUse     map[traffic.Adapter]bool
 	recent    []traffic.Adapter
+	grantedAt time.Time
+	grantPace time.Duration
 	// unanswered is the last order if no answer came, given repeats times.
 	unanswered *Order
 	repeats    int
@@ -80,12 +88,13 @@
 	reservedUntil time.Time
 }
 
-// want is an adapter that requests wait for.
+// want is an adapter that requests wait for. onTimeUntil is until when the last of them can be on time.
 type want struct {
-	version  int64
-	since    time.Time
-	waiting  int
-	priority int
+	version     int64
+	since       time.Time
+	waiting     int
+	priority    int
+	onTimeUntil time.Time
 }
 
 // SetNewest tells the newest version of an adapter. One that is loaded in an older version is replaced.
@@ -94,8 +103,11 @@
 	p.newest[adapter] = max(p.newest[adapter], version)
 }
 
-// Want asks for an adapter on behalf of one request, until Unwant is called for it.
-func (p *Planner) Want(now time.Time, adapter traffic.Adapter, version int64, priority int) {
+// Want asks for an adapter on behalf of one request, until Unwant is called for it. The request is on time
+// if it is answered until onTimeUntil.
+func (p *Planner) Want(
+	now time.Time, adapter traffic.Adapter, version int64, priority int, onTimeUntil time.Time,
+) {
 	p.prepare()
 	w := p.wants[adapter]
 	if w == nil {
@@ -105,6 +117,9 @@
 	w.waiting++
 	w.version = max(w.version, version)
 	w.priority = min(w.priority, priority)
+	if onTimeUntil.After(w.onTimeUntil) {
+		w.onTimeUntil = onTimeUntil
+	}
 }
 
 // Unwant takes a request's want back: it has its adapter, or does not wait any more. Without it the
@@ -123,10 +138,44 @@
 // HasWants tells whether any request waits.
 func (p *Planner) HasWants() bool { return len(p.wants) > 0 }
 
-// Ahead is how many other adapters would be loaded before a new want of this priority.
-func (p *Planner) Ahead(adapter traffic.Adapter, priority int) (count int) {
-	for other, w := range p.wants {
-		if other != adapter && w.priority <= priority && p.places[other] == nil {
+// Wait is how long a new want is expected to wait until its adapter's load begins: the adapters that wait
+// before it, at the pace at which places came free lately. It is zero while a place is to be had.
+func (p *Planner) Wait(now time.Time, adapter traffic.Adapter) time.Duration {
+	ahead := 0
+	for other := range p.wants {
+		if other != adapter && p.places[other] == nil {
+			ahead++
+		}
+	}
+	free := p.Engine.AdapterPlaces - p.taken(now)
+	if ahead < free {
+		return 0
+	}
+	return time.Duration(ahead-free+1) * p.pace()
+}
+
+// pace is the time between two places that come free while adapters wait.
+func (p *Planner) pace() time.Duration {
+	if p.grantPace > 0 {
+		return p.grantPace
+	}
+	return usualTurnover / time.Duration(max(p.Engine.AdapterPlaces, 1))
+}
+
+// granted measures the pace: a place went to an adapter that had to wait for it.
+func (p *Planner) granted(now time.Time) {
+	since := now.Sub(p.grantedAt)
+	p.grantedAt = now
+	if since > longestPace {
+		return
+	}
+	p.grantPace = p.pace() + time.Duration(paceLearning*float64(since-p.pace()))
+}
+
+// taken counts the places that are neither empty nor idle.
+func (p *Planner) taken(now time.Time) (count int) {
+	for adapter, known := range p.places {
+		if adapter.Name != "" && !p.isIdle(now, adapter, known) {
 			count++
 		}
 	}
@@ -160,13 +209,10 @@
 	}
 }
 
-// Residents lists what is there or on its way, with how many places are empty or idle and how many
-// adapters wait for one.
-func (p *Planner) Residents(now time.Time) (list []pool.Resident, idle, waiting int) {
-	taken := 0
+// Residents lists what is there or on its way, with how many places are empty or idle.
+func (p *Planner) Residents(now time.Time) (list []pool.Resident, idle int) {
 	for adapter, known := range p.places {
 		if known.state == unloading {
-			taken++
 			continue
 		}
 		list = append(list, pool.Resident{
@@ -174,17 +220,9 @@
 			Version:   known.version,
 			InTransit: known.state == loading || known.ordered > known.version,
 		})
-		if adapter.Name != "" && !p.isIdle(now, adapter, known) {
-			taken++
-		}
-	}
-	for adapter := range p.wants {
-		if p.places[adapter] == nil {
-			waiting++
-		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Adapter.String() < list[j].Adapter.String() })
-	return list, p.Engine.AdapterPlaces - taken, waiting
+	return list, p.Engine.AdapterPlaces - p.taken(now)
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -420,7 +458,7 @@
 
 // load gives the order that the wants ask for: to load, or to make room first.
 func (p *Planner) load(now time.Time) (order Order, found bool) {
-	if model, missing := p.missingModel(); missing {
+	if model, missing := p.missingModel(now); missing {
 		return Order{Adapter: model}, true
 	}
 	if p.isReplacing() {
@@ -429,7 +467,7 @@
 	if adapter, version, stale := p.staleVersion(now); stale {
 		return Order{Adapter: adapter, Version: version}, true
 	}
-	for _, adapter := range p.wantedFirst() {
+	for _, adapter := range p.wantedFirst(now) {
 		known := p.places[adapter]
 		if known != nil || adapter.Name == "" {
 			continue
@@ -441,6 +479,7 @@
 			return Order{Adapter: adapter, Version: p.newest[adapter]}, true
 		}
 		if victim, idle := p.victim(now); idle {
+			p.granted(now)
 			return Order{Unload: true, Adapter: victim}, true
 		}
 		return Order{}, false
@@ -449,13 +488,13 @@
 }
 
 // missingModel finds the base model to load where none is there: the wanted one, or the first.
-func (p *Planner) missingModel() (traffic.Adapter, bool) {
+func (p *Planner) missingModel(now time.Time) (traffic.Adapter, bool) {
 	for adapter := range p.places {
 		if adapter.Name == "" {
 			return traffic.Adapter{}, false
 		}
 	}
-	for _, adapter := range p.wantedFirst() {
+	for _, adapter := range p.wantedFirst(now) {
 		return traffic.Adapter{Model: adapter.Model}, true
 	}
 	if len(p.Engine.Models) == 0 {
@@ -487,13 +526,21 @@
 	return adapter, 0, false
 }
 
-// wantedFirst lists what is wanted, the most urgent and then the longest waiting first.
-func (p *Planner) wantedFirst() (list []traffic.Adapter) {
+// wantedFirst lists what is wanted: first what can still be on time, of that the most urgent, and of that
+// what waits longest.
+//
+// Made for the time when more adapters are wanted than there are places. In the order of arrival each
+// would be served, and each too late, which is worth a third; this way those who come now are on time, and
+// the late ones get the places that are left.
+func (p *Planner) wantedFirst(now time.Time) (list []traffic.Adapter) {
 	for adapter := range p.wants {
 		list = append(list, adapter)
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := p.wants[list[i]], p.wants[list[j]]
+		if late := now.After(a.onTimeUntil); late != now.After(b.onTimeUntil) {
+			return !late
+		}
 		if a.priority != b.priority {
 			return a.priority < b.priority
 		}
