Exchange heartbeats once a pair, tell holders only loads, and slow down with the fleet

Cause: each pair of instances exchanged all it knows twice in each period, and whole heartbeats went to holders with each begin and end: most of the bytes between data centres. At 81 instances the cost grew with the square.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -15,9 +15,9 @@
 	"time"
 )
 
-// SilentAfter is how long a peer may be unheard until its possible admissions are reserved: three
-// heartbeats, so that one lost heartbeat reserves nothing.
-const SilentAfter = 700 * time.Millisecond
+// silentAfter is how long a peer may be unheard until its possible admissions are reserved, as long as
+// SilentAfter is not set: some heartbeats, so that one lost heartbeat reserves nothing.
+const silentAfter = 800 * time.Millisecond
 
 // Limit is what a workspace bought.
 type Limit struct {
@@ -32,6 +32,8 @@
 // several goroutines.
 type Ledger struct {
 	Self string
+	// SilentAfter is how long a peer may be unheard; it follows the pace of the heartbeats.
+	SilentAfter time.Duration
 
 	limits  map[string]Limit
 	buckets map[string]*bucket
@@ -165,7 +167,7 @@
 func (l *Ledger) advance(now time.Time) {
 	silent := 0
 	for _, p := range l.peers {
-		if now.Sub(p.heard) > SilentAfter {
+		if l.isSilent(now, p) {
 			silent++
 		}
 	}
@@ -177,7 +179,7 @@
 		b.at = now
 		b.level += gained
 		for _, p := range l.peers {
-			if now.Sub(p.heard) > SilentAfter {
+			if l.isSilent(now, p) {
 				p.reserved[workspace] += gained * part
 				b.level -= gained * part
 			}
@@ -186,6 +188,10 @@
 	}
 }
 
+func (l *Ledger) isSilent(now time.Time, p *peer) bool {
+	return now.Sub(p.heard) > max(l.SilentAfter, silentAfter)
+}
+
 // deduct changes the level by what was admitted elsewhere.
 func (l *Ledger) deduct(workspace string, amount float64) {
 	b := l.buckets[workspace]
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -14,12 +14,15 @@
 // beats.go tells the other instances what this one knows and does, and hears the same of them.
 
 const (
-	// beatEvery is how often each peer is told. Each pair exchanges twice in that time.
-	beatEvery = 250 * time.Millisecond
+	// beatEvery is how often each pair of instances exchanges what it knows, as long as there are at most
+	// peersAtFullPace others. With more of them each pair exchanges less often, so that what one instance
+	// sends and receives does not grow with the fleet.
+	beatEvery       = 250 * time.Millisecond
+	peersAtFullPace = 10
 	// beatTimeout bounds one exchange.
 	beatTimeout = 400 * time.Millisecond
-	// peerAlive is how long a peer counts as alive after it was heard.
-	peerAlive = time.Second
+	// aliveBeats is how many beats may be missing until a peer counts as silent.
+	aliveBeats = 4
 	// keepPeer is how long a peer that left the roster is still told: entries lapse while the store is
 	// away, and the instances need each other most then.
 	keepPeer = 20 * time.Second
@@ -31,12 +34,24 @@
 	peers map[string]*peerLoop
 }
 
-// heardWithin tells whether a peer was heard lately.
-func (b *beats) heardWithin(now time.Time, name string, within time.Duration) bool {
+// beatPace is how often a pair exchanges, for a number of peers.
+func beatPace(peers int) time.Duration {
+	return beatEvery * time.Duration(max(peers, peersAtFullPace)) / peersAtFullPace
+}
+
+// isAlive tells whether a peer was heard lately.
+func (b *beats) isAlive(now time.Time, name string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	at, found := b.heard[name]
-	return found && now.Sub(at) <= within
+	return found && now.Sub(at) <= aliveBeats*beatPace(len(b.peers))
+}
+
+// pace is how often each pair exchanges now.
+func (b *beats) pace() time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return beatPace(len(b.peers))
 }
 
 func (b *beats) hear(now time.Time, name string) (first bool) {
@@ -47,7 +62,7 @@
 	}
 	before, found := b.heard[name]
 	b.heard[name] = now
-	return !found || now.Sub(before) > peerAlive
+	return !found || now.Sub(before) > aliveBeats*beatPace(len(b.peers))
 }
 
 // peerLoop exchanges heartbeats with one peer.
@@ -57,6 +72,22 @@
 	seen     time.Time
 	stop     context.CancelFunc
 	touched  chan struct{}
+	// ahead carries a heartbeat of the peer that showed changes this instance lacks.
+	ahead chan mesh.Beat
+}
+
+// catchUp has the changes fetched that a peer's heartbeat showed.
+func (b *beats) catchUp(beat mesh.Beat) {
+	b.mutex.Lock()
+	loop := b.peers[beat.Instance]
+	b.mutex.Unlock()
+	if loop == nil {
+		return
+	}
+	select {
+	case loop.ahead <- beat:
+	default: // they are about to be fetched
+	}
 }
 
 // touchPause gathers what begins and ends within a few milliseconds into one heartbeat.
@@ -127,38 +158,55 @@
 
 func (n *Node) startPeer(ctx context.Context, instance roster.Instance) *peerLoop {
 	ctx, cancel := context.WithCancel(ctx)
-	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1)}
+	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1)}
 	n.beats.peers[instance.Name] = loop
 	go loop.run(ctx)
 	return loop
 }
 
-// run exchanges heartbeats until the context ends.
+// run exchanges heartbeats until the context ends. Of each pair the one with the smaller name calls; the
+// other only does when it has not been called for a while.
 func (l *peerLoop) run(ctx context.Context) {
-	for l.wait(ctx) {
-		exchanging, cancel := context.WithTimeout(ctx, beatTimeout)
-		beat, err := l.node.peers.Exchange(exchanging, l.instance.Address, l.node.beat())
-		cancel()
-		if err != nil {
-			continue // the silence is noticed by heardWithin, and logged there
+	for ctx.Err() == nil {
+		touched := l.wait(ctx)
+		n := l.node
+		if touched {
+			l.exchange(ctx, n.loadBeat())
+			continue
+		}
+		if n.self.Name < l.instance.Name || !n.beats.isAlive(time.Now(), l.instance.Name) {
+			l.exchange(ctx, n.beat())
 		}
-		l.node.hear(beat)
-		l.catchUp(ctx, beat)
 	}
 }
 
-// wait ends when the next heartbeat is due.
-func (l *peerLoop) wait(ctx context.Context) bool {
-	timer := time.NewTimer(beatEvery)
+// exchange sends a heartbeat and takes over what the peer answers. A failure is not logged here: the
+// silence is, when the peer is heard again.
+func (l *peerLoop) exchange(ctx context.Context, own mesh.Beat) {
+	exchanging, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	beat, err := l.node.peers.Exchange(exchanging, l.instance.Address, own)
+	if err != nil || beat.OnlyLoads {
+		return
+	}
+	l.node.hear(beat)
+	l.catchUp(ctx, beat)
+}
+
+// wait ends when the next heartbeat is due, or at once when there is news for the peer.
+func (l *peerLoop) wait(ctx context.Context) (touched bool) {
+	timer := time.NewTimer(l.node.beats.pace())
 	defer timer.Stop()
 	select {
-	case <-timer.C:
-		return true
 	case <-l.touched:
 		return pause(ctx, touchPause)
-	case <-ctx.Done():
+	case beat := <-l.ahead:
+		l.catchUp(ctx, beat)
 		return false
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // catchUp asks a peer for the changes that it knows and this instance does not.
@@ -213,9 +261,21 @@
 	return beat
 }
 
+// loadBeat tells a holder at once what has begun or ended, and nothing else.
+func (n *Node) loadBeat() mesh.Beat {
+	beat := mesh.Beat{Instance: n.self.Name, Incarnation: n.self.Incarnation, OnlyLoads: true}
+	n.advice.With(func(a *serve.Advice) { beat.Loads = a.Pool.Own() })
+	return beat
+}
+
 // hear takes over what a peer tells.
 func (n *Node) hear(beat mesh.Beat) {
 	now := time.Now()
+	if beat.OnlyLoads {
+		n.advice.With(func(a *serve.Advice) { a.Pool.LearnLoads(now, beat.Instance, beat.Loads) })
+		n.holdings.look()
+		return
+	}
 	if n.beats.hear(now, beat.Instance) {
 		n.Log.Info().Str("Peer", beat.Instance).Int64("Revision", beat.Revision).Msg("PeerHeard")
 	}
@@ -233,7 +293,25 @@
 // Exchange answers a peer's heartbeat.
 func (n *Node) Exchange(beat mesh.Beat) mesh.Beat {
 	n.hear(beat)
-	return n.beat()
+	if beat.OnlyLoads {
+		return mesh.Beat{OnlyLoads: true}
+	}
+	answer := n.beat()
+	if n.isBehind(beat) {
+		n.beats.catchUp(beat)
+	}
+	return answer
+}
+
+// isBehind tells whether a peer knows changes that this instance does not.
+func (n *Node) isBehind(beat mesh.Beat) bool {
+	n.knowledge.mutex.Lock()
+	defer n.knowledge.mutex.Unlock()
+	revision := n.knowledge.replica.Revision()
+	if beat.Revision == revision && beat.ConfirmedAge >= 0 {
+		n.confirm(time.Now().Add(-beat.ConfirmedAge))
+	}
+	return beat.Revision > revision
 }
 
 // CatchUp gives a peer what it lacks.
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -223,7 +223,7 @@
 	holder, held := n.knowledge.roster.Holder(request.Upstream)
 	instance, alive := n.knowledge.roster.Instance(holder.Instance)
 	n.knowledge.mutex.Unlock()
-	if !held || !alive || instance.Name == n.self.Name || !n.beats.heardWithin(time.Now(), instance.Name, peerAlive) {
+	if !held || !alive || instance.Name == n.self.Name || !n.beats.isAlive(time.Now(), instance.Name) {
 		return mesh.NotHolder{}
 	}
 	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -224,6 +224,8 @@
 const (
 	// tick is how often duties without an event of their own are looked at.
 	tick = 200 * time.Millisecond
+	// silentBeats is how many heartbeats of a peer may be missing until its part of the rates is reserved.
+	silentBeats = 3
 	// goneFor is how long an instance that left the roster keeps its part of the rates: it may be cut off
 	// from the store and the others, and still admit for its callers.
 	goneFor = 20 * time.Second
@@ -264,7 +266,11 @@
 		names = append(names, name)
 	}
 	k.mutex.Unlock()
-	n.advice.With(func(a *serve.Advice) { a.Ledger.SetPeers(now, names) })
+	silentAfter := silentBeats * n.beats.pace()
+	n.advice.With(func(a *serve.Advice) {
+		a.Ledger.SilentAfter = silentAfter
+		a.Ledger.SetPeers(now, names)
+	})
 }
 
 // keepConnections drops the connections to upstreams that are gone.
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -64,7 +64,7 @@
 	}
 	var names []string
 	for _, instance := range k.roster.Instances() {
-		if instance.Name == n.self.Name || n.beats.heardWithin(now, instance.Name, peerAlive) {
+		if instance.Name == n.self.Name || n.beats.isAlive(now, instance.Name) {
 			names = append(names, instance.Name)
 		}
 	}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -20,6 +20,7 @@
 		Revision:           b.Revision,
 		ConfirmedAgeMicros: b.ConfirmedAge.Microseconds(),
 		Stopping:           b.Stopping,
+		OnlyLoads:          b.OnlyLoads,
 	}
 	for workspace, units := range b.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
@@ -49,6 +50,7 @@
 		Spent:        make(quota.Spent, len(wire.GetSpent())),
 		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
 		Stopping:     wire.GetStopping(),
+		OnlyLoads:    wire.GetOnlyLoads(),
 	}
 	for _, spent := range wire.GetSpent() {
 		b.Spent[spent.GetWorkspace()] = spent.GetUnits()
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -25,6 +25,8 @@
 	Residencies  []pool.Residency
 	Suspects     []suspect.Count
 	Stopping     bool
+	// OnlyLoads: the beat tells Loads and nothing else.
+	OnlyLoads bool
 }
 
 // PrepareRequest asks the holder of an upstream for an adapter.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -113,9 +113,9 @@
 	loads map[string]Load
 }
 
-// peerLoadFor is how long another instance's loads count: some heartbeats. One that is silent for longer
-// may be gone, and its requests with it.
-const peerLoadFor = time.Second
+// peerLoadFor is how long another instance's loads count: some heartbeats, also where there are many
+// instances. One that is silent for longer may be gone, and its requests with it.
+const peerLoadFor = 1500 * time.Millisecond
 
 // Configure takes over which services are engines.
 func (p *Pool) Configure(services map[string]traffic.Service) {
