Reload settings on SIGHUP, and count the requests that were in flight when an upstream crashed

Crashes were never counted, so a request that crashes each upstream would have been sent on for ever. Ruled out: ignoring the signal, which would leave changed settings unread.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -71,19 +71,21 @@
 	writing, stop := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- ring.Run(writing) }()
+	store := &platform.Store{Client: client()}
+	store.Set(settings.Platform.StoreAddress, settings.Platform.StoreTimeout)
 	instance := &node.Node{
-		Settings: settings,
-		Store: &platform.Store{
-			Address: settings.Platform.StoreAddress,
-			Client:  client(),
-			Timeout: settings.Platform.StoreTimeout,
-		},
+		Settings:  settings,
+		Store:     store,
 		Decoder:   platform.Decoder{},
 		Dialect:   platform.Dialect{},
 		Orders:    &platform.Orders{Client: client(), Timeout: orderTimeout},
 		ReadyPath: platform.PathReady,
 		Log:       logger,
 		Dropped:   ring.Dropped,
+		Reread:    func() (node.Settings, error) { return node.LoadSettings(v.file) },
+		Apply: func(changed node.Settings) {
+			store.Set(changed.Platform.StoreAddress, changed.Platform.StoreTimeout)
+		},
 	}
 	err = instance.Run(ctx)
 	stop()
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -72,6 +72,8 @@
 	seen     time.Time
 	stop     context.CancelFunc
 	touched  chan struct{}
+	// urgent asks for a whole heartbeat at once.
+	urgent chan struct{}
 	// ahead carries a heartbeat of the peer that showed changes this instance lacks.
 	ahead chan mesh.Beat
 }
@@ -93,6 +95,18 @@
 // touchPause gathers what begins and ends within a few milliseconds into one heartbeat.
 const touchPause = 8 * time.Millisecond
 
+// touchAll has a whole heartbeat sent to all peers at once.
+func (b *beats) touchAll() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, loop := range b.peers {
+		select {
+		case loop.urgent <- struct{}{}:
+		default: // one is already due
+		}
+	}
+}
+
 // touch has a heartbeat sent to a peer at once.
 func (b *beats) touch(name string) {
 	b.mutex.Lock()
@@ -158,7 +172,7 @@
 
 func (n *Node) startPeer(ctx context.Context, instance roster.Instance) *peerLoop {
 	ctx, cancel := context.WithCancel(ctx)
-	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1)}
+	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), urgent: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1)}
 	n.beats.peers[instance.Name] = loop
 	go loop.run(ctx)
 	return loop
@@ -203,6 +217,9 @@
 	case beat := <-l.ahead:
 		l.catchUp(ctx, beat)
 		return false
+	case <-l.urgent:
+		l.exchange(ctx, l.node.beat())
+		return false
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -320,6 +337,3 @@
 	defer n.knowledge.mutex.Unlock()
 	return n.knowledge.replica.Since(after)
 }
-
-// Crashed is told by the handler; the next heartbeats carry the counts.
-func (n *Node) Crashed() {}
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -100,7 +100,7 @@
 // fences a holder whose lease has run out in an outage of the store goes on: nobody else can be holder
 // meanwhile, and its orders are refused as soon as somebody is.
 func (h *holding) mayOrder() bool {
-	if h.node.Settings.Upstreams.FencesChecked {
+	if h.node.current.Load().Upstreams.FencesChecked {
 		return true
 	}
 	_, ok := h.node.lease.current(time.Now())
--- a/internal/entry/node/lease.go
+++ b/internal/entry/node/lease.go
@@ -105,7 +105,7 @@
 
 // endLease leaves the roster at once, so that what this instance holds is taken over without waiting.
 func (n *Node) endLease() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Platform.StoreTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.current.Load().Platform.StoreTimeout)
 	defer cancel()
 	n.lease.mutex.Lock()
 	id := n.lease.id
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +60,13 @@
 	Log       zerolog.Logger
 	// Dropped tells how many log events were left out since it was last asked.
 	Dropped func() int
+	// Reread reads the settings again, and Apply hands changed ones to what the node does not own.
+	Reread func() (Settings, error)
+	Apply  func(Settings)
 
+	// current is Settings as of the last reload.
+	current   atomic.Pointer[Settings]
+	losses    chan loss
 	self      roster.Instance
 	knowledge knowledge
 	advice    *serve.Advice
@@ -72,15 +77,13 @@
 	forward   *forward.Client
 	scope     tally.Scope
 	stopping  atomic.Bool
-	active    sync.WaitGroup
 
-	callers     *http.Server
-	ready       *http.Server
-	metrics     *http.Server
-	mesh        *grpc.Server
-	listeners   listeners
-	closeScope  func()
-	callersDone chan struct{}
+	callers    *http.Server
+	ready      *http.Server
+	metrics    *http.Server
+	mesh       *grpc.Server
+	listeners  listeners
+	closeScope func()
 }
 
 type listeners struct {
@@ -135,7 +138,8 @@
 	n.closeScope = func() { _ = closer.Close() }
 	n.peers = &mesh.Peers{Credentials: insecure.NewCredentials()}
 	n.forward = &forward.Client{Dialect: n.Dialect}
-	n.callersDone = make(chan struct{})
+	n.losses = make(chan loss, lossesKept)
+	n.current.Store(&n.Settings)
 	n.knowledge.wake = make(chan struct{}, 1)
 	n.assembleAdvice()
 	handler := &serve.Handler{
@@ -164,10 +168,15 @@
 		Pool:     &pool.Pool{Settings: settings},
 		Ledger:   &quota.Ledger{Self: n.self.Name},
 		Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
-		Retries:  retry.New(n.Settings.Retries.Ratio*retryRatioUsed, n.Settings.Retries.Slack/instancesAssumed),
+		Retries:  retryBudget(n.Settings.Retries),
 	}
 }
 
+// retryBudget is this instance's part of the fleet's retries.
+func retryBudget(settings RetrySettings) *retry.Budget {
+	return retry.New(settings.Ratio*retryRatioUsed, settings.Slack/instancesAssumed)
+}
+
 const (
 	// retryRatioUsed leaves a part of the fleet's retries for requests that are counted at another
 	// instance or in another window than their retries.
@@ -190,6 +199,8 @@
 	add(n.runBeats)
 	add(n.runHoldings)
 	add(n.runTicks)
+	add(n.runReload)
+	add(n.runLosses)
 	group.Add(func() error { return n.mesh.Serve(n.listeners.mesh) }, func(error) { n.mesh.Stop() })
 	group.Add(func() error { return serving(n.ready, n.listeners.ready) }, func(error) { _ = n.ready.Close() })
 	group.Add(func() error { return serving(n.metrics, n.listeners.metrics) }, func(error) { _ = n.metrics.Close() })
@@ -249,7 +260,7 @@
 	n.endLease()
 	pause(working, leaveAfter)
 	n.callers.SetKeepAlivesEnabled(false)
-	closing, cancel := context.WithDeadline(context.Background(), began.Add(n.Settings.Callers.StopWithin))
+	closing, cancel := context.WithDeadline(context.Background(), began.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(closing)
 	pause(working, idleLinger)
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -174,6 +174,9 @@
 	case ended == resultNotRun:
 		end = pool.EndRefused
 	}
+	if ended == resultBroken && ctx.Err() == nil && !errors.Is(err, errSilent) {
+		j.handler.Fleet.Broke(upstream, j.fingerprint)
+	}
 	j.handler.Advice.With(func(a *Advice) {
 		now := time.Now()
 		a.Pool.Finish(now, sending, end)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -36,8 +36,8 @@
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
 	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
 	Touch(upstream string)
-	// Crashed tells that an upstream was lost with requests in flight.
-	Crashed()
+	// Broke tells that an answer broke with its connection: the upstream may have crashed.
+	Broke(upstream traffic.Upstream, fingerprint suspect.Fingerprint)
 }
 
 // Advice is what this instance has learnt and decides by. Its parts are not safe for several goroutines,
@@ -74,6 +74,7 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{handler: h, writer: w, began: time.Now()}
+	j.bound(longestRequest)
 	err := h.serve(r, j)
 	if err != nil {
 		j.refuse(err)
@@ -112,6 +113,25 @@
 	return err
 }
 
+// longestRequest bounds a request until its route is known.
+const longestRequest = 30 * time.Second
+
+// bound keeps a caller that sends or reads too slowly from holding a connection, and what waits behind it,
+// for ever. An error means that the connection cannot be bounded, and then the caller's own pace holds.
+func (j *job) bound(within time.Duration) {
+	control := http.NewResponseController(j.writer)
+	until := j.began.Add(within)
+	if err := control.SetReadDeadline(until); err != nil {
+		j.handler.Log.Debug().Err(err).Msg("NoReadDeadline")
+	}
+	if err := control.SetWriteDeadline(until.Add(writeGrace)); err != nil {
+		j.handler.Log.Debug().Err(err).Msg("NoWriteDeadline")
+	}
+}
+
+// writeGrace is the time for the last bytes of an answer that ends with the request's time.
+const writeGrace = time.Second
+
 // startingRetryAfter is about what an instance needs to learn a configuration.
 const startingRetryAfter = 300 * time.Millisecond
 
@@ -128,6 +148,7 @@
 	if j.call.Patience > 0 && j.call.Patience < route.Timeout {
 		j.deadline = j.began.Add(j.call.Patience)
 	}
+	j.bound(time.Until(j.deadline) + time.Since(j.began))
 	if !j.table.NeedsKey(route) {
 		return nil
 	}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// Crashed takes note that nothing listens at an upstream any more.
+func (p *Pool) Crashed(now time.Time, id string) {
+	if u := p.upstreams[id]; u != nil {
+		u.ban = min(max(2*u.ban, shortestBan), longestBan)
+		u.bannedUntil = now.Add(u.ban)
+	}
+}
+
 // refusalWeight: a refusal for want of room tells less than a failure; the load has to be compared too.
 const refusalWeight = 0.5
 
