--- /dev/null
+++ b/internal/admission/quota/quota_test.go
@@ -0,0 +1,268 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+)
+
+const workspace = "w"
+
+// fleet is some instances that exchange heartbeats.
+type fleet struct {
+	limit     quota.Limit
+	ledgers   map[string]*quota.Ledger
+	starts    map[string]int
+	cut       map[string]bool
+	down      map[string]bool
+	names     []string
+	admitted  []admission
+	lastBeats time.Time
+}
+
+type admission struct {
+	at   time.Time
+	cost float64
+}
+
+func newFleet(limit quota.Limit, count int) *fleet {
+	f := &fleet{
+		limit: limit, ledgers: map[string]*quota.Ledger{}, starts: map[string]int{},
+		cut: map[string]bool{}, down: map[string]bool{},
+	}
+	for i := range count {
+		f.names = append(f.names, fmt.Sprint("instance", i))
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	return f
+}
+
+func (f *fleet) start(name string) {
+	ledger := &quota.Ledger{Self: name}
+	ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: f.limit})
+	var others []string
+	for _, other := range f.names {
+		if other != name {
+			others = append(others, other)
+		}
+	}
+	ledger.SetPeers(time.Now(), others)
+	f.ledgers[name] = ledger
+	f.starts[name]++
+	f.down[name] = false
+}
+
+const beat = 250 * time.Millisecond
+
+// pass lets time go by, with heartbeats between all that reach each other.
+func (f *fleet) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+		if time.Since(f.lastBeats) < beat {
+			continue
+		}
+		f.lastBeats = time.Now()
+		for _, from := range f.names {
+			for _, to := range f.names {
+				if from == to || f.cut[from] || f.cut[to] || f.down[from] || f.down[to] {
+					continue
+				}
+				incarnation := fmt.Sprint(from, f.starts[from])
+				f.ledgers[to].Hear(time.Now(), from, incarnation, f.ledgers[from].Own())
+			}
+		}
+	}
+}
+
+func (f *fleet) admit(name string, cost float64) bool {
+	if f.down[name] {
+		return false
+	}
+	_, ok := f.ledgers[name].Admit(time.Now(), workspace, cost)
+	if ok {
+		f.admitted = append(f.admitted, admission{at: time.Now(), cost: cost})
+	}
+	return ok
+}
+
+// most is the most that was admitted in any span of a length.
+func (f *fleet) most(span time.Duration) (most float64) {
+	for i, first := range f.admitted {
+		total := 0.0
+		for _, later := range f.admitted[i:] {
+			if later.at.Sub(first.at) > span {
+				break
+			}
+			total += later.cost
+		}
+		most = max(most, total)
+	}
+	return most
+}
+
+// window, overshoot and slack are what operators allow.
+const (
+	window    = 8 * time.Second
+	overshoot = 1.1
+	slack     = 17_000
+)
+
+func (f *fleet) allowed() float64 {
+	return (f.limit.Rate*window.Seconds()+f.limit.Burst)*overshoot + slack
+}
+
+// The balancer sends all callers of a workspace to one of eight instances. With equal shares seven eighths
+// of its rate would lie where nobody asks, and requests within the rate would be refused.
+func TestSkewedBalancerRefusesNobodyWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 50_000, Burst: 50_000}, 8)
+		f.pass(3 * time.Second)
+		refused := 0
+		for range 400 {
+			if !f.admit("instance0", 2400) {
+				refused++
+			}
+			f.pass(60 * time.Millisecond) // 40,000 a second
+		}
+		is.Equal(refused, 0)
+	})
+}
+
+// One workspace sends five times its rate, evenly to all instances. Each of them may admit against the
+// same tokens until it hears of the others; the debt has to be paid back before more is admitted.
+func TestFloodStaysWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 50_000, Burst: 50_000}, 8)
+		f.pass(3 * time.Second)
+		for i := range 1600 {
+			f.admit(f.names[i%len(f.names)], 2500)
+			f.pass(10 * time.Millisecond)
+		}
+		is.True(f.most(window) <= f.allowed())
+		is.True(f.most(window) >= 0.9*f.limit.Rate*window.Seconds()) // and the rate is not left unused
+	})
+}
+
+// An instance is cut off from the others while a workspace floods both sides. The cut one cannot know what
+// the others admit, and they cannot know what it does; each side keeps to its own part.
+func TestCutInstanceKeepsToItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 50_000, Burst: 50_000}, 4)
+		f.pass(3 * time.Second)
+		f.cut["instance0"] = true
+		for i := range 1600 {
+			f.admit(f.names[i%len(f.names)], 2500)
+			f.pass(10 * time.Millisecond)
+		}
+		is.True(f.most(window) <= f.allowed())
+	})
+}
+
+// All instances are killed and start again at once, while a workspace floods them. None of them knows what
+// was admitted right before; with full buckets the burst would be given out a second time.
+func TestRestartOfAllGivesNoSecondBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 30_000, Burst: 60_000}, 6)
+		f.pass(4 * time.Second)
+		for i := range 1000 {
+			if i%300 == 299 {
+				for _, name := range f.names {
+					f.start(name)
+				}
+			}
+			f.admit(f.names[i%len(f.names)], 2500)
+			f.pass(10 * time.Millisecond)
+		}
+		is.True(f.most(window) <= f.allowed())
+	})
+}
+
+// A request costs more than the workspace's burst. It is admitted while nothing is owed, as it could never
+// run otherwise, and the debt holds up the next ones.
+func TestRequestAboveTheBurstRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 4000, Burst: 4000}, 1)
+		f.pass(2 * time.Second)
+		is.True(f.admit("instance0", 7000))
+		retryAfter, admitted := f.ledgers["instance0"].Admit(time.Now(), workspace, 100)
+		is.True(!admitted)
+		is.True(retryAfter >= 700*time.Millisecond) // 3,000 owed at 4,000 a second
+		f.pass(retryAfter)
+		is.True(f.admit("instance0", 100)) // the time to come back was true
+	})
+}
+
+// A request was admitted and then found no upstream. Its caller comes back and must not pay twice.
+func TestRefundGivesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 1000, Burst: 1000}, 2)
+		f.pass(2 * time.Second)
+		is.True(f.admit("instance0", 1000))
+		is.True(!f.admit("instance0", 1000))
+		f.ledgers["instance0"].Refund(workspace, 1000)
+		is.True(f.admit("instance0", 1000))
+		is.Equal(f.ledgers["instance0"].Own()[workspace], 1000.0)
+	})
+}
+
+// Instances are cut off, killed and started again at any moment while a workspace sends at any pace, and
+// its limit is lowered. Whatever happens, no span holds more than operators allow. The allowance counts
+// from the limit that was highest, and while nobody is heard the instances may each spend what was left.
+func TestNoSpanHoldsMoreThanAllowed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fault := inBubble(t, func() string {
+			count := rapid.IntRange(2, 8).Draw(rt, "instances")
+			f := newFleet(quota.Limit{Rate: 50_000, Burst: 50_000}, count)
+			f.pass(3 * time.Second)
+			for range rapid.IntRange(100, 400).Draw(rt, "steps") {
+				name := rapid.SampledFrom(f.names).Draw(rt, "who")
+				switch rapid.IntRange(0, 60).Draw(rt, "event") {
+				case 0:
+					f.cut[name] = !f.cut[name]
+				case 1:
+					f.down[name] = true
+				case 2:
+					f.start(name)
+				default:
+					f.admit(name, rapid.Float64Range(100, 5000).Draw(rt, "cost"))
+				}
+				f.pass(10 * time.Millisecond)
+			}
+			if got := f.most(window); got > f.allowed() {
+				return fmt.Sprintf("%.0f in %s, %.0f allowed", got, window, f.allowed())
+			}
+			return ""
+		})
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
+// rapid ends a check early, has to reach rapid's goroutine.
+func inBubble(t *testing.T, check func() (fault string)) (fault string) {
+	var ended any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { ended = recover() }()
+		fault = check()
+	})
+	if ended != nil {
+		panic(ended)
+	}
+	return fault
+}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -67,18 +67,21 @@
 	if r.items == nil {
 		r.items = make(map[string]Item)
 	}
+	if batch.Through < r.revision {
+		return nil // everything in it is known, and what it lacks may have come later
+	}
 	present := make(map[string]bool, len(batch.Items))
 	for _, item := range batch.Items {
 		present[item.Key] = true
 		changed = r.put(item, changed)
 	}
 	for key, item := range r.items {
-		if !present[key] && !item.Removed && item.Revision <= batch.Through {
-			changed = r.put(Item{Key: key, Revision: max(batch.Through, item.Revision+1), Removed: true}, changed)
+		if !present[key] && !item.Removed && item.Revision <= batch.Through && batch.Through > r.revision {
+			changed = r.put(Item{Key: key, Revision: batch.Through, Removed: true}, changed)
 		}
 	}
-	if r.revision == 0 {
-		r.horizon = batch.Through
+	if batch.Through > r.revision {
+		r.horizon = batch.Through // keys that came and went since the last revision are missing without a word
 	}
 	r.revision = max(r.revision, batch.Through)
 	r.prune()
@@ -99,9 +102,12 @@
 
 // ---------------------------------------------------------------------------------------------
 
+// put takes one change over unless it is known already. All changes up to the replica's revision are: one
+// of them whose key is missing was undone by a removal that a snapshot left out, and taking it over would
+// bring the key back.
 func (r *Replica) put(item Item, changed []Item) []Item {
 	known, found := r.items[item.Key]
-	if found && known.Revision >= item.Revision {
+	if item.Revision <= r.revision || found && known.Revision >= item.Revision {
 		return changed
 	}
 	if item.Removed {
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -125,7 +125,7 @@
 	}
 	choice.Loaded = false
 	cost := p.Settings.ReloadTime
-	if !u.hadLately(query.Adapter) {
+	if !u.hadLately(query.Adapter, query.Version) {
 		cost = p.Settings.LoadTime + fetchCost + time.Duration(p.stray(u, query))*strayCost
 	}
 	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -17,7 +17,11 @@
 	// a reason of their own are back after some seconds, and are to be noticed then.
 	failureHalfLife = 2 * time.Second
 	// slownessHalfLife is the same for slowness.
-	slownessHalfLife = 4 * time.Second
+	slownessHalfLife = 2 * time.Second
+	// unmeasuredAfter and unmeasuredFactor make an upstream that was long not measured look quicker than
+	// the others, so that it is tried: at low load nothing else would show that it has recovered.
+	unmeasuredAfter  = 6 * time.Second
+	unmeasuredFactor = 0.6
 	// learning is the weight of the newest of the samples that measure slowness.
 	learning = 0.25
 	// shortestBan and longestBan bound how long an upstream that cannot be reached gets nothing. The
@@ -30,7 +34,7 @@
 	declared traffic.Upstream
 	fence    int64
 	resident map[traffic.Adapter]Resident
-	recent   []traffic.Adapter
+	recent   []Resident
 	idle     int
 	wait     time.Duration
 	// preparing is how many requests of this instance wait for adapters there.
@@ -171,7 +175,7 @@
 func (p *Pool) Prepared(id string, adapter traffic.Adapter, version int64) {
 	if u := p.upstreams[id]; u != nil {
 		u.resident[adapter] = Resident{Adapter: adapter, Version: version}
-		u.remember(adapter)
+		u.remember(u.resident[adapter])
 	}
 }
 
@@ -181,29 +185,30 @@
 	u.resident = make(map[traffic.Adapter]Resident, len(list))
 	for _, resident := range list {
 		u.resident[resident.Adapter] = resident
-		u.remember(resident.Adapter)
+		u.remember(resident)
 	}
 }
 
 // remember keeps the order of last being resident, newest last.
-func (u *upstream) remember(adapter traffic.Adapter) {
+func (u *upstream) remember(resident Resident) {
 	for i, known := range u.recent {
-		if known == adapter {
+		if known.Adapter == resident.Adapter {
 			copy(u.recent[i:], u.recent[i+1:])
-			u.recent[len(u.recent)-1] = adapter
+			u.recent[len(u.recent)-1] = resident
 			return
 		}
 	}
-	u.recent = append(u.recent, adapter)
+	u.recent = append(u.recent, resident)
 	if len(u.recent) > recentResidents {
 		u.recent = u.recent[1:]
 	}
 }
 
-func (u *upstream) hadLately(adapter traffic.Adapter) bool {
+// hadLately tells whether the upstream is taken to have a copy of an adapter, in a version that will do.
+func (u *upstream) hadLately(adapter traffic.Adapter, version int64) bool {
 	for _, known := range u.recent {
-		if known == adapter {
-			return true
+		if known.Adapter == adapter {
+			return known.Version >= version
 		}
 	}
 	return false
@@ -245,8 +250,10 @@
 
 const priorSuccesses = 2
 
-// slowness falls back to 1 without new samples, so that a recovery is tried.
+// slowness falls back without new samples, so that a recovery is tried.
 func (u *upstream) slowness(now time.Time) float64 {
-	factor := math.Exp2(-now.Sub(u.measured).Seconds() / slownessHalfLife.Seconds())
-	return 1 + (u.slow-1)*factor
+	unmeasured := now.Sub(u.measured)
+	excess := (u.slow - 1) * math.Exp2(-unmeasured.Seconds()/slownessHalfLife.Seconds())
+	part := min(1, unmeasured.Seconds()/unmeasuredAfter.Seconds())
+	return (1 + excess) * (1 - (1-unmeasuredFactor)*part)
 }
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -84,6 +84,9 @@
 	asked   int64
 	checkAt time.Time
 	used    time.Time
+	// leaving: an order to unload it was given, and its answer has not come. A request that is sent there
+	// meanwhile would find nothing, or be in use while the order is carried out.
+	leaving bool
 	// reservedUntil protects an adapter for a request that has not shown yet.
 	reservedUntil time.Time
 }
@@ -186,7 +189,7 @@
 // that is about to use it.
 func (p *Planner) Has(now time.Time, adapter traffic.Adapter, version int64) (at int64, ok bool) {
 	known := p.places[adapter]
-	if !p.known || known == nil || known.state != loaded || known.version < version {
+	if !p.known || known == nil || known.state != loaded || known.version < version || known.leaving {
 		return 0, false
 	}
 	if known.ordered > known.version {
@@ -250,6 +253,9 @@
 	}
 	if order, found := p.load(now); found {
 		order.Sequence = p.sequence
+		if order.Unload {
+			p.places[order.Adapter].leaving = true
+		}
 		return Give{Order: order}
 	}
 	if at := now.Add(idleCheck); len(p.wants) > 0 && at.Before(rest) {
@@ -273,6 +279,9 @@
 	if outcome != NoAnswer {
 		p.unanswered = nil
 	}
+	if known := p.places[order.Adapter]; known != nil && outcome != NoAnswer {
+		known.leaving = false
+	}
 	switch outcome {
 	case Accepted:
 		p.accepted(now, order)
@@ -291,6 +300,8 @@
 	}
 }
 
+// noAnswer has the order given again, after some repeats only once a report came. The order is kept until
+// the upstream has accepted it or another: until then the first copy may still be carried out.
 func (p *Planner) noAnswer(now time.Time, order Order) {
 	if p.unanswered == nil {
 		p.repeats = 0
@@ -299,7 +310,7 @@
 	p.unanswered = &order
 	p.repeatAt = now.Add(repeatAfter)
 	if p.repeats > mostRepeats {
-		p.unanswered = nil
+		p.repeats = 0
 		p.doubt(now, reportLag)
 	}
 }
@@ -321,7 +332,9 @@
 		p.doubt(now, inspectAgain)
 		return
 	}
-	p.unanswered = nil
+	if p.unanswered != nil && report.Sequence != p.unanswered.Sequence {
+		p.unanswered = nil
+	}
 	before := p.places
 	p.places = make(map[traffic.Adapter]*place)
 	for _, model := range report.Models {
@@ -359,6 +372,7 @@
 	if there := p.places[adapter]; there != nil {
 		return there
 	}
+	known.leaving = p.unanswered != nil && p.unanswered.Unload && p.unanswered.Adapter == adapter
 	p.places[adapter] = known
 	return known
 }
