--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -19,7 +19,9 @@
 	upstream traffic.Upstream
 	fence    int64
 	stop     context.CancelFunc
-	wake     chan struct{}
+	// ended is closed when the instance does not hold the upstream any more.
+	ended <-chan struct{}
+	wake  chan struct{}
 
 	mutex   sync.Mutex
 	planner residence.Planner
@@ -28,9 +30,9 @@
 	learnt  bool
 }
 
-func newHolding(n *Node, upstream traffic.Upstream, fence int64, stop context.CancelFunc) *holding {
+func newHolding(ctx context.Context, n *Node, upstream traffic.Upstream, fence int64, stop context.CancelFunc) *holding {
 	h := &holding{
-		node: n, upstream: upstream, fence: fence, stop: stop,
+		node: n, upstream: upstream, fence: fence, stop: stop, ended: ctx.Done(),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	if engine := n.Table().Configuration.Services[upstream.Service].Engine; engine != nil {
@@ -201,6 +203,8 @@
 		h.look()
 		select {
 		case <-changed:
+		case <-h.ended:
+			return mesh.NotHolder{}
 		case <-ctx.Done():
 			return mesh.Busy{}
 		}
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -87,6 +87,10 @@
 		n.knowledge.mutex.Lock()
 		holder, found := n.knowledge.roster.Holder(id)
 		n.knowledge.mutex.Unlock()
+		if upstream.Draining {
+			n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
+			continue
+		}
 		if found && holder.Incarnation == n.self.Incarnation {
 			n.hold(ctx, upstream, holder.Fence)
 			continue
@@ -186,7 +190,7 @@
 		n.drop(upstream.ID)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	one := newHolding(n, upstream, fence, cancel)
+	one := newHolding(ctx, n, upstream, fence, cancel)
 	n.holdings.mutex.Lock()
 	n.holdings.held[upstream.ID] = one
 	n.holdings.mutex.Unlock()
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -78,6 +78,7 @@
 	scope     tally.Scope
 	stopping  atomic.Bool
 
+	handler    *serve.Handler
 	callers    *http.Server
 	ready      *http.Server
 	metrics    *http.Server
@@ -142,11 +143,11 @@
 	n.current.Store(&n.Settings)
 	n.knowledge.wake = make(chan struct{}, 1)
 	n.assembleAdvice()
-	handler := &serve.Handler{
+	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, Advice: n.advice, Log: n.Log, Scope: scope,
 	}
 	n.callers = &http.Server{
-		Handler:           handler,
+		Handler:           n.handler,
 		ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout,
 		IdleTimeout:       n.Settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    int(n.Settings.Callers.HeaderBytes),
@@ -257,9 +258,10 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.Log.Info().Msg("Stopping")
+	n.handler.Leave()
 	n.endLease()
-	pause(working, leaveAfter)
-	n.callers.SetKeepAlivesEnabled(false)
+	pause(working, leaveAfter-time.Since(began))
+	n.handler.Close()
 	closing, cancel := context.WithDeadline(context.Background(), began.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(closing)
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -118,10 +118,12 @@
 	if !ok {
 		return false
 	}
+	takes := false
 	j.handler.Advice.With(func(a *Advice) {
 		a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
+		takes = a.Pool.Takes(choice.Upstream)
 	})
-	return true
+	return takes
 }
 
 // mayRunAgain tells whether the request may be sent again although it may have run.
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,8 +67,20 @@
 	Advice  *Advice
 	Log     zerolog.Logger
 	Scope   tally.Scope
+
+	leaving atomic.Bool
+	closed  atomic.Bool
 }
 
+// Leave has callers told with each answer to use another connection from now on.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// Close refuses all requests that come from now on; those that are being served go on. It has to be called
+// before idle connections are closed. A connection counts as idle until the whole header of its next
+// request was read, so one on which a request is just arriving can be closed under it: passed on to an
+// upstream, that request would run and its answer go nowhere.
+func (h *Handler) Close() { h.closed.Store(true) }
+
 // bodyBytesUnstated bounds a body where the configuration does not.
 const bodyBytesUnstated = 4 << 20
 
@@ -75,6 +88,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{handler: h, writer: w, began: time.Now()}
 	j.bound(longestRequest)
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	err := h.serve(r, j)
 	if err != nil {
 		j.refuse(err)
@@ -86,6 +102,9 @@
 }
 
 func (h *Handler) serve(r *http.Request, j *job) (err error) {
+	if h.closed.Load() {
+		return refusal.New(refusal.Stopping, "the instance is stopping").WithRetryAfter(stoppingRetryAfter)
+	}
 	j.table = h.Fleet.Table()
 	if j.table == nil {
 		return refusal.New(refusal.NotFresh, "no configuration is known yet").WithRetryAfter(startingRetryAfter)
@@ -132,6 +151,9 @@
 // writeGrace is the time for the last bytes of an answer that ends with the request's time.
 const writeGrace = time.Second
 
+// stoppingRetryAfter: any other instance serves at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // startingRetryAfter is about what an instance needs to learn a configuration.
 const startingRetryAfter = 300 * time.Millisecond
 
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -153,6 +153,13 @@
 	return list
 }
 
+// Takes tells whether an upstream still is what a choice found and takes new requests. A choice can be some
+// seconds old when it is used, if an adapter had to be loaded first.
+func (p *Pool) Takes(chosen traffic.Upstream) bool {
+	u := p.upstreams[chosen.ID]
+	return u != nil && !u.declared.Draining && u.declared.Born == chosen.Born && u.declared.Address == chosen.Address
+}
+
 // Upstream gives one that is declared.
 func (p *Pool) Upstream(id string) (traffic.Upstream, bool) {
 	u := p.upstreams[id]
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -218,6 +218,24 @@
 	})
 }
 
+// A request waits for an adapter at an upstream, which begins to leave meanwhile. Sent there after the wait,
+// the request could be cut when the upstream goes.
+func TestChoiceIsCheckedWhenItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("e1", "e2")
+		resident(p, "e1", "a")
+		choice, _ := place(is, p, generation("a"))
+		is.True(p.Takes(choice.Upstream))
+		declare(p, "e1", func(u *traffic.Upstream) { u.Draining = true })
+		is.True(!p.Takes(choice.Upstream))
+		declare(p, "e1", func(u *traffic.Upstream) { u.Born = 2 })
+		is.True(!p.Takes(choice.Upstream))
+		p.Forget("e1")
+		is.True(!p.Takes(choice.Upstream))
+	})
+}
+
 // A holder that was replaced wakes up and tells what it believes. Its successor has evicted the adapter
 // since, and requests sent on the old word would be refused.
 func TestEarlierHoldersWordIsDropped(t *testing.T) {
