--- /dev/null
+++ b/internal/entry/node/settings_test.go
@@ -0,0 +1,84 @@
+package node_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/entry/node"
+)
+
+// given are the platform's fields that the template names, with values of a real instance.
+var given = map[string]string{
+	"node-name":            "edge-kgn-1",
+	"zone":                 "kgn",
+	"ip":                   "10.1.0.25",
+	"listen.frontend":      "10.1.0.25:8221",
+	"listen.ready":         "10.1.0.25:8224",
+	"internal-ports.0":     "7600",
+	"platform.address":     "10.200.1.7:8225",
+	"bounds.fence-checked": "true",
+	"bounds.retry-ratio":   "0.2",
+	"bounds.retry-slack":   "54",
+}
+
+func rendered(t *testing.T) string {
+	t.Helper()
+	template, err := os.ReadFile("../../../deploy/settings.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(string(template), func(name string) string {
+		value, found := given[strings.Trim(name, "{}")]
+		if !found {
+			t.Errorf("the template names %s", name)
+		}
+		return value
+	})
+}
+
+func load(t *testing.T, content string) (node.Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return node.LoadSettings(file)
+}
+
+// The template of the deploy file and the program's settings are two files. One name that differs would
+// keep every instance from starting.
+func TestDeployedTemplateIsValid(t *testing.T) {
+	is := is.New(t)
+	settings, err := load(t, rendered(t))
+	is.NoErr(err)
+	is.Equal(settings.Instance.Name, "edge-kgn-1")
+	is.Equal(settings.Instance.PeerAddress, "10.1.0.25:7600")
+	is.Equal(settings.Platform.StoreAddress, "10.200.1.7:8225")
+	is.True(settings.Upstreams.FencesChecked)
+	is.Equal(settings.Retries.Slack, 54.0)
+}
+
+func TestWrongSettingsNameTheField(t *testing.T) {
+	tests := []struct{ name, from, to, want string }{
+		{"missing", "Name = edge-kgn-1\n", "", "[Instance] Name: is missing"},
+		{"empty", "DataCentre = kgn", "DataCentre =", "[Instance] DataCentre: is empty"},
+		{"unknown", "DataCentre = kgn", "DataCentre = kgn\nDataCenter = x", "[Instance] DataCenter: unknown name"},
+		{"no address", "10.200.1.7:8225", "store", "[Platform] StoreAddress:"},
+		{"no number", "Slack = 54", "Slack = many", "[Retries] Slack:"},
+		{"out of bounds", "Ratio = 0.2", "Ratio = -1", "[Retries] Ratio:"},
+		{"neither true nor false", "FencesChecked = true", "FencesChecked = perhaps", "[Upstreams] FencesChecked:"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := load(t, strings.Replace(rendered(t), test.from, test.to, 1))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), test.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/mesh/mesh_test.go
@@ -0,0 +1,117 @@
+package mesh_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// echo is a peer that keeps what it is told and answers as it is set.
+type echo struct {
+	beat     mesh.Beat
+	asked    mesh.PrepareRequest
+	after    int64
+	batch    replica.Batch
+	prepared mesh.Prepared
+}
+
+func (e *echo) Exchange(beat mesh.Beat) mesh.Beat {
+	e.beat = beat
+	return beat
+}
+
+func (e *echo) CatchUp(after int64) replica.Batch {
+	e.after = after
+	return e.batch
+}
+
+func (e *echo) Prepare(_ context.Context, request mesh.PrepareRequest) mesh.Prepared {
+	e.asked = request
+	return e.prepared
+}
+
+func serveEcho(t *testing.T) (*echo, *mesh.Peers, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	peer := &echo{}
+	mesh.Register(server, peer)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	peers := &mesh.Peers{Credentials: insecure.NewCredentials()}
+	t.Cleanup(peers.Close)
+	return peer, peers, listener.Addr().String()
+}
+
+func TestBeatArrivesWhole(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	a := traffic.Adapter{Model: "m", Name: "a"}
+	beat := mesh.Beat{
+		Instance: "i", Incarnation: "x", Revision: 7, ConfirmedAge: 250 * time.Millisecond, Stopping: true,
+		Spent: quota.Spent{"w": 12.5},
+		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
+		Residencies: []pool.Residency{{
+			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond,
+			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
+		}},
+		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
+	}
+	answer, err := peers.Exchange(context.Background(), address, beat)
+	is.NoErr(err)
+	is.Equal(peer.beat, beat)
+	is.Equal(answer, beat)
+}
+
+func TestChangesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	peer.batch = replica.Batch{After: 3, Through: 9, Snapshot: true, Items: []replica.Item{
+		{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 9, Removed: true},
+	}}
+	batch, err := peers.CatchUp(context.Background(), address, 3)
+	is.NoErr(err)
+	is.Equal(peer.after, int64(3))
+	is.Equal(batch, peer.batch)
+}
+
+func TestPrepare(t *testing.T) {
+	tests := []struct {
+		name     string
+		prepared mesh.Prepared
+	}{
+		{"loaded", mesh.Loaded{Version: 5}},
+		{"not the holder", mesh.NotHolder{}},
+		{"busy", mesh.Busy{RetryAfter: 700 * time.Millisecond}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			peer, peers, address := serveEcho(t)
+			peer.prepared = test.prepared
+			request := mesh.PrepareRequest{
+				Upstream: "u", Adapter: traffic.Adapter{Model: "m", Name: "a"}, Version: 2,
+				Patience: time.Second, OnTime: 300 * time.Millisecond, Priority: 1,
+			}
+			prepared, err := peers.Prepare(context.Background(), address, request)
+			is.NoErr(err)
+			is.Equal(prepared, test.prepared)
+			is.Equal(peer.asked, request)
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,67 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+)
+
+func TestKeysComeAndGo(t *testing.T) {
+	is := is.New(t)
+	var r roster.Roster
+	instance := roster.Instance{Name: "a", Incarnation: "x", DataCentre: "here", Address: "10.0.0.1:1"}
+	value, err := roster.EncodeInstance(instance)
+	is.NoErr(err)
+	ours, err := r.Apply(roster.InstanceKey("a"), value, 5, false)
+	is.NoErr(err)
+	is.True(ours)
+	is.Equal(r.Instances(), []roster.Instance{instance})
+	value, err = roster.EncodeHolder(roster.Holder{Instance: "a", Incarnation: "x"})
+	is.NoErr(err)
+	_, err = r.Apply(roster.HolderKey("u"), value, 9, false)
+	is.NoErr(err)
+	holder, found := r.Holder("u")
+	is.True(found)
+	is.Equal(holder, roster.Holder{Upstream: "u", Instance: "a", Incarnation: "x", Fence: 9}) // the key's revision
+	_, err = r.Apply(roster.HolderKey("u"), nil, 10, true)
+	is.NoErr(err)
+	_, found = r.Holder("u")
+	is.True(!found)
+	ours, err = r.Apply("servers/x", []byte("?"), 1, false)
+	is.NoErr(err)
+	is.True(!ours)
+}
+
+// Somebody else wrote to one of the fleet's keys. What is known stays, and the error is for the log.
+func TestUnreadableKeyChangesNothing(t *testing.T) {
+	is := is.New(t)
+	var r roster.Roster
+	_, err := r.Apply(roster.InstanceKey("a"), []byte("{"), 1, false)
+	is.True(err != nil)
+	is.Equal(len(r.Instances()), 0)
+}
+
+// One of many instances goes. If that changed the order of all others, every upstream would get another
+// holder, and each would begin by learning what is loaded.
+func TestRankIsSpreadAndStable(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	first := map[string]int{}
+	for i := range 800 {
+		subject := fmt.Sprint("upstream", i)
+		for _, name := range names {
+			rank := roster.Rank(subject, name, names)
+			if rank == 0 {
+				first[name]++
+			}
+			without := roster.Rank(subject, name, names[1:])
+			is.True(without == rank || without == rank-1)
+		}
+	}
+	for _, name := range names {
+		is.True(first[name] > 60 && first[name] < 140)
+	}
+}
