--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -23,6 +23,8 @@
 	beatTimeout = 400 * time.Millisecond
 	// aliveBeats is how many beats may be missing until a peer counts as silent.
 	aliveBeats = 4
+	// matchEvery is how late a loop begins after the roster shows its peer.
+	matchEvery = 50 * time.Millisecond
 	// keepPeer is how long a peer that left the roster is still told: entries lapse while the store is
 	// away, and the instances need each other most then.
 	keepPeer = 20 * time.Second
@@ -32,6 +34,27 @@
 	mutex sync.Mutex
 	heard map[string]time.Time
 	peers map[string]*peerLoop
+	// away are the peers that say they do not reach the store.
+	away map[string]bool
+}
+
+// reads tells whether a peer can be left to read the store for all.
+func (b *beats) reads(now time.Time, name string) bool {
+	if !b.isAlive(now, name) {
+		return false
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return !b.away[name]
+}
+
+func (b *beats) setAway(name string, away bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.away == nil {
+		b.away = make(map[string]bool)
+	}
+	b.away[name] = away
 }
 
 // beatPace is how often a pair exchanges, for a number of peers.
@@ -123,7 +146,7 @@
 
 // runBeats keeps a loop for each peer.
 func (n *Node) runBeats(ctx context.Context) error {
-	for pause(ctx, tick) {
+	for pause(ctx, matchEvery) {
 		n.matchPeers(ctx, time.Now())
 	}
 	n.beats.mutex.Lock()
@@ -181,6 +204,7 @@
 // run exchanges heartbeats until the context ends. Of each pair the one with the smaller name calls; the
 // other only does when it has not been called for a while.
 func (l *peerLoop) run(ctx context.Context) {
+	l.exchange(ctx, l.node.beat())
 	for ctx.Err() == nil {
 		touched := l.wait(ctx)
 		n := l.node
@@ -263,6 +287,7 @@
 		ConfirmedAge: -1,
 		Residencies:  n.holdings.residencies(now),
 		Stopping:     n.stopping.Load(),
+		StoreAway:    n.storeAway.Load(),
 	}
 	n.knowledge.mutex.Lock()
 	beat.Revision = n.knowledge.replica.Revision()
@@ -293,6 +318,7 @@
 		n.holdings.look()
 		return
 	}
+	n.beats.setAway(beat.Instance, beat.StoreAway)
 	if n.beats.hear(now, beat.Instance) {
 		n.Log.Info().Str("Peer", beat.Instance).Int64("Revision", beat.Revision).Msg("PeerHeard")
 	}
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -99,7 +99,7 @@
 	i.reread = func() (node.Settings, error) { return i.settings, nil }
 	n := &node.Node{
 		Settings: i.settings, Store: i.client, Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
-		Orders: &orders{}, ReadyPath: platform.PathReady, Log: zerolog.New(i.log),
+		Orders: &orders{}, ReadyPath: platform.PathReady, Log: zerolog.New(i.log).With().Timestamp().Logger(),
 		Dropped: func() int { return 0 },
 		Apply:   func(node.Settings) {},
 		Reread: func() (node.Settings, error) {
@@ -111,19 +111,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go func() { i.ended <- n.Run(ctx) }()
-	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		cancel()
+		if t.Failed() {
+			i.log.mutex.Lock()
+			defer i.log.mutex.Unlock()
+			t.Logf("log of %s:\n%s", name, i.log.text.String())
+		}
+	})
 	return i
 }
 
 // eventually waits until a condition holds.
 func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
 	t.Helper()
+	began := time.Now()
 	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if holds() {
 			return
 		}
 	}
-	t.Fatalf("not within %s: %s", within, what)
+	t.Fatalf("not within %s since %s: %s", within, began.Format(time.RFC3339Nano), what)
 }
 
 func (i *instance) status(path string) int {
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -86,6 +86,7 @@
 	for id, upstream := range upstreams {
 		n.knowledge.mutex.Lock()
 		holder, found := n.knowledge.roster.Holder(id)
+		revision := n.knowledge.replica.Revision()
 		n.knowledge.mutex.Unlock()
 		if upstream.Draining {
 			n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
@@ -95,19 +96,22 @@
 			n.hold(ctx, upstream, holder.Fence)
 			continue
 		}
+		if one := n.holdings.get(id); one != nil && one.fence > revision {
+			continue // claimed a moment ago; the store's word of it has not come yet
+		}
 		n.drop(id)
 		if n.stopping.Load() {
 			continue
 		}
 		if found && holder.Instance == n.self.Name {
-			n.claim(ctx, id, holder.Fence) // left by this instance's last incarnation
+			n.claim(ctx, upstream, holder.Fence) // left by this instance's last incarnation
 			continue
 		}
 		if found {
 			delete(n.holdings.unheld, id)
 			continue
 		}
-		n.claimInTurn(ctx, id, now)
+		n.claimInTurn(ctx, upstream, now)
 	}
 	for id := range n.holdings.held {
 		if _, found := upstreams[id]; !found {
@@ -134,7 +138,8 @@
 }
 
 // claimInTurn claims an upstream that has no holder once this instance is in line.
-func (n *Node) claimInTurn(ctx context.Context, id string, now time.Time) {
+func (n *Node) claimInTurn(ctx context.Context, upstream traffic.Upstream, now time.Time) {
+	id := upstream.ID
 	since, found := n.holdings.unheld[id]
 	if !found {
 		n.holdings.unheld[id] = now
@@ -150,11 +155,13 @@
 	if now.Sub(since) < claimSettle+time.Duration(rank)*claimStep {
 		return
 	}
-	n.claim(ctx, id, 0)
+	n.claim(ctx, upstream, 0)
 }
 
-// claim makes this instance the holder if the key is still as known.
-func (n *Node) claim(ctx context.Context, id string, revision int64) {
+// claim makes this instance the holder if the key is still as known. It orders from then on, without
+// waiting for the store's word: after a restart of the whole fleet every adapter waits for a holder.
+func (n *Node) claim(ctx context.Context, upstream traffic.Upstream, revision int64) {
+	id := upstream.ID
 	now := time.Now()
 	leaseID, ok := n.lease.current(now)
 	if !ok {
@@ -178,6 +185,7 @@
 		n.Log.Warn().Err(err).Str("Upstream", id).Msg("ClaimFailed")
 	default:
 		n.Log.Info().Str("Upstream", id).Int64("Fence", fence).Msg("Claimed")
+		n.hold(ctx, upstream, fence)
 	}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -77,6 +77,8 @@
 	forward   *forward.Client
 	scope     tally.Scope
 	stopping  atomic.Bool
+	// storeAway: the last read of the store failed.
+	storeAway atomic.Bool
 
 	handler    *serve.Handler
 	callers    *http.Server
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -19,7 +19,7 @@
 	watchFor = 600 * time.Millisecond
 	// watchEvery paces the watches while there are many changes: a change is known this much later, of
 	// the two seconds that there are.
-	watchEvery = 350 * time.Millisecond
+	watchEvery = 250 * time.Millisecond
 	// readAfter is how old the store's word may get until the next instance in line reads by itself, and
 	// readStep what each further one waits on top.
 	readAfter = 1100 * time.Millisecond
@@ -43,6 +43,8 @@
 		err := n.read(ctx)
 		if (err == nil) != reached && ctx.Err() == nil {
 			reached = err == nil
+			n.storeAway.Store(!reached)
+			n.beats.touchAll() // the next in line takes over, or need not read any more
 			n.Log.Warn().Bool("Reached", reached).Err(err).Msg("Store")
 		}
 		if err != nil {
@@ -64,7 +66,7 @@
 	}
 	var names []string
 	for _, instance := range k.roster.Instances() {
-		if instance.Name == n.self.Name || n.beats.isAlive(now, instance.Name) {
+		if instance.Name == n.self.Name || n.beats.reads(now, instance.Name) {
 			names = append(names, instance.Name)
 		}
 	}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -21,6 +21,7 @@
 		ConfirmedAgeMicros: b.ConfirmedAge.Microseconds(),
 		Stopping:           b.Stopping,
 		OnlyLoads:          b.OnlyLoads,
+		StoreAway:          b.StoreAway,
 	}
 	for workspace, units := range b.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
@@ -51,6 +52,7 @@
 		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
 		Stopping:     wire.GetStopping(),
 		OnlyLoads:    wire.GetOnlyLoads(),
+		StoreAway:    wire.GetStoreAway(),
 	}
 	for _, spent := range wire.GetSpent() {
 		b.Spent[spent.GetWorkspace()] = spent.GetUnits()
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -27,6 +27,8 @@
 	Stopping     bool
 	// OnlyLoads: the beat tells Loads and nothing else.
 	OnlyLoads bool
+	// StoreAway: the instance does not reach the store.
+	StoreAway bool
 }
 
 // PrepareRequest asks the holder of an upstream for an adapter.
