Let an instance follow peers that it knows only by their calls

Cause: an instance that the store turns away right after it has joined has read no roster; the others called it, but it fetched nothing from them, and stayed at the first configuration. Also mended in the test: ports are taken by the instances themselves, two runs had met a taken one. Ruled out: slow reading; the readers had the change 0.3 s after it was made.

--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -34,6 +34,8 @@
 	mutex sync.Mutex
 	heard map[string]time.Time
 	peers map[string]*peerLoop
+	// callers are the instances that have called, whether the roster shows them or not.
+	callers map[string]roster.Instance
 	// away are the peers that say they do not reach the store.
 	away map[string]bool
 }
@@ -77,14 +79,17 @@
 	return beatPace(len(b.peers))
 }
 
-func (b *beats) hear(now time.Time, name string) (first bool) {
+func (b *beats) hear(now time.Time, caller roster.Instance) (first bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.heard == nil {
 		b.heard = make(map[string]time.Time)
+		b.callers = make(map[string]roster.Instance)
 	}
+	name := caller.Name
 	before, found := b.heard[name]
 	b.heard[name] = now
+	b.callers[name] = caller
 	return !found || now.Sub(before) > aliveBeats*beatPace(len(b.peers))
 }
 
@@ -157,6 +162,22 @@
 	return nil
 }
 
+// known lists the instances of the roster, and those that have called lately though the roster does not
+// show them: an instance that the store turns away right after its start knows the others only so. The
+// lock is held.
+func (b *beats) known(now time.Time, instances []roster.Instance) []roster.Instance {
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		listed[instance.Name] = true
+	}
+	for name, caller := range b.callers {
+		if !listed[name] && now.Sub(b.heard[name]) < keepPeer {
+			instances = append(instances, caller)
+		}
+	}
+	return instances
+}
+
 // matchPeers starts and ends loops as instances come and go.
 func (n *Node) matchPeers(ctx context.Context, now time.Time) {
 	n.knowledge.mutex.Lock()
@@ -168,7 +189,7 @@
 		n.beats.peers = make(map[string]*peerLoop)
 	}
 	addresses := make(map[string]bool)
-	for _, instance := range instances {
+	for _, instance := range n.beats.known(now, instances) {
 		if instance.Name == n.self.Name {
 			continue
 		}
@@ -284,6 +305,7 @@
 	beat := mesh.Beat{
 		Instance:     n.self.Name,
 		Incarnation:  n.self.Incarnation,
+		Address:      n.self.Address,
 		ConfirmedAge: -1,
 		Residencies:  n.holdings.residencies(now),
 		Stopping:     n.stopping.Load(),
@@ -319,7 +341,8 @@
 		return
 	}
 	n.beats.setAway(beat.Instance, beat.StoreAway)
-	if n.beats.hear(now, beat.Instance) {
+	caller := roster.Instance{Name: beat.Instance, Incarnation: beat.Incarnation, Address: beat.Address}
+	if n.beats.hear(now, caller) {
 		n.Log.Info().Str("Peer", beat.Instance).Int64("Revision", beat.Revision).Msg("PeerHeard")
 	}
 	n.advice.With(func(a *serve.Advice) {
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -73,14 +73,18 @@
 	return residence.Report{Models: []traffic.LoadedModel{{Name: "m", Version: 1}}}, nil
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// anyPort has an instance take free ports; it logs which.
+const anyPort = "127.0.0.1:0"
+
+// address is what an instance has logged for one of its doors.
+func (i *instance) address(door string) string {
+	i.log.mutex.Lock()
+	defer i.log.mutex.Unlock()
+	found := regexp.MustCompile(`"` + door + `":"([^"]+)"`).FindStringSubmatch(i.log.text.String())
+	if found == nil {
+		return ""
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return found[1]
 }
 
 func start(t *testing.T, s *store, name string) *instance {
@@ -88,8 +92,8 @@
 	i := &instance{name: name, client: &client{store: s}, ended: make(chan error, 1), log: &lines{}}
 	i.settings = node.Settings{
 		Instance: node.InstanceSettings{
-			Name: name, DataCentre: "here", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
-			PeerAddress: freeAddress(t), MetricsAddress: freeAddress(t),
+			Name: name, DataCentre: "here", CallerAddress: anyPort, ReadyAddress: anyPort,
+			PeerAddress: anyPort, MetricsAddress: anyPort,
 		},
 		Platform:  node.PlatformSettings{StoreTimeout: time.Second},
 		Callers:   node.CallerSettings{HeaderBytes: 16384, HeaderTimeout: time.Second, IdleTimeout: time.Second, StopWithin: 5 * time.Second},
@@ -135,7 +139,7 @@
 }
 
 func (i *instance) status(path string) int {
-	request, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Instance.CallerAddress+path, nil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+i.address("CallerAddress")+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -151,7 +155,7 @@
 }
 
 func (i *instance) ready() bool {
-	response, err := http.Get("http://" + i.settings.Instance.ReadyAddress + platform.PathReady)
+	response, err := http.Get("http://" + i.address("ReadyAddress") + platform.PathReady)
 	if err != nil {
 		return false
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -102,7 +102,10 @@
 	n.assemble()
 	defer n.closeScope()
 	n.Log.Info().Str("Name", n.self.Name).Str("DataCentre", n.self.DataCentre).
-		Str("Incarnation", n.self.Incarnation).Str("CallerAddress", n.Settings.Instance.CallerAddress).
+		Str("Incarnation", n.self.Incarnation).
+		Stringer("CallerAddress", n.listeners.callers.Addr()).
+		Stringer("ReadyAddress", n.listeners.ready.Addr()).
+		Stringer("MetricsAddress", n.listeners.metrics.Addr()).
 		Str("PeerAddress", n.self.Address).Msg("Started")
 	err = n.runDuties(ctx)
 	n.Log.Info().Err(err).Msg("Stopped")
@@ -134,7 +137,7 @@
 		Name:        n.Settings.Instance.Name,
 		Incarnation: uuid.NewString(),
 		DataCentre:  n.Settings.Instance.DataCentre,
-		Address:     n.Settings.Instance.PeerAddress,
+		Address:     n.listeners.mesh.Addr().String(),
 	}
 	scope, exposition, closer := metrics.New("lacewingd")
 	n.scope = scope
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -8,7 +8,8 @@
 
 // settings.go lists what an instance is told when it starts.
 
-// Settings of a node. Addresses are IP and port.
+// Settings of a node. Addresses are IP and port; a port of 0 takes any free one, and the event "Started"
+// tells which.
 type Settings struct {
 	Instance  InstanceSettings
 	Platform  PlatformSettings
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -22,6 +22,7 @@
 		Stopping:           b.Stopping,
 		OnlyLoads:          b.OnlyLoads,
 		StoreAway:          b.StoreAway,
+		Address:            b.Address,
 	}
 	for workspace, units := range b.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
@@ -53,6 +54,7 @@
 		Stopping:     wire.GetStopping(),
 		OnlyLoads:    wire.GetOnlyLoads(),
 		StoreAway:    wire.GetStoreAway(),
+		Address:      wire.GetAddress(),
 	}
 	for _, spent := range wire.GetSpent() {
 		b.Spent[spent.GetWorkspace()] = spent.GetUnits()
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -17,7 +17,9 @@
 type Beat struct {
 	Instance    string
 	Incarnation string
-	Revision    int64
+	// Address is where the instance talks to the others.
+	Address  string
+	Revision int64
 	// ConfirmedAge is how long ago the store confirmed the revision as its newest; negative if not known.
 	ConfirmedAge time.Duration
 	Spent        quota.Spent
