--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -13,7 +13,7 @@
 
 const (
 	// awayCost is what another data centre costs: the way there and back, and bytes that are billed.
-	awayCost = 4 * time.Millisecond
+	awayCost = 20 * time.Millisecond
 	// failureCost is what a certain failure costs: the time of a retry. Callers of a request that may not
 	// be repeated lose it altogether, so they gain as well from the upstream that fails less.
 	failureCost = 800 * time.Millisecond
