--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -89,7 +89,9 @@
 	}
 	err = instance.Run(ctx)
 	stop()
-	<-written
+	if unwritten := <-written; err == nil {
+		err = unwritten
+	}
 	if err != nil {
 		return v.program.fail(exitFailed, err)
 	}
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -127,6 +127,9 @@
 	h.fenced = outcome == residence.Fenced
 	h.announce()
 	h.mutex.Unlock()
+	if outcome == residence.OtherUpstream {
+		h.node.advice.With(func(a *serve.Advice) { a.Pool.Crashed(time.Now(), h.upstream.ID) })
+	}
 	h.tellOwn()
 }
 
@@ -147,8 +150,8 @@
 		Bool("Busy", report.Busy).Interface("Models", report.Models).Interface("Pending", report.Pending).
 		Err(err).Msg("Report")
 	h.mutex.Lock()
-	if err != nil {
-		h.planner.ReportFailed(time.Now())
+	if err != nil || report.Born != 0 && h.upstream.Born != 0 && report.Born != h.upstream.Born {
+		h.planner.ReportFailed(time.Now()) // no answer, or another upstream's
 		h.mutex.Unlock()
 		return
 	}
--- /dev/null
+++ b/internal/entry/node/peer_loop.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+)
+
+// peer_loop.go keeps a loop for each peer, which exchanges heartbeats with it and fetches what it knows and
+// this instance does not.
+
+// peerLoop exchanges heartbeats with one peer.
+type peerLoop struct {
+	node     *Node
+	instance roster.Instance
+	seen     time.Time
+	stop     context.CancelFunc
+	touched  chan struct{}
+	// urgent asks for a whole heartbeat at once.
+	urgent chan struct{}
+	// ahead carries a heartbeat of the peer that showed changes this instance lacks.
+	ahead chan mesh.Beat
+}
+
+// runBeats keeps a loop for each peer.
+func (n *Node) runBeats(ctx context.Context) error {
+	for pause(ctx, matchEvery) {
+		n.matchPeers(ctx, time.Now())
+	}
+	n.beats.mutex.Lock()
+	defer n.beats.mutex.Unlock()
+	for _, loop := range n.beats.peers {
+		loop.stop()
+	}
+	return nil
+}
+
+// known lists the instances of the roster, and those that have called lately though the roster does not
+// show them: an instance that the store turns away right after its start knows the others only so. The
+// lock is held.
+func (b *beats) known(now time.Time, instances []roster.Instance) []roster.Instance {
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		listed[instance.Name] = true
+	}
+	for name, caller := range b.callers {
+		if !listed[name] && now.Sub(b.heard[name]) < keepPeer {
+			instances = append(instances, caller)
+		}
+	}
+	return instances
+}
+
+// matchPeers starts and ends loops as instances come and go.
+func (n *Node) matchPeers(ctx context.Context, now time.Time) {
+	n.knowledge.mutex.Lock()
+	instances := n.knowledge.roster.Instances()
+	n.knowledge.mutex.Unlock()
+	n.beats.mutex.Lock()
+	defer n.beats.mutex.Unlock()
+	if n.beats.peers == nil {
+		n.beats.peers = make(map[string]*peerLoop)
+	}
+	addresses := make(map[string]bool)
+	for _, instance := range n.beats.known(now, instances) {
+		if instance.Name == n.self.Name {
+			continue
+		}
+		loop := n.beats.peers[instance.Name]
+		if loop != nil && loop.instance.Address != instance.Address {
+			loop.stop()
+			loop = nil
+		}
+		if loop == nil {
+			loop = n.startPeer(ctx, instance)
+		}
+		loop.seen = now
+	}
+	for name, loop := range n.beats.peers {
+		if now.Sub(loop.seen) > keepPeer {
+			loop.stop()
+			delete(n.beats.peers, name)
+			continue
+		}
+		addresses[loop.instance.Address] = true
+	}
+	n.peers.Keep(addresses)
+}
+
+func (n *Node) startPeer(ctx context.Context, instance roster.Instance) *peerLoop {
+	ctx, cancel := context.WithCancel(ctx)
+	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), urgent: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1)}
+	n.beats.peers[instance.Name] = loop
+	go loop.run(ctx)
+	return loop
+}
+
+// run exchanges heartbeats until the context ends. Of each pair the one with the smaller name calls; the
+// other only does when it has not been called for a while.
+func (l *peerLoop) run(ctx context.Context) {
+	l.exchange(ctx, l.node.beat())
+	for ctx.Err() == nil {
+		touched := l.wait(ctx)
+		n := l.node
+		if touched {
+			l.exchange(ctx, n.loadBeat())
+			continue
+		}
+		if n.self.Name < l.instance.Name || !n.beats.isAlive(time.Now(), l.instance.Name) {
+			l.exchange(ctx, n.beat())
+		}
+	}
+}
+
+// exchange sends a heartbeat and takes over what the peer answers. A failure is not logged here: the
+// silence is, when the peer is heard again.
+func (l *peerLoop) exchange(ctx context.Context, own mesh.Beat) {
+	exchanging, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	beat, err := l.node.peers.Exchange(exchanging, l.instance.Address, own)
+	if err != nil || beat.OnlyLoads {
+		return
+	}
+	l.node.hear(beat)
+	l.catchUp(ctx, beat)
+}
+
+// wait ends when the next heartbeat is due, or at once when there is news for the peer.
+func (l *peerLoop) wait(ctx context.Context) (touched bool) {
+	timer := time.NewTimer(l.node.beats.pace())
+	defer timer.Stop()
+	select {
+	case <-l.touched:
+		return pause(ctx, touchPause)
+	case beat := <-l.ahead:
+		l.catchUp(ctx, beat)
+		return false
+	case <-l.urgent:
+		l.exchange(ctx, l.node.beat())
+		return false
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// catchUp asks a peer for the changes that it knows and this instance does not.
+func (l *peerLoop) catchUp(ctx context.Context, beat mesh.Beat) {
+	n := l.node
+	n.knowledge.mutex.Lock()
+	revision := n.knowledge.replica.Revision()
+	n.knowledge.mutex.Unlock()
+	confirmed := time.Now().Add(-beat.ConfirmedAge)
+	if beat.ConfirmedAge < 0 {
+		confirmed = time.Time{}
+	}
+	if beat.Revision <= revision {
+		if beat.Revision == revision {
+			n.knowledge.mutex.Lock()
+			n.confirm(confirmed)
+			n.knowledge.mutex.Unlock()
+		}
+		return
+	}
+	asking, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	batch, err := n.peers.CatchUp(asking, l.instance.Address, revision)
+	if err != nil {
+		n.Log.Debug().Err(err).Str("Peer", l.instance.Name).Msg("CatchUpFailed")
+		return
+	}
+	n.merge(batch, confirmed)
+}
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -48,13 +48,13 @@
 // Prepared is the answer to a PrepareRequest: Loaded, NotHolder or Busy.
 type Prepared interface{ isPrepared() }
 
-// Loaded: the adapter is there.
+// Loaded says that the adapter is there.
 type Loaded struct{ Version int64 }
 
-// NotHolder: the receiver does not order at the upstream.
+// NotHolder says that the receiver does not order at the upstream.
 type NotHolder struct{}
 
-// Busy: no place becomes free in time.
+// Busy says that no place becomes free in time.
 type Busy struct{ RetryAfter time.Duration }
 
 func (Loaded) isPrepared()    {}
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -83,12 +83,10 @@
 	ID string
 	// NotRun: the upstream promises that the request did not run.
 	NotRun bool
-	// OtherUpstream: another upstream has the address now, or lacks the model or version.
+	// Misdirected: another upstream has the address now, or it lacks the model or version.
 	Misdirected bool
 	// Signed: the answer bears the upstream's signature.
 	Signed bool
-	// KeepAlive is how long the upstream keeps an idle connection; 0 if it does not say.
-	KeepAlive time.Duration
 }
 
 // Dialect maps between HTTP messages and calls.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -32,8 +32,8 @@
 	// idleFor is how long an idle connection is kept. Upstreams close theirs after some seconds; a call
 	// on a connection that is being closed is lost, so this ends well before.
 	idleFor = 2 * time.Second
-	// mostIdle bounds the kept connections to one upstream.
-	mostIdle = 24
+	// mostIdle bounds the kept connections to one upstream, which count against what it takes.
+	mostIdle = 8
 )
 
 // Client sends calls. Set Dialect before the first call.
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -24,9 +24,11 @@
 	wholeBytes = 256 << 10
 	// chunkBytes is what is read at once.
 	chunkBytes = 16 << 10
-	// silentBetweenEvents is how long a running stream may pause. Callers give up after two seconds, so
-	// that a stream that is resumed in time still reaches them.
+	// silentBetweenEvents is how long a running stream may pause at the least, and silentPauses the same in
+	// longest pauses of its route. Callers give up after two seconds or eight such pauses, so that a stream
+	// that is resumed in time still reaches them.
 	silentBetweenEvents = 1200 * time.Millisecond
+	silentPauses        = 4
 )
 
 type relay struct {
@@ -125,7 +127,7 @@
 			whole := wholeEvents(pending)
 			if whole > 0 {
 				r.answered()
-				r.silent.Reset(silentBetweenEvents)
+				r.silent.Reset(max(silentBetweenEvents, silentPauses*r.job.route.LongestPause))
 				if err := r.events(pending[:whole]); err != nil {
 					return resultServed, errCallerGone
 				}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -50,7 +50,7 @@
 	ids := p.candidates(query)
 	for i := range ids {
 		u := p.upstreams[ids[(i+p.turn)%len(ids)]]
-		if now.Before(u.bannedUntil) {
+		if now.Before(u.bannedUntil) || p.isConnectedOut(u) {
 			continue
 		}
 		choice, total := p.weigh(now, u, query)
@@ -66,6 +66,13 @@
 	return best, nil
 }
 
+// isConnectedOut tells whether this instance uses its part of an upstream's connections up. One more is
+// reset by the upstream, and a request that may not be repeated is lost with it.
+func (p *Pool) isConnectedOut(u *upstream) bool {
+	most := p.connections[u.declared.Service]
+	return most > 0 && len(u.sends) >= max(most/max(p.Settings.Instances, 1), 1)
+}
+
 // candidates lists the upstreams of a service that take requests, in a fixed order.
 func (p *Pool) candidates(query Query) (ids []string) {
 	for id, u := range p.upstreams {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -20,6 +20,8 @@
 	// LoadTime is what loading an adapter takes; ReloadTime the same where the upstream had it lately.
 	LoadTime   time.Duration
 	ReloadTime time.Duration
+	// Instances is how many instances share what an upstream takes of connections.
+	Instances int
 	// ServiceTime is what a plain call usually takes, until measured.
 	ServiceTime time.Duration
 }
@@ -31,6 +33,7 @@
 		LoadTime:    300 * time.Millisecond,
 		ReloadTime:  60 * time.Millisecond,
 		ServiceTime: 40 * time.Millisecond,
+		Instances:   10,
 	}
 }
 
@@ -103,8 +106,10 @@
 
 	upstreams map[string]*upstream
 	engines   map[string]traffic.Engine
-	peers     map[string]peerLoads
-	turn      int
+	// connections is what one upstream of a service takes of connections, if that is stated.
+	connections map[string]int
+	peers       map[string]peerLoads
+	turn        int
 }
 
 // peerLoads is what another instance has under way.
@@ -121,7 +126,9 @@
 func (p *Pool) Configure(services map[string]traffic.Service) {
 	p.prepare()
 	p.engines = make(map[string]traffic.Engine)
+	p.connections = make(map[string]int)
 	for name, service := range services {
+		p.connections[name] = service.MaxConnections
 		if service.Engine != nil {
 			p.engines[name] = *service.Engine
 		}
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -1,7 +1,6 @@
 package pool_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +23,7 @@
 	p := &pool.Pool{Settings: settings}
 	p.Configure(map[string]traffic.Service{
 		engines:  {Name: engines, Engine: &traffic.Engine{BatchPlaces: 64, MemoryTokens: 100_000, AdapterPlaces: 5}},
-		services: {Name: services},
+		services: {Name: services, MaxConnections: 100},
 	})
 	for _, name := range names {
 		declare(p, name, func(*traffic.Upstream) {})
@@ -236,6 +235,24 @@
 	})
 }
 
+// A burst of calls meets one upstream that takes so many connections from all instances. Past that it resets
+// them, and calls that may not be repeated are lost; the rest is refused before it is sent.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("s1")
+		var last *pool.Send
+		for range 10 {
+			_, last = place(is, p, plain())
+		}
+		_, err := p.Choose(time.Now(), plain())
+		is.Equal(err, pool.ErrNone)
+		p.Finish(time.Now(), last, pool.EndServed)
+		_, err = p.Choose(time.Now(), plain())
+		is.NoErr(err)
+	})
+}
+
 // A holder that was replaced wakes up and tells what it believes. Its successor has evicted the adapter
 // since, and requests sent on the old word would be refused.
 func TestEarlierHoldersWordIsDropped(t *testing.T) {
@@ -305,7 +322,7 @@
 		for i := range 5 {
 			choice, _ := place(is, p, short)
 			if choice.Upstream.ID == first.Upstream.ID {
-				t.Fatal(fmt.Sprintf("short request %d went behind the long one", i))
+				t.Fatalf("short request %d went behind the long one", i)
 			}
 		}
 	})
