--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -180,7 +180,7 @@
 
 // retryBudget is this instance's part of the fleet's retries.
 func retryBudget(settings RetrySettings) *retry.Budget {
-	return retry.New(settings.Ratio*retryRatioUsed, settings.Slack/instancesAssumed)
+	return retry.Filled(settings.Ratio*retryRatioUsed, settings.Slack/instancesAssumed)
 }
 
 const (
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -56,9 +56,10 @@
 			j.tried = append(j.tried, choice.Upstream.ID)
 			continue
 		}
-		if j.sends > 0 && !j.mayResend() {
+		if j.sends > 0 && !j.paid && !j.mayResend() {
 			return j.exhausted(last)
 		}
+		j.paid = false
 		var ended result
 		ended, last = j.send(ctx, choice, query)
 		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Outcome", string(ended)).Err(last).
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -39,6 +39,8 @@
 	sends      int
 	runs       int
 	mayHaveRun bool
+	// paid: the next send was taken from the budget of retries already.
+	paid bool
 	// started: the answer's header went out to the caller.
 	started   bool
 	status    int
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -51,9 +51,17 @@
 	return r.whole()
 }
 
-// mayRetryFailure tells whether a failure of the upstream itself is worth another send.
+// mayRetryFailure tells whether a failure of the upstream itself is given up for another send, and takes that
+// from the budget: once the answer is dropped there is nothing else to give the caller.
 func (j *job) mayRetryFailure() bool {
-	return j.started || j.route.MayRepeat() && j.runs+1 < j.route.Attempts && time.Until(j.deadline) > leastLeft
+	if j.started {
+		return true // in the middle of a stream a failure cannot be passed on
+	}
+	if !j.route.MayRepeat() || j.runs+1 >= j.route.Attempts || time.Until(j.deadline) < leastLeft {
+		return false
+	}
+	j.paid = j.mayResend()
+	return j.paid
 }
 
 // leastLeft is the least time left that makes another send worth it.
--- a/internal/placement/retry/budget.go
+++ b/internal/placement/retry/budget.go
@@ -21,6 +21,12 @@
 	return &Budget{ratio: ratio, most: most}
 }
 
+// Filled makes a budget that is half full at the beginning, for a limit that allows some retries beside its
+// ratio. The other half is kept back for instances that are killed and start again within one window.
+func Filled(ratio, most float64) *Budget {
+	return &Budget{ratio: ratio, most: most, balance: most / 2}
+}
+
 // First counts a first try.
 //
 // Made for the load of an outage, when every request fails and is retried: without a budget the
--- a/internal/placement/retry/budget_test.go
+++ b/internal/placement/retry/budget_test.go
@@ -42,3 +42,15 @@
 	}
 	is.Equal(allowed, retry.DefaultMost)
 }
+
+// An instance has just started, and the first request fails at its upstream. The limit allows some retries
+// beside its ratio; with an empty budget the caller would get the failure all the same.
+func TestFilledBudgetAllowsRetriesFromTheStart(t *testing.T) {
+	is := is.New(t)
+	budget := retry.Filled(0.1, 6)
+	allowed := 0
+	for budget.Allow() {
+		allowed++
+	}
+	is.Equal(allowed, 3)
+}
