Keep upstreams' addresses from callers, and name silence as what it was

Cause: the refusal after a lost answer carried the library's error text, with the upstream's address; a send that was cut because the upstream was silent was logged as a cancelled context, and looked into as a crash. After: callers are told that the answer was lost, the log's line has the cause; the handler's test checks the body.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -150,7 +150,12 @@
 		h.Fleet.Touch(choice.Upstream.ID)
 		defer h.Fleet.Touch(choice.Upstream.ID)
 	}
-	ended, err = j.exchange(ctx, choice, query, sending)
+	exchanging, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended, err = j.exchange(exchanging, cancel, choice, query, sending)
+	if err != nil && errors.Is(context.Cause(exchanging), errSilent) {
+		err = errSilent
+	}
 	if ended != resultUnreached && ended != resultNotRun && ended != resultMissing {
 		j.runs++
 		j.mayHaveRun = true
@@ -194,7 +199,7 @@
 
 // exchange sends the call and relays the answer.
 func (j *job) exchange(
-	ctx context.Context, choice pool.Choice, query pool.Query, sending *pool.Send,
+	ctx context.Context, cancel context.CancelCauseFunc, choice pool.Choice, query pool.Query, sending *pool.Send,
 ) (result, error) {
 	send := call.Send{
 		Upstream:  choice.Upstream.ID,
@@ -207,10 +212,7 @@
 	if j.lastEvent != "" {
 		send.LastEvent = j.lastEvent
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	patience := j.patience(choice)
-	silent := time.AfterFunc(patience, func() { cancel(errSilent) })
+	silent := time.AfterFunc(j.patience(choice), func() { cancel(errSilent) })
 	defer silent.Stop()
 	answer, err := j.handler.Forward.Do(ctx, choice.Upstream, j.call, send, !j.route.MayRepeat())
 	if err != nil {
@@ -226,7 +228,7 @@
 	case answer.Reply.NotRun:
 		return resultNotRun, errors.Errorf("upstream refused with status %d", answer.Status)
 	}
-	relay := relay{job: j, answer: answer, sending: sending, silent: silent, cancel: cancel}
+	relay := relay{job: j, answer: answer, sending: sending, silent: silent}
 	return relay.run()
 }
 
@@ -280,11 +282,9 @@
 // exhausted is the end of a request that may not be sent again, or not often enough.
 func (j *job) exhausted(last error) error {
 	if !j.mayHaveRun {
+		j.cause = last
 		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(busyRetryAfter)
 	}
-	message := "the upstream failed"
-	if last != nil {
-		message += ": " + last.Error()
-	}
-	return refusal.New(refusal.UpstreamFailed, message)
+	j.cause = last // for the log; it holds addresses that are not the caller's business
+	return refusal.New(refusal.UpstreamFailed, "the upstream failed or its answer was lost")
 }
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -47,8 +47,10 @@
 	firstByte time.Time
 	lastEvent string
 	upstream  string
-	// events and bytes that went to the caller.
+	// bytes of the answer's body that went to the caller.
 	bytes int64
+	// cause is what went wrong at the last upstream, if that ended the request.
+	cause error
 }
 
 // refuse answers a request that got no answer from an upstream.
@@ -92,6 +94,9 @@
 	if err != nil {
 		event = event.Err(err)
 	}
+	if j.cause != nil {
+		event = event.Str("Cause", j.cause.Error())
+	}
 	event.Msg("Request")
 	j.handler.Scope.Tagged(map[string]string{"status": strconv.Itoa(j.status)}).Counter("requests").Inc(1)
 	j.handler.Scope.Timer("request_time").Record(time.Since(j.began))
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,7 +35,6 @@
 	answer  *forward.Answer
 	sending *pool.Send
 	silent  *time.Timer
-	cancel  context.CancelCauseFunc
 }
 
 // run relays the answer.
--- a/internal/gateway/serve/serve_test.go
+++ b/internal/gateway/serve/serve_test.go
@@ -294,6 +294,7 @@
 			if test.status == http.StatusBadGateway {
 				is.Equal(response.Header.Get("X-Run"), "unknown")
 				is.Equal(response.Header.Get("X-Server-Stamp"), "")
+				is.True(!strings.Contains(body, "127.0.0.1")) // no upstream's address
 			}
 		})
 	}
