--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -60,6 +60,14 @@
 	f.down[name] = false
 }
 
+// setRate has all instances learn of another limit, a share of the highest.
+func (f *fleet) setRate(share float64) {
+	limit := quota.Limit{Rate: f.limit.Rate * share, Burst: f.limit.Burst * share}
+	for _, ledger := range f.ledgers {
+		ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: limit})
+	}
+}
+
 const beat = 250 * time.Millisecond
 
 // pass lets time go by, with heartbeats between all that reach each other.
@@ -237,6 +245,8 @@
 					f.down[name] = true
 				case 2:
 					f.start(name)
+				case 3:
+					f.setRate(rapid.Float64Range(0.1, 1).Draw(rt, "share"))
 				default:
 					f.admit(name, rapid.Float64Range(100, 5000).Draw(rt, "cost"))
 				}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -49,6 +49,9 @@
 	// firstRedial and longestRedial bound how late a restarted peer is heard again.
 	firstRedial   = 50 * time.Millisecond
 	longestRedial = 300 * time.Millisecond
+	// longestAnswer bounds what a peer may answer: a whole copy of the store, with the declared versions of
+	// some ten thousand adapters, is about ten megabytes.
+	longestAnswer = 64 << 20
 	// silentCalls is how many calls in a row may time out until the connection is replaced: heartbeats go
 	// out several times a second, so a silent connection costs under a second.
 	silentCalls = 2
@@ -137,6 +140,7 @@
 		grpc.WithTransportCredentials(p.Credentials),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(longestAnswer)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfterIdle, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: longestRedial},
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -90,6 +90,17 @@
 	is.Equal(batch, peer.batch)
 }
 
+// An instance begins with a whole copy of a large store from a peer. The library's bound of four megabytes
+// would refuse it each time, and the instance would never know a configuration.
+func TestLargeCopyArrives(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	peer.batch = replica.Batch{Snapshot: true, Through: 1, Items: []replica.Item{{Key: "a", Value: make([]byte, 6<<20), Revision: 1}}}
+	batch, err := peers.CatchUp(context.Background(), address, 0)
+	is.NoErr(err)
+	is.Equal(len(batch.Items[0].Value), 6<<20)
+}
+
 func TestPrepare(t *testing.T) {
 	tests := []struct {
 		name     string
