--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,41 +84,77 @@
 // matchHoldings brings the loops in line with the keys.
 func (n *Node) matchHoldings(ctx context.Context, now time.Time) {
 	upstreams := n.engines()
+	var free []traffic.Upstream
 	for id, upstream := range upstreams {
-		n.knowledge.mutex.Lock()
-		holder, found := n.knowledge.roster.Holder(id)
-		revision := n.knowledge.replica.Revision()
-		n.knowledge.mutex.Unlock()
-		if upstream.Draining {
-			n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
+		if n.matchHolding(ctx, upstream, now) {
+			free = append(free, upstream)
 			continue
 		}
-		if found && holder.Incarnation == n.self.Incarnation {
-			n.hold(ctx, upstream, holder.Fence)
-			continue
-		}
-		if one := n.holdings.get(id); one != nil && one.fence > revision {
-			continue // claimed a moment ago; the store's word of it has not come yet
-		}
-		n.drop(id)
-		if n.stopping.Load() {
-			continue
-		}
-		if found && holder.Instance == n.self.Name {
-			n.claim(ctx, upstream, holder.Fence) // left by this instance's last incarnation
-			continue
-		}
-		if found {
-			delete(n.holdings.unheld, id)
-			continue
-		}
-		n.claimInTurn(ctx, upstream, now)
+		delete(n.holdings.unheld, id)
 	}
 	for id := range n.holdings.held {
 		if _, found := upstreams[id]; !found {
 			n.drop(id)
 		}
 	}
+	if len(free) > 0 && !n.stopping.Load() {
+		n.claimInTurn(ctx, free, now)
+	}
+}
+
+// matchHolding holds or drops one upstream, and tells whether it is free to be claimed.
+func (n *Node) matchHolding(ctx context.Context, upstream traffic.Upstream, now time.Time) (free bool) {
+	id := upstream.ID
+	n.knowledge.mutex.Lock()
+	holder, found := n.knowledge.roster.Holder(id)
+	revision := n.knowledge.replica.Revision()
+	n.knowledge.mutex.Unlock()
+	if upstream.Draining {
+		n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
+		return false
+	}
+	if found && holder.Incarnation == n.self.Incarnation {
+		n.hold(ctx, upstream, holder.Fence)
+		return false
+	}
+	if one := n.holdings.get(id); one != nil && one.fence > revision {
+		return false // claimed a moment ago; the store's word of it has not come yet
+	}
+	n.drop(id)
+	if found && holder.Instance == n.self.Name && !n.stopping.Load() {
+		n.claim(ctx, upstream, holder.Fence) // left by this instance's last incarnation
+		return false
+	}
+	return !found || n.isLost(now, holder.Instance)
+}
+
+// isLost tells whether a holder is silent although this instance hears most of the others. Its lease may
+// run for seconds yet, in which nothing would be loaded at what it holds. If it lives after all, its next
+// order is refused for its fence, and it stops.
+func (n *Node) isLost(now time.Time, name string) bool {
+	if n.beats.isAlive(now, name) {
+		return false
+	}
+	heard := 0
+	others := n.others(name)
+	for _, other := range others {
+		if n.beats.isAlive(now, other) {
+			heard++
+		}
+	}
+	return len(others) > 0 && 2*heard > len(others)
+}
+
+// others lists the instances of the roster without this one and a given one.
+func (n *Node) others(without string) (names []string) {
+	n.knowledge.mutex.Lock()
+	defer n.knowledge.mutex.Unlock()
+	for _, instance := range n.knowledge.roster.Instances() {
+		if instance.Name != n.self.Name && instance.Name != without {
+			names = append(names, instance.Name)
+		}
+	}
+	return names
 }
 
 // engines lists the upstreams that have holders.
@@ -137,25 +174,44 @@
 	return engines
 }
 
-// claimInTurn claims an upstream that has no holder once this instance is in line.
-func (n *Node) claimInTurn(ctx context.Context, upstream traffic.Upstream, now time.Time) {
-	id := upstream.ID
-	since, found := n.holdings.unheld[id]
-	if !found {
-		n.holdings.unheld[id] = now
-		return
+// claimInTurn claims the upstreams without a holder for which this instance is in line.
+func (n *Node) claimInTurn(ctx context.Context, free []traffic.Upstream, now time.Time) {
+	names := []string{n.self.Name}
+	for _, name := range n.others("") {
+		if n.beats.isAlive(now, name) {
+			names = append(names, name)
+		}
 	}
-	var names []string
+	held := make(map[string]int)
 	n.knowledge.mutex.Lock()
-	for _, instance := range n.knowledge.roster.Instances() {
-		names = append(names, instance.Name)
+	for _, holder := range n.knowledge.roster.Holders() {
+		held[holder.Instance]++
 	}
 	n.knowledge.mutex.Unlock()
-	rank := roster.Rank(id, n.self.Name, names)
-	if now.Sub(since) < claimSettle+time.Duration(rank)*claimStep {
-		return
+	var subjects []string
+	for _, upstream := range free {
+		subjects = append(subjects, upstream.ID)
+	}
+	lines := roster.Lines(subjects, names, held)
+	for _, upstream := range free {
+		since, found := n.holdings.unheld[upstream.ID]
+		if !found {
+			n.holdings.unheld[upstream.ID] = now
+			continue
+		}
+		turn := slices.Index(lines[upstream.ID], n.self.Name)
+		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep {
+			n.claim(ctx, upstream, n.fenceOf(upstream.ID))
+		}
 	}
-	n.claim(ctx, upstream, 0)
+}
+
+// fenceOf is the revision of an upstream's key, 0 if it has none.
+func (n *Node) fenceOf(id string) int64 {
+	n.knowledge.mutex.Lock()
+	defer n.knowledge.mutex.Unlock()
+	holder, _ := n.knowledge.roster.Holder(id)
+	return holder.Fence
 }
 
 // claim makes this instance the holder if the key is still as known. It orders from then on, without
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strings"
 
@@ -154,4 +155,35 @@
 	return rank
 }
 
+// Lines gives, for each subject that has no holder, the order in which the named instances are in line for
+// it: those that hold the least first, among equals as Rank spreads them. Each subject counts as held by the
+// first in its line when the next one's line is made.
+//
+// Made for instances that stop and start again one after the other. In the order of Rank alone what they held
+// goes to those who have not stopped yet, nothing comes back, and in the end one instance holds nearly all:
+// when that one freezes, no adapter can be loaded anywhere.
+func Lines(subjects, names []string, held map[string]int) map[string][]string {
+	counts := make(map[string]int, len(names))
+	for _, name := range names {
+		counts[name] = held[name]
+	}
+	subjects = slices.Clone(subjects)
+	sort.Strings(subjects)
+	lines := make(map[string][]string, len(subjects))
+	for _, subject := range subjects {
+		line := slices.Clone(names)
+		sort.Slice(line, func(i, j int) bool {
+			if counts[line[i]] != counts[line[j]] {
+				return counts[line[i]] < counts[line[j]]
+			}
+			return weight(subject, line[i]) > weight(subject, line[j])
+		})
+		lines[subject] = line
+		if len(line) > 0 {
+			counts[line[0]]++
+		}
+	}
+	return lines
+}
+
 func weight(subject, name string) uint64 { return xxhash.Sum64String(subject + "\x00" + name) }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -65,3 +65,40 @@
 		is.True(first[name] > 60 && first[name] < 140)
 	}
 }
+
+// Instances stop and start again one after the other. If what each held went to those that had not stopped
+// yet, one instance would hold nearly everything in the end, and nothing could be loaded while it is frozen.
+func TestHoldingsStaySpreadOverRestarts(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d", "e", "f", "g"}
+	holder := map[string]string{}
+	take := func(live []string) {
+		held := map[string]int{}
+		var free []string
+		for i := range 9 {
+			subject := fmt.Sprint("upstream", i)
+			if name, found := holder[subject]; found {
+				held[name]++
+				continue
+			}
+			free = append(free, subject)
+		}
+		for subject, line := range roster.Lines(free, live, held) {
+			holder[subject] = line[0]
+		}
+	}
+	take(names)
+	for i, stopped := range names {
+		for subject, name := range holder {
+			if name == stopped {
+				delete(holder, subject)
+			}
+		}
+		take(append(append([]string{}, names[:i]...), names[i+1:]...))
+		held := map[string]int{}
+		for _, name := range holder {
+			held[name]++
+			is.True(held[name] <= 2)
+		}
+	}
+}
