Count no place as free until a second report agrees

A holder that took it at its word ordered a load too many, and that crashes the upstream. Ruled out: a late order of the same holder, which the count of orders makes void (3,000 checks); an earlier holder's, which its fence does. The tests of the planner now begin after two reports, as the planner does; their bounds on what follows are as before.

--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -50,7 +50,11 @@
 	Engine traffic.Engine
 
 	// known: sequence and places are what the upstream has, as far as its answers tell.
-	known     bool
+	known bool
+	// learnt: a report was taken over before; settled: a second one agreed, see Learn.
+	learnt    bool
+	settled   bool
+	settleAt  time.Time
 	sequence  int64
 	inspected time.Time
 	inspectAt time.Time
@@ -166,7 +170,14 @@
 		}
 		return Give{Order: *p.unanswered}
 	}
+	if !p.settled && !now.Before(p.settleAt) && !now.Before(p.inspectAt) {
+		p.inspectAt = now.Add(inspectAgain)
+		return Inspect{}
+	}
 	rest := p.inspected.Add(inspectAnyway)
+	if !p.settled {
+		rest = later(p.settleAt, p.inspectAt)
+	}
 	if order, at, found := p.check(now); found {
 		return Give{Order: order}
 	} else if !at.IsZero() && at.Before(rest) {
@@ -189,6 +200,11 @@
 const idleCheck = 20 * time.Millisecond
 
 // Learn takes a report over. One that is older than the orders accepted since is dropped.
+//
+// A report lags, and what it shows of a load that has just ended may be neither pending nor loaded. Taken at
+// its word, there is a free place, and an upstream that is ordered to load more than it has places for
+// crashes. So what is known at the same count of orders stays, as only an order could have removed it, and
+// until a second report agrees no place counts as free.
 func (p *Planner) Learn(now time.Time, report Report) {
 	p.prepare()
 	if p.known && report.Sequence < p.sequence {
@@ -202,8 +218,29 @@
 	if p.unanswered != nil && report.Sequence != p.unanswered.Sequence {
 		p.unanswered = nil
 	}
+	same := p.learnt && report.Sequence == p.sequence
+	if !same {
+		p.settled = false
+		p.settleAt = now.Add(reportLag)
+	} else if !now.Before(p.settleAt) {
+		p.settled = true
+	}
 	before := p.places
 	p.places = make(map[traffic.Adapter]*place)
+	if same {
+		for adapter, known := range before {
+			p.places[adapter] = known
+		}
+	}
+	p.takeOver(now, before, report)
+	p.sequence = report.Sequence
+	p.known = true
+	p.learnt = true
+	p.inspected = now
+}
+
+// takeOver enters what a report shows.
+func (p *Planner) takeOver(now time.Time, before map[traffic.Adapter]*place, report Report) {
 	for _, model := range report.Models {
 		p.found(before, traffic.Adapter{Model: model.Name}, model.Version)
 		for _, adapter := range model.Adapters {
@@ -217,9 +254,13 @@
 		known.state = loading
 		known.checkAt = now
 	}
-	p.sequence = report.Sequence
-	p.known = true
-	p.inspected = now
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // ReportFailed takes note that no report came.
@@ -308,7 +349,7 @@
 		if p.inTransit() >= mostInTransit {
 			return Order{}, false
 		}
-		if p.adapters() < p.Engine.AdapterPlaces && p.fits(adapter) {
+		if p.settled && p.adapters() < p.Engine.AdapterPlaces && p.fits(adapter) {
 			return Order{Adapter: adapter, Version: p.newest[adapter]}, true
 		}
 		if victim, idle := p.victim(now); idle {
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -28,21 +28,30 @@
 	inUse    map[string]bool
 	newest   map[string]int64
 	faults   []string
+	// fence is that of the holder now, seen the highest that an order bore.
+	fence, seen int
+	// shownAt is when a report first shows a loaded adapter: reports lag.
+	shownAt map[string]time.Time
 }
 
 type lateOrder struct {
 	at    time.Time
 	order residence.Order
+	fence int
 }
 
 func newEngine(places int) *engine {
 	return &engine{
 		places: places, loaded: map[string]int64{}, loading: map[string]time.Time{},
-		inUse: map[string]bool{}, newest: map[string]int64{},
+		inUse: map[string]bool{}, newest: map[string]int64{}, shownAt: map[string]time.Time{},
 	}
 }
 
-const loadTime = 250 * time.Millisecond
+const (
+	loadTime = 250 * time.Millisecond
+	// lag is how late a report shows that a load is done; that it is not pending any more shows at once.
+	lag = 200 * time.Millisecond
+)
 
 // settle finishes loads and carries out late orders that are due.
 func (e *engine) settle() {
@@ -50,6 +59,7 @@
 		if !time.Now().Before(done) {
 			delete(e.loading, name)
 			e.loaded[name] = max(e.newest[name], 1)
+			e.shownAt[name] = done.Add(lag)
 		}
 	}
 	kept := e.late[:0]
@@ -58,12 +68,16 @@
 			kept = append(kept, late)
 			continue
 		}
-		e.order(late.order)
+		e.order(late.order, late.fence)
 	}
 	e.late = kept
 }
 
-func (e *engine) order(order residence.Order) residence.Outcome {
+func (e *engine) order(order residence.Order, fence int) residence.Outcome {
+	if fence < e.seen {
+		return residence.Fenced
+	}
+	e.seen = fence
 	name := order.Adapter.Name
 	if _, pending := e.loading[name]; pending && !order.Unload {
 		return residence.Accepted
@@ -77,6 +91,9 @@
 	}
 	e.sequence++
 	if order.Unload {
+		if e.inUse[name] && fence < e.fence {
+			return residence.Accepted // an earlier holder's; it waits until the adapter's requests have ended
+		}
 		if e.inUse[name] {
 			e.faults = append(e.faults, name+" was evicted while in use")
 		}
@@ -95,6 +112,9 @@
 	report := residence.Report{Sequence: e.sequence}
 	base := traffic.LoadedModel{Name: model, Version: 1}
 	for name, version := range e.loaded {
+		if time.Now().Before(e.shownAt[name]) {
+			continue
+		}
 		base.Adapters = append(base.Adapters, traffic.LoadedAdapter{Name: name, Version: version})
 	}
 	report.Models = []traffic.LoadedModel{base}
@@ -126,16 +146,16 @@
 			lost, late := lose()
 			switch {
 			case late > 0:
-				e.late = append(e.late, lateOrder{at: time.Now().Add(late), order: step.Order})
+				e.late = append(e.late, lateOrder{at: time.Now().Add(late), order: step.Order, fence: e.fence})
 				time.Sleep(80 * time.Millisecond)
 				p.Ordered(time.Now(), step.Order, residence.NoAnswer)
 			case lost:
-				e.order(step.Order)
+				e.order(step.Order, e.fence)
 				time.Sleep(80 * time.Millisecond)
 				p.Ordered(time.Now(), step.Order, residence.NoAnswer)
 			default:
 				time.Sleep(2 * time.Millisecond)
-				p.Ordered(time.Now(), step.Order, e.order(step.Order))
+				p.Ordered(time.Now(), step.Order, e.order(step.Order, e.fence))
 			}
 		case residence.Rest:
 			time.Sleep(min(max(time.Until(step.Until), time.Millisecond), 20*time.Millisecond))
@@ -143,6 +163,9 @@
 	}
 }
 
+// begin is the time in which a holder learns what an upstream has: two reports.
+const begin = 400 * time.Millisecond
+
 func never() (bool, time.Duration) { return false, 0 }
 
 func want(p *residence.Planner, name string, priority int, onTime time.Duration) {
@@ -159,7 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, e := newPlanner(2), newEngine(2)
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		want(p, "a", 1, time.Second)
 		drive(p, e, 300*time.Millisecond, never)
 		is.True(has(p, "a"))
@@ -172,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, e := newPlanner(2), newEngine(2)
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		want(p, "a", 1, time.Second)
 		answers := 0
 		drive(p, e, 480*time.Millisecond, func() (bool, time.Duration) {
@@ -197,7 +220,7 @@
 		p, e := newPlanner(2), newEngine(2)
 		e.loaded = map[string]int64{"a": 1, "b": 1}
 		e.inUse = map[string]bool{"a": true, "b": true}
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		want(p, "c", 1, time.Second)
 		drive(p, e, time.Second, never)
 		is.True(!has(p, "c"))
@@ -218,7 +241,7 @@
 		p, e := newPlanner(1), newEngine(1)
 		e.loaded = map[string]int64{"busy": 1}
 		e.inUse = map[string]bool{"busy": true}
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		want(p, "late", 0, 100*time.Millisecond)
 		drive(p, e, 200*time.Millisecond, never)
 		want(p, "fresh", 1, time.Second)
@@ -237,7 +260,7 @@
 		p, e := newPlanner(1), newEngine(1)
 		e.loaded = map[string]int64{"a": 1}
 		e.inUse = map[string]bool{"a": true}
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		want(p, "b", 1, time.Second)
 		p.Unwant(adapter("b"))
 		e.inUse = map[string]bool{}
@@ -255,7 +278,7 @@
 		p, e := newPlanner(2), newEngine(2)
 		e.loaded = map[string]int64{"a": 1}
 		e.inUse = map[string]bool{"a": true}
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		e.newest["a"] = 4
 		p.SetNewest(adapter("a"), 4)
 		drive(p, e, 600*time.Millisecond, never)
@@ -272,7 +295,7 @@
 		is := is.New(t)
 		p, e := newPlanner(1), newEngine(1)
 		e.loaded = map[string]int64{"a": 1}
-		drive(p, e, 20*time.Millisecond, never)
+		drive(p, e, begin, never)
 		is.True(has(p, "a"))
 		time.Sleep(time.Second)
 		want(p, "b", 1, time.Second)
@@ -284,6 +307,24 @@
 	})
 }
 
+// A holder takes an upstream over right after an adapter was loaded there. The report shows it neither as
+// pending any more nor as loaded yet. Taken at its word, there is a free place, and the load that is ordered
+// for it crashes the upstream.
+func TestNewHolderDoesNotTrustItsFirstReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(2)
+		e.loaded = map[string]int64{"a": 1, "b": 1}
+		e.shownAt["b"] = time.Now().Add(lag)
+		p := newPlanner(2)
+		want(p, "c", 1, time.Second)
+		e.inUse["a"] = true
+		drive(p, e, time.Second, never)
+		is.Equal(len(e.faults), 0)
+		is.True(has(p, "c")) // and it is loaded all the same, in a place that was emptied for it
+	})
+}
+
 // An upstream has restarted empty. Without its base model it can serve nothing, and nobody may think to
 // ask for it.
 func TestEmptyUpstreamGetsABaseModel(t *testing.T) {
@@ -298,7 +339,7 @@
 	})
 }
 
-// Answers are lost and orders carried out late, at any moment, while adapters are wanted and used. The
+// Answers are lost, orders carried out late and holders replaced, while adapters are wanted and used. The
 // upstream crashes if it is ordered to load more than it has places for, and evicting what is in use cuts
 // requests; neither may ever happen.
 func TestNoOrderOverfillsOrEvictsWhatIsUsed(t *testing.T) {
@@ -324,6 +365,10 @@
 					e.inUse[name] = true
 				}
 				p.Unwant(adapter(name))
+				if rapid.IntRange(0, 5).Draw(rt, "change") == 0 {
+					p = newPlanner(places) // another holder
+					e.fence++
+				}
 				delete(e.inUse, rapid.SampledFrom(names).Draw(rt, "ended"))
 				if len(e.faults) > 0 {
 					return e.faults[0]
