--- a/internal/proof/integration/world_test.go
+++ b/internal/proof/integration/world_test.go
@@ -84,7 +84,7 @@
 	t        *testing.T
 	ctx      context.Context
 	d        *deployment.Deployment
-	proxies  map[string]*proxy
+	proxies  map[string]*testProxy
 	keyA     string
 	keyB     string
 	measured string
@@ -98,7 +98,7 @@
 	t.Cleanup(func() { <-places })
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
-	w := &world{t: t, ctx: ctx, proxies: make(map[string]*proxy)}
+	w := &world{t: t, ctx: ctx, proxies: make(map[string]*testProxy)}
 	w.d = &deployment.Deployment{
 		Binaries:        binaries,
 		Directory:       t.TempDir(),
@@ -155,12 +155,14 @@
 
 // storeOf is the proxy between an instance and the store; engineProxy and serviceProxy stand before
 // an upstream for all instances.
-func (w *world) storeOf(instance int) *proxy {
+func (w *world) storeOf(instance int) *testProxy {
 	return w.proxies[fmt.Sprintf("instance-%d>kv", instance+1)]
 }
 
-func (w *world) engineProxy(number int) *proxy { return w.proxies[fmt.Sprintf(">engine-%d", number+1)] }
-func (w *world) serviceProxy() *proxy          { return w.proxies[">service-1"] }
+func (w *world) engineProxy(number int) *testProxy {
+	return w.proxies[fmt.Sprintf(">engine-%d", number+1)]
+}
+func (w *world) serviceProxy() *testProxy { return w.proxies[">service-1"] }
 
 func (w *world) grantKeys(o options) {
 	w.t.Helper()
--- a/internal/standin/deployment/address.go
+++ b/internal/standin/deployment/address.go
@@ -29,8 +29,8 @@
 	end    int
 }
 
-// freeAddress hands out an address on loopback that was never handed out before by this process.
-func freeAddress() (string, error) {
+// FreeAddress hands out an address on loopback that was never handed out before by this process.
+func FreeAddress() (string, error) {
 	block.Lock()
 	defer block.Unlock()
 	for {
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -149,11 +149,11 @@
 }
 
 func (d *Deployment) startStandin(ctx context.Context, name, verb string, arguments ...string) (*Process, error) {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	control, err := freeAddress()
+	control, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/deployment/instance.go
+++ b/internal/standin/deployment/instance.go
@@ -69,7 +69,7 @@
 func (d *Deployment) writeSettings(path string, number int) error {
 	var places [3]string
 	for i := range places {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -34,6 +34,8 @@
 	Path      string
 	Arguments []string
 	Directory string
+	// Announcement is the event whose line tells the addresses; empty means "listening".
+	Announcement string
 
 	mu        sync.Mutex
 	command   *exec.Cmd
@@ -138,12 +140,19 @@
 			return nil, nil
 		}
 		pairs := parsePairs(line)
-		if pairs["event"] == "listening" {
+		if pairs["event"] == p.announcement() {
 			return pairs, nil
 		}
 	}
 }
 
+func (p *Process) announcement() string {
+	if p.Announcement != "" {
+		return p.Announcement
+	}
+	return "listening"
+}
+
 // parsePairs reads a line of key=value pairs whose values hold no spaces.
 func parsePairs(line string) map[string]string {
 	pairs := make(map[string]string)
