Bound the first word of connections between instances

Cause: a planned stop waited up to two minutes for a connection between instances that had been accepted and then lost on the way before it said a word; the gRPC library gives such a connection 120 s and waits for it when it stops. Ruled out: running requests, the lease, the store.

The bound holds for lacewingd run as well.

--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -19,6 +19,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/placement/deployment"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
@@ -57,6 +58,7 @@
 	d.assemblePipeline(policy)
 	d.peers = grpc.NewServer(
 		grpc.Creds(serverCredentials),
+		grpc.ConnectionTimeout(socket.HandshakeWithin),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAtMostEvery, PermitWithoutStream: true}),
 	)
 	peer.Register(d.peers, handler{daemon: d})
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -162,8 +162,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", exposition)
 	n.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout}
-	n.mesh = grpc.NewServer()
-	mesh.Register(n.mesh, n)
+	n.mesh = mesh.NewServer(n)
 }
 
 func (n *Node) assembleAdvice() {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -12,14 +12,17 @@
 	"google.golang.org/grpc/keepalive"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/wire/meshpb"
 )
 
 // mesh.go makes and serves the peers' calls.
 
-// Register adds the mesh to a gRPC server.
-func Register(server *grpc.Server, handler Handler) {
+// NewServer makes the server of the peers' calls.
+func NewServer(handler Handler) *grpc.Server {
+	server := grpc.NewServer(grpc.ConnectionTimeout(socket.HandshakeWithin))
 	meshpb.RegisterMeshServer(server, service{handler: handler})
+	return server
 }
 
 type service struct {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
@@ -48,9 +47,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := grpc.NewServer()
 	peer := &echo{}
-	mesh.Register(server, peer)
+	server := mesh.NewServer(peer)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	peers := &mesh.Peers{Credentials: insecure.NewCredentials()}
@@ -126,3 +124,30 @@
 		})
 	}
 }
+
+// A peer's connection is opened and then lost on the way, before it said a word. The instance is told to
+// stop. It must not wait for that connection: whoever replaces instances one by one waits with it, and in the
+// end the process is killed.
+func TestStopDoesNotWaitForASilentConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := mesh.NewServer(&echo{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	silent, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer silent.Close()
+	time.Sleep(100 * time.Millisecond) // until the server has accepted it
+	stopped := make(chan struct{})
+	go func() {
+		server.Stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("still stopping")
+	}
+	is.NoErr(<-served)
+}
