Have an instance's part of shared limits follow the fleet

Cause: each instance took a tenth of the fleet's slack for retries and of an upstream's connections, whatever the number of instances. The time for which another instance's loads count follows the pace of the heartbeats too, which fell below it with more than sixty others.

--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -266,6 +266,7 @@
 		names = append(names, name)
 	}
 	k.mutex.Unlock()
+	n.shareLimits(len(names))
 	silentAfter := silentBeats * n.beats.pace()
 	n.advice.With(func(a *serve.Advice) {
 		a.Ledger.SilentAfter = silentAfter
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -179,17 +179,12 @@
 
 // retryBudget is this instance's part of the fleet's retries.
 func retryBudget(settings RetrySettings) *retry.Budget {
-	return retry.Filled(settings.Ratio*retryRatioUsed, settings.Slack/instancesAssumed)
+	return retry.Filled(settings.Ratio*retryRatioUsed, settings.Slack/roster.Parts(0))
 }
 
-const (
-	// retryRatioUsed leaves a part of the fleet's retries for requests that are counted at another
-	// instance or in another window than their retries.
-	retryRatioUsed = 0.8
-	// instancesAssumed divides the fleet's slack: each instance alone has to stay within its part, as it
-	// may be cut off from the others. It is above the number of instances of today's deployments.
-	instancesAssumed = 10
-)
+// retryRatioUsed leaves a part of the fleet's retries for requests that are counted at another instance or in
+// another window than their retries.
+const retryRatioUsed = 0.8
 
 // runDuties runs one goroutine for each duty until the first ends; in a planned stop that is stop.
 func (n *Node) runDuties(ctx context.Context) error {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -143,6 +143,23 @@
 	return list
 }
 
+const (
+	// fewestParts: an instance that has just started does not know the others yet. It is above the number of
+	// instances of today's deployments.
+	fewestParts = 10
+	// partsForEach is how many parts there are for each instance that is known, so that some may join before
+	// all have heard of them.
+	partsForEach = 1.25
+)
+
+// Parts is how many parts a limit is divided into that all instances share without asking each other, such as
+// retries, or connections to an upstream, for an instance that knows a number of others. Each instance has to
+// stay within one part, as it may be cut off from the others; with a number fixed for a small fleet a large one
+// would pass the limit many times over, and nobody would notice but those who set it.
+func Parts(others int) float64 {
+	return max(fewestParts, partsForEach*float64(others+1))
+}
+
 // Rank is the place of an instance among the given names in the order that a subject spreads them in:
 // each subject has another order, and a name that comes or goes changes no other's place by more than one.
 func Rank(subject, name string, names []string) (rank int) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -102,3 +102,13 @@
 		}
 	}
 }
+
+// A limit of the operators holds for the whole fleet, and each instance keeps to its part of it without asking
+// the others. If the parts of all add up to more than the limit, an upstream gets more than it takes.
+func TestPartsAddUpToLessThanTheWhole(t *testing.T) {
+	is := is.New(t)
+	for _, instances := range []int{1, 2, 8, 9, 30, 81, 330} {
+		is.True(float64(instances) < roster.Parts(instances-1))
+	}
+	is.Equal(roster.Parts(0), roster.Parts(6)) // a small fleet's part does not depend on whom it has heard of yet
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -22,6 +22,9 @@
 	ReloadTime time.Duration
 	// Instances is how many instances share what an upstream takes of connections.
 	Instances int
+	// PeerLoadFor is how long another instance's loads count: some heartbeats. One that is silent for longer
+	// may be gone, and its requests with it.
+	PeerLoadFor time.Duration
 	// ServiceTime is what a plain call usually takes, until measured.
 	ServiceTime time.Duration
 }
@@ -34,6 +37,7 @@
 		ReloadTime:  60 * time.Millisecond,
 		ServiceTime: 40 * time.Millisecond,
 		Instances:   10,
+		PeerLoadFor: 1500 * time.Millisecond,
 	}
 }
 
@@ -118,10 +122,6 @@
 	loads map[string]Load
 }
 
-// peerLoadFor is how long another instance's loads count: some heartbeats, also where there are many
-// instances. One that is silent for longer may be gone, and its requests with it.
-const peerLoadFor = 1500 * time.Millisecond
-
 // Configure takes over which services are engines.
 func (p *Pool) Configure(services map[string]traffic.Service) {
 	p.prepare()
@@ -211,7 +211,7 @@
 		adapters = append(adapters, u.ownLoad().InUse...)
 	}
 	for _, peer := range p.peers {
-		if now.Sub(peer.at) <= peerLoadFor {
+		if now.Sub(peer.at) <= p.Settings.PeerLoadFor {
 			adapters = append(adapters, peer.loads[id].InUse...)
 		}
 	}
@@ -231,7 +231,7 @@
 func (p *Pool) load(now time.Time, id string) (total Load) {
 	total = p.upstreams[id].ownLoad()
 	for _, peer := range p.peers {
-		if now.Sub(peer.at) > peerLoadFor {
+		if now.Sub(peer.at) > p.Settings.PeerLoadFor {
 			continue
 		}
 		load := peer.loads[id]
--- a/internal/placement/retry/budget.go
+++ b/internal/placement/retry/budget.go
@@ -27,6 +27,13 @@
 	return &Budget{ratio: ratio, most: most, balance: most / 2}
 }
 
+// Bound changes how many unused retries are kept, as the part of a limit that instances share follows their
+// number. Those beyond it are gone.
+func (b *Budget) Bound(most float64) {
+	b.most = most
+	b.balance = min(b.balance, most)
+}
+
 // First counts a first try.
 //
 // Made for the load of an outage, when every request fails and is retried: without a budget the
--- a/internal/placement/retry/budget_test.go
+++ b/internal/placement/retry/budget_test.go
@@ -43,6 +43,26 @@
 	is.Equal(allowed, retry.DefaultMost)
 }
 
+// A fleet grows from a few instances to eighty, which share one limit. An instance that kept its old part would
+// have the fleet send eight times as many retries as were allowed, just when an upstream is down.
+func TestPartOfTheLimitFollowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	budget := retry.Filled(0.1, 20)
+	budget.Bound(2)
+	allowed := 0
+	for budget.Allow() {
+		allowed++
+	}
+	is.Equal(allowed, 2)
+	for range 1000 {
+		budget.First()
+	}
+	for budget.Allow() {
+		allowed++
+	}
+	is.Equal(allowed, 4)
+}
+
 // An instance has just started, and the first request fails at its upstream. The limit allows some retries
 // beside its ratio; with an empty budget the caller would get the failure all the same.
 func TestFilledBudgetAllowsRetriesFromTheStart(t *testing.T) {
