--- a/internal/admission/claim/fuzz_test.go
+++ b/internal/admission/claim/fuzz_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/admission/claim"
+	"lacewingrock.example/lacewingrock/internal/proof/bubble"
 )
 
 const (
@@ -31,7 +32,7 @@
 func TestCallsRunAtMostOnce(t *testing.T) {
 	steps, runs, replays, claims := 0, 0, 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		fault := inBubble(t, func() string {
+		fault := bubble.Check(t, func() string {
 			w := newWorld(rapid.Uint64().Draw(rt, "seed"))
 			defer w.stop()
 			w.deadly = rapid.Bool().Draw(rt, "deadly")
@@ -53,20 +54,6 @@
 	t.Logf("%d steps, %d claims, %d runs, %d replays, 0 double runs", steps, claims, runs, replays)
 }
 
-// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
-// rapid ends a check early, has to reach rapid's goroutine.
-func inBubble(t *testing.T, check func() (fault string)) (fault string) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		fault = check()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-	return fault
-}
-
 // ---------------------------------------------------------------------------------------------
 
 type instance struct {
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/proof/bubble"
 )
 
 const workspace = "w"
@@ -232,7 +233,7 @@
 // from the limit that was highest, and while nobody is heard the instances may each spend what was left.
 func TestNoSpanHoldsMoreThanAllowed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		fault := inBubble(t, func() string {
+		fault := bubble.Check(t, func() string {
 			count := rapid.IntRange(2, 8).Draw(rt, "instances")
 			f := newFleet(quota.Limit{Rate: 50_000, Burst: 50_000}, count)
 			f.pass(3 * time.Second)
@@ -262,17 +263,3 @@
 		}
 	})
 }
-
-// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
-// rapid ends a check early, has to reach rapid's goroutine.
-func inBubble(t *testing.T, check func() (fault string)) (fault string) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		fault = check()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-	return fault
-}
--- a/internal/admission/rate/fuzz_test.go
+++ b/internal/admission/rate/fuzz_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/proof/bubble"
 )
 
 const (
@@ -23,7 +23,7 @@
 func TestFleetNeverSpendsOverTheLine(t *testing.T) {
 	steps, spent, checks := 0, 0.0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		fault := inBubble(t, func() string {
+		fault := bubble.Check(t, func() string {
 			w := newWorld(rate.Limit{Workspace: workspace, Rate: 20, Burst: 100})
 			w.grow("a", "b", "c", "d")
 			w.pass(20 * time.Second)
@@ -45,20 +45,6 @@
 	t.Logf("%d checks, %d steps, %.0f tokens spent, 0 over the line", checks, steps, spent)
 }
 
-// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
-// rapid ends a check early, has to reach rapid's goroutine.
-func inBubble(t *testing.T, check func() (fault string)) (fault string) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		fault = check()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-	return fault
-}
-
 func (w *world) step(rt *rapid.T) {
 	n := rapid.SampledFrom(w.nodes).Draw(rt, "node")
 	peer := rapid.SampledFrom(w.nodes).Draw(rt, "peer")
--- a/internal/fleet/freshness/fuzz_test.go
+++ b/internal/fleet/freshness/fuzz_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -12,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+	"lacewingrock.example/lacewingrock/internal/proof/bubble"
 )
 
 const (
@@ -27,7 +27,7 @@
 func TestNobodyIsFreshOnWhatWasReplacedEverywhere(t *testing.T) {
 	steps, declared, fresh := 0, 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		fault := inBubble(t, func() string {
+		fault := bubble.Check(t, func() string {
 			w := newWorld()
 			w.grow([]string{"a", "b", "c", "d", "e"}[:rapid.IntRange(2, 5).Draw(rt, "size")]...)
 			w.pass(5 * time.Second)
@@ -48,20 +48,6 @@
 	t.Logf("%d steps, %d revisions declared in force, %d times an instance was fresh", steps, declared, fresh)
 }
 
-// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
-// rapid ends a check early, has to reach rapid's goroutine.
-func inBubble(t *testing.T, check func() (fault string)) (fault string) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		fault = check()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-	return fault
-}
-
 // ---------------------------------------------------------------------------------------------
 
 type node struct {
--- /dev/null
+++ b/internal/gateway/serve/sends_test.go
@@ -0,0 +1,126 @@
+package serve_test
+
+// Sends to upstreams: what passes, and what may follow a send that went wrong.
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/placement/retry"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+func TestRequestPassesUnchanged(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, served)
+	response, body, err := w.call("/once/a%2Fb?q=%20x", "the body", "X-Tenant", "forged", "X-Own", "kept")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "answer")
+	is.Equal(response.Header.Get("X-Server-Stamp"), "s1")
+	seen := w.upstreams[0].requests()[0]
+	is.Equal(seen.RequestURI, "/once/a%2Fb?q=%20x")
+	is.Equal(seen.Host, "a.example")
+	is.Equal(w.upstreams[0].bodies[0], "the body")
+	is.Equal(seen.Header.Get("X-Tenant"), "own")
+	is.Equal(seen.Header.Get("X-Own"), "kept")
+	is.Equal(seen.Header.Get("Authorization"), "")
+	is.Equal(seen.Header.Get("X-Expect-Instance"), "u0")
+	left, err := strconv.Atoi(seen.Header.Get("X-Deadline-Ms"))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 2500)
+}
+
+// What an upstream does to the first send decides what may follow. A request that may run once is never
+// sent again after it may have run, and is never said not to have run then; one that may be repeated is
+// answered by another upstream.
+func TestFirstSendGoesWrong(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		first  http.HandlerFunc
+		status int
+		runs   int
+	}{
+		{"refusal of a request that runs once is tried elsewhere", "/once/", full, 200, 2},
+		{"refusal of an idempotent one is tried elsewhere", "/idem/", full, 200, 2},
+		{"lost answer of a request that runs once", "/once/", reset, 502, 1},
+		{"lost answer of an idempotent one", "/idem/", reset, 200, 2},
+		{"failure of a request that runs once is passed on", "/once/", failing, 500, 1},
+		{"failure of an idempotent one", "/idem/", failing, 200, 2},
+		{"unsigned success of a request that runs once", "/once/", unsigned, 502, 1},
+		{"unsigned success of an idempotent one", "/idem/", unsigned, 200, 2},
+		{"another request's answer to one that runs once", "/once/", crossed, 502, 1},
+		{"another request's answer to an idempotent one", "/idem/", crossed, 200, 2},
+		{"encoded body", "/once/", encoded, 502, 1},
+		{"torn answer of a request that runs once", "/once/", torn, 502, 1},
+		{"torn answer of an idempotent one", "/idem/", torn, 200, 2},
+		{"silence towards an idempotent one", "/idem/", hanging, 200, 2},
+		{"stream that breaks before it begins", "/stream/", reset, 200, 2},
+		{"stream that may not be resumed", "/single/", reset, 502, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var sends atomic.Int32
+			answer := func(rw http.ResponseWriter, r *http.Request) {
+				if sends.Add(1) == 1 {
+					test.first(rw, r)
+					return
+				}
+				served(rw, r)
+			}
+			w := newWorld(t, answer, answer)
+			response, body, err := w.call(test.path, "b")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, test.status)
+			is.Equal(w.runs(), test.runs)
+			if test.status == http.StatusOK {
+				is.Equal(body, "answer")
+			}
+			if test.status == http.StatusBadGateway {
+				is.Equal(response.Header.Get("X-Run"), "unknown")
+				is.Equal(response.Header.Get("X-Server-Stamp"), "")
+				is.True(!strings.Contains(body, "127.0.0.1")) // no upstream's address
+			}
+		})
+	}
+}
+
+// A request crashes each upstream that runs it and comes again and again. After three crashes it is not
+// sent on any more, and its caller is told that it did not run.
+func TestPoisonousRequestIsStopped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, served)
+	fingerprint := suspect.Of("own", "POST a.example/once/", []byte("poison"))
+	for range 3 {
+		w.handler.Advice.Suspects.Crashed(time.Now(), []suspect.Fingerprint{fingerprint})
+	}
+	response, _, err := w.call("/once/", "poison")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("X-Run"), "not-run")
+	response, _, err = w.call("/once/", "innocent")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(w.runs(), 1)
+}
+
+// The retry budget of the instance is used up in an outage. Further sends would multiply the load just
+// when there is the least capacity. The upstream's own failure goes to the caller, as there is nothing better.
+func TestNoRetryWithoutBudget(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, failing, failing)
+	w.handler.Advice.Retries = retry.New(0, 0)
+	response, _, err := w.call("/idem/", "b")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusInternalServerError)
+	is.Equal(response.Header.Get("X-Server-Stamp"), "s1")
+	is.Equal(w.runs(), 1)
+}
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -11,6 +11,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
+	"lacewingrock.example/lacewingrock/internal/proof/bubble"
 )
 
 const model = "base"
@@ -344,7 +345,7 @@
 // requests; neither may ever happen.
 func TestNoOrderOverfillsOrEvictsWhatIsUsed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		fault := inBubble(t, func() string {
+		fault := bubble.Check(t, func() string {
 			places := rapid.IntRange(1, 4).Draw(rt, "places")
 			p, e := newPlanner(places), newEngine(places)
 			names := []string{"a", "b", "c", "d", "e", "f", "g"}
@@ -381,17 +382,3 @@
 		}
 	})
 }
-
-// inBubble runs a check on a paused clock of its own and returns the fault it found. A panic, by which
-// rapid ends a check early, has to reach rapid's goroutine.
-func inBubble(t *testing.T, check func() (fault string)) (fault string) {
-	var ended any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { ended = recover() }()
-		fault = check()
-	})
-	if ended != nil {
-		panic(ended)
-	}
-	return fault
-}
