Do not send again to an upstream that lacks what its holder just said to be there

Ruled out: stale knowledge of this instance, for which the holder is asked.

Before: 6 sends to two such upstreams in the new test; after: 2.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -69,7 +69,11 @@
 		switch ended {
 		case resultServed:
 			return nil
-		case resultMissing, resultUnreached:
+		case resultMissing:
+			if !mayBePrepared(choice, query) {
+				j.tried = append(j.tried, choice.Upstream.ID)
+			}
+		case resultUnreached:
 		case resultNotRun:
 			j.tried = append(j.tried, choice.Upstream.ID)
 		case resultBroken, resultFailed:
@@ -85,6 +89,13 @@
 	return j.exhausted(last)
 }
 
+// mayBePrepared tells whether an upstream that lacked what was asked for may have it soon: this instance took
+// an adapter for loaded that was not, and can ask the holder for it. An upstream that lacks what its holder has
+// just said to be there, or that is another one at the address, will lack it at the next send too.
+func mayBePrepared(choice pool.Choice, query pool.Query) bool {
+	return query.Adapter.Name != "" && choice.Loaded
+}
+
 // choose picks an upstream.
 func (j *job) choose() (choice pool.Choice, query pool.Query, err error) {
 	newest, required := j.handler.Fleet.Newest(j.call.Work.Adapter)
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -124,3 +124,16 @@
 	is.Equal(response.Header.Get("X-Server-Stamp"), "s1")
 	is.Equal(w.runs(), 1)
 }
+
+// Another upstream has taken the address of one that is gone, and answers that it is not the one meant. It
+// will say so again: sent there once more, the request loses the time in which another could serve it.
+func TestNoSecondSendToAnotherUpstreamsAddress(t *testing.T) {
+	is := is.New(t)
+	misdirected := func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusMisdirectedRequest) }
+	w := newWorld(t, misdirected, misdirected)
+	response, _, err := w.call("/idem/", "b")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("X-Run"), "not-run")
+	is.Equal(w.runs(), 2)
+}
