Tell new revisions to some peers at once in large fleets

Cause: beyond ten peers each pair exchanges less often, every two seconds at 81 instances, and a revision that one instance had read in the store waited for that at each step. Now whoever learns of changes tells four peers, drawn by chance, which catch up and tell four; the heartbeats reach the rest. What is told in between no longer puts the next heartbeat off. Ruled out: a full beat for each change, which would cost 80 messages a change at one instance.

--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -121,6 +121,35 @@
 	}
 }
 
+// spreadTo is how many peers are told at once of a new revision. Each of them tells as many as soon as it has
+// the changes, so that a fleet of eighty knows them after three or four steps; the heartbeats reach whom chance
+// leaves out.
+const spreadTo = 4
+
+// spread tells some peers, drawn by chance, of a new revision. Where the heartbeats of all pairs come at full
+// pace they tell it soon enough.
+//
+// Made for a fleet so large that each pair exchanges only every few seconds: a withdrawn key would work on, and
+// an upstream that leaves get requests, for that long after one instance has read it in the store.
+func (b *beats) spread() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.peers) <= peersAtFullPace {
+		return
+	}
+	left := spreadTo
+	for _, loop := range b.peers { // the runtime begins at a place drawn by chance
+		if left == 0 {
+			return
+		}
+		left--
+		select {
+		case loop.news <- struct{}{}:
+		default: // it is about to be told
+		}
+	}
+}
+
 // touch has a heartbeat sent to a peer at once.
 func (b *beats) touch(name string) {
 	b.mutex.Lock()
@@ -139,20 +168,14 @@
 func (n *Node) beat() mesh.Beat {
 	now := time.Now()
 	beat := mesh.Beat{
-		Instance:     n.self.Name,
-		Incarnation:  n.self.Incarnation,
-		Address:      n.self.Address,
-		ConfirmedAge: -1,
-		Residencies:  n.holdings.residencies(now),
-		Stopping:     n.stopping.Load(),
-		StoreAway:    n.storeAway.Load(),
-	}
-	n.knowledge.mutex.Lock()
-	beat.Revision = n.knowledge.replica.Revision()
-	if !n.knowledge.confirmed.IsZero() {
-		beat.ConfirmedAge = now.Sub(n.knowledge.confirmed)
+		Instance:    n.self.Name,
+		Incarnation: n.self.Incarnation,
+		Address:     n.self.Address,
+		Residencies: n.holdings.residencies(now),
+		Stopping:    n.stopping.Load(),
+		StoreAway:   n.storeAway.Load(),
 	}
-	n.knowledge.mutex.Unlock()
+	n.stateRevision(&beat)
 	n.advice.With(func(a *serve.Advice) {
 		beat.Spent = a.Ledger.Own()
 		beat.Loads = a.Pool.Own()
@@ -168,6 +191,27 @@
 	return beat
 }
 
+// revisionBeat tells a new revision, and nothing else.
+func (n *Node) revisionBeat() mesh.Beat {
+	beat := mesh.Beat{
+		Instance: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
+		StoreAway: n.storeAway.Load(), OnlyRevision: true,
+	}
+	n.stateRevision(&beat)
+	return beat
+}
+
+// stateRevision enters the revision, and how old the store's word on it is.
+func (n *Node) stateRevision(beat *mesh.Beat) {
+	n.knowledge.mutex.Lock()
+	defer n.knowledge.mutex.Unlock()
+	beat.Revision = n.knowledge.replica.Revision()
+	beat.ConfirmedAge = -1
+	if !n.knowledge.confirmed.IsZero() {
+		beat.ConfirmedAge = time.Since(n.knowledge.confirmed)
+	}
+}
+
 // hear takes over what a peer tells.
 func (n *Node) hear(beat mesh.Beat) {
 	now := time.Now()
@@ -176,6 +220,9 @@
 		n.holdings.look()
 		return
 	}
+	if beat.OnlyRevision {
+		return
+	}
 	n.beats.setAway(beat.Instance, beat.StoreAway)
 	caller := roster.Instance{Name: beat.Instance, Incarnation: beat.Incarnation, Address: beat.Address}
 	if n.beats.hear(now, caller) {
@@ -198,7 +245,10 @@
 	if beat.OnlyLoads {
 		return mesh.Beat{OnlyLoads: true}
 	}
-	answer := n.beat()
+	answer := n.revisionBeat()
+	if !beat.OnlyRevision {
+		answer = n.beat()
+	}
 	if n.isBehind(beat) {
 		n.beats.catchUp(beat)
 	}
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -79,6 +79,7 @@
 	}
 	if len(changed) > 0 {
 		n.signal()
+		n.beats.spread()
 	}
 	return true
 }
--- a/internal/entry/node/peer_loop.go
+++ b/internal/entry/node/peer_loop.go
@@ -20,6 +20,8 @@
 	touched  chan struct{}
 	// urgent asks for a whole heartbeat at once.
 	urgent chan struct{}
+	// news asks for the peer to be told of a new revision at once.
+	news chan struct{}
 	// ahead carries a heartbeat of the peer that showed changes this instance lacks.
 	ahead chan mesh.Beat
 }
@@ -91,25 +93,36 @@
 
 func (n *Node) startPeer(ctx context.Context, instance roster.Instance) *peerLoop {
 	ctx, cancel := context.WithCancel(ctx)
-	loop := &peerLoop{node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), urgent: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1)}
+	loop := &peerLoop{
+		node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		news: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1),
+	}
 	n.beats.peers[instance.Name] = loop
 	go loop.run(ctx)
 	return loop
 }
 
 // run exchanges heartbeats until the context ends. Of each pair the one with the smaller name calls; the
-// other only does when it has not been called for a while.
+// other only does when it has not been called for a while. What is told in between does not put the next
+// heartbeat off: where there is much news, a peer that gets no heartbeats would count as silent.
 func (l *peerLoop) run(ctx context.Context) {
-	l.exchange(ctx, l.node.beat())
+	n := l.node
+	l.exchange(ctx, n.beat())
+	due := time.Now().Add(n.beats.pace())
 	for ctx.Err() == nil {
-		touched := l.wait(ctx)
-		n := l.node
-		if touched {
+		switch l.wait(ctx, due) {
+		case wokenByTouch:
 			l.exchange(ctx, n.loadBeat())
-			continue
-		}
-		if n.self.Name < l.instance.Name || !n.beats.isAlive(time.Now(), l.instance.Name) {
+		case wokenByNews:
+			l.exchange(ctx, n.revisionBeat())
+		case wokenByUrgency:
 			l.exchange(ctx, n.beat())
+		case wokenByTime:
+			due = time.Now().Add(n.beats.pace())
+			if n.self.Name < l.instance.Name || !n.beats.isAlive(time.Now(), l.instance.Name) {
+				l.exchange(ctx, n.beat())
+			}
+		case wokenByPeer:
 		}
 	}
 }
@@ -127,23 +140,36 @@
 	l.catchUp(ctx, beat)
 }
 
-// wait ends when the next heartbeat is due, or at once when there is news for the peer.
-func (l *peerLoop) wait(ctx context.Context) (touched bool) {
-	timer := time.NewTimer(l.node.beats.pace())
+// woken is why a loop goes on.
+type woken string
+
+const (
+	wokenByTime    woken = "time"
+	wokenByTouch   woken = "touch"
+	wokenByNews    woken = "news"
+	wokenByUrgency woken = "urgency"
+	wokenByPeer    woken = "peer"
+)
+
+// wait ends when the next heartbeat is due, or at once when there is news of or for the peer.
+func (l *peerLoop) wait(ctx context.Context, due time.Time) woken {
+	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	select {
 	case <-l.touched:
-		return pause(ctx, touchPause)
+		pause(ctx, touchPause)
+		return wokenByTouch
 	case beat := <-l.ahead:
 		l.catchUp(ctx, beat)
-		return false
+		return wokenByPeer
+	case <-l.news:
+		return wokenByNews
 	case <-l.urgent:
-		l.exchange(ctx, l.node.beat())
-		return false
+		return wokenByUrgency
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
+	return wokenByTime
 }
 
 // catchUp asks a peer for the changes that it knows and this instance does not.
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -21,6 +21,7 @@
 		ConfirmedAgeMicros: b.ConfirmedAge.Microseconds(),
 		Stopping:           b.Stopping,
 		OnlyLoads:          b.OnlyLoads,
+		OnlyRevision:       b.OnlyRevision,
 		StoreAway:          b.StoreAway,
 		Address:            b.Address,
 	}
@@ -53,6 +54,7 @@
 		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
 		Stopping:     wire.GetStopping(),
 		OnlyLoads:    wire.GetOnlyLoads(),
+		OnlyRevision: wire.GetOnlyRevision(),
 		StoreAway:    wire.GetStoreAway(),
 		Address:      wire.GetAddress(),
 	}
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -29,6 +29,8 @@
 	Stopping     bool
 	// OnlyLoads: the beat tells Loads and nothing else.
 	OnlyLoads bool
+	// OnlyRevision: the beat tells Revision, ConfirmedAge and StoreAway, and nothing else.
+	OnlyRevision bool
 	// StoreAway: the instance does not reach the store.
 	StoreAway bool
 }
