Tell at once what was admitted from a low bucket in large fleets

Cause: with heartbeats every two seconds eighty instances admit against the same tokens until they hear of each other. Ruled out: an estimate of what the others admit from their last totals, which knows nothing of a flood that begins; equal caps for each instance, since a workspace has a few callers that reach a few instances. Now an instance that admits from a bucket less than half full tells the others when it has admitted 20 ms of the rate since.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -39,6 +39,8 @@
 	buckets map[string]*bucket
 	own     Spent
 	peers   map[string]*peer
+	// told is what this instance had admitted when it last told all others.
+	told Spent
 }
 
 // bucket is the estimate for one workspace. Its level is negative while it is in debt.
@@ -149,6 +151,35 @@
 	l.own[workspace] -= cost
 }
 
+const (
+	// lowPart: a bucket that is less full than this may be emptied by others before they are heard.
+	lowPart = 0.5
+	// tellAfter is how much of a workspace's rate an instance may admit from a low bucket without telling, in
+	// seconds of that rate. At saturation the fleet then tells at most fifty times a second for a workspace;
+	// a smaller part would cost more messages than the requests themselves.
+	tellAfter = 0.02
+)
+
+// TellDue tells whether the others should hear at once what this instance has admitted, and takes it that they
+// will.
+//
+// Made for a large fleet, whose heartbeats come every few seconds, and one workspace that sends many times its
+// rate to all instances: each would admit against the same tokens until the next heartbeat.
+func (l *Ledger) TellDue() bool {
+	for workspace, spent := range l.own {
+		limit := l.limits[workspace]
+		b := l.buckets[workspace]
+		if b == nil || limit.Rate <= 0 || b.level > lowPart*limit.Burst {
+			continue
+		}
+		if spent-l.told[workspace] >= tellAfter*limit.Rate {
+			l.told = maps.Clone(l.own)
+			return true
+		}
+	}
+	return false
+}
+
 // Own is what this instance has admitted, for its heartbeats.
 func (l *Ledger) Own() Spent { return maps.Clone(l.own) }
 
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -25,6 +25,11 @@
 	names     []string
 	admitted  []admission
 	lastBeats time.Time
+	// every is the pace of the heartbeats, and urgent has an instance tell the others at once when its ledger
+	// asks for that.
+	every  time.Duration
+	urgent bool
+	told   int
 }
 
 type admission struct {
@@ -35,7 +40,7 @@
 func newFleet(limit quota.Limit, count int) *fleet {
 	f := &fleet{
 		limit: limit, ledgers: map[string]*quota.Ledger{}, starts: map[string]int{},
-		cut: map[string]bool{}, down: map[string]bool{},
+		cut: map[string]bool{}, down: map[string]bool{}, every: beat,
 	}
 	for i := range count {
 		f.names = append(f.names, fmt.Sprint("instance", i))
@@ -75,19 +80,24 @@
 func (f *fleet) pass(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
-		if time.Since(f.lastBeats) < beat {
+		if time.Since(f.lastBeats) < f.every {
 			continue
 		}
 		f.lastBeats = time.Now()
 		for _, from := range f.names {
-			for _, to := range f.names {
-				if from == to || f.cut[from] || f.cut[to] || f.down[from] || f.down[to] {
-					continue
-				}
-				incarnation := fmt.Sprint(from, f.starts[from])
-				f.ledgers[to].Hear(time.Now(), from, incarnation, f.ledgers[from].Own())
-			}
+			f.tell(from)
+		}
+	}
+}
+
+// tell has all that an instance reaches hear what it admitted.
+func (f *fleet) tell(from string) {
+	for _, to := range f.names {
+		if from == to || f.cut[from] || f.cut[to] || f.down[from] || f.down[to] {
+			continue
 		}
+		incarnation := fmt.Sprint(from, f.starts[from])
+		f.ledgers[to].Hear(time.Now(), from, incarnation, f.ledgers[from].Own())
 	}
 }
 
@@ -99,6 +109,10 @@
 	if ok {
 		f.admitted = append(f.admitted, admission{at: time.Now(), cost: cost})
 	}
+	if f.ledgers[name].TellDue() && f.urgent {
+		f.told++
+		f.tell(name)
+	}
 	return ok
 }
 
@@ -162,6 +176,37 @@
 	})
 }
 
+// A fleet of eighty exchanges heartbeats every two seconds, and a workspace sends seven times its rate to all of
+// them. In the two seconds until they hear of each other all would admit against the same tokens, several times
+// what was bought. So whoever admits while there is little left tells at once; a workspace with plenty left
+// causes no messages.
+func TestFloodStaysWithinTheRateOfALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 60_000, Burst: 60_000}, 80)
+		f.every = 2 * time.Second
+		f.urgent = true
+		for _, ledger := range f.ledgers {
+			ledger.SilentAfter = 3 * f.every
+		}
+		f.pass(3 * time.Second)
+		for i := range 200 {
+			f.admit(f.names[(i*37)%len(f.names)], 600) // 12,000 a second
+			f.pass(50 * time.Millisecond)
+		}
+		is.Equal(f.told, 0)
+		for i := range 1600 {
+			f.admit(f.names[(i*37)%len(f.names)], 2100) // 420,000 a second
+			f.admit(f.names[(i*37+11)%len(f.names)], 2100)
+			f.pass(10 * time.Millisecond)
+		}
+		t.Logf("%.0f in %s, %.0f allowed; %d times told at once", f.most(window), window, f.allowed(), f.told)
+		is.True(f.most(window) <= f.allowed())
+		is.True(f.most(window) >= 0.9*f.limit.Rate*window.Seconds())
+		is.True(f.told < 1500)
+	})
+}
+
 // An instance is cut off from the others while a workspace floods both sides. The cut one cannot know what
 // the others admit, and they cannot know what it does; each side keeps to its own part.
 func TestCutInstanceKeepsToItsPart(t *testing.T) {
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -154,6 +154,22 @@
 	}
 }
 
+// tellSpent has all peers told at once of what this instance has admitted. Where the heartbeats of all pairs
+// come at full pace they tell it soon enough.
+func (b *beats) tellSpent() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.peers) <= peersAtFullPace {
+		return
+	}
+	for _, loop := range b.peers {
+		select {
+		case loop.spent <- struct{}{}:
+		default: // it is about to be told
+		}
+	}
+}
+
 // touch has a heartbeat sent to a peer at once.
 func (b *beats) touch(name string) {
 	b.mutex.Lock()
@@ -195,6 +211,16 @@
 	return beat
 }
 
+// spentBeat tells what this instance has admitted, and nothing else.
+func (n *Node) spentBeat() mesh.Beat {
+	beat := mesh.Beat{Instance: n.self.Name, Incarnation: n.self.Incarnation, OnlySpent: true}
+	n.advice.With(func(a *serve.Advice) { beat.Spent = a.Ledger.Own() })
+	return beat
+}
+
+// Spent tells the others at once what this instance has admitted.
+func (n *Node) Spent() { n.beats.tellSpent() }
+
 // heldBeat answers an instance with what is under way at the upstreams that this one holds, and what is loaded
 // there.
 func (n *Node) heldBeat(asker string) mesh.Beat {
@@ -256,6 +282,10 @@
 	if beat.OnlyRevision {
 		return
 	}
+	if beat.OnlySpent {
+		n.advice.With(func(a *serve.Advice) { a.Ledger.Hear(now, beat.Instance, beat.Incarnation, beat.Spent) })
+		return
+	}
 	n.beats.setAway(beat.Instance, beat.StoreAway)
 	caller := roster.Instance{Name: beat.Instance, Incarnation: beat.Incarnation, Address: beat.Address}
 	if n.beats.hear(now, caller) {
@@ -278,6 +308,9 @@
 	if beat.OnlyLoads {
 		return n.heldBeat(beat.Instance)
 	}
+	if beat.OnlySpent {
+		return n.spentBeat()
+	}
 	answer := n.revisionBeat()
 	if !beat.OnlyRevision {
 		answer = n.beat()
--- a/internal/entry/node/peer_loop.go
+++ b/internal/entry/node/peer_loop.go
@@ -22,6 +22,8 @@
 	urgent chan struct{}
 	// news asks for the peer to be told of a new revision at once.
 	news chan struct{}
+	// spent asks for the peer to be told at once of what this instance has admitted.
+	spent chan struct{}
 	// ahead carries a heartbeat of the peer that showed changes this instance lacks.
 	ahead chan mesh.Beat
 }
@@ -95,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	loop := &peerLoop{
 		node: n, instance: instance, stop: cancel, touched: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
-		news: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1),
+		news: make(chan struct{}, 1), spent: make(chan struct{}, 1), ahead: make(chan mesh.Beat, 1),
 	}
 	n.beats.peers[instance.Name] = loop
 	go loop.run(ctx)
@@ -115,6 +117,8 @@
 			l.exchange(ctx, n.loadBeat())
 		case wokenByNews:
 			l.exchange(ctx, n.revisionBeat())
+		case wokenBySpending:
+			l.exchange(ctx, n.spentBeat())
 		case wokenByUrgency:
 			l.exchange(ctx, n.beat())
 		case wokenByTime:
@@ -141,18 +145,21 @@
 		return
 	}
 	l.node.hear(beat)
-	l.catchUp(ctx, beat)
+	if !beat.OnlySpent {
+		l.catchUp(ctx, beat)
+	}
 }
 
 // woken is why a loop goes on.
 type woken string
 
 const (
-	wokenByTime    woken = "time"
-	wokenByTouch   woken = "touch"
-	wokenByNews    woken = "news"
-	wokenByUrgency woken = "urgency"
-	wokenByPeer    woken = "peer"
+	wokenByTime     woken = "time"
+	wokenByTouch    woken = "touch"
+	wokenByNews     woken = "news"
+	wokenBySpending woken = "spending"
+	wokenByUrgency  woken = "urgency"
+	wokenByPeer     woken = "peer"
 )
 
 // wait ends when the next heartbeat is due, or at once when there is news of or for the peer.
@@ -168,6 +175,8 @@
 		return wokenByPeer
 	case <-l.news:
 		return wokenByNews
+	case <-l.spent:
+		return wokenBySpending
 	case <-l.urgent:
 		return wokenByUrgency
 	case <-timer.C:
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -22,6 +22,7 @@
 		Stopping:           b.Stopping,
 		OnlyLoads:          b.OnlyLoads,
 		OnlyRevision:       b.OnlyRevision,
+		OnlySpent:          b.OnlySpent,
 		StoreAway:          b.StoreAway,
 		Address:            b.Address,
 	}
@@ -55,6 +56,7 @@
 		Stopping:     wire.GetStopping(),
 		OnlyLoads:    wire.GetOnlyLoads(),
 		OnlyRevision: wire.GetOnlyRevision(),
+		OnlySpent:    wire.GetOnlySpent(),
 		StoreAway:    wire.GetStoreAway(),
 		Address:      wire.GetAddress(),
 	}
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -31,6 +31,8 @@
 	OnlyLoads bool
 	// OnlyRevision: the beat tells Revision, ConfirmedAge and StoreAway, and nothing else.
 	OnlyRevision bool
+	// OnlySpent: the beat tells Spent and nothing else.
+	OnlySpent bool
 	// StoreAway: the instance does not reach the store.
 	StoreAway bool
 }
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -37,6 +37,8 @@
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
 	// Ask asks for what is loaded and under way at an upstream, for the next choice.
 	Ask(ctx context.Context, upstream string)
+	// Spent has the other instances told at once of what this one has admitted.
+	Spent()
 	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
 	Touch(upstream string)
 	// Broke tells that an answer broke with its connection: the upstream may have crashed.
@@ -228,14 +230,18 @@
 	j.cost = j.call.Cost(j.workspace)
 	j.fingerprint = suspect.Of(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
 	var retryAfter time.Duration
-	admitted := false
+	admitted, tell := false, false
 	verdict := suspect.Free
 	j.handler.Advice.With(func(a *Advice) {
 		verdict, retryAfter = a.Suspects.Judge(now, j.fingerprint)
 		if verdict != suspect.Refused {
 			retryAfter, admitted = a.Ledger.Admit(now, j.workspace.Name, j.cost)
 		}
+		tell = admitted && a.Ledger.TellDue()
 	})
+	if tell {
+		j.handler.Fleet.Spent()
+	}
 	j.alone = verdict == suspect.Alone
 	switch {
 	case verdict == suspect.Refused:
