--- a/internal/entry/node/peer_loop.go
+++ b/internal/entry/node/peer_loop.go
@@ -140,12 +140,12 @@
 	if err != nil {
 		return
 	}
-	if beat.OnlyLoads {
-		l.node.learnHeld(beat)
+	if beat.Tells == mesh.TellsLoads {
+		l.node.learnHeld(beat) // a holder's word on its upstreams, not its own loads
 		return
 	}
 	l.node.hear(beat)
-	if !beat.OnlySpent {
+	if beat.Tells != mesh.TellsSpent {
 		l.catchUp(ctx, beat)
 	}
 }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -20,9 +20,9 @@
 		Revision:           b.Revision,
 		ConfirmedAgeMicros: b.ConfirmedAge.Microseconds(),
 		Stopping:           b.Stopping,
-		OnlyLoads:          b.OnlyLoads,
-		OnlyRevision:       b.OnlyRevision,
-		OnlySpent:          b.OnlySpent,
+		OnlyLoads:          b.Tells == TellsLoads,
+		OnlyRevision:       b.Tells == TellsRevision,
+		OnlySpent:          b.Tells == TellsSpent,
 		StoreAway:          b.StoreAway,
 		Address:            b.Address,
 	}
@@ -45,6 +45,18 @@
 	return wire
 }
 
+func partFromWire(wire *meshpb.Beat) Part {
+	switch {
+	case wire.GetOnlyLoads():
+		return TellsLoads
+	case wire.GetOnlyRevision():
+		return TellsRevision
+	case wire.GetOnlySpent():
+		return TellsSpent
+	}
+	return TellsAll
+}
+
 func beatFromWire(wire *meshpb.Beat) Beat {
 	b := Beat{
 		Instance:     wire.GetInstance(),
@@ -54,9 +66,7 @@
 		Spent:        make(quota.Spent, len(wire.GetSpent())),
 		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
 		Stopping:     wire.GetStopping(),
-		OnlyLoads:    wire.GetOnlyLoads(),
-		OnlyRevision: wire.GetOnlyRevision(),
-		OnlySpent:    wire.GetOnlySpent(),
+		Tells:        partFromWire(wire),
 		StoreAway:    wire.GetStoreAway(),
 		Address:      wire.GetAddress(),
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -64,7 +64,7 @@
 	peer, peers, address := serveEcho(t)
 	a := traffic.Adapter{Model: "m", Name: "a"}
 	beat := mesh.Beat{
-		Instance: "i", Incarnation: "x", Address: "10.0.0.1:1", Revision: 7, ConfirmedAge: 250 * time.Millisecond, Stopping: true, StoreAway: true, OnlyRevision: true, OnlySpent: true,
+		Instance: "i", Incarnation: "x", Address: "10.0.0.1:1", Revision: 7, ConfirmedAge: 250 * time.Millisecond, Stopping: true, StoreAway: true,
 		Spent: quota.Spent{"w": 12.5},
 		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
 		Residencies: []pool.Residency{{
@@ -77,6 +77,12 @@
 	is.NoErr(err)
 	is.Equal(peer.beat, beat)
 	is.Equal(answer, beat)
+	for _, part := range []mesh.Part{mesh.TellsLoads, mesh.TellsRevision, mesh.TellsSpent} {
+		beat.Tells = part
+		answer, err = peers.Exchange(context.Background(), address, beat)
+		is.NoErr(err)
+		is.Equal(answer, beat)
+	}
 }
 
 func TestChangesArriveWhole(t *testing.T) {
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -13,6 +13,22 @@
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
+// Part is what of a beat is told.
+type Part string
+
+// The parts.
+const (
+	// TellsAll: every field counts.
+	TellsAll Part = ""
+	// TellsLoads: what the sender has under way, in answer to which a holder tells what it knows to be under way
+	// and loaded at its upstreams.
+	TellsLoads Part = "loads"
+	// TellsRevision: the revision and what confirms it.
+	TellsRevision Part = "revision"
+	// TellsSpent: what the sender has admitted.
+	TellsSpent Part = "spent"
+)
+
 // Beat is a heartbeat.
 type Beat struct {
 	Instance    string
@@ -27,12 +43,8 @@
 	Residencies  []pool.Residency
 	Suspects     []suspect.Count
 	Stopping     bool
-	// OnlyLoads: the beat tells Loads and nothing else.
-	OnlyLoads bool
-	// OnlyRevision: the beat tells Revision, ConfirmedAge and StoreAway, and nothing else.
-	OnlyRevision bool
-	// OnlySpent: the beat tells Spent and nothing else.
-	OnlySpent bool
+	// Tells is what the beat tells besides who sends it.
+	Tells Part
 	// StoreAway: the instance does not reach the store.
 	StoreAway bool
 }
