--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -155,9 +155,9 @@
 	// lowPart: a bucket that is less full than this may be emptied by others before they are heard.
 	lowPart = 0.5
 	// tellAfter is how much of a workspace's rate an instance may admit from a low bucket without telling, in
-	// seconds of that rate. At saturation the fleet then tells at most fifty times a second for a workspace;
+	// seconds of that rate. At saturation the fleet then tells at most some thirty times a second for a workspace;
 	// a smaller part would cost more messages than the requests themselves.
-	tellAfter = 0.02
+	tellAfter = 0.03
 )
 
 // TellDue tells whether the others should hear at once what this instance has admitted, and takes it that they
