Refuse at once who would wait for an adapter until it is too late

Cause: while more adapters are wanted than there are places, those who can be on time go first, and one that cannot waits until they are all served. Ruled out: lost holders and silent upstreams, for the log shows the wait for places. A request whose wait ends after it would be late, and is longer than 500 ms, is told now at once and when to come back; so is one that became late while it waited.

--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -178,23 +178,28 @@
 		h.mutex.Unlock()
 		return mesh.Loaded{Version: version}
 	}
-	if wait := h.planner.Wait(now, request.Adapter); wait > request.Patience {
+	worthUntil := now.Add(min(request.Patience, request.OnTime))
+	if wait, hopeless := h.planner.Hopeless(now, request.Adapter, worthUntil); hopeless {
 		h.mutex.Unlock()
 		return mesh.Busy{RetryAfter: wait}
 	}
 	h.planner.Want(now, request.Adapter, request.Version, request.Priority, now.Add(request.OnTime))
 	h.mutex.Unlock()
-	prepared := h.await(ctx, request)
+	prepared := h.await(ctx, request, worthUntil)
 	h.mutex.Lock()
 	h.planner.Unwant(request.Adapter)
 	h.mutex.Unlock()
 	return prepared
 }
 
-func (h *holding) await(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+func (h *holding) await(ctx context.Context, request mesh.PrepareRequest, worthUntil time.Time) mesh.Prepared {
+	timer := time.NewTimer(time.Until(worthUntil))
+	defer timer.Stop()
 	for {
 		h.mutex.Lock()
-		version, has := h.planner.Has(time.Now(), request.Adapter, request.Version)
+		now := time.Now()
+		version, has := h.planner.Has(now, request.Adapter, request.Version)
+		wait, hopeless := h.planner.Hopeless(now, request.Adapter, worthUntil)
 		changed := h.changed
 		fenced := h.fenced
 		h.mutex.Unlock()
@@ -204,9 +209,13 @@
 		if fenced {
 			return mesh.NotHolder{}
 		}
+		if hopeless {
+			return mesh.Busy{RetryAfter: wait}
+		}
 		h.look()
 		select {
 		case <-changed:
+		case <-timer.C:
 		case <-h.ended:
 			return mesh.NotHolder{}
 		case <-ctx.Done():
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -234,6 +234,36 @@
 	})
 }
 
+// All places are in use, and a dozen adapters are waited for. A request that could be on time for a second yet
+// would get its adapter long after that: those who can be on time go before it again and again, and its caller
+// would hold on until its deadline. It is told at once, and when to come back; so is one that became late while
+// it waited. A late request still gets a place that is free, or will be in a moment, and an adapter on its way.
+func TestHopelessWaitsEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, e := newPlanner(3), newEngine(3)
+		e.loaded = map[string]int64{"a": 1, "b": 1}
+		e.inUse = map[string]bool{"a": true, "b": true}
+		drive(p, e, begin, never)
+		late := time.Now().Add(-time.Second)
+		wait, hopeless := p.Hopeless(time.Now(), adapter("c"), late)
+		is.True(!hopeless) // the third place is free
+		is.Equal(wait, time.Duration(0))
+		want(p, "c", 1, time.Second)
+		drive(p, e, 50*time.Millisecond, never)
+		_, hopeless = p.Hopeless(time.Now(), adapter("c"), late)
+		is.True(!hopeless) // it is on its way
+		for _, name := range []string{"d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+			want(p, name, 1, time.Second)
+		}
+		wait, hopeless = p.Hopeless(time.Now(), adapter("m"), time.Now().Add(time.Second))
+		is.True(hopeless)
+		is.True(wait > time.Second)
+		_, hopeless = p.Hopeless(time.Now(), adapter("m"), time.Now().Add(time.Minute))
+		is.True(!hopeless)
+	})
+}
+
 // More adapters are wanted than there are places. Served in the order of arrival all would be late; the
 // ones that can still be on time go first.
 func TestLateOnesWaitBehindThoseOnTime(t *testing.T) {
--- a/internal/placement/residence/wants.go
+++ b/internal/placement/residence/wants.go
@@ -45,8 +45,12 @@
 func (p *Planner) HasWants() bool { return len(p.wants) > 0 }
 
 // Wait is how long a new want is expected to wait until its adapter's load begins: the adapters that wait
-// before it, at the pace at which places came free lately. It is zero while a place is to be had.
+// before it, at the pace at which places came free lately. It is zero while a place is to be had, and for an
+// adapter that is being loaded.
 func (p *Planner) Wait(now time.Time, adapter traffic.Adapter) time.Duration {
+	if known := p.places[adapter]; known != nil && known.state == loading {
+		return 0
+	}
 	ahead := 0
 	for other := range p.wants {
 		if other != adapter && p.places[other] == nil {
@@ -60,6 +64,21 @@
 	return time.Duration(ahead-free+1) * p.pace()
 }
 
+// Hopeless tells whether a request that is on time until worthUntil would get its adapter only after that, and
+// how long it would wait.
+//
+// Made for the time when more adapters are wanted than there are places. Those who can be on time go first, so
+// one who cannot waits until they are all served: it is held for seconds, mostly to its deadline, and takes a
+// place from the next caller if it gets one. Told at once, its caller can come back when there is room. While a
+// place is to be had, or will be in shortWait, late requests get it.
+func (p *Planner) Hopeless(now time.Time, adapter traffic.Adapter, worthUntil time.Time) (time.Duration, bool) {
+	wait := p.Wait(now, adapter)
+	return wait, wait > shortWait && now.Add(wait).After(worthUntil)
+}
+
+// shortWait is worth waiting also for a late answer: a caller that comes back would not be served sooner.
+const shortWait = 500 * time.Millisecond
+
 // pace is the time between two places that come free while adapters wait.
 func (p *Planner) pace() time.Duration {
 	if p.grantPace > 0 {
