Tell what was admitted to those who admit for the same workspace

Each telling went to all 80 others, though the callers of one workspace reach some of the instances only. Now it goes to those that were heard to admit for it in the last 8 s, and once in that time to all, so that who begins is known and learns from the answers what the others admitted.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -41,6 +41,8 @@
 	peers   map[string]*peer
 	// told is what this instance had admitted when it last told all others.
 	told Spent
+	// toldAll is when all peers were last told of a workspace, not only those that admit for it too.
+	toldAll map[string]time.Time
 }
 
 // bucket is the estimate for one workspace. Its level is negative while it is in debt.
@@ -55,6 +57,8 @@
 	heard       time.Time
 	spent       Spent
 	reserved    Spent
+	// admitted is when it was last heard to have admitted something for a workspace.
+	admitted map[string]time.Time
 }
 
 // SetLimits takes over what is declared. A bucket that is new starts empty: an instance that has just
@@ -87,7 +91,7 @@
 	for _, name := range names {
 		p := l.peers[name]
 		if p == nil {
-			p = &peer{heard: now, reserved: Spent{}}
+			p = &peer{heard: now, reserved: Spent{}, admitted: make(map[string]time.Time)}
 		}
 		known[name] = p
 	}
@@ -113,6 +117,9 @@
 	if !first {
 		for workspace, total := range spent {
 			l.deduct(workspace, total-before[workspace])
+			if total > before[workspace] {
+				p.admitted[workspace] = now
+			}
 		}
 	}
 	for workspace, reserved := range p.reserved {
@@ -158,14 +165,19 @@
 	// seconds of that rate. At saturation the fleet then tells at most some thirty times a second for a workspace;
 	// a smaller part would cost more messages than the requests themselves.
 	tellAfter = 0.03
+	// activeFor is how long an instance that admitted for a workspace is taken to go on: some heartbeats, also
+	// where there are many instances.
+	activeFor = 8 * time.Second
 )
 
-// TellDue tells whether the others should hear at once what this instance has admitted, and takes it that they
-// will.
+// TellDue lists the peers that should hear at once what this instance has admitted, and takes it that they will:
+// those that admit for the same workspace, and now and then all. The callers of one reach some of the instances
+// only, and to tell all of them each time would cost a large fleet more than all its heartbeats. But those that
+// begin have to be known to the others first, and to hear from them, which their answers do.
 //
 // Made for a large fleet, whose heartbeats come every few seconds, and one workspace that sends many times its
 // rate to all instances: each would admit against the same tokens until the next heartbeat.
-func (l *Ledger) TellDue() bool {
+func (l *Ledger) TellDue(now time.Time) (names []string) {
 	for workspace, spent := range l.own {
 		limit := l.limits[workspace]
 		b := l.buckets[workspace]
@@ -174,10 +186,24 @@
 		}
 		if spent-l.told[workspace] >= tellAfter*limit.Rate {
 			l.told = maps.Clone(l.own)
-			return true
+			return l.toTell(now, workspace)
+		}
+	}
+	return nil
+}
+
+// toTell lists the peers that admitted for a workspace lately, or all if those were not told for as long.
+func (l *Ledger) toTell(now time.Time, workspace string) (names []string) {
+	all := now.Sub(l.toldAll[workspace]) > activeFor
+	if all {
+		l.toldAll[workspace] = now
+	}
+	for name, p := range l.peers {
+		if at, found := p.admitted[workspace]; all || found && now.Sub(at) <= activeFor {
+			names = append(names, name)
 		}
 	}
-	return false
+	return names
 }
 
 // Own is what this instance has admitted, for its heartbeats.
@@ -238,5 +264,6 @@
 		l.buckets = make(map[string]*bucket)
 		l.peers = make(map[string]*peer)
 		l.own = Spent{}
+		l.toldAll = make(map[string]time.Time)
 	}
 }
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -85,19 +85,20 @@
 		}
 		f.lastBeats = time.Now()
 		for _, from := range f.names {
-			f.tell(from)
+			f.tell(from, f.names)
 		}
 	}
 }
 
-// tell has all that an instance reaches hear what it admitted.
-func (f *fleet) tell(from string) {
-	for _, to := range f.names {
+// tell has those of the named instances that an instance reaches hear what it admitted.
+func (f *fleet) tell(from string, names []string) {
+	for _, to := range names {
 		if from == to || f.cut[from] || f.cut[to] || f.down[from] || f.down[to] {
 			continue
 		}
 		incarnation := fmt.Sprint(from, f.starts[from])
 		f.ledgers[to].Hear(time.Now(), from, incarnation, f.ledgers[from].Own())
+		f.ledgers[from].Hear(time.Now(), to, fmt.Sprint(to, f.starts[to]), f.ledgers[to].Own())
 	}
 }
 
@@ -109,9 +110,9 @@
 	if ok {
 		f.admitted = append(f.admitted, admission{at: time.Now(), cost: cost})
 	}
-	if f.ledgers[name].TellDue() && f.urgent {
+	if names := f.ledgers[name].TellDue(time.Now()); len(names) > 0 && f.urgent {
 		f.told++
-		f.tell(name)
+		f.tell(name, names)
 	}
 	return ok
 }
@@ -207,6 +208,25 @@
 	})
 }
 
+// The callers of a workspace reach two of many instances. Those two need to hear of each other at once; telling
+// all the others would only load them.
+func TestOnlyThoseWhoAdmitAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 1000, Burst: 1000}, 40)
+		f.pass(2 * time.Second)
+		is.True(f.admit("instance1", 700))
+		f.pass(time.Second) // a heartbeat
+		_, admitted := f.ledgers["instance0"].Admit(time.Now(), workspace, 700)
+		is.True(admitted)
+		is.Equal(len(f.ledgers["instance0"].TellDue(time.Now())), 39) // it has just begun
+		f.pass(2 * time.Second)
+		_, admitted = f.ledgers["instance0"].Admit(time.Now(), workspace, 700)
+		is.True(admitted)
+		is.Equal(f.ledgers["instance0"].TellDue(time.Now()), []string{"instance1"})
+	})
+}
+
 // An instance is cut off from the others while a workspace floods both sides. The cut one cannot know what
 // the others admit, and they cannot know what it does; each side keeps to its own part.
 func TestCutInstanceKeepsToItsPart(t *testing.T) {
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -151,15 +151,19 @@
 	}
 }
 
-// tellSpent has all peers told at once of what this instance has admitted. Where the heartbeats of all pairs
+// tellSpent has some peers told at once of what this instance has admitted. Where the heartbeats of all pairs
 // come at full pace they tell it soon enough.
-func (b *beats) tellSpent() {
+func (b *beats) tellSpent(names []string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if len(b.peers) <= peersAtFullPace {
 		return
 	}
-	for _, loop := range b.peers {
+	for _, name := range names {
+		loop := b.peers[name]
+		if loop == nil {
+			continue
+		}
 		select {
 		case loop.spent <- struct{}{}:
 		default: // it is about to be told
--- a/internal/entry/node/telling.go
+++ b/internal/entry/node/telling.go
@@ -44,8 +44,8 @@
 	return beat
 }
 
-// Spent tells the others at once what this instance has admitted.
-func (n *Node) Spent() { n.beats.tellSpent() }
+// TellSpent tells some peers at once what this instance has admitted.
+func (n *Node) TellSpent(names []string) { n.beats.tellSpent(names) }
 
 // heldBeat answers an instance with what is under way at the upstreams that this one holds, and what is loaded
 // there.
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -37,8 +37,8 @@
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
 	// Ask asks for what is loaded and under way at an upstream, for the next choice.
 	Ask(ctx context.Context, upstream string)
-	// Spent has the other instances told at once of what this one has admitted.
-	Spent()
+	// TellSpent has some of the other instances told at once of what this one has admitted.
+	TellSpent(names []string)
 	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
 	Touch(upstream string)
 	// Broke tells that an answer broke with its connection: the upstream may have crashed.
@@ -230,17 +230,20 @@
 	j.cost = j.call.Cost(j.workspace)
 	j.fingerprint = suspect.Of(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
 	var retryAfter time.Duration
-	admitted, tell := false, false
+	admitted := false
+	var tell []string
 	verdict := suspect.Free
 	j.handler.Advice.With(func(a *Advice) {
 		verdict, retryAfter = a.Suspects.Judge(now, j.fingerprint)
 		if verdict != suspect.Refused {
 			retryAfter, admitted = a.Ledger.Admit(now, j.workspace.Name, j.cost)
 		}
-		tell = admitted && a.Ledger.TellDue()
+		if admitted {
+			tell = a.Ledger.TellDue(now)
+		}
 	})
-	if tell {
-		j.handler.Fleet.Spent()
+	if len(tell) > 0 {
+		j.handler.Fleet.TellSpent(tell)
 	}
 	j.alone = verdict == suspect.Alone
 	switch {
