Outlive a SIGHUP that comes during the start

Cause: the instance took note of SIGHUP only once all its duties ran; one that came between the process's first step and then had the signal's default, which ends the process without a word. Ruled out: a port in use and wrong settings, which both say so. On the platform such a process counts as one that ended by itself.

What is left are the few milliseconds before the program's own first step, which no program can cover.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -5,6 +5,8 @@
 	"flag"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -52,6 +54,7 @@
 
 // Execute carries the verb out.
 func (v *serveVerb) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	outliveHangups()
 	if v.file == "" {
 		v.file = os.Getenv(settingsVariable)
 	}
@@ -98,6 +101,10 @@
 	return exitDone
 }
 
+// outliveHangups keeps SIGHUP from ending the process, which is its default, also before the instance waits
+// for it. The settings that it tells of are read after that anyway.
+func outliveHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 const (
 	// orderTimeout bounds an upstream's answer to an order. One takes some milliseconds, and an order that
 	// got none is simply given again.
