Free the tests of serve and node from the platform's names

Cause: five test files outside platform/ spoke the platform's headers and keys, since they ran through its dialect and decoder; the product's own tests depended on the adapter. They have a dialect and declarations of their own now.

--- /dev/null
+++ b/internal/entry/node/declarations_test.go
@@ -0,0 +1,93 @@
+package node_test
+
+// Declarations and a dialect of these tests' own, so that they depend on no platform's names.
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// Keys of what is declared.
+const (
+	keyConfiguration = "declared/configuration"
+	prefixUpstreams  = "declared/upstreams/"
+)
+
+const (
+	headerID     = "Call-Id"
+	headerSigned = "Reply-Signed"
+	pathReady    = "/ready"
+)
+
+// configuration has one public route to a plain service, and a service of engines.
+func configuration(version int, prefix string) string {
+	return encoded(traffic.Configuration{
+		Version: int64(version),
+		Routes: []traffic.Route{{
+			Name: "r", Host: "a.example", Prefix: prefix, Repetition: traffic.Idempotent, Timeout: 2 * time.Second,
+			Targets: []traffic.Target{{Service: "app", Weight: 1}}, Attempts: 1, Public: true,
+		}},
+		Services: map[string]traffic.Service{
+			"app": {Name: "app"},
+			"llm": {Name: "llm", Engine: &traffic.Engine{BatchPlaces: 8, AdapterPlaces: 2, Models: []traffic.Model{{Name: "m"}}}},
+		},
+	})
+}
+
+func upstreamEntry(service, address string) string {
+	return encoded(traffic.Upstream{Service: service, Address: address, DataCentre: "here", Places: 6, Born: 1})
+}
+
+func encoded(value any) string {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+type decoder struct{}
+
+// Decode gives what an item declares.
+func (decoder) Decode(key string, value []byte) (traffic.Fact, error) {
+	if key == keyConfiguration {
+		var configuration traffic.Configuration
+		err := json.Unmarshal(value, &configuration)
+		return configuration, err
+	}
+	id, found := strings.CutPrefix(key, prefixUpstreams)
+	if !found {
+		return nil, nil
+	}
+	var upstream traffic.Upstream
+	err := json.Unmarshal(value, &upstream)
+	upstream.ID = id
+	return upstream, err
+}
+
+// UpstreamID tells which upstream a key belongs to.
+func (decoder) UpstreamID(key string) (id string, ok bool) {
+	return strings.CutPrefix(key, prefixUpstreams)
+}
+
+type dialect struct{}
+
+func (dialect) Decode(request *http.Request) (call.Call, error) {
+	return call.Call{
+		ID: request.Header.Get(headerID), Method: request.Method, Host: request.Host, Target: request.RequestURI,
+		Path: request.URL.Path, Header: request.Header.Clone(),
+	}, nil
+}
+
+func (dialect) Header(c call.Call, _ call.Send) http.Header { return c.Header.Clone() }
+
+func (dialect) Reply(response *http.Response) call.Reply {
+	return call.Reply{ID: response.Header.Get(headerID), Signed: response.Header.Get(headerSigned) != ""}
+}
+
+func (dialect) Refusal(header http.Header, id string, _ time.Duration) { header.Set(headerID, id) }
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -21,7 +21,6 @@
 	"lacewingrock.example/lacewingrock/internal/entry/node"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
-	"lacewingrock.example/lacewingrock/platform"
 )
 
 // instance is a node that runs in the test's process, on loopback.
@@ -102,8 +101,8 @@
 	}
 	i.reread = func() (node.Settings, error) { return i.settings, nil }
 	n := &node.Node{
-		Settings: i.settings, Store: i.client, Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
-		Orders: &orders{}, ReadyPath: platform.PathReady, Log: zerolog.New(i.log).With().Timestamp().Logger(),
+		Settings: i.settings, Store: i.client, Decoder: decoder{}, Dialect: dialect{},
+		Orders: &orders{}, ReadyPath: pathReady, Log: zerolog.New(i.log).With().Timestamp().Logger(),
 		Dropped: func() int { return 0 },
 		Apply:   func(node.Settings) {},
 		Reread: func() (node.Settings, error) {
@@ -144,7 +143,7 @@
 		return 0
 	}
 	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "id1")
+	request.Header.Set(headerID, "id1")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
@@ -155,7 +154,7 @@
 }
 
 func (i *instance) ready() bool {
-	response, err := http.Get("http://" + i.address("ReadyAddress") + platform.PathReady)
+	response, err := http.Get("http://" + i.address("ReadyAddress") + pathReady)
 	if err != nil {
 		return false
 	}
@@ -163,23 +162,13 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func configuration(version int, prefix string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"a.example","prefix":%q,"route-kind":"idempotent",
-		"timeout-ms":2000,"service":"app","attempts":1,"public":true}],
-		"services":[{"name":"app"},{"name":"llm","engine":{"slots":8,"adapter-slots":2,"models":[{"name":"m"}]}}]}`, version, prefix)
-}
-
-func upstreamEntry(service, address string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"here","slots":6,"state":"ready","born":1}`, service, address)
-}
-
 // newUpstream is a plain service that answers after a while.
 func newUpstream(t *testing.T, after time.Duration) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(after)
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("X-Server-Stamp", "s")
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerSigned, "s")
 	}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -190,8 +179,8 @@
 func TestChangeReachesAnInstanceThatTheStoreTurnsAway(t *testing.T) {
 	t.Parallel()
 	s := newStore()
-	s.put("op/config", configuration(1, "/old/"))
-	s.put("servers/u", upstreamEntry("app", newUpstream(t, 0)))
+	s.put(keyConfiguration, configuration(1, "/old/"))
+	s.put(prefixUpstreams+"u", upstreamEntry("app", newUpstream(t, 0)))
 	fleet := []*instance{start(t, s, "a"), start(t, s, "b"), start(t, s, "c")}
 	for _, one := range fleet {
 		eventually(t, 2*time.Second, one.name+" serves", func() bool { return one.ready() && one.status("/old/") == 200 })
@@ -203,7 +192,7 @@
 		turnedAway.client.deny(true)
 		version := time.Now().UnixNano()
 		prefix := "/" + turnedAway.name + "/"
-		s.put("op/config", configuration(int(version), prefix))
+		s.put(keyConfiguration, configuration(int(version), prefix))
 		eventually(t, 2*time.Second, turnedAway.name+" has the change", func() bool { return turnedAway.status(prefix) == 200 })
 		turnedAway.client.deny(false)
 	}
@@ -215,8 +204,8 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newStore()
-	s.put("op/config", configuration(1, "/p/"))
-	s.put("servers/e", upstreamEntry("llm", "127.0.0.1:1"))
+	s.put(keyConfiguration, configuration(1, "/p/"))
+	s.put(prefixUpstreams+"e", upstreamEntry("llm", "127.0.0.1:1"))
 	fleet := map[string]*instance{"a": start(t, s, "a"), "b": start(t, s, "b")}
 	const key = "fleet/holders/e"
 	eventually(t, 4*time.Second, "there is a holder", func() bool { _, found := s.get(key); return found })
@@ -239,14 +228,14 @@
 func TestEntriesLapsedInAnOutageMayComeBack(t *testing.T) {
 	t.Parallel()
 	s := newStore()
-	s.put("op/config", configuration(1, "/p/"))
+	s.put(keyConfiguration, configuration(1, "/p/"))
 	address := newUpstream(t, 0)
-	s.put("servers/u", upstreamEntry("app", address))
+	s.put(prefixUpstreams+"u", upstreamEntry("app", address))
 	one := start(t, s, "a")
 	eventually(t, 2*time.Second, "serves", func() bool { return one.status("/p/") == 200 })
 	s.setDown(true)
 	time.Sleep(2 * time.Second)
-	s.drop("servers/u")
+	s.drop(prefixUpstreams + "u")
 	s.setDown(false)
 	eventually(t, time.Second, "the outage is noticed", func() bool { return one.log.has("StoreReturned") })
 	for range 10 {
@@ -262,7 +251,7 @@
 // process and cuts all its requests; settings that cannot be read must not do so either.
 func TestHangupReloads(t *testing.T) {
 	s := newStore()
-	s.put("op/config", configuration(1, "/p/"))
+	s.put(keyConfiguration, configuration(1, "/p/"))
 	one := start(t, s, "a")
 	eventually(t, 2*time.Second, "ready", one.ready)
 	one.mutex.Lock()
@@ -291,8 +280,8 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newStore()
-	s.put("op/config", configuration(1, "/p/"))
-	s.put("servers/u", upstreamEntry("app", newUpstream(t, time.Second)))
+	s.put(keyConfiguration, configuration(1, "/p/"))
+	s.put(prefixUpstreams+"u", upstreamEntry("app", newUpstream(t, time.Second)))
 	one := start(t, s, "a")
 	eventually(t, 2*time.Second, "ready", one.ready)
 	status := make(chan int)
--- a/internal/gateway/serve/refusals_test.go
+++ b/internal/gateway/serve/refusals_test.go
@@ -39,10 +39,10 @@
 		status  int
 	}{
 		{"no such route", "/none/", "", nil, 404},
-		{"no key", "/once/", "", []string{"Authorization", ""}, 401},
-		{"unknown key", "/once/", "", []string{"Authorization", "Bearer x"}, 401},
-		{"malformed deadline", "/once/", "", []string{"X-Deadline-Ms", "x"}, 400},
-		{"no id", "/once/", "", []string{"X-Request-Id", ""}, 400},
+		{"no key", "/once/", "", []string{headerKey, ""}, 401},
+		{"unknown key", "/once/", "", []string{headerKey, "x"}, 401},
+		{"malformed deadline", "/once/", "", []string{headerPatience, "x"}, 400},
+		{"no id", "/once/", "", []string{headerID, ""}, 400},
 		{"body over the limit", "/once/", strings.Repeat("b", 1001), nil, 413},
 	}
 	for _, test := range tests {
@@ -61,7 +61,7 @@
 func TestOverTheRate(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, served)
-	response, _, err := w.call("/once/", "b", "X-Token-Count", "1000,200")
+	response, _, err := w.call("/once/", "b", headerTokens, "1000,200")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 	response, _, err = w.call("/once/", "b")
@@ -134,8 +134,8 @@
 	w := newWorld(t, served)
 	request := httptest.NewRequest(http.MethodPost, "/once/", strings.NewReader("b"))
 	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "id1")
-	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set(headerID, "id1")
+	request.Header.Set(headerKey, key)
 	recorder := &bounded{ResponseRecorder: httptest.NewRecorder()}
 	w.handler.ServeHTTP(recorder, request)
 	is.Equal(recorder.Code, http.StatusOK)
@@ -157,8 +157,8 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL+"/once/", strings.NewReader("b"))
 	is.NoErr(err)
 	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "id1")
-	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set(headerID, "id1")
+	request.Header.Set(headerKey, key)
 	_, err = http.DefaultClient.Do(request)
 	is.True(err != nil)
 	select {
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -19,20 +19,20 @@
 func TestRequestPassesUnchanged(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, served)
-	response, body, err := w.call("/once/a%2Fb?q=%20x", "the body", "X-Tenant", "forged", "X-Own", "kept")
+	response, body, err := w.call("/once/a%2Fb?q=%20x", "the body", headerWorkspace, "forged", "X-Own", "kept")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(body, "answer")
-	is.Equal(response.Header.Get("X-Server-Stamp"), "s1")
+	is.Equal(response.Header.Get(headerSigned), "s1")
 	seen := w.upstreams[0].requests()[0]
 	is.Equal(seen.RequestURI, "/once/a%2Fb?q=%20x")
 	is.Equal(seen.Host, "a.example")
 	is.Equal(w.upstreams[0].bodies[0], "the body")
-	is.Equal(seen.Header.Get("X-Tenant"), "own")
+	is.Equal(seen.Header.Get(headerWorkspace), "own")
 	is.Equal(seen.Header.Get("X-Own"), "kept")
-	is.Equal(seen.Header.Get("Authorization"), "")
-	is.Equal(seen.Header.Get("X-Expect-Instance"), "u0")
-	left, err := strconv.Atoi(seen.Header.Get("X-Deadline-Ms"))
+	is.Equal(seen.Header.Get(headerKey), "")
+	is.Equal(seen.Header.Get(headerUpstream), "u0")
+	left, err := strconv.Atoi(seen.Header.Get(headerLeft))
 	is.NoErr(err)
 	is.True(left > 0 && left <= 2500)
 }
@@ -86,7 +86,7 @@
 			}
 			if test.status == http.StatusBadGateway {
 				is.Equal(response.Header.Get("X-Run"), "unknown")
-				is.Equal(response.Header.Get("X-Server-Stamp"), "")
+				is.Equal(response.Header.Get(headerSigned), "")
 				is.True(!strings.Contains(body, "127.0.0.1")) // no upstream's address
 			}
 		})
@@ -121,7 +121,7 @@
 	response, _, err := w.call("/idem/", "b")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusInternalServerError)
-	is.Equal(response.Header.Get("X-Server-Stamp"), "s1")
+	is.Equal(response.Header.Get(headerSigned), "s1")
 	is.Equal(w.runs(), 1)
 }
 
--- a/internal/gateway/serve/streams_test.go
+++ b/internal/gateway/serve/streams_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	var sends atomic.Int32
 	answer := func(rw http.ResponseWriter, r *http.Request) {
-		rw.Header().Set("X-Server-Stamp", fmt.Sprint("s", sends.Load()))
+		rw.Header().Set(headerSigned, fmt.Sprint("s", sends.Load()))
 		flusher := rw.(http.Flusher)
 		if sends.Add(1) == 1 {
 			_, _ = io.WriteString(rw, event(1)+event(2)+"id: 3\ndata: pie")
@@ -32,7 +32,7 @@
 			reset(rw, r)
 			return
 		}
-		from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		from, err := strconv.Atoi(r.Header.Get(headerLastEvent))
 		if err != nil {
 			return
 		}
@@ -44,7 +44,7 @@
 	response, body, err := w.call("/stream/", "b")
 	is.NoErr(err)
 	is.Equal(body, event(1)+event(2)+event(3)+event(4))
-	is.Equal(response.Header.Get("X-Server-Stamp"), "s0") // the headers of the first upstream
+	is.Equal(response.Header.Get(headerSigned), "s0") // the headers of the first upstream
 	is.Equal(w.runs(), 2)
 }
 
@@ -52,7 +52,7 @@
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
-		rw.Header().Set("X-Server-Stamp", "s1")
+		rw.Header().Set(headerSigned, "s1")
 		_, _ = io.WriteString(rw, event(1))
 		rw.(http.Flusher).Flush()
 		time.Sleep(30 * time.Millisecond)
--- a/internal/gateway/serve/world_test.go
+++ b/internal/gateway/serve/world_test.go
@@ -26,7 +26,6 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
-	"lacewingrock.example/lacewingrock/platform"
 )
 
 // world is a handler before some upstreams, with callers who speak HTTP to it.
@@ -116,7 +115,7 @@
 			u.seen = append(u.seen, r)
 			u.bodies = append(u.bodies, string(body))
 			u.mutex.Unlock()
-			rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			rw.Header().Set(headerID, r.Header.Get(headerID))
 			answer(rw, r)
 		}))
 		t.Cleanup(u.server.Close)
@@ -132,9 +131,9 @@
 		retries.First()
 	}
 	w.handler = &serve.Handler{
-		Dialect: platform.Dialect{},
+		Dialect: dialect{},
 		Fleet:   w.fleet,
-		Forward: &forward.Client{Dialect: platform.Dialect{}},
+		Forward: &forward.Client{Dialect: dialect{}},
 		Advice: &serve.Advice{
 			Pool: p, Ledger: ledger, Retries: retries,
 			Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
@@ -156,9 +155,9 @@
 		w.t.Fatal(err)
 	}
 	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "id1")
-	request.Header.Set("Authorization", "Bearer "+key)
-	request.Header.Set("X-Deadline-Ms", "2500")
+	request.Header.Set(headerID, "id1")
+	request.Header.Set(headerKey, key)
+	request.Header.Set(headerPatience, "2500")
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
@@ -180,17 +179,17 @@
 }
 
 func served(rw http.ResponseWriter, _ *http.Request) {
-	rw.Header().Set("X-Server-Stamp", "s1")
+	rw.Header().Set(headerSigned, "s1")
 	_, _ = io.WriteString(rw, "answer")
 }
 
 func full(rw http.ResponseWriter, _ *http.Request) {
-	rw.Header().Set("X-Not-Executed", "1")
+	rw.Header().Set(headerNotRun, "1")
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func failing(rw http.ResponseWriter, _ *http.Request) {
-	rw.Header().Set("X-Server-Stamp", "s1")
+	rw.Header().Set(headerSigned, "s1")
 	rw.WriteHeader(http.StatusInternalServerError)
 }
 
@@ -207,7 +206,7 @@
 func unsigned(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "forged") }
 
 func crossed(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("X-Request-Id", "another")
+	rw.Header().Set(headerID, "another")
 	served(rw, r)
 }
 
@@ -218,7 +217,7 @@
 
 // torn states a length and sends less.
 func torn(rw http.ResponseWriter, _ *http.Request) {
-	rw.Header().Set("X-Server-Stamp", "s1")
+	rw.Header().Set(headerSigned, "s1")
 	rw.Header().Set("Content-Length", "100")
 	_, _ = io.WriteString(rw, "half")
 }
