Count no refill for the time in which an instance's knowledge was not fresh

Cause: an instance that was cut off kept the moment up to which its bucket had been refilled. Ruled out: the changed rate (in force everywhere four seconds before), the killed instance (its requests had ended), loans (none). Conclusion: time that was not fresh is lost as refill, as the package always said.

--- a/internal/admission/rate/bucket.go
+++ b/internal/admission/rate/bucket.go
@@ -191,17 +191,21 @@
 	b.refill(now, freshUntil)
 }
 
+// refill counts the time since the last refill, as far as the knowledge was fresh. The rest is lost, also when
+// the knowledge turns out to have held: requests that end meanwhile make room, and refill from before would fill
+// it that an open bucket would long have run over with.
 func (b *bucket) refill(now, freshUntil time.Time) {
 	until := now
 	if freshUntil.Before(until) {
 		until = freshUntil
 	}
-	if !until.After(b.refilled) {
-		return
+	if until.After(b.refilled) {
+		grown := b.level + b.rate()*until.Sub(b.refilled).Seconds()
+		b.level = min(grown, max(b.level, b.room()))
+	}
+	if now.After(b.refilled) {
+		b.refilled = now
 	}
-	grown := b.level + b.rate()*until.Sub(b.refilled).Seconds()
-	b.level = min(grown, max(b.level, b.room()))
-	b.refilled = until
 }
 
 // room is the highest level that the capacity allows.
--- a/internal/admission/rate/faults_test.go
+++ b/internal/admission/rate/faults_test.go
@@ -177,3 +177,22 @@
 		is.Equal(err.(rate.Refusal).Code(), rate.CodeStale)
 	})
 }
+
+// An instance is cut off from its peers and the store until it may not act on its head any more. A request of it
+// goes on meanwhile and spends, and then it is reached again. If the time of the cut counted as refill after all,
+// it would fill the room that the request has just made, although the bucket was full before: the tokens of that
+// request would be there twice.
+func TestNoRefillForTheTimeBeforeASpending(t *testing.T) {
+	within(t, small(), []string{"a", "b", "c", "d"}, func(is *is.I, w *world) {
+		a := w.nodes[0]
+		is.NoErr(w.reserve(a, 10))
+		a.cut, a.isolated = true, true
+		w.pass(bound + time.Second)
+		is.True(a.tracker.Fresh() != nil)
+		w.generate(w.running[0], 10)
+		a.cut, a.isolated = false, false
+		w.pass(time.Millisecond)
+		is.True(a.tracker.Fresh() == nil)
+		is.True(w.line.over(w) < tolerance)
+	})
+}
