Tell loads to the holders of upstreams in a large fleet, and the sums to all

Cause: with each heartbeat an instance told every other one what it has under way at each upstream. Now the holder alone is told, which was told at once of each begin and end before, and its heartbeats tell the sum beside the receiver's own. Upstreams without a live holder are told of to all. Who becomes holder is told at once of what is in use there. Up to eleven instances all tell all as before, and a holder's word counts as long as before. A holder copies the declared versions only when one has changed (it did in each step, under the lock of all requests). Before: the new tests do not compile. After: they pass, with the race detector.

--- a/internal/entry/node/asking.go
+++ b/internal/entry/node/asking.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	beat, err := n.peers.Ask(ctx, instance.Address, n.loadBeat())
+	beat, err := n.peers.Ask(ctx, instance.Address, n.loadBeat(instance.Name))
 	if err != nil {
 		n.Log.Debug().Err(err).Str("Upstream", upstream).Str("Holder", instance.Name).Msg("AskFailed")
 		return
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -72,6 +72,9 @@
 	return found && now.Sub(at) <= aliveBeats*beatPace(len(b.peers))
 }
 
+// isFullPace tells whether the heartbeats of all pairs come at full pace.
+func (b *beats) isFullPace() bool { return b.pace() == beatEvery }
+
 // pace is how often each pair exchanges now.
 func (b *beats) pace() time.Duration {
 	b.mutex.Lock()
@@ -135,7 +138,7 @@
 func (b *beats) spread() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if len(b.peers) <= peersAtFullPace {
+	if beatPace(len(b.peers)) == beatEvery {
 		return
 	}
 	left := spreadTo
@@ -156,7 +159,7 @@
 func (b *beats) tellSpent(names []string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if len(b.peers) <= peersAtFullPace {
+	if beatPace(len(b.peers)) == beatEvery {
 		return
 	}
 	for _, name := range names {
--- a/internal/entry/node/hearing.go
+++ b/internal/entry/node/hearing.go
@@ -18,7 +18,7 @@
 		for _, residency := range beat.Residencies {
 			a.Pool.LearnResidency(residency)
 		}
-		for id, load := range beat.Loads {
+		for id, load := range beat.Held {
 			a.Pool.LearnHeld(now, id, load)
 		}
 	})
@@ -50,10 +50,8 @@
 		a.Ledger.Hear(now, beat.Instance, beat.Incarnation, beat.Spent)
 		a.Pool.LearnLoads(now, beat.Instance, beat.Loads)
 		a.Suspects.Merge(now, beat.Instance, beat.Suspects)
-		for _, residency := range beat.Residencies {
-			a.Pool.LearnResidency(residency)
-		}
 	})
+	n.learnHeld(beat)
 	n.holdings.look()
 }
 
@@ -68,7 +66,7 @@
 	case mesh.TellsRevision:
 		answer = n.revisionBeat()
 	case mesh.TellsAll:
-		answer = n.beat()
+		answer = n.beat(beat.Instance)
 	}
 	if n.isBehind(beat) {
 		n.beats.catchUp(beat)
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -23,6 +23,9 @@
 	ended <-chan struct{}
 	wake  chan struct{}
 
+	// declarations counts the declared versions that the planner knows; only the loop uses it.
+	declarations int
+
 	mutex   sync.Mutex
 	planner residence.Planner
 	changed chan struct{}
@@ -73,16 +76,12 @@
 	now := time.Now()
 	var inUse []traffic.Adapter
 	h.node.advice.With(func(a *serve.Advice) { inUse = a.Pool.InUse(now, h.upstream.ID) })
-	h.node.knowledge.mutex.Lock()
-	declared := make(map[traffic.Adapter]int64, len(h.node.knowledge.newest))
-	for adapter, newest := range h.node.knowledge.newest {
-		declared[adapter] = newest.version
-	}
-	h.node.knowledge.mutex.Unlock()
+	var versions map[traffic.Adapter]int64
+	versions, h.declarations = h.node.knowledge.newestSince(h.declarations)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.planner.Use(now, inUse)
-	for adapter, version := range declared {
+	for adapter, version := range versions {
 		h.planner.SetNewest(adapter, version)
 	}
 	return h.planner.Next(now)
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -39,6 +39,8 @@
 	// returned is when the last outage ended.
 	returned time.Time
 	newest   map[traffic.Adapter]newest
+	// declarations counts the changes of newest.
+	declarations int
 	// lapsed upstreams have lost their entry around an outage.
 	lapsed map[string]time.Time
 	// gone are instances that have left the roster lately; their part of the rates is still theirs.
@@ -64,6 +66,20 @@
 	return known.version, known.version > 0 && time.Since(known.since) > versionRequiredAfter
 }
 
+// newestSince gives the newest declared versions if any changed since a count of changes, and the count now.
+func (k *knowledge) newestSince(declarations int) (versions map[traffic.Adapter]int64, now int) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if declarations == k.declarations {
+		return nil, declarations
+	}
+	versions = make(map[traffic.Adapter]int64, len(k.newest))
+	for adapter, newest := range k.newest {
+		versions[adapter] = newest.version
+	}
+	return versions, k.declarations
+}
+
 // merge takes a batch in, and tells whether it joined what was known.
 func (n *Node) merge(batch replica.Batch, confirmed time.Time) bool {
 	k := &n.knowledge
@@ -112,6 +128,7 @@
 		n.Log.Warn().Err(err).Int64("Revision", item.Revision).Msg("EntryUnreadable")
 	}
 	if ours {
+		n.tellNewHolder(item.Key)
 		return
 	}
 	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
@@ -163,6 +180,7 @@
 		return
 	}
 	k.newest[version.Adapter] = newest{version: version.Version, since: time.Now()}
+	k.declarations++
 	n.Log.Info().Str("Adapter", version.Adapter.String()).Int64("Version", version.Version).
 		Int64("Revision", revision).Msg("AdapterVersionDeclared")
 }
--- a/internal/entry/node/peer_loop.go
+++ b/internal/entry/node/peer_loop.go
@@ -109,22 +109,22 @@
 // heartbeat off: where there is much news, a peer that gets no heartbeats would count as silent.
 func (l *peerLoop) run(ctx context.Context) {
 	n := l.node
-	l.exchange(ctx, n.beat())
+	l.exchange(ctx, n.beat(l.instance.Name))
 	due := time.Now().Add(n.beats.pace())
 	for ctx.Err() == nil {
 		switch l.wait(ctx, due) {
 		case wokenByTouch:
-			l.exchange(ctx, n.loadBeat())
+			l.exchange(ctx, n.loadBeat(l.instance.Name))
 		case wokenByNews:
 			l.exchange(ctx, n.revisionBeat())
 		case wokenBySpending:
 			l.exchange(ctx, n.spentBeat())
 		case wokenByUrgency:
-			l.exchange(ctx, n.beat())
+			l.exchange(ctx, n.beat(l.instance.Name))
 		case wokenByTime:
 			due = time.Now().Add(n.beats.pace())
 			if n.self.Name < l.instance.Name || !n.beats.isAlive(time.Now(), l.instance.Name) {
-				l.exchange(ctx, n.beat())
+				l.exchange(ctx, n.beat(l.instance.Name))
 			}
 		case wokenByPeer:
 		}
--- a/internal/entry/node/sharing.go
+++ b/internal/entry/node/sharing.go
@@ -11,18 +11,25 @@
 
 // sharing.go has what this instance may do alone follow the size of the fleet.
 
-// loadsForBeats is how many heartbeats another instance's loads count.
+// loadsForBeats is how many heartbeats another instance's loads count, and a holder's word where the others tell
+// their loads to none but the holder.
 const loadsForBeats = 1.5
 
 // shareLimits has this instance use its part of what is shared with a number of others.
 func (n *Node) shareLimits(others int) {
 	parts := roster.Parts(others)
 	slack := n.current.Load().Retries.Slack
-	loadsFor := time.Duration(loadsForBeats * float64(n.beats.pace()))
+	pace := n.beats.pace()
+	loadsFor := time.Duration(loadsForBeats * float64(pace))
+	heldFor := loadsFor
+	if n.beats.isFullPace() {
+		heldFor = pace // what all tell of themselves is fresher from then on
+	}
 	n.advice.With(func(a *serve.Advice) {
 		a.Retries.Bound(slack / parts)
 		a.Pool.Settings.Instances = int(math.Ceil(parts))
-		a.Pool.Settings.HeardEvery = n.beats.pace()
+		a.Pool.Settings.HeardEvery = pace
+		a.Pool.Settings.HeldFor = heldFor
 		a.Pool.Settings.PeerLoadFor = max(loadsFor, pool.DefaultSettings().PeerLoadFor)
 	})
 }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -32,6 +32,9 @@
 	for upstream, load := range b.Loads {
 		wire.Loads = append(wire.Loads, loadToWire(upstream, load))
 	}
+	for upstream, load := range b.Held {
+		wire.Held = append(wire.Held, loadToWire(upstream, load))
+	}
 	for _, residency := range b.Residencies {
 		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
 	}
@@ -65,6 +68,7 @@
 		ConfirmedAge: time.Duration(wire.GetConfirmedAgeMicros()) * time.Microsecond,
 		Spent:        make(quota.Spent, len(wire.GetSpent())),
 		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
+		Held:         make(map[string]pool.Load, len(wire.GetHeld())),
 		Stopping:     wire.GetStopping(),
 		Tells:        partFromWire(wire),
 		StoreAway:    wire.GetStoreAway(),
@@ -76,6 +80,9 @@
 	for _, load := range wire.GetLoads() {
 		b.Loads[load.GetUpstream()] = loadFromWire(load)
 	}
+	for _, load := range wire.GetHeld() {
+		b.Held[load.GetUpstream()] = loadFromWire(load)
+	}
 	for _, residency := range wire.GetResidencies() {
 		b.Residencies = append(b.Residencies, residencyFromWire(residency))
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -67,6 +67,7 @@
 		Instance: "i", Incarnation: "x", Address: "10.0.0.1:1", Revision: 7, ConfirmedAge: 250 * time.Millisecond, Stopping: true, StoreAway: true,
 		Spent: quota.Spent{"w": 12.5},
 		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
+		Held:  map[string]pool.Load{"v": {Running: 5, Prompt: 100, Memory: 700}},
 		Residencies: []pool.Residency{{
 			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond,
 			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -20,8 +20,7 @@
 const (
 	// TellsAll: every field counts.
 	TellsAll Part = ""
-	// TellsLoads: what the sender has under way, in answer to which a holder tells what it knows to be under way
-	// and loaded at its upstreams.
+	// TellsLoads: Loads, in answer to which a holder tells Held and Residencies.
 	TellsLoads Part = "loads"
 	// TellsRevision: the revision and what confirms it.
 	TellsRevision Part = "revision"
@@ -39,10 +38,14 @@
 	// ConfirmedAge is how long ago the store confirmed the revision as its newest; negative if not known.
 	ConfirmedAge time.Duration
 	Spent        quota.Spent
-	Loads        map[string]pool.Load
-	Residencies  []pool.Residency
-	Suspects     []suspect.Count
-	Stopping     bool
+	// Loads is what the sender has under way, at upstreams of which the receiver is to know it.
+	Loads map[string]pool.Load
+	// Held is what all instances but the receiver have under way at the upstreams that the sender holds, and
+	// Residencies what is loaded there.
+	Held        map[string]pool.Load
+	Residencies []pool.Residency
+	Suspects    []suspect.Count
+	Stopping    bool
 	// Tells is what the beat tells besides who sends it.
 	Tells Part
 	// StoreAway: the instance does not reach the store.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -114,6 +114,11 @@
 	return nil
 }
 
+// HeldUpstream tells of which upstream a key names the holder.
+func HeldUpstream(key string) (upstream string, found bool) {
+	return strings.CutPrefix(key, prefixHolders)
+}
+
 // Instances lists the live instances in the order of their names.
 func (r *Roster) Instances() (list []Instance) {
 	for _, instance := range r.instances {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -22,9 +22,10 @@
 	ReloadTime time.Duration
 	// Instances is how many instances share what an upstream takes of connections.
 	Instances int
-	// HeardEvery is how often each other instance tells its loads. What a holder says of its upstreams counts for
-	// as long, as it is fresher until then.
+	// HeardEvery is how often each other instance is heard.
 	HeardEvery time.Duration
+	// HeldFor is how long a holder's word on the load at its upstreams counts.
+	HeldFor time.Duration
 	// PeerLoadFor is how long another instance's loads count: some heartbeats. One that is silent for longer
 	// may be gone, and its requests with it.
 	PeerLoadFor time.Duration
@@ -41,6 +42,7 @@
 		ServiceTime: 40 * time.Millisecond,
 		Instances:   10,
 		HeardEvery:  250 * time.Millisecond,
+		HeldFor:     250 * time.Millisecond,
 		PeerLoadFor: 1500 * time.Millisecond,
 	}
 }
@@ -273,11 +275,11 @@
 	return u.own.plus(u.beside).minus(p.peers[instance].loads[id])
 }
 
-// Own is what this instance has under way, for its heartbeats.
-func (p *Pool) Own() map[string]Load {
+// Own is what this instance has under way at the upstreams that are asked for, for its heartbeats.
+func (p *Pool) Own(asked func(upstream string) bool) map[string]Load {
 	loads := make(map[string]Load)
 	for id, u := range p.upstreams {
-		if own := u.own; own.Running > 0 {
+		if own := u.own; own.Running > 0 && asked(id) {
 			own.InUse = u.inUse()
 			loads[id] = own
 		}
@@ -308,7 +310,7 @@
 
 // load is what all instances have under way at an upstream, as far as none of them is silent.
 func (p *Pool) load(now time.Time, u *upstream) Load {
-	if now.Sub(u.heldAt) <= p.Settings.HeardEvery {
+	if now.Sub(u.heldAt) <= p.Settings.HeldFor {
 		return u.own.plus(u.held)
 	}
 	return u.own.plus(u.beside)
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -314,6 +314,7 @@
 		is := is.New(t)
 		p := newPool("e1", "e2")
 		p.Settings.HeardEvery = 2 * time.Second
+		p.Settings.HeldFor = 2 * time.Second
 		p.Settings.PeerLoadFor = 3 * time.Second
 		resident(p, "e1", "a")
 		resident(p, "e2", "a")
