Tell refused callers to come back in turn

Cause: a workspace over its rate was told for each refused request when its debt would be paid. Now the line is at most 0.6 s long. The new test fails before: the second of the callers who come back is refused.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -49,6 +49,15 @@
 type bucket struct {
 	level float64
 	at    time.Time
+	// returns are the requests that were told to come back, by when, and returning what they cost.
+	returns   []comeback
+	returning float64
+}
+
+// comeback is a request that was refused and told when to come back.
+type comeback struct {
+	due  time.Time
+	cost float64
 }
 
 // peer is another instance: what it told last, and what was reserved for it since.
@@ -142,7 +151,7 @@
 	l.advance(now)
 	b := l.buckets[workspace]
 	if b.level <= 0 {
-		return l.until(limit, -b.level), false
+		return l.sendAway(now, workspace, cost), false
 	}
 	b.level -= cost
 	l.own[workspace] += cost
@@ -214,32 +223,75 @@
 // leastRetryAfter keeps callers from asking again at once when a bucket is almost out of debt.
 const leastRetryAfter = 50 * time.Millisecond
 
-func (l *Ledger) until(limit Limit, debt float64) time.Duration {
-	return leastRetryAfter + time.Duration(debt/limit.Rate*float64(time.Second))
+// longestLine is how far apart callers are told to come back. A generation should begin within a second of its
+// caller's first try; one that comes back later is hardly worth a place to its caller, who would not wait for it
+// either. At several times the rate the line would grow for seconds, and the tokens go to those who are late.
+const longestLine = 600 * time.Millisecond
+
+// sendAway tells a refused request when to come back: once the debt is paid, and what came before it and was
+// refused too has had its turn. Where the line is too long, chance decides among those who come back.
+//
+// Made for a wave of requests of one workspace that is over its rate for some seconds. Told only when the debt
+// will be paid, all of them come back in that moment; the first is admitted and the others are refused again. The
+// other instances that admit for the workspace are taken to send as many away as this one.
+func (l *Ledger) sendAway(now time.Time, workspace string, cost float64) time.Duration {
+	b := l.buckets[workspace]
+	rate := l.limits[workspace].Rate
+	b.forgetDue(now)
+	ahead := b.returning * float64(1+l.admitting(now, workspace))
+	turn := time.Duration(ahead / rate * float64(time.Second))
+	wait := leastRetryAfter + time.Duration(-b.level/rate*float64(time.Second))
+	if turn > longestLine {
+		return wait
+	}
+	wait += turn
+	b.returns = append(b.returns, comeback{due: now.Add(wait), cost: cost})
+	b.returning += cost
+	return wait
+}
+
+// forgetDue drops those who should be back by now. Each wait is longer than the one before it, or the bucket has
+// gained since, so they are nearly in order.
+func (b *bucket) forgetDue(now time.Time) {
+	for len(b.returns) > 0 && !now.Before(b.returns[0].due) {
+		b.returning -= b.returns[0].cost
+		b.returns = b.returns[1:]
+	}
+	if len(b.returns) == 0 {
+		b.returning = 0 // sums of fractions leave rests
+	}
+}
+
+// admitting counts the other instances that admitted for a workspace lately.
+func (l *Ledger) admitting(now time.Time, workspace string) (count int) {
+	for _, p := range l.peers {
+		if at, found := p.admitted[workspace]; found && now.Sub(at) <= activeFor {
+			count++
+		}
+	}
+	return count
 }
 
 // advance fills the buckets. Each silent peer may be cut off and admitting its part, which is not ours to
 // give out; nor may the bucket hold more than the parts of those who are heard. So an instance that hears
 // nobody gives out its own part, whatever the others do.
 func (l *Ledger) advance(now time.Time) {
-	silent := 0
+	var silent []*peer
 	for _, p := range l.peers {
 		if l.isSilent(now, p) {
-			silent++
+			silent = append(silent, p)
 		}
 	}
 	part := 1 / float64(len(l.peers)+1)
-	heard := 1 - float64(silent)*part
+	heard := 1 - float64(len(silent))*part
 	for workspace, b := range l.buckets {
 		limit := l.limits[workspace]
 		gained := limit.Rate * now.Sub(b.at).Seconds()
 		b.at = now
 		b.level += gained
-		for _, p := range l.peers {
-			if l.isSilent(now, p) {
-				p.reserved[workspace] += gained * part
-				b.level -= gained * part
-			}
+		for _, p := range silent {
+			p.reserved[workspace] += gained * part
+			b.level -= gained * part
 		}
 		b.level = min(b.level, limit.Burst*heard)
 	}
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -328,3 +328,45 @@
 		}
 	})
 }
+
+// A workspace sends eight requests in the same moment, and two of them put it over its rate. Told only when its
+// debt is paid, the other six come back together: one is admitted, and five callers hear for the second time that
+// there is no room.
+func TestCallersComeBackInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ledger := &quota.Ledger{Self: "a"}
+		ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: {Rate: 10_000, Burst: 1_000}})
+		time.Sleep(time.Second) // a new bucket is empty
+		var returns []time.Duration
+		for range 8 {
+			if after, admitted := ledger.Admit(time.Now(), workspace, 600); !admitted {
+				returns = append(returns, after)
+			}
+		}
+		is.Equal(len(returns), 6)
+		began := time.Now()
+		for _, after := range returns {
+			time.Sleep(time.Until(began.Add(after)))
+			_, admitted := ledger.Admit(time.Now(), workspace, 600)
+			is.True(admitted)
+		}
+		is.True(time.Since(began) < time.Second)
+	})
+}
+
+// A workspace sends many times its rate for seconds. A line for all who are refused would give its tokens to callers
+// who have waited too long to gain by them; who comes next is told a time at which he is still on time.
+func TestNobodyIsToldToComeBackMuchTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ledger := &quota.Ledger{Self: "a"}
+		ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: {Rate: 10_000, Burst: 1_000}})
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			if after, admitted := ledger.Admit(time.Now(), workspace, 600); !admitted {
+				is.True(after < 800*time.Millisecond)
+			}
+		}
+	})
+}
