Keep the connections between instances in one place

fleet/peer and fleet/mesh each made, kept and closed their connections, with nearly the same options, and the library takes no ping interval below ten seconds, whatever peer stated. fleet/link does it once: server options (the one of mesh had no policy for pings), dial options, replacing of silent connections, closing.

--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -6,9 +6,6 @@
 	"strconv"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
-
 	"lacewingrock.example/lacewingrock/internal/admission/claim"
 	"lacewingrock.example/lacewingrock/internal/admission/rate"
 	"lacewingrock.example/lacewingrock/internal/caller/api"
@@ -17,9 +14,9 @@
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 	"lacewingrock.example/lacewingrock/internal/entry/settings"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
-	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/placement/deployment"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
@@ -40,9 +37,6 @@
 
 // assemble.go makes the parts of an instance from its settings and joins them.
 
-// pingAtMostEvery is how often a peer may ping a connection; see the peers' directory for why they do.
-const pingAtMostEvery = 500 * time.Millisecond
-
 // assemble makes all parts. The function it returns closes what they hold open.
 func (d *Daemon) assemble() (closeParts func(), err error) {
 	serverCredentials, clientCredentials, err := peer.Credentials(d.Settings.Peers)
@@ -51,16 +45,12 @@
 	}
 	scope, exposition, scopeCloser := metrics.New("lacewingd")
 	d.scope = scope
-	d.directory = &peer.Directory{Credentials: clientCredentials}
+	d.directory = &peer.Directory{Links: link.Links{Credentials: clientCredentials}}
 	d.assembleKnowledge()
 	policy := d.policy()
 	d.assemblePlacement(policy)
 	d.assemblePipeline(policy)
-	d.peers = grpc.NewServer(
-		grpc.Creds(serverCredentials),
-		grpc.ConnectionTimeout(socket.HandshakeWithin),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAtMostEvery, PermitWithoutStream: true}),
-	)
+	d.peers = link.NewServer(serverCredentials)
 	peer.Register(d.peers, handler{daemon: d})
 	d.callers = &api.Server{Listener: d.listeners.caller, Pipeline: d.pipeline, Limits: d.callerLimits()}
 	d.callers.Observe = d.observe
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -19,6 +19,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
@@ -142,7 +143,7 @@
 	scope, exposition, closer := metrics.New("lacewingd")
 	n.scope = scope
 	n.closeScope = func() { _ = closer.Close() }
-	n.peers = &mesh.Peers{Credentials: insecure.NewCredentials()}
+	n.peers = &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	n.forward = &forward.Client{Dialect: n.Dialect}
 	n.losses = make(chan loss, lossesKept)
 	n.current.Store(&n.Settings)
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -54,7 +55,7 @@
 	server := mesh.NewServer(peer)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
-	peers := &mesh.Peers{Credentials: insecure.NewCredentials()}
+	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	t.Cleanup(peers.Close)
 	return peer, peers, listener.Addr().String()
 }
@@ -154,7 +155,7 @@
 	server := mesh.NewServer(&slow{})
 	go func() { _ = server.Serve(counting) }()
 	defer server.Stop()
-	peers := &mesh.Peers{Credentials: insecure.NewCredentials()}
+	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	defer peers.Close()
 	for range 6 {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
@@ -207,7 +208,7 @@
 	server := mesh.NewServer(peer)
 	go func() { _ = server.Serve(counting) }()
 	defer server.Stop()
-	peers := &mesh.Peers{Credentials: insecure.NewCredentials()}
+	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	defer peers.Close()
 	batch, err := peers.CatchUp(context.Background(), listener.Addr().String(), 1)
 	is.NoErr(err)
--- a/internal/fleet/peer/credentials_test.go
+++ b/internal/fleet/peer/credentials_test.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/entry/settings"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 )
 
@@ -142,7 +143,7 @@
 			is := is.New(t)
 			handler := &recorder{}
 			address := serve(t, handler, c.server)
-			directory := &peer.Directory{Credentials: c.client}
+			directory := &peer.Directory{Links: link.Links{Credentials: c.client}}
 			defer directory.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
--- a/internal/fleet/peer/directory.go
+++ b/internal/fleet/peer/directory.go
@@ -2,81 +2,27 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/keepalive"
 
 	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/report/burn"
 	"lacewingrock.example/lacewingrock/internal/wire/fleetpb"
 )
 
-// directory.go keeps one connection to each peer and makes calls on it.
+// directory.go makes the calls to peers.
 
-// A connection may go silent for good while new ones work. It would be noticed as heartbeats that
-// time out one after the other to a peer that others reach. Pings on the connection find that out and
-// open a new one; the figures keep the silence well under the freshness bound.
-const (
-	pingAfterIdle = 1 * time.Second
-	pingTimeout   = 1 * time.Second
-	longestRedial = 1 * time.Second
-	firstRedial   = 50 * time.Millisecond
-)
-
-// Directory makes calls to peers by address. Set Credentials before the first call.
-type Directory struct {
-	Credentials credentials.TransportCredentials
-
-	mutex       sync.Mutex
-	connections map[string]*grpc.ClientConn
-}
-
-// Keep closes the connections to all addresses but the given ones.
-func (d *Directory) Keep(addresses map[string]bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for address, connection := range d.connections {
-		if !addresses[address] {
-			connection.Close()
-			delete(d.connections, address)
-		}
-	}
-}
-
-// Close closes all connections.
-func (d *Directory) Close() {
-	d.Keep(nil)
-}
+// Directory makes calls to peers by address. Set Links.Credentials before the first call.
+type Directory struct{ link.Links }
 
-func (d *Directory) client(address string) (_ fleetpb.FleetClient, err error) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if connection, ok := d.connections[address]; ok {
-		return fleetpb.NewFleetClient(connection), nil
-	}
-	connection, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(d.Credentials),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(), // a call that was sent may have taken effect; whoever calls decides about retries
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfterIdle, Timeout: pingTimeout}),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: longestRedial},
-			MinConnectTimeout: pingTimeout,
-		}),
-	)
+func (d *Directory) client(address string) (fleetpb.FleetClient, error) {
+	connection, err := d.To(address)
 	if err != nil {
-		return nil, errors.WithMessage(err, "peer: connect")
-	}
-	if d.connections == nil {
-		d.connections = map[string]*grpc.ClientConn{}
+		return nil, err
 	}
-	d.connections[address] = connection
 	return fleetpb.NewFleetClient(connection), nil
 }
 
--- a/internal/fleet/peer/round_trip_test.go
+++ b/internal/fleet/peer/round_trip_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/admission/rate"
+	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/peer"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
@@ -195,7 +196,7 @@
 	handler := &recorder{}
 	now := serve(t, handler, insecure.NewCredentials())
 	later := serve(t, handler, insecure.NewCredentials(), grpc.UnaryInterceptor(fromTheFuture))
-	directory := &peer.Directory{Credentials: insecure.NewCredentials()}
+	directory := &peer.Directory{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	t.Cleanup(directory.Close)
 	rapid.Check(t, func(t *rapid.T) {
 		exchange(t, directory, handler, rapid.SampledFrom([]string{now, later}).Draw(t, "address"))
