Have the holder of an upstream tell when it does not reach it

Now a holder that gets no answer to an order or report dials; if that fails too it says away, at once to those who wait there, and with its heartbeats and answers to all. An upstream is no candidate while its holder says so, but for instances that had an answer from there within a second.

--- a/internal/entry/node/hearing.go
+++ b/internal/entry/node/hearing.go
@@ -16,7 +16,7 @@
 	now := time.Now()
 	n.advice.With(func(a *serve.Advice) {
 		for _, residency := range beat.Residencies {
-			a.Pool.LearnResidency(residency)
+			a.Pool.LearnResidency(now, residency)
 		}
 		for id, load := range beat.Held {
 			a.Pool.LearnHeld(now, id, load)
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -31,6 +31,8 @@
 	changed chan struct{}
 	fenced  bool
 	learnt  bool
+	// away: nothing listens at the upstream, or it does not answer.
+	away bool
 }
 
 func newHolding(ctx context.Context, n *Node, upstream traffic.Upstream, fence int64, stop context.CancelFunc) *holding {
@@ -115,6 +117,7 @@
 	}
 	began := time.Now()
 	outcome, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	away := outcome == residence.NoAnswer && !h.isReached(ctx)
 	if ctx.Err() != nil {
 		return
 	}
@@ -122,6 +125,7 @@
 		Str("Adapter", order.Adapter.String()).Int64("Version", order.Version).Int64("Sequence", order.Sequence).
 		Str("Outcome", string(outcome)).Err(err).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Order")
 	h.node.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("orders").Inc(1)
+	h.setAway(away)
 	h.mutex.Lock()
 	h.planner.Ordered(time.Now(), order, outcome)
 	h.fenced = outcome == residence.Fenced
@@ -135,24 +139,28 @@
 
 // tellOwn tells this instance's own pool what the others learn by heartbeats.
 func (h *holding) tellOwn() {
-	residency, known := h.residency(time.Now())
+	now := time.Now()
+	residency, known := h.residency(now)
 	if known {
-		h.node.advice.With(func(a *serve.Advice) { a.Pool.LearnResidency(residency) })
+		h.node.advice.With(func(a *serve.Advice) { a.Pool.LearnResidency(now, residency) })
 	}
 }
 
 func (h *holding) inspect(ctx context.Context) {
 	report, err := h.node.Orders.Report(ctx, h.upstream)
+	away := err != nil && !h.isReached(ctx)
 	if ctx.Err() != nil {
 		return
 	}
 	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Sequence", report.Sequence).
 		Bool("Busy", report.Busy).Interface("Models", report.Models).Interface("Pending", report.Pending).
 		Err(err).Msg("Report")
+	h.setAway(away)
 	h.mutex.Lock()
 	if err != nil || report.Born != 0 && h.upstream.Born != 0 && report.Born != h.upstream.Born {
 		h.planner.ReportFailed(time.Now()) // no answer, or another upstream's
 		h.mutex.Unlock()
+		h.tellOwn()
 		return
 	}
 	h.learnt = true
@@ -162,6 +170,30 @@
 	h.tellOwn()
 }
 
+// isReached tells whether the upstream takes a connection. An order or report without an answer alone does not tell:
+// answers are lost, and orders carried out late, at upstreams that serve.
+func (h *holding) isReached(ctx context.Context) bool {
+	connection, err := dial(ctx, h.upstream.Address)
+	if err != nil {
+		return false
+	}
+	connection.Close()
+	return true
+}
+
+// setAway takes note of whether the upstream is away. Requests that wait for an adapter there are told at once: as
+// long as they waited in vain they could have been served elsewhere.
+func (h *holding) setAway(away bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.away == away {
+		return
+	}
+	h.away = away
+	h.node.Log.Warn().Str("Upstream", h.upstream.ID).Int64("Fence", h.fence).Bool("Away", away).Msg("UpstreamAway")
+	h.announce()
+}
+
 // announce wakes the requests that wait; the lock is held.
 func (h *holding) announce() {
 	close(h.changed)
@@ -177,6 +209,10 @@
 		h.mutex.Unlock()
 		return mesh.Loaded{Version: version}
 	}
+	if h.away {
+		h.mutex.Unlock()
+		return mesh.Busy{}
+	}
 	worthUntil := now.Add(min(request.Patience, request.OnTime))
 	if wait, hopeless := h.planner.Hopeless(now, request.Adapter, worthUntil); hopeless {
 		h.mutex.Unlock()
@@ -201,6 +237,7 @@
 		wait, hopeless := h.planner.Hopeless(now, request.Adapter, worthUntil)
 		changed := h.changed
 		fenced := h.fenced
+		away := h.away
 		h.mutex.Unlock()
 		if has {
 			return mesh.Loaded{Version: version}
@@ -211,6 +248,9 @@
 		if hopeless {
 			return mesh.Busy{RetryAfter: wait}
 		}
+		if away {
+			return mesh.Busy{}
+		}
 		h.look()
 		select {
 		case <-changed:
@@ -241,10 +281,10 @@
 func (h *holding) residency(now time.Time) (residency pool.Residency, known bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if !h.learnt || h.fenced {
+	if h.fenced || !h.learnt && !h.away {
 		return residency, false
 	}
-	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence}
+	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence, Away: h.away}
 	residency.Loaded, residency.Idle = h.planner.Residents(now)
 	residency.Wait = h.planner.Wait(now, traffic.Adapter{})
 	return residency, true
--- a/internal/entry/node/losses.go
+++ b/internal/entry/node/losses.go
@@ -82,10 +82,15 @@
 	}
 }
 
+// dial makes a connection to an upstream just to see whether that can be done.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: lossDial}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // isDown tells whether nothing listens at the address.
 func isDown(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: lossDial}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := dial(ctx, address)
 	if err == nil {
 		connection.Close()
 		return false
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -127,6 +127,7 @@
 		Fence:      r.Fence,
 		Idle:       int32(r.Idle),
 		WaitMillis: r.Wait.Milliseconds(),
+		Away:       r.Away,
 	}
 	for _, resident := range r.Loaded {
 		wire.Loaded = append(wire.Loaded, &meshpb.Resident{
@@ -144,6 +145,7 @@
 		Fence:    wire.GetFence(),
 		Idle:     int(wire.GetIdle()),
 		Wait:     millis(wire.GetWaitMillis()),
+		Away:     wire.GetAway(),
 	}
 	for _, resident := range wire.GetLoaded() {
 		r.Loaded = append(r.Loaded, pool.Resident{
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -70,7 +70,7 @@
 		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
 		Held:  map[string]pool.Load{"v": {Running: 5, Prompt: 100, Memory: 700}},
 		Residencies: []pool.Residency{{
-			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond,
+			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond, Away: true,
 			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
 		}},
 		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -67,7 +67,23 @@
 
 // isCandidate tells whether an upstream of the service takes the request.
 func (u *upstream) isCandidate(now time.Time, query Query) bool {
-	return !u.declared.Draining && !now.Before(u.bannedUntil) && !slices.Contains(query.Exclude, u.declared.ID)
+	if u.declared.Draining || now.Before(u.bannedUntil) || u.isAway(now) {
+		return false
+	}
+	return !slices.Contains(query.Exclude, u.declared.ID)
+}
+
+// answersFor is how long an answer from an upstream proves that it can be reached from here.
+const answersFor = time.Second
+
+// isAway tells whether the holder does not reach the upstream, and this instance does not know better.
+//
+// Made for many upstreams that fall silent at once. Their entries stay in the store for some seconds, and each
+// instance would find out by itself, at the cost of requests that wait for a connection or an adapter there until
+// it is too late for another upstream. Where only the holder's way there is lost, those who have just had answers
+// go on.
+func (u *upstream) isAway(now time.Time) bool {
+	return now.Before(u.awayUntil) && now.Sub(u.servedAt) > answersFor
 }
 
 // servingFor lists the upstreams of a service in a fixed order.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -94,6 +94,8 @@
 	// adapter would wait for one.
 	Idle int
 	Wait time.Duration
+	// Away: the holder does not reach the upstream.
+	Away bool
 }
 
 // Resident is a loaded adapter, or a base model. InTransit: ordered, but not there yet.
@@ -214,7 +216,7 @@
 }
 
 // LearnResidency takes note of what a holder tells.
-func (p *Pool) LearnResidency(residency Residency) {
+func (p *Pool) LearnResidency(now time.Time, residency Residency) {
 	u := p.upstreams[residency.Upstream]
 	if u == nil || residency.Fence < u.fence {
 		return
@@ -222,9 +224,17 @@
 	u.fence = residency.Fence
 	u.idle = residency.Idle
 	u.wait = residency.Wait
+	u.awayUntil = time.Time{}
+	if residency.Away {
+		u.awayUntil = now.Add(awayFor + p.Settings.HeardEvery)
+	}
 	u.setResident(residency.Loaded)
 }
 
+// awayFor is how long an upstream is taken to be away after its holder's last word on that, besides the time
+// until the holder is due to be heard again: the holder itself may be gone.
+const awayFor = 500 * time.Millisecond
+
 // LearnLoads takes note of what another instance has under way.
 func (p *Pool) LearnLoads(now time.Time, instance string, loads map[string]Load) {
 	p.prepare()
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -48,7 +48,7 @@
 	for _, name := range adapters {
 		residency.Loaded = append(residency.Loaded, pool.Resident{Adapter: adapter(name), Version: 1})
 	}
-	p.LearnResidency(residency)
+	p.LearnResidency(time.Now(), residency)
 }
 
 func adapter(name string) traffic.Adapter { return traffic.Adapter{Model: model, Name: name} }
@@ -259,8 +259,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newPool("e1")
-		p.LearnResidency(pool.Residency{Upstream: "e1", Fence: 7})
-		p.LearnResidency(pool.Residency{Upstream: "e1", Fence: 3, Loaded: []pool.Resident{{Adapter: adapter("a"), Version: 1}}})
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e1", Fence: 7})
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e1", Fence: 3, Loaded: []pool.Resident{{Adapter: adapter("a"), Version: 1}}})
 		choice, _ := place(is, p, generation("a"))
 		is.True(!choice.Loaded)
 	})
@@ -273,7 +273,7 @@
 		is := is.New(t)
 		p := newPool("e1", "e2")
 		resident(p, "e1", "a")
-		p.LearnResidency(pool.Residency{Upstream: "e2", Fence: 1, Idle: 4, Loaded: []pool.Resident{
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e2", Fence: 1, Idle: 4, Loaded: []pool.Resident{
 			{Adapter: traffic.Adapter{Model: model}, Version: 1}, {Adapter: adapter("a"), Version: 2},
 		}})
 		query := generation("a")
@@ -404,3 +404,47 @@
 		is.True(!busy[choice.Upstream.ID])
 	})
 }
+
+// A rack of upstreams falls silent, with the adapters that are asked for. Their entries stay for some seconds. Each
+// instance would send requests there one after the other, and each of these waits until it is late; the holder, which
+// cannot reach them either, has said so.
+func TestAwayUpstreamsGetNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("e1", "e2")
+		resident(p, "e1", "a")
+		resident(p, "e2")
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e1", Fence: 1, Away: true})
+		choice, err := p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e2")
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e2", Fence: 1, Away: true})
+		_, err = p.Choose(time.Now(), generation("a"))
+		is.Equal(err, pool.ErrNone) // refused at once: nobody could serve it
+		resident(p, "e1", "a")
+		choice, err = p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e1") // back as soon as the holder says so
+		time.Sleep(time.Second)
+		query := generation("a")
+		query.Exclude = []string{"e1"}
+		choice, err = p.Choose(time.Now(), query)
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e2") // nobody has said so for long; the holder may be gone
+	})
+}
+
+// Only the way from the holder to an upstream is lost. The other instances reach it and are answered there; if they
+// took the holder's word, a service that is served would look as if it were not.
+func TestOwnAnswersGoBeforeTheHoldersWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("e1")
+		resident(p, "e1", "a")
+		_, send := place(is, p, generation("a"))
+		p.Finish(time.Now(), send, pool.EndServed)
+		p.LearnResidency(time.Now(), pool.Residency{Upstream: "e1", Fence: 1, Away: true})
+		_, err := p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+	})
+}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -51,6 +51,10 @@
 	// slow is how many times longer than expected answers take.
 	slow     float64
 	measured time.Time
+	// awayUntil is how long the holder's word counts that it does not reach the upstream; servedAt is when this
+	// instance last had an answer from there.
+	awayUntil time.Time
+	servedAt  time.Time
 	// bannedUntil is when an upstream that could not be reached is tried again.
 	bannedUntil time.Time
 	ban         time.Duration
@@ -107,6 +111,7 @@
 		return
 	}
 	s.answered = true
+	u.servedAt = now
 	if u.sends[s] {
 		u.own.Prompt -= s.query.Tokens
 	}
@@ -151,6 +156,7 @@
 	}
 	switch end {
 	case EndServed:
+		u.servedAt = now
 		u.count(now, 0)
 		u.ban = 0
 	case EndFailed:
