--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -48,7 +48,6 @@
 		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
-		grpc.SharedWriteBuffer(true),
 	)
 }
 
@@ -94,7 +93,6 @@
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfterIdle, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: longestRedial},
