Keep the retries of each service apart

Each instance had one budget for all services, and the generations, four times as many, paid for the retries there. Operators bound each service's retries by its own requests. Ruled out: the parts of the limit (81 instances in 101 parts), the ratio in use (0.8 of what is allowed). Before: the new test does not compile; with one budget in both places 100 retries of 17 would pass. After: it passes, and the tests of gateway and node with the race detector.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -175,13 +175,13 @@
 		Pool:     &pool.Pool{Settings: settings},
 		Ledger:   &quota.Ledger{Self: n.self.Name},
 		Suspects: &suspect.Register{Settings: suspect.DefaultSettings()},
-		Retries:  retryBudget(n.Settings.Retries),
+		Retries:  retryBudgets(n.Settings.Retries),
 	}
 }
 
-// retryBudget is this instance's part of the fleet's retries.
-func retryBudget(settings RetrySettings) *retry.Budget {
-	return retry.Filled(settings.Ratio*retryRatioUsed, settings.Slack/roster.Parts(0))
+// retryBudgets is this instance's part of the fleet's retries.
+func retryBudgets(settings RetrySettings) *retry.Budgets {
+	return &retry.Budgets{Ratio: settings.Ratio * retryRatioUsed, Most: settings.Slack / roster.Parts(0)}
 }
 
 // retryRatioUsed leaves a part of the fleet's retries for requests that are counted at another instance or in
--- a/internal/entry/node/reload.go
+++ b/internal/entry/node/reload.go
@@ -52,7 +52,7 @@
 	n.current.Store(&settings)
 	n.Apply(settings)
 	if settings.Retries != before.Retries {
-		n.advice.With(func(a *serve.Advice) { a.Retries = retryBudget(settings.Retries) })
+		n.advice.With(func(a *serve.Advice) { a.Retries = retryBudgets(settings.Retries) })
 	}
 	if settings.Instance != before.Instance {
 		n.Log.Warn().Msg("RestartNeeded") // addresses and names stay until then
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -43,7 +43,7 @@
 // run brings the request to its end. The error is a refusal, or what broke an answer that was begun.
 func (j *job) run(ctx context.Context) error {
 	h := j.handler
-	h.Advice.With(func(a *Advice) { a.Retries.First() })
+	h.Advice.With(func(a *Advice) { a.Retries.Of(j.service).First() })
 	var last error
 	for try := 0; try < mostTries; try++ {
 		if ctx.Err() != nil {
@@ -171,7 +171,7 @@
 
 // mayResend takes a retry from the budget.
 func (j *job) mayResend() (allowed bool) {
-	j.handler.Advice.With(func(a *Advice) { allowed = a.Retries.Allow() })
+	j.handler.Advice.With(func(a *Advice) { allowed = a.Retries.Of(j.service).Allow() })
 	return allowed
 }
 
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -117,7 +117,7 @@
 func TestNoRetryWithoutBudget(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, failing, failing)
-	w.handler.Advice.Retries = retry.New(0, 0)
+	w.handler.Advice.Retries = &retry.Budgets{}
 	response, _, err := w.call("/idem/", "b")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusInternalServerError)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -51,7 +51,7 @@
 	Pool     *pool.Pool
 	Ledger   *quota.Ledger
 	Suspects *suspect.Register
-	Retries  *retry.Budget
+	Retries  *retry.Budgets
 
 	mutex sync.Mutex
 }
--- a/internal/gateway/serve/world_test.go
+++ b/internal/gateway/serve/world_test.go
@@ -126,9 +126,9 @@
 	}
 	ledger := &quota.Ledger{}
 	ledger.SetLimits(time.Now().Add(-time.Minute), map[string]quota.Limit{"own": {Rate: 1000, Burst: 1000}})
-	retries := retry.New(1, 100)
+	retries := &retry.Budgets{Ratio: 1, Most: 100}
 	for range 100 {
-		retries.First()
+		retries.Of("app").First()
 	}
 	w.handler = &serve.Handler{
 		Dialect: dialect{},
--- a/internal/placement/retry/budget_test.go
+++ b/internal/placement/retry/budget_test.go
@@ -74,3 +74,26 @@
 	}
 	is.Equal(allowed, 3)
 }
+
+// A fleet serves thousands of generations, and a service of bookings beside them, where every call fails for some
+// seconds. Paid for by the generations, each of these calls would be tried again, and the service gets twice its load
+// while it is failing. What bookings may add to their service's load follows from the bookings.
+func TestRetriesOfAServiceArePaidByItsOwnCalls(t *testing.T) {
+	is := is.New(t)
+	budgets := &retry.Budgets{Ratio: 0.16, Most: 2}
+	retries := 0
+	for range 100 {
+		for range 20 {
+			budgets.Of("generations").First()
+		}
+		budgets.Of("bookings").First()
+		if budgets.Of("bookings").Allow() {
+			retries++
+		}
+	}
+	is.True(retries <= 16+1) // the ratio, and the half of Most that is there at the beginning
+	is.True(budgets.Of("generations").Allow())
+	budgets.Bound(0)
+	is.True(!budgets.Of("generations").Allow())
+	is.True(!budgets.Of("another").Allow())
+}
