Name the schedule of retries by its terms, and state full pace once

Read once more as a newcomer: quota spoke of sending away, coming back and a line, where the field says refuse, retry and schedule; and whether heartbeats come at full pace was asked in three ways. No change of behaviour. Tests of quota and node pass with the race detector, lint is clean.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -49,13 +49,13 @@
 type bucket struct {
 	level float64
 	at    time.Time
-	// returns are the requests that were told to come back, by when, and returning what they cost.
-	returns   []comeback
-	returning float64
+	// scheduled are the refused requests that were told when to retry, and scheduledCost what they cost.
+	scheduled     []scheduledRetry
+	scheduledCost float64
 }
 
-// comeback is a request that was refused and told when to come back.
-type comeback struct {
+// scheduledRetry is a refused request whose caller was told when to retry.
+type scheduledRetry struct {
 	due  time.Time
 	cost float64
 }
@@ -151,7 +151,7 @@
 	l.advance(now)
 	b := l.buckets[workspace]
 	if b.level <= 0 {
-		return l.sendAway(now, workspace, cost), false
+		return l.scheduleRetry(now, workspace, cost), false
 	}
 	b.level -= cost
 	l.own[workspace] += cost
@@ -223,42 +223,42 @@
 // leastRetryAfter keeps callers from asking again at once when a bucket is almost out of debt.
 const leastRetryAfter = 50 * time.Millisecond
 
-// longestLine is how far apart callers are told to come back. A generation should begin within a second of its
-// caller's first try; one that comes back later is hardly worth a place to its caller, who would not wait for it
-// either. At several times the rate the line would grow for seconds, and the tokens go to those who are late.
-const longestLine = 600 * time.Millisecond
+// mostStagger bounds how far retries are spread beyond the end of the debt. A generation should begin within a
+// second of its caller's first try; a retry that comes later is late whatever happens to it. At several times the
+// rate the schedule would grow for seconds, and the tokens go to requests that are late.
+const mostStagger = 600 * time.Millisecond
 
-// sendAway tells a refused request when to come back: once the debt is paid, and what came before it and was
-// refused too has had its turn. Where the line is too long, chance decides among those who come back.
+// scheduleRetry tells a refused request when to retry: once the debt is paid, and the requests that were refused
+// before it have had their turn. Where the schedule is full, chance decides among those who retry.
 //
 // Made for a wave of requests of one workspace that is over its rate for some seconds. Told only when the debt
-// will be paid, all of them come back in that moment; the first is admitted and the others are refused again. The
-// other instances that admit for the workspace are taken to send as many away as this one.
-func (l *Ledger) sendAway(now time.Time, workspace string, cost float64) time.Duration {
+// will be paid, all of them retry in that moment; the first is admitted and the others are refused again. The
+// other instances that admit for the workspace are taken to refuse as many as this one.
+func (l *Ledger) scheduleRetry(now time.Time, workspace string, cost float64) time.Duration {
 	b := l.buckets[workspace]
 	rate := l.limits[workspace].Rate
-	b.forgetDue(now)
-	ahead := b.returning * float64(1+l.admitting(now, workspace))
+	b.dropDue(now)
+	ahead := b.scheduledCost * float64(1+l.admitting(now, workspace))
 	turn := time.Duration(ahead / rate * float64(time.Second))
 	wait := leastRetryAfter + time.Duration(-b.level/rate*float64(time.Second))
-	if turn > longestLine {
+	if turn > mostStagger {
 		return wait
 	}
 	wait += turn
-	b.returns = append(b.returns, comeback{due: now.Add(wait), cost: cost})
-	b.returning += cost
+	b.scheduled = append(b.scheduled, scheduledRetry{due: now.Add(wait), cost: cost})
+	b.scheduledCost += cost
 	return wait
 }
 
-// forgetDue drops those who should be back by now. Each wait is longer than the one before it, or the bucket has
-// gained since, so they are nearly in order.
-func (b *bucket) forgetDue(now time.Time) {
-	for len(b.returns) > 0 && !now.Before(b.returns[0].due) {
-		b.returning -= b.returns[0].cost
-		b.returns = b.returns[1:]
+// dropDue drops the retries that are due by now. Each is due after the one before it, or the bucket has gained
+// since, so they are nearly in order.
+func (b *bucket) dropDue(now time.Time) {
+	for len(b.scheduled) > 0 && !now.Before(b.scheduled[0].due) {
+		b.scheduledCost -= b.scheduled[0].cost
+		b.scheduled = b.scheduled[1:]
 	}
-	if len(b.returns) == 0 {
-		b.returning = 0 // sums of fractions leave rests
+	if len(b.scheduled) == 0 {
+		b.scheduledCost = 0 // adding and subtracting fractions leaves a remainder
 	}
 }
 
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -73,7 +73,14 @@
 }
 
 // isFullPace tells whether the heartbeats of all pairs come at full pace.
-func (b *beats) isFullPace() bool { return b.pace() == beatEvery }
+func (b *beats) isFullPace() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.atFullPace()
+}
+
+// atFullPace is isFullPace where the lock is held.
+func (b *beats) atFullPace() bool { return len(b.peers) <= peersAtFullPace }
 
 // pace is how often each pair exchanges now.
 func (b *beats) pace() time.Duration {
@@ -138,7 +145,7 @@
 func (b *beats) spread() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if beatPace(len(b.peers)) == beatEvery {
+	if b.atFullPace() {
 		return
 	}
 	left := spreadTo
@@ -159,7 +166,7 @@
 func (b *beats) tellSpent(names []string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if beatPace(len(b.peers)) == beatEvery {
+	if b.atFullPace() {
 		return
 	}
 	for _, name := range names {
