Let a holder order only under the lease that its claim is bound to, where fences are not checked

A silent holder was also replaced after a second although its lease ran on, a suspended machine's steady clock did not count, the last moment of a lease was used, and an upstream that came back was ordered at once. Ruled out: two claims under one revision (each is a transaction of its own); orders without an answer (their sender is the same).

--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -18,7 +19,11 @@
 	node     *Node
 	upstream traffic.Upstream
 	fence    int64
-	stop     context.CancelFunc
+	// lease is what the holder's key is bound to, and ordersFrom when this instance may order again if it has
+	// ordered here before.
+	lease      int64
+	ordersFrom time.Time
+	stop       context.CancelFunc
 	// ended is closed when the instance does not hold the upstream any more.
 	ended <-chan struct{}
 	wake  chan struct{}
@@ -35,9 +40,11 @@
 	away bool
 }
 
-func newHolding(ctx context.Context, n *Node, upstream traffic.Upstream, fence int64, stop context.CancelFunc) *holding {
+func newHolding(
+	ctx context.Context, n *Node, upstream traffic.Upstream, holder roster.Holder, stop context.CancelFunc,
+) *holding {
 	h := &holding{
-		node: n, upstream: upstream, fence: fence, stop: stop, ended: ctx.Done(),
+		node: n, upstream: upstream, fence: holder.Fence, lease: holder.Lease, stop: stop, ended: ctx.Done(),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	if engine := n.Table().Configuration.Services[upstream.Service].Engine; engine != nil {
@@ -99,23 +106,13 @@
 	}
 }
 
-// mayOrder tells whether this instance still is the holder as far as it can know. Where upstreams check
-// fences a holder whose lease has run out in an outage of the store goes on: nobody else can be holder
-// meanwhile, and its orders are refused as soon as somebody is.
-func (h *holding) mayOrder() bool {
-	if h.node.current.Load().Upstreams.FencesChecked {
-		return true
-	}
-	_, ok := h.node.lease.current(time.Now())
-	return ok
-}
-
 func (h *holding) give(ctx context.Context, order residence.Order) {
-	if !h.mayOrder() {
+	began := time.Now()
+	if !h.mayOrder(began) {
 		h.rest(ctx, longestRest)
 		return
 	}
-	began := time.Now()
+	h.node.holdings.noteOrder(h.upstream.ID, began)
 	outcome, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
 	away := outcome == residence.NoAnswer && !h.isReached(ctx)
 	if ctx.Err() != nil {
@@ -209,6 +206,10 @@
 		h.mutex.Unlock()
 		return mesh.Loaded{Version: version}
 	}
+	if !h.mayOrder(now) {
+		h.mutex.Unlock()
+		return mesh.NotHolder{}
+	}
 	if h.away {
 		h.mutex.Unlock()
 		return mesh.Busy{}
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -33,12 +33,16 @@
 	held  map[string]*holding
 	// unheld tells since when an upstream has had no holder; only the loop that claims uses it.
 	unheld map[string]time.Time
+	// ordered is when this instance last gave an order to an upstream, under any fence.
+	ordered map[string]time.Time
 }
 
 // newHoldings is made before the duties start: a peer may ask what is held before the loop that claims has
 // taken its first step.
 func newHoldings() holdings {
-	return holdings{held: make(map[string]*holding), unheld: make(map[string]time.Time)}
+	return holdings{
+		held: make(map[string]*holding), unheld: make(map[string]time.Time), ordered: make(map[string]time.Time),
+	}
 }
 
 func (h *holdings) get(upstream string) *holding {
@@ -118,7 +122,7 @@
 		return false
 	}
 	if found && holder.Incarnation == n.self.Incarnation {
-		n.hold(ctx, upstream, holder.Fence)
+		n.hold(ctx, upstream, holder)
 		return false
 	}
 	if one := n.holdings.get(id); one != nil && one.fence > revision {
@@ -129,7 +133,7 @@
 		n.claim(ctx, upstream, holder.Fence) // left by this instance's last incarnation
 		return false
 	}
-	return !found || n.isLost(now, holder.Instance)
+	return !found || n.mayReplace() && n.isLost(now, holder.Instance)
 }
 
 // isLost tells whether a holder is silent although this instance hears most of the others. Its lease may
@@ -204,7 +208,7 @@
 			continue
 		}
 		turn := slices.Index(lines[upstream.ID], n.self.Name)
-		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep {
+		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep && !now.Before(n.ordersFrom(upstream.ID)) {
 			n.claim(ctx, upstream, n.fenceOf(upstream.ID))
 		}
 	}
@@ -228,7 +232,8 @@
 		return
 	}
 	key := roster.HolderKey(id)
-	value, err := roster.EncodeHolder(roster.Holder{Instance: n.self.Name, Incarnation: n.self.Incarnation})
+	holder := roster.Holder{Instance: n.self.Name, Incarnation: n.self.Incarnation, Lease: leaseID}
+	value, err := roster.EncodeHolder(holder)
 	if err != nil {
 		n.Log.Error().Err(err).Msg("ClaimFailed")
 		return
@@ -245,20 +250,23 @@
 		n.Log.Warn().Err(err).Str("Upstream", id).Msg("ClaimFailed")
 	default:
 		n.Log.Info().Str("Upstream", id).Int64("Fence", fence).Msg("Claimed")
-		n.hold(ctx, upstream, fence)
+		holder.Fence = fence
+		n.hold(ctx, upstream, holder)
 	}
 }
 
 // hold runs a loop for an upstream that this instance holds.
-func (n *Node) hold(ctx context.Context, upstream traffic.Upstream, fence int64) {
-	if one := n.holdings.get(upstream.ID); one != nil {
-		if one.fence == fence && one.upstream.Born == upstream.Born {
-			return
-		}
-		n.drop(upstream.ID)
+func (n *Node) hold(ctx context.Context, upstream traffic.Upstream, holder roster.Holder) {
+	before := n.holdings.get(upstream.ID)
+	if before != nil && before.fence == holder.Fence && before.upstream.Born == upstream.Born {
+		return
 	}
+	n.drop(upstream.ID)
 	ctx, cancel := context.WithCancel(ctx)
-	one := newHolding(ctx, n, upstream, fence, cancel)
+	one := newHolding(ctx, n, upstream, holder, cancel)
+	if before == nil || before.fence != holder.Fence {
+		one.ordersFrom = n.ordersFrom(upstream.ID)
+	}
 	n.holdings.mutex.Lock()
 	n.holdings.held[upstream.ID] = one
 	n.holdings.mutex.Unlock()
--- a/internal/entry/node/lease.go
+++ b/internal/entry/node/lease.go
@@ -23,25 +23,58 @@
 	leasePause = 250 * time.Millisecond
 )
 
+// lease is safe for use by several goroutines.
 type lease struct {
+	// suspended tells for how long in all the machine has been suspended, which the runtime's clock does not
+	// count and the store's does.
+	suspended func() time.Duration
+
 	mutex sync.Mutex
 	id    int64
-	// until is when the lease ends unless it was renewed in the meantime.
-	until time.Time
+	// until is when the lease ends unless it was renewed in the meantime, as long as the machine is not
+	// suspended; suspendedBefore is for how long it had been when the lease was granted or renewed.
+	until           time.Time
+	suspendedBefore time.Duration
 }
 
 // current gives the lease if it surely has not ended.
 func (l *lease) current(now time.Time) (id int64, ok bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	now = now.Add(l.suspended() - l.suspendedBefore)
 	return l.id, l.id != 0 && now.Before(l.until)
 }
 
-func (l *lease) set(id int64, until time.Time) {
+// moment is when a call that grants or renews a lease began.
+type moment struct {
+	at        time.Time
+	suspended time.Duration
+}
+
+// begin has to be read before the call is made: the lease runs from when the store gets it.
+func (l *lease) begin() moment { return moment{at: time.Now(), suspended: l.suspended()} }
+
+// hold takes note of a lease that was granted or renewed by a call.
+func (l *lease) hold(id int64, began moment) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.id = id
-	l.until = until
+	l.until = began.at.Add(leaseTime)
+	l.suspendedBefore = began.suspended
+}
+
+// end forgets the lease.
+func (l *lease) end() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.id = 0
+}
+
+// last is the lease as of the last call, whether it has ended or not; 0 for none.
+func (l *lease) last() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.id
 }
 
 // runLease gets and renews the lease.
@@ -63,27 +96,25 @@
 
 // renew extends the lease, or gets a new one.
 func (n *Node) renew(ctx context.Context) error {
-	began := time.Now()
-	n.lease.mutex.Lock()
-	id := n.lease.id
-	n.lease.mutex.Unlock()
+	began := n.lease.begin()
+	id := n.lease.last()
 	if id != 0 {
 		err := n.Store.Renew(ctx, id)
 		if err == nil {
-			n.lease.set(id, began.Add(leaseTime))
+			n.lease.hold(id, began)
 			return nil
 		}
 		if !errors.Is(err, coordination.ErrLeaseEnded) {
 			return err
 		}
-		n.lease.set(0, time.Time{})
+		n.lease.end()
 		n.Log.Warn().Int64("Lease", id).Msg("LeaseEnded")
 	}
 	return n.join(ctx, began)
 }
 
 // join gets a lease and enters the roster.
-func (n *Node) join(ctx context.Context, began time.Time) error {
+func (n *Node) join(ctx context.Context, began moment) error {
 	id, err := n.Store.Grant(ctx, leaseTime)
 	if err != nil {
 		return err
@@ -98,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	n.lease.set(id, began.Add(leaseTime))
+	n.lease.hold(id, began)
 	n.Log.Info().Int64("Lease", id).Msg("Joined")
 	return nil
 }
@@ -107,10 +138,8 @@
 func (n *Node) endLease() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.current.Load().Platform.StoreTimeout)
 	defer cancel()
-	n.lease.mutex.Lock()
-	id := n.lease.id
-	n.lease.mutex.Unlock()
-	n.lease.set(0, time.Time{})
+	id := n.lease.last()
+	n.lease.end()
 	if id == 0 {
 		return
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -148,6 +148,7 @@
 	n.losses = make(chan loss, lossesKept)
 	n.current.Store(&n.Settings)
 	n.knowledge.wake = make(chan struct{}, 1)
+	n.lease.suspended = timeSuspended
 	n.holdings = newHoldings()
 	n.assembleAdvice()
 	n.handler = &serve.Handler{
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -48,7 +48,10 @@
 type UpstreamSettings struct {
 	// FencesChecked: they refuse orders under an earlier fence.
 	FencesChecked bool
-	PromptRate    float64
+	// ReturnAfter is how long after its last order to an upstream an instance that lost it orders there again,
+	// where fences are not checked.
+	ReturnAfter time.Duration
+	PromptRate  float64
 }
 
 // RetrySettings bound the sends beyond the first of each request, over all instances and in any Window.
@@ -136,6 +139,12 @@
 			Help: "whether upstreams refuse orders under an earlier fence",
 			Set:  inifile.Switch(func(s *Settings) *bool { return &s.Upstreams.FencesChecked }),
 		},
+		{
+			Section: "Upstreams", Name: "ReturnAfter", Default: "3s",
+			Help: "pause until an instance orders again at an upstream that it lost, where fences are not checked",
+			Set: inifile.Duration(0, time.Minute,
+				func(s *Settings) *time.Duration { return &s.Upstreams.ReturnAfter }),
+		},
 		{
 			Section: "Upstreams", Name: "PromptRate", Default: "19000",
 			Help: "prompt tokens that an engine reads in a second",
--- a/internal/entry/node/settings_test.go
+++ b/internal/entry/node/settings_test.go
@@ -22,6 +22,7 @@
 	"internal-ports.0":     "7600",
 	"platform.address":     "10.200.1.7:8225",
 	"bounds.fence-checked": "true",
+	"bounds.lease-ms":      "3000",
 	"bounds.retry-ratio":   "0.2",
 	"bounds.retry-slack":   "54",
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -32,6 +32,8 @@
 	Upstream    string
 	Instance    string
 	Incarnation string
+	// Lease is the lease that the key is bound to.
+	Lease int64
 	// Fence rises with each change of holder; it is the revision of the key.
 	Fence int64
 }
@@ -51,6 +53,7 @@
 type holderWire struct {
 	Instance    string
 	Incarnation string
+	Lease       int64
 }
 
 // EncodeInstance gives the value of an instance's key.
@@ -60,7 +63,7 @@
 
 // EncodeHolder gives the value of a holder's key.
 func EncodeHolder(h Holder) ([]byte, error) {
-	return json.Marshal(holderWire{Instance: h.Instance, Incarnation: h.Incarnation})
+	return json.Marshal(holderWire{Instance: h.Instance, Incarnation: h.Incarnation, Lease: h.Lease})
 }
 
 // Roster is what the keys say. The zero value is empty. It is not safe for use by several goroutines.
@@ -109,7 +112,7 @@
 		return err
 	}
 	r.holders[upstream] = Holder{
-		Upstream: upstream, Instance: wire.Instance, Incarnation: wire.Incarnation, Fence: revision,
+		Upstream: upstream, Instance: wire.Instance, Incarnation: wire.Incarnation, Lease: wire.Lease, Fence: revision,
 	}
 	return nil
 }
