Take a gap in the store's word for an outage only if half of the instances failed to read

Ruled out: lapsed entries (the store was not down until 13.7 s). Test: TestEntryRemovedAfterAGap; its first two cases failed before.

--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -36,8 +36,9 @@
 	callers map[string]roster.Instance
 	// catchingUp counts the peers from which changes are being fetched.
 	catchingUp atomic.Int32
-	// away are the peers that say they do not reach the store.
-	away map[string]bool
+	// away are the peers that say they do not reach the store, and awayHeard is when they last said so.
+	away      map[string]bool
+	awayHeard map[string]time.Time
 }
 
 // reads tells whether a peer can be left to read the store for all.
@@ -50,13 +51,34 @@
 	return !b.away[name]
 }
 
-func (b *beats) setAway(name string, away bool) {
+func (b *beats) setAway(now time.Time, name string, away bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.away == nil {
 		b.away = make(map[string]bool)
+		b.awayHeard = make(map[string]time.Time)
 	}
 	b.away[name] = away
+	if away {
+		b.awayHeard[name] = now
+	}
+}
+
+// awaySince counts the peers that have said since a moment that they do not reach the store, of those that were
+// heard since.
+func (b *beats) awaySince(since time.Time) (away, heard int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for name, at := range b.heard {
+		if at.Before(since) {
+			continue
+		}
+		heard++
+		if !b.awayHeard[name].Before(since) {
+			away++
+		}
+	}
+	return away, heard
 }
 
 // beatPace is how often a pair exchanges, for a number of peers.
--- a/internal/entry/node/hearing.go
+++ b/internal/entry/node/hearing.go
@@ -41,7 +41,7 @@
 
 // hearAll takes over a whole heartbeat.
 func (n *Node) hearAll(now time.Time, beat mesh.Beat) {
-	n.beats.setAway(beat.Instance, beat.StoreAway)
+	n.beats.setAway(now, beat.Instance, beat.StoreAway)
 	caller := roster.Instance{Name: beat.Instance, Incarnation: beat.Incarnation, Address: beat.Address}
 	if n.beats.hear(now, caller) {
 		n.Log.Info().Str("Peer", beat.Instance).Int64("Revision", beat.Revision).Msg("PeerHeard")
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -128,13 +128,30 @@
 	if !at.After(k.confirmed) {
 		return
 	}
-	if !k.confirmed.IsZero() && at.Sub(k.confirmed) > outageGap {
-		k.returned = time.Now()
-		n.Log.Warn().Int64("GapMillis", at.Sub(k.confirmed).Milliseconds()).Msg("StoreReturned")
+	if gap := at.Sub(k.confirmed); !k.confirmed.IsZero() && gap > outageGap {
+		outage := n.wasOutage(k.confirmed)
+		if outage {
+			k.returned = time.Now()
+		}
+		n.Log.Warn().Int64("GapMillis", gap.Milliseconds()).Bool("Outage", outage).Msg("StoreReturned")
 	}
 	k.confirmed = at
 }
 
+// wasOutage tells whether the store was away for the fleet since its last word, and not for this instance or for the
+// one that read for all: at least half of the instances have failed to read it.
+//
+// Made for a reader that the store turns away, or whose way there is cut. The next instance begins to read some time
+// later, so that nobody had the store's word for a while. Taken for an outage, the removal of an upstream's entry
+// would be put down to it, and requests would be sent to an upstream that left two seconds ago and is gone by now.
+func (n *Node) wasOutage(since time.Time) bool {
+	away, heard := n.beats.awaySince(since)
+	if n.storeFailed.Load() >= since.UnixNano() {
+		away++
+	}
+	return 2*away >= heard+1
+}
+
 func (n *Node) signal() {
 	select {
 	case n.knowledge.wake <- struct{}{}:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -78,8 +78,9 @@
 	forward   *forward.Client
 	scope     tally.Scope
 	stopping  atomic.Bool
-	// storeAway: the last read of the store failed.
-	storeAway atomic.Bool
+	// storeAway: the last read of the store failed; storeFailed is when one last did, in Unix nanoseconds.
+	storeAway   atomic.Bool
+	storeFailed atomic.Int64
 
 	handler    *serve.Handler
 	callers    *http.Server
--- /dev/null
+++ b/internal/entry/node/outage_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// Nobody has the store's word for a second and a half, and then an upstream's entry is gone. Where the store was away
+// for all, the upstream may live and write again soon. Where only the instance that reads for all was cut off, the
+// upstream has left: requests that still go there after two seconds meet a closed port, or another service.
+func TestEntryRemovedAfterAGap(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		ownFailed  bool
+		peersAway  []string
+		stillTaken bool
+	}{
+		{"the reader was cut off", false, []string{"b"}, false},
+		{"this instance was the reader", true, nil, false},
+		{"the store was away for all", true, []string{"b", "c", "d"}, true},
+		{"the store was away, and half have noticed", true, []string{"b"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var suspended time.Duration
+				n := uncheckedNode(&suspended)
+				n.Decoder = namesOnly{}
+				upstream := traffic.Upstream{ID: "u", Service: "s"}
+				n.advice.Pool.Declare(time.Now(), upstream)
+				n.merge(replica.Batch{Snapshot: true, Through: 1}, time.Now())
+				time.Sleep(outageGap + 50*time.Millisecond)
+				if c.ownFailed {
+					n.storeFailed.Store(time.Now().UnixNano())
+				}
+				for _, peer := range []string{"b", "c", "d"} {
+					n.beats.hear(time.Now(), roster.Instance{Name: peer})
+				}
+				for _, peer := range c.peersAway {
+					n.beats.setAway(time.Now(), peer, true)
+				}
+				removed := replica.Item{Key: "u", Revision: 2, Removed: true}
+				is.True(n.merge(replica.Batch{After: 1, Through: 2, Items: []replica.Item{removed}}, time.Now()))
+				is.Equal(n.advice.Pool.Takes(upstream), c.stillTaken)
+			})
+		})
+	}
+}
+
+// namesOnly takes each key for an upstream's.
+type namesOnly struct{ Decoder }
+
+func (namesOnly) UpstreamID(key string) (id string, ok bool) { return key, true }
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -50,6 +50,7 @@
 			n.Log.Warn().Bool("Reached", reached).Err(err).Msg("Store")
 		}
 		if err != nil {
+			n.storeFailed.Store(time.Now().UnixNano())
 			pause(ctx, readPause)
 			continue
 		}
