--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -46,8 +46,11 @@
 	started   bool
 	status    int
 	firstByte time.Time
-	lastEvent string
-	upstream  string
+	// wroteAt is when the last events of a stream went out, and longestPause the longest time between two.
+	wroteAt      time.Time
+	longestPause time.Duration
+	lastEvent    string
+	upstream     string
 	// bytes of the answer's body that went to the caller.
 	bytes int64
 	// cause is what went wrong at the last upstream, if that ended the request.
@@ -90,7 +93,9 @@
 		event = event.Int64("Configuration", j.table.Configuration.Version)
 	}
 	if !j.firstByte.IsZero() {
-		event = event.Int64("FirstMillis", j.firstByte.Sub(j.began).Milliseconds())
+		event = event.Int64("FirstMillis", j.firstByte.Sub(j.began).Milliseconds()).
+			Int64("PauseMillis", j.longestPause.Milliseconds()).
+			Bool("OnTime", j.isOnTime())
 	}
 	if err != nil {
 		event = event.Err(err)
@@ -102,6 +107,14 @@
 	j.count()
 }
 
+// isOnTime tells whether the answer, as far as it went out, was within its route's objectives.
+func (j *job) isOnTime() bool {
+	if j.firstByte.Sub(j.began) > j.route.Objective {
+		return false
+	}
+	return j.route.LongestPause <= 0 || j.longestPause <= j.route.LongestPause
+}
+
 // latencies are the bounds of the histograms: from an answer on the same machine to the longest timeouts.
 var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -168,6 +168,7 @@
 	if err := j.write(events); err != nil {
 		return err
 	}
+	j.notePause(time.Now())
 	if id := lastID(events); id != "" {
 		j.lastEvent = id
 	}
@@ -208,6 +209,15 @@
 	j.writer.WriteHeader(status)
 }
 
+// notePause measures the pauses between events. A stream with one that is longer than its route allows is late,
+// whatever its first event took.
+func (j *job) notePause(now time.Time) {
+	if !j.wroteAt.IsZero() {
+		j.longestPause = max(j.longestPause, now.Sub(j.wroteAt))
+	}
+	j.wroteAt = now
+}
+
 func (j *job) write(data []byte) error {
 	n, err := j.writer.Write(data)
 	j.bytes += int64(n)
