Learn how long engines, services and loads take from what is seen

Cause: the prompt rate, the step time, the first event's base, the load times and their prices were constants that suit the first two customers' engines. Changed: placement/forecast fits the first event (base, own tokens, unread tokens before it, requests beside it) to the latest answers, plain answers likewise; the holder learns loads and tells them. What a load costs others is in terms of its measured time. An upstream's slowness is measured against the forecast for a usual one: before, it was measured against a forecast that held the slowness already, so that only its root was seen.

--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -96,7 +96,7 @@
 		},
 		Platform:  node.PlatformSettings{StoreTimeout: time.Second},
 		Callers:   node.CallerSettings{HeaderBytes: 16384, HeaderTimeout: time.Second, IdleTimeout: time.Second, StopWithin: 5 * time.Second},
-		Upstreams: node.UpstreamSettings{FencesChecked: true, PromptRate: 19_000},
+		Upstreams: node.UpstreamSettings{FencesChecked: true},
 		Retries:   node.RetrySettings{Ratio: 0.2, Slack: 54},
 	}
 	i.reread = func() (node.Settings, error) { return i.settings, nil }
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -50,6 +50,9 @@
 	if engine := n.Table().Configuration.Services[upstream.Service].Engine; engine != nil {
 		h.planner.Engine = *engine
 	}
+	n.advice.With(func(a *serve.Advice) {
+		h.planner.LoadGuess, h.planner.ReloadGuess = a.Pool.LoadTimes(upstream.Service)
+	})
 	return h
 }
 
@@ -288,5 +291,9 @@
 	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence, Away: h.away}
 	residency.Loaded, residency.Idle = h.planner.Residents(now)
 	residency.Wait = h.planner.Wait(now, traffic.Adapter{})
+	if load, reload, seen := h.planner.LoadTimes(); seen {
+		residency.LoadTime = load
+		residency.ReloadTime = reload
+	}
 	return residency, true
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -172,7 +172,6 @@
 func (n *Node) assembleAdvice() {
 	settings := pool.DefaultSettings()
 	settings.DataCentre = n.self.DataCentre
-	settings.PromptRate = n.Settings.Upstreams.PromptRate
 	n.advice = &serve.Advice{
 		Pool:     &pool.Pool{Settings: settings},
 		Ledger:   &quota.Ledger{Self: n.self.Name},
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -51,7 +51,6 @@
 	// ReturnAfter is how long after its last order to an upstream an instance that lost it orders there again,
 	// where fences are not checked.
 	ReturnAfter time.Duration
-	PromptRate  float64
 }
 
 // RetrySettings bound the sends beyond the first of each request, over all instances and in any Window.
@@ -145,11 +144,6 @@
 			Set: inifile.Duration(0, time.Minute,
 				func(s *Settings) *time.Duration { return &s.Upstreams.ReturnAfter }),
 		},
-		{
-			Section: "Upstreams", Name: "PromptRate", Default: "19000",
-			Help: "prompt tokens that an engine reads in a second",
-			Set:  inifile.Number(1, 1e9, func(s *Settings) *float64 { return &s.Upstreams.PromptRate }),
-		},
 		{
 			Section: "Retries", Name: "Ratio", Default: "0.1",
 			Help: "sends beyond the first, of all instances, for each request",
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -128,6 +128,7 @@
 		Idle:       int32(r.Idle),
 		WaitMillis: r.Wait.Milliseconds(),
 		Away:       r.Away,
+		LoadMicros: r.LoadTime.Microseconds(), ReloadMicros: r.ReloadTime.Microseconds(),
 	}
 	for _, resident := range r.Loaded {
 		wire.Loaded = append(wire.Loaded, &meshpb.Resident{
@@ -146,6 +147,7 @@
 		Idle:     int(wire.GetIdle()),
 		Wait:     millis(wire.GetWaitMillis()),
 		Away:     wire.GetAway(),
+		LoadTime: micros(wire.GetLoadMicros()), ReloadTime: micros(wire.GetReloadMicros()),
 	}
 	for _, resident := range wire.GetLoaded() {
 		r.Loaded = append(r.Loaded, pool.Resident{
@@ -233,3 +235,5 @@
 }
 
 func millis(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -64,7 +64,7 @@
 		var ended result
 		ended, last = j.send(ctx, choice, query)
 		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Outcome", string(ended)).Err(last).
-			Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
+			Int("Tokens", query.Tokens).Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
 			Float64("Slow", choice.Slow).Float64("Failing", choice.Failing).
 			Int64("ExpectedMillis", choice.Expected.Milliseconds()).Msg("Decision")
 		switch ended {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -46,8 +46,7 @@
 	started   bool
 	status    int
 	firstByte time.Time
-	// wroteAt is when the last events of a stream went out, and longestPause the longest time between two.
-	wroteAt      time.Time
+	// longestPause is the longest time between two events of a stream from the same upstream.
 	longestPause time.Duration
 	lastEvent    string
 	upstream     string
--- a/internal/gateway/serve/pause_test.go
+++ b/internal/gateway/serve/pause_test.go
@@ -31,10 +31,11 @@
 				j := &job{route: route, began: time.Now()}
 				time.Sleep(c.first)
 				j.firstByte = time.Now()
-				j.notePause(time.Now())
+				r := &relay{job: j}
+				r.notePause(time.Now())
 				for _, pause := range c.pauses {
 					time.Sleep(pause)
-					j.notePause(time.Now())
+					r.notePause(time.Now())
 				}
 				is.Equal(j.isOnTime(), c.onTime)
 			})
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -35,6 +35,8 @@
 	answer  *forward.Answer
 	sending *pool.Send
 	silent  *time.Timer
+	// wroteAt is when the last events of the stream went out.
+	wroteAt time.Time
 }
 
 // run relays the answer.
@@ -168,7 +170,7 @@
 	if err := j.write(events); err != nil {
 		return err
 	}
-	j.notePause(time.Now())
+	r.notePause(time.Now())
 	if id := lastID(events); id != "" {
 		j.lastEvent = id
 	}
@@ -211,11 +213,11 @@
 
 // notePause measures the pauses between events. A stream with one that is longer than its route allows is late,
 // whatever its first event took.
-func (j *job) notePause(now time.Time) {
-	if !j.wroteAt.IsZero() {
-		j.longestPause = max(j.longestPause, now.Sub(j.wroteAt))
+func (r *relay) notePause(now time.Time) {
+	if !r.wroteAt.IsZero() {
+		r.job.longestPause = max(r.job.longestPause, now.Sub(r.wroteAt))
 	}
-	j.wroteAt = now
+	r.wroteAt = now
 }
 
 func (j *job) write(data []byte) error {
--- /dev/null
+++ b/internal/placement/forecast/engine.go
@@ -0,0 +1,186 @@
+package forecast
+
+import "time"
+
+// engine.go foretells the first event of a generation.
+
+const (
+	// kept is the weight that earlier answers keep when another is seen: about thirty of them count. At some
+	// answers a second that follows an engine that changes its pace within seconds.
+	kept = 0.97
+	// certainAfter is how many answers it takes until one that is far off is taken for an exception; farOff
+	// bounds what such an answer counts as, in terms of what was foretold.
+	certainAfter = 20
+	farOff       = 3
+	// off is by which factor an answer has to differ to count as a sign that the engines have changed; after
+	// mostOff such answers in a row, all in one direction, what was seen before misleads.
+	off     = 1.5
+	mostOff = 6
+	// relativeFloor keeps very short answers from counting for everything: errors count in relation to what was
+	// foretold, and in relation to this below it. Until the forecast is certain they count in relation to the answer,
+	// which looks too quick by that, but is not led astray by a first answer that is far off.
+	relativeFloor = 100 * time.Millisecond
+	// tokensUnit makes the terms of the fit similar in size.
+	tokensUnit = 1000
+	terms      = 4
+)
+
+// Engine foretells when the first event of a generation comes, as the sum of a base, a part for each token of its
+// prompt, a part for each token of the prompts that are read before, which counts less where an engine does not read
+// in the order of arrival, and a part for each request that runs beside it. It is fitted to the latest
+// answers by least squares. The zero value is ready for use; it is not safe for use by several goroutines.
+type Engine struct {
+	squares [terms][terms]float64
+	moments [terms]float64
+	fitted  [terms]float64
+	answers int
+	// slower and quicker count the latest answers in a row that were off in the same direction.
+	slower  int
+	quicker int
+}
+
+// FirstEvent is the time from sending a prompt until its first event.
+func (e *Engine) FirstEvent(tokens int, beside Beside) time.Duration {
+	return e.predict(features(tokens, beside))
+}
+
+// Reading is the time that an engine reads for a prompt.
+func (e *Engine) Reading(tokens int) time.Duration {
+	return seconds(e.coefficients()[1] * float64(tokens) / tokensUnit)
+}
+
+// Observe takes note of an answer's first event.
+func (e *Engine) Observe(tokens int, beside Beside, took time.Duration) {
+	x := features(tokens, beside)
+	e.compare(took, e.predict(x))
+	scale := took
+	if e.isCertain() {
+		scale = e.predict(x)
+		took = min(took, farOff*scale)
+	}
+	e.answers++
+	weight := 1 / (scale + relativeFloor).Seconds()
+	weight *= weight
+	for i := range terms {
+		for j := range terms {
+			e.squares[i][j] = kept*e.squares[i][j] + weight*x[i]*x[j]
+		}
+		e.moments[i] = kept*e.moments[i] + weight*x[i]*took.Seconds()
+	}
+	e.fit()
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func (e *Engine) isCertain() bool { return e.answers >= certainAfter }
+
+// compare finds out whether the engines have changed their pace: then all answers differ in the same direction.
+func (e *Engine) compare(took, foretold time.Duration) {
+	ratio := float64(took) / float64(max(foretold, 1))
+	e.slower = inARow(e.slower, ratio > off)
+	e.quicker = inARow(e.quicker, ratio < 1/off)
+	if e.isCertain() && (e.slower >= mostOff || e.quicker >= mostOff) {
+		e.forget()
+	}
+}
+
+func inARow(count int, another bool) int {
+	if !another {
+		return 0
+	}
+	return count + 1
+}
+
+// forget begins anew.
+func (e *Engine) forget() { *e = Engine{} }
+
+func features(tokens int, beside Beside) [terms]float64 {
+	return [terms]float64{
+		1, float64(tokens) / tokensUnit, float64(beside.Unread) / tokensUnit, float64(beside.Running),
+	}
+}
+
+func guesses() [terms]float64 {
+	perUnit := tokensUnit * guessToken.Seconds()
+	return [terms]float64{guessBase.Seconds(), perUnit, perUnit, guessRunning.Seconds()}
+}
+
+// guessWeights hold the terms at their guesses as long as answers do not tell otherwise, such as the base while all
+// prompts are long. They are in terms of the weight of one short answer.
+var guessWeights = [terms]float64{10, 5, 5, 20}
+
+func (e *Engine) coefficients() [terms]float64 {
+	if e.answers == 0 {
+		return guesses()
+	}
+	return e.fitted
+}
+
+func (e *Engine) predict(x [terms]float64) time.Duration {
+	total := 0.0
+	for i, coefficient := range e.coefficients() {
+		total += coefficient * x[i]
+	}
+	return seconds(total)
+}
+
+// fit solves the normal equations. A part below zero makes no sense and would have loaded engines look quicker than
+// idle ones; it is taken out, and the others are fitted again.
+func (e *Engine) fit() {
+	var out [terms]bool
+	for range terms {
+		e.fitted = e.solve(out)
+		lowest := 0
+		for i := range terms {
+			if e.fitted[i] < e.fitted[lowest] {
+				lowest = i
+			}
+		}
+		if e.fitted[lowest] >= 0 {
+			return
+		}
+		out[lowest] = true
+	}
+}
+
+// solve gives the least squares for the terms that are not out, by Gaussian elimination. The guesses' weights make
+// every pivot positive.
+func (e *Engine) solve(out [terms]bool) (solution [terms]float64) {
+	matrix := e.squares
+	right := e.moments
+	guess := guesses()
+	for i := range terms {
+		matrix[i][i] += guessWeights[i]
+		right[i] += guessWeights[i] * guess[i]
+	}
+	for i := range terms {
+		if !out[i] {
+			continue
+		}
+		for j := range terms {
+			matrix[i][j] = 0
+			matrix[j][i] = 0
+		}
+		matrix[i][i] = 1
+		right[i] = 0
+	}
+	for i := range terms {
+		for j := i + 1; j < terms; j++ {
+			factor := matrix[j][i] / matrix[i][i]
+			for k := i; k < terms; k++ {
+				matrix[j][k] -= factor * matrix[i][k]
+			}
+			right[j] -= factor * right[i]
+		}
+	}
+	for i := terms - 1; i >= 0; i-- {
+		solution[i] = right[i]
+		for j := i + 1; j < terms; j++ {
+			solution[i] -= matrix[i][j] * solution[j]
+		}
+		solution[i] /= matrix[i][i]
+	}
+	return solution
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -16,26 +16,19 @@
 	// failureCost is what a certain failure costs: the time of a retry. Callers of a request that may not
 	// be repeated lose it altogether, so they gain as well from the upstream that fails less.
 	failureCost = 800 * time.Millisecond
-	// evictCost is what the next request for the evicted adapter pays.
-	evictCost = 40 * time.Millisecond
-	// fetchCost is what an adapter that has to come from the weight store costs besides the wait: the
-	// store is shared by all upstreams, and each fetch is billed at a third of a generation's worth.
-	fetchCost = 250 * time.Millisecond
-	// strayCost is added for each upstream that is nearer to the adapter's home: where it is always
+	// evicted is what the next request for the evicted adapter pays, in reloads.
+	evicted = 1
+	// fetched is what an adapter that has to come from the weight store costs besides the wait, in loads: the
+	// store is shared by all upstreams, and a fetch keeps others waiting, and is billed.
+	fetched = 1
+	// stray is added for each upstream that is nearer to the adapter's home, in loads: where it is always
 	// loaded at the same few upstreams, these have a copy when it is wanted again.
-	strayCost = 50 * time.Millisecond
-	// preparingCost is for each request of this instance that already waits for an adapter there, and that
-	// the holder's last word may not count yet.
-	preparingCost = 60 * time.Millisecond
-	// transitCost is what is left, on average, of a load that is under way.
-	transitCost = 150 * time.Millisecond
-	// stepTime is what one more running request adds to the first event's time: its share of each step
-	// that the prompt is read in.
-	stepTime = 2 * time.Millisecond
-	// engineBase is what a generation takes at the least until its first event.
-	engineBase = 25 * time.Millisecond
-	// memoryCost is added where the running requests would not fit: the newest of them is read anew.
-	memoryCost = 700 * time.Millisecond
+	stray = 0.2
+	// preparing is for each request of this instance that already waits for an adapter there, and that the
+	// holder's last word may not count yet, in loads: an upstream loads some adapters at once.
+	preparing = 0.25
+	// inTransit is what is left, on average, of a load that is under way.
+	inTransit = 0.5
 )
 
 // Choose picks the upstream where the request is expected to be answered first.
@@ -111,21 +104,19 @@
 func (p *Pool) weigh(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
 	failing := u.failing(now)
-	slow := u.slowness(now)
+	slow := u.known(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.Prompt, Failing: failing, Slow: slow}
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.Uncertain = isEngine && p.isUncertain(now, u)
+	choice.Expected = times(slow, p.usual(u, query, load))
+	pace := p.pace(query.Service)
 	if isEngine && query.Adapter.Model != "" {
-		choice.Expected = p.firstEvent(load, slow, query)
-		total = choice.Expected + p.loadCost(u, query, homes, &choice)
+		total = times(u.attraction(now), choice.Expected) + p.loadCost(u, query, homes, &choice)
 		if engine.MemoryTokens > 0 && load.Memory+query.Tokens+query.Output > engine.MemoryTokens {
-			total += memoryCost
+			total += times(slow, pace.engine.Reading(load.Memory))
 		}
 	} else {
-		places := max(u.declared.Places, 1)
-		queued := float64(max(load.Running+1-places, 0)) / float64(places)
-		choice.Expected = time.Duration(float64(p.Settings.ServiceTime) * slow * (1 + queued))
-		total = choice.Expected + time.Duration(float64(load.Running)/float64(places)*float64(p.Settings.ServiceTime))
+		total = times(u.attraction(now), choice.Expected) + times(float64(load.Running)/float64(u.places()), pace.service.Answer(0))
 	}
 	total += time.Duration(failing * float64(failureCost))
 	if u.declared.DataCentre != p.Settings.DataCentre {
@@ -137,30 +128,24 @@
 	return choice, total
 }
 
-// firstEvent is the time until the first event: the prompts that are read before, its own, and the steps
-// of what runs beside it.
-func (p *Pool) firstEvent(load Load, slow float64, query Query) time.Duration {
-	reading := time.Duration(float64(load.Prompt+query.Tokens) / p.Settings.PromptRate * float64(time.Second))
-	return time.Duration(slow * float64(engineBase+reading+time.Duration(load.Running)*stepTime))
-}
-
 // loadCost is what it takes until the adapter is there, and what that costs others.
 func (p *Pool) loadCost(u *upstream, query Query, homes homes, choice *Choice) time.Duration {
+	loads := p.loadTimes(u)
 	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
 		if !known.InTransit {
 			return 0
 		}
 		choice.Loaded = false
-		return transitCost
+		return times(inTransit, loads.full)
 	}
 	choice.Loaded = false
-	cost := p.Settings.ReloadTime
+	cost := loads.reload
 	if !u.recent.has(query.Adapter, query.Version) {
-		cost = p.Settings.LoadTime + fetchCost + time.Duration(homes.nearer(u))*strayCost
+		cost = times(1+fetched+stray*float64(homes.nearer(u)), loads.full)
 	}
 	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
-		cost += time.Second
+		cost += p.modelLoadTime(query)
 	}
 	choice.Wait = u.wait
-	return cost + evictCost + u.wait + time.Duration(u.preparing)*preparingCost
+	return cost + times(evicted, loads.reload) + u.wait + times(preparing*float64(u.preparing), loads.full)
 }
--- /dev/null
+++ b/internal/placement/pool/pace.go
@@ -0,0 +1,109 @@
+package pool
+
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/placement/forecast"
+)
+
+// pace.go keeps how long the upstreams of each service take, as learnt from their answers.
+
+const (
+	// guessLoad and guessReload are what loading an adapter takes, from the weight store and where the upstream
+	// had it lately, until a holder has told what it sees.
+	guessLoad   = 300 * time.Millisecond
+	guessReload = 30 * time.Millisecond
+	// guessModel is what loading a base model takes where the configuration does not tell.
+	guessModel = time.Second
+)
+
+// pace is how long the upstreams of one service take.
+type pace struct {
+	engine  forecast.Engine
+	service forecast.Service
+	// loads is what a holder told last of any of the upstreams, for those of which nothing was told.
+	loads loadTimes
+}
+
+// loadTimes is how long an adapter takes to load, from the weight store and where the upstream had it lately.
+type loadTimes struct {
+	full   time.Duration
+	reload time.Duration
+}
+
+// pace gives the figures of a service.
+func (p *Pool) pace(service string) *pace {
+	known := p.paces[service]
+	if known == nil {
+		known = &pace{loads: loadTimes{full: guessLoad, reload: guessReload}}
+		p.paces[service] = known
+	}
+	return known
+}
+
+// isGeneration tells whether an engine answers the request.
+func (p *Pool) isGeneration(query Query) bool {
+	_, isEngine := p.engines[query.Service]
+	return isEngine && query.Adapter.Model != ""
+}
+
+// usual is the time until the first event or the answer at an upstream of usual speed.
+func (p *Pool) usual(u *upstream, query Query, load Load) time.Duration {
+	known := p.pace(query.Service)
+	if p.isGeneration(query) {
+		return known.engine.FirstEvent(query.Tokens, beside(load))
+	}
+	return known.service.Answer(u.queued(load))
+}
+
+// observe takes note of how long a send took until its first event or answer.
+func (p *Pool) observe(send *Send, took time.Duration) {
+	known := p.pace(send.query.Service)
+	if p.isGeneration(send.query) {
+		known.engine.Observe(send.query.Tokens, beside(send.found), took)
+		return
+	}
+	known.service.Observe(send.upstream.queued(send.found), took)
+}
+
+func beside(load Load) forecast.Beside {
+	return forecast.Beside{Unread: load.Prompt, Running: load.Running}
+}
+
+// places is how many calls an upstream serves at once.
+func (u *upstream) places() int { return max(u.declared.Places, 1) }
+
+// queued is the calls that wait for a place before one more, in terms of the upstream's places.
+func (u *upstream) queued(load Load) float64 {
+	return float64(max(load.Running+1-u.places(), 0)) / float64(u.places())
+}
+
+// loadTimes is how long loads take at an upstream.
+func (p *Pool) loadTimes(u *upstream) loadTimes {
+	if u.loads != (loadTimes{}) {
+		return u.loads
+	}
+	return p.pace(u.declared.Service).loads
+}
+
+// LoadTimes is how long an adapter takes to load at the upstreams of a service, from the weight store and where it
+// was loaded lately.
+func (p *Pool) LoadTimes(service string) (full, reload time.Duration) {
+	p.prepare()
+	loads := p.pace(service).loads
+	return loads.full, loads.reload
+}
+
+// modelLoadTime is what loading the base model of a request takes.
+func (p *Pool) modelLoadTime(query Query) time.Duration {
+	for _, model := range p.engines[query.Service].Models {
+		if model.Name == query.Adapter.Model && model.LoadTime > 0 {
+			return model.LoadTime
+		}
+	}
+	return guessModel
+}
+
+func times(factor float64, duration time.Duration) time.Duration {
+	return time.Duration(factor * float64(duration))
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -15,11 +15,6 @@
 type Settings struct {
 	// DataCentre of this instance: its own upstreams are preferred slightly.
 	DataCentre string
-	// PromptRate is the prompt tokens that an engine of usual speed reads in a second.
-	PromptRate float64
-	// LoadTime is what loading an adapter takes; ReloadTime the same where the upstream had it lately.
-	LoadTime   time.Duration
-	ReloadTime time.Duration
 	// Instances is how many instances share what an upstream takes of connections.
 	Instances int
 	// HeardEvery is how often each other instance is heard.
@@ -29,17 +24,11 @@
 	// PeerLoadFor is how long another instance's loads count: some heartbeats. One that is silent for longer
 	// may be gone, and its requests with it.
 	PeerLoadFor time.Duration
-	// ServiceTime is what a plain call usually takes, until measured.
-	ServiceTime time.Duration
 }
 
-// DefaultSettings were read off the engines' answers at one request at a time.
+// DefaultSettings are those of a small fleet.
 func DefaultSettings() Settings {
 	return Settings{
-		PromptRate:  19_000,
-		LoadTime:    300 * time.Millisecond,
-		ReloadTime:  60 * time.Millisecond,
-		ServiceTime: 40 * time.Millisecond,
 		Instances:   10,
 		HeardEvery:  250 * time.Millisecond,
 		HeldFor:     250 * time.Millisecond,
@@ -74,7 +63,7 @@
 	Expected time.Duration
 	// Wait is how long the adapter is expected to wait for a place, where it is not loaded.
 	Wait time.Duration
-	// Uncertain: so much can have changed at the upstream since its load was heard that its holder is worth
+	// Uncertain: so much can have changed at the upstream since its holder told the load that it is worth
 	// asking before the request is sent.
 	Uncertain bool
 	// Inputs of the decision, for the log.
@@ -94,6 +83,10 @@
 	// adapter would wait for one.
 	Idle int
 	Wait time.Duration
+	// LoadTime is what loading an adapter takes there, ReloadTime the same where it was loaded lately; 0 if the
+	// holder has not seen any.
+	LoadTime   time.Duration
+	ReloadTime time.Duration
 	// Away: the holder does not reach the upstream.
 	Away bool
 }
@@ -142,7 +135,9 @@
 	// connections is what one upstream of a service takes of connections, if that is stated.
 	connections map[string]int
 	peers       map[string]peerLoads
-	turn        int
+	// paces is how long each service takes.
+	paces map[string]*pace
+	turn  int
 }
 
 // peerLoads is what another instance has under way.
@@ -224,6 +219,10 @@
 	u.fence = residency.Fence
 	u.idle = residency.Idle
 	u.wait = residency.Wait
+	if residency.LoadTime > 0 && residency.ReloadTime > 0 {
+		u.loads = loadTimes{full: residency.LoadTime, reload: residency.ReloadTime}
+		p.pace(u.declared.Service).loads = u.loads
+	}
 	u.awayUntil = time.Time{}
 	if residency.Away {
 		u.awayUntil = now.Add(awayFor + p.Settings.HeardEvery)
@@ -315,6 +314,7 @@
 	if p.upstreams == nil {
 		p.upstreams = make(map[string]*upstream)
 		p.peers = make(map[string]peerLoads)
+		p.paces = make(map[string]*pace)
 	}
 }
 
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -37,6 +37,8 @@
 	// held is what the holder said last to be under way there beside this instance's own.
 	held   Load
 	heldAt time.Time
+	// loads is how long loads take there, if its holder has told.
+	loads loadTimes
 	// preparing is how many requests of this instance wait for adapters there.
 	preparing int
 
@@ -62,10 +64,14 @@
 
 // Send is a request under way at an upstream.
 type Send struct {
+	pool     *Pool
 	upstream *upstream
 	query    Query
 	began    time.Time
-	expected time.Duration
+	// found is what was under way at the upstream before, usual the time that its first event then takes at an
+	// upstream of usual speed.
+	found    Load
+	usual    time.Duration
 	answered bool
 }
 
@@ -81,20 +87,16 @@
 
 // Begin counts a request as under way.
 func (p *Pool) Begin(now time.Time, choice Choice, query Query) *Send {
-	send := &Send{query: query, began: now, expected: choice.Expected, upstream: p.upstreams[choice.Upstream.ID]}
+	send := &Send{pool: p, query: query, began: now, upstream: p.upstreams[choice.Upstream.ID]}
 	if u := send.upstream; u != nil {
+		send.found = p.load(now, u)
+		send.usual = p.usual(u, query, send.found)
 		u.sends[send] = true
 		u.own = u.own.plus(send.load())
 	}
 	return send
 }
 
-// Restart counts the wait from now: the adapter had to be prepared before.
-func (s *Send) Restart(now time.Time, expected time.Duration) {
-	s.began = now
-	s.expected = expected
-}
-
 // load is what the send adds to its upstream's. Its prompt counts until the first event.
 func (s *Send) load() Load {
 	load := Load{Running: 1, Memory: s.query.Tokens + s.query.Output}
@@ -115,11 +117,13 @@
 	if u.sends[s] {
 		u.own.Prompt -= s.query.Tokens
 	}
-	if s.expected <= 0 {
+	took := now.Sub(s.began)
+	s.pool.observe(s, took)
+	if s.usual <= 0 {
 		return
 	}
-	sample := float64(now.Sub(s.began)) / float64(s.expected)
-	slow := u.slowness(now)
+	sample := float64(took) / float64(s.usual)
+	slow := u.known(now)
 	u.slow = slow + learning*(min(sample, slowest)-slow)
 	u.measured = now
 }
@@ -246,10 +250,14 @@
 
 const priorSuccesses = 2
 
-// slowness falls back without new samples, so that a recovery is tried.
-func (u *upstream) slowness(now time.Time) float64 {
-	unmeasured := now.Sub(u.measured)
-	excess := (u.slow - 1) * math.Exp2(-unmeasured.Seconds()/slownessHalfLife.Seconds())
-	part := min(1, unmeasured.Seconds()/unmeasuredAfter.Seconds())
-	return (1 + excess) * (1 - (1-unmeasuredFactor)*part)
+// known is how many times longer than usual answers take, as far as that was seen lately.
+func (u *upstream) known(now time.Time) float64 {
+	return 1 + (u.slow-1)*math.Exp2(-now.Sub(u.measured).Seconds()/slownessHalfLife.Seconds())
+}
+
+// attraction is by how much an upstream is to be preferred for not having been measured lately, so that a recovery
+// is tried.
+func (u *upstream) attraction(now time.Time) float64 {
+	part := min(1, now.Sub(u.measured).Seconds()/unmeasuredAfter.Seconds())
+	return 1 - (1-unmeasuredFactor)*part
 }
--- a/internal/placement/residence/outcomes.go
+++ b/internal/placement/residence/outcomes.go
@@ -1,6 +1,11 @@
 package residence
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
 
 // outcomes.go is what the outcome of an order tells of the upstream.
 
@@ -61,7 +66,7 @@
 func (p *Planner) accepted(now time.Time, order Order) {
 	known := p.places[order.Adapter]
 	if known != nil && (known.state == unloading && order.Unload || known.ordered > 0 && !order.Unload) {
-		known.checkAt = now.Add(checkAgain) // a check, and the order is still being carried out
+		known.checkAt = now.Add(p.checkPause(order.Adapter, known)) // a check, and the order is still being carried out
 		return
 	}
 	p.sequence = order.Sequence + 1
@@ -78,7 +83,10 @@
 	}
 	known.ordered = max(order.Version, p.newest[order.Adapter], 1)
 	known.asked = order.Version
-	known.checkAt = now.Add(p.firstCheck(order.Adapter))
+	known.reload = slices.Contains(p.recent, order.Adapter)
+	known.orderedAt = now
+	known.checks = 0
+	known.checkAt = now.Add(p.firstCheck(order.Adapter, known))
 	p.remember(order.Adapter)
 }
 
@@ -99,9 +107,19 @@
 	if repeated && known.ordered == 0 {
 		p.sequence = order.Sequence + 1
 	}
+	p.learnLoad(now, order.Adapter, known)
 	known.state = loaded
 	known.version = max(order.Version, known.version, known.ordered)
 	known.ordered = 0
 	known.used = now
 	known.reservedUntil = now.Add(reserved)
 }
+
+// learnLoad takes note of how long a load took. One that was not seen from its order on tells nothing, nor does one
+// that replaced a version, which waits for the requests that use it.
+func (p *Planner) learnLoad(now time.Time, adapter traffic.Adapter, known *place) {
+	if adapter.Name != "" && known.state == loading && !known.orderedAt.IsZero() && known.checks > 0 {
+		p.loads(known).Done(now.Sub(known.orderedAt), known.checks == 1)
+	}
+	known.orderedAt = time.Time{}
+}
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/forecast"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
 
@@ -20,11 +21,11 @@
 	inspectAnyway = 10 * time.Second
 	// mostInTransit is how many adapters an upstream takes at once.
 	mostInTransit = 4
-	// quickLoad and fullLoad are what a load takes at the least, with and without a copy of the adapter
-	// near the upstream; the first check is made then. checkAgain is the pause until the next.
-	quickLoad  = 28 * time.Millisecond
-	fullLoad   = 252 * time.Millisecond
-	checkAgain = 30 * time.Millisecond
+	// guessReload and guessLoad are what a load takes with and without a copy of the adapter near the upstream,
+	// until some were seen; checkAgain is the pause between two looks at what is no load of an adapter.
+	guessReload = 28 * time.Millisecond
+	guessLoad   = 252 * time.Millisecond
+	checkAgain  = 30 * time.Millisecond
 	// mostRepeats is how often an order without an answer is given again before the upstream is taken to
 	// be away and its report is waited for; repeatAfter is the pause between two.
 	mostRepeats = 6
@@ -48,6 +49,10 @@
 // Planner decides for one upstream. Set Engine before use. It is not safe for use by several goroutines.
 type Planner struct {
 	Engine traffic.Engine
+	// LoadGuess and ReloadGuess are what loads are taken to take until some were seen, such as what others of the
+	// service take; 0 for none.
+	LoadGuess   time.Duration
+	ReloadGuess time.Duration
 
 	// known: sequence and places are what the upstream has, as far as its answers tell.
 	known bool
@@ -63,6 +68,9 @@
 	newest    map[traffic.Adapter]int64
 	inUse     map[traffic.Adapter]bool
 	recent    []traffic.Adapter
+	// fullLoads and reloads are how long loads take, from the weight store and with a copy near the upstream.
+	fullLoads forecast.Load
+	reloads   forecast.Load
 	grantedAt time.Time
 	grantPace time.Duration
 	// unanswered is the last order if no answer came, given repeats times.
@@ -87,7 +95,12 @@
 	ordered int64
 	asked   int64
 	checkAt time.Time
-	used    time.Time
+	// orderedAt is when a load was accepted, and reload whether the upstream is taken to have a copy; checks
+	// counts the looks at whether it is done.
+	orderedAt time.Time
+	reload    bool
+	checks    int
+	used      time.Time
 	// leaving: an order to unload it was given, and its answer has not come. A request that is sent there
 	// meanwhile would find nothing, or be in use while the order is carried out.
 	leaving bool
@@ -285,7 +298,14 @@
 	return known
 }
 
-func (p *Planner) firstCheck(adapter traffic.Adapter) time.Duration {
+// LoadTimes tells how long an adapter takes to load, from the weight store and where it was loaded lately, once
+// some loads were seen.
+func (p *Planner) LoadTimes() (full, reload time.Duration, seen bool) {
+	return p.fullLoads.Usual(), p.reloads.Usual(), p.fullLoads.Seen()
+}
+
+// firstCheck is how long after its order a load is first looked at.
+func (p *Planner) firstCheck(adapter traffic.Adapter, known *place) time.Duration {
 	if adapter.Name == "" {
 		for _, model := range p.Engine.Models {
 			if model.Name == adapter.Model {
@@ -293,10 +313,22 @@
 			}
 		}
 	}
-	if slices.Contains(p.recent, adapter) {
-		return quickLoad
+	return p.loads(known).FirstLook()
+}
+
+// checkPause is the pause between two looks at a load.
+func (p *Planner) checkPause(adapter traffic.Adapter, known *place) time.Duration {
+	if adapter.Name == "" || known.orderedAt.IsZero() {
+		return checkAgain
 	}
-	return fullLoad
+	return p.loads(known).NextLook()
+}
+
+func (p *Planner) loads(known *place) *forecast.Load {
+	if known.reload {
+		return &p.reloads
+	}
+	return &p.fullLoads
 }
 
 func (p *Planner) remember(adapter traffic.Adapter) {
@@ -319,7 +351,8 @@
 			}
 			continue
 		}
-		known.checkAt = now.Add(checkAgain)
+		known.checkAt = now.Add(p.checkPause(adapter, known))
+		known.checks++
 		return Order{
 			Unload:   known.state == unloading,
 			Adapter:  adapter,
@@ -406,5 +439,13 @@
 		p.places = make(map[traffic.Adapter]*place)
 		p.wants = make(map[traffic.Adapter]*want)
 		p.newest = make(map[traffic.Adapter]int64)
+		p.fullLoads.Guess = p.LoadGuess
+		if p.LoadGuess <= 0 {
+			p.fullLoads.Guess = guessLoad
+		}
+		p.reloads.Guess = p.ReloadGuess
+		if p.ReloadGuess <= 0 {
+			p.reloads.Guess = guessReload
+		}
 	}
 }
