Refuse who would be late for the queue, and have prompts take turns where streams pause

Cause: a generation was sent wherever it was expected first, whatever waited there; past what fits, all queue inside the engines and are late. Now who would be late on account of the queue is told at once when to come back, each at another time; who is late for its own length is served while the queue is short. The holder lets one prompt through at a time and leaves the streams a tenth of its time after it, at services whose streams were seen to pause; a holder that does not answer holds nobody up.

--- a/internal/entry/node/asking.go
+++ b/internal/entry/node/asking.go
@@ -29,7 +29,7 @@
 	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
 	if err != nil {
 		n.Log.Debug().Err(err).Str("Upstream", request.Upstream).Str("Holder", instance.Name).Msg("PrepareFailed")
-		return mesh.Busy{}
+		return mesh.NotHolder{}
 	}
 	return prepared
 }
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -11,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
+	"lacewingrock.example/lacewingrock/internal/placement/turn"
 )
 
 // holding.go carries out, at one upstream that this instance holds, what the planner decides.
@@ -33,6 +34,7 @@
 
 	mutex   sync.Mutex
 	planner residence.Planner
+	line    turn.Line
 	changed chan struct{}
 	fenced  bool
 	learnt  bool
@@ -200,9 +202,22 @@
 	h.changed = make(chan struct{})
 }
 
-// prepare waits until an adapter is there. A request that cannot have it within its patience is told at
-// once: it may find room elsewhere, or its caller can come back.
+// prepare waits until an adapter is there, and then for the prompt's turn.
 func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+	worthUntil := time.Now().Add(min(request.Patience, request.OnTime))
+	prepared := h.load(ctx, request, worthUntil)
+	if _, loaded := prepared.(mesh.Loaded); !loaded || request.Tokens == 0 {
+		return prepared
+	}
+	if wait, came := h.takeTurn(ctx, request, worthUntil); !came {
+		return mesh.Busy{RetryAfter: wait}
+	}
+	return prepared
+}
+
+// load waits until an adapter is there. A request that cannot have it within its patience is told at
+// once: it may find room elsewhere, or its caller can come back.
+func (h *holding) load(ctx context.Context, request mesh.PrepareRequest, worthUntil time.Time) mesh.Prepared {
 	h.mutex.Lock()
 	now := time.Now()
 	if version, has := h.planner.Has(now, request.Adapter, request.Version); has {
@@ -217,7 +232,6 @@
 		h.mutex.Unlock()
 		return mesh.Busy{}
 	}
-	worthUntil := now.Add(min(request.Patience, request.OnTime))
 	if wait, hopeless := h.planner.Hopeless(now, request.Adapter, worthUntil); hopeless {
 		h.mutex.Unlock()
 		return mesh.Busy{RetryAfter: wait}
--- /dev/null
+++ b/internal/entry/node/turns.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/turn"
+)
+
+// turns.go has the prompts that all instances send to an upstream take turns.
+
+// shortTurn is worth waiting also for a late answer.
+const shortTurn = 500 * time.Millisecond
+
+// takeTurn waits for a prompt's turn. It tells at once how long that would take if the answer would be late for it.
+func (h *holding) takeTurn(ctx context.Context, request mesh.PrepareRequest, worthUntil time.Time) (time.Duration, bool) {
+	prompt := &turn.Prompt{
+		Tokens: request.Tokens, Priority: request.Priority, OnTimeUntil: worthUntil,
+	}
+	h.node.advice.With(func(a *serve.Advice) { prompt.Reading = a.Pool.Reading(h.upstream.ID, request.Tokens) })
+	h.join(prompt)
+	defer h.leave(prompt)
+	for {
+		now := time.Now()
+		wait, again, taken := h.askTurn(now, prompt)
+		if taken {
+			return 0, true
+		}
+		if wait > shortTurn && now.Add(wait).After(worthUntil) {
+			return wait, false
+		}
+		timer := time.NewTimer(max(again.Sub(now), time.Millisecond))
+		select {
+		case <-timer.C:
+		case <-h.ended:
+			return wait, false
+		case <-ctx.Done():
+			timer.Stop()
+			return wait, false
+		}
+		timer.Stop()
+	}
+}
+
+func (h *holding) join(prompt *turn.Prompt) {
+	h.mutex.Lock()
+	h.line.Join(time.Now(), prompt)
+	tokens := h.line.Tokens()
+	h.mutex.Unlock()
+	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetLined(h.upstream.ID, tokens) })
+}
+
+func (h *holding) leave(prompt *turn.Prompt) {
+	h.mutex.Lock()
+	h.line.Leave(prompt)
+	tokens := h.line.Tokens()
+	h.mutex.Unlock()
+	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetLined(h.upstream.ID, tokens) })
+}
+
+// askTurn asks the line, with what is known of the upstream by now.
+func (h *holding) askTurn(now time.Time, prompt *turn.Prompt) (wait time.Duration, again time.Time, taken bool) {
+	var load pool.Load
+	h.node.advice.With(func(a *serve.Advice) { load = a.Pool.Sent(now, h.upstream.ID) })
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if load.Prompt == 0 {
+		h.line.Idle(now)
+	}
+	again, taken = h.line.Take(now, prompt, load.Running > 0)
+	return h.line.Wait(now, prompt), again, taken
+}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -195,6 +195,7 @@
 		PatienceMillis: r.Patience.Milliseconds(),
 		Priority:       int32(r.Priority),
 		OnTimeMillis:   r.OnTime.Milliseconds(),
+		Tokens:         int64(r.Tokens),
 	}
 }
 
@@ -206,6 +207,7 @@
 		Patience: millis(wire.GetPatienceMillis()),
 		OnTime:   millis(wire.GetOnTimeMillis()),
 		Priority: int(wire.GetPriority()),
+		Tokens:   int(wire.GetTokens()),
 	}
 }
 
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -52,7 +52,7 @@
 	StoreAway bool
 }
 
-// PrepareRequest asks the holder of an upstream for an adapter.
+// PrepareRequest asks the holder of an upstream for an adapter, and for the turn to send a prompt there.
 type PrepareRequest struct {
 	Upstream string
 	Adapter  traffic.Adapter
@@ -62,18 +62,20 @@
 	// OnTime is how long the request can wait and still be on time.
 	OnTime   time.Duration
 	Priority int
+	// Tokens is the length of the request's prompt, 0 if it needs no turn.
+	Tokens int
 }
 
 // Prepared is the answer to a PrepareRequest: Loaded, NotHolder or Busy.
 type Prepared interface{ isPrepared() }
 
-// Loaded says that the adapter is there.
+// Loaded says that the adapter is there, and that the prompt may be sent.
 type Loaded struct{ Version int64 }
 
 // NotHolder says that the receiver does not order at the upstream.
 type NotHolder struct{}
 
-// Busy says that no place becomes free in time.
+// Busy says that no place, or no turn, comes in time.
 type Busy struct{ RetryAfter time.Duration }
 
 func (Loaded) isPrepared()    {}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -53,7 +53,12 @@
 		if err != nil {
 			return j.noUpstream(last)
 		}
-		if !choice.Loaded && !j.prepare(ctx, &choice, query) {
+		if !j.mayHaveRun {
+			if err := j.refuseInOverload(choice, query); err != nil {
+				return err
+			}
+		}
+		if !j.ready(ctx, &choice, query) {
 			j.tried = append(j.tried, choice.Upstream.ID)
 			continue
 		}
@@ -137,22 +142,57 @@
 	return choice, query, err
 }
 
-// prepare has the adapter loaded at the chosen upstream.
-func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+// refuseInOverload refuses a request that would be late on account of what waits before it.
+func (j *job) refuseInOverload(choice pool.Choice, query pool.Query) error {
+	patience := pool.Patience{
+		OnTime: time.Until(j.began.Add(j.route.Objective)),
+		Left:   time.Until(j.deadline),
+	}
+	var retryAfter time.Duration
+	refused := false
+	j.handler.Advice.With(func(a *Advice) {
+		retryAfter, refused = a.Pool.Refuse(time.Now(), query, choice, patience, j.route.Objective)
+	})
+	if !refused {
+		return nil
+	}
+	j.step("refused").Str("Upstream", choice.Upstream.ID).Int("Running", choice.Running).Int("Waiting", choice.Waiting).
+		Int64("ExpectedMillis", choice.Expected.Milliseconds()).Int64("IdleMillis", choice.Idle.Milliseconds()).
+		Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
+	return refusal.New(refusal.Busy, "the service has more to do than fits").WithRetryAfter(retryAfter)
+}
+
+// ready has the adapter loaded at the chosen upstream, and waits for the prompt's turn where prompts take turns.
+func (j *job) ready(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+	inTurn := false
+	j.handler.Advice.With(func(a *Advice) { inTurn = query.Adapter.Model != "" && a.Pool.InTurn(query.Service) })
+	tokens := 0
+	if inTurn {
+		tokens = query.Tokens
+	}
+	return choice.Loaded && !inTurn || j.prepare(ctx, choice, query, tokens)
+}
+
+// prepare asks the holder of the chosen upstream for the adapter, and for the turn of a prompt if it has any tokens.
+func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query, tokens int) bool {
 	began := time.Now()
 	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, +1) })
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
 		Adapter:  query.Adapter,
 		Version:  query.Version,
-		Patience: time.Until(j.deadline),
-		OnTime:   time.Until(j.began.Add(j.route.Objective)) - choice.Expected,
+		Patience: j.patienceFor(*choice),
+		OnTime:   j.onTimeFor(*choice),
 		Priority: j.priority,
+		Tokens:   tokens,
 	})
 	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, -1) })
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
+	if _, away := prepared.(mesh.NotHolder); away && choice.Loaded {
+		return true // nobody keeps the turns there now
+	}
 	if !ok {
 		return false
 	}
@@ -164,6 +204,26 @@
 	return takes
 }
 
+// onTimeFor is how long the request can wait for its adapter and its turn and still be on time. One that is late for
+// its own length can wait as long as others may be queued for.
+func (j *job) onTimeFor(choice pool.Choice) time.Duration {
+	elapsed := time.Since(j.began)
+	return max(j.route.Objective-choice.Idle, j.route.Objective/2) - elapsed
+}
+
+// patienceFor is how long the holder may take to answer. It may be frozen; where the adapter is loaded, the request can
+// do without it.
+func (j *job) patienceFor(choice pool.Choice) time.Duration {
+	left := time.Until(j.deadline)
+	if choice.Loaded {
+		return min(left, j.onTimeFor(choice)+mostForTurn)
+	}
+	return left
+}
+
+// mostForTurn is what the wait for a turn may take beyond the time in which the request can be on time.
+const mostForTurn = 200 * time.Millisecond
+
 // mayRunAgain tells whether the request may be sent again although it may have run.
 func (j *job) mayRunAgain() bool {
 	return j.route.MayRepeat() && j.runs < j.route.Attempts
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -123,9 +123,19 @@
 	}
 }
 
+// paused tells, once a stream has ended, whether it paused for longer than its route allows.
+func (r *relay) paused() {
+	if r.job.route.LongestPause <= 0 {
+		return
+	}
+	late := r.job.longestPause > r.job.route.LongestPause
+	r.job.handler.Advice.With(func(*Advice) { r.sending.Paused(late) })
+}
+
 // stream passes on events as they arrive. Only whole events go out: the rest of one that broke off comes
 // again from the upstream where the stream goes on.
 func (r *relay) stream() (result, error) {
+	defer r.paused()
 	buffer := make([]byte, chunkBytes)
 	var pending []byte
 	for {
@@ -201,7 +211,11 @@
 	if r.job.firstByte.IsZero() {
 		r.job.firstByte = now
 	}
-	r.job.handler.Advice.With(func(*Advice) { r.sending.Answered(now) })
+	first := false
+	r.job.handler.Advice.With(func(*Advice) { first = r.sending.Answered(now) })
+	if first && r.job.call.Work.Adapter.Model != "" {
+		r.job.handler.Fleet.Touch(r.job.upstream) // the next prompt may be sent there
+	}
 }
 
 // start sends the answer's header.
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -109,6 +109,7 @@
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.Uncertain = isEngine && p.isUncertain(now, u)
 	choice.Expected = times(slow, p.usual(u, query, load))
+	choice.Idle = times(slow, p.usual(u, query, Load{}))
 	pace := p.pace(query.Service)
 	if isEngine && query.Adapter.Model != "" {
 		total = times(u.attraction(now), choice.Expected) + p.loadCost(u, query, homes, &choice)
--- /dev/null
+++ b/internal/placement/pool/overload.go
@@ -0,0 +1,65 @@
+package pool
+
+import "time"
+
+// overload.go decides which requests are refused because a service has more to do than fits, and when their callers
+// should come back.
+
+const (
+	// mostQueued is the part of a request's objective that may pass in the queue of an engine before a request that
+	// would be late is refused: one that is late for its own length is served as long as the queue is short.
+	mostQueued = 0.5
+	// comeBack is the part of the objective that the queue should have shrunk to when a refused caller comes back.
+	comeBack = 0.3
+	// leastRetryAfter and mostRetryAfter bound when a refused caller is asked to come back.
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = 3 * time.Second
+)
+
+// Patience is how long from now a request can wait for its first event or answer.
+type Patience struct {
+	// OnTime until it is late.
+	OnTime time.Duration
+	// Left until nobody waits for it any more.
+	Left time.Duration
+}
+
+// Refuse tells whether a request had better be refused at once than sent where it is expected to be answered first,
+// and when its caller should come back.
+//
+// Made for more requests than fit. Engines read prompts one after the other; sent there whatever waits, each request
+// adds to the queue, and soon all are answered late, or when their callers are gone, though the engines are busy all
+// the while. As long as those who would be late on account of the queue are refused, it stays as long as it may
+// be for those who come to be on time, and the engines are as busy. Requests that are late by themselves, such as
+// the longest prompts, are served while the queue is short; otherwise they never would be.
+func (p *Pool) Refuse(now time.Time, query Query, choice Choice, patience Patience, objective time.Duration) (time.Duration, bool) {
+	if !p.isGeneration(query) {
+		return 0, false
+	}
+	eta := choice.Expected + choice.Wait
+	queued := choice.Expected - choice.Idle
+	hopeless := eta > patience.Left
+	late := eta > patience.OnTime && queued > times(mostQueued, objective)
+	if !hopeless && !late {
+		return 0, false
+	}
+	wait := queued + choice.Wait - times(comeBack, objective)
+	return p.scheduleRetry(now, query, wait), true
+}
+
+// scheduleRetry tells a refused caller when to come back: when there will be room, after those who were refused before
+// it have had their turn. The other instances are taken to refuse as many.
+func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
+	known := p.pace(query.Service)
+	upstreams := max(len(p.servingFor(query.Service)), 1)
+	turn := known.engine.Reading(query.Tokens) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
+	due := now.Add(max(wait, leastRetryAfter))
+	if due.Before(known.nextTurn) {
+		due = known.nextTurn
+	}
+	if most := now.Add(mostRetryAfter); due.After(most) {
+		due = most
+	}
+	known.nextTurn = due.Add(turn)
+	return due.Sub(now)
+}
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -23,6 +23,41 @@
 	service forecast.Service
 	// loads is what a holder told last of any of the upstreams, for those of which nothing was told.
 	loads loadTimes
+	// nextTurn is when the next refused caller may come back.
+	nextTurn time.Time
+	// paused is the share of streams that paused for too long, among the latest; inTurn: prompts take turns.
+	paused float64
+	inTurn bool
+}
+
+const (
+	// pauseLearning is the weight of the newest stream in the share that paused for too long.
+	pauseLearning = 0.04
+	// turnsAbove is the share from which on prompts take turns at each engine, and turnsBelow the one up to which they
+	// do not any more. Engines whose streams pass long prompts undisturbed read more of them without turns.
+	turnsAbove = 0.08
+	turnsBelow = 0.02
+)
+
+// notePause takes note of a stream that has ended.
+func (p *pace) notePause(late bool) {
+	sample := 0.0
+	if late {
+		sample = 1
+	}
+	p.paused += pauseLearning * (sample - p.paused)
+	switch {
+	case p.paused > turnsAbove:
+		p.inTurn = true
+	case p.paused < turnsBelow:
+		p.inTurn = false
+	}
+}
+
+// InTurn tells whether prompts are to take turns at the engines of a service.
+func (p *Pool) InTurn(service string) bool {
+	p.prepare()
+	return p.pace(service).inTurn
 }
 
 // loadTimes is how long an adapter takes to load, from the weight store and where the upstream had it lately.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -61,6 +61,8 @@
 	Loaded bool
 	// Expected is the time until the first event or the answer.
 	Expected time.Duration
+	// Idle is the same if nothing were under way there.
+	Idle time.Duration
 	// Wait is how long the adapter is expected to wait for a place, where it is not loaded.
 	Wait time.Duration
 	// Uncertain: so much can have changed at the upstream since its holder told the load that it is worth
@@ -281,7 +283,35 @@
 		return total
 	}
 	p.dropSilent(now)
-	return u.own.plus(u.beside).minus(p.peers[instance].loads[id])
+	total = u.own.plus(u.beside).minus(p.peers[instance].loads[id])
+	total.Prompt += u.lined
+	return total
+}
+
+// Sent is what all instances have under way at an upstream, for the instance that holds it.
+func (p *Pool) Sent(now time.Time, id string) (total Load) {
+	u := p.upstreams[id]
+	if u == nil {
+		return total
+	}
+	p.dropSilent(now)
+	return u.own.plus(u.beside)
+}
+
+// SetLined takes note of the tokens of the prompts that wait for their turn at an upstream that this instance holds.
+func (p *Pool) SetLined(id string, tokens int) {
+	if u := p.upstreams[id]; u != nil {
+		u.lined = tokens
+	}
+}
+
+// Reading is how long an upstream is expected to read a prompt.
+func (p *Pool) Reading(id string, tokens int) time.Duration {
+	u := p.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	return p.pace(u.declared.Service).engine.Reading(tokens)
 }
 
 // Own is what this instance has under way at the upstreams that are asked for, for its heartbeats.
@@ -319,11 +349,13 @@
 }
 
 // load is what all instances have under way at an upstream, as far as none of them is silent.
-func (p *Pool) load(now time.Time, u *upstream) Load {
+func (p *Pool) load(now time.Time, u *upstream) (load Load) {
 	if now.Sub(u.heldAt) <= p.Settings.HeldFor {
 		return u.own.plus(u.held)
 	}
-	return u.own.plus(u.beside)
+	load = u.own.plus(u.beside)
+	load.Prompt += u.lined
+	return load
 }
 
 // askAfter is how old the holder's word on an upstream's load may be. Heartbeats come four times a second at the
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -37,6 +37,8 @@
 	// held is what the holder said last to be under way there beside this instance's own.
 	held   Load
 	heldAt time.Time
+	// lined is the tokens of the prompts that wait for their turn, where this instance holds the upstream.
+	lined int
 	// loads is how long loads take there, if its holder has told.
 	loads loadTimes
 	// preparing is how many requests of this instance wait for adapters there.
@@ -106,11 +108,11 @@
 	return load
 }
 
-// Answered takes note of the first event, or of the whole answer.
-func (s *Send) Answered(now time.Time) {
+// Answered takes note of the first event, or of the whole answer, and tells whether it is the first.
+func (s *Send) Answered(now time.Time) (first bool) {
 	u := s.upstream
 	if s.answered || u == nil {
-		return
+		return false
 	}
 	s.answered = true
 	u.servedAt = now
@@ -120,17 +122,21 @@
 	took := now.Sub(s.began)
 	s.pool.observe(s, took)
 	if s.usual <= 0 {
-		return
+		return true
 	}
 	sample := float64(took) / float64(s.usual)
 	slow := u.known(now)
 	u.slow = slow + learning*(min(sample, slowest)-slow)
 	u.measured = now
+	return true
 }
 
 // slowest bounds one sample, so that a single stall does not count as an upstream that is hopeless.
 const slowest = 20
 
+// Paused takes note of whether a stream that has ended paused for too long.
+func (s *Send) Paused(late bool) { s.pool.pace(s.query.Service).notePause(late) }
+
 // End tells how a request ended.
 type End string
 
--- /dev/null
+++ b/internal/placement/turn/line.go
@@ -0,0 +1,136 @@
+// Package turn decides, for one engine, when each prompt is sent there. The holder of the engine asks it; it needs no
+// sockets, and the caller reads the runtime's clock and passes the time in.
+//
+// Made for long prompts among streams. An engine reads prompts piece by piece between the tokens of the streams that
+// run there, and several prompts that come at once fill every piece: each token then takes as long as a piece, and
+// streams stand still for seconds or run out of time, although each request was sent where it was expected to be on
+// time. Here prompts wait for their turn, one is read at a time, and the streams get a part of the engine's time
+// between two. That costs the engine this part of its capacity, and only while streams run.
+package turn
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// streamsPart is what the streams get between two prompts, in terms of the time that the first is read for.
+	streamsPart = 0.1
+	// lead is about how long a prompt takes from its turn until the engine has it.
+	lead = 3 * time.Millisecond
+	// settle is how long after a turn nothing is known yet of the prompt at its engine: the instance that sends it
+	// tells with its next message.
+	settle = 50 * time.Millisecond
+)
+
+// Prompt is a request that waits for its turn.
+type Prompt struct {
+	// Reading is how long the engine is expected to read it.
+	Reading time.Duration
+	// Tokens is its length.
+	Tokens   int
+	Priority int
+	// OnTimeUntil is until when its turn has to come for it to be on time.
+	OnTimeUntil time.Time
+
+	joined time.Time
+}
+
+// Line is the prompts that wait for one engine. The zero value is ready for use; it is not safe for use by several
+// goroutines.
+type Line struct {
+	waiting []*Prompt
+	// readUntil is when the engine has read what was let through, as far as foretold; next is when the next prompt
+	// may be sent, and last when the latest one was.
+	readUntil time.Time
+	next      time.Time
+	last      time.Time
+}
+
+// Join adds a prompt. It has to be taken out by Take or Leave.
+func (l *Line) Join(now time.Time, prompt *Prompt) {
+	prompt.joined = now
+	l.waiting = append(l.waiting, prompt)
+}
+
+// Leave takes a prompt out that does not wait any more.
+func (l *Line) Leave(prompt *Prompt) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(other *Prompt) bool { return other == prompt })
+}
+
+// Take lets a prompt through if it is its turn; else it tells when to ask again at the latest.
+func (l *Line) Take(now time.Time, prompt *Prompt, streams bool) (again time.Time, taken bool) {
+	if now.Before(l.next) {
+		return l.next, false
+	}
+	if l.first(now) != prompt {
+		return now.Add(lead), false
+	}
+	l.Leave(prompt)
+	l.last = now
+	l.readUntil = later(now, l.readUntil).Add(prompt.Reading)
+	l.next = l.readUntil.Add(-lead)
+	if streams {
+		l.next = l.next.Add(time.Duration(streamsPart * float64(prompt.Reading)))
+	}
+	return time.Time{}, true
+}
+
+// Idle takes note that the engine has nothing left to read: a prompt whose parts were kept is read sooner than
+// foretold.
+func (l *Line) Idle(now time.Time) {
+	if now.Sub(l.last) < settle || !now.Before(l.next) {
+		return
+	}
+	l.readUntil = now
+	l.next = now
+}
+
+// Wait is how long a prompt that waits, or one that would join, has to wait for its turn.
+func (l *Line) Wait(now time.Time, prompt *Prompt) time.Duration {
+	wait := max(l.next.Sub(now), 0)
+	for _, other := range l.waiting {
+		if other != prompt && l.isBefore(now, other, prompt) {
+			wait += other.Reading
+		}
+	}
+	return wait
+}
+
+// Tokens is the length of all that wait.
+func (l *Line) Tokens() (total int) {
+	for _, prompt := range l.waiting {
+		total += prompt.Tokens
+	}
+	return total
+}
+
+// ---------------------------------------------------------------------------------------------
+
+func (l *Line) first(now time.Time) (first *Prompt) {
+	for _, prompt := range l.waiting {
+		if first == nil || l.isBefore(now, prompt, first) {
+			first = prompt
+		}
+	}
+	return first
+}
+
+// isBefore puts those first who can still be on time, of them the most urgent, and of them who came first. Who is
+// late has lost most of what the answer is worth; before the others they would make all of them late as well.
+func (l *Line) isBefore(now time.Time, a, b *Prompt) bool {
+	if late := now.After(a.OnTimeUntil); late != now.After(b.OnTimeUntil) {
+		return !late
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.joined.Before(b.joined)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/placement/turn/line_test.go
@@ -0,0 +1,129 @@
+package turn_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/placement/turn"
+)
+
+const ms = time.Millisecond
+
+func prompt(reading time.Duration, priority int, onTimeFor time.Duration) *turn.Prompt {
+	return &turn.Prompt{
+		Reading: reading, Tokens: int(reading / ms), Priority: priority, OnTimeUntil: time.Now().Add(onTimeFor),
+	}
+}
+
+// serve lets all prompts through that wait, and tells when each was.
+func serve(l *turn.Line, streams bool, prompts ...*turn.Prompt) map[*turn.Prompt]time.Duration {
+	began := time.Now()
+	taken := make(map[*turn.Prompt]time.Duration)
+	for len(taken) < len(prompts) {
+		for _, one := range prompts {
+			if _, done := taken[one]; done {
+				continue
+			}
+			if _, now := l.Take(time.Now(), one, streams); now {
+				taken[one] = time.Since(began)
+			}
+		}
+		time.Sleep(ms)
+	}
+	return taken
+}
+
+// A burst of long prompts reaches an engine at which streams run. Sent at once, the engine would read for over a second
+// without a pause, and every stream would stand still for as long. One after the other, the streams get some of the
+// engine's time after each.
+func TestBurstOfLongPromptsLeavesTimeForStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		var prompts []*turn.Prompt
+		for range 4 {
+			one := prompt(300*ms, 1, time.Second)
+			l.Join(time.Now(), one)
+			prompts = append(prompts, one)
+		}
+		is.Equal(l.Tokens(), 1200)
+		taken := serve(&l, true, prompts...)
+		for i := 1; i < len(prompts); i++ {
+			is.True(taken[prompts[i]]-taken[prompts[i-1]] >= 320*ms) // 300 to read, and more than 20 for the streams
+		}
+		is.True(taken[prompts[3]] < 1050*ms) // and the engine is hardly ever idle
+		is.Equal(l.Tokens(), 0)
+	})
+}
+
+// Without streams nobody waits for a pause, and the engine reads one prompt right after the other.
+func TestWithoutStreamsTheEngineIsNeverIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		a, b := prompt(200*ms, 1, time.Second), prompt(200*ms, 1, time.Second)
+		l.Join(time.Now(), a)
+		l.Join(time.Now(), b)
+		taken := serve(&l, false, a, b)
+		is.True(taken[b] <= 200*ms)
+	})
+}
+
+// Long and short prompts, urgent and patient ones, and one that is late already meet at a full engine. Served as they
+// came, the late one would make the others late as well.
+func TestWhoCanBeOnTimeGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		late := prompt(300*ms, 0, -ms)
+		patient := prompt(300*ms, 2, 5*time.Second)
+		urgent := prompt(20*ms, 0, time.Second)
+		for _, one := range []*turn.Prompt{late, patient, urgent} {
+			l.Join(time.Now(), one)
+			time.Sleep(ms)
+		}
+		is.Equal(l.Wait(time.Now(), urgent), time.Duration(0))
+		is.Equal(l.Wait(time.Now(), late), 320*ms)
+		taken := serve(&l, true, late, patient, urgent)
+		is.True(taken[urgent] < taken[patient])
+		is.True(taken[patient] < taken[late])
+	})
+}
+
+// A prompt's parts are kept at its engine, which reads it in no time. Prompts that wait until it would have been read
+// otherwise leave the engine idle.
+func TestPromptThatIsReadSoonerLetsTheNextThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		kept, next := prompt(500*ms, 1, time.Second), prompt(100*ms, 1, time.Second)
+		l.Join(time.Now(), kept)
+		l.Join(time.Now(), next)
+		_, taken := l.Take(time.Now(), kept, true)
+		is.True(taken)
+		l.Idle(time.Now()) // its sender has not told yet that it is on its way
+		_, taken = l.Take(time.Now(), next, true)
+		is.True(!taken)
+		time.Sleep(80 * ms)
+		l.Idle(time.Now())
+		_, taken = l.Take(time.Now(), next, true)
+		is.True(taken)
+	})
+}
+
+// A caller leaves while its prompt waits. If it kept its place nobody behind it would ever be served.
+func TestWhoLeavesHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		gone, next := prompt(300*ms, 0, time.Second), prompt(300*ms, 1, time.Second)
+		l.Join(time.Now(), gone)
+		l.Join(time.Now(), next)
+		l.Leave(gone)
+		_, taken := l.Take(time.Now(), next, true)
+		is.True(taken)
+	})
+}
