Try the store in an outage as often in a large fleet as in a small one

Each of 76 instances that finds all others cut off is the first in line and tries every 120 ms, so a store that resets connections for 4.5 s gets some 600 tries a second. Ruled out: heartbeats of leases (a tenth of a call each). Test: TestTriesOfALargeFleetAreNotMoreThanThoseOfASmallOne.

--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -104,6 +104,13 @@
 // atFullPace is isFullPace where the lock is held.
 func (b *beats) atFullPace() bool { return len(b.peers) <= peersAtFullPace }
 
+// peerCount is how many other instances there are.
+func (b *beats) peerCount() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.peers)
+}
+
 // pace is how often each pair exchanges now.
 func (b *beats) pace() time.Duration {
 	b.mutex.Lock()
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -58,3 +58,15 @@
 type namesOnly struct{ Decoder }
 
 func (namesOnly) UpstreamID(key string) (id string, ok bool) { return key, true }
+
+// The store is away, and all instances of a large fleet try to reach it. If each tried as often as in a small fleet,
+// the store would come back to hundreds of calls a second, and each of them is billed.
+func TestTriesOfALargeFleetAreNotMoreThanThoseOfASmallOne(t *testing.T) {
+	is := is.New(t)
+	perSecond := func(peers int) float64 { return float64(peers+1) / failurePause(peers).Seconds() }
+	small := perSecond(peersAtFullPace)
+	for _, peers := range []int{0, 6, 10, 75, 329} {
+		is.True(perSecond(peers) <= 1.05*small)
+	}
+	is.Equal(failurePause(6), readPause) // a small fleet notices the store's return as soon as before
+}
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -25,7 +25,7 @@
 	// readStep what each further one waits on top.
 	readAfter = 1100 * time.Millisecond
 	readStep  = 150 * time.Millisecond
-	// readPause is the pause after a failure, and between two looks at whether to read.
+	// readPause is the pause between two looks at whether to read, and after a failure in a small fleet.
 	readPause = 120 * time.Millisecond
 )
 
@@ -51,7 +51,7 @@
 		}
 		if err != nil {
 			n.storeFailed.Store(time.Now().UnixNano())
-			pause(ctx, readPause)
+			pause(ctx, failurePause(n.beats.peerCount()))
 			continue
 		}
 		pause(ctx, watchEvery-time.Since(began))
@@ -59,6 +59,16 @@
 	return nil
 }
 
+// failurePause is the pause after a failure, for a number of peers.
+//
+// Made for an outage of the store in a large fleet. When all others say that they do not reach it, each instance is the
+// first in line and tries by itself; each try is billed, and when the store is back it first has to turn most of them
+// away. So the tries of all instances together stay as frequent as those of a small fleet. The first one that reaches
+// the store tells the others at once.
+func failurePause(peers int) time.Duration {
+	return readPause * time.Duration(max(peers, peersAtFullPace)) / peersAtFullPace
+}
+
 // shouldRead tells whether it is this instance's turn.
 func (n *Node) shouldRead(now time.Time) bool {
 	k := &n.knowledge
