Refuse for the queue only while it is standing

A burst of a second is over before those who are refused come back; served late they would have had something. Changed: refusing begins when all have been late on account of the queue for as long as the objective, and ends when a request finds a short queue; who is late for its own length is refused in twice the queue.

--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -7,10 +7,11 @@
 
 const (
 	// mostQueued is the part of a request's objective that may pass in the queue of an engine before a request that
-	// would be late is refused: one that is late for its own length is served as long as the queue is short.
+	// would be late is refused. One that would be late in a short queue too, for its own length, is refused in twice that.
 	mostQueued = 0.5
-	// comeBack is the part of the objective that the queue should have shrunk to when a refused caller comes back.
-	comeBack = 0.3
+	// shortQueue is the part of the objective up to which a queue counts as short, and to which it should have shrunk
+	// when a refused caller comes back.
+	shortQueue = 0.3
 	// leastRetryAfter and mostRetryAfter bound when a refused caller is asked to come back.
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 3 * time.Second
@@ -30,8 +31,10 @@
 // Made for more requests than fit. Engines read prompts one after the other; sent there whatever waits, each request
 // adds to the queue, and soon all are answered late, or when their callers are gone, though the engines are busy all
 // the while. As long as those who would be late on account of the queue are refused, it stays as long as it may
-// be for those who come to be on time, and the engines are as busy. Requests that are late by themselves, such as
-// the longest prompts, are served while the queue is short; otherwise they never would be.
+// be for those who come to be on time, and the engines are as busy. A burst that is over before long is served, late
+// in part: nobody comes after it who would be late on its account, and a late answer is better than none. Requests
+// that are late by themselves, such as the longest prompts, are served while the queue is short; otherwise they never
+// would be.
 func (p *Pool) Refuse(now time.Time, query Query, choice Choice, patience Patience, objective time.Duration) (time.Duration, bool) {
 	if !p.isGeneration(query) {
 		return 0, false
@@ -39,14 +42,36 @@
 	eta := choice.Expected + choice.Wait
 	queued := choice.Expected - choice.Idle
 	hopeless := eta > patience.Left
-	late := eta > patience.OnTime && queued > times(mostQueued, objective)
-	if !hopeless && !late {
+	most := times(mostQueued, objective)
+	if choice.Idle > patience.OnTime-most {
+		most = objective
+	}
+	late := eta > patience.OnTime && queued > most
+	short := queued <= times(shortQueue, objective)
+	standing := p.pace(query.Service).noteQueue(now, late, short) > objective
+	if !hopeless && !(late && standing) {
 		return 0, false
 	}
-	wait := queued + choice.Wait - times(comeBack, objective)
+	wait := queued + choice.Wait - times(shortQueue, objective)
 	return p.scheduleRetry(now, query, wait), true
 }
 
+// noteQueue takes note of whether a request is late on account of the queue, and tells for how long the queue has been
+// standing since one was. A request that finds a short queue shows that the service is not full, but at most the
+// upstreams that have some adapter.
+func (p *pace) noteQueue(now time.Time, late, short bool) time.Duration {
+	switch {
+	case short:
+		p.lateSince = time.Time{}
+	case late && p.lateSince.IsZero():
+		p.lateSince = now
+	}
+	if p.lateSince.IsZero() {
+		return 0
+	}
+	return now.Sub(p.lateSince)
+}
+
 // scheduleRetry tells a refused caller when to come back: when there will be room, after those who were refused before
 // it have had their turn. The other instances are taken to refuse as many.
 func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -25,6 +25,9 @@
 	loads loadTimes
 	// nextTurn is when the next refused caller may come back.
 	nextTurn time.Time
+	// lateSince is since when the queue has been standing: a request was late on its account, and none has found a
+	// short queue since. Zero if it is not.
+	lateSince time.Time
 	// paused is the share of streams that paused for too long, among the latest; inTurn: prompts take turns.
 	paused float64
 	inTurn bool
