--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -190,15 +190,15 @@
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
-	if _, away := prepared.(mesh.NotHolder); away && choice.Loaded {
-		return true // nobody keeps the turns there now
-	}
-	if !ok {
+	_, unheld := prepared.(mesh.NotHolder)
+	if !ok && !(unheld && choice.Loaded) { // without a holder nobody keeps the turns
 		return false
 	}
 	takes := false
 	j.handler.Advice.With(func(a *Advice) {
-		a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
+		if ok {
+			a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
+		}
 		takes = a.Pool.Takes(choice.Upstream)
 	})
 	return takes
