--- a/internal/entry/node/turns.go
+++ b/internal/entry/node/turns.go
@@ -50,7 +50,7 @@
 	h.line.Join(time.Now(), prompt)
 	tokens := h.line.Tokens()
 	h.mutex.Unlock()
-	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetLined(h.upstream.ID, tokens) })
+	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetAwaitingTurn(h.upstream.ID, tokens) })
 }
 
 func (h *holding) leave(prompt *turn.Prompt) {
@@ -58,7 +58,7 @@
 	h.line.Leave(prompt)
 	tokens := h.line.Tokens()
 	h.mutex.Unlock()
-	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetLined(h.upstream.ID, tokens) })
+	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetAwaitingTurn(h.upstream.ID, tokens) })
 }
 
 // askTurn asks the line, with what is known of the upstream by now.
--- /dev/null
+++ b/internal/gateway/serve/placing.go
@@ -0,0 +1,135 @@
+package serve
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/caller/refusal"
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+// placing.go finds the upstream for the next send, and gets it ready: the adapter loaded, and the prompt's turn come.
+
+// mostAsked bounds the holders that are asked for one choice: each costs a request some milliseconds, and after
+// a few upstreams the best of them is good enough.
+const mostAsked = 3
+
+// chooseKnowing picks an upstream, and asks its holder where the load there was heard too long ago.
+//
+// Made for a large fleet, whose instances hear of each other's requests only every few seconds. Each of them
+// would send the requests for a popular adapter to the upstream that looked best then, all of them to the same
+// one, where prompts wait for each other while the next upstream is idle.
+func (j *job) chooseKnowing(ctx context.Context) (choice pool.Choice, query pool.Query, err error) {
+	var asked []string
+	for {
+		choice, query, err = j.choose()
+		known := !choice.Uncertain || slices.Contains(asked, choice.Upstream.ID)
+		if err != nil || known || len(asked) == mostAsked {
+			return choice, query, err
+		}
+		j.handler.Fleet.Ask(ctx, choice.Upstream.ID)
+		asked = append(asked, choice.Upstream.ID)
+	}
+}
+
+// choose picks an upstream.
+func (j *job) choose() (choice pool.Choice, query pool.Query, err error) {
+	newest, required := j.handler.Fleet.Newest(j.call.Work.Adapter)
+	query = pool.Query{
+		Service: j.service,
+		Adapter: j.call.Work.Adapter,
+		Tokens:  j.call.Work.PromptTokens,
+		Output:  j.call.Work.OutputTokens,
+		Exclude: j.tried,
+		Alone:   j.alone,
+	}
+	if required {
+		query.Version = newest
+	}
+	j.handler.Advice.With(func(a *Advice) { choice, err = a.Pool.Choose(time.Now(), query) })
+	return choice, query, err
+}
+
+// refuseInOverload refuses a request that would be late on account of what waits before it.
+func (j *job) refuseInOverload(choice pool.Choice, query pool.Query) error {
+	patience := pool.Patience{
+		OnTime: time.Until(j.began.Add(j.route.Objective)),
+		Left:   time.Until(j.deadline),
+	}
+	var retryAfter time.Duration
+	refused := false
+	j.handler.Advice.With(func(a *Advice) {
+		retryAfter, refused = a.Pool.Refuse(time.Now(), query, choice, patience, j.route.Objective)
+	})
+	if !refused {
+		return nil
+	}
+	j.step("refused").Str("Upstream", choice.Upstream.ID).Int("Running", choice.Running).Int("Waiting", choice.Waiting).
+		Int64("ExpectedMillis", choice.Expected.Milliseconds()).Int64("IdleMillis", choice.Idle.Milliseconds()).
+		Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
+	return refusal.New(refusal.Busy, "the service has more to do than fits").WithRetryAfter(retryAfter)
+}
+
+// ready has the adapter loaded at the chosen upstream, and waits for the prompt's turn where prompts take turns.
+func (j *job) ready(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+	inTurn := false
+	j.handler.Advice.With(func(a *Advice) { inTurn = query.Adapter.Model != "" && a.Pool.InTurn(query.Service) })
+	tokens := 0
+	if inTurn {
+		tokens = query.Tokens
+	}
+	return choice.Loaded && !inTurn || j.prepare(ctx, choice, query, tokens)
+}
+
+// prepare asks the holder of the chosen upstream for the adapter, and for the turn of a prompt if it has any tokens.
+func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query, tokens int) bool {
+	began := time.Now()
+	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, +1) })
+	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
+		Upstream: choice.Upstream.ID,
+		Adapter:  query.Adapter,
+		Version:  query.Version,
+		Patience: j.patienceFor(*choice),
+		OnTime:   j.onTimeFor(*choice),
+		Priority: j.priority,
+		Tokens:   tokens,
+	})
+	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, -1) })
+	loaded, ok := prepared.(mesh.Loaded)
+	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
+		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
+	_, unheld := prepared.(mesh.NotHolder)
+	if !ok && !(unheld && choice.Loaded) { // without a holder nobody keeps the turns
+		return false
+	}
+	takes := false
+	j.handler.Advice.With(func(a *Advice) {
+		if ok {
+			a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
+		}
+		takes = a.Pool.Takes(choice.Upstream)
+	})
+	return takes
+}
+
+// onTimeFor is how long the request can wait for its adapter and its turn and still be on time. One that is late for
+// its own length can wait as long as others may be queued for.
+func (j *job) onTimeFor(choice pool.Choice) time.Duration {
+	elapsed := time.Since(j.began)
+	return max(j.route.Objective-choice.Idle, j.route.Objective/2) - elapsed
+}
+
+// patienceFor is how long the holder may take to answer. It may be frozen; where the adapter is loaded, the request can
+// do without it.
+func (j *job) patienceFor(choice pool.Choice) time.Duration {
+	left := time.Until(j.deadline)
+	if choice.Loaded {
+		return min(left, j.onTimeFor(choice)+mostForTurn)
+	}
+	return left
+}
+
+// mostForTurn is what the wait for a turn may take beyond the time in which the request can be on time.
+const mostForTurn = 200 * time.Millisecond
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -284,7 +284,7 @@
 	}
 	p.dropSilent(now)
 	total = u.own.plus(u.beside).minus(p.peers[instance].loads[id])
-	total.Prompt += u.lined
+	total.Prompt += u.awaitingTurn
 	return total
 }
 
@@ -298,10 +298,10 @@
 	return u.own.plus(u.beside)
 }
 
-// SetLined takes note of the tokens of the prompts that wait for their turn at an upstream that this instance holds.
-func (p *Pool) SetLined(id string, tokens int) {
+// SetAwaitingTurn takes note of the tokens of the prompts that wait for their turn at an upstream that this instance holds.
+func (p *Pool) SetAwaitingTurn(id string, tokens int) {
 	if u := p.upstreams[id]; u != nil {
-		u.lined = tokens
+		u.awaitingTurn = tokens
 	}
 }
 
@@ -354,7 +354,7 @@
 		return u.own.plus(u.held)
 	}
 	load = u.own.plus(u.beside)
-	load.Prompt += u.lined
+	load.Prompt += u.awaitingTurn
 	return load
 }
 
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -37,8 +37,8 @@
 	// held is what the holder said last to be under way there beside this instance's own.
 	held   Load
 	heldAt time.Time
-	// lined is the tokens of the prompts that wait for their turn, where this instance holds the upstream.
-	lined int
+	// awaitingTurn is the tokens of the prompts that wait for their turn, where this instance holds the upstream.
+	awaitingTurn int
 	// loads is how long loads take there, if its holder has told.
 	loads loadTimes
 	// preparing is how many requests of this instance wait for adapters there.
