Name prefill and polls by their terms, and keep one guess, one hopeless wait and one patience

Cause: the diff read as a newcomer. Ruled out: a change of policy; where turns are taken everything is as before.

--- a/internal/entry/node/turns.go
+++ b/internal/entry/node/turns.go
@@ -12,15 +12,12 @@
 
 // turns.go has the prompts that all instances send to an upstream take turns.
 
-// shortTurn is worth waiting also for a late answer.
-const shortTurn = 500 * time.Millisecond
-
-// takeTurn waits for a prompt's turn. It tells at once how long that would take if the answer would be late for it.
+// takeTurn waits for a prompt's turn. It tells at once how long that would take if waiting is hopeless.
 func (h *holding) takeTurn(ctx context.Context, request mesh.PrepareRequest, worthUntil time.Time) (time.Duration, bool) {
 	prompt := &turn.Prompt{
 		Tokens: request.Tokens, Priority: request.Priority, OnTimeUntil: worthUntil,
 	}
-	h.node.advice.With(func(a *serve.Advice) { prompt.Reading = a.Pool.Reading(h.upstream.ID, request.Tokens) })
+	h.node.advice.With(func(a *serve.Advice) { prompt.Prefill = a.Pool.Prefill(h.upstream.ID, request.Tokens) })
 	h.join(prompt)
 	defer h.leave(prompt)
 	for {
@@ -29,7 +26,7 @@
 		if taken {
 			return 0, true
 		}
-		if wait > shortTurn && now.Add(wait).After(worthUntil) {
+		if again.IsZero() {
 			return wait, false
 		}
 		timer := time.NewTimer(max(again.Sub(now), time.Millisecond))
@@ -61,7 +58,7 @@
 	h.node.advice.With(func(a *serve.Advice) { a.Pool.SetAwaitingTurn(h.upstream.ID, tokens) })
 }
 
-// askTurn asks the line, with what is known of the upstream by now.
+// askTurn asks the line, with what is known of the upstream by now. Where it is hopeless there is no time to ask again.
 func (h *holding) askTurn(now time.Time, prompt *turn.Prompt) (wait time.Duration, again time.Time, taken bool) {
 	var load pool.Load
 	h.node.advice.With(func(a *serve.Advice) { load = a.Pool.Sent(now, h.upstream.ID) })
@@ -71,5 +68,8 @@
 		h.line.Idle(now)
 	}
 	again, taken = h.line.Take(now, prompt, load.Running > 0)
+	if !taken && h.line.IsHopeless(now, prompt) {
+		again = time.Time{}
+	}
 	return h.line.Wait(now, prompt), again, taken
 }
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -40,6 +40,8 @@
 	sends      int
 	runs       int
 	mayHaveRun bool
+	// inTurn: the prompt has waited for its turn, and the next one waits for its first event.
+	inTurn bool
 	// paid: the next send was taken from the budget of retries already.
 	paid bool
 	// started: the answer's header went out to the caller.
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -18,9 +18,9 @@
 
 // chooseKnowing picks an upstream, and asks its holder where the load there was heard too long ago.
 //
-// Made for a large fleet, whose instances hear of each other's requests only every few seconds. Each of them
-// would send the requests for a popular adapter to the upstream that looked best then, all of them to the same
-// one, where prompts wait for each other while the next upstream is idle.
+// Made for popular adapters. The instances hear of each other's requests a quarter of a second late in a small fleet
+// and some seconds late in a large one. Each of them would send to the upstream that looked best then, all of them to
+// the same one, where prompts wait for each other while the next upstream is idle.
 func (j *job) chooseKnowing(ctx context.Context) (choice pool.Choice, query pool.Query, err error) {
 	var asked []string
 	for {
@@ -55,13 +55,14 @@
 // refuseInOverload refuses a request that would be late on account of what waits before it.
 func (j *job) refuseInOverload(choice pool.Choice, query pool.Query) error {
 	patience := pool.Patience{
-		OnTime: time.Until(j.began.Add(j.route.Objective)),
-		Left:   time.Until(j.deadline),
+		OnTime:    time.Until(j.began.Add(j.route.Objective)),
+		Left:      time.Until(j.deadline),
+		Objective: j.route.Objective,
 	}
 	var retryAfter time.Duration
 	refused := false
 	j.handler.Advice.With(func(a *Advice) {
-		retryAfter, refused = a.Pool.Refuse(time.Now(), query, choice, patience, j.route.Objective)
+		retryAfter, refused = a.Pool.Refuse(time.Now(), query, choice, patience)
 	})
 	if !refused {
 		return nil
@@ -74,13 +75,12 @@
 
 // ready has the adapter loaded at the chosen upstream, and waits for the prompt's turn where prompts take turns.
 func (j *job) ready(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
-	inTurn := false
-	j.handler.Advice.With(func(a *Advice) { inTurn = query.Adapter.Model != "" && a.Pool.InTurn(query.Service) })
+	j.handler.Advice.With(func(a *Advice) { j.inTurn = query.Adapter.Model != "" && a.Pool.InTurn(query.Service) })
 	tokens := 0
-	if inTurn {
+	if j.inTurn {
 		tokens = query.Tokens
 	}
-	return choice.Loaded && !inTurn || j.prepare(ctx, choice, query, tokens)
+	return choice.Loaded && !j.inTurn || j.prepare(ctx, choice, query, tokens)
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for the turn of a prompt if it has any tokens.
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -213,8 +213,8 @@
 	}
 	first := false
 	r.job.handler.Advice.With(func(*Advice) { first = r.sending.Answered(now) })
-	if first && r.job.call.Work.Adapter.Model != "" {
-		r.job.handler.Fleet.Touch(r.job.upstream) // the next prompt may be sent there
+	if first && r.job.inTurn {
+		r.job.handler.Fleet.Touch(r.job.upstream)
 	}
 }
 
--- a/internal/placement/forecast/engine.go
+++ b/internal/placement/forecast/engine.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// engine.go foretells the first event of a generation.
+// engine.go predicts the first event of a generation.
 
 const (
 	// kept is the weight that earlier answers keep when another is seen: about thirty of them count. At some
 	// answers a second that follows an engine that changes its pace within seconds.
 	kept = 0.97
 	// certainAfter is how many answers it takes until one that is far off is taken for an exception; farOff
-	// bounds what such an answer counts as, in terms of what was foretold.
+	// bounds what such an answer counts as, in terms of what was predicted.
 	certainAfter = 20
 	farOff       = 3
 	// off is by which factor an answer has to differ to count as a sign that the engines have changed; after
@@ -17,7 +17,7 @@
 	off     = 1.5
 	mostOff = 6
 	// relativeFloor keeps very short answers from counting for everything: errors count in relation to what was
-	// foretold, and in relation to this below it. Until the forecast is certain they count in relation to the answer,
+	// predicted, and in relation to this below it. Until the forecast is certain they count in relation to the answer,
 	// which looks too quick by that, but is not led astray by a first answer that is far off.
 	relativeFloor = 100 * time.Millisecond
 	// tokensUnit makes the terms of the fit similar in size.
@@ -25,10 +25,10 @@
 	terms      = 4
 )
 
-// Engine foretells when the first event of a generation comes, as the sum of a base, a part for each token of its
-// prompt, a part for each token of the prompts that are read before, which counts less where an engine does not read
-// in the order of arrival, and a part for each request that runs beside it. It is fitted to the latest
-// answers by least squares. The zero value is ready for use; it is not safe for use by several goroutines.
+// Engine predicts when the first event of a generation comes, as the sum of a base, a part for each token of its
+// prompt, a part for each prompt token that awaits prefill before it, which counts less where an engine does not
+// take them in the order of arrival, and a part for each request that runs there. It is fitted to the latest answers by
+// least squares. The zero value is ready for use; it is not safe for use by several goroutines.
 type Engine struct {
 	squares [terms][terms]float64
 	moments [terms]float64
@@ -40,18 +40,18 @@
 }
 
 // FirstEvent is the time from sending a prompt until its first event.
-func (e *Engine) FirstEvent(tokens int, beside Beside) time.Duration {
-	return e.predict(features(tokens, beside))
+func (e *Engine) FirstEvent(tokens int, backlog Backlog) time.Duration {
+	return e.predict(features(tokens, backlog))
 }
 
-// Reading is the time that an engine reads for a prompt.
-func (e *Engine) Reading(tokens int) time.Duration {
+// Prefill is the time that an engine needs for a prompt alone.
+func (e *Engine) Prefill(tokens int) time.Duration {
 	return seconds(e.coefficients()[1] * float64(tokens) / tokensUnit)
 }
 
 // Observe takes note of an answer's first event.
-func (e *Engine) Observe(tokens int, beside Beside, took time.Duration) {
-	x := features(tokens, beside)
+func (e *Engine) Observe(tokens int, backlog Backlog, took time.Duration) {
+	x := features(tokens, backlog)
 	e.compare(took, e.predict(x))
 	scale := took
 	if e.isCertain() {
@@ -75,8 +75,8 @@
 func (e *Engine) isCertain() bool { return e.answers >= certainAfter }
 
 // compare finds out whether the engines have changed their pace: then all answers differ in the same direction.
-func (e *Engine) compare(took, foretold time.Duration) {
-	ratio := float64(took) / float64(max(foretold, 1))
+func (e *Engine) compare(took, predicted time.Duration) {
+	ratio := float64(took) / float64(max(predicted, 1))
 	e.slower = inARow(e.slower, ratio > off)
 	e.quicker = inARow(e.quicker, ratio < 1/off)
 	if e.isCertain() && (e.slower >= mostOff || e.quicker >= mostOff) {
@@ -94,9 +94,9 @@
 // forget begins anew.
 func (e *Engine) forget() { *e = Engine{} }
 
-func features(tokens int, beside Beside) [terms]float64 {
+func features(tokens int, backlog Backlog) [terms]float64 {
 	return [terms]float64{
-		1, float64(tokens) / tokensUnit, float64(beside.Unread) / tokensUnit, float64(beside.Running),
+		1, float64(tokens) / tokensUnit, float64(backlog.Prefill) / tokensUnit, float64(backlog.Running),
 	}
 }
 
--- a/internal/placement/forecast/forecast_test.go
+++ b/internal/placement/forecast/forecast_test.go
@@ -18,8 +18,8 @@
 	running time.Duration
 }
 
-func (t truth) firstEvent(tokens int, beside forecast.Beside) time.Duration {
-	return t.base + time.Duration(beside.Unread+tokens)*t.token + time.Duration(beside.Running)*t.running
+func (t truth) firstEvent(tokens int, backlog forecast.Backlog) time.Duration {
+	return t.base + time.Duration(backlog.Prefill+tokens)*t.token + time.Duration(backlog.Running)*t.running
 }
 
 func (t truth) times(factor float64) truth {
@@ -28,16 +28,16 @@
 }
 
 // draw is a request as an instance sees them: mostly short and some long prompts, and mostly idle engines.
-func draw(random *rand.Rand) (tokens int, beside forecast.Beside) {
+func draw(random *rand.Rand) (tokens int, backlog forecast.Backlog) {
 	tokens = 200 + int(random.ExpFloat64()*800)
 	if random.IntN(2) == 0 {
 		tokens = 2000 + int(random.ExpFloat64()*6000)
 	}
-	beside.Running = random.IntN(12)
+	backlog.Running = random.IntN(12)
 	if random.IntN(3) == 0 {
-		beside.Unread = int(random.ExpFloat64() * 5000)
+		backlog.Prefill = int(random.ExpFloat64() * 5000)
 	}
-	return tokens, beside
+	return tokens, backlog
 }
 
 // sec is the answers that an instance of a small fleet sees in a second.
@@ -46,12 +46,12 @@
 // observe shows an engine's answers, with a tenth of scatter and one in twenty far too late.
 func observe(e *forecast.Engine, t truth, random *rand.Rand, answers int) {
 	for range answers {
-		tokens, beside := draw(random)
-		took := float64(t.firstEvent(tokens, beside)) * (0.9 + 0.2*random.Float64())
+		tokens, backlog := draw(random)
+		took := float64(t.firstEvent(tokens, backlog)) * (0.9 + 0.2*random.Float64())
 		if random.IntN(20) == 0 {
 			took *= 6
 		}
-		e.Observe(tokens, beside, time.Duration(took))
+		e.Observe(tokens, backlog, time.Duration(took))
 	}
 }
 
@@ -59,8 +59,8 @@
 	is.Helper()
 	for _, tokens := range []int{1000, 5000, 10_000} {
 		for _, running := range []int{0, 6} {
-			beside := forecast.Beside{Running: running, Unread: 1000}
-			ratio := float64(e.FirstEvent(tokens, beside)) / float64(t.firstEvent(tokens, beside))
+			backlog := forecast.Backlog{Running: running, Prefill: 1000}
+			ratio := float64(e.FirstEvent(tokens, backlog)) / float64(t.firstEvent(tokens, backlog))
 			if ratio < 0.75 || ratio > 1.25 {
 				is.Fail() // the forecast is off by more than a quarter
 			}
@@ -122,10 +122,10 @@
 		late, looks := time.Duration(0), 0
 		const loads, learning = 60, 20
 		for i := range loads {
-			at := load.FirstLook()
+			at := load.FirstPoll()
 			first := true
 			count := 1
-			for ; at < took; at += load.NextLook() {
+			for ; at < took; at += load.NextPoll() {
 				first = false
 				count++
 			}
--- a/internal/placement/forecast/load.go
+++ b/internal/placement/forecast/load.go
@@ -2,24 +2,24 @@
 
 import "time"
 
-// load.go foretells how long an adapter takes to load.
+// load.go predicts how long an adapter takes to load.
 
 const (
-	// early is the part of the usual time after which a load is looked at first, often what part of it passes
-	// until the next look.
-	early = 0.9
-	often = 8
-	// leastPause and mostPause bound the time between two looks: each is a call to the upstream, and a request waits.
+	// firstPollAt is the part of the usual time after which a load is polled first, and pollsEach how many polls go
+	// into the usual time from then on.
+	firstPollAt = 0.9
+	pollsEach   = 8
+	// leastPause and mostPause bound the time between two polls: each is a call to the upstream, and a request waits.
 	leastPause = 8 * time.Millisecond
 	mostPause  = 100 * time.Millisecond
-	// shorten is what is left of the usual time when a load was done at the first look: it may have been done long
+	// shorten is what is left of the usual time when a load was done at the first poll: it may have been done long
 	// before.
 	shorten = 0.85
 	// lengthen is the weight of a load that took longer.
 	lengthen = 0.5
 )
 
-// Load foretells loads that nobody announces: whether one is done is only seen by looking. Set Guess, what counts
+// Load predicts loads whose end nobody announces, so that the upstream has to be polled for it. Set Guess, what counts
 // until one was seen. It is not safe for use by several goroutines.
 type Load struct {
 	Guess time.Duration
@@ -38,18 +38,18 @@
 // Seen tells whether any load was seen.
 func (l *Load) Seen() bool { return l.usual > 0 }
 
-// FirstLook is how long after its order a load is worth looking at.
-func (l *Load) FirstLook() time.Duration { return time.Duration(early * float64(l.Usual())) }
+// FirstPoll is how long after its order a load is polled first.
+func (l *Load) FirstPoll() time.Duration { return time.Duration(firstPollAt * float64(l.Usual())) }
 
-// NextLook is the pause until the next look.
-func (l *Load) NextLook() time.Duration {
-	return min(max(l.Usual()/often, leastPause), mostPause)
+// NextPoll is the pause until the next poll.
+func (l *Load) NextPoll() time.Duration {
+	return min(max(l.Usual()/pollsEach, leastPause), mostPause)
 }
 
-// Done takes note of a load that was found done some time after its order, at the first look or a later one.
-func (l *Load) Done(took time.Duration, firstLook bool) {
+// Done takes note of a load that was found done some time after its order, at the first poll or a later one.
+func (l *Load) Done(took time.Duration, firstPoll bool) {
 	usual := l.Usual()
-	if firstLook {
+	if firstPoll {
 		l.usual = min(usual, max(time.Duration(shorten*float64(usual)), time.Millisecond))
 		return
 	}
--- a/internal/placement/forecast/service.go
+++ b/internal/placement/forecast/service.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// service.go foretells the answers of plain services.
+// service.go predicts the answers of plain services.
 
 const (
 	// learning is the weight of the newest answer, and learningFirst that of the first ones, as long as the guess
@@ -12,7 +12,7 @@
 	firstAnswers  = 8
 )
 
-// Service foretells how long a plain call takes. The zero value is ready for use; it is not safe for use by several
+// Service predicts how long a plain call takes. The zero value is ready for use; it is not safe for use by several
 // goroutines.
 type Service struct {
 	usual   time.Duration
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -104,7 +104,7 @@
 func (p *Pool) weigh(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
 	failing := u.failing(now)
-	slow := u.known(now)
+	slow := u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.Prompt, Failing: failing, Slow: slow}
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.Uncertain = isEngine && p.isUncertain(now, u)
@@ -112,12 +112,12 @@
 	choice.Idle = times(slow, p.usual(u, query, Load{}))
 	pace := p.pace(query.Service)
 	if isEngine && query.Adapter.Model != "" {
-		total = times(u.attraction(now), choice.Expected) + p.loadCost(u, query, homes, &choice)
+		total = times(u.exploration(now), choice.Expected) + p.loadCost(u, query, homes, &choice)
 		if engine.MemoryTokens > 0 && load.Memory+query.Tokens+query.Output > engine.MemoryTokens {
-			total += times(slow, pace.engine.Reading(load.Memory))
+			total += times(slow, pace.engine.Prefill(load.Memory))
 		}
 	} else {
-		total = times(u.attraction(now), choice.Expected) + times(float64(load.Running)/float64(u.places()), pace.service.Answer(0))
+		total = times(u.exploration(now), choice.Expected) + times(float64(load.Running)/float64(u.places()), pace.service.Answer(0))
 	}
 	total += time.Duration(failing * float64(failureCost))
 	if u.declared.DataCentre != p.Settings.DataCentre {
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -23,36 +23,40 @@
 	OnTime time.Duration
 	// Left until nobody waits for it any more.
 	Left time.Duration
+	// Objective is how long it could have waited from its beginning and be on time.
+	Objective time.Duration
 }
 
 // Refuse tells whether a request had better be refused at once than sent where it is expected to be answered first,
 // and when its caller should come back.
 //
-// Made for more requests than fit. Engines read prompts one after the other; sent there whatever waits, each request
-// adds to the queue, and soon all are answered late, or when their callers are gone, though the engines are busy all
+// Made for more requests than fit. Sent to an engine whatever waits there, each request adds to its
+// queue, and soon all are answered late, or when their callers are gone, though the engines are busy all
 // the while. As long as those who would be late on account of the queue are refused, it stays as long as it may
 // be for those who come to be on time, and the engines are as busy. A burst that is over before long is served, late
 // in part: nobody comes after it who would be late on its account, and a late answer is better than none. Requests
 // that are late by themselves, such as the longest prompts, are served while the queue is short; otherwise they never
 // would be.
-func (p *Pool) Refuse(now time.Time, query Query, choice Choice, patience Patience, objective time.Duration) (time.Duration, bool) {
+func (p *Pool) Refuse(
+	now time.Time, query Query, choice Choice, patience Patience,
+) (retryAfter time.Duration, refused bool) {
 	if !p.isGeneration(query) {
 		return 0, false
 	}
 	eta := choice.Expected + choice.Wait
 	queued := choice.Expected - choice.Idle
 	hopeless := eta > patience.Left
-	most := times(mostQueued, objective)
+	most := times(mostQueued, patience.Objective)
 	if choice.Idle > patience.OnTime-most {
-		most = objective
+		most = patience.Objective
 	}
 	late := eta > patience.OnTime && queued > most
-	short := queued <= times(shortQueue, objective)
-	standing := p.pace(query.Service).noteQueue(now, late, short) > objective
+	short := queued <= times(shortQueue, patience.Objective)
+	standing := p.pace(query.Service).noteQueue(now, late, short) > patience.Objective
 	if !hopeless && !(late && standing) {
 		return 0, false
 	}
-	wait := queued + choice.Wait - times(shortQueue, objective)
+	wait := queued + choice.Wait - times(shortQueue, patience.Objective)
 	return p.scheduleRetry(now, query, wait), true
 }
 
@@ -77,7 +81,7 @@
 func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
 	known := p.pace(query.Service)
 	upstreams := max(len(p.servingFor(query.Service)), 1)
-	turn := known.engine.Reading(query.Tokens) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
+	turn := known.engine.Prefill(query.Tokens) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
 	due := now.Add(max(wait, leastRetryAfter))
 	if due.Before(known.nextTurn) {
 		due = known.nextTurn
--- a/internal/placement/pool/overload_test.go
+++ b/internal/placement/pool/overload_test.go
@@ -82,8 +82,8 @@
 		o.asked++
 		choice, err := p.Choose(now, query)
 		is.NoErr(err)
-		patience := pool.Patience{OnTime: b.objective, Left: 5 * b.objective}
-		if retryAfter, refused := p.Refuse(now, query, choice, patience, b.objective); refused && b.refuse {
+		patience := pool.Patience{OnTime: b.objective, Left: 5 * b.objective, Objective: b.objective}
+		if retryAfter, refused := p.Refuse(now, query, choice, patience); refused && b.refuse {
 			o.refused++
 			o.retries = append(o.retries, now.Sub(began)+retryAfter)
 			continue
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -8,14 +8,8 @@
 
 // pace.go keeps how long the upstreams of each service take, as learnt from their answers.
 
-const (
-	// guessLoad and guessReload are what loading an adapter takes, from the weight store and where the upstream
-	// had it lately, until a holder has told what it sees.
-	guessLoad   = 300 * time.Millisecond
-	guessReload = 30 * time.Millisecond
-	// guessModel is what loading a base model takes where the configuration does not tell.
-	guessModel = time.Second
-)
+// guessModel is what loading a base model takes where the configuration does not tell.
+const guessModel = time.Second
 
 // pace is how long the upstreams of one service take.
 type pace struct {
@@ -37,7 +31,7 @@
 	// pauseLearning is the weight of the newest stream in the share that paused for too long.
 	pauseLearning = 0.04
 	// turnsAbove is the share from which on prompts take turns at each engine, and turnsBelow the one up to which they
-	// do not any more. Engines whose streams pass long prompts undisturbed read more of them without turns.
+	// do not any more. Engines whose streams do not suffer from long prompts prefill more of them without turns.
 	turnsAbove = 0.08
 	turnsBelow = 0.02
 )
@@ -73,7 +67,7 @@
 func (p *Pool) pace(service string) *pace {
 	known := p.paces[service]
 	if known == nil {
-		known = &pace{loads: loadTimes{full: guessLoad, reload: guessReload}}
+		known = &pace{loads: loadTimes{full: forecast.GuessLoad, reload: forecast.GuessReload}}
 		p.paces[service] = known
 	}
 	return known
@@ -89,7 +83,7 @@
 func (p *Pool) usual(u *upstream, query Query, load Load) time.Duration {
 	known := p.pace(query.Service)
 	if p.isGeneration(query) {
-		return known.engine.FirstEvent(query.Tokens, beside(load))
+		return known.engine.FirstEvent(query.Tokens, backlog(load))
 	}
 	return known.service.Answer(u.queued(load))
 }
@@ -98,14 +92,14 @@
 func (p *Pool) observe(send *Send, took time.Duration) {
 	known := p.pace(send.query.Service)
 	if p.isGeneration(send.query) {
-		known.engine.Observe(send.query.Tokens, beside(send.found), took)
+		known.engine.Observe(send.query.Tokens, backlog(send.found), took)
 		return
 	}
 	known.service.Observe(send.upstream.queued(send.found), took)
 }
 
-func beside(load Load) forecast.Beside {
-	return forecast.Beside{Unread: load.Prompt, Running: load.Running}
+func backlog(load Load) forecast.Backlog {
+	return forecast.Backlog{Prefill: load.Prompt, Running: load.Running}
 }
 
 // places is how many calls an upstream serves at once.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -305,13 +305,13 @@
 	}
 }
 
-// Reading is how long an upstream is expected to read a prompt.
-func (p *Pool) Reading(id string, tokens int) time.Duration {
+// Prefill is how long an upstream is expected to need for a prompt alone.
+func (p *Pool) Prefill(id string, tokens int) time.Duration {
 	u := p.upstreams[id]
 	if u == nil {
 		return 0
 	}
-	return p.pace(u.declared.Service).engine.Reading(tokens)
+	return p.pace(u.declared.Service).engine.Prefill(tokens)
 }
 
 // Own is what this instance has under way at the upstreams that are asked for, for its heartbeats.
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -125,7 +125,7 @@
 		return true
 	}
 	sample := float64(took) / float64(s.usual)
-	slow := u.known(now)
+	slow := u.slowness(now)
 	u.slow = slow + learning*(min(sample, slowest)-slow)
 	u.measured = now
 	return true
@@ -256,14 +256,14 @@
 
 const priorSuccesses = 2
 
-// known is how many times longer than usual answers take, as far as that was seen lately.
-func (u *upstream) known(now time.Time) float64 {
+// slowness is how many times longer than usual answers take, as far as that was seen lately.
+func (u *upstream) slowness(now time.Time) float64 {
 	return 1 + (u.slow-1)*math.Exp2(-now.Sub(u.measured).Seconds()/slownessHalfLife.Seconds())
 }
 
-// attraction is by how much an upstream is to be preferred for not having been measured lately, so that a recovery
+// exploration is by how much an upstream is to be preferred for not having been measured lately, so that a recovery
 // is tried.
-func (u *upstream) attraction(now time.Time) float64 {
+func (u *upstream) exploration(now time.Time) float64 {
 	part := min(1, now.Sub(u.measured).Seconds()/unmeasuredAfter.Seconds())
 	return 1 - (1-unmeasuredFactor)*part
 }
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -1,6 +1,7 @@
 package residence
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -21,11 +22,8 @@
 	inspectAnyway = 10 * time.Second
 	// mostInTransit is how many adapters an upstream takes at once.
 	mostInTransit = 4
-	// guessReload and guessLoad are what a load takes with and without a copy of the adapter near the upstream,
-	// until some were seen; checkAgain is the pause between two looks at what is no load of an adapter.
-	guessReload = 28 * time.Millisecond
-	guessLoad   = 252 * time.Millisecond
-	checkAgain  = 30 * time.Millisecond
+	// checkAgain is the pause between two checks of an order that loads no adapter.
+	checkAgain = 30 * time.Millisecond
 	// mostRepeats is how often an order without an answer is given again before the upstream is taken to
 	// be away and its report is waited for; repeatAfter is the pause between two.
 	mostRepeats = 6
@@ -49,8 +47,8 @@
 // Planner decides for one upstream. Set Engine before use. It is not safe for use by several goroutines.
 type Planner struct {
 	Engine traffic.Engine
-	// LoadGuess and ReloadGuess are what loads are taken to take until some were seen, such as what others of the
-	// service take; 0 for none.
+	// LoadGuess and ReloadGuess are how long loads take at other upstreams of the service, and count until one was
+	// seen here; 0 if that is not known.
 	LoadGuess   time.Duration
 	ReloadGuess time.Duration
 
@@ -95,8 +93,8 @@
 	ordered int64
 	asked   int64
 	checkAt time.Time
-	// orderedAt is when a load was accepted, and reload whether the upstream is taken to have a copy; checks
-	// counts the looks at whether it is done.
+	// orderedAt is when a load was accepted, reload whether the upstream is taken to have a copy, and checks how
+	// often was checked whether it is done.
 	orderedAt time.Time
 	reload    bool
 	checks    int
@@ -304,7 +302,7 @@
 	return p.fullLoads.Usual(), p.reloads.Usual(), p.fullLoads.Seen()
 }
 
-// firstCheck is how long after its order a load is first looked at.
+// firstCheck is how long after its order a load is first checked.
 func (p *Planner) firstCheck(adapter traffic.Adapter, known *place) time.Duration {
 	if adapter.Name == "" {
 		for _, model := range p.Engine.Models {
@@ -313,15 +311,15 @@
 			}
 		}
 	}
-	return p.loads(known).FirstLook()
+	return p.loads(known).FirstPoll()
 }
 
-// checkPause is the pause between two looks at a load.
+// checkPause is the pause between two checks of a load.
 func (p *Planner) checkPause(adapter traffic.Adapter, known *place) time.Duration {
 	if adapter.Name == "" || known.orderedAt.IsZero() {
 		return checkAgain
 	}
-	return p.loads(known).NextLook()
+	return p.loads(known).NextPoll()
 }
 
 func (p *Planner) loads(known *place) *forecast.Load {
@@ -439,13 +437,7 @@
 		p.places = make(map[traffic.Adapter]*place)
 		p.wants = make(map[traffic.Adapter]*want)
 		p.newest = make(map[traffic.Adapter]int64)
-		p.fullLoads.Guess = p.LoadGuess
-		if p.LoadGuess <= 0 {
-			p.fullLoads.Guess = guessLoad
-		}
-		p.reloads.Guess = p.ReloadGuess
-		if p.ReloadGuess <= 0 {
-			p.reloads.Guess = guessReload
-		}
+		p.fullLoads.Guess = cmp.Or(p.LoadGuess, forecast.GuessLoad)
+		p.reloads.Guess = cmp.Or(p.ReloadGuess, forecast.GuessReload)
 	}
 }
--- a/internal/placement/turn/line.go
+++ b/internal/placement/turn/line.go
@@ -1,11 +1,11 @@
 // Package turn decides, for one engine, when each prompt is sent there. The holder of the engine asks it; it needs no
 // sockets, and the caller reads the runtime's clock and passes the time in.
 //
-// Made for long prompts among streams. An engine reads prompts piece by piece between the tokens of the streams that
-// run there, and several prompts that come at once fill every piece: each token then takes as long as a piece, and
-// streams stand still for seconds or run out of time, although each request was sent where it was expected to be on
-// time. Here prompts wait for their turn, one is read at a time, and the streams get a part of the engine's time
-// between two. That costs the engine this part of its capacity, and only while streams run.
+// Made for long prompts among streams. An engine with chunked prefill decodes between the chunks, and several prompts
+// that come at once fill every chunk: each token then takes as long as a chunk, and streams stand still for seconds or
+// run out of time, although each request was sent where it was expected to be on time. Here prompts wait for their
+// turn, one prefill runs at a time, and the streams get a part of the engine's time between two. That costs the engine
+// this part of its capacity, and only while streams run.
 package turn
 
 import (
@@ -14,19 +14,21 @@
 )
 
 const (
-	// streamsPart is what the streams get between two prompts, in terms of the time that the first is read for.
-	streamsPart = 0.1
+	// streamShare is what the streams get between two prefills, in terms of the time that the first takes.
+	streamShare = 0.1
 	// lead is about how long a prompt takes from its turn until the engine has it.
 	lead = 3 * time.Millisecond
 	// settle is how long after a turn nothing is known yet of the prompt at its engine: the instance that sends it
 	// tells with its next message.
 	settle = 50 * time.Millisecond
+	// shortWait is worth waiting also for a late answer: a caller that comes back would not be served sooner.
+	shortWait = 500 * time.Millisecond
 )
 
 // Prompt is a request that waits for its turn.
 type Prompt struct {
-	// Reading is how long the engine is expected to read it.
-	Reading time.Duration
+	// Prefill is how long the engine is expected to need for it.
+	Prefill time.Duration
 	// Tokens is its length.
 	Tokens   int
 	Priority int
@@ -40,11 +42,11 @@
 // goroutines.
 type Line struct {
 	waiting []*Prompt
-	// readUntil is when the engine has read what was let through, as far as foretold; next is when the next prompt
-	// may be sent, and last when the latest one was.
-	readUntil time.Time
-	next      time.Time
-	last      time.Time
+	// prefillUntil is when the prefill of what was let through is predicted to end; next is when the next prompt may be
+	// sent, and last when the latest one was.
+	prefillUntil time.Time
+	next         time.Time
+	last         time.Time
 }
 
 // Join adds a prompt. It has to be taken out by Take or Leave.
@@ -68,21 +70,23 @@
 	}
 	l.Leave(prompt)
 	l.last = now
-	l.readUntil = later(now, l.readUntil).Add(prompt.Reading)
-	l.next = l.readUntil.Add(-lead)
+	if l.prefillUntil.Before(now) {
+		l.prefillUntil = now
+	}
+	l.prefillUntil = l.prefillUntil.Add(prompt.Prefill)
+	l.next = l.prefillUntil.Add(-lead)
 	if streams {
-		l.next = l.next.Add(time.Duration(streamsPart * float64(prompt.Reading)))
+		l.next = l.next.Add(time.Duration(streamShare * float64(prompt.Prefill)))
 	}
 	return time.Time{}, true
 }
 
-// Idle takes note that the engine has nothing left to read: a prompt whose parts were kept is read sooner than
-// foretold.
+// Idle takes note that no prefill is left: a prompt whose prefix was cached takes less than predicted.
 func (l *Line) Idle(now time.Time) {
 	if now.Sub(l.last) < settle || !now.Before(l.next) {
 		return
 	}
-	l.readUntil = now
+	l.prefillUntil = now
 	l.next = now
 }
 
@@ -91,12 +95,18 @@
 	wait := max(l.next.Sub(now), 0)
 	for _, other := range l.waiting {
 		if other != prompt && l.isBefore(now, other, prompt) {
-			wait += other.Reading
+			wait += other.Prefill
 		}
 	}
 	return wait
 }
 
+// IsHopeless tells whether a prompt had better not wait: its answer would be late, and the wait is not short.
+func (l *Line) IsHopeless(now time.Time, prompt *Prompt) bool {
+	wait := l.Wait(now, prompt)
+	return wait > shortWait && now.Add(wait).After(prompt.OnTimeUntil)
+}
+
 // Tokens is the length of all that wait.
 func (l *Line) Tokens() (total int) {
 	for _, prompt := range l.waiting {
@@ -127,10 +137,3 @@
 	}
 	return a.joined.Before(b.joined)
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/placement/turn/line_test.go
+++ b/internal/placement/turn/line_test.go
@@ -14,7 +14,7 @@
 
 func prompt(reading time.Duration, priority int, onTimeFor time.Duration) *turn.Prompt {
 	return &turn.Prompt{
-		Reading: reading, Tokens: int(reading / ms), Priority: priority, OnTimeUntil: time.Now().Add(onTimeFor),
+		Prefill: reading, Tokens: int(reading / ms), Priority: priority, OnTimeUntil: time.Now().Add(onTimeFor),
 	}
 }
 
