--- a/internal/entry/node/order_right_test.go
+++ b/internal/entry/node/order_right_test.go
@@ -58,6 +58,17 @@
 	return n
 }
 
+// joined is such an instance with a lease, and the time for which its machine is taken to have been suspended.
+func joined(t *testing.T) (n *Node, suspended *time.Duration) {
+	t.Helper()
+	suspended = new(time.Duration)
+	n = uncheckedNode(suspended)
+	if err := n.renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return n, suspended
+}
+
 // holdingOf claims an upstream and gives the holding, whose loop has ended already so that tests decide its steps.
 func holdingOf(t *testing.T, n *Node, upstream string) *holding {
 	t.Helper()
@@ -73,9 +84,7 @@
 func TestNewLeaseGivesNoRightToWhatWasHeldBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var suspended time.Duration
-		n := uncheckedNode(&suspended)
-		is.NoErr(n.renew(t.Context()))
+		n, _ := joined(t)
 		h := holdingOf(t, n, "u")
 		is.True(h.mayOrder(time.Now()))
 		time.Sleep(6 * time.Second) // frozen
@@ -91,11 +100,9 @@
 func TestSuspendedInstanceDoesNotOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var suspended time.Duration
-		n := uncheckedNode(&suspended)
-		is.NoErr(n.renew(t.Context()))
+		n, suspended := joined(t)
 		h := holdingOf(t, n, "u")
-		suspended = 5 * time.Second
+		*suspended = 5 * time.Second
 		is.True(!h.mayOrder(time.Now()))
 		prepared := h.prepare(t.Context(), mesh.PrepareRequest{Upstream: "u", Patience: time.Second})
 		is.Equal(prepared, mesh.NotHolder{}) // the request goes elsewhere at once
@@ -107,9 +114,7 @@
 func TestNothingIsOrderedAtTheEndOfALease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var suspended time.Duration
-		n := uncheckedNode(&suspended)
-		is.NoErr(n.renew(t.Context()))
+		n, _ := joined(t)
 		h := holdingOf(t, n, "u")
 		time.Sleep(leaseTime - orderMargin - time.Millisecond)
 		is.True(h.mayOrder(time.Now()))
@@ -153,9 +158,7 @@
 func TestUpstreamThatWasLostIsOrderedAgainOnlyAfterAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var suspended time.Duration
-		n := uncheckedNode(&suspended)
-		is.NoErr(n.renew(t.Context()))
+		n, _ := joined(t)
 		first := holdingOf(t, n, "u")
 		first.node.holdings.noteOrder("u", time.Now())
 		n.drop("u") // another instance holds it for a while
--- a/internal/placement/residence/outcomes.go
+++ b/internal/placement/residence/outcomes.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
 // outcomes.go is what the outcome of an order tells of the upstream.
@@ -114,12 +112,3 @@
 	known.used = now
 	known.reservedUntil = now.Add(reserved)
 }
-
-// learnLoad takes note of how long a load took. One that was not seen from its order on tells nothing, nor does one
-// that replaced a version, which waits for the requests that use it.
-func (p *Planner) learnLoad(now time.Time, adapter traffic.Adapter, known *place) {
-	if adapter.Name != "" && known.state == loading && !known.orderedAt.IsZero() && known.checks > 0 {
-		p.loads(known).Done(now.Sub(known.orderedAt), known.checks == 1)
-	}
-	known.orderedAt = time.Time{}
-}
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"sort"
 	"time"
 
@@ -296,47 +295,6 @@
 	return known
 }
 
-// LoadTimes tells how long an adapter takes to load, from the weight store and where it was loaded lately, once
-// some loads were seen.
-func (p *Planner) LoadTimes() (full, reload time.Duration, seen bool) {
-	return p.fullLoads.Usual(), p.reloads.Usual(), p.fullLoads.Seen()
-}
-
-// firstCheck is how long after its order a load is first checked.
-func (p *Planner) firstCheck(adapter traffic.Adapter, known *place) time.Duration {
-	if adapter.Name == "" {
-		for _, model := range p.Engine.Models {
-			if model.Name == adapter.Model {
-				return model.LoadTime
-			}
-		}
-	}
-	return p.loads(known).FirstPoll()
-}
-
-// checkPause is the pause between two checks of a load.
-func (p *Planner) checkPause(adapter traffic.Adapter, known *place) time.Duration {
-	if adapter.Name == "" || known.orderedAt.IsZero() {
-		return checkAgain
-	}
-	return p.loads(known).NextPoll()
-}
-
-func (p *Planner) loads(known *place) *forecast.Load {
-	if known.reload {
-		return &p.reloads
-	}
-	return &p.fullLoads
-}
-
-func (p *Planner) remember(adapter traffic.Adapter) {
-	p.recent = slices.DeleteFunc(p.recent, func(known traffic.Adapter) bool { return known == adapter })
-	p.recent = append(p.recent, adapter)
-	if len(p.recent) > lately {
-		p.recent = p.recent[1:]
-	}
-}
-
 // check gives the order again whose end is due to be seen, or when the next is due.
 func (p *Planner) check(now time.Time) (order Order, at time.Time, found bool) {
 	for adapter, known := range p.places {
--- a/internal/placement/turn/line_test.go
+++ b/internal/placement/turn/line_test.go
@@ -18,6 +18,15 @@
 	}
 }
 
+// joined adds prompts to a line, one a millisecond.
+func joined(l *turn.Line, prompts ...*turn.Prompt) []*turn.Prompt {
+	for _, one := range prompts {
+		l.Join(time.Now(), one)
+		time.Sleep(ms)
+	}
+	return prompts
+}
+
 // serve lets all prompts through that wait, and tells when each was.
 func serve(l *turn.Line, streams bool, prompts ...*turn.Prompt) map[*turn.Prompt]time.Duration {
 	began := time.Now()
@@ -43,12 +52,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var l turn.Line
-		var prompts []*turn.Prompt
-		for range 4 {
-			one := prompt(300*ms, 1, time.Second)
-			l.Join(time.Now(), one)
-			prompts = append(prompts, one)
-		}
+		prompts := joined(&l, prompt(300*ms, 1, time.Second), prompt(300*ms, 1, time.Second),
+			prompt(300*ms, 1, time.Second), prompt(300*ms, 1, time.Second))
 		is.Equal(l.Tokens(), 1200)
 		taken := serve(&l, true, prompts...)
 		for i := 1; i < len(prompts); i++ {
@@ -65,8 +70,7 @@
 		is := is.New(t)
 		var l turn.Line
 		a, b := prompt(200*ms, 1, time.Second), prompt(200*ms, 1, time.Second)
-		l.Join(time.Now(), a)
-		l.Join(time.Now(), b)
+		joined(&l, a, b)
 		taken := serve(&l, false, a, b)
 		is.True(taken[b] <= 200*ms)
 	})
@@ -81,10 +85,7 @@
 		late := prompt(300*ms, 0, -ms)
 		patient := prompt(300*ms, 2, 5*time.Second)
 		urgent := prompt(20*ms, 0, time.Second)
-		for _, one := range []*turn.Prompt{late, patient, urgent} {
-			l.Join(time.Now(), one)
-			time.Sleep(ms)
-		}
+		joined(&l, late, patient, urgent)
 		is.Equal(l.Wait(time.Now(), urgent), time.Duration(0))
 		is.Equal(l.Wait(time.Now(), late), 320*ms)
 		taken := serve(&l, true, late, patient, urgent)
@@ -100,8 +101,7 @@
 		is := is.New(t)
 		var l turn.Line
 		kept, next := prompt(500*ms, 1, time.Second), prompt(100*ms, 1, time.Second)
-		l.Join(time.Now(), kept)
-		l.Join(time.Now(), next)
+		joined(&l, kept, next)
 		_, taken := l.Take(time.Now(), kept, true)
 		is.True(taken)
 		l.Idle(time.Now()) // its sender has not told yet that it is on its way
@@ -120,10 +120,25 @@
 		is := is.New(t)
 		var l turn.Line
 		gone, next := prompt(300*ms, 0, time.Second), prompt(300*ms, 1, time.Second)
-		l.Join(time.Now(), gone)
-		l.Join(time.Now(), next)
+		joined(&l, gone, next)
 		l.Leave(gone)
 		_, taken := l.Take(time.Now(), next, true)
 		is.True(taken)
 	})
 }
+
+// A queue of long prompts stands before an engine. Who would be late for it is told at once; held until the queue is
+// through, the caller could have been served elsewhere or come back by then. A short wait is worth it even if late.
+func TestHopelessWaitsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var l turn.Line
+		before := joined(&l, prompt(400*ms, 1, 5*time.Second), prompt(400*ms, 1, 5*time.Second))
+		hasty, calm := prompt(100*ms, 1, 600*ms), prompt(100*ms, 1, 5*time.Second)
+		joined(&l, hasty, calm)
+		is.True(l.IsHopeless(time.Now(), hasty))
+		is.True(!l.IsHopeless(time.Now(), calm))
+		l.Leave(before[0])
+		is.True(!l.IsHopeless(time.Now(), hasty)) // 400 ms are left
+	})
+}
