Claim an upstream on the revision on which it was found free

A holder who came meanwhile was known by then, so the claim was made on *its* revision and replaced it, while its lease was valid and it ordered. Where fences are checked the loser was fenced, and nobody noticed.

Ruled out: an order that is sent late. Orders end after 80 ms, half a second of the lease is left when they begin, and an instance that stops is followed after 300 ms.

The test failed before (the claim was made on revision 7 of another's key, 0 is owed).

--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -92,10 +92,10 @@
 // matchHoldings brings the loops in line with the keys.
 func (n *Node) matchHoldings(ctx context.Context, now time.Time) {
 	upstreams := n.engines()
-	var free []traffic.Upstream
+	var free []vacancy
 	for id, upstream := range upstreams {
-		if n.matchHolding(ctx, upstream, now) {
-			free = append(free, upstream)
+		if revision, vacant := n.matchHolding(ctx, upstream, now); vacant {
+			free = append(free, vacancy{upstream: upstream, revision: revision})
 			continue
 		}
 		delete(n.holdings.unheld, id)
@@ -110,8 +110,17 @@
 	}
 }
 
-// matchHolding holds or drops one upstream, and tells whether it is free to be claimed.
-func (n *Node) matchHolding(ctx context.Context, upstream traffic.Upstream, now time.Time) (free bool) {
+// vacancy is an upstream that was found free to be claimed, and the revision of its holder's key then, 0 for none.
+// The claim is made on that revision: a holder that others see before the claim is sent would be replaced otherwise.
+type vacancy struct {
+	upstream traffic.Upstream
+	revision int64
+}
+
+// matchHolding holds or drops one upstream, and tells whether it is free to be claimed on a revision of its key.
+func (n *Node) matchHolding(
+	ctx context.Context, upstream traffic.Upstream, now time.Time,
+) (onRevision int64, free bool) {
 	id := upstream.ID
 	n.knowledge.mutex.Lock()
 	holder, found := n.knowledge.roster.Holder(id)
@@ -119,21 +128,21 @@
 	n.knowledge.mutex.Unlock()
 	if upstream.Draining {
 		n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
-		return false
+		return 0, false
 	}
 	if found && holder.Incarnation == n.self.Incarnation {
 		n.hold(ctx, upstream, holder)
-		return false
+		return 0, false
 	}
 	if one := n.holdings.get(id); one != nil && one.fence > revision {
-		return false // claimed a moment ago; the store's word of it has not come yet
+		return 0, false // claimed a moment ago; the store's word of it has not come yet
 	}
 	n.drop(id)
 	if found && holder.Instance == n.self.Name && !n.stopping.Load() {
 		n.claim(ctx, upstream, holder.Fence) // left by this instance's last incarnation
-		return false
+		return 0, false
 	}
-	return !found || n.mayReplace() && n.isLost(now, holder.Instance)
+	return holder.Fence, !found || n.mayReplace() && n.isLost(now, holder.Instance)
 }
 
 // isLost tells whether a holder is silent although this instance hears most of the others. Its lease may
@@ -183,7 +192,7 @@
 }
 
 // claimInTurn claims the upstreams without a holder for which this instance is in line.
-func (n *Node) claimInTurn(ctx context.Context, free []traffic.Upstream, now time.Time) {
+func (n *Node) claimInTurn(ctx context.Context, free []vacancy, now time.Time) {
 	names := []string{n.self.Name}
 	for _, name := range n.others("") {
 		if n.beats.isAlive(now, name) {
@@ -197,31 +206,24 @@
 	}
 	n.knowledge.mutex.Unlock()
 	var subjects []string
-	for _, upstream := range free {
-		subjects = append(subjects, upstream.ID)
+	for _, vacant := range free {
+		subjects = append(subjects, vacant.upstream.ID)
 	}
 	lines := roster.Lines(subjects, names, held)
-	for _, upstream := range free {
-		since, found := n.holdings.unheld[upstream.ID]
+	for _, vacant := range free {
+		id := vacant.upstream.ID
+		since, found := n.holdings.unheld[id]
 		if !found {
-			n.holdings.unheld[upstream.ID] = now
+			n.holdings.unheld[id] = now
 			continue
 		}
-		turn := slices.Index(lines[upstream.ID], n.self.Name)
-		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep && !now.Before(n.ordersFrom(upstream.ID)) {
-			n.claim(ctx, upstream, n.fenceOf(upstream.ID))
+		turn := slices.Index(lines[id], n.self.Name)
+		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep && !now.Before(n.ordersFrom(id)) {
+			n.claim(ctx, vacant.upstream, vacant.revision)
 		}
 	}
 }
 
-// fenceOf is the revision of an upstream's key, 0 if it has none.
-func (n *Node) fenceOf(id string) int64 {
-	n.knowledge.mutex.Lock()
-	defer n.knowledge.mutex.Unlock()
-	holder, _ := n.knowledge.roster.Holder(id)
-	return holder.Fence
-}
-
 // claim makes this instance the holder if the key is still as known. It orders from then on, without
 // waiting for the store's word: after a restart of the whole fleet every adapter waits for a holder.
 func (n *Node) claim(ctx context.Context, upstream traffic.Upstream, revision int64) {
--- a/internal/entry/node/order_right_test.go
+++ b/internal/entry/node/order_right_test.go
@@ -147,7 +147,8 @@
 			now := time.Now()
 			n.beats.hear(now, roster.Instance{Name: "b"})
 			n.beats.hear(now, roster.Instance{Name: "c"})
-			is.Equal(n.matchHolding(t.Context(), traffic.Upstream{ID: "u"}, now), checked)
+			_, free := n.matchHolding(t.Context(), traffic.Upstream{ID: "u"}, now)
+			is.Equal(free, checked)
 		})
 	}
 }
@@ -172,3 +173,45 @@
 		is.True(again.mayOrder(time.Now()))
 	})
 }
+
+// claimedMeanwhile is a store in which another instance claims an upstream while the claim of one before it is under
+// way, and in which the instance learns of that at once.
+type claimedMeanwhile struct {
+	leasingStore
+	node       *Node
+	upstream   string
+	conditions map[string]int64
+}
+
+func (s *claimedMeanwhile) Commit(_ context.Context, t coordination.Transaction) (int64, error) {
+	for _, condition := range t.Conditions {
+		s.conditions[condition.Key] = condition.Revision
+	}
+	s.fence++
+	value, err := roster.EncodeHolder(roster.Holder{Instance: "other", Incarnation: "other", Lease: 9})
+	if err != nil {
+		return 0, err
+	}
+	s.node.knowledge.mutex.Lock()
+	defer s.node.knowledge.mutex.Unlock()
+	_, err = s.node.knowledge.roster.Apply(roster.HolderKey(s.upstream), value, 7, false)
+	return s.fence, err
+}
+
+// Guards against a claim that takes an upstream from another instance which claimed it after it had been found free:
+// both would order there.
+func TestClaimDoesNotReplaceAHolderWhoCameMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, _ := joined(t)
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		store := &claimedMeanwhile{node: n, upstream: "second", conditions: make(map[string]int64)}
+		n.Store = store
+		free := []vacancy{{upstream: traffic.Upstream{ID: "first"}}, {upstream: traffic.Upstream{ID: "second"}}}
+		n.claimInTurn(ended, free, time.Now())
+		time.Sleep(claimSettle)
+		n.claimInTurn(ended, free, time.Now())
+		is.Equal(store.conditions[roster.HolderKey("second")], int64(0))
+	})
+}
