--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -86,7 +86,7 @@
 	return found[1]
 }
 
-func start(t *testing.T, s *store, name string) *instance {
+func start(t testing.TB, s *store, name string) *instance {
 	t.Helper()
 	i := &instance{name: name, client: &client{store: s}, ended: make(chan error, 1), log: &lines{}}
 	i.settings = node.Settings{
@@ -126,7 +126,7 @@
 }
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+func eventually(t testing.TB, within time.Duration, what string, holds func() bool) {
 	t.Helper()
 	began := time.Now()
 	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -209,7 +208,7 @@
 	for _, vacant := range free {
 		subjects = append(subjects, vacant.upstream.ID)
 	}
-	lines := roster.Lines(subjects, names, held)
+	turns := roster.Turns(subjects, names, held, n.self.Name)
 	for _, vacant := range free {
 		id := vacant.upstream.ID
 		since, found := n.holdings.unheld[id]
@@ -217,8 +216,7 @@
 			n.holdings.unheld[id] = now
 			continue
 		}
-		turn := slices.Index(lines[id], n.self.Name)
-		if now.Sub(since) >= claimSettle+time.Duration(turn)*claimStep && !now.Before(n.ordersFrom(id)) {
+		if now.Sub(since) >= claimSettle+time.Duration(turns[id])*claimStep && !now.Before(n.ordersFrom(id)) {
 			n.claim(ctx, vacant.upstream, vacant.revision)
 		}
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -70,6 +71,8 @@
 type Roster struct {
 	instances map[string]Instance
 	holders   map[string]Holder
+	// listed is what Instances gives, nil after a change until it is needed.
+	listed []Instance
 }
 
 // Apply takes a key's change over; removed keys have no value. It tells whether the key is the fleet's.
@@ -88,6 +91,7 @@
 }
 
 func (r *Roster) applyInstance(name string, value []byte, removed bool) error {
+	r.listed = nil
 	if removed {
 		delete(r.instances, name)
 		return nil
@@ -122,13 +126,14 @@
 	return strings.CutPrefix(key, prefixHolders)
 }
 
-// Instances lists the live instances in the order of their names.
-func (r *Roster) Instances() (list []Instance) {
-	for _, instance := range r.instances {
-		list = append(list, instance)
+// Instances lists the live instances in the order of their names. The list is shared: callers do not change it.
+func (r *Roster) Instances() []Instance {
+	if r.listed == nil {
+		r.listed = slices.SortedFunc(maps.Values(r.instances), func(a, b Instance) int {
+			return strings.Compare(a.Name, b.Name)
+		})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list
+	return slices.Clip(r.listed)
 }
 
 // Instance finds a live instance.
@@ -180,35 +185,57 @@
 	return rank
 }
 
-// Lines gives, for each subject that has no holder, the order in which the named instances are in line for
-// it: those that hold the least first, among equals as Rank spreads them. Each subject counts as held by the
-// first in its line when the next one's line is made.
+// Turns gives, for each subject that has no holder, the place of an instance in the line of the named instances for it:
+// those that hold the least come first, among equals as Rank spreads them. Each subject counts as held by the first in
+// its line when the next one's line is made. The instance has to be among the names.
 //
 // Made for instances that stop and start again one after the other. In the order of Rank alone what they held
 // goes to those who have not stopped yet, nothing comes back, and in the end one instance holds nearly all:
 // when that one freezes, no adapter can be loaded anywhere.
-func Lines(subjects, names []string, held map[string]int) map[string][]string {
-	counts := make(map[string]int, len(names))
-	for _, name := range names {
-		counts[name] = held[name]
+func Turns(subjects, names []string, held map[string]int, instance string) map[string]int {
+	line := make([]candidate, len(names))
+	own := slices.Index(names, instance)
+	for i, name := range names {
+		line[i].held = held[name]
 	}
 	subjects = slices.Clone(subjects)
 	sort.Strings(subjects)
-	lines := make(map[string][]string, len(subjects))
+	turns := make(map[string]int, len(subjects))
+	var key []byte
 	for _, subject := range subjects {
-		line := slices.Clone(names)
-		sort.Slice(line, func(i, j int) bool {
-			if counts[line[i]] != counts[line[j]] {
-				return counts[line[i]] < counts[line[j]]
+		key = append(append(key[:0], subject...), 0)
+		subjectBytes := len(key)
+		for i, name := range names {
+			key = append(key[:subjectBytes], name...)
+			line[i].weight = xxhash.Sum64(key)
+		}
+		first := 0
+		turn := 0
+		for i, one := range line {
+			if one.isBefore(line[own]) {
+				turn++
+			}
+			if one.isBefore(line[first]) {
+				first = i
 			}
-			return weight(subject, line[i]) > weight(subject, line[j])
-		})
-		lines[subject] = line
-		if len(line) > 0 {
-			counts[line[0]]++
 		}
+		turns[subject] = turn
+		line[first].held++
+	}
+	return turns
+}
+
+// candidate is an instance in the line for a subject.
+type candidate struct {
+	held   int
+	weight uint64
+}
+
+func (c candidate) isBefore(other candidate) bool {
+	if c.held != other.held {
+		return c.held < other.held
 	}
-	return lines
+	return c.weight > other.weight
 }
 
 func weight(subject, name string) uint64 { return xxhash.Sum64String(subject + "\x00" + name) }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -83,9 +83,14 @@
 			}
 			free = append(free, subject)
 		}
-		for subject, line := range roster.Lines(free, live, held) {
-			holder[subject] = line[0]
+		for _, name := range live {
+			for subject, turn := range roster.Turns(free, live, held, name) {
+				if turn == 0 {
+					holder[subject] = name
+				}
+			}
 		}
+		is.Equal(len(holder), 9)
 	}
 	take(names)
 	for i, stopped := range names {
@@ -112,3 +117,40 @@
 	}
 	is.Equal(roster.Parts(0), roster.Parts(6)) // a small fleet's part does not depend on whom it has heard of yet
 }
+
+// Guards against lines that are sorted anew for each upstream without a holder: after a start of a large fleet that
+// takes an instance's whole processor, and nobody is served meanwhile.
+func TestTurnsOfALargeFleetAreFoundWithoutSorting(t *testing.T) {
+	is := is.New(t)
+	var subjects, names []string
+	for i := range 160 {
+		subjects = append(subjects, fmt.Sprint("upstream", i))
+	}
+	for i := range 195 {
+		names = append(names, fmt.Sprint("instance", i))
+	}
+	used := testing.AllocsPerRun(3, func() { roster.Turns(subjects, names, nil, names[0]) })
+	is.True(used < 100)
+	first := 0
+	for _, name := range names {
+		for _, turn := range roster.Turns(subjects, names, nil, name) {
+			if turn == 0 {
+				first++
+			}
+		}
+	}
+	is.Equal(first, len(subjects)) // each subject has one that is first
+}
+
+func BenchmarkTurns(b *testing.B) {
+	var subjects, names []string
+	for i := range 160 {
+		subjects = append(subjects, fmt.Sprint("upstream", i))
+	}
+	for i := range 195 {
+		names = append(names, fmt.Sprint("instance", i))
+	}
+	for b.Loop() {
+		roster.Turns(subjects, names, nil, names[0])
+	}
+}
