Pass states on through relays, and report loads to holders, in place of a full mesh

Cause: each instance kept a loop, a gRPC connection each way and heartbeats for every other one: 388 connections and some 880 goroutines at 195 instances.

Now some instances of each data centre are relays (at least 11, else the square root of the fleet), linked with each other; every other instance keeps one link, to a relay. A link is one stream, over which both ends send what the other lacks each 250 ms, at once if it is urgent; each state reaches each instance once (gossip.Table). A fleet of up to 11 instances is all relays, so there is no second mechanism for small ones. What is in flight goes to the holder alone, at every size, again each second, and the holder's sum is in its state. Connections for that are made when needed and end after 5 s.

Ruled out: partial views with random peers (the bytes grow with the fleet, or the age does); one relay for each data centre (it carries all); answering with copies over each edge of an overlay (seven copies of each state at 195).

Tests of what went are replaced: the state's parts and messages arrive whole, news wakes every link and nothing else does, a new holder gets a report at once; new: each state reaches every instance once, links of one instance grow slower than the fleet, states arrive after relays are lost, a restarted instance's state is newer.

--- a/internal/entry/node/asking.go
+++ b/internal/entry/node/asking.go
@@ -23,7 +23,7 @@
 		return one.prepare(ctx, request)
 	}
 	instance, found := n.holderOf(request.Upstream)
-	if !found || instance.Name == n.self.Name || !n.beats.isAlive(time.Now(), instance.Name) {
+	if !found || instance.Name == n.self.Name || !n.overlay.isAlive(time.Now(), instance.Name) {
 		return mesh.NotHolder{}
 	}
 	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
@@ -46,12 +46,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	beat, err := n.peers.Ask(ctx, instance.Address, n.loadBeat(instance.Name))
+	held, err := n.peers.Ask(ctx, instance.Address, n.loadReport(instance.Name))
 	if err != nil {
 		n.Log.Debug().Err(err).Str("Upstream", upstream).Str("Holder", instance.Name).Msg("AskFailed")
 		return
 	}
-	n.learnHeld(beat)
+	n.learnHeld(held)
 }
 
 // holderOf is the live instance that holds an upstream.
@@ -76,6 +76,6 @@
 	holder, held := n.knowledge.roster.Holder(upstream)
 	n.knowledge.mutex.Unlock()
 	if held {
-		n.beats.touch(holder.Instance)
+		n.report(holder.Instance)
 	}
 }
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -148,13 +148,13 @@
 // run for seconds yet, in which nothing would be loaded at what it holds. If it lives after all, its next
 // order is refused for its fence, and it stops.
 func (n *Node) isLost(now time.Time, name string) bool {
-	if n.beats.isAlive(now, name) {
+	if n.overlay.isAlive(now, name) {
 		return false
 	}
 	heard := 0
 	others := n.others(name)
 	for _, other := range others {
-		if n.beats.isAlive(now, other) {
+		if n.overlay.isAlive(now, other) {
 			heard++
 		}
 	}
@@ -194,7 +194,7 @@
 func (n *Node) claimInTurn(ctx context.Context, free []vacancy, now time.Time) {
 	names := []string{n.self.Name}
 	for _, name := range n.others("") {
-		if n.beats.isAlive(now, name) {
+		if n.overlay.isAlive(now, name) {
 			names = append(names, name)
 		}
 	}
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -117,7 +117,7 @@
 		n.signal()
 	}
 	if news {
-		n.beats.spread()
+		n.overlay.wake(false)
 	}
 	return true
 }
@@ -145,7 +145,7 @@
 // later, so that nobody had the store's word for a while. Taken for an outage, the removal of an upstream's entry
 // would be put down to it, and requests would be sent to an upstream that left two seconds ago and is gone by now.
 func (n *Node) wasOutage(since time.Time) bool {
-	away, heard := n.beats.awaySince(since)
+	away, heard := n.overlay.storeFailedSince(since)
 	if n.storeFailed.Load() >= since.UnixNano() {
 		away++
 	}
@@ -169,7 +169,7 @@
 	}
 	if ours {
 		k.holders = nil
-		n.tellNewHolder(item.Key)
+		n.reportToNewHolder(item.Key)
 		return true
 	}
 	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
@@ -305,6 +305,7 @@
 		n.forgetLapsed(now)
 		n.tellPeers(now)
 		n.keepConnections()
+		n.keepPeerConnections()
 		if dropped := n.Dropped(); dropped > 0 {
 			n.Log.Error().Int("Events", dropped).Msg("LogDropped")
 		}
@@ -334,7 +335,7 @@
 	}
 	k.mutex.Unlock()
 	n.shareLimits(len(names))
-	silentAfter := silentBeats * n.beats.pace()
+	silentAfter := silentBeats * n.overlay.pace()
 	n.advice.With(func(a *serve.Advice) {
 		a.Ledger.SilentAfter = silentAfter
 		a.Ledger.SetPeers(now, names)
--- a/internal/entry/node/losses.go
+++ b/internal/entry/node/losses.go
@@ -78,7 +78,7 @@
 			a.Pool.Crashed(now, id)
 		})
 		n.Log.Warn().Str("Upstream", id).Int("Requests", len(fingerprints)).Msg("UpstreamCrashed")
-		n.beats.touchAll()
+		n.overlay.urge()
 	}
 }
 
--- a/internal/entry/node/news_test.go
+++ b/internal/entry/node/news_test.go
@@ -22,10 +22,11 @@
 
 func (upstreamsOnly) UpstreamID(key string) (string, bool) { return key, true }
 
-// In a fleet of a hundred upstreams some entry changes several times in each second, mostly because an adapter was
-// loaded. If each of these were told at once, by all who hear of it, the messages would take a quarter of the time
-// that small instances have. An upstream that comes, leaves or goes must be told at once: requests go there.
-func TestOnlyNewsIsToldAtOnce(t *testing.T) {
+// Guards against messages for what nobody has to know at once. In a fleet of a hundred upstreams some entry changes
+// several times in each second, mostly because an adapter was loaded. An upstream that comes, leaves or goes must be
+// known at once: requests go there.
+func TestOnlyNewsIsPassedOnAtOnce(t *testing.T) {
+	const links = 12
 	plain := traffic.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", Born: 1}
 	loaded := plain
 	loaded.Models = []traffic.LoadedModel{{Name: "m", Version: 1}}
@@ -37,27 +38,25 @@
 		name   string
 		before *traffic.Upstream
 		after  *traffic.Upstream
-		told   int
+		passed int
 	}{
-		{"it comes", nil, &plain, spreadTo},
+		{"it comes", nil, &plain, links},
 		{"it has loaded something", &plain, &loaded, 0},
-		{"it leaves", &loaded, &leaving, spreadTo},
-		{"it was started again", &loaded, &reborn, spreadTo},
-		{"it is gone", &loaded, nil, spreadTo},
+		{"it leaves", &loaded, &leaving, links},
+		{"it was started again", &loaded, &reborn, links},
+		{"it is gone", &loaded, nil, links},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			n := member(t, 80, nil)
+			n := nodeAmong(t, links, nil)
 			n.Decoder = upstreamsOnly{}
 			n.knowledge.replica.Merge(replica.Batch{Snapshot: true, Through: 1})
 			if c.before != nil {
 				n.merge(change(t, 2, c.before), time.Now())
 			}
-			for _, loop := range n.beats.peers {
-				loop.news = make(chan struct{}, 1)
-			}
+			asked(n)
 			n.merge(change(t, 3, c.after), time.Now())
-			is.Equal(len(told(&n.beats)), c.told)
+			is.Equal(asked(n), c.passed)
 		})
 	}
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -72,15 +72,16 @@
 	knowledge knowledge
 	advice    *serve.Advice
 	peers     *mesh.Peers
-	beats     beats
+	overlay   overlay
+	reports   reports
 	lease     lease
 	holdings  holdings
 	forward   *forward.Client
 	scope     tally.Scope
 	stopping  atomic.Bool
-	// storeAway: the last read of the store failed; storeFailed is when one last did, in Unix nanoseconds.
-	storeAway   atomic.Bool
-	storeFailed atomic.Int64
+	// storeUnreachable: the last read of the store failed; storeFailed is when one last did, in Unix nanoseconds.
+	storeUnreachable atomic.Bool
+	storeFailed      atomic.Int64
 
 	handler    *serve.Handler
 	callers    *http.Server
@@ -151,6 +152,7 @@
 	n.knowledge.wake = make(chan struct{}, 1)
 	n.lease.suspended = timeSuspended
 	n.holdings = newHoldings()
+	n.overlay.prepare(n.self.Name)
 	n.assembleAdvice()
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, Advice: n.advice, Log: n.Log, Scope: scope,
@@ -199,7 +201,8 @@
 	}
 	add(n.runReading)
 	add(n.runLease)
-	add(n.runBeats)
+	add(n.runGossip)
+	add(n.runReports)
 	add(n.runHoldings)
 	add(n.runTicks)
 	add(n.runReload)
--- a/internal/entry/node/order_right_test.go
+++ b/internal/entry/node/order_right_test.go
@@ -53,6 +53,7 @@
 	}
 	n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: false, ReturnAfter: 3 * time.Second}})
 	n.advice = &serve.Advice{Pool: &pool.Pool{Settings: pool.DefaultSettings()}}
+	n.overlay.prepare(n.self.Name)
 	n.lease.suspended = func() time.Duration { return *suspended }
 	n.knowledge.table.Store(traffic.NewTable(traffic.Configuration{}))
 	return n
@@ -145,8 +146,8 @@
 			is.NoErr(err)
 			n.knowledge.replica = replica.Replica{}
 			now := time.Now()
-			n.beats.hear(now, roster.Instance{Name: "b"})
-			n.beats.hear(now, roster.Instance{Name: "c"})
+			n.overlay.heard("b", now)
+			n.overlay.heard("c", now)
 			_, free := n.matchHolding(t.Context(), traffic.Upstream{ID: "u"}, now)
 			is.Equal(free, checked)
 		})
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -8,7 +8,6 @@
 	"github.com/matryer/is"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
-	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -41,10 +40,10 @@
 					n.storeFailed.Store(time.Now().UnixNano())
 				}
 				for _, peer := range []string{"b", "c", "d"} {
-					n.beats.hear(time.Now(), roster.Instance{Name: peer})
+					n.overlay.heard(peer, time.Now())
 				}
 				for _, peer := range c.peersAway {
-					n.beats.setAway(time.Now(), peer, true)
+					n.overlay.setStoreUnreachable(time.Now(), peer, true)
 				}
 				removed := replica.Item{Key: "u", Revision: 2, Removed: true}
 				is.True(n.merge(replica.Batch{After: 1, Through: 2, Items: []replica.Item{removed}}, time.Now()))
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -45,13 +45,13 @@
 		n.scope.Tagged(map[string]string{"reached": strconv.FormatBool(err == nil)}).Counter("store_reads").Inc(1)
 		if (err == nil) != reached && ctx.Err() == nil {
 			reached = err == nil
-			n.storeAway.Store(!reached)
-			n.beats.touchAll() // the next in line takes over, or need not read any more
+			n.storeUnreachable.Store(!reached)
+			n.overlay.urge() // the next in line takes over, or need not read any more
 			n.Log.Warn().Bool("Reached", reached).Err(err).Msg("Store")
 		}
 		if err != nil {
 			n.storeFailed.Store(time.Now().UnixNano())
-			pause(ctx, failurePause(n.beats.peerCount()))
+			pause(ctx, failurePause(n.overlay.peerCount()))
 			continue
 		}
 		pause(ctx, watchEvery-time.Since(began))
@@ -79,7 +79,7 @@
 	}
 	var names []string
 	for _, instance := range k.roster.Instances() {
-		if instance.Name == n.self.Name || n.beats.reads(now, instance.Name) {
+		if instance.Name == n.self.Name || n.overlay.reads(now, instance.Name) {
 			names = append(names, instance.Name)
 		}
 	}
--- a/internal/entry/node/sharing.go
+++ b/internal/entry/node/sharing.go
@@ -19,17 +19,13 @@
 func (n *Node) shareLimits(others int) {
 	parts := roster.Parts(others)
 	slack := n.current.Load().Retries.Slack
-	pace := n.beats.pace()
+	pace := n.overlay.pace()
 	loadsFor := time.Duration(loadsForBeats * float64(pace))
-	heldFor := loadsFor
-	if n.beats.isFullPace() {
-		heldFor = pace // what all tell of themselves is fresher from then on
-	}
 	n.advice.With(func(a *serve.Advice) {
 		a.Retries.Bound(slack / parts)
 		a.Pool.Settings.Instances = int(math.Ceil(parts))
 		a.Pool.Settings.HeardEvery = pace
-		a.Pool.Settings.HeldFor = heldFor
+		a.Pool.Settings.HeldFor = loadsFor
 		a.Pool.Settings.PeerLoadFor = max(loadsFor, pool.DefaultSettings().PeerLoadFor)
 	})
 }
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -33,6 +33,9 @@
 	// bufferBytes holds a usual heartbeat. The library's buffers of 32 KB, two for each connection, are several
 	// megabytes at an instance with eighty peers.
 	bufferBytes = 4 << 10
+	// idleFor is how long a connection stays without a call on it. An instance of a large fleet reports to a few of
+	// the others at a time; kept for good, its connections would be most of its memory.
+	idleFor = 5 * time.Second
 	// silentCalls is how many heartbeats in a row may time out until the connection is replaced: they go out
 	// several times a second, so a silent connection costs under a second.
 	silentCalls = 2
@@ -94,6 +97,7 @@
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfterIdle, Timeout: pingTimeout}),
+		grpc.WithIdleTimeout(idleFor),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: longestRedial},
 			MinConnectTimeout: pingTimeout,
@@ -115,6 +119,20 @@
 	}
 	known.silent++
 	if known.silent >= silentCalls {
+		l.drop(address)
+	}
+}
+
+// Drop closes the connection to a peer, if there is one, so that the next call makes a new one.
+func (l *Links) Drop(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.drop(address)
+}
+
+// drop is Drop where the lock is held.
+func (l *Links) drop(address string) {
+	if known := l.connections[address]; known != nil {
 		known.client.Close()
 		delete(l.connections, address)
 	}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -13,87 +17,132 @@
 
 // codec.go maps domain values to messages and back.
 
-func beatToWire(b Beat) *meshpb.Beat {
-	wire := &meshpb.Beat{
-		Instance:           b.Instance,
-		Incarnation:        b.Incarnation,
-		Revision:           b.Revision,
-		ConfirmedAgeMicros: b.ConfirmedAge.Microseconds(),
-		Stopping:           b.Stopping,
-		OnlyLoads:          b.Tells == TellsLoads,
-		OnlyRevision:       b.Tells == TellsRevision,
-		OnlySpent:          b.Tells == TellsSpent,
-		StoreAway:          b.StoreAway,
-		Address:            b.Address,
-	}
-	for workspace, units := range b.Spent {
-		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
+func messageToWire(m Message) *meshpb.GossipMessage {
+	wire := &meshpb.GossipMessage{
+		Instance:           m.Instance,
+		Address:            m.Address,
+		Attached:           m.Attached,
+		Revision:           m.Revision,
+		ConfirmedAgeMicros: m.ConfirmedAge.Microseconds(),
+	}
+	for _, record := range m.Records {
+		wire.Records = append(wire.Records, &meshpb.Record{
+			Instance:  record.Instance,
+			Version:   record.Version,
+			AgeMicros: record.Age.Microseconds(),
+			Urgent:    record.Urgent,
+			Content:   record.Content,
+		})
+	}
+	return wire
+}
+
+func messageFromWire(wire *meshpb.GossipMessage) Message {
+	m := Message{
+		Instance:     wire.GetInstance(),
+		Address:      wire.GetAddress(),
+		Attached:     wire.GetAttached(),
+		Revision:     wire.GetRevision(),
+		ConfirmedAge: micros(wire.GetConfirmedAgeMicros()),
 	}
-	for upstream, load := range b.Loads {
-		wire.Loads = append(wire.Loads, loadToWire(upstream, load))
+	for _, record := range wire.GetRecords() {
+		m.Records = append(m.Records, gossip.Record{
+			Instance: record.GetInstance(),
+			Version:  record.GetVersion(),
+			Age:      max(micros(record.GetAgeMicros()), 0),
+			Urgent:   record.GetUrgent(),
+			Content:  record.GetContent(),
+		})
+	}
+	return m
+}
+
+// EncodeState gives the content of an instance's record.
+func EncodeState(s State) ([]byte, error) {
+	wire := &meshpb.State{
+		Incarnation:      s.Incarnation,
+		Address:          s.Address,
+		StoreUnreachable: s.StoreUnreachable,
+		Loads:            loadsToWire(s.Loads),
+		Held:             loadsToWire(s.Held),
 	}
-	for upstream, load := range b.Held {
-		wire.Held = append(wire.Held, loadToWire(upstream, load))
+	for workspace, units := range s.Spent {
+		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
 	}
-	for _, residency := range b.Residencies {
+	for _, residency := range s.Residencies {
 		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
 	}
-	for _, count := range b.Suspects {
+	for _, count := range s.Suspects {
 		wire.Suspects = append(wire.Suspects, &meshpb.Suspect{
 			Fingerprint: string(count.Fingerprint),
 			Crashes:     int32(count.Crashes),
 			Cleared:     int32(count.Cleared),
 		})
 	}
-	return wire
+	return proto.Marshal(wire)
 }
 
-func partFromWire(wire *meshpb.Beat) Part {
-	switch {
-	case wire.GetOnlyLoads():
-		return TellsLoads
-	case wire.GetOnlyRevision():
-		return TellsRevision
-	case wire.GetOnlySpent():
-		return TellsSpent
+// DecodeState reads the content of an instance's record.
+func DecodeState(content []byte) (s State, err error) {
+	defer func() { err = errors.WithMessage(err, "mesh: state") }()
+	var wire meshpb.State
+	if err := proto.Unmarshal(content, &wire); err != nil {
+		return s, err
 	}
-	return TellsAll
-}
-
-func beatFromWire(wire *meshpb.Beat) Beat {
-	b := Beat{
-		Instance:     wire.GetInstance(),
-		Incarnation:  wire.GetIncarnation(),
-		Revision:     wire.GetRevision(),
-		ConfirmedAge: time.Duration(wire.GetConfirmedAgeMicros()) * time.Microsecond,
-		Spent:        make(quota.Spent, len(wire.GetSpent())),
-		Loads:        make(map[string]pool.Load, len(wire.GetLoads())),
-		Held:         make(map[string]pool.Load, len(wire.GetHeld())),
-		Stopping:     wire.GetStopping(),
-		Tells:        partFromWire(wire),
-		StoreAway:    wire.GetStoreAway(),
-		Address:      wire.GetAddress(),
+	s = State{
+		Incarnation:      wire.GetIncarnation(),
+		Address:          wire.GetAddress(),
+		StoreUnreachable: wire.GetStoreUnreachable(),
+		Spent:            make(quota.Spent, len(wire.GetSpent())),
+		Loads:            loadsFromWire(wire.GetLoads()),
+		Held:             loadsFromWire(wire.GetHeld()),
+		Residencies:      residenciesFromWire(wire.GetResidencies()),
 	}
 	for _, spent := range wire.GetSpent() {
-		b.Spent[spent.GetWorkspace()] = spent.GetUnits()
-	}
-	for _, load := range wire.GetLoads() {
-		b.Loads[load.GetUpstream()] = loadFromWire(load)
-	}
-	for _, load := range wire.GetHeld() {
-		b.Held[load.GetUpstream()] = loadFromWire(load)
-	}
-	for _, residency := range wire.GetResidencies() {
-		b.Residencies = append(b.Residencies, residencyFromWire(residency))
+		s.Spent[spent.GetWorkspace()] = spent.GetUnits()
 	}
 	for _, count := range wire.GetSuspects() {
-		b.Suspects = append(b.Suspects, suspect.Count{
+		s.Suspects = append(s.Suspects, suspect.Count{
 			Fingerprint: suspect.Fingerprint(count.GetFingerprint()),
 			Crashes:     int(count.GetCrashes()),
 			Cleared:     int(count.GetCleared()),
 		})
 	}
-	return b
+	return s, nil
+}
+
+func heldToWire(r HeldReport) *meshpb.HeldReport {
+	wire := &meshpb.HeldReport{Held: loadsToWire(r.Held)}
+	for _, residency := range r.Residencies {
+		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
+	}
+	return wire
+}
+
+func heldFromWire(wire *meshpb.HeldReport) HeldReport {
+	return HeldReport{Held: loadsFromWire(wire.GetHeld()), Residencies: residenciesFromWire(wire.GetResidencies())}
+}
+
+func residenciesFromWire(wire []*meshpb.Residency) (list []pool.Residency) {
+	for _, residency := range wire {
+		list = append(list, residencyFromWire(residency))
+	}
+	return list
+}
+
+func loadsToWire(loads map[string]pool.Load) (wire []*meshpb.Load) {
+	for upstream, load := range loads {
+		wire = append(wire, loadToWire(upstream, load))
+	}
+	return wire
+}
+
+func loadsFromWire(wire []*meshpb.Load) map[string]pool.Load {
+	loads := make(map[string]pool.Load, len(wire))
+	for _, load := range wire {
+		loads[load.GetUpstream()] = loadFromWire(load)
+	}
+	return loads
 }
 
 func loadToWire(upstream string, load pool.Load) *meshpb.Load {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -27,8 +27,13 @@
 	handler Handler
 }
 
-func (s service) Exchange(_ context.Context, wire *meshpb.Beat) (*meshpb.Beat, error) {
-	return beatToWire(s.handler.Exchange(beatFromWire(wire))), nil
+func (s service) Gossip(stream grpc.BidiStreamingServer[meshpb.GossipMessage, meshpb.GossipMessage]) error {
+	return s.handler.Gossip(stream.Context(), streamOf{wire: stream})
+}
+
+func (s service) Report(_ context.Context, wire *meshpb.LoadReport) (*meshpb.HeldReport, error) {
+	report := LoadReport{Instance: wire.GetInstance(), Loads: loadsFromWire(wire.GetLoads())}
+	return heldToWire(s.handler.Report(report)), nil
 }
 
 func (s service) CatchUp(_ context.Context, wire *meshpb.CatchUpRequest) (*meshpb.CatchUpReply, error) {
@@ -44,26 +49,40 @@
 // Peers makes calls by address. Set Links.Credentials before the first call.
 type Peers struct{ link.Links }
 
-// Exchange sends a heartbeat and returns the peer's.
-func (p *Peers) Exchange(ctx context.Context, address string, beat Beat) (Beat, error) {
-	answer, err := p.Ask(ctx, address, beat)
+// Gossip opens a link, which lasts until the context ends or the peer has enough of it.
+func (p *Peers) Gossip(ctx context.Context, address string) (_ Stream, err error) {
+	defer func() { err = errors.WithMessage(err, "mesh: gossip") }()
+	client, err := p.client(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := client.Gossip(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return streamOf{wire: stream}, nil
+}
+
+// Report sends a holder what is in flight at its upstreams, and gives what others have there. A connection on which
+// reports time out one after the other is replaced.
+func (p *Peers) Report(ctx context.Context, address string, report LoadReport) (HeldReport, error) {
+	answer, err := p.Ask(ctx, address, report)
 	p.Heard(address, err)
 	return answer, err
 }
 
-// Ask sends a beat that is a question, with little time for the answer. One that comes late says nothing of the
-// connection.
-func (p *Peers) Ask(ctx context.Context, address string, beat Beat) (_ Beat, err error) {
-	defer func() { err = errors.WithMessage(err, "mesh: exchange") }()
+// Ask is a Report with little time for the answer. One that comes late says nothing of the connection.
+func (p *Peers) Ask(ctx context.Context, address string, report LoadReport) (_ HeldReport, err error) {
+	defer func() { err = errors.WithMessage(err, "mesh: report") }()
 	client, err := p.client(address)
 	if err != nil {
-		return Beat{}, err
+		return HeldReport{}, err
 	}
-	wire, err := client.Exchange(ctx, beatToWire(beat))
+	wire, err := client.Report(ctx, &meshpb.LoadReport{Instance: report.Instance, Loads: loadsToWire(report.Loads)})
 	if err != nil {
-		return Beat{}, err
+		return HeldReport{}, err
 	}
-	return beatFromWire(wire), nil
+	return heldFromWire(wire), nil
 }
 
 // CatchUp asks a peer for the changes after a revision. The answer is compressed: a configuration of thousands of
@@ -104,3 +123,23 @@
 	}
 	return meshpb.NewMeshClient(connection), nil
 }
+
+// wireStream is either end of the library's stream.
+type wireStream interface {
+	Send(message *meshpb.GossipMessage) error
+	Recv() (*meshpb.GossipMessage, error)
+}
+
+type streamOf struct{ wire wireStream }
+
+// Send sends a message.
+func (s streamOf) Send(message Message) error { return s.wire.Send(messageToWire(message)) }
+
+// Receive waits for a message.
+func (s streamOf) Receive() (Message, error) {
+	wire, err := s.wire.Recv()
+	if err != nil {
+		return Message{}, err
+	}
+	return messageFromWire(wire), nil
+}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
@@ -21,18 +22,33 @@
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
-// echo is a peer that keeps what it is told and answers as it is set.
+// echo is a peer that keeps what it gets and answers as it is set.
 type echo struct {
-	beat     mesh.Beat
+	messages []mesh.Message
+	report   mesh.LoadReport
+	held     mesh.HeldReport
 	asked    mesh.PrepareRequest
 	after    int64
 	batch    replica.Batch
 	prepared mesh.Prepared
 }
 
-func (e *echo) Exchange(beat mesh.Beat) mesh.Beat {
-	e.beat = beat
-	return beat
+func (e *echo) Gossip(_ context.Context, stream mesh.Stream) error {
+	for {
+		message, err := stream.Receive()
+		if err != nil {
+			return nil
+		}
+		e.messages = append(e.messages, message)
+		if err := stream.Send(message); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *echo) Report(report mesh.LoadReport) mesh.HeldReport {
+	e.report = report
+	return e.held
 }
 
 func (e *echo) CatchUp(after int64) replica.Batch {
@@ -60,12 +76,33 @@
 	return peer, peers, listener.Addr().String()
 }
 
-func TestBeatArrivesWhole(t *testing.T) {
+func TestMessagesArriveWhole(t *testing.T) {
 	is := is.New(t)
 	peer, peers, address := serveEcho(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stream, err := peers.Gossip(ctx, address)
+	is.NoErr(err)
+	messages := []mesh.Message{
+		{Instance: "i", Address: "10.0.0.1:1", Attached: true, Revision: 7, ConfirmedAge: 250 * time.Millisecond},
+		{Revision: 8, ConfirmedAge: -time.Microsecond, Records: []gossip.Record{
+			{Instance: "j", Version: 5, Age: time.Second, Urgent: true, Content: []byte("x")}, {Instance: "k", Version: 2},
+		}},
+	}
+	for _, message := range messages {
+		is.NoErr(stream.Send(message))
+		answer, err := stream.Receive()
+		is.NoErr(err)
+		is.Equal(answer, message)
+	}
+	is.Equal(peer.messages, messages)
+}
+
+func TestStateArrivesWhole(t *testing.T) {
+	is := is.New(t)
 	a := traffic.Adapter{Model: "m", Name: "a"}
-	beat := mesh.Beat{
-		Instance: "i", Incarnation: "x", Address: "10.0.0.1:1", Revision: 7, ConfirmedAge: 250 * time.Millisecond, Stopping: true, StoreAway: true,
+	state := mesh.State{
+		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true,
 		Spent: quota.Spent{"w": 12.5},
 		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
 		Held:  map[string]pool.Load{"v": {Running: 5, Prompt: 100, Memory: 700}},
@@ -75,16 +112,33 @@
 		}},
 		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
 	}
-	answer, err := peers.Exchange(context.Background(), address, beat)
+	content, err := mesh.EncodeState(state)
 	is.NoErr(err)
-	is.Equal(peer.beat, beat)
-	is.Equal(answer, beat)
-	for _, part := range []mesh.Part{mesh.TellsLoads, mesh.TellsRevision, mesh.TellsSpent} {
-		beat.Tells = part
-		answer, err = peers.Exchange(context.Background(), address, beat)
-		is.NoErr(err)
-		is.Equal(answer, beat)
+	decoded, err := mesh.DecodeState(content)
+	is.NoErr(err)
+	is.Equal(decoded, state)
+	_, err = mesh.DecodeState([]byte{0xff})
+	is.True(err != nil)
+}
+
+func TestReportsArriveWhole(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	a := traffic.Adapter{Model: "m", Name: "a"}
+	report := mesh.LoadReport{Instance: "i", Loads: map[string]pool.Load{
+		"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}},
+	}}
+	peer.held = mesh.HeldReport{
+		Held: map[string]pool.Load{"u": {Running: 5, Prompt: 100, Memory: 700}},
+		Residencies: []pool.Residency{{
+			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond, Away: true,
+			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
+		}},
 	}
+	held, err := peers.Report(context.Background(), address, report)
+	is.NoErr(err)
+	is.Equal(peer.report, report)
+	is.Equal(held, peer.held)
 }
 
 func TestChangesArriveWhole(t *testing.T) {
@@ -139,9 +193,9 @@
 // slow is a peer that answers late.
 type slow struct{ echo }
 
-func (s *slow) Exchange(beat mesh.Beat) mesh.Beat {
+func (s *slow) Report(mesh.LoadReport) mesh.HeldReport {
 	time.Sleep(60 * time.Millisecond)
-	return beat
+	return mesh.HeldReport{}
 }
 
 // A holder is short of processor time and answers questions a little too late for those who ask. Its connection
@@ -159,11 +213,11 @@
 	defer peers.Close()
 	for range 6 {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-		_, err := peers.Ask(ctx, listener.Addr().String(), mesh.Beat{Tells: mesh.TellsLoads})
+		_, err := peers.Ask(ctx, listener.Addr().String(), mesh.LoadReport{})
 		is.True(err != nil)
 		cancel()
 	}
-	_, err = peers.Ask(context.Background(), listener.Addr().String(), mesh.Beat{Tells: mesh.TellsLoads})
+	_, err = peers.Ask(context.Background(), listener.Addr().String(), mesh.LoadReport{})
 	is.NoErr(err)
 	is.Equal(counting.accepted.Load(), int64(1))
 }
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -1,5 +1,5 @@
-// Package mesh carries what instances tell each other: heartbeats, the store's changes, and requests to
-// load adapters. It maps domain values to the wire and back, and keeps one connection to each peer.
+// Package mesh carries what instances send each other: their states, loads at upstreams, the store's changes, and
+// requests to load adapters. It maps domain values to the wire and back.
 package mesh
 
 import (
@@ -7,49 +7,61 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
-// Part is what of a beat is told.
-type Part string
-
-// The parts.
-const (
-	// TellsAll: every field counts.
-	TellsAll Part = ""
-	// TellsLoads: Loads, in answer to which a holder tells Held and Residencies.
-	TellsLoads Part = "loads"
-	// TellsRevision: the revision and what confirms it.
-	TellsRevision Part = "revision"
-	// TellsSpent: what the sender has admitted.
-	TellsSpent Part = "spent"
-)
+// Message is what goes over a link between two instances.
+type Message struct {
+	// Instance, Address and Attached say who sends; only in the first message of a link. Attached: the receiver passes
+	// on what concerns the sender.
+	Instance string
+	Address  string
+	Attached bool
+	// Revision of the sender's copy of the store, and ConfirmedAge, how long ago the store confirmed it as its newest;
+	// negative if not known.
+	Revision     int64
+	ConfirmedAge time.Duration
+	Records      []gossip.Record
+}
 
-// Beat is a heartbeat.
-type Beat struct {
-	Instance    string
+// State is what each instance lets all others know of itself.
+type State struct {
 	Incarnation string
 	// Address is where the instance talks to the others.
-	Address  string
-	Revision int64
-	// ConfirmedAge is how long ago the store confirmed the revision as its newest; negative if not known.
-	ConfirmedAge time.Duration
-	Spent        quota.Spent
-	// Loads is what the sender has under way, at upstreams of which the receiver is to know it.
+	Address          string
+	StoreUnreachable bool
+	Spent            quota.Spent
+	// Loads is what the instance has in flight at upstreams without a holder.
 	Loads map[string]pool.Load
-	// Held is what all instances but the receiver have under way at the upstreams that the sender holds, and
-	// Residencies what is loaded there.
+	// Held is what all instances have in flight at the upstreams that this one holds, and Residencies what is loaded
+	// there.
 	Held        map[string]pool.Load
 	Residencies []pool.Residency
 	Suspects    []suspect.Count
-	Stopping    bool
-	// Tells is what the beat tells besides who sends it.
-	Tells Part
-	// StoreAway: the instance does not reach the store.
-	StoreAway bool
+}
+
+// LoadReport is what an instance has in flight at the upstreams that the receiver holds.
+type LoadReport struct {
+	Instance string
+	Loads    map[string]pool.Load
+}
+
+// HeldReport is what all instances but the receiver have in flight at the upstreams that the sender holds, and what is
+// loaded there.
+type HeldReport struct {
+	Held        map[string]pool.Load
+	Residencies []pool.Residency
+}
+
+// Stream is one end of a link. Each side is used by one goroutine at a time.
+type Stream interface {
+	Send(message Message) error
+	// Receive waits for the next message; the error is io.EOF after the last one.
+	Receive() (Message, error)
 }
 
 // PrepareRequest asks the holder of an upstream for an adapter, and for the turn to send a prompt there.
@@ -84,7 +96,9 @@
 
 // Handler answers the peers' calls.
 type Handler interface {
-	Exchange(beat Beat) Beat
+	// Gossip serves a link that a peer has opened, until it breaks or the handler has enough of it.
+	Gossip(ctx context.Context, stream Stream) error
+	Report(report LoadReport) HeldReport
 	CatchUp(after int64) replica.Batch
 	Prepare(ctx context.Context, request PrepareRequest) Prepared
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -185,6 +186,15 @@
 	return rank
 }
 
+// Order lists the given names in the order in which a subject spreads them, as Rank does.
+func Order(subject string, names []string) []string {
+	weights := make(map[string]uint64, len(names))
+	for _, name := range names {
+		weights[name] = weight(subject, name)
+	}
+	return slices.SortedFunc(slices.Values(names), func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+}
+
 // Turns gives, for each subject that has no holder, the place of an instance in the line of the named instances for it:
 // those that hold the least come first, among equals as Rank spreads them. Each subject counts as held by the first in
 // its line when the next one's line is made. The instance has to be among the names.
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -37,8 +37,8 @@
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared
 	// Ask asks for what is loaded and under way at an upstream, for the next choice.
 	Ask(ctx context.Context, upstream string)
-	// TellSpent has some of the other instances told at once of what this one has admitted.
-	TellSpent(names []string)
+	// ShareSpent lets the other instances know at once what this one has admitted.
+	ShareSpent()
 	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
 	Touch(upstream string)
 	// Broke tells that an answer broke with its connection: the upstream may have crashed.
@@ -231,7 +231,7 @@
 	j.fingerprint = suspect.Of(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
 	var retryAfter time.Duration
 	admitted := false
-	var tell []string
+	shareSpent := false
 	verdict := suspect.Free
 	j.handler.Advice.With(func(a *Advice) {
 		verdict, retryAfter = a.Suspects.Judge(now, j.fingerprint)
@@ -239,11 +239,11 @@
 			retryAfter, admitted = a.Ledger.Admit(now, j.workspace.Name, j.cost)
 		}
 		if admitted {
-			tell = a.Ledger.TellDue(now)
+			shareSpent = len(a.Ledger.TellDue(now)) > 0
 		}
 	})
-	if len(tell) > 0 {
-		j.handler.Fleet.TellSpent(tell)
+	if shareSpent {
+		j.handler.Fleet.ShareSpent()
 	}
 	j.alone = verdict == suspect.Alone
 	switch {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -136,13 +136,20 @@
 	engines  map[string]traffic.Engine
 	// connections is what one upstream of a service takes of connections, if that is stated.
 	connections map[string]int
-	peers       map[string]peerLoads
+	peers       map[source]peerLoads
 	// paces is how long each service takes.
 	paces map[string]*pace
 	turn  int
 }
 
-// peerLoads is what another instance has under way.
+// source is where another instance's loads come from: its state, which all instances get, or its reports to the
+// holder of the upstreams.
+type source struct {
+	instance string
+	reported bool
+}
+
+// peerLoads is what another instance has in flight.
 type peerLoads struct {
 	at    time.Time
 	loads map[string]Load
@@ -236,11 +243,23 @@
 // until the holder is due to be heard again: the holder itself may be gone.
 const awayFor = 500 * time.Millisecond
 
-// LearnLoads takes note of what another instance has under way.
+// LearnLoads takes note of what another instance has in flight at upstreams without a holder, by its state.
 func (p *Pool) LearnLoads(now time.Time, instance string, loads map[string]Load) {
+	p.learn(now, source{instance: instance}, loads)
+}
+
+// LearnReport takes note of what another instance has in flight at the upstreams that this one holds.
+func (p *Pool) LearnReport(now time.Time, instance string, loads map[string]Load) {
+	p.learn(now, source{instance: instance, reported: true}, loads)
+}
+
+func (p *Pool) learn(now time.Time, from source, loads map[string]Load) {
 	p.prepare()
-	p.dropLoads(instance)
-	p.peers[instance] = peerLoads{at: now, loads: loads}
+	p.dropLoads(from)
+	if len(loads) == 0 {
+		return
+	}
+	p.peers[from] = peerLoads{at: now, loads: loads}
 	for id, load := range loads {
 		if u := p.upstreams[id]; u != nil {
 			u.beside = u.beside.plus(load)
@@ -248,27 +267,27 @@
 	}
 }
 
-// dropLoads takes out what another instance told last.
-func (p *Pool) dropLoads(instance string) {
-	for id, load := range p.peers[instance].loads {
+// dropLoads takes out what came last from a source.
+func (p *Pool) dropLoads(from source) {
+	for id, load := range p.peers[from].loads {
 		if u := p.upstreams[id]; u != nil {
 			u.beside = u.beside.minus(load)
 		}
 	}
-	delete(p.peers, instance)
+	delete(p.peers, from)
 }
 
-// dropSilent takes out what was told too long ago.
+// dropSilent takes out what is too old.
 func (p *Pool) dropSilent(now time.Time) {
-	for instance, peer := range p.peers {
+	for from, peer := range p.peers {
 		if now.Sub(peer.at) > p.Settings.PeerLoadFor {
-			p.dropLoads(instance)
+			p.dropLoads(from)
 		}
 	}
 }
 
-// LearnHeld takes note of what the holder of an upstream knows to be under way there from all instances but
-// this one. It is told at once of what begins and ends.
+// LearnHeld takes note of what the holder of an upstream knows to be in flight there from all instances but
+// this one, by its answer to a report.
 func (p *Pool) LearnHeld(now time.Time, id string, load Load) {
 	if u := p.upstreams[id]; u != nil {
 		u.held = load
@@ -276,14 +295,35 @@
 	}
 }
 
-// Beside is what all instances but a given one have under way at an upstream, for the instance that holds it.
+// LearnTotal takes note of what was in flight at an upstream from all instances at a moment, by the state of its
+// holder. What this instance has reported is taken out.
+func (p *Pool) LearnTotal(at time.Time, id string, total Load) {
+	u := p.upstreams[id]
+	if u == nil || u.heldAt.After(at) {
+		return
+	}
+	held := total.minus(u.reported)
+	u.held = Load{Running: max(held.Running, 0), Prompt: max(held.Prompt, 0), Memory: max(held.Memory, 0)}
+	u.heldAt = at
+}
+
+// Beside is what all instances but a given one have in flight at an upstream, for the instance that holds it.
 func (p *Pool) Beside(now time.Time, id, instance string) (total Load) {
+	total = p.Total(now, id)
+	for _, from := range []source{{instance: instance}, {instance: instance, reported: true}} {
+		total = total.minus(p.peers[from].loads[id])
+	}
+	return total
+}
+
+// Total is what all instances have in flight at an upstream, and the prompts that await their turn, for the instance
+// that holds it.
+func (p *Pool) Total(now time.Time, id string) (total Load) {
 	u := p.upstreams[id]
 	if u == nil {
 		return total
 	}
-	p.dropSilent(now)
-	total = u.own.plus(u.beside).minus(p.peers[instance].loads[id])
+	total = p.Sent(now, id)
 	total.Prompt += u.awaitingTurn
 	return total
 }
@@ -326,6 +366,16 @@
 	return loads
 }
 
+// Report is Own for the holder of the upstreams that are asked for.
+func (p *Pool) Report(asked func(upstream string) bool) map[string]Load {
+	for id, u := range p.upstreams {
+		if asked(id) {
+			u.reported = u.own
+		}
+	}
+	return p.Own(asked)
+}
+
 // InUse lists the adapters with requests under way at an upstream, from any instance.
 func (p *Pool) InUse(now time.Time, id string) (adapters []traffic.Adapter) {
 	if u := p.upstreams[id]; u != nil {
@@ -343,7 +393,7 @@
 func (p *Pool) prepare() {
 	if p.upstreams == nil {
 		p.upstreams = make(map[string]*upstream)
-		p.peers = make(map[string]peerLoads)
+		p.peers = make(map[source]peerLoads)
 		p.paces = make(map[string]*pace)
 	}
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -37,6 +37,8 @@
 	// held is what the holder said last to be under way there beside this instance's own.
 	held   Load
 	heldAt time.Time
+	// reported is what this instance had in flight there when it last reported it to the holder.
+	reported Load
 	// awaitingTurn is the tokens of the prompts that wait for their turn, where this instance holds the upstream.
 	awaitingTurn int
 	// loads is how long loads take there, if its holder has told.
