Look at holdings, members and readers when something changes, not ten times a second

Cause: with links instead of a mesh a fifth of what an instance of 195 spends at rest went into looking for upstreams without a holder (all upstreams, ten times a second), a tenth into going through the members, a tenth into the ledger's peers, a twentieth into the order of the readers: profiles of fleets at rest in one process.

Now each goes by what has changed (news of the store, the roster's list), and anyway after a longer time: holdings 300 ms unless one is vacant, members and peers 1 s, readers once the store's confirmation is 0.9 s old or somebody lost or regained the store. Changes of what upstreams have loaded wake nobody any more.

--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -23,8 +23,10 @@
 	claimStep = 400 * time.Millisecond
 	// claimSettle is the first one's wait, in which the roster fills after a start of the fleet.
 	claimSettle = 300 * time.Millisecond
-	// claimPause is the pause between two looks.
+	// claimPause is the pause between two looks while an upstream has no holder, and matchPause while each has one;
+	// changes in the store are looked at as they come.
 	claimPause = 100 * time.Millisecond
+	matchPause = 300 * time.Millisecond
 )
 
 type holdings struct {
@@ -75,21 +77,25 @@
 
 // runHoldings claims upstreams without a holder, and starts and ends the loops.
 func (n *Node) runHoldings(ctx context.Context) error {
+	wait := claimPause
 	for ctx.Err() == nil {
-		timer := time.NewTimer(claimPause)
+		timer := time.NewTimer(wait)
 		select {
 		case <-timer.C:
 		case <-n.knowledge.wake:
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		n.matchHoldings(ctx, time.Now())
+		wait = matchPause
+		if n.matchHoldings(ctx, time.Now()) {
+			wait = claimPause
+		}
 	}
 	return nil
 }
 
-// matchHoldings brings the loops in line with the keys.
-func (n *Node) matchHoldings(ctx context.Context, now time.Time) {
+// matchHoldings brings the loops in line with the keys, and tells whether an upstream is free to be claimed.
+func (n *Node) matchHoldings(ctx context.Context, now time.Time) (vacant bool) {
 	upstreams := n.engines()
 	var free []vacancy
 	for id, upstream := range upstreams {
@@ -107,6 +113,7 @@
 	if len(free) > 0 && !n.stopping.Load() {
 		n.claimInTurn(ctx, free, now)
 	}
+	return len(free) > 0
 }
 
 // vacancy is an upstream that was found free to be claimed, and the revision of its holder's key then, 0 for none.
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -36,6 +36,9 @@
 	roster  roster.Roster
 	// confirmed is when the store last vouched for the revision of the replica.
 	confirmed time.Time
+	// reader: this instance was the first in line to read the store when it last found out, among readers.
+	reader  bool
+	readers []roster.Instance
 	// returned is when the last outage ended.
 	returned time.Time
 	newest   map[traffic.Adapter]newest
@@ -45,8 +48,11 @@
 	lapsed map[string]time.Time
 	// holders is what liveHolders gives, nil after a change of the roster until it is needed.
 	holders map[string]string
-	// gone are instances that have left the roster lately; their part of the rates is still theirs.
-	gone map[string]time.Time
+	// gone are instances that have left the roster lately; their part of the rates is still theirs. It was brought up
+	// to date at peersSet by the roster's list then.
+	gone     map[string]time.Time
+	peersSet time.Time
+	peers    []roster.Instance
 
 	table atomic.Pointer[traffic.Table]
 }
@@ -113,10 +119,8 @@
 	for _, item := range changed {
 		news = n.apply(item) || news
 	}
-	if len(changed) > 0 {
-		n.signal()
-	}
 	if news {
+		n.signal()
 		n.overlay.wake(false)
 	}
 	return true
@@ -293,6 +297,8 @@
 	tick = 200 * time.Millisecond
 	// silentBeats is how many heartbeats of a peer may be missing until its part of the rates is reserved.
 	silentBeats = 3
+	// peersEvery is how often the ledger's peers are gone through while the roster does not change.
+	peersEvery = time.Second
 	// goneFor is how long an instance that left the roster keeps its part of the rates: it may be cut off
 	// from the store and the others, and still admit for its callers.
 	goneFor = 20 * time.Second
@@ -317,10 +323,17 @@
 func (n *Node) tellPeers(now time.Time) {
 	k := &n.knowledge
 	k.mutex.Lock()
+	instances := k.roster.Instances()
+	if now.Sub(k.peersSet) < peersEvery && isSameList(instances, k.peers) {
+		k.mutex.Unlock()
+		return
+	}
+	k.peersSet = now
+	k.peers = instances
 	if k.gone == nil {
 		k.gone = make(map[string]time.Time)
 	}
-	for _, instance := range k.roster.Instances() {
+	for _, instance := range instances {
 		if instance.Name != n.self.Name {
 			k.gone[instance.Name] = now
 		}
@@ -342,6 +355,11 @@
 	})
 }
 
+// isSameList tells whether two lists of the roster are one, which it gives as long as nothing changes.
+func isSameList(a, b []roster.Instance) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // keepConnections drops the connections to upstreams that are gone.
 func (n *Node) keepConnections() {
 	ids := make(map[string]bool)
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -26,6 +26,8 @@
 	// keepPeer is how long an instance that left the roster is still linked: entries lapse while the store is
 	// unreachable, and the instances need each other most then.
 	keepPeer = 20 * time.Second
+	// membersEvery is how often the members are gone through while the roster does not change.
+	membersEvery = time.Second
 	// unreachableFor is how long an instance to which a link failed is avoided where another one would do.
 	unreachableFor = 2 * time.Second
 )
@@ -42,6 +44,9 @@
 	// members are the instances that the roster shows or showed lately, and those that have opened a link though it
 	// does not: an instance that the store turns away right after its start knows the others only so.
 	members map[string]member
+	// membersSet is when they were gone through by the roster's list.
+	membersSet time.Time
+	roster     []roster.Instance
 	// topology is that of the members, valid while they are unchanged.
 	topology gossip.Topology
 	listed   []roster.Instance
@@ -50,6 +55,8 @@
 	// does.
 	storeFailed      map[string]time.Time
 	storeUnreachable map[string]bool
+	// readersChanged: somebody has lost or regained the store since the order of the readers was last found out.
+	readersChanged atomic.Bool
 	// alive are those that were when they were last looked at.
 	alive map[string]bool
 	// urged asks for the own state to be passed on at once.
@@ -86,6 +93,11 @@
 func (o *overlay) setMembers(now time.Time, instances []roster.Instance) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if now.Sub(o.membersSet) < membersEvery && isSameList(instances, o.roster) {
+		return
+	}
+	o.membersSet = now
+	o.roster = instances
 	for _, instance := range instances {
 		known, found := o.members[instance.Name]
 		if !found {
@@ -191,6 +203,9 @@
 func (o *overlay) setStoreUnreachable(now time.Time, name string, unreachable bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if o.storeUnreachable[name] != unreachable {
+		o.readersChanged.Store(true)
+	}
 	o.storeUnreachable[name] = unreachable
 	if unreachable {
 		o.storeFailed[name] = now
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -25,6 +25,9 @@
 	// readStep what each further one waits on top.
 	readAfter = 1100 * time.Millisecond
 	readStep  = 150 * time.Millisecond
+	// leaveReader is how old the store's confirmation may get until the order of the readers is found out anew although
+	// nothing is known to have changed. It is longer than a watch.
+	leaveReader = 900 * time.Millisecond
 	// readPause is the pause between two looks at whether to read, and after a failure in a small fleet.
 	readPause = 120 * time.Millisecond
 )
@@ -77,14 +80,21 @@
 	if k.replica.Revision() == 0 {
 		return true
 	}
+	instances := k.roster.Instances()
+	unchanged := !n.overlay.readersChanged.Swap(false) && isSameList(instances, k.readers)
+	if unchanged && !k.reader && now.Sub(k.confirmed) < leaveReader {
+		return false
+	}
+	k.readers = instances
 	var names []string
-	for _, instance := range k.roster.Instances() {
+	for _, instance := range instances {
 		if instance.Name == n.self.Name || n.overlay.reads(now, instance.Name) {
 			names = append(names, instance.Name)
 		}
 	}
 	rank := roster.Rank(readingOrder, n.self.Name, names)
-	if rank == 0 {
+	k.reader = rank == 0
+	if k.reader {
 		return true
 	}
 	return now.Sub(k.confirmed) > readAfter+time.Duration(rank)*readStep
