Share what is loaded and what was admitted as it changes in large fleets

Cause: a state is refreshed every 4.4 s at 195 instances. So a state has parts with versions of their own: what is loaded at held upstreams goes on as it changes, what was admitted lately every half second, the rest as before. Small fleets refresh all of it at each beat, as before.

Ruled out: sharing only what is short by the own estimate (a workspace that was not short when its limit fell is not known to be for seconds: the test showed 150,000 a second of 100,000 admitted for four seconds and then four seconds of nothing).

New tests: what is loaded goes on as it changes; a lowered limit of a large fleet is spent evenly (failed before, as above).

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -64,8 +64,10 @@
 type peer struct {
 	incarnation string
 	heard       time.Time
-	spent       Spent
-	reserved    Spent
+	// spent is nil until the peer has told all that it admitted, partly what it told of some workspaces before.
+	spent    Spent
+	partly   Spent
+	reserved Spent
 	// admitted is when it was last heard to have admitted something for a workspace.
 	admitted map[string]time.Time
 }
@@ -141,6 +143,45 @@
 	p.reserved = Spent{}
 }
 
+// HearSome takes note of what a peer has admitted in all for some workspaces, those for which it has admitted lately.
+//
+// Made for a large fleet, in which instances share all that they admitted only every few seconds. A workspace that asks
+// for more than its rate would be admitted by all of them until they hear of each other, and then by none until the debt
+// is paid.
+func (l *Ledger) HearSome(now time.Time, name, incarnation string, spent Spent) {
+	p := l.peers[name]
+	if p == nil {
+		return
+	}
+	l.advance(now)
+	if p.incarnation != incarnation && p.spent != nil {
+		return // all that the new incarnation admitted comes before long
+	}
+	for workspace, total := range spent {
+		before, known := p.spent[workspace]
+		if p.spent == nil {
+			before, known = p.partly[workspace]
+		}
+		if known || p.spent != nil {
+			l.deduct(workspace, total-before)
+			p.admitted[workspace] = now
+		}
+		p.note(workspace, total)
+	}
+}
+
+// note keeps what a peer told of one workspace.
+func (p *peer) note(workspace string, total float64) {
+	if p.spent != nil {
+		p.spent[workspace] = total
+		return
+	}
+	if p.partly == nil {
+		p.partly = Spent{}
+	}
+	p.partly[workspace] = total
+}
+
 // Admit takes a request's cost, or says when to come back. A request is admitted while the bucket is not
 // in debt, also if it costs more than is there: else one that costs more than the burst could never run.
 func (l *Ledger) Admit(now time.Time, workspace string, cost float64) (retryAfter time.Duration, admitted bool) {
@@ -188,12 +229,7 @@
 // rate to all instances: each would admit against the same tokens until the next heartbeat.
 func (l *Ledger) TellDue(now time.Time) (names []string) {
 	for workspace, spent := range l.own {
-		limit := l.limits[workspace]
-		b := l.buckets[workspace]
-		if b == nil || limit.Rate <= 0 || b.level > lowPart*limit.Burst {
-			continue
-		}
-		if spent-l.told[workspace] >= tellAfter*limit.Rate {
+		if l.isTight(workspace) && spent-l.told[workspace] >= tellAfter*l.limits[workspace].Rate {
 			l.told = maps.Clone(l.own)
 			return l.toTell(now, workspace)
 		}
@@ -215,9 +251,27 @@
 	return names
 }
 
-// Own is what this instance has admitted, for its heartbeats.
+// Own is what this instance has admitted.
 func (l *Ledger) Own() Spent { return maps.Clone(l.own) }
 
+// Since gives the workspaces for which more or less was admitted than before.
+func (s Spent) Since(before Spent) Spent {
+	changed := Spent{}
+	for workspace, spent := range s {
+		if spent != before[workspace] {
+			changed[workspace] = spent
+		}
+	}
+	return changed
+}
+
+// isTight tells whether a workspace's bucket may be emptied by others before they are heard.
+func (l *Ledger) isTight(workspace string) bool {
+	limit := l.limits[workspace]
+	b := l.buckets[workspace]
+	return b != nil && limit.Rate > 0 && b.level <= lowPart*limit.Burst
+}
+
 // ---------------------------------------------------------------------------------------------
 
 // leastRetryAfter keeps callers from asking again at once when a bucket is almost out of debt.
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -25,6 +25,10 @@
 	names     []string
 	admitted  []admission
 	lastBeats time.Time
+	// someEvery is how often all hear what others admitted lately, beside all that they admitted; 0 for never.
+	someEvery time.Duration
+	lastSome  time.Time
+	shared    map[string]quota.Spent
 	// every is the pace of the heartbeats, and urgent has an instance tell the others at once when its ledger
 	// asks for that.
 	every  time.Duration
@@ -80,6 +84,10 @@
 func (f *fleet) pass(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
+		if f.someEvery > 0 && time.Since(f.lastSome) >= f.someEvery {
+			f.lastSome = time.Now()
+			f.shareSome()
+		}
 		if time.Since(f.lastBeats) < f.every {
 			continue
 		}
@@ -102,6 +110,23 @@
 	}
 }
 
+// shareSome has all instances hear what each admitted lately.
+func (f *fleet) shareSome() {
+	for _, from := range f.names {
+		own := f.ledgers[from].Own()
+		some := own.Since(f.shared[from])
+		f.shared[from] = own
+		if len(some) == 0 {
+			continue
+		}
+		for _, to := range f.names {
+			if from != to {
+				f.ledgers[to].HearSome(time.Now(), from, fmt.Sprint(from, f.starts[from]), some)
+			}
+		}
+	}
+}
+
 func (f *fleet) admit(name string, cost float64) bool {
 	if f.down[name] {
 		return false
@@ -208,6 +233,38 @@
 	})
 }
 
+// Guards against a large fleet that admits too much for seconds after a limit was lowered, and then refuses everybody
+// until the debt is paid. Each instance sees few of the requests, and all hear of each other only every few seconds.
+func TestLoweredLimitOfALargeFleetIsSpentEvenly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 200_000, Burst: 200_000}, 60)
+		f.every = 4500 * time.Millisecond
+		f.someEvery = 500 * time.Millisecond
+		f.shared = make(map[string]quota.Spent)
+		for _, ledger := range f.ledgers {
+			ledger.SilentAfter = 3 * f.every
+		}
+		f.pass(5 * time.Second)
+		f.setRate(0.5)
+		const span = 24
+		admitted := make([]float64, span)
+		for second := range span {
+			for i := range 100 { // 150,000 a second of 100,000
+				if name := f.names[(second*100+i)*37%len(f.names)]; f.admit(name, 1500) {
+					admitted[second] += 1500
+				}
+				f.pass(10 * time.Millisecond)
+			}
+		}
+		t.Logf("admitted in each second: %.0f", admitted)
+		is.True(f.most(window) <= f.allowed())
+		for _, tokens := range admitted[2:] {
+			is.True(tokens >= 0.6*100_000)
+		}
+	})
+}
+
 // The callers of a workspace reach two of many instances. Those two need to hear of each other at once; telling
 // all the others would only load them.
 func TestOnlyThoseWhoAdmitAreTold(t *testing.T) {
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -87,7 +87,7 @@
 
 // runGossip keeps the links, and has the own state refreshed and passed on.
 func (n *Node) runGossip(ctx context.Context) error {
-	n.refreshState(false)
+	n.refreshState(time.Now(), false)
 	ticker := time.NewTicker(matchEvery)
 	defer ticker.Stop()
 	for beat := true; ctx.Err() == nil; {
@@ -101,8 +101,8 @@
 			pause(ctx, gatherFor)
 		case <-ctx.Done():
 		}
-		if urgent || beat && n.overlay.isRefreshDue(time.Now()) {
-			n.refreshState(urgent)
+		if urgent || beat {
+			n.refreshState(time.Now(), urgent)
 		}
 		switch {
 		case urgent:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -73,6 +73,7 @@
 	advice    *serve.Advice
 	peers     *mesh.Peers
 	overlay   overlay
+	refreshed refresh
 	reports   reports
 	lease     lease
 	holdings  holdings
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -61,8 +61,8 @@
 	alive map[string]bool
 	// urged asks for the own state to be passed on at once.
 	urged chan struct{}
-	// refreshed is when the own state was last refreshed.
-	refreshed time.Time
+	// spent is the version of the part by which it was last known what an instance has admitted.
+	spent map[string]int64
 	// catchingUp counts the instances from which changes are being fetched.
 	catchingUp atomic.Int32
 }
@@ -86,6 +86,7 @@
 	o.storeFailed = make(map[string]time.Time)
 	o.storeUnreachable = make(map[string]bool)
 	o.alive = make(map[string]bool)
+	o.spent = make(map[string]int64)
 	o.urged = make(chan struct{}, 1)
 }
 
@@ -229,6 +230,18 @@
 	return failed, heard
 }
 
+// noteSpent takes note of a part that shows what an instance has admitted, and tells whether no newer one was seen.
+// Parts may overtake each other on the way through a relay.
+func (o *overlay) noteSpent(record gossip.Record) (newest bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	newest = record.Version > o.spent[record.Instance]
+	if newest {
+		o.spent[record.Instance] = record.Version
+	}
+	return newest
+}
+
 // changesOfLife lists the instances that were heard again, or fell silent, since this was last asked.
 func (o *overlay) changesOfLife(now time.Time) (heard, silent []string) {
 	o.mutex.Lock()
--- a/internal/entry/node/reports_test.go
+++ b/internal/entry/node/reports_test.go
@@ -94,7 +94,7 @@
 	holders := map[string]string{"held0": "peer0", "held1": "peer1", "free": "", "lost": "gone"}
 	for _, others := range []int{7, 80} {
 		n := nodeAmong(t, others, holders)
-		is.Equal(names(n.state().Loads), "free lost")
+		is.Equal(names(n.state(time.Now()).Loads), "free lost")
 		is.Equal(names(n.loadReport("peer0").Loads), "held0")
 		is.Equal(names(n.loadReport("peer1").Loads), "held1")
 		is.Equal(names(n.loadReport("peer2").Loads), "")
--- a/internal/entry/node/states.go
+++ b/internal/entry/node/states.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
@@ -11,77 +15,179 @@
 
 // states.go builds this instance's state, and takes over the states of the others.
 
-// isRefreshDue tells whether the own state is to be refreshed. Half a beat is allowed for, as beats are not exact.
-func (o *overlay) isRefreshDue(now time.Time) bool {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return now.Sub(o.refreshed) >= statePace(o.others())-beatEvery/2
+// refresh is when a part of the own state was last refreshed.
+type refresh struct {
+	general time.Time
+	held    time.Time
+	// spent is what was admitted when the others were last let know.
+	spent   quota.Spent
+	spentAt time.Time
+	// loaded is a fingerprint of what was loaded at the held upstreams then.
+	loaded uint64
+}
+
+// refreshState replaces the parts of the own state that are due, or all. In a large fleet the general part is
+// refreshed every few seconds; what is loaded at the held upstreams goes on as it changes.
+//
+// Made for a fleet with some hundred places for adapters, half of which hold others every few seconds. By what was
+// loaded some seconds ago, requests go where their adapter is not any more, and adapters are fetched that are loaded
+// elsewhere.
+func (n *Node) refreshState(now time.Time, urgent bool) {
+	// Half a beat is allowed for, as beats are not exact.
+	since := now.Add(beatEvery/2 - n.overlay.pace())
+	general := urgent || !n.refreshed.general.After(since)
+	n.refreshSpent(now, general)
+	if general {
+		n.refreshed.general = now
+		n.setPart(gossip.PartGeneral, urgent, func() ([]byte, error) { return mesh.EncodeState(n.state(now)) })
+	}
+	residencies := n.holdings.residencies(now)
+	loaded := fingerprint(residencies)
+	if loaded != n.refreshed.loaded || !n.refreshed.held.After(since) {
+		n.refreshed.held = now
+		n.refreshed.loaded = loaded
+		n.setPart(gossip.PartHeld, false, func() ([]byte, error) { return mesh.EncodeHeld(n.held(now, residencies)) })
+	}
+}
+
+// spentEvery is how often an instance lets the others know what it has admitted lately, where the general part of its
+// state is refreshed more seldom.
+const spentEvery = 500 * time.Millisecond
+
+// refreshSpent lets the others know what was admitted lately, unless the general part does so.
+func (n *Node) refreshSpent(now time.Time, general bool) {
+	if !general && now.Sub(n.refreshed.spentAt) < spentEvery {
+		return
+	}
+	n.refreshed.spentAt = now
+	var spent quota.Spent
+	n.advice.With(func(a *serve.Advice) { spent = a.Ledger.Own() })
+	lately := spent.Since(n.refreshed.spent)
+	n.refreshed.spent = spent
+	if !general && len(lately) > 0 {
+		n.setPart(gossip.PartSpent, false, func() ([]byte, error) {
+			return mesh.EncodeState(mesh.State{Incarnation: n.self.Incarnation, Spent: lately})
+		})
+	}
 }
 
-// refreshState replaces the own state.
-func (n *Node) refreshState(urgent bool) {
-	content, err := mesh.EncodeState(n.state())
+func (n *Node) setPart(part gossip.Part, urgent bool, encode func() ([]byte, error)) {
+	content, err := encode()
 	if err != nil {
 		n.Log.Error().Err(err).Msg("StateNotEncoded")
 		return
 	}
 	n.overlay.mutex.Lock()
 	defer n.overlay.mutex.Unlock()
-	n.overlay.table.SetOwn(content, urgent)
-	n.overlay.refreshed = time.Now()
+	n.overlay.table.SetOwn(part, content, urgent)
 }
 
 // state is what this instance lets all others know of itself.
-func (n *Node) state() mesh.State {
-	now := time.Now()
+func (n *Node) state(now time.Time) mesh.State {
 	state := mesh.State{
 		Incarnation:      n.self.Incarnation,
 		Address:          n.self.Address,
 		StoreUnreachable: n.storeUnreachable.Load(),
-		Residencies:      n.holdings.residencies(now),
-		Held:             make(map[string]pool.Load),
 	}
 	holders := n.knowledge.liveHolders()
 	n.advice.With(func(a *serve.Advice) {
 		state.Spent = a.Ledger.Own()
 		state.Suspects = a.Suspects.Own(now)
 		state.Loads = a.Pool.Own(func(upstream string) bool { return holders[upstream] == "" })
-		for _, residency := range state.Residencies {
-			state.Held[residency.Upstream] = a.Pool.Total(now, residency.Upstream)
-		}
 	})
 	return state
 }
 
+// held is what this instance lets all others know of the upstreams that it holds.
+func (n *Node) held(now time.Time, residencies []pool.Residency) mesh.HeldReport {
+	held := mesh.HeldReport{Residencies: residencies, Held: make(map[string]pool.Load)}
+	n.advice.With(func(a *serve.Advice) {
+		for _, residency := range residencies {
+			held.Held[residency.Upstream] = a.Pool.Total(now, residency.Upstream)
+		}
+	})
+	return held
+}
+
+// fingerprint changes with what is loaded at upstreams, in whatever order it is listed.
+func fingerprint(residencies []pool.Residency) (sum uint64) {
+	for _, residency := range residencies {
+		sum += xxhash.Sum64String(fmt.Sprint(residency.Upstream, residency.Fence, residency.Away))
+		for _, resident := range residency.Loaded {
+			sum += xxhash.Sum64String(fmt.Sprint(residency.Upstream, resident))
+		}
+	}
+	return sum
+}
+
 // relayedAge is how old the state of an instance without a link of its own is taken to be.
 const relayedAge = beatEvery
 
-// learn takes over the state of another instance, which came from that instance itself or through relays.
+// learn takes over a part of the state of another instance, which came from that instance itself or through relays.
 func (n *Node) learn(now time.Time, record gossip.Record, direct bool) {
-	state, err := mesh.DecodeState(record.Content)
+	var err error
+	switch record.Part {
+	case gossip.PartHeld:
+		err = n.learnHeldUpstreams(now, record, direct)
+	case gossip.PartSpent:
+		err = n.learnSpent(now, record)
+	case gossip.PartGeneral:
+		err = n.learnState(now, record)
+	}
 	if err != nil {
 		n.Log.Warn().Err(err).Str("Peer", record.Instance).Int64("Version", record.Version).Msg("StateUnreadable")
-		return
 	}
-	at := now
-	if !direct {
-		at = now.Add(-relayedAge)
+}
+
+func (n *Node) learnState(now time.Time, record gossip.Record) error {
+	state, err := mesh.DecodeState(record.Content)
+	if err != nil {
+		return err
 	}
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
+	outdated := !n.overlay.noteSpent(record)
 	n.advice.With(func(a *serve.Advice) {
-		a.Ledger.Hear(now, record.Instance, state.Incarnation, state.Spent)
+		if !outdated {
+			a.Ledger.Hear(now, record.Instance, state.Incarnation, state.Spent)
+		}
 		a.Suspects.Merge(now, record.Instance, state.Suspects)
 		a.Pool.LearnLoads(now, record.Instance, state.Loads)
-		for _, residency := range state.Residencies {
+	})
+	if len(state.Loads) > 0 {
+		n.holdings.look()
+	}
+	return nil
+}
+
+func (n *Node) learnSpent(now time.Time, record gossip.Record) error {
+	state, err := mesh.DecodeState(record.Content)
+	if err != nil || !n.overlay.noteSpent(record) {
+		return err
+	}
+	n.advice.With(func(a *serve.Advice) {
+		a.Ledger.HearSome(now, record.Instance, state.Incarnation, state.Spent)
+	})
+	return nil
+}
+
+func (n *Node) learnHeldUpstreams(now time.Time, record gossip.Record, direct bool) error {
+	held, err := mesh.DecodeHeld(record.Content)
+	if err != nil {
+		return err
+	}
+	at := now
+	if !direct {
+		at = now.Add(-relayedAge)
+	}
+	n.advice.With(func(a *serve.Advice) {
+		for _, residency := range held.Residencies {
 			a.Pool.LearnResidency(now, residency)
 		}
-		for id, load := range state.Held {
+		for id, load := range held.Held {
 			a.Pool.LearnTotal(at, id, load)
 		}
 	})
-	if len(state.Loads) > 0 {
-		n.holdings.look()
-	}
+	return nil
 }
 
 // ShareSpent lets the other instances know at once what this one has admitted.
--- a/internal/fleet/gossip/fleet_test.go
+++ b/internal/fleet/gossip/fleet_test.go
@@ -39,7 +39,7 @@
 			received: make(map[string]int),
 		}
 		one.table.Self = name
-		one.table.SetOwn([]byte("first"), false)
+		one.table.SetOwn(gossip.PartGeneral, []byte("first"), false)
 		f.members = append(f.members, one)
 	}
 	return f
@@ -159,7 +159,7 @@
 		}
 	}
 	for _, one := range f.members {
-		one.table.SetOwn([]byte("second"), true)
+		one.table.SetOwn(gossip.PartGeneral, []byte("second"), true)
 	}
 	for range 4 {
 		f.step()
@@ -186,11 +186,11 @@
 	known := gossip.Table{Self: "a"}
 	known.Merge(now, &gossip.Link{}, []gossip.Record{{Instance: "b", Version: 900, Content: []byte("before")}})
 	restarted := gossip.Table{Self: "b", Version: 500}
-	restarted.SetOwn([]byte("after"), false)
+	restarted.SetOwn(gossip.PartGeneral, []byte("after"), false)
 	toRestarted := &gossip.Link{Attached: true}
 	fromKnown := known.Due(now, toRestarted, "")
 	is.Equal(len(restarted.Merge(now, &gossip.Link{}, fromKnown)), 0)
-	restarted.SetOwn([]byte("after"), false)
+	restarted.SetOwn(gossip.PartGeneral, []byte("after"), false)
 	changed := known.Merge(now, &gossip.Link{}, restarted.Due(now, &gossip.Link{}, "a"))
 	is.Equal(len(changed), 1)
 	is.Equal(string(changed[0].Content), "after")
--- a/internal/fleet/gossip/table.go
+++ b/internal/fleet/gossip/table.go
@@ -15,9 +15,26 @@
 	attachedFor = 2 * time.Second
 )
 
-// Record is the state of an instance.
+// Part of an instance's state that has versions of its own.
+type Part int
+
+// The parts.
+const (
+	// PartGeneral changes all the time, and is refreshed the less often the larger the fleet. Whether an instance lives
+	// goes with it.
+	PartGeneral Part = iota
+	// PartHeld is about the upstreams that the instance holds.
+	PartHeld
+	// PartSpent is what the instance has admitted for the workspaces for which it did so lately.
+	PartSpent
+
+	parts = iota
+)
+
+// Record is a part of the state of an instance.
 type Record struct {
 	Instance string
+	Part     Part
 	// Version rises with each change, also over restarts.
 	Version int64
 	// Age is how long ago the instance was last known to be alive.
@@ -35,16 +52,27 @@
 	// Version of the instance's own state; starts above any that an earlier incarnation used.
 	Version int64
 
-	entries map[string]*entry
+	entries map[key]*entry
+	lives   map[string]*life
 }
 
-// entry is the latest state of one instance.
+type key struct {
+	instance string
+	part     Part
+}
+
+// entry is the latest version of one part.
 type entry struct {
 	version int64
 	urgent  bool
 	content []byte
-	heard   time.Time
-	// attached is when it last came over a link of an attached instance.
+	life    *life
+}
+
+// life is when an instance was last known to be alive, and when something of it last came over a link of an attached
+// instance.
+type life struct {
+	heard    time.Time
 	attached time.Time
 }
 
@@ -53,19 +81,19 @@
 	// Attached: the other end is attached to this instance.
 	Attached bool
 
-	passed map[string]passed
+	passed map[key]passed
 }
 
-// passed is what the other end knows of an instance.
+// passed is what the other end knows of a part.
 type passed struct {
 	version int64
 	heard   time.Time
 }
 
-// SetOwn replaces the own state.
-func (t *Table) SetOwn(content []byte, urgent bool) {
+// SetOwn replaces a part of the own state.
+func (t *Table) SetOwn(part Part, content []byte, urgent bool) {
 	t.Version++
-	own := t.entry(t.Self)
+	own := t.entry(key{instance: t.Self, part: part})
 	own.version = t.Version
 	own.content = content
 	own.urgent = urgent
@@ -73,14 +101,14 @@
 
 // Heard takes note that an instance was alive at a moment.
 func (t *Table) Heard(name string, at time.Time) {
-	if one := t.entry(name); at.After(one.heard) {
+	if one := t.life(name); at.After(one.heard) {
 		one.heard = at
 	}
 }
 
 // LastHeard is when an instance was last known to be alive, zero if never.
 func (t *Table) LastHeard(name string) time.Time {
-	if one := t.entries[name]; one != nil {
+	if one := t.lives[name]; one != nil {
 		return one.heard
 	}
 	return time.Time{}
@@ -88,7 +116,7 @@
 
 // Each calls a function with each other instance and when it was last known to be alive.
 func (t *Table) Each(visit func(name string, heard time.Time)) {
-	for name, one := range t.entries {
+	for name, one := range t.lives {
 		if name != t.Self {
 			visit(name, one.heard)
 		}
@@ -97,9 +125,12 @@
 
 // Forget drops the instances that were last alive before a moment.
 func (t *Table) Forget(before time.Time) {
-	for name, one := range t.entries {
+	for name, one := range t.lives {
 		if name != t.Self && one.heard.Before(before) {
-			delete(t.entries, name)
+			delete(t.lives, name)
+			for part := range Part(parts) {
+				delete(t.entries, key{instance: name, part: part})
+			}
 		}
 	}
 }
@@ -107,49 +138,49 @@
 // Due gives what the other end of a link lacks, and takes it that it will get it.
 func (t *Table) Due(now time.Time, link *Link, peer string) (records []Record) {
 	if link.passed == nil {
-		link.passed = make(map[string]passed)
+		link.passed = make(map[key]passed)
 	}
 	t.Heard(t.Self, now)
-	for name, one := range t.entries {
-		if name == peer || one.version == 0 || !link.Attached && !t.isAttached(now, name, one) {
+	for of, one := range t.entries {
+		if of.instance == peer || one.version == 0 || !link.Attached && !t.isAttached(now, of.instance, one.life) {
 			continue
 		}
-		before := link.passed[name]
+		before := link.passed[of]
 		newer := one.version > before.version
-		if !newer && one.heard.Sub(before.heard) < pulseEvery {
+		pulse := of.part == PartGeneral && one.life.heard.Sub(before.heard) >= pulseEvery
+		if !newer && !pulse {
 			continue
 		}
-		record := Record{Instance: name, Version: one.version, Age: now.Sub(one.heard)}
+		record := Record{Instance: of.instance, Part: of.part, Version: one.version, Age: now.Sub(one.life.heard)}
 		if newer {
 			record.Content = one.content
 			record.Urgent = one.urgent
 		}
 		records = append(records, record)
-		link.passed[name] = passed{version: one.version, heard: one.heard}
+		link.passed[of] = passed{version: one.version, heard: one.life.heard}
 	}
 	return records
 }
 
-// Merge takes over what came over a link, and gives the states that are new, own ones left out.
+// Merge takes over what came over a link, and gives the parts that are new, own ones left out.
 func (t *Table) Merge(now time.Time, link *Link, records []Record) (changed []Record) {
 	if link.passed == nil {
-		link.passed = make(map[string]passed)
+		link.passed = make(map[key]passed)
 	}
 	for _, record := range records {
 		if record.Instance == t.Self {
 			t.Version = max(t.Version, record.Version)
 			continue
 		}
-		one := t.entry(record.Instance)
+		of := key{instance: record.Instance, part: record.Part}
+		one := t.entry(of)
 		heard := now.Add(-record.Age)
-		if heard.After(one.heard) {
-			one.heard = heard
-		}
+		t.Heard(record.Instance, heard)
 		if link.Attached {
-			one.attached = now
+			one.life.attached = now
 		}
-		if known := link.passed[record.Instance]; record.Version >= known.version {
-			link.passed[record.Instance] = passed{version: record.Version, heard: heard}
+		if known := link.passed[of]; record.Version >= known.version {
+			link.passed[of] = passed{version: record.Version, heard: heard}
 		}
 		if record.Content == nil || record.Version <= one.version {
 			continue
@@ -165,18 +196,30 @@
 // ---------------------------------------------------------------------------------------------
 
 // isAttached tells whether a state is this instance's to pass on to other relays.
-func (t *Table) isAttached(now time.Time, name string, one *entry) bool {
-	return name == t.Self || now.Sub(one.attached) < attachedFor
+func (t *Table) isAttached(now time.Time, name string, of *life) bool {
+	return name == t.Self || now.Sub(of.attached) < attachedFor
 }
 
-func (t *Table) entry(name string) *entry {
+func (t *Table) entry(of key) *entry {
 	if t.entries == nil {
-		t.entries = make(map[string]*entry)
+		t.entries = make(map[key]*entry)
+	}
+	one := t.entries[of]
+	if one == nil {
+		one = &entry{life: t.life(of.instance)}
+		t.entries[of] = one
+	}
+	return one
+}
+
+func (t *Table) life(name string) *life {
+	if t.lives == nil {
+		t.lives = make(map[string]*life)
 	}
-	one := t.entries[name]
+	one := t.lives[name]
 	if one == nil {
-		one = &entry{}
-		t.entries[name] = one
+		one = &life{}
+		t.lives[name] = one
 	}
 	return one
 }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -32,6 +32,7 @@
 			AgeMicros: record.Age.Microseconds(),
 			Urgent:    record.Urgent,
 			Content:   record.Content,
+			Part:      partToWire(record.Part),
 		})
 	}
 	return wire
@@ -48,6 +49,7 @@
 	for _, record := range wire.GetRecords() {
 		m.Records = append(m.Records, gossip.Record{
 			Instance: record.GetInstance(),
+			Part:     partFromWire(record.GetPart()),
 			Version:  record.GetVersion(),
 			Age:      max(micros(record.GetAgeMicros()), 0),
 			Urgent:   record.GetUrgent(),
@@ -57,21 +59,39 @@
 	return m
 }
 
-// EncodeState gives the content of an instance's record.
+func partToWire(part gossip.Part) meshpb.RecordPart {
+	switch part {
+	case gossip.PartHeld:
+		return meshpb.RecordPart_RECORD_PART_HELD
+	case gossip.PartSpent:
+		return meshpb.RecordPart_RECORD_PART_SPENT
+	default:
+		return meshpb.RecordPart_RECORD_PART_GENERAL
+	}
+}
+
+func partFromWire(part meshpb.RecordPart) gossip.Part {
+	switch part {
+	case meshpb.RecordPart_RECORD_PART_HELD:
+		return gossip.PartHeld
+	case meshpb.RecordPart_RECORD_PART_SPENT:
+		return gossip.PartSpent
+	default:
+		return gossip.PartGeneral
+	}
+}
+
+// EncodeState gives the content of the general record of an instance.
 func EncodeState(s State) ([]byte, error) {
 	wire := &meshpb.State{
 		Incarnation:      s.Incarnation,
 		Address:          s.Address,
 		StoreUnreachable: s.StoreUnreachable,
 		Loads:            loadsToWire(s.Loads),
-		Held:             loadsToWire(s.Held),
 	}
 	for workspace, units := range s.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
 	}
-	for _, residency := range s.Residencies {
-		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
-	}
 	for _, count := range s.Suspects {
 		wire.Suspects = append(wire.Suspects, &meshpb.Suspect{
 			Fingerprint: string(count.Fingerprint),
@@ -82,7 +102,7 @@
 	return proto.Marshal(wire)
 }
 
-// DecodeState reads the content of an instance's record.
+// DecodeState reads the content of the general record of an instance.
 func DecodeState(content []byte) (s State, err error) {
 	defer func() { err = errors.WithMessage(err, "mesh: state") }()
 	var wire meshpb.State
@@ -95,8 +115,6 @@
 		StoreUnreachable: wire.GetStoreUnreachable(),
 		Spent:            make(quota.Spent, len(wire.GetSpent())),
 		Loads:            loadsFromWire(wire.GetLoads()),
-		Held:             loadsFromWire(wire.GetHeld()),
-		Residencies:      residenciesFromWire(wire.GetResidencies()),
 	}
 	for _, spent := range wire.GetSpent() {
 		s.Spent[spent.GetWorkspace()] = spent.GetUnits()
@@ -111,6 +129,19 @@
 	return s, nil
 }
 
+// EncodeHeld gives the content of a record about the upstreams that an instance holds.
+func EncodeHeld(r HeldReport) ([]byte, error) { return proto.Marshal(heldToWire(r)) }
+
+// DecodeHeld reads the content of a record about the upstreams that an instance holds.
+func DecodeHeld(content []byte) (r HeldReport, err error) {
+	defer func() { err = errors.WithMessage(err, "mesh: held upstreams") }()
+	var wire meshpb.HeldReport
+	if err := proto.Unmarshal(content, &wire); err != nil {
+		return r, err
+	}
+	return heldFromWire(&wire), nil
+}
+
 func heldToWire(r HeldReport) *meshpb.HeldReport {
 	wire := &meshpb.HeldReport{Held: loadsToWire(r.Held)}
 	for _, residency := range r.Residencies {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -86,7 +86,7 @@
 	messages := []mesh.Message{
 		{Instance: "i", Address: "10.0.0.1:1", Attached: true, Revision: 7, ConfirmedAge: 250 * time.Millisecond},
 		{Revision: 8, ConfirmedAge: -time.Microsecond, Records: []gossip.Record{
-			{Instance: "j", Version: 5, Age: time.Second, Urgent: true, Content: []byte("x")}, {Instance: "k", Version: 2},
+			{Instance: "j", Version: 5, Age: time.Second, Urgent: true, Content: []byte("x")}, {Instance: "k", Version: 2, Part: gossip.PartHeld},
 		}},
 	}
 	for _, message := range messages {
@@ -103,13 +103,8 @@
 	a := traffic.Adapter{Model: "m", Name: "a"}
 	state := mesh.State{
 		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true,
-		Spent: quota.Spent{"w": 12.5},
-		Loads: map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
-		Held:  map[string]pool.Load{"v": {Running: 5, Prompt: 100, Memory: 700}},
-		Residencies: []pool.Residency{{
-			Upstream: "u", Fence: 4, Idle: 2, Wait: 300 * time.Millisecond, Away: true,
-			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
-		}},
+		Spent:    quota.Spent{"w": 12.5},
+		Loads:    map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
 		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
 	}
 	content, err := mesh.EncodeState(state)
@@ -139,6 +134,13 @@
 	is.NoErr(err)
 	is.Equal(peer.report, report)
 	is.Equal(held, peer.held)
+	content, err := mesh.EncodeHeld(peer.held)
+	is.NoErr(err)
+	held, err = mesh.DecodeHeld(content)
+	is.NoErr(err)
+	is.Equal(held, peer.held)
+	_, err = mesh.DecodeHeld([]byte{0xff})
+	is.True(err != nil)
 }
 
 func TestChangesArriveWhole(t *testing.T) {
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -36,12 +36,8 @@
 	StoreUnreachable bool
 	Spent            quota.Spent
 	// Loads is what the instance has in flight at upstreams without a holder.
-	Loads map[string]pool.Load
-	// Held is what all instances have in flight at the upstreams that this one holds, and Residencies what is loaded
-	// there.
-	Held        map[string]pool.Load
-	Residencies []pool.Residency
-	Suspects    []suspect.Count
+	Loads    map[string]pool.Load
+	Suspects []suspect.Count
 }
 
 // LoadReport is what an instance has in flight at the upstreams that the receiver holds.
@@ -50,8 +46,8 @@
 	Loads    map[string]pool.Load
 }
 
-// HeldReport is what all instances but the receiver have in flight at the upstreams that the sender holds, and what is
-// loaded there.
+// HeldReport is what is in flight at the upstreams that the sender holds, and what is loaded there. As a part of the
+// sender's state it counts all instances, in answer to a report all but the receiver.
 type HeldReport struct {
 	Held        map[string]pool.Load
 	Residencies []pool.Residency
