Have instances learn from each other how long engines take

An instance of the large fleet sees three answers a second, nearly all of idle engines, so what a queue costs was fitted to noise. Ruled out: questions to holders not answered (8% of 2,029), late words on loads (answers came after 13 ms at the median and were right), slow upstreams (late requests are spread over all).

Now each state carries the sums of the fit, and forecasts go by the sums of all.

--- a/internal/entry/node/states.go
+++ b/internal/entry/node/states.go
@@ -93,6 +93,7 @@
 	n.advice.With(func(a *serve.Advice) {
 		state.Spent = a.Ledger.Own()
 		state.Suspects = a.Suspects.Own(now)
+		state.Evidence = a.Pool.Evidence()
 		state.Loads = a.Pool.Own(func(upstream string) bool { return holders[upstream] == "" })
 	})
 	return state
@@ -152,6 +153,7 @@
 		}
 		a.Suspects.Merge(now, record.Instance, state.Suspects)
 		a.Pool.LearnLoads(now, record.Instance, state.Loads)
+		a.Pool.LearnEvidence(now, record.Instance, state.Evidence)
 	})
 	if len(state.Loads) > 0 {
 		n.holdings.look()
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/forecast"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 	"lacewingrock.example/lacewingrock/internal/wire/meshpb"
@@ -99,6 +101,9 @@
 			Cleared:     int32(count.Cleared),
 		})
 	}
+	for service, evidence := range s.Evidence {
+		wire.Evidence = append(wire.Evidence, evidenceToWire(service, evidence))
+	}
 	return proto.Marshal(wire)
 }
 
@@ -126,9 +131,43 @@
 			Cleared:     int(count.GetCleared()),
 		})
 	}
+	if len(wire.GetEvidence()) > 0 {
+		s.Evidence = make(map[string]forecast.Evidence, len(wire.GetEvidence()))
+	}
+	for _, evidence := range wire.GetEvidence() {
+		if s.Evidence[evidence.GetService()], err = evidenceFromWire(evidence); err != nil {
+			return s, err
+		}
+	}
 	return s, nil
 }
 
+func evidenceToWire(service string, e forecast.Evidence) *meshpb.Evidence {
+	wire := &meshpb.Evidence{Service: service, Answers: e.Answers, Moments: e.Moments[:]}
+	for _, row := range e.Squares {
+		wire.Squares = append(wire.Squares, row[:]...)
+	}
+	return wire
+}
+
+func evidenceFromWire(wire *meshpb.Evidence) (e forecast.Evidence, err error) {
+	terms := len(e.Moments)
+	if len(wire.GetMoments()) != terms || len(wire.GetSquares()) != terms*terms {
+		return e, errors.Errorf("evidence of %s has other terms", wire.GetService())
+	}
+	e.Answers = wire.GetAnswers()
+	copy(e.Moments[:], wire.GetMoments())
+	for i := range terms {
+		copy(e.Squares[i][:], wire.GetSquares()[i*terms:])
+	}
+	for _, value := range append(wire.GetSquares(), append(wire.GetMoments(), e.Answers)...) {
+		if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+			return e, errors.Errorf("evidence of %s is no sum of squares", wire.GetService())
+		}
+	}
+	return e, nil
+}
+
 // EncodeHeld gives the content of a record about the upstreams that an instance holds.
 func EncodeHeld(r HeldReport) ([]byte, error) { return proto.Marshal(heldToWire(r)) }
 
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/forecast"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
@@ -101,11 +102,14 @@
 func TestStateArrivesWhole(t *testing.T) {
 	is := is.New(t)
 	a := traffic.Adapter{Model: "m", Name: "a"}
+	var engine forecast.Engine
+	engine.Observe(1500, forecast.Backlog{Prefill: 300, Running: 2}, 90*time.Millisecond)
 	state := mesh.State{
 		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true,
 		Spent:    quota.Spent{"w": 12.5},
 		Loads:    map[string]pool.Load{"u": {Running: 3, Prompt: 4000, Memory: 9000, InUse: []traffic.Adapter{a}}},
 		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
+		Evidence: map[string]forecast.Evidence{"s": engine.Own()},
 	}
 	content, err := mesh.EncodeState(state)
 	is.NoErr(err)
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -10,6 +10,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/forecast"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
@@ -38,6 +39,8 @@
 	// Loads is what the instance has in flight at upstreams without a holder.
 	Loads    map[string]pool.Load
 	Suspects []suspect.Count
+	// Evidence is what the instance has seen of the engines of each service.
+	Evidence map[string]forecast.Evidence
 }
 
 // LoadReport is what an instance has in flight at the upstreams that the receiver holds.
--- a/internal/placement/forecast/engine.go
+++ b/internal/placement/forecast/engine.go
@@ -30,8 +30,9 @@
 // take them in the order of arrival, and a part for each request that runs there. It is fitted to the latest answers by
 // least squares. The zero value is ready for use; it is not safe for use by several goroutines.
 type Engine struct {
-	squares [terms][terms]float64
-	moments [terms]float64
+	own Evidence
+	// others is what other instances have seen.
+	others  Evidence
 	fitted  [terms]float64
 	answers int
 	// slower and quicker count the latest answers in a row that were off in the same direction.
@@ -39,6 +40,39 @@
 	quicker int
 }
 
+// Evidence is what was seen of the engines of a service: the sums of the least squares over the latest answers, in
+// which each one counts less than the next.
+type Evidence struct {
+	Answers float64
+	Squares [terms][terms]float64
+	Moments [terms]float64
+}
+
+// Plus adds what others have seen, times a factor.
+func (v Evidence) Plus(other Evidence, factor float64) Evidence {
+	v.Answers += factor * other.Answers
+	for i := range terms {
+		for j := range terms {
+			v.Squares[i][j] += factor * other.Squares[i][j]
+		}
+		v.Moments[i] += factor * other.Moments[i]
+	}
+	return v
+}
+
+// Own is what this instance has seen.
+func (e *Engine) Own() Evidence { return e.own }
+
+// SetOthers replaces what other instances have seen.
+//
+// Made for a large fleet, whose instances each see a few answers a second. From twenty answers, most of them of idle
+// engines, nobody can tell what thirty thousand tokens that await prefill cost: requests go where they wait for
+// seconds, and the next engine is idle.
+func (e *Engine) SetOthers(others Evidence) {
+	e.others = others
+	e.fit()
+}
+
 // FirstEvent is the time from sending a prompt until its first event.
 func (e *Engine) FirstEvent(tokens int, backlog Backlog) time.Duration {
 	return e.predict(features(tokens, backlog))
@@ -61,18 +95,20 @@
 	e.answers++
 	weight := 1 / (scale + relativeFloor).Seconds()
 	weight *= weight
+	seen := Evidence{Answers: 1}
 	for i := range terms {
 		for j := range terms {
-			e.squares[i][j] = kept*e.squares[i][j] + weight*x[i]*x[j]
+			seen.Squares[i][j] = weight * x[i] * x[j]
 		}
-		e.moments[i] = kept*e.moments[i] + weight*x[i]*took.Seconds()
+		seen.Moments[i] = weight * x[i] * took.Seconds()
 	}
+	e.own = seen.Plus(e.own, kept)
 	e.fit()
 }
 
 // ---------------------------------------------------------------------------------------------
 
-func (e *Engine) isCertain() bool { return e.answers >= certainAfter }
+func (e *Engine) isCertain() bool { return float64(e.answers)+e.others.Answers >= certainAfter }
 
 // compare finds out whether the engines have changed their pace: then all answers differ in the same direction.
 func (e *Engine) compare(took, predicted time.Duration) {
@@ -110,7 +146,7 @@
 var guessWeights = [terms]float64{10, 5, 5, 20}
 
 func (e *Engine) coefficients() [terms]float64 {
-	if e.answers == 0 {
+	if e.answers == 0 && e.others.Answers == 0 {
 		return guesses()
 	}
 	return e.fitted
@@ -146,8 +182,9 @@
 // solve gives the least squares for the terms that are not out, by Gaussian elimination. The guesses' weights make
 // every pivot positive.
 func (e *Engine) solve(out [terms]bool) (solution [terms]float64) {
-	matrix := e.squares
-	right := e.moments
+	all := e.own.Plus(e.others, 1)
+	matrix := all.Squares
+	right := all.Moments
 	guess := guesses()
 	for i := range terms {
 		matrix[i][i] += guessWeights[i]
--- a/internal/placement/forecast/forecast_test.go
+++ b/internal/placement/forecast/forecast_test.go
@@ -84,6 +84,35 @@
 	}
 }
 
+// Guards against instances of a large fleet that each see too few answers, hardly any of them of a loaded engine, to
+// tell what a queue costs: requests go on to an engine where some wait for seconds.
+func TestInstancesThatSeeFewAnswersLearnFromEachOther(t *testing.T) {
+	is := is.New(t)
+	engine := truth{base: 20 * time.Millisecond, token: 150 * time.Microsecond, running: 2 * time.Millisecond}
+	const instances = 60
+	engines := make([]forecast.Engine, instances)
+	var all forecast.Evidence
+	for i := range engines {
+		observe(&engines[i], engine, rand.New(rand.NewPCG(uint64(i), 3)), 8)
+		all = all.Plus(engines[i].Own(), 1)
+	}
+	queue := forecast.Backlog{Running: 24, Prefill: 30_000}
+	misled := func() (count int) {
+		for i := range engines {
+			ratio := float64(engines[i].FirstEvent(1500, queue)) / float64(engine.firstEvent(1500, queue))
+			if ratio < 0.75 || ratio > 1.25 {
+				count++
+			}
+		}
+		return count
+	}
+	t.Logf("%d of %d instances misled by what each has seen itself", misled(), instances)
+	for i := range engines {
+		engines[i].SetOthers(all.Plus(engines[i].Own(), -1))
+	}
+	is.Equal(misled(), 0)
+}
+
 // All engines of a service turn slow in the middle of the day. By what was learnt before, new requests would still
 // look in time when they are sent, and all of them would be late.
 func TestChangeOfPaceIsFollowed(t *testing.T) {
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -15,6 +15,8 @@
 type pace struct {
 	engine  forecast.Engine
 	service forecast.Service
+	// peers is what the other instances have seen of the engines.
+	peers map[string]peerEvidence
 	// loads is what a holder told last of any of the upstreams, for those of which nothing was told.
 	loads loadTimes
 	// nextTurn is when the next refused caller may come back.
