Pass on only what matters of the store, compressed once, and spare the links of relays

It passed on each entry that an upstream changed (143 of them, every second or so, as they load adapters), compressed for each peer, and what is loaded at each held upstream at every beat. Now in addition: entries that only say what is loaded are not passed on at all (holders let all know); what is loaded and what was admitted goes on once a second at the most; twice as many relays, each with half as many attached.

Three more causes found by reading, measured together with this: of two relays one of which does not take the other for one, either opens the link now; what comes through relays is older than a holder's answer and no longer replaces it (Residency.Version); an instance without a link waits by the square root of its place in the line of readers. Each has a test that failed or did not compile before.

--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -302,7 +302,9 @@
 	if h.fenced || !h.learnt && !h.away {
 		return residency, false
 	}
-	residency = pool.Residency{Upstream: h.upstream.ID, Fence: h.fence, Away: h.away}
+	residency = pool.Residency{
+		Upstream: h.upstream.ID, Fence: h.fence, Version: now.Sub(h.node.began).Microseconds(), Away: h.away,
+	}
 	residency.Loaded, residency.Idle = h.planner.Residents(now)
 	residency.Wait = h.planner.Wait(now, traffic.Adapter{})
 	if load, reload, seen := h.planner.LoadTimes(); seen {
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -34,6 +34,10 @@
 	mutex   sync.Mutex
 	replica replica.Replica
 	roster  roster.Roster
+	// news is the revision of the last change that all have to know at once.
+	news int64
+	// newsOf is the revision of the last such change of each key.
+	newsOf map[string]int64
 	// confirmed is when the store last vouched for the revision of the replica.
 	confirmed time.Time
 	// reader: this instance was the first in line to read the store when it last found out, among readers.
@@ -111,13 +115,20 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	n.confirm(confirmed)
+	if k.newsOf == nil {
+		k.newsOf = make(map[string]int64)
+	}
 	changed, joined := k.replica.Merge(batch)
 	if !joined {
 		return false
 	}
 	news := false
 	for _, item := range changed {
-		news = n.apply(item) || news
+		if n.apply(item) {
+			news = true
+			k.news = max(k.news, item.Revision)
+			k.newsOf[item.Key] = item.Revision
+		}
 	}
 	if news {
 		n.signal()
--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -135,6 +136,7 @@
 	n.knowledge.mutex.Lock()
 	defer n.knowledge.mutex.Unlock()
 	message.Revision = n.knowledge.replica.Revision()
+	message.News = n.knowledge.news
 	if !n.knowledge.confirmed.IsZero() {
 		message.ConfirmedAge = time.Since(n.knowledge.confirmed)
 	}
@@ -159,7 +161,8 @@
 	n.compareRevision(ctx, end, message)
 }
 
-// compareRevision fetches the changes that a peer shows to know and this instance does not.
+// compareRevision fetches the changes that a peer shows to know and this instance does not: news at once, others, such
+// as what upstreams say to have loaded, now and then.
 func (n *Node) compareRevision(ctx context.Context, end *linkEnd, message mesh.Message) {
 	confirmed := time.Now().Add(-message.ConfirmedAge)
 	if message.ConfirmedAge < 0 {
@@ -167,11 +170,12 @@
 	}
 	n.knowledge.mutex.Lock()
 	revision := n.knowledge.replica.Revision()
-	if message.Revision == revision && !confirmed.IsZero() {
-		n.confirm(confirmed)
+	if message.News <= revision && !confirmed.IsZero() {
+		n.confirm(confirmed) // whatever else has changed
 	}
 	n.knowledge.mutex.Unlock()
-	if message.Revision > revision && n.overlay.beginCatchUp() {
+	due := message.News > revision || message.Revision > revision && n.overlay.isFetchDue(time.Now())
+	if due && n.overlay.beginCatchUp() {
 		fetch := catchUp{node: n, peer: end.peer, address: end.address, after: revision, confirmed: confirmed}
 		go fetch.run(ctx)
 	}
@@ -198,9 +202,18 @@
 	c.node.merge(batch, c.confirmed)
 }
 
-// CatchUp gives a peer what it lacks.
+// CatchUp gives a peer what it lacks and has to know.
+//
+// Made for a fleet of a hundred upstreams, each of which changes its entry every second or so as it loads adapters. The
+// holders know better what is loaded and let all know; passed on besides, the entries would be most of what relays send.
 func (n *Node) CatchUp(after int64) replica.Batch {
 	n.knowledge.mutex.Lock()
 	defer n.knowledge.mutex.Unlock()
-	return n.knowledge.replica.Since(after)
+	batch := n.knowledge.replica.Since(after)
+	if !batch.Snapshot {
+		batch.Items = slices.DeleteFunc(batch.Items, func(item replica.Item) bool {
+			return n.knowledge.newsOf[item.Key] <= after
+		})
+	}
+	return batch
 }
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -155,6 +155,21 @@
 	}
 }
 
+// isUnlinked tells whether there has been no link with an instance for some time; the overlay is locked. Whether the
+// instance is heard does not matter: what its relay passes on to others comes over a link of its own.
+func (o *overlay) isUnlinked(now time.Time, name string) bool {
+	if o.linked[name] > 0 {
+		delete(o.unlinked, name)
+		return false
+	}
+	since, found := o.unlinked[name]
+	if !found {
+		o.unlinked[name] = now
+		return false
+	}
+	return now.Sub(since) > openAfter
+}
+
 // keepPeerConnections drops the connections to instances that are gone.
 func (n *Node) keepPeerConnections() {
 	n.overlay.mutex.Lock()
@@ -190,11 +205,6 @@
 	go one.run(ctx)
 }
 
-// isUnlinked tells whether a relay has not opened the link that is its own to open; the lock is held.
-func (o *overlay) isUnlinked(now time.Time, name string) bool {
-	return o.linked[name] == 0 && now.Sub(o.table.LastHeard(name)) > openAfter
-}
-
 func (o *overlay) setFailed(now time.Time, name string) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/entry/node/news_test.go
+++ b/internal/entry/node/news_test.go
@@ -73,3 +73,26 @@
 	}
 	return replica.Batch{After: 1, Through: revision, Items: []replica.Item{item}}
 }
+
+// Guards against entries that are passed on to all each time an upstream has loaded something: they were most of what
+// relays sent, and changes that matter were late behind them.
+func TestOnlyWhatMattersIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	n := nodeAmong(t, 3, nil)
+	n.Decoder = upstreamsOnly{}
+	n.knowledge.replica.Merge(replica.Batch{Snapshot: true, Through: 1})
+	upstream := traffic.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", Born: 1}
+	n.merge(change(t, 2, &upstream), time.Now())
+	is.Equal(len(n.CatchUp(1).Items), 1)
+	upstream.Models = []traffic.LoadedModel{{Name: "m", Version: 1}}
+	n.merge(change(t, 3, &upstream), time.Now())
+	is.Equal(len(n.CatchUp(1).Items), 1) // the peer does not know the upstream yet
+	batch := n.CatchUp(2)
+	is.Equal(len(batch.Items), 0)
+	is.Equal(batch.Through, int64(3))
+	upstream.Draining = true
+	n.merge(change(t, 4, &upstream), time.Now())
+	is.Equal(len(n.CatchUp(3).Items), 1)
+	n.merge(change(t, 5, nil), time.Now())
+	is.Equal(len(n.CatchUp(4).Items), 1)
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -68,6 +68,7 @@
 	// current is Settings as of the last reload.
 	current   atomic.Pointer[Settings]
 	losses    chan loss
+	began     time.Time
 	self      roster.Instance
 	knowledge knowledge
 	advice    *serve.Advice
@@ -137,6 +138,7 @@
 
 // assemble makes the parts and joins them.
 func (n *Node) assemble() {
+	n.began = time.Now()
 	n.self = roster.Instance{
 		Name:        n.Settings.Instance.Name,
 		Incarnation: uuid.NewString(),
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -51,6 +51,8 @@
 	topology gossip.Topology
 	listed   []roster.Instance
 	failed   map[string]time.Time
+	// unlinked is since when a link that is the other end's to open is missing.
+	unlinked map[string]time.Time
 	// storeFailed is when an instance last said that it does not reach the store, storeUnreachable whether it still
 	// does.
 	storeFailed      map[string]time.Time
@@ -63,6 +65,8 @@
 	urged chan struct{}
 	// spent is the version of the part by which it was last known what an instance has admitted.
 	spent map[string]int64
+	// fetched is when changes that are no news were last fetched.
+	fetched time.Time
 	// catchingUp counts the instances from which changes are being fetched.
 	catchingUp atomic.Int32
 }
@@ -83,6 +87,7 @@
 	o.opened = make(map[string]*opener)
 	o.members = make(map[string]member)
 	o.failed = make(map[string]time.Time)
+	o.unlinked = make(map[string]time.Time)
 	o.storeFailed = make(map[string]time.Time)
 	o.storeUnreachable = make(map[string]bool)
 	o.alive = make(map[string]bool)
@@ -280,6 +285,20 @@
 // once, and its changes are needed once. The second is for an instance that falls silent.
 const catchUpsAtOnce = 2
 
+// fetchEvery is how often changes are fetched that are no news.
+const fetchEvery = 2 * time.Second
+
+// isFetchDue tells whether changes that are no news are to be fetched, and takes it that they will.
+func (o *overlay) isFetchDue(now time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if now.Sub(o.fetched) < fetchEvery {
+		return false
+	}
+	o.fetched = now
+	return true
+}
+
 // beginCatchUp tells whether changes may be fetched from one more instance; if not, a later message asks again.
 func (o *overlay) beginCatchUp() bool {
 	if o.catchingUp.Add(1) <= catchUpsAtOnce {
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"time"
 
@@ -22,7 +23,7 @@
 	// the two seconds that there are.
 	watchEvery = 250 * time.Millisecond
 	// readAfter is how old the store's word may get until the next instance in line reads by itself, and
-	// readStep what each further one waits on top.
+	// readStep what the next one waits on top, see readDelay.
 	readAfter = 1100 * time.Millisecond
 	readStep  = 150 * time.Millisecond
 	// leaveReader is how old the store's confirmation may get until the order of the readers is found out anew although
@@ -97,7 +98,13 @@
 	if k.reader {
 		return true
 	}
-	return now.Sub(k.confirmed) > readAfter+time.Duration(rank)*readStep
+	return now.Sub(k.confirmed) > readAfter+readDelay(rank)
+}
+
+// readDelay is how much longer an instance waits than the first in line. It grows with the square root of the place:
+// one that has lost its link is not to wait for all others of a large fleet, of which it knows nothing.
+func readDelay(rank int) time.Duration {
+	return time.Duration(math.Sqrt(float64(rank)) * float64(readStep))
 }
 
 // read makes one call: a snapshot at the beginning and where the history is gone, else a watch.
--- a/internal/entry/node/states.go
+++ b/internal/entry/node/states.go
@@ -43,16 +43,22 @@
 	}
 	residencies := n.holdings.residencies(now)
 	loaded := fingerprint(residencies)
-	if loaded != n.refreshed.loaded || !n.refreshed.held.After(since) {
+	changed := loaded != n.refreshed.loaded && now.Sub(n.refreshed.held) >= heldEvery-beatEvery/2
+	if changed || !n.refreshed.held.After(since) {
 		n.refreshed.held = now
 		n.refreshed.loaded = loaded
 		n.setPart(gossip.PartHeld, false, func() ([]byte, error) { return mesh.EncodeHeld(n.held(now, residencies)) })
 	}
 }
 
-// spentEvery is how often an instance lets the others know what it has admitted lately, where the general part of its
-// state is refreshed more seldom.
-const spentEvery = 500 * time.Millisecond
+const (
+	// spentEvery is how often an instance lets the others know what it has admitted lately, where the general part of
+	// its state is refreshed more seldom.
+	spentEvery = time.Second
+	// heldEvery is the same for what is loaded at the held upstreams, which changes at each beat in a busy fleet. Passed
+	// on as often as that, it would fill the links of relays, and news would be late.
+	heldEvery = time.Second
+)
 
 // refreshSpent lets the others know what was admitted lately, unless the general part does so.
 func (n *Node) refreshSpent(now time.Time, general bool) {
--- a/internal/fleet/gossip/relays.go
+++ b/internal/fleet/gossip/relays.go
@@ -23,16 +23,20 @@
 	relays    map[string]bool
 }
 
-// NewTopology picks the relays: as many as the square root of the fleet, so that neither the links between relays nor
-// those of one relay to the instances attached to it grow as the fleet does, and spread over the data centres by their
-// sizes. Instances are in the order of their names; whoever knows the same ones picks the same relays.
+// relaysPerRoot is how many relays there are for each one of the square root of the fleet. What a relay sends goes mostly
+// to those attached to it, who get the states of all; what it sends to another relay is of its own few.
+const relaysPerRoot = 2
+
+// NewTopology picks the relays: twice as many as the square root of the fleet, so that neither the links between relays
+// nor those of one relay to the instances attached to it grow as the fleet does, and spread over the data centres by
+// their sizes. Instances are in the order of their names; whoever knows the same ones picks the same relays.
 func NewTopology(instances []roster.Instance) Topology {
 	t := Topology{instances: instances, relays: make(map[string]bool)}
 	inDataCentre := make(map[string][]string)
 	for _, instance := range instances {
 		inDataCentre[instance.DataCentre] = append(inDataCentre[instance.DataCentre], instance.Name)
 	}
-	all := max(fewestRelays, math.Ceil(math.Sqrt(float64(len(instances)))))
+	all := max(fewestRelays, math.Ceil(relaysPerRoot*math.Sqrt(float64(len(instances)))))
 	for _, names := range inDataCentre {
 		count := int(math.Ceil(all * float64(len(names)) / float64(len(instances))))
 		order := roster.Order(relaySubject, names)
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -25,6 +25,7 @@
 		Address:            m.Address,
 		Attached:           m.Attached,
 		Revision:           m.Revision,
+		NewsRevision:       m.News,
 		ConfirmedAgeMicros: m.ConfirmedAge.Microseconds(),
 	}
 	for _, record := range m.Records {
@@ -46,6 +47,7 @@
 		Address:      wire.GetAddress(),
 		Attached:     wire.GetAttached(),
 		Revision:     wire.GetRevision(),
+		News:         wire.GetNewsRevision(),
 		ConfirmedAge: micros(wire.GetConfirmedAgeMicros()),
 	}
 	for _, record := range wire.GetRecords() {
@@ -244,6 +246,7 @@
 	wire := &meshpb.Residency{
 		Upstream:   r.Upstream,
 		Fence:      r.Fence,
+		Version:    r.Version,
 		Idle:       int32(r.Idle),
 		WaitMillis: r.Wait.Milliseconds(),
 		Away:       r.Away,
@@ -263,6 +266,7 @@
 	r := pool.Residency{
 		Upstream: wire.GetUpstream(),
 		Fence:    wire.GetFence(),
+		Version:  wire.GetVersion(),
 		Idle:     int(wire.GetIdle()),
 		Wait:     millis(wire.GetWaitMillis()),
 		Away:     wire.GetAway(),
@@ -286,24 +290,28 @@
 	return traffic.Adapter{Model: wire.GetModel(), Name: wire.GetName()}
 }
 
-func batchToWire(b replica.Batch) *meshpb.CatchUpReply {
-	wire := &meshpb.CatchUpReply{After: b.After, Through: b.Through, Snapshot: b.Snapshot}
-	for _, item := range b.Items {
-		wire.Items = append(wire.Items, &meshpb.Item{
+func itemsToWire(items []replica.Item) (wire []*meshpb.Item) {
+	for _, item := range items {
+		wire = append(wire, &meshpb.Item{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed,
 		})
 	}
 	return wire
 }
 
-func batchFromWire(wire *meshpb.CatchUpReply) replica.Batch {
-	b := replica.Batch{After: wire.GetAfter(), Through: wire.GetThrough(), Snapshot: wire.GetSnapshot()}
-	for _, item := range wire.GetItems() {
-		b.Items = append(b.Items, replica.Item{
+func itemsFromWire(wire []*meshpb.Item) (items []replica.Item) {
+	for _, item := range wire {
+		items = append(items, replica.Item{
 			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
 		})
 	}
-	return b
+	return items
+}
+
+func batchFromWire(wire *meshpb.CatchUpReply) (batch replica.Batch, err error) {
+	batch = replica.Batch{After: wire.GetAfter(), Through: wire.GetThrough(), Snapshot: wire.GetSnapshot()}
+	batch.Items, err = unpack(wire)
+	return batch, err
 }
 
 func prepareToWire(r PrepareRequest) *meshpb.PrepareRequest {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/encoding/gzip"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
@@ -18,13 +17,14 @@
 // NewServer makes the server of the peers' calls.
 func NewServer(handler Handler) *grpc.Server {
 	server := link.NewServer(insecure.NewCredentials())
-	meshpb.RegisterMeshServer(server, service{handler: handler})
+	meshpb.RegisterMeshServer(server, service{handler: handler, packer: &packer{}})
 	return server
 }
 
 type service struct {
 	meshpb.UnimplementedMeshServer
 	handler Handler
+	packer  *packer
 }
 
 func (s service) Gossip(stream grpc.BidiStreamingServer[meshpb.GossipMessage, meshpb.GossipMessage]) error {
@@ -37,7 +37,7 @@
 }
 
 func (s service) CatchUp(_ context.Context, wire *meshpb.CatchUpRequest) (*meshpb.CatchUpReply, error) {
-	return batchToWire(s.handler.CatchUp(wire.GetAfter())), nil
+	return s.packer.reply(s.handler.CatchUp(wire.GetAfter()))
 }
 
 func (s service) Prepare(ctx context.Context, wire *meshpb.PrepareRequest) (*meshpb.PrepareReply, error) {
@@ -93,11 +93,11 @@
 	if err != nil {
 		return replica.Batch{}, err
 	}
-	wire, err := client.CatchUp(ctx, &meshpb.CatchUpRequest{After: after}, grpc.UseCompressor(gzip.Name))
+	wire, err := client.CatchUp(ctx, &meshpb.CatchUpRequest{After: after})
 	if err != nil {
 		return replica.Batch{}, err
 	}
-	return batchFromWire(wire), nil
+	return batchFromWire(wire)
 }
 
 // Prepare asks the holder at address for an adapter and waits for it.
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -26,7 +26,9 @@
 	// negative if not known.
 	Revision     int64
 	ConfirmedAge time.Duration
-	Records      []gossip.Record
+	// News is the revision of the last change that the sender knows and that all have to know at once.
+	News    int64
+	Records []gossip.Record
 }
 
 // State is what each instance lets all others know of itself.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -78,9 +78,11 @@
 // Residency is what the instance that orders at an upstream tells of it.
 type Residency struct {
 	Upstream string
-	// Fence of the holder: what an earlier holder tells is dropped.
-	Fence  int64
-	Loaded []Resident
+	// Fence of the holder: what an earlier holder tells is dropped. Version rises under one fence: what comes through
+	// relays may be older than the holder's answer to a report.
+	Fence   int64
+	Version int64
+	Loaded  []Resident
 	// Idle is how many adapter places are empty or can be emptied at once; Wait is how long another
 	// adapter would wait for one.
 	Idle int
@@ -222,10 +224,11 @@
 // LearnResidency takes note of what a holder tells.
 func (p *Pool) LearnResidency(now time.Time, residency Residency) {
 	u := p.upstreams[residency.Upstream]
-	if u == nil || residency.Fence < u.fence {
+	if u == nil || residency.Fence < u.fence || residency.Fence == u.fence && residency.Version < u.version {
 		return
 	}
 	u.fence = residency.Fence
+	u.version = residency.Version
 	u.idle = residency.Idle
 	u.wait = residency.Wait
 	if residency.LoadTime > 0 && residency.ReloadTime > 0 {
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -363,6 +363,33 @@
 	})
 }
 
+// Guards against news of an upstream that comes through relays after the holder's own answer, and is older: an adapter
+// that has just been loaded would look missing, and be fetched for another upstream.
+func TestOlderResidencyIsDropped(t *testing.T) {
+	is := is.New(t)
+	p := newPool("e1")
+	learn := func(fence, version int64, adapters ...string) {
+		residency := pool.Residency{Upstream: "e1", Fence: fence, Version: version}
+		for _, name := range adapters {
+			residency.Loaded = append(residency.Loaded, pool.Resident{Adapter: adapter(name)})
+		}
+		p.LearnResidency(time.Now(), residency)
+	}
+	loaded := func() bool {
+		choice, err := p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		return choice.Loaded
+	}
+	learn(5, 200, "a")
+	is.True(loaded())
+	learn(5, 100)
+	is.True(loaded())
+	learn(5, 300)
+	is.True(!loaded())
+	learn(6, 1, "a") // another holder counts anew
+	is.True(loaded())
+}
+
 // The holder tells an asker what the others have under way; the asker counts its own requests itself.
 func TestBesideLeavesTheAskerOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -30,6 +30,7 @@
 type upstream struct {
 	declared traffic.Upstream
 	fence    int64
+	version  int64
 	resident map[traffic.Adapter]Resident
 	recent   recentAdapters
 	idle     int
