Let the others know what a workspace was admitted before all together pass its rate

Now all together admit at most 0.3 s of it unknown, as far as each knows who admits; and what is passed on at once is what was admitted lately alone, not the whole state, which with hundreds of admissions a second would fill the links of relays.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -215,6 +215,9 @@
 	// seconds of that rate. At saturation the fleet then tells at most some thirty times a second for a workspace;
 	// a smaller part would cost more messages than the requests themselves.
 	tellAfter = 0.03
+	// mostUntold is how much all instances together may admit from a low bucket without telling, in the same unit. With
+	// two hundred of them that admit alike, the part of each is less than one request.
+	mostUntold = 0.3
 	// activeFor is how long an instance that admitted for a workspace is taken to go on: some heartbeats, also
 	// where there are many instances.
 	activeFor = 8 * time.Second
@@ -229,7 +232,7 @@
 // rate to all instances: each would admit against the same tokens until the next heartbeat.
 func (l *Ledger) TellDue(now time.Time) (names []string) {
 	for workspace, spent := range l.own {
-		if l.isTight(workspace) && spent-l.told[workspace] >= tellAfter*l.limits[workspace].Rate {
+		if l.isTight(workspace) && spent-l.told[workspace] >= l.tellAfter(now, workspace)*l.limits[workspace].Rate {
 			l.told = maps.Clone(l.own)
 			return l.toTell(now, workspace)
 		}
@@ -237,6 +240,11 @@
 	return nil
 }
 
+// tellAfter is how much of a workspace's rate this instance may admit without telling, in seconds of that rate.
+func (l *Ledger) tellAfter(now time.Time, workspace string) float64 {
+	return min(tellAfter, mostUntold/float64(1+l.admitting(now, workspace)))
+}
+
 // toTell lists the peers that admitted for a workspace lately, or all if those were not told for as long.
 func (l *Ledger) toTell(now time.Time, workspace string) (names []string) {
 	all := now.Sub(l.toldAll[workspace]) > activeFor
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -233,6 +233,32 @@
 	})
 }
 
+// Guards against a large fleet in which each instance admits so little for a workspace that it does not let the others
+// know, and all together admit several times the rate.
+func TestFloodOverManyInstancesStaysWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(quota.Limit{Rate: 500_000, Burst: 500_000}, 195)
+		f.every = 4900 * time.Millisecond
+		f.urgent = true
+		f.someEvery = time.Second
+		f.shared = make(map[string]quota.Spent)
+		for _, ledger := range f.ledgers {
+			ledger.SilentAfter = 3 * f.every
+		}
+		f.pass(5 * time.Second)
+		for i := range 900 {
+			for j := range 15 { // 3,000,000 a second
+				f.admit(f.names[(i*15+j)*37%len(f.names)], 2000)
+			}
+			f.pass(10 * time.Millisecond)
+		}
+		t.Logf("%.0f in %s, %.0f allowed; %d times told at once", f.most(window), window, f.allowed(), f.told)
+		is.True(f.most(window) <= f.allowed())
+		is.True(f.most(window) >= 0.9*f.limit.Rate*window.Seconds())
+	})
+}
+
 // Guards against a large fleet that admits too much for seconds after a limit was lowered, and then refuses everybody
 // until the debt is paid. Each instance sees few of the requests, and all hear of each other only every few seconds.
 func TestLoweredLimitOfALargeFleetIsSpentEvenly(t *testing.T) {
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -101,8 +101,11 @@
 			pause(ctx, gatherFor)
 		case <-ctx.Done():
 		}
-		if urgent || beat {
-			n.refreshState(time.Now(), urgent)
+		switch {
+		case urgent && !n.overlay.urgentState.Load():
+			n.refreshSpent(time.Now(), spentUrgent)
+		case urgent || beat:
+			n.refreshState(time.Now(), n.overlay.urgentState.Swap(false))
 		}
 		switch {
 		case urgent:
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -61,8 +61,9 @@
 	readersChanged atomic.Bool
 	// alive are those that were when they were last looked at.
 	alive map[string]bool
-	// urged asks for the own state to be passed on at once.
-	urged chan struct{}
+	// urged asks for what was admitted lately to be passed on at once, and with urgentState for the whole state.
+	urged       chan struct{}
+	urgentState atomic.Bool
 	// spent is the version of the part by which it was last known what an instance has admitted.
 	spent map[string]int64
 	// fetched is when changes that are no news were last fetched.
@@ -266,6 +267,12 @@
 
 // urge has the own state passed on at once.
 func (o *overlay) urge() {
+	o.urgentState.Store(true)
+	o.urgeSpent()
+}
+
+// urgeSpent has what was admitted lately passed on at once.
+func (o *overlay) urgeSpent() {
 	select {
 	case o.urged <- struct{}{}:
 	default: // it is about to be
--- a/internal/entry/node/states.go
+++ b/internal/entry/node/states.go
@@ -36,7 +36,11 @@
 	// Half a beat is allowed for, as beats are not exact.
 	since := now.Add(beatEvery/2 - n.overlay.pace())
 	general := urgent || !n.refreshed.general.After(since)
-	n.refreshSpent(now, general)
+	by := spentRegularly
+	if general {
+		by = spentWithState
+	}
+	n.refreshSpent(now, by)
 	if general {
 		n.refreshed.general = now
 		n.setPart(gossip.PartGeneral, urgent, func() ([]byte, error) { return mesh.EncodeState(n.state(now)) })
@@ -60,9 +64,21 @@
 	heldEvery = time.Second
 )
 
-// refreshSpent lets the others know what was admitted lately, unless the general part does so.
-func (n *Node) refreshSpent(now time.Time, general bool) {
-	if !general && now.Sub(n.refreshed.spentAt) < spentEvery {
+// spentBy is how what was admitted lately reaches the others.
+type spentBy int
+
+const (
+	// spentRegularly: as a part of its own, if that is due.
+	spentRegularly spentBy = iota
+	// spentUrgent: as a part of its own, at once.
+	spentUrgent
+	// spentWithState: with the general part.
+	spentWithState
+)
+
+// refreshSpent lets the others know what was admitted lately.
+func (n *Node) refreshSpent(now time.Time, by spentBy) {
+	if by == spentRegularly && now.Sub(n.refreshed.spentAt) < spentEvery {
 		return
 	}
 	n.refreshed.spentAt = now
@@ -70,8 +86,8 @@
 	n.advice.With(func(a *serve.Advice) { spent = a.Ledger.Own() })
 	lately := spent.Since(n.refreshed.spent)
 	n.refreshed.spent = spent
-	if !general && len(lately) > 0 {
-		n.setPart(gossip.PartSpent, false, func() ([]byte, error) {
+	if by != spentWithState && len(lately) > 0 {
+		n.setPart(gossip.PartSpent, by == spentUrgent, func() ([]byte, error) {
 			return mesh.EncodeState(mesh.State{Incarnation: n.self.Incarnation, Spent: lately})
 		})
 	}
@@ -199,4 +215,4 @@
 }
 
 // ShareSpent lets the other instances know at once what this one has admitted.
-func (n *Node) ShareSpent() { n.overlay.urge() }
+func (n *Node) ShareSpent() { n.overlay.urgeSpent() }
