Send nothing to a data centre that operators evacuate

Nothing decoded an evacuation. Ruled out: a late change. The key never left the store's replica: no decoder named it. Change: the platform's decoder names the data centre of such a key; the pool leaves its upstreams out of choices, homes and choices that are used later; holders there stop loading and those who wait are told at once; the key's coming and going is news that goes over links to whom the store turns away. TestEvacuationReachesAnInstanceThatTheStoreTurnsAway, TestInstanceThatStartsKnowsWhatIsEvacuated and TestNothingIsSentToAnEvacuatedDataCentre failed before.

--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -14,8 +14,9 @@
 
 // Keys of what is declared.
 const (
-	keyConfiguration = "declared/configuration"
-	prefixUpstreams  = "declared/upstreams/"
+	keyConfiguration  = "declared/configuration"
+	prefixUpstreams   = "declared/upstreams/"
+	prefixEvacuations = "declared/evacuations/"
 )
 
 const (
@@ -75,6 +76,11 @@
 	return strings.CutPrefix(key, prefixUpstreams)
 }
 
+// EvacuatedDataCentre tells which data centre a key evacuates.
+func (decoder) EvacuatedDataCentre(key string) (dataCentre string, ok bool) {
+	return strings.CutPrefix(key, prefixEvacuations)
+}
+
 type dialect struct{}
 
 func (dialect) Decode(request *http.Request) (call.Call, error) {
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -198,6 +198,41 @@
 	}
 }
 
+// Guards against an instance that the store turns away and that goes on sending to a data centre that operators empty,
+// or that keeps out of it once it was taken back.
+func TestEvacuationReachesAnInstanceThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put(keyConfiguration, configuration(1, "/p/"))
+	s.put(prefixUpstreams+"u", upstreamEntry("app", newUpstream(t, 0)))
+	fleet := []*instance{start(t, s, "a"), start(t, s, "b")}
+	for _, one := range fleet {
+		eventually(t, 2*time.Second, one.name+" serves", func() bool { return one.ready() && one.status("/p/") == 200 })
+	}
+	eventually(t, 3*time.Second, "both know each other", func() bool { return fleet[0].log.has(`"Peer":"b"`) })
+	for _, turnedAway := range fleet {
+		turnedAway.client.deny(true)
+		s.put(prefixEvacuations+"here", "{}")
+		eventually(t, 2*time.Second, "nothing is sent there", func() bool { return turnedAway.status("/p/") == 503 })
+		s.drop(prefixEvacuations + "here")
+		eventually(t, 2*time.Second, "it is taken back", func() bool { return turnedAway.status("/p/") == 200 })
+		turnedAway.client.deny(false)
+	}
+}
+
+// Guards against an instance that starts while a data centre is evacuated and sends there all the same.
+func TestInstanceThatStartsKnowsWhatIsEvacuated(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore()
+	s.put(keyConfiguration, configuration(1, "/p/"))
+	s.put(prefixUpstreams+"u", upstreamEntry("app", newUpstream(t, 0)))
+	s.put(prefixEvacuations+"here", "{}")
+	one := start(t, s, "a")
+	eventually(t, 2*time.Second, "it is ready", one.ready)
+	is.Equal(one.status("/p/"), 503)
+}
+
 // The instance that holds an upstream is gone without a word. Nobody could load adapters there until
 // another takes over, under a higher fence, once its lease has ended.
 func TestLostHolderIsReplaced(t *testing.T) {
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -132,7 +132,7 @@
 	holder, found := n.knowledge.roster.Holder(id)
 	revision := n.knowledge.replica.Revision()
 	n.knowledge.mutex.Unlock()
-	if upstream.Draining {
+	if !n.isOpen(upstream) {
 		n.drop(id) // nothing is loaded for it any more, and those who wait are told at once
 		return 0, false
 	}
@@ -151,6 +151,12 @@
 	return holder.Fence, !found || n.mayReplace() && n.isLost(now, holder.Instance)
 }
 
+// isOpen tells whether an upstream takes new requests.
+func (n *Node) isOpen(upstream traffic.Upstream) (open bool) {
+	n.advice.With(func(a *serve.Advice) { open = a.Pool.IsOpen(upstream) })
+	return open
+}
+
 // isLost tells whether a holder is silent although this instance hears most of the others. Its lease may
 // run for seconds yet, in which nothing would be loaded at what it holds. If it lives after all, its next
 // order is refused for its fence, and it stops.
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -190,6 +190,10 @@
 	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
 		return n.applyUpstream(id, item)
 	}
+	if dataCentre, ok := n.Decoder.EvacuatedDataCentre(item.Key); ok {
+		n.applyEvacuation(dataCentre, !item.Removed, item.Revision)
+		return true
+	}
 	if item.Removed {
 		return false
 	}
@@ -241,6 +245,13 @@
 		Int64("Revision", revision).Msg("AdapterVersionDeclared")
 }
 
+// applyEvacuation begins or ends the evacuation of a data centre.
+func (n *Node) applyEvacuation(dataCentre string, evacuated bool, revision int64) {
+	n.advice.With(func(a *serve.Advice) { a.Pool.SetEvacuated(dataCentre, evacuated) })
+	n.Log.Info().Str("DataCentre", dataCentre).Bool("Evacuated", evacuated).Int64("Revision", revision).
+		Msg("DataCentreEvacuated")
+}
+
 // applyUpstream takes an upstream's entry over. Entries lapse while the store is away although their
 // upstreams live, so one that is missing around an outage is kept until it had the time to come back.
 //
--- a/internal/entry/node/news_test.go
+++ b/internal/entry/node/news_test.go
@@ -96,3 +96,5 @@
 	n.merge(change(t, 5, nil), time.Now())
 	is.Equal(len(n.CatchUp(4).Items), 1)
 }
+
+func (upstreamsOnly) EvacuatedDataCentre(string) (string, bool) { return "", false }
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -69,3 +69,5 @@
 	}
 	is.Equal(failurePause(6), readPause) // a small fleet notices the store's return as soon as before
 }
+
+func (namesOnly) EvacuatedDataCentre(string) (string, bool) { return "", false }
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -42,7 +42,7 @@
 	homes := p.homes(query)
 	for i := range upstreams {
 		u := upstreams[(i+p.turn)%len(upstreams)]
-		if !u.isCandidate(now, query) || p.isConnectedOut(u) {
+		if !p.isCandidate(now, u, query) || p.isConnectedOut(u) {
 			continue
 		}
 		choice, total := p.weigh(now, u, query, homes)
@@ -59,8 +59,8 @@
 }
 
 // isCandidate tells whether an upstream of the service takes the request.
-func (u *upstream) isCandidate(now time.Time, query Query) bool {
-	if u.declared.Draining || now.Before(u.bannedUntil) || u.isAway(now) {
+func (p *Pool) isCandidate(now time.Time, u *upstream, query Query) bool {
+	if !p.IsOpen(u.declared) || now.Before(u.bannedUntil) || u.isAway(now) {
 		return false
 	}
 	return !slices.Contains(query.Exclude, u.declared.ID)
--- /dev/null
+++ b/internal/placement/pool/evacuation_test.go
@@ -0,0 +1,59 @@
+package pool_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+// Guards against requests to a data centre that operators empty: chosen before or after, with the adapter loaded or
+// not, and to upstreams that come up there meanwhile.
+func TestNothingIsSentToAnEvacuatedDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool()
+		there := func(u *traffic.Upstream) { u.DataCentre = "there" }
+		declare(p, "e1", there)
+		resident(p, "e1", "a")
+		choice, err := p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		p.SetEvacuated("there", true)
+		is.True(!p.Takes(choice.Upstream)) // chosen before, sent after its adapter was loaded
+		declare(p, "e2", there)
+		_, err = p.Choose(time.Now(), generation("a"))
+		is.Equal(err, pool.ErrNone)
+		declare(p, "e3", func(*traffic.Upstream) {})
+		choice, err = p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e3")
+		p.SetEvacuated("there", false)
+		choice, err = p.Choose(time.Now(), generation("a"))
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e1") // it kept the adapter
+	})
+}
+
+// Guards against evacuations that undo each other, or an end without a beginning that opens or closes anything.
+func TestDataCentresAreEvacuatedEachByItself(t *testing.T) {
+	is := is.New(t)
+	p := newPool("e1")
+	declare(p, "e2", func(u *traffic.Upstream) { u.DataCentre = "there" })
+	open := func(id string) bool {
+		upstream, _ := p.Upstream(id)
+		return p.IsOpen(upstream)
+	}
+	p.SetEvacuated("nowhere", true)
+	p.SetEvacuated("there", true)
+	p.SetEvacuated("there", true)
+	is.True(open("e1") && !open("e2"))
+	p.SetEvacuated("here", true)
+	is.True(!open("e1") && !open("e2"))
+	p.SetEvacuated("there", false)
+	p.SetEvacuated("there", false)
+	is.True(!open("e1") && open("e2"))
+}
--- a/internal/placement/pool/homes.go
+++ b/internal/placement/pool/homes.go
@@ -27,7 +27,7 @@
 	_, _ = adapter.WriteString(query.Adapter.String()) // never fails
 	_, _ = adapter.WriteString("\x00")
 	for _, u := range p.servingFor(query.Service) {
-		if u.declared.Draining {
+		if !p.IsOpen(u.declared) {
 			continue
 		}
 		weight := adapter
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -80,7 +80,7 @@
 // it have had their turn. The other instances are taken to refuse as many.
 func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
 	known := p.pace(query.Service)
-	upstreams := max(len(p.servingFor(query.Service)), 1)
+	upstreams := max(p.openIn(query.Service), 1)
 	turn := known.engine.Prefill(query.Tokens) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
 	due := now.Add(max(wait, leastRetryAfter))
 	if due.Before(known.nextTurn) {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -141,7 +141,9 @@
 	peers       map[source]peerLoads
 	// paces is how long each service takes.
 	paces map[string]*pace
-	turn  int
+	// evacuated are the data centres that get no requests.
+	evacuated map[string]bool
+	turn      int
 }
 
 // source is where another instance's loads come from: its state, which all instances get, or its reports to the
@@ -209,7 +211,7 @@
 // seconds old when it is used, if an adapter had to be loaded first.
 func (p *Pool) Takes(chosen traffic.Upstream) bool {
 	u := p.upstreams[chosen.ID]
-	return u != nil && !u.declared.Draining && u.declared.Born == chosen.Born && u.declared.Address == chosen.Address
+	return u != nil && p.IsOpen(u.declared) && u.declared.Born == chosen.Born && u.declared.Address == chosen.Address
 }
 
 // Upstream gives one that is declared.
@@ -398,6 +400,7 @@
 		p.upstreams = make(map[string]*upstream)
 		p.peers = make(map[source]peerLoads)
 		p.paces = make(map[string]*pace)
+		p.evacuated = make(map[string]bool)
 	}
 }
 
