Have upstreams of plain services held, and ask their holders before a request is sent

Ruled out: too little capacity (13 of 24 places are asked for in the mean). Change: each upstream has a holder, also a plain one, where nothing is loaded and the holder just adds up what is in flight. A choice asks it as for engines, here where its word is older than the time in which a place becomes free. Begin and end of each send are reported. Of those asked the best is taken: the next one would look idle just for not having been asked.

--- a/internal/entry/node/asking.go
+++ b/internal/entry/node/asking.go
@@ -65,8 +65,9 @@
 	return n.knowledge.roster.Instance(holder.Instance)
 }
 
-// Touch tells the holder of an upstream at once that this instance begins or ends to use an adapter
-// there. Without it a place would stay reserved, or be taken, for a heartbeat's time too long.
+// Touch tells the holder of an upstream at once that this instance begins or ends a send there. Without it an
+// adapter's place would stay reserved, or be taken, for a heartbeat's time too long, and others would queue behind
+// requests that they do not know of.
 func (n *Node) Touch(upstream string) {
 	if one := n.holdings.get(upstream); one != nil {
 		one.look()
--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -25,6 +25,8 @@
 	lease      int64
 	ordersFrom time.Time
 	stop       context.CancelFunc
+	// plain: the upstream is no engine. Nothing is loaded there; its holder adds up what is in flight.
+	plain bool
 	// ended is closed when the instance does not hold the upstream any more.
 	ended <-chan struct{}
 	wake  chan struct{}
@@ -49,8 +51,14 @@
 		node: n, upstream: upstream, fence: holder.Fence, lease: holder.Lease, stop: stop, ended: ctx.Done(),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
-	if engine := n.Table().Configuration.Services[upstream.Service].Engine; engine != nil {
-		h.planner.Engine = *engine
+	service, configured := n.Table().Configuration.Services[upstream.Service]
+	if configured && service.Engine == nil {
+		h.plain = true
+		h.learnt = true
+		return h
+	}
+	if service.Engine != nil {
+		h.planner.Engine = *service.Engine
 	}
 	n.advice.With(func(a *serve.Advice) {
 		h.planner.LoadGuess, h.planner.ReloadGuess = a.Pool.LoadTimes(upstream.Service)
@@ -203,14 +211,19 @@
 }
 
 // prepare waits until an adapter is there, and then for the prompt's turn.
-func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) mesh.Prepared {
+func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) (prepared mesh.Prepared) {
 	worthUntil := time.Now().Add(min(request.Patience, request.OnTime))
-	prepared := h.load(ctx, request, worthUntil)
-	if _, loaded := prepared.(mesh.Loaded); !loaded || request.Tokens == 0 {
+	prepared = mesh.Loaded{}
+	if !h.plain {
+		prepared = h.load(ctx, request, worthUntil)
+	}
+	if _, loaded := prepared.(mesh.Loaded); !loaded {
 		return prepared
 	}
-	if wait, came := h.takeTurn(ctx, request, worthUntil); !came {
-		return mesh.Busy{RetryAfter: wait}
+	if request.Tokens > 0 {
+		if wait, came := h.takeTurn(ctx, request, worthUntil); !came {
+			return mesh.Busy{RetryAfter: wait}
+		}
 	}
 	return prepared
 }
--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -96,7 +96,7 @@
 
 // matchHoldings brings the loops in line with the keys, and tells whether an upstream is free to be claimed.
 func (n *Node) matchHoldings(ctx context.Context, now time.Time) (vacant bool) {
-	upstreams := n.engines()
+	upstreams := n.holdable()
 	var free []vacancy
 	for id, upstream := range upstreams {
 		if revision, vacant := n.matchHolding(ctx, upstream, now); vacant {
@@ -186,21 +186,21 @@
 	return names
 }
 
-// engines lists the upstreams that have holders.
-func (n *Node) engines() map[string]traffic.Upstream {
-	engines := make(map[string]traffic.Upstream)
+// holdable lists the upstreams that have holders: those of all services that are configured.
+func (n *Node) holdable() map[string]traffic.Upstream {
+	holdable := make(map[string]traffic.Upstream)
 	table := n.Table()
 	if table == nil {
-		return engines
+		return holdable
 	}
 	n.advice.With(func(a *serve.Advice) {
 		for _, upstream := range a.Pool.Upstreams() {
-			if table.Configuration.Services[upstream.Service].Engine != nil {
-				engines[upstream.ID] = upstream
+			if _, configured := table.Configuration.Services[upstream.Service]; configured {
+				holdable[upstream.ID] = upstream
 			}
 		}
 	})
-	return engines
+	return holdable
 }
 
 // claimInTurn claims the upstreams without a holder for which this instance is in line.
@@ -283,7 +283,9 @@
 	n.holdings.mutex.Lock()
 	n.holdings.held[upstream.ID] = one
 	n.holdings.mutex.Unlock()
-	go one.run(ctx)
+	if !one.plain {
+		go one.run(ctx)
+	}
 }
 
 // drop ends the loop for an upstream.
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -119,10 +119,8 @@
 	now := time.Now()
 	var sending *pool.Send
 	h.Advice.With(func(a *Advice) { sending = a.Pool.Begin(now, choice, query) })
-	if query.Adapter.Name != "" {
-		h.Fleet.Touch(choice.Upstream.ID)
-		defer h.Fleet.Touch(choice.Upstream.ID)
-	}
+	h.Fleet.Touch(choice.Upstream.ID)
+	defer h.Fleet.Touch(choice.Upstream.ID)
 	exchanging, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ended, err = j.exchange(exchanging, cancel, choice, query, sending)
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -23,19 +23,21 @@
 // the same one, where prompts wait for each other while the next upstream is idle.
 func (j *job) chooseKnowing(ctx context.Context) (choice pool.Choice, query pool.Query, err error) {
 	var asked []string
-	for {
-		choice, query, err = j.choose()
+	for len(asked) < mostAsked {
+		choice, query, err = j.choose(nil)
 		known := !choice.Uncertain || slices.Contains(asked, choice.Upstream.ID)
-		if err != nil || known || len(asked) == mostAsked {
+		if err != nil || known {
 			return choice, query, err
 		}
 		j.handler.Fleet.Ask(ctx, choice.Upstream.ID)
 		asked = append(asked, choice.Upstream.ID)
 	}
+	// The next one would look idle just for not having been asked.
+	return j.choose(asked)
 }
 
-// choose picks an upstream.
-func (j *job) choose() (choice pool.Choice, query pool.Query, err error) {
+// choose picks an upstream, among some if any are given.
+func (j *job) choose(among []string) (choice pool.Choice, query pool.Query, err error) {
 	newest, required := j.handler.Fleet.Newest(j.call.Work.Adapter)
 	query = pool.Query{
 		Service: j.service,
@@ -43,6 +45,7 @@
 		Tokens:  j.call.Work.PromptTokens,
 		Output:  j.call.Work.OutputTokens,
 		Exclude: j.tried,
+		Among:   among,
 		Alone:   j.alone,
 	}
 	if required {
@@ -106,7 +109,7 @@
 	}
 	takes := false
 	j.handler.Advice.With(func(a *Advice) {
-		if ok {
+		if ok && query.Adapter.Model != "" {
 			a.Pool.Prepared(choice.Upstream.ID, query.Adapter, loaded.Version)
 		}
 		takes = a.Pool.Takes(choice.Upstream)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -39,7 +39,7 @@
 	Ask(ctx context.Context, upstream string)
 	// ShareSpent lets the other instances know at once what this one has admitted.
 	ShareSpent()
-	// Touch tells that this instance has begun or ended to use an adapter at an upstream.
+	// Touch tells that this instance has begun or ended a send to an upstream.
 	Touch(upstream string)
 	// Broke tells that an answer broke with its connection: the upstream may have crashed.
 	Broke(upstream traffic.Upstream, fingerprint suspect.Fingerprint)
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -63,6 +63,9 @@
 	if !p.IsOpen(u.declared) || now.Before(u.bannedUntil) || u.isAway(now) {
 		return false
 	}
+	if len(query.Among) > 0 && !slices.Contains(query.Among, u.declared.ID) {
+		return false
+	}
 	return !slices.Contains(query.Exclude, u.declared.ID)
 }
 
@@ -107,7 +110,7 @@
 	slow := u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.Prompt, Failing: failing, Slow: slow}
 	engine, isEngine := p.engines[u.declared.Service]
-	choice.Uncertain = isEngine && p.isUncertain(now, u)
+	choice.Uncertain = p.isUncertain(now, u)
 	choice.Expected = times(slow, p.usual(u, query, load))
 	choice.Idle = times(slow, p.usual(u, query, Load{}))
 	pace := p.pace(query.Service)
--- /dev/null
+++ b/internal/placement/pool/plain_fleet_test.go
@@ -0,0 +1,186 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+// plain_fleet_test.go plays a plain service with a few upstreams to which many instances send.
+
+const (
+	plainPlaces    = 6
+	plainQueue     = 24
+	plainWork      = 60 * time.Millisecond
+	plainObjective = 300 * time.Millisecond
+	plainDeadline  = 3 * time.Second
+	mostAskedFor   = 3
+	// clump is how many calls come together on average.
+	clump = 12
+)
+
+// plainUpstream serves some calls at once, queues some more in the order of arrival, and refuses the others.
+type plainUpstream struct {
+	ends []time.Time
+}
+
+// take gives when a call that arrives now is answered, or refuses it.
+func (u *plainUpstream) take(now time.Time, work time.Duration) (answered time.Time, ok bool) {
+	u.ends = slices.DeleteFunc(u.ends, func(end time.Time) bool { return !end.After(now) })
+	if len(u.ends) >= plainPlaces+plainQueue {
+		return answered, false
+	}
+	begins := now
+	if waiting := len(u.ends) - plainPlaces; waiting >= 0 {
+		slices.SortFunc(u.ends, time.Time.Compare)
+		begins = u.ends[waiting]
+	}
+	answered = begins.Add(work)
+	u.ends = append(u.ends, answered)
+	return answered, true
+}
+
+// plainFleet is instances that share the upstreams of a plain service.
+type plainFleet struct {
+	instances []*pool.Pool
+	upstreams map[string]*plainUpstream
+	// inFlight is what the holder of each upstream knows to be in flight there, in all and by instance.
+	inFlight map[string]int
+	own      []map[string]int
+	due      []plainSend
+	random   *rand.Rand
+
+	asked, onTime, served, refused, arrivals, turnedAway int
+}
+
+type plainSend struct {
+	ends     time.Time
+	instance int
+	send     *pool.Send
+	upstream string
+}
+
+func newPlainFleet(instances, upstreams int) *plainFleet {
+	f := &plainFleet{
+		upstreams: make(map[string]*plainUpstream), inFlight: make(map[string]int), random: rand.New(rand.NewPCG(1, 2)),
+	}
+	for i := range instances {
+		p := newPool()
+		p.Settings.Instances = instances
+		p.Settings.DataCentre = dataCentre(i)
+		for i := range upstreams {
+			declare(p, fmt.Sprintf("s%d", i), func(u *traffic.Upstream) { u.DataCentre = dataCentre(i) })
+		}
+		f.instances = append(f.instances, p)
+		f.own = append(f.own, make(map[string]int))
+	}
+	for i := range upstreams {
+		f.upstreams[fmt.Sprintf("s%d", i)] = &plainUpstream{}
+	}
+	return f
+}
+
+// dataCentre spreads instances and upstreams over three data centres.
+func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%3) }
+
+// play has calls arrive for some seconds at a multiple of what the upstreams can serve.
+func (f *plainFleet) play(load float64, length time.Duration) {
+	gap := float64(plainWork) / plainPlaces / float64(len(f.upstreams)) / load
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(time.Duration(clump * gap * f.random.ExpFloat64()))
+		f.finish(time.Now())
+		for range f.random.IntN(2*clump) + 1 {
+			work := time.Duration(float64(plainWork) * (0.5 + f.random.Float64()))
+			f.call(time.Now(), f.random.IntN(len(f.instances)), work)
+		}
+	}
+}
+
+func (f *plainFleet) finish(now time.Time) {
+	f.due = slices.DeleteFunc(f.due, func(one plainSend) bool {
+		if one.ends.After(now) {
+			return false
+		}
+		one.send.Answered(one.ends)
+		f.instances[one.instance].Finish(now, one.send, pool.EndServed)
+		f.inFlight[one.upstream]--
+		f.own[one.instance][one.upstream]--
+		return true
+	})
+}
+
+// call places one call at an instance, asking holders as an instance does.
+func (f *plainFleet) call(now time.Time, instance int, work time.Duration) {
+	p := f.instances[instance]
+	query := plain()
+	f.asked++
+	for range 6 {
+		choice, err := f.choose(now, instance, query)
+		if err != nil {
+			break
+		}
+		patience := pool.Patience{OnTime: plainObjective, Left: plainDeadline, Objective: plainObjective}
+		if _, refused := p.Refuse(now, query, choice, patience); refused {
+			break
+		}
+		id := choice.Upstream.ID
+		send := p.Begin(now, choice, query)
+		f.arrivals++
+		answered, ok := f.upstreams[id].take(now, work)
+		if !ok {
+			f.turnedAway++
+			p.Finish(now, send, pool.EndRefused)
+			query.Exclude = append(query.Exclude, id)
+			continue
+		}
+		f.inFlight[id]++
+		f.own[instance][id]++
+		f.due = append(f.due, plainSend{ends: answered, instance: instance, send: send, upstream: id})
+		f.served++
+		if answered.Sub(now) <= plainObjective {
+			f.onTime++
+		}
+		return
+	}
+	f.refused++
+}
+
+func (f *plainFleet) choose(now time.Time, instance int, query pool.Query) (choice pool.Choice, err error) {
+	p := f.instances[instance]
+	var asked []string
+	for len(asked) < mostAskedFor {
+		choice, err = p.Choose(now, query)
+		if err != nil || !choice.Uncertain {
+			return choice, err
+		}
+		id := choice.Upstream.ID
+		p.LearnHeld(now, id, pool.Load{Running: f.inFlight[id] - f.own[instance][id]})
+		_ = asked
+	}
+
+	return p.Choose(now, query)
+}
+
+// Guards against instances that each see a few calls a second and fill the queues of some upstreams while others are
+// idle: callers are late or turned away though the service has room for all.
+func TestManyInstancesShareFewPlainUpstreams(t *testing.T) {
+	for _, instances := range []int{7, 67, 200} {
+		t.Run(fmt.Sprintf("instances=%d", instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newPlainFleet(instances, 4)
+				f.play(0.7, 20*time.Second)
+				is.True(f.turnedAway*100 < f.arrivals)             // hardly any call meets a full queue
+				is.True(float64(f.onTime) > 0.95*float64(f.asked)) // nearly all are on time
+			})
+		})
+	}
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -50,6 +50,8 @@
 	Output  int
 	// Exclude lists upstreams that have already been tried.
 	Exclude []string
+	// Among lists the upstreams to choose from; empty for all.
+	Among []string
 	// Alone asks for an upstream with nothing else running, as far as there is one.
 	Alone bool
 }
@@ -420,9 +422,14 @@
 // holder takes a millisecond or two.
 const askAfter = 60 * time.Millisecond
 
-// isUncertain tells whether the load at an upstream was heard too long ago.
+// isUncertain tells whether the load at an upstream was heard too long ago. At a plain upstream that is the time in which
+// one of its places becomes free.
 func (p *Pool) isUncertain(now time.Time, u *upstream) bool {
-	return now.Sub(u.heldAt) > askAfter
+	after := askAfter
+	if _, isEngine := p.engines[u.declared.Service]; !isEngine {
+		after = p.pace(u.declared.Service).service.Answer(0) / time.Duration(u.places())
+	}
+	return now.Sub(u.heldAt) > after
 }
 
 func residentOf(models []traffic.LoadedModel) (list []Resident) {
