Bound what cold upstreams get over the whole fleet

Ruled out: a part of the bound for each instance, an eighth of a request a second with 67 of them, or 17 at once if each may send one. Change: entries state how long an upstream is cold, services what one bears. A cold upstream is the last choice; a request that goes there asks its holder, which counts for all and uses nine tenths, so that two holders in a row stay under the line; without a holder nothing is sent. Upstreams whose data centre was taken back, or that were away, count as cold for as long as a start takes: their entries say so late. Sending to cold upstreams by their expected time was not compared.

--- a/internal/entry/node/holding.go
+++ b/internal/entry/node/holding.go
@@ -210,7 +210,7 @@
 	h.changed = make(chan struct{})
 }
 
-// prepare waits until an adapter is there, and then for the prompt's turn.
+// prepare waits until an adapter is there, and then for the prompt's turn. A cold upstream has to bear the request too.
 func (h *holding) prepare(ctx context.Context, request mesh.PrepareRequest) (prepared mesh.Prepared) {
 	worthUntil := time.Now().Add(min(request.Patience, request.OnTime))
 	prepared = mesh.Loaded{}
@@ -225,9 +225,18 @@
 			return mesh.Busy{RetryAfter: wait}
 		}
 	}
+	if wait, admitted := h.admitCold(); !admitted {
+		return mesh.Busy{RetryAfter: wait}
+	}
 	return prepared
 }
 
+// admitCold takes a request from what the upstream bears while it is cold.
+func (h *holding) admitCold() (wait time.Duration, admitted bool) {
+	h.node.advice.With(func(a *serve.Advice) { wait, admitted = a.Pool.AdmitCold(time.Now(), h.upstream.ID) })
+	return wait, admitted
+}
+
 // load waits until an adapter is there. A request that cannot have it within its patience is told at
 // once: it may find room elsewhere, or its caller can come back.
 func (h *holding) load(ctx context.Context, request mesh.PrepareRequest, worthUntil time.Time) mesh.Prepared {
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -247,7 +247,7 @@
 
 // applyEvacuation begins or ends the evacuation of a data centre.
 func (n *Node) applyEvacuation(dataCentre string, evacuated bool, revision int64) {
-	n.advice.With(func(a *serve.Advice) { a.Pool.SetEvacuated(dataCentre, evacuated) })
+	n.advice.With(func(a *serve.Advice) { a.Pool.SetEvacuated(time.Now(), dataCentre, evacuated) })
 	n.Log.Info().Str("DataCentre", dataCentre).Bool("Evacuated", evacuated).Int64("Revision", revision).
 		Msg("DataCentreEvacuated")
 }
@@ -286,10 +286,12 @@
 		a.Pool.Declare(time.Now(), upstream)
 	})
 	news = !known || before.Draining != upstream.Draining || before.Born != upstream.Born ||
-		before.Address != upstream.Address || before.Service != upstream.Service
+		before.Address != upstream.Address || before.Service != upstream.Service ||
+		(before.ColdFor > 0) != (upstream.ColdFor > 0)
 	if news {
 		n.Log.Info().Str("Upstream", id).Str("Service", upstream.Service).Str("Address", upstream.Address).
-			Bool("Draining", upstream.Draining).Int64("Revision", item.Revision).Msg("UpstreamDeclared")
+			Bool("Draining", upstream.Draining).Int64("ColdMillis", upstream.ColdFor.Milliseconds()).
+			Int64("Revision", item.Revision).Msg("UpstreamDeclared")
 	}
 	return news
 }
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -83,7 +83,7 @@
 	if j.inTurn {
 		tokens = query.Tokens
 	}
-	return choice.Loaded && !j.inTurn || j.prepare(ctx, choice, query, tokens)
+	return choice.Loaded && !j.inTurn && !choice.Cold || j.prepare(ctx, choice, query, tokens)
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for the turn of a prompt if it has any tokens.
@@ -103,8 +103,11 @@
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
+	if busy, refused := prepared.(mesh.Busy); refused && choice.Cold {
+		j.handler.Advice.With(func(a *Advice) { a.Pool.RefusedCold(time.Now(), choice.Upstream.ID, busy.RetryAfter) })
+	}
 	_, unheld := prepared.(mesh.NotHolder)
-	if !ok && !(unheld && choice.Loaded) { // without a holder nobody keeps the turns
+	if !ok && (!unheld || !choice.Loaded || choice.Cold) { // without a holder nobody keeps the turns
 		return false
 	}
 	takes := false
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -73,6 +73,10 @@
 	Name string
 	// MaxConnections is what one upstream takes from all callers together; 0 means not stated.
 	MaxConnections int
+	// ColdRate is the requests a second that one upstream bears while it is cold, from all instances together; 0 means
+	// not stated. ColdStart is how long it stays cold after its start.
+	ColdRate  float64
+	ColdStart time.Duration
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -149,6 +153,8 @@
 	Draining bool
 	// Born is the Unix millisecond of its start: an upstream with another one has forgotten everything.
 	Born int64
+	// ColdFor is how much longer it was going to be cold when it said so: slow, and to be sent little.
+	ColdFor time.Duration
 	// Models is what it had loaded when it last said so.
 	Models []LoadedModel
 }
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		choice, total := p.weigh(now, u, query, homes)
-		if !found || total < bestTotal {
+		if !found || isBetter(choice, total, best, bestTotal) {
 			best = choice
 			bestTotal = total
 			found = true
@@ -58,11 +58,23 @@
 	return best, nil
 }
 
+// isBetter tells whether a choice is better than another. An upstream that is cold is the worse choice, however idle: the
+// little that it bears is for those who have no other.
+func isBetter(choice Choice, total time.Duration, other Choice, otherTotal time.Duration) bool {
+	if choice.Cold != other.Cold {
+		return other.Cold
+	}
+	return total < otherTotal
+}
+
 // isCandidate tells whether an upstream of the service takes the request.
 func (p *Pool) isCandidate(now time.Time, u *upstream, query Query) bool {
 	if !p.IsOpen(u.declared) || now.Before(u.bannedUntil) || u.isAway(now) {
 		return false
 	}
+	if p.isCold(now, u) && now.Before(u.cold.fullUntil) {
+		return false
+	}
 	if len(query.Among) > 0 && !slices.Contains(query.Among, u.declared.ID) {
 		return false
 	}
@@ -109,6 +121,7 @@
 	failing := u.failing(now)
 	slow := u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.Prompt, Failing: failing, Slow: slow}
+	choice.Cold = p.isCold(now, u)
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.Uncertain = p.isUncertain(now, u)
 	choice.Expected = times(slow, p.usual(u, query, load))
--- a/internal/placement/pool/evacuation.go
+++ b/internal/placement/pool/evacuation.go
@@ -1,16 +1,23 @@
 package pool
 
-import "lacewingrock.example/lacewingrock/internal/gateway/traffic"
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
 
 // evacuation.go keeps requests out of data centres that operators empty.
 
 // SetEvacuated begins or ends the evacuation of a data centre. A name without upstreams is kept for those to come.
-func (p *Pool) SetEvacuated(dataCentre string, evacuated bool) {
+func (p *Pool) SetEvacuated(now time.Time, dataCentre string, evacuated bool) {
 	p.prepare()
 	if evacuated {
 		p.evacuated[dataCentre] = true
 		return
 	}
+	if p.evacuated[dataCentre] {
+		p.assumeCold(now, dataCentre)
+	}
 	delete(p.evacuated, dataCentre)
 }
 
--- a/internal/placement/pool/evacuation_test.go
+++ b/internal/placement/pool/evacuation_test.go
@@ -22,7 +22,7 @@
 		resident(p, "e1", "a")
 		choice, err := p.Choose(time.Now(), generation("a"))
 		is.NoErr(err)
-		p.SetEvacuated("there", true)
+		p.SetEvacuated(time.Now(), "there", true)
 		is.True(!p.Takes(choice.Upstream)) // chosen before, sent after its adapter was loaded
 		declare(p, "e2", there)
 		_, err = p.Choose(time.Now(), generation("a"))
@@ -31,7 +31,7 @@
 		choice, err = p.Choose(time.Now(), generation("a"))
 		is.NoErr(err)
 		is.Equal(choice.Upstream.ID, "e3")
-		p.SetEvacuated("there", false)
+		p.SetEvacuated(time.Now(), "there", false)
 		choice, err = p.Choose(time.Now(), generation("a"))
 		is.NoErr(err)
 		is.Equal(choice.Upstream.ID, "e1") // it kept the adapter
@@ -47,13 +47,13 @@
 		upstream, _ := p.Upstream(id)
 		return p.IsOpen(upstream)
 	}
-	p.SetEvacuated("nowhere", true)
-	p.SetEvacuated("there", true)
-	p.SetEvacuated("there", true)
+	p.SetEvacuated(time.Now(), "nowhere", true)
+	p.SetEvacuated(time.Now(), "there", true)
+	p.SetEvacuated(time.Now(), "there", true)
 	is.True(open("e1") && !open("e2"))
-	p.SetEvacuated("here", true)
+	p.SetEvacuated(time.Now(), "here", true)
 	is.True(!open("e1") && !open("e2"))
-	p.SetEvacuated("there", false)
-	p.SetEvacuated("there", false)
+	p.SetEvacuated(time.Now(), "there", false)
+	p.SetEvacuated(time.Now(), "there", false)
 	is.True(!open("e1") && open("e2"))
 }
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -67,6 +67,8 @@
 	Idle time.Duration
 	// Wait is how long the adapter is expected to wait for a place, where it is not loaded.
 	Wait time.Duration
+	// Cold: the upstream has to be asked for through its holder, which bounds what it gets.
+	Cold bool
 	// Uncertain: so much can have changed at the upstream since its holder told the load that it is worth
 	// asking before the request is sent.
 	Uncertain bool
@@ -143,6 +145,8 @@
 	peers       map[source]peerLoads
 	// paces is how long each service takes.
 	paces map[string]*pace
+	// coldStarts is what is stated of each service's cold upstreams.
+	coldStarts map[string]coldStart
 	// evacuated are the data centres that get no requests.
 	evacuated map[string]bool
 	turn      int
@@ -166,8 +170,10 @@
 	p.prepare()
 	p.engines = make(map[string]traffic.Engine)
 	p.connections = make(map[string]int)
+	p.coldStarts = make(map[string]coldStart)
 	for name, service := range services {
 		p.connections[name] = service.MaxConnections
+		p.coldStarts[name] = coldStart{rate: service.ColdRate, length: service.ColdStart}
 		if service.Engine != nil {
 			p.engines[name] = *service.Engine
 		}
@@ -190,6 +196,7 @@
 		p.services = nil
 	}
 	u.declared = declared
+	u.cold.state(now, declared.ColdFor)
 	if u.fence == 0 {
 		u.setResident(residentOf(declared.Models))
 	}
@@ -239,6 +246,9 @@
 		u.loads = loadTimes{full: residency.LoadTime, reload: residency.ReloadTime}
 		p.pace(u.declared.Service).loads = u.loads
 	}
+	if now.Before(u.awayUntil) && !residency.Away {
+		u.cold.assume(now, p.coldStarts[u.declared.Service].length)
+	}
 	u.awayUntil = time.Time{}
 	if residency.Away {
 		u.awayUntil = now.Add(awayFor + p.Settings.HeardEvery)
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -62,6 +62,7 @@
 	// instance last had an answer from there.
 	awayUntil time.Time
 	servedAt  time.Time
+	cold      cold
 	// bannedUntil is when an upstream that could not be reached is tried again.
 	bannedUntil time.Time
 	ban         time.Duration
