Leave out plain upstreams that are full, and refuse at once who would be late for the queue

Cause: nothing admitted to plain services: a request went to full upstreams one after the other, six times, and its caller was told a constant 350 ms. Ruled out: a stated queue length. Configuration and entries do not have one; it is learnt. Change: a refusal for want of room, at a load that the holder has just told, says how much the upstreams of the service take in terms of their places. As long as it counts, a choice leaves out those that have as much; if all have, the caller is refused at once with a turn to come back, as for engines. Requests that would be late while the queue is standing are refused as for engines.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -49,7 +49,7 @@
 		}
 		choice, query, err := j.chooseKnowing(ctx)
 		if err != nil {
-			return j.noUpstream(last)
+			return j.noUpstream(err, query, last)
 		}
 		if !j.mayHaveRun {
 			if err := j.refuseInOverload(choice, query); err != nil {
@@ -243,10 +243,15 @@
 }
 
 // noUpstream is the end of a request for which there is no upstream to send it to.
-func (j *job) noUpstream(last error) error {
+func (j *job) noUpstream(why error, query pool.Query, last error) error {
 	if j.mayHaveRun {
 		return j.exhausted(last)
 	}
+	if errors.Is(why, pool.ErrFull) {
+		var retryAfter time.Duration
+		j.handler.Advice.With(func(a *Advice) { retryAfter = a.Pool.RetryWhenFull(time.Now(), query) })
+		return refusal.New(refusal.Busy, "the upstreams are full").WithRetryAfter(retryAfter)
+	}
 	return refusal.New(refusal.ServiceUnavailable, "no upstream can take the request").WithRetryAfter(awayRetryAfter)
 }
 
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -36,6 +36,7 @@
 	p.dropSilent(now)
 	var best Choice
 	found := false
+	full := false
 	bestTotal := time.Duration(0)
 	p.turn++
 	upstreams := p.servingFor(query.Service)
@@ -45,6 +46,10 @@
 		if !p.isCandidate(now, u, query) || p.isConnectedOut(u) {
 			continue
 		}
+		if p.isFull(now, u) {
+			full = true
+			continue
+		}
 		choice, total := p.weigh(now, u, query, homes)
 		if !found || isBetter(choice, total, best, bestTotal) {
 			best = choice
@@ -52,10 +57,13 @@
 			found = true
 		}
 	}
-	if !found {
-		return Choice{}, ErrNone
+	switch {
+	case found:
+		return best, nil
+	case full:
+		return Choice{}, ErrFull
 	}
-	return best, nil
+	return Choice{}, ErrNone
 }
 
 // isBetter tells whether a choice is better than another. An upstream that is cold is the worse choice, however idle: the
@@ -81,6 +89,29 @@
 	return !slices.Contains(query.Exclude, u.declared.ID)
 }
 
+// fullFor is how long it counts that an upstream refused a request for want of room at a load.
+const fullFor = 10 * time.Second
+
+// isFull tells whether an upstream has as much in flight, in terms of its places, as one of its service had when it
+// refused a request for want of room.
+func (p *Pool) isFull(now time.Time, u *upstream) bool {
+	known := p.pace(u.declared.Service)
+	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= known.full
+}
+
+// noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had was known.
+func (p *Pool) noteRefusal(now time.Time, u *upstream, found Load, certain bool) {
+	if !certain || found.Running < u.places() {
+		return
+	}
+	known := p.pace(u.declared.Service)
+	known.full = found.perPlace(u)
+	known.fullAt = now
+}
+
+// perPlace is the requests in flight in terms of an upstream's places.
+func (l Load) perPlace(u *upstream) float64 { return float64(l.Running) / float64(u.places()) }
+
 // answersFor is how long an answer from an upstream proves that it can be reached from here.
 const answersFor = time.Second
 
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -40,9 +40,6 @@
 func (p *Pool) Refuse(
 	now time.Time, query Query, choice Choice, patience Patience,
 ) (retryAfter time.Duration, refused bool) {
-	if !p.isGeneration(query) {
-		return 0, false
-	}
 	eta := choice.Expected + choice.Wait
 	queued := choice.Expected - choice.Idle
 	hopeless := eta > patience.Left
@@ -76,12 +73,31 @@
 	return now.Sub(p.lateSince)
 }
 
+// occupies is how long a request keeps an upstream from others: an engine while it prefills the prompt, a plain one for
+// its part of the places.
+func (p *Pool) occupies(query Query) time.Duration {
+	known := p.pace(query.Service)
+	if p.isGeneration(query) {
+		return known.engine.Prefill(query.Tokens)
+	}
+	places := 0
+	for _, u := range p.servingFor(query.Service) {
+		places = max(places, u.places())
+	}
+	return known.service.Answer(0) / time.Duration(max(places, 1))
+}
+
+// RetryWhenFull tells a caller when to come back to a service all of whose upstreams are full.
+func (p *Pool) RetryWhenFull(now time.Time, query Query) time.Duration {
+	return p.scheduleRetry(now, query, p.occupies(query))
+}
+
 // scheduleRetry tells a refused caller when to come back: when there will be room, after those who were refused before
 // it have had their turn. The other instances are taken to refuse as many.
 func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
 	known := p.pace(query.Service)
 	upstreams := max(p.openIn(query.Service), 1)
-	turn := known.engine.Prefill(query.Tokens) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
+	turn := p.occupies(query) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
 	due := now.Add(max(wait, leastRetryAfter))
 	if due.Before(known.nextTurn) {
 		due = known.nextTurn
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -19,6 +19,10 @@
 	peers map[string]peerEvidence
 	// loads is what a holder told last of any of the upstreams, for those of which nothing was told.
 	loads loadTimes
+	// full is what an upstream had in flight, in terms of its places, when it last refused a request for want of room, at
+	// fullAt.
+	full   float64
+	fullAt time.Time
 	// nextTurn is when the next refused caller may come back.
 	nextTurn time.Time
 	// lateSince is since when the queue has been standing: a request was late on its account, and none has found a
--- a/internal/placement/pool/plain_fleet_test.go
+++ b/internal/placement/pool/plain_fleet_test.go
@@ -184,3 +184,20 @@
 		})
 	}
 }
+
+// Guards against callers that are all late, or turned away by full queues one after the other, while more calls come than
+// the upstreams can serve: with those refused at once who would be late, as many are on time as fit.
+func TestOverloadedPlainServiceStaysOnTime(t *testing.T) {
+	for _, instances := range []int{7, 67} {
+		t.Run(fmt.Sprintf("instances=%d", instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newPlainFleet(instances, 4)
+				f.play(1.5, 30*time.Second)
+				fit := 30 * float64(len(f.upstreams)*plainPlaces) / plainWork.Seconds()
+				is.True(float64(f.onTime) >= 0.9*fit)
+				is.True(f.turnedAway*50 < f.arrivals)
+			})
+		})
+	}
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -39,6 +39,9 @@
 // ErrNone means that no upstream of the service can take the request now.
 var ErrNone = errors.New("pool: no upstream")
 
+// ErrFull means that each upstream of the service would refuse the request: their queues are full.
+var ErrFull = errors.New("pool: all upstreams are full")
+
 // Query describes a request to place.
 type Query struct {
 	Service string
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -76,8 +76,10 @@
 	began    time.Time
 	// found is what was under way at the upstream before, usual the time that its first event then takes at an
 	// upstream of usual speed.
-	found    Load
-	usual    time.Duration
+	found Load
+	usual time.Duration
+	// certain: what was found is what the holder has just told.
+	certain  bool
 	answered bool
 }
 
@@ -96,6 +98,7 @@
 	send := &Send{pool: p, query: query, began: now, upstream: p.upstreams[choice.Upstream.ID]}
 	if u := send.upstream; u != nil {
 		send.found = p.load(now, u)
+		send.certain = !p.isUncertain(now, u)
 		send.usual = p.usual(u, query, send.found)
 		u.sends[send] = true
 		u.own = u.own.plus(send.load())
@@ -177,6 +180,7 @@
 		u.count(now, 1)
 	case EndRefused:
 		u.count(now, refusalWeight)
+		p.noteRefusal(now, u, send.found, send.certain)
 	case EndUnreachable:
 		u.count(now, 1)
 		u.ban = min(max(2*u.ban, shortestBan), longestBan)
