--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
 // choose.go compares upstreams by when a request would be answered there.
@@ -16,19 +14,6 @@
 	// failureCost is what a certain failure costs: the time of a retry. Callers of a request that may not
 	// be repeated lose it altogether, so they gain as well from the upstream that fails less.
 	failureCost = 800 * time.Millisecond
-	// evicted is what the next request for the evicted adapter pays, in reloads.
-	evicted = 1
-	// fetched is what an adapter that has to come from the weight store costs besides the wait, in loads: the
-	// store is shared by all upstreams, and a fetch keeps others waiting, and is billed.
-	fetched = 1
-	// stray is added for each upstream that is nearer to the adapter's home, in loads: where it is always
-	// loaded at the same few upstreams, these have a copy when it is wanted again.
-	stray = 0.2
-	// preparing is for each request of this instance that already waits for an adapter there, and that the
-	// holder's last word may not count yet, in loads: an upstream loads some adapters at once.
-	preparing = 0.25
-	// inTransit is what is left, on average, of a load that is under way.
-	inTransit = 0.5
 )
 
 // Choose picks the upstream where the request is expected to be answered first.
@@ -89,29 +74,6 @@
 	return !slices.Contains(query.Exclude, u.declared.ID)
 }
 
-// fullFor is how long it counts that an upstream refused a request for want of room at a load.
-const fullFor = 10 * time.Second
-
-// isFull tells whether an upstream has as much in flight, in terms of its places, as one of its service had when it
-// refused a request for want of room.
-func (p *Pool) isFull(now time.Time, u *upstream) bool {
-	known := p.pace(u.declared.Service)
-	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= known.full
-}
-
-// noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had was known.
-func (p *Pool) noteRefusal(now time.Time, u *upstream, found Load, certain bool) {
-	if !certain || found.Running < u.places() {
-		return
-	}
-	known := p.pace(u.declared.Service)
-	known.full = found.perPlace(u)
-	known.fullAt = now
-}
-
-// perPlace is the requests in flight in terms of an upstream's places.
-func (l Load) perPlace(u *upstream) float64 { return float64(l.Running) / float64(u.places()) }
-
 // answersFor is how long an answer from an upstream proves that it can be reached from here.
 const answersFor = time.Second
 
@@ -177,55 +139,3 @@
 	}
 	return choice, total
 }
-
-// loading is how long a request waits until its adapter is there, and what having it loaded costs others.
-type loading struct {
-	wait   time.Duration
-	charge time.Duration
-}
-
-// loadCost is what it takes until the adapter is there.
-func (p *Pool) loadCost(u *upstream, query Query, homes homes, choice *Choice) (cost loading) {
-	loads := p.loadTimes(u)
-	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
-		if known.InTransit {
-			choice.Loaded = false
-			cost.wait = times(inTransit, loads.full)
-		}
-		return cost
-	}
-	choice.Loaded = false
-	choice.Wait = u.wait
-	cost.wait = u.wait + times(preparing*float64(u.preparing), loads.full)
-	cost.charge = times(evicted, loads.reload)
-	if u.recent.has(query.Adapter, query.Version) {
-		cost.wait += loads.reload
-	} else {
-		cost.wait += loads.full
-		cost.charge += times(fetched+stray*float64(homes.nearer(u)), loads.full)
-	}
-	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
-		cost.wait += p.modelLoadTime(query)
-	}
-	return cost
-}
-
-const (
-	// lateFrom and lateTo are the times until the first event, in terms of what is left of the objective, from which on
-	// a request may be late and from which on it surely is: forecasts are off by some tenths.
-	lateFrom = 0.45
-	lateTo   = 1.15
-)
-
-// lateness is what it costs a caller that the first event comes after some time: its objective, as likely as that makes
-// it late.
-//
-// Made for popular adapters. By time alone a fetch to an idle engine is dearer than the queue of the one that has the
-// adapter, until that queue is longer than callers can wait.
-func (q Query) lateness(after time.Duration) time.Duration {
-	if q.OnTime <= 0 {
-		return 0
-	}
-	part := (float64(after)/float64(q.OnTime) - lateFrom) / (lateTo - lateFrom)
-	return times(min(max(part, 0), 1), q.Objective)
-}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -113,32 +113,6 @@
 	InTransit bool
 }
 
-// Load is what one instance has under way at an upstream.
-type Load struct {
-	Running int
-	// Prompt is the tokens of prompts that have no first event yet, Memory the tokens of all running.
-	Prompt int
-	Memory int
-	// InUse are the adapters of the running requests.
-	InUse []traffic.Adapter
-}
-
-// plus adds another load, but for the adapters in use.
-func (l Load) plus(other Load) Load {
-	l.Running += other.Running
-	l.Prompt += other.Prompt
-	l.Memory += other.Memory
-	return l
-}
-
-// minus takes another load away, but for the adapters in use.
-func (l Load) minus(other Load) Load {
-	l.Running -= other.Running
-	l.Prompt -= other.Prompt
-	l.Memory -= other.Memory
-	return l
-}
-
 // Pool is all upstreams. Set Settings before use. It is not safe for use by several goroutines.
 type Pool struct {
 	Settings Settings
@@ -159,19 +133,6 @@
 	turn      int
 }
 
-// source is where another instance's loads come from: its state, which all instances get, or its reports to the
-// holder of the upstreams.
-type source struct {
-	instance string
-	reported bool
-}
-
-// peerLoads is what another instance has in flight.
-type peerLoads struct {
-	at    time.Time
-	loads map[string]Load
-}
-
 // Configure takes over which services are engines.
 func (p *Pool) Configure(services map[string]traffic.Service) {
 	p.prepare()
@@ -267,151 +228,6 @@
 // until the holder is due to be heard again: the holder itself may be gone.
 const awayFor = 500 * time.Millisecond
 
-// LearnLoads takes note of what another instance has in flight at upstreams without a holder, by its state.
-func (p *Pool) LearnLoads(now time.Time, instance string, loads map[string]Load) {
-	p.learn(now, source{instance: instance}, loads)
-}
-
-// LearnReport takes note of what another instance has in flight at the upstreams that this one holds.
-func (p *Pool) LearnReport(now time.Time, instance string, loads map[string]Load) {
-	p.learn(now, source{instance: instance, reported: true}, loads)
-}
-
-func (p *Pool) learn(now time.Time, from source, loads map[string]Load) {
-	p.prepare()
-	p.dropLoads(from)
-	if len(loads) == 0 {
-		return
-	}
-	p.peers[from] = peerLoads{at: now, loads: loads}
-	for id, load := range loads {
-		if u := p.upstreams[id]; u != nil {
-			u.beside = u.beside.plus(load)
-		}
-	}
-}
-
-// dropLoads takes out what came last from a source.
-func (p *Pool) dropLoads(from source) {
-	for id, load := range p.peers[from].loads {
-		if u := p.upstreams[id]; u != nil {
-			u.beside = u.beside.minus(load)
-		}
-	}
-	delete(p.peers, from)
-}
-
-// dropSilent takes out what is too old.
-func (p *Pool) dropSilent(now time.Time) {
-	for from, peer := range p.peers {
-		if now.Sub(peer.at) > p.Settings.PeerLoadFor {
-			p.dropLoads(from)
-		}
-	}
-}
-
-// LearnHeld takes note of what the holder of an upstream knows to be in flight there from all instances but
-// this one, by its answer to a report.
-func (p *Pool) LearnHeld(now time.Time, id string, load Load) {
-	if u := p.upstreams[id]; u != nil {
-		u.held = load
-		u.heldAt = now
-	}
-}
-
-// LearnTotal takes note of what was in flight at an upstream from all instances at a moment, by the state of its
-// holder. What this instance has reported is taken out.
-func (p *Pool) LearnTotal(at time.Time, id string, total Load) {
-	u := p.upstreams[id]
-	if u == nil || u.heldAt.After(at) {
-		return
-	}
-	held := total.minus(u.reported)
-	u.held = Load{Running: max(held.Running, 0), Prompt: max(held.Prompt, 0), Memory: max(held.Memory, 0)}
-	u.heldAt = at
-}
-
-// Beside is what all instances but a given one have in flight at an upstream, for the instance that holds it.
-func (p *Pool) Beside(now time.Time, id, instance string) (total Load) {
-	total = p.Total(now, id)
-	for _, from := range []source{{instance: instance}, {instance: instance, reported: true}} {
-		total = total.minus(p.peers[from].loads[id])
-	}
-	return total
-}
-
-// Total is what all instances have in flight at an upstream, and the prompts that await their turn, for the instance
-// that holds it.
-func (p *Pool) Total(now time.Time, id string) (total Load) {
-	u := p.upstreams[id]
-	if u == nil {
-		return total
-	}
-	total = p.Sent(now, id)
-	total.Prompt += u.awaitingTurn
-	return total
-}
-
-// Sent is what all instances have under way at an upstream, for the instance that holds it.
-func (p *Pool) Sent(now time.Time, id string) (total Load) {
-	u := p.upstreams[id]
-	if u == nil {
-		return total
-	}
-	p.dropSilent(now)
-	return u.own.plus(u.beside)
-}
-
-// SetAwaitingTurn takes note of the tokens of the prompts that wait for their turn at an upstream that this instance holds.
-func (p *Pool) SetAwaitingTurn(id string, tokens int) {
-	if u := p.upstreams[id]; u != nil {
-		u.awaitingTurn = tokens
-	}
-}
-
-// Prefill is how long an upstream is expected to need for a prompt alone.
-func (p *Pool) Prefill(id string, tokens int) time.Duration {
-	u := p.upstreams[id]
-	if u == nil {
-		return 0
-	}
-	return p.pace(u.declared.Service).engine.Prefill(tokens)
-}
-
-// Own is what this instance has under way at the upstreams that are asked for, for its heartbeats.
-func (p *Pool) Own(asked func(upstream string) bool) map[string]Load {
-	loads := make(map[string]Load)
-	for id, u := range p.upstreams {
-		if own := u.own; own.Running > 0 && asked(id) {
-			own.InUse = u.inUse()
-			loads[id] = own
-		}
-	}
-	return loads
-}
-
-// Report is Own for the holder of the upstreams that are asked for.
-func (p *Pool) Report(asked func(upstream string) bool) map[string]Load {
-	for id, u := range p.upstreams {
-		if asked(id) {
-			u.reported = u.own
-		}
-	}
-	return p.Own(asked)
-}
-
-// InUse lists the adapters with requests under way at an upstream, from any instance.
-func (p *Pool) InUse(now time.Time, id string) (adapters []traffic.Adapter) {
-	if u := p.upstreams[id]; u != nil {
-		adapters = u.inUse()
-	}
-	p.dropSilent(now)
-	for _, peer := range p.peers {
-		adapters = append(adapters, peer.loads[id].InUse...)
-	}
-	return adapters
-}
-
 // ---------------------------------------------------------------------------------------------
 
 func (p *Pool) prepare() {
@@ -423,32 +239,6 @@
 	}
 }
 
-// load is what all instances have under way at an upstream, as far as none of them is silent.
-func (p *Pool) load(now time.Time, u *upstream) (load Load) {
-	if now.Sub(u.heldAt) <= p.Settings.HeldFor {
-		return u.own.plus(u.held)
-	}
-	load = u.own.plus(u.beside)
-	load.Prompt += u.awaitingTurn
-	return load
-}
-
-// askAfter is how old the holder's word on an upstream's load may be. Heartbeats come four times a second at the
-// most; in that time other instances send prompts there that are read for some hundred milliseconds, and a request
-// that was placed without knowing of them waits behind them although another upstream is idle. An answer of the
-// holder takes a millisecond or two.
-const askAfter = 60 * time.Millisecond
-
-// isUncertain tells whether the load at an upstream was heard too long ago. At a plain upstream that is the time in which
-// one of its places becomes free.
-func (p *Pool) isUncertain(now time.Time, u *upstream) bool {
-	after := askAfter
-	if _, isEngine := p.engines[u.declared.Service]; !isEngine {
-		after = p.pace(u.declared.Service).service.Answer(0) / time.Duration(u.places())
-	}
-	return now.Sub(u.heldAt) > after
-}
-
 func residentOf(models []traffic.LoadedModel) (list []Resident) {
 	for _, model := range models {
 		list = append(list, Resident{Adapter: traffic.Adapter{Model: model.Name}, Version: model.Version})
