Take no retry from the budget for a send that reached nothing

Cause: each send after the first took a retry, also where the one before had made no connection. While many upstreams are gone an instance's few retries went to connections that were refused, and its callers failed. Ruled out: that such a send is an arrival; without a connection nothing was sent. TestUnreachedUpstreamTakesNoRetry failed before.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -60,7 +60,7 @@
 			j.tried = append(j.tried, choice.Upstream.ID)
 			continue
 		}
-		if j.sends > 0 && !j.paid && !j.mayResend() {
+		if j.arrivals > 0 && !j.paid && !j.mayResend() {
 			return j.exhausted(last)
 		}
 		j.paid = false
@@ -127,6 +127,9 @@
 	if err != nil && errors.Is(context.Cause(exchanging), errSilent) {
 		err = errSilent
 	}
+	if ended != resultUnreached {
+		j.arrivals++
+	}
 	if ended != resultUnreached && ended != resultNotRun && ended != resultMissing {
 		j.runs++
 		j.mayHaveRun = true
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -36,8 +36,9 @@
 
 	// tried lists the upstreams that are not to be chosen again.
 	tried []string
-	// sends counts the sends, runs those that may have run.
+	// sends counts the sends, arrivals those that may have reached an upstream, runs those that may have run.
 	sends      int
+	arrivals   int
 	runs       int
 	mayHaveRun bool
 	// inTurn: the prompt has waited for its turn, and the next one waits for its first event.
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -125,6 +125,21 @@
 	is.Equal(w.runs(), 1)
 }
 
+// Guards against requests that fail while many upstreams are gone, as each connection that is refused counts as a retry:
+// nothing has arrived there, and the next send is the first that does.
+func TestUnreachedUpstreamTakesNoRetry(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, served, served, served)
+	w.handler.Advice.Retries = &retry.Budgets{}
+	w.upstreams[0].server.Close()
+	w.upstreams[1].server.Close()
+	for _, path := range []string{"/idem/", "/once/", "/stream/", "/idem/", "/once/", "/stream/"} {
+		response, _, err := w.call(path, "b")
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+}
+
 // Another upstream has taken the address of one that is gone, and answers that it is not the one meant. It
 // will say so again: sent there once more, the request loses the time in which another could serve it.
 func TestNoSecondSendToAnotherUpstreamsAddress(t *testing.T) {
