Believe a holder that has no place, ask more of them, and pass its wait on to the caller

Ruled out: that no place was left at all; engines beyond the six were not asked, and the waits that choices went by were up to a second old. Change: an answer without a place says how long the next one takes; choices go by that until the holder's next word. Up to sixteen are asked, sends are bounded to six as before. The shortest of the waits is when the caller is told to come back, from 100 ms to 3 s.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -19,9 +19,15 @@
 	// mostTries bounds the upstreams that one request is offered to, whatever its route allows: past some
 	// refusals in a row the service is full, and more offers only add load.
 	mostTries = 6
-	// busyRetryAfter is when a caller is asked to come back to a service that has no room: some requests
-	// have ended by then.
+	// mostPrepared bounds the upstreams that are asked for an adapter or a turn in vain. Such a question takes some
+	// milliseconds and no work of the upstream.
+	mostPrepared = 16
+	// busyRetryAfter is when a caller is asked to come back to a service that has no room, where no holder said when it
+	// will: some requests have ended by then.
 	busyRetryAfter = 350 * time.Millisecond
+	// leastBusyRetryAfter and mostBusyRetryAfter bound what holders say of that.
+	leastBusyRetryAfter = 100 * time.Millisecond
+	mostBusyRetryAfter  = 3 * time.Second
 	// awayRetryAfter is the same where no upstream can be reached.
 	awayRetryAfter = 500 * time.Millisecond
 )
@@ -43,7 +49,7 @@
 	h := j.handler
 	h.Advice.With(func(a *Advice) { a.Retries.Of(j.service).First() })
 	var last error
-	for try := 0; try < mostTries; try++ {
+	for j.sends < mostTries && len(j.tried) < mostPrepared {
 		if ctx.Err() != nil {
 			return j.gaveUp(ctx)
 		}
@@ -247,7 +253,7 @@
 
 // noUpstream is the end of a request for which there is no upstream to send it to.
 func (j *job) noUpstream(why error, query pool.Query, last error) error {
-	if j.mayHaveRun {
+	if j.mayHaveRun || j.soonest > 0 {
 		return j.exhausted(last)
 	}
 	if errors.Is(why, pool.ErrFull) {
@@ -258,11 +264,19 @@
 	return refusal.New(refusal.ServiceUnavailable, "no upstream can take the request").WithRetryAfter(awayRetryAfter)
 }
 
+// busyFor is when a place or a turn is expected at the first of the upstreams that had none.
+func (j *job) busyFor() time.Duration {
+	if j.soonest == 0 {
+		return busyRetryAfter
+	}
+	return min(max(j.soonest, leastBusyRetryAfter), mostBusyRetryAfter)
+}
+
 // exhausted is the end of a request that may not be sent again, or not often enough.
 func (j *job) exhausted(last error) error {
 	if !j.mayHaveRun {
 		j.cause = last
-		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(busyRetryAfter)
+		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(j.busyFor())
 	}
 	j.cause = last // for the log; it holds addresses that are not the caller's business
 	return refusal.New(refusal.UpstreamFailed, "the upstream failed or its answer was lost")
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -36,6 +36,8 @@
 
 	// tried lists the upstreams that are not to be chosen again.
 	tried []string
+	// soonest is the shortest wait for a place or a turn that a holder stated when it had none; 0 for none.
+	soonest time.Duration
 	// sends counts the sends, arrivals those that may have reached an upstream, runs those that may have run.
 	sends      int
 	arrivals   int
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -106,8 +106,8 @@
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
-	if busy, refused := prepared.(mesh.Busy); refused && choice.Cold {
-		j.handler.Advice.With(func(a *Advice) { a.Pool.RefusedCold(time.Now(), choice.Upstream.ID, busy.RetryAfter) })
+	if busy, refused := prepared.(mesh.Busy); refused {
+		j.noteBusy(*choice, busy)
 	}
 	_, unheld := prepared.(mesh.NotHolder)
 	if !ok && (!unheld || !choice.Loaded || choice.Cold) { // without a holder nobody keeps the turns
@@ -123,6 +123,24 @@
 	return takes
 }
 
+// noteBusy takes note of when the holder of an upstream that has no place or turn expects one.
+func (j *job) noteBusy(choice pool.Choice, busy mesh.Busy) {
+	if busy.RetryAfter <= 0 {
+		return
+	}
+	if j.soonest == 0 || busy.RetryAfter < j.soonest {
+		j.soonest = busy.RetryAfter
+	}
+	j.handler.Advice.With(func(a *Advice) {
+		switch {
+		case choice.Cold:
+			a.Pool.RefusedCold(time.Now(), choice.Upstream.ID, busy.RetryAfter)
+		case !choice.Loaded:
+			a.Pool.LearnWait(choice.Upstream.ID, busy.RetryAfter)
+		}
+	})
+}
+
 // onTimeFor is how long the request can wait for its adapter and its turn and still be on time. One that is late for
 // its own length can wait as long as others may be queued for.
 func (j *job) onTimeFor(choice pool.Choice) time.Duration {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -200,6 +200,14 @@
 	return u.declared, true
 }
 
+// LearnWait takes note of how long another adapter would wait for a place at an upstream, by its holder's answer to one
+// that found none. It counts until the holder's next word.
+func (p *Pool) LearnWait(id string, wait time.Duration) {
+	if u := p.upstreams[id]; u != nil {
+		u.wait = max(u.wait, wait)
+	}
+}
+
 // LearnResidency takes note of what a holder tells.
 func (p *Pool) LearnResidency(now time.Time, residency Residency) {
 	u := p.upstreams[residency.Upstream]
