Count the prompts that await their adapter at an engine

All that wait for a popular adapter are sent in the moment in which it is loaded, and those that chose the engine meanwhile come on top. Ruled out: engines that are slow as such (Slow 1.0). Change: an instance reports the prompts that wait for an adapter at an upstream to its holder, as it does those in flight; forecasts count them as waiting there. Where prompts take turns the holder counts them itself. TestPromptsThatAwaitTheirAdapterAreCounted has no counterpart before; without the term its instances choose the loading engine without end.

--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -219,10 +219,11 @@
 
 func loadToWire(upstream string, load pool.Load) *meshpb.Load {
 	wire := &meshpb.Load{
-		Upstream:     upstream,
-		Running:      int32(load.Running),
-		PromptTokens: int64(load.Prompt),
-		MemoryTokens: int64(load.Memory),
+		Upstream:       upstream,
+		Running:        int32(load.Running),
+		PromptTokens:   int64(load.Prompt),
+		MemoryTokens:   int64(load.Memory),
+		AwaitingTokens: int64(load.Awaiting),
 	}
 	for _, adapter := range load.InUse {
 		wire.InUse = append(wire.InUse, adapterToWire(adapter))
@@ -232,9 +233,10 @@
 
 func loadFromWire(wire *meshpb.Load) pool.Load {
 	load := pool.Load{
-		Running: int(wire.GetRunning()),
-		Prompt:  int(wire.GetPromptTokens()),
-		Memory:  int(wire.GetMemoryTokens()),
+		Running:  int(wire.GetRunning()),
+		Prompt:   int(wire.GetPromptTokens()),
+		Memory:   int(wire.GetMemoryTokens()),
+		Awaiting: int(wire.GetAwaitingTokens()),
 	}
 	for _, adapter := range wire.GetInUse() {
 		load.InUse = append(load.InUse, adapterFromWire(adapter))
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -92,7 +92,7 @@
 // prepare asks the holder of the chosen upstream for the adapter, and for the turn of a prompt if it has any tokens.
 func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query, tokens int) bool {
 	began := time.Now()
-	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, +1) })
+	waiting := j.beginPreparing(*choice, query)
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
 		Adapter:  query.Adapter,
@@ -102,7 +102,7 @@
 		Priority: j.priority,
 		Tokens:   tokens,
 	})
-	j.handler.Advice.With(func(a *Advice) { a.Pool.Preparing(choice.Upstream.ID, -1) })
+	j.endPreparing(*choice, waiting)
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.Wait.Milliseconds()).Int64("TookMillis", time.Since(began).Milliseconds()).Msg("Decision")
@@ -123,6 +123,25 @@
 	return takes
 }
 
+// beginPreparing lets others know that the prompt is going to be sent. Where prompts take turns the holder counts it
+// itself.
+func (j *job) beginPreparing(choice pool.Choice, query pool.Query) (waiting pool.Preparation) {
+	tokens := query.Tokens
+	if j.inTurn {
+		tokens = 0
+	}
+	j.handler.Advice.With(func(a *Advice) { waiting = a.Pool.Prepare(choice.Upstream.ID, tokens) })
+	if tokens > 0 {
+		j.handler.Fleet.Touch(choice.Upstream.ID)
+	}
+	return waiting
+}
+
+func (j *job) endPreparing(choice pool.Choice, waiting pool.Preparation) {
+	j.handler.Advice.With(func(*Advice) { waiting.Done() })
+	j.handler.Fleet.Touch(choice.Upstream.ID)
+}
+
 // noteBusy takes note of when the holder of an upstream that has no place or turn expects one.
 func (j *job) noteBusy(choice pool.Choice, busy mesh.Busy) {
 	if busy.RetryAfter <= 0 {
--- a/internal/gateway/serve/ready_test.go
+++ b/internal/gateway/serve/ready_test.go
@@ -19,6 +19,8 @@
 	meanwhile func()
 }
 
+func (f holderless) Touch(string) {}
+
 func (f holderless) Prepare(context.Context, mesh.PrepareRequest) mesh.Prepared {
 	f.meanwhile()
 	return mesh.NotHolder{}
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -15,6 +15,8 @@
 	// Prompt is the tokens of prompts that have no first event yet, Memory the tokens of all running.
 	Prompt int
 	Memory int
+	// Awaiting is the tokens of the prompts that are sent there as soon as their adapter is loaded.
+	Awaiting int
 	// InUse are the adapters of the running requests.
 	InUse []traffic.Adapter
 }
@@ -24,6 +26,7 @@
 	l.Running += other.Running
 	l.Prompt += other.Prompt
 	l.Memory += other.Memory
+	l.Awaiting += other.Awaiting
 	return l
 }
 
@@ -32,6 +35,7 @@
 	l.Running -= other.Running
 	l.Prompt -= other.Prompt
 	l.Memory -= other.Memory
+	l.Awaiting -= other.Awaiting
 	return l
 }
 
@@ -108,7 +112,9 @@
 		return
 	}
 	held := total.minus(u.reported)
-	u.held = Load{Running: max(held.Running, 0), Prompt: max(held.Prompt, 0), Memory: max(held.Memory, 0)}
+	u.held = Load{
+		Running: max(held.Running, 0), Prompt: max(held.Prompt, 0), Memory: max(held.Memory, 0), Awaiting: max(held.Awaiting, 0),
+	}
 	u.heldAt = at
 }
 
@@ -163,7 +169,7 @@
 func (p *Pool) Own(asked func(upstream string) bool) map[string]Load {
 	loads := make(map[string]Load)
 	for id, u := range p.upstreams {
-		if own := u.own; own.Running > 0 && asked(id) {
+		if own := u.own; (own.Running > 0 || own.Awaiting > 0) && asked(id) {
 			own.InUse = u.inUse()
 			loads[id] = own
 		}
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -105,7 +105,7 @@
 }
 
 func backlog(load Load) forecast.Backlog {
-	return forecast.Backlog{Prefill: load.Prompt, Running: load.Running}
+	return forecast.Backlog{Prefill: load.Prompt + load.Awaiting, Running: load.Running}
 }
 
 // places is how many calls an upstream serves at once.
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -509,3 +509,35 @@
 		}
 	})
 }
+
+// Guards against a popular adapter that is loaded at one engine while all that want it wait there, and are sent to it in
+// the same moment: each of them, and the other instances, took the engine for idle.
+func TestPromptsThatAwaitTheirAdapterAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, holder := newPool("e1", "e2"), newPool("e1", "e2")
+		loading := pool.Residency{Upstream: "e1", Fence: 1, Loaded: []pool.Resident{
+			{Adapter: traffic.Adapter{Model: model}, Version: 1}, {Adapter: adapter("a"), Version: 1, InTransit: true},
+		}}
+		p.LearnResidency(time.Now(), loading)
+		resident(p, "e2")
+		var waiting []pool.Preparation
+		for {
+			choice, err := p.Choose(time.Now(), generation("a"))
+			is.NoErr(err)
+			if choice.Upstream.ID != "e1" {
+				break
+			}
+			is.True(len(waiting) < 8)
+			waiting = append(waiting, p.Prepare("e1", generation("a").Tokens))
+		}
+		all := func(string) bool { return true }
+		holder.LearnReport(time.Now(), "i", p.Report(all))
+		is.Equal(holder.Total(time.Now(), "e1").Awaiting, len(waiting)*generation("a").Tokens)
+		for _, one := range waiting {
+			one.Done()
+		}
+		holder.LearnReport(time.Now(), "i", p.Report(all))
+		is.Equal(holder.Total(time.Now(), "e1"), pool.Load{})
+	})
+}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -200,10 +200,31 @@
 // refusalWeight: a refusal for want of room tells less than a failure; the load has to be compared too.
 const refusalWeight = 0.5
 
-// Preparing counts the requests of this instance that wait for an adapter at an upstream.
-func (p *Pool) Preparing(id string, change int) {
-	if u := p.upstreams[id]; u != nil {
-		u.preparing += change
+// Preparation is a request of this instance that waits for an adapter at an upstream.
+type Preparation struct {
+	upstream *upstream
+	tokens   int
+}
+
+// Prepare counts a request as waiting for an adapter at an upstream, and its prompt as one that is sent there as soon as
+// the adapter is loaded, until Done.
+//
+// Made for popular adapters. All that wait for one are sent in the moment in which it is loaded, to an engine that looked
+// idle to each of them, and to those that chose it meanwhile.
+func (p *Pool) Prepare(id string, tokens int) Preparation {
+	u := p.upstreams[id]
+	if u != nil {
+		u.preparing++
+		u.own.Awaiting += tokens
+	}
+	return Preparation{upstream: u, tokens: tokens}
+}
+
+// Done takes it that the request does not wait any more.
+func (w Preparation) Done() {
+	if w.upstream != nil {
+		w.upstream.preparing--
+		w.upstream.own.Awaiting -= w.tokens
 	}
 }
 
