Charge a fetch by how scarce places are where it goes

Cause: what an adapter costs others that is fetched from the weight store was one load's time everywhere. Ruled out: the time loads take as a sign of a congested store; a single short load would make it look congested ever after. Conclusion: by scarcity, which holders state already. TestFetchIsDearWherePlacesAreScarce failed before.

--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -11,8 +11,8 @@
 const (
 	// evicted is what the next request for the evicted adapter pays, in reloads.
 	evicted = 1
-	// fetched is what an adapter that has to come from the weight store costs besides the wait, in loads: the
-	// store is shared by all upstreams, and a fetch keeps others waiting, and is billed.
+	// fetched is what an adapter that has to come from the weight store costs besides the wait, in loads, at an upstream
+	// all of whose places are in use: it takes one that others wait for, or that the next request would have used.
 	fetched = 1
 	// stray is added for each upstream that is nearer to the adapter's home, in loads: where it is always
 	// loaded at the same few upstreams, these have a copy when it is wanted again.
@@ -48,7 +48,7 @@
 		cost.wait += loads.reload
 	} else {
 		cost.wait += loads.full
-		cost.charge += times(fetched+stray*float64(homes.nearer(u)), loads.full)
+		cost.charge += times(fetched*p.scarcity(u)+stray*float64(homes.nearer(u)), loads.full)
 	}
 	if _, found := u.resident[traffic.Adapter{Model: query.Adapter.Model}]; !found {
 		cost.wait += p.modelLoadTime(query)
@@ -56,6 +56,15 @@
 	return cost
 }
 
+// scarcity is the part of an upstream's places for adapters that are in use, as its holder stated last.
+func (p *Pool) scarcity(u *upstream) float64 {
+	places := p.engines[u.declared.Service].AdapterPlaces
+	if places <= 0 {
+		return 1
+	}
+	return 1 - min(max(float64(u.idle)/float64(places), 0), 1)
+}
+
 const (
 	// lateFrom and lateTo are the times until the first event, in terms of what is left of the objective, from which on
 	// a request may be late and from which on it surely is: forecasts are off by some tenths.
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -541,3 +541,30 @@
 		is.Equal(holder.Total(time.Now(), "e1"), pool.Load{})
 	})
 }
+
+// Guards against two harms of one price for all fetches: with places to spare, requests queue for a popular adapter that
+// could be had next door; with none, copies of it push out adapters that are wanted the next moment.
+func TestFetchIsDearWherePlacesAreScarce(t *testing.T) {
+	queued := func(is *is.I, idle int) (count int) {
+		p := newPool("e1", "e2")
+		resident(p, "e1", "a")
+		residency := pool.Residency{Upstream: "e2", Fence: 1, Idle: idle}
+		residency.Loaded = append(residency.Loaded, pool.Resident{Adapter: traffic.Adapter{Model: model}, Version: 1})
+		p.LearnResidency(time.Now(), residency)
+		query := generation("a")
+		query.Tokens = 600
+		for {
+			choice, _ := place(is, p, query)
+			if choice.Upstream.ID != "e1" {
+				return count
+			}
+			count++
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		spare, scarce := queued(is, 5), queued(is, 0)
+		is.True(spare > 0)
+		is.True(scarce >= spare+8) // ten of these prompts take as long as a load
+	})
+}
