Tell a full queue from a late refusal, an objective from none, and ask no holder that is silent

An upstream also refuses what ran out of time in its queue, which says nothing of how much it takes; a route without an objective has no late calls, and its queue counted as standing from the first; a plain call could wait 30 ms for each of three holders that are gone. Change: a refusal counts as full only if it comes sooner than an answer would; late needs an objective; holders are asked while they are alive. Figures: TestCallWithoutObjectiveIsNotRefusedForTheQueue and the second case of TestLateRefusalDoesNotMeanFull failed before.

--- a/internal/entry/node/asking.go
+++ b/internal/entry/node/asking.go
@@ -41,7 +41,7 @@
 // Ask asks the holder of an upstream what is loaded and under way there. No answer changes nothing.
 func (n *Node) Ask(ctx context.Context, upstream string) {
 	instance, found := n.holderOf(upstream)
-	if !found || instance.Name == n.self.Name {
+	if !found || instance.Name == n.self.Name || !n.overlay.isAlive(time.Now(), instance.Name) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -14,13 +14,16 @@
 	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= known.full
 }
 
-// noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had was known.
-func (p *Pool) noteRefusal(now time.Time, u *upstream, found Load, certain bool) {
-	if !certain || found.Running < u.places() {
+// noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had in flight was known.
+// A refusal that comes late says that the request's time was over in the queue, not that the queue was full.
+func (p *Pool) noteRefusal(now time.Time, send *Send) {
+	u := send.upstream
+	known := p.pace(u.declared.Service)
+	atOnce := now.Sub(send.began) < known.service.Answer(0)
+	if !send.certain || !atOnce || send.found.Running < u.places() {
 		return
 	}
-	known := p.pace(u.declared.Service)
-	known.full = found.perPlace(u)
+	known.full = send.found.perPlace(u)
 	known.fullAt = now
 }
 
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -23,7 +23,7 @@
 	OnTime time.Duration
 	// Left until nobody waits for it any more.
 	Left time.Duration
-	// Objective is how long it could have waited from its beginning and be on time.
+	// Objective is how long it could have waited from its beginning and be on time; 0 if it is never late.
 	Objective time.Duration
 }
 
@@ -47,7 +47,7 @@
 	if choice.Idle > patience.OnTime-most {
 		most = patience.Objective
 	}
-	late := eta > patience.OnTime && queued > most
+	late := patience.Objective > 0 && eta > patience.OnTime && queued > most
 	short := queued <= times(shortQueue, patience.Objective)
 	standing := p.pace(query.Service).noteQueue(now, late, short) > patience.Objective
 	if !hopeless && !(late && standing) {
--- a/internal/placement/pool/plain_fleet_test.go
+++ b/internal/placement/pool/plain_fleet_test.go
@@ -201,3 +201,46 @@
 		})
 	}
 }
+
+// Guards against a queue that counts as full because the time of a request was over in it: the others would be refused
+// while places are free.
+func TestLateRefusalDoesNotMeanFull(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		full  bool
+	}{
+		{"at once", time.Millisecond, true},
+		{"after its time in the queue", 800 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool("s1")
+				p.LearnHeld(time.Now(), "s1", pool.Load{Running: 20})
+				_, send := place(is, p, plain())
+				time.Sleep(c.after)
+				p.Finish(time.Now(), send, pool.EndRefused)
+				p.LearnHeld(time.Now(), "s1", pool.Load{Running: 20})
+				_, err := p.Choose(time.Now(), plain())
+				is.Equal(err == pool.ErrFull, c.full)
+			})
+		})
+	}
+}
+
+// Guards against calls of a route without an objective that are all refused while a queue stands: they are never late.
+func TestCallWithoutObjectiveIsNotRefusedForTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("s1")
+		for range 20 {
+			p.LearnHeld(time.Now(), "s1", pool.Load{Running: 25})
+			choice, err := p.Choose(time.Now(), plain())
+			is.NoErr(err)
+			_, refused := p.Refuse(time.Now(), plain(), choice, pool.Patience{OnTime: -time.Second, Left: 3 * time.Second})
+			is.True(!refused)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -180,7 +180,7 @@
 		u.count(now, 1)
 	case EndRefused:
 		u.count(now, refusalWeight)
-		p.noteRefusal(now, u, send.found, send.certain)
+		p.noteRefusal(now, send)
 	case EndUnreachable:
 		u.count(now, 1)
 		u.ban = min(max(2*u.ban, shortestBan), longestBan)
