--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -19,9 +19,9 @@
 	// mostTries bounds the upstreams that one request is offered to, whatever its route allows: past some
 	// refusals in a row the service is full, and more offers only add load.
 	mostTries = 6
-	// mostPrepared bounds the upstreams that are asked for an adapter or a turn in vain. Such a question takes some
-	// milliseconds and no work of the upstream.
-	mostPrepared = 16
+	// mostTried bounds the upstreams that one request tries, of which all but the sends were asked for an adapter or a
+	// turn in vain. Such a question takes some milliseconds and no work of the upstream.
+	mostTried = 16
 	// busyRetryAfter is when a caller is asked to come back to a service that has no room, where no holder said when it
 	// will: some requests have ended by then.
 	busyRetryAfter = 350 * time.Millisecond
@@ -49,7 +49,7 @@
 	h := j.handler
 	h.Advice.With(func(a *Advice) { a.Retries.Of(j.service).First() })
 	var last error
-	for j.sends < mostTries && len(j.tried) < mostPrepared {
+	for j.sends < mostTries && len(j.tried) < mostTried {
 		if ctx.Err() != nil {
 			return j.gaveUp(ctx)
 		}
--- a/internal/gateway/serve/placing.go
+++ b/internal/gateway/serve/placing.go
@@ -46,10 +46,10 @@
 		Output:  j.call.Work.OutputTokens,
 		Exclude: j.tried,
 		Among:   among,
+		Alone:   j.alone,
 
 		OnTime:    time.Until(j.began.Add(j.route.Objective)),
 		Objective: j.route.Objective,
-		Alone:     j.alone,
 	}
 	if required {
 		query.Version = newest
@@ -137,6 +137,7 @@
 	return waiting
 }
 
+// endPreparing ends what beginPreparing began.
 func (j *job) endPreparing(choice pool.Choice, waiting pool.Preparation) {
 	j.handler.Advice.With(func(*Advice) { waiting.Done() })
 	j.handler.Fleet.Touch(choice.Upstream.ID)
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -153,7 +153,7 @@
 	Draining bool
 	// Born is the Unix millisecond of its start: an upstream with another one has forgotten everything.
 	Born int64
-	// ColdFor is how much longer it was going to be cold when it said so: slow, and to be sent little.
+	// ColdFor is how much longer it stated to be cold when it wrote its entry: slow, and to be sent little.
 	ColdFor time.Duration
 	// Models is what it had loaded when it last said so.
 	Models []LoadedModel
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -121,9 +121,9 @@
 	choice.Idle = times(slow, p.usual(u, query, Load{}))
 	pace := p.pace(query.Service)
 	if isEngine && query.Adapter.Model != "" {
-		loading := p.loadCost(u, query, homes, &choice)
-		total = times(u.exploration(now), choice.Expected) + loading.wait + loading.charge
-		total += query.lateness(choice.Expected + loading.wait)
+		cost := p.loadCost(u, query, homes, &choice)
+		total = times(u.exploration(now), choice.Expected) + cost.wait + cost.charge
+		total += query.lateness(choice.Expected + cost.wait)
 		if engine.MemoryTokens > 0 && load.Memory+query.Tokens+query.Output > engine.MemoryTokens {
 			total += times(slow, pace.engine.Prefill(load.Memory))
 		}
--- a/internal/placement/pool/cold.go
+++ b/internal/placement/pool/cold.go
@@ -25,11 +25,11 @@
 	// budget is the requests that it may get by now, as of refilled, where this instance holds it.
 	budget   float64
 	refilled time.Time
-	// fullUntil is when its holder is expected to admit another request, as it said when it last refused one.
+	// fullUntil is when its holder is expected to admit another request, by its last refusal.
 	fullUntil time.Time
 }
 
-// state takes note of how much longer an upstream says it is cold.
+// state takes note of how much longer an upstream states to be cold.
 func (c *cold) state(now time.Time, left time.Duration) {
 	c.statedUntil = now.Add(min(left, longestCold))
 }
--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -56,7 +56,7 @@
 	return cost
 }
 
-// scarcity is the part of an upstream's places for adapters that are in use, as its holder stated last.
+// scarcity is the part of an upstream's places for adapters that are in use, by its holder's last report.
 func (p *Pool) scarcity(u *upstream) float64 {
 	places := p.engines[u.declared.Service].AdapterPlaces
 	if places <= 0 {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -201,7 +201,7 @@
 }
 
 // LearnWait takes note of how long another adapter would wait for a place at an upstream, by its holder's answer to one
-// that found none. It counts until the holder's next word.
+// that found none. It counts until the holder's next report of its residents.
 func (p *Pool) LearnWait(id string, wait time.Duration) {
 	if u := p.upstreams[id]; u != nil {
 		u.wait = max(u.wait, wait)
