--- a/internal/entry/node/holdings.go
+++ b/internal/entry/node/holdings.go
@@ -151,7 +151,7 @@
 	return holder.Fence, !found || n.mayReplace() && n.isLost(now, holder.Instance)
 }
 
-// isOpen tells whether an upstream takes new requests.
+// isOpen reports whether an upstream takes new requests.
 func (n *Node) isOpen(upstream traffic.Upstream) (open bool) {
 	n.advice.With(func(a *serve.Advice) { open = a.Pool.IsOpen(upstream) })
 	return open
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -40,7 +40,7 @@
 	Decode(key string, value []byte) (traffic.Fact, error)
 	// UpstreamID tells which upstream a key belongs to.
 	UpstreamID(key string) (id string, ok bool)
-	// EvacuatedDataCentre tells which data centre a key evacuates as long as it is there, whatever its value.
+	// EvacuatedDataCentre gives the data centre that a key evacuates as long as it is there, whatever its value.
 	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
 }
 
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -22,8 +22,8 @@
 	// mostTried bounds the upstreams that one request tries, of which all but the sends were asked for an adapter or a
 	// turn in vain. Such a question takes some milliseconds and no work of the upstream.
 	mostTried = 16
-	// busyRetryAfter is when a caller is asked to come back to a service that has no room, where no holder said when it
-	// will: some requests have ended by then.
+	// busyRetryAfter is when a caller is asked to come back to a service that has no room, where no holder stated
+	// a wait: some requests have ended by then.
 	busyRetryAfter = 350 * time.Millisecond
 	// leastBusyRetryAfter and mostBusyRetryAfter bound what holders say of that.
 	leastBusyRetryAfter = 100 * time.Millisecond
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -51,7 +51,7 @@
 	return Choice{}, ErrNone
 }
 
-// isBetter tells whether a choice is better than another. An upstream that is cold is the worse choice, however idle: the
+// isBetter reports whether a choice is better than another. An upstream that is cold is the worse choice, however idle: the
 // little that it bears is for those who have no other.
 func isBetter(choice Choice, total time.Duration, other Choice, otherTotal time.Duration) bool {
 	if choice.Cold != other.Cold {
--- a/internal/placement/pool/cold.go
+++ b/internal/placement/pool/cold.go
@@ -43,7 +43,7 @@
 	return now.Before(c.statedUntil) || now.Before(c.assumedUntil)
 }
 
-// isCold tells whether what an upstream gets has to be bounded.
+// isCold reports whether what an upstream gets has to be bounded.
 func (p *Pool) isCold(now time.Time, u *upstream) bool {
 	return p.coldStarts[u.declared.Service].rate > 0 && u.cold.holds(now)
 }
@@ -55,7 +55,7 @@
 }
 
 // assumeCold takes the upstreams of a data centre to be cold: they may have become so while they got nothing, and
-// their entries say so late.
+// their entries show it late.
 func (p *Pool) assumeCold(now time.Time, dataCentre string) {
 	for _, u := range p.upstreams {
 		if u.declared.DataCentre == dataCentre {
@@ -65,7 +65,7 @@
 }
 
 // AdmitCold admits a request at an upstream that this instance holds if it is not cold, or bears one more. Otherwise it
-// tells when it will.
+// returns when it will.
 func (p *Pool) AdmitCold(now time.Time, id string) (retryAfter time.Duration, admitted bool) {
 	u := p.upstreams[id]
 	if u == nil || !p.isCold(now, u) {
--- a/internal/placement/pool/evacuation.go
+++ b/internal/placement/pool/evacuation.go
@@ -21,7 +21,7 @@
 	delete(p.evacuated, dataCentre)
 }
 
-// IsOpen tells whether an upstream takes new requests: it does not drain, and its data centre is not evacuated.
+// IsOpen reports whether an upstream takes new requests: it does not drain, and its data centre is not evacuated.
 func (p *Pool) IsOpen(upstream traffic.Upstream) bool {
 	return !upstream.Draining && !p.evacuated[upstream.DataCentre]
 }
--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -7,7 +7,7 @@
 // fullFor is how long it counts that an upstream refused a request for want of room at a load.
 const fullFor = 10 * time.Second
 
-// isFull tells whether an upstream has as much in flight, in terms of its places, as one of its service had when it
+// isFull reports whether an upstream has as much in flight, in terms of its places, as one of its service had when it
 // refused a request for want of room.
 func (p *Pool) isFull(now time.Time, u *upstream) bool {
 	known := p.pace(u.declared.Service)
@@ -15,7 +15,7 @@
 }
 
 // noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had in flight was known.
-// A refusal that comes late says that the request's time was over in the queue, not that the queue was full.
+// A late refusal means that the request timed out in the queue, not that the queue was full.
 func (p *Pool) noteRefusal(now time.Time, send *Send) {
 	u := send.upstream
 	known := p.pace(u.declared.Service)
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -9,7 +9,7 @@
 // in_flight.go adds up what all instances have in flight at each upstream, from their states and reports and from the
 // holders' answers.
 
-// Load is what one instance has under way at an upstream.
+// Load is what one instance has in flight at an upstream.
 type Load struct {
 	Running int
 	// Prompt is the tokens of prompts that have no first event yet, Memory the tokens of all running.
@@ -139,7 +139,7 @@
 	return total
 }
 
-// Sent is what all instances have under way at an upstream, for the instance that holds it.
+// Sent is what all instances have in flight at an upstream, for the instance that holds it.
 func (p *Pool) Sent(now time.Time, id string) (total Load) {
 	u := p.upstreams[id]
 	if u == nil {
@@ -165,7 +165,7 @@
 	return p.pace(u.declared.Service).engine.Prefill(tokens)
 }
 
-// Own is what this instance has under way at the upstreams that are asked for, for its heartbeats.
+// Own is what this instance has in flight at the selected upstreams, for its heartbeats.
 func (p *Pool) Own(asked func(upstream string) bool) map[string]Load {
 	loads := make(map[string]Load)
 	for id, u := range p.upstreams {
@@ -177,7 +177,7 @@
 	return loads
 }
 
-// Report is Own for the holder of the upstreams that are asked for.
+// Report is Own for the holder of the selected upstreams.
 func (p *Pool) Report(asked func(upstream string) bool) map[string]Load {
 	for id, u := range p.upstreams {
 		if asked(id) {
@@ -187,7 +187,7 @@
 	return p.Own(asked)
 }
 
-// InUse lists the adapters with requests under way at an upstream, from any instance.
+// InUse lists the adapters with requests in flight at an upstream, from any instance.
 func (p *Pool) InUse(now time.Time, id string) (adapters []traffic.Adapter) {
 	if u := p.upstreams[id]; u != nil {
 		adapters = u.inUse()
@@ -199,7 +199,7 @@
 	return adapters
 }
 
-// load is what all instances have under way at an upstream, as far as none of them is silent.
+// load is what all instances have in flight at an upstream, as far as none of them is silent.
 func (p *Pool) load(now time.Time, u *upstream) (load Load) {
 	if now.Sub(u.heldAt) <= p.Settings.HeldFor {
 		return u.own.plus(u.held)
@@ -209,13 +209,13 @@
 	return load
 }
 
-// askAfter is how old the holder's word on an upstream's load may be. Heartbeats come four times a second at the
+// askAfter is how old the holder's report of an upstream's load may be. Heartbeats come four times a second at the
 // most; in that time other instances send prompts there that are read for some hundred milliseconds, and a request
 // that was placed without knowing of them waits behind them although another upstream is idle. An answer of the
 // holder takes a millisecond or two.
 const askAfter = 60 * time.Millisecond
 
-// isUncertain tells whether the load at an upstream was heard too long ago. At a plain upstream that is the time in which
+// isUncertain reports whether the known load of an upstream is too old. At a plain upstream the limit is the time in which
 // one of its places becomes free.
 func (p *Pool) isUncertain(now time.Time, u *upstream) bool {
 	after := askAfter
--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -18,9 +18,9 @@
 	// loaded at the same few upstreams, these have a copy when it is wanted again.
 	stray = 0.2
 	// preparing is for each request of this instance that already waits for an adapter there, and that the
-	// holder's last word may not count yet, in loads: an upstream loads some adapters at once.
+	// holder's last report may not count yet, in loads: an upstream loads some adapters at once.
 	preparing = 0.25
-	// inTransit is what is left, on average, of a load that is under way.
+	// inTransit is what is left, on average, of a load in transit.
 	inTransit = 0.5
 )
 
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -87,7 +87,7 @@
 	return known.service.Answer(0) / time.Duration(max(places, 1))
 }
 
-// RetryWhenFull tells a caller when to come back to a service all of whose upstreams are full.
+// RetryWhenFull is when a refused caller should come back to a service all of whose upstreams are full.
 func (p *Pool) RetryWhenFull(now time.Time, query Query) time.Duration {
 	return p.scheduleRetry(now, query, p.occupies(query))
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -78,7 +78,7 @@
 	// upstream of usual speed.
 	found Load
 	usual time.Duration
-	// certain: what was found is what the holder has just told.
+	// certain: what was found is from a fresh report of the holder.
 	certain  bool
 	answered bool
 }
