Say from whom a configuration came, how old the store's word is, and which catch-ups fail

Changed: ConfigurationInForce says From and ConfirmedMillis, a request that is refused for want of a route or key says ConfirmedMillis, failed catch-ups are warnings with their time; metrics catch_ups and confirmed_age_seconds. The time of the store's word can be read without the lock under which batches are merged. No decision changes.

--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -38,8 +38,8 @@
 	news int64
 	// newsOf is the revision of the last such change of each key.
 	newsOf map[string]int64
-	// confirmed is when the store last vouched for the revision of the replica.
-	confirmed time.Time
+	// confirmed is set with the lock held.
+	confirmed confirmation
 	// reader: this instance was the first in line to read the store when it last found out, among readers.
 	reader  bool
 	readers []roster.Instance
@@ -109,8 +109,11 @@
 	return versions, k.declarations
 }
 
-// merge takes a batch in, and tells whether it joined what was known.
-func (n *Node) merge(batch replica.Batch, confirmed time.Time) bool {
+// fromStore is the source of changes that this instance has read itself.
+const fromStore = "store"
+
+// merge takes a batch in that came from the store or a peer, and tells whether it joined what was known.
+func (n *Node) merge(batch replica.Batch, confirmed time.Time, from string) bool {
 	k := &n.knowledge
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -124,7 +127,7 @@
 	}
 	news := false
 	for _, item := range changed {
-		if n.apply(item) {
+		if n.apply(item, from) {
 			news = true
 			k.news = max(k.news, item.Revision)
 			k.newsOf[item.Key] = item.Revision
@@ -140,17 +143,18 @@
 // confirm notes that the store vouched for what is known; the lock is held.
 func (n *Node) confirm(at time.Time) {
 	k := &n.knowledge
-	if !at.After(k.confirmed) {
+	before := k.confirmed.last()
+	if !at.After(before) {
 		return
 	}
-	if gap := at.Sub(k.confirmed); !k.confirmed.IsZero() && gap > outageGap {
-		outage := n.wasOutage(k.confirmed)
+	if gap := at.Sub(before); !before.IsZero() && gap > outageGap {
+		outage := n.wasOutage(before)
 		if outage {
 			k.returned = time.Now()
 		}
 		n.Log.Warn().Int64("GapMillis", gap.Milliseconds()).Bool("Outage", outage).Msg("StoreReturned")
 	}
-	k.confirmed = at
+	k.confirmed.set(at)
 }
 
 // wasOutage tells whether the store was away for the fleet since its last word, and not for this instance or for the
@@ -176,7 +180,7 @@
 
 // apply hands one change on; the lock is held. It tells whether that is news which others should hear at once, and
 // not with a heartbeat.
-func (n *Node) apply(item replica.Item) (news bool) {
+func (n *Node) apply(item replica.Item, from string) (news bool) {
 	k := &n.knowledge
 	ours, err := k.roster.Apply(item.Key, item.Value, item.Revision, item.Removed)
 	if err != nil {
@@ -204,14 +208,14 @@
 	}
 	switch f := fact.(type) {
 	case traffic.Configuration:
-		n.applyConfiguration(f, item.Revision)
+		n.applyConfiguration(f, item.Revision, from)
 	case traffic.AdapterVersion:
 		n.applyVersion(f, item.Revision)
 	}
 	return true
 }
 
-func (n *Node) applyConfiguration(configuration traffic.Configuration, revision int64) {
+func (n *Node) applyConfiguration(configuration traffic.Configuration, revision int64, from string) {
 	k := &n.knowledge
 	if before := k.table.Load(); before != nil && before.Configuration.Version > configuration.Version {
 		n.Log.Warn().Int64("Version", configuration.Version).Int64("Revision", revision).Msg("ConfigurationOlder")
@@ -228,6 +232,7 @@
 	})
 	n.Log.Info().Int64("Version", configuration.Version).Int64("Revision", revision).
 		Int("Routes", len(configuration.Routes)).Int("Workspaces", len(configuration.Workspaces)).
+		Str("From", from).Int64("ConfirmedMillis", n.ConfirmedAge().Milliseconds()).
 		Msg("ConfigurationInForce")
 }
 
@@ -336,6 +341,7 @@
 		n.tellPeers(now)
 		n.keepConnections()
 		n.keepPeerConnections()
+		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
 		if dropped := n.Dropped(); dropped > 0 {
 			n.Log.Error().Int("Events", dropped).Msg("LogDropped")
 		}
--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -132,14 +133,11 @@
 	n.overlay.mutex.Lock()
 	records := n.overlay.table.Due(time.Now(), &end.link, end.peer)
 	n.overlay.mutex.Unlock()
-	message := mesh.Message{Records: records, ConfirmedAge: -1}
+	message := mesh.Message{Records: records, ConfirmedAge: n.ConfirmedAge()}
 	n.knowledge.mutex.Lock()
 	defer n.knowledge.mutex.Unlock()
 	message.Revision = n.knowledge.replica.Revision()
 	message.News = n.knowledge.news
-	if !n.knowledge.confirmed.IsZero() {
-		message.ConfirmedAge = time.Since(n.knowledge.confirmed)
-	}
 	return message
 }
 
@@ -194,12 +192,15 @@
 	defer c.node.overlay.endCatchUp()
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
+	began := time.Now()
 	batch, err := c.node.peers.CatchUp(ctx, c.address, c.after)
+	c.node.scope.Tagged(map[string]string{"arrived": strconv.FormatBool(err == nil)}).Counter("catch_ups").Inc(1)
 	if err != nil {
-		c.node.Log.Debug().Err(err).Str("Peer", c.peer).Msg("CatchUpFailed")
+		c.node.Log.Warn().Err(err).Str("Peer", c.peer).Int64("After", c.after).
+			Int64("TookMillis", time.Since(began).Milliseconds()).Msg("CatchUpFailed")
 		return
 	}
-	c.node.merge(batch, c.confirmed)
+	c.node.merge(batch, c.confirmed, c.peer)
 }
 
 // CatchUp gives a peer what it lacks and has to know.
--- a/internal/entry/node/news_test.go
+++ b/internal/entry/node/news_test.go
@@ -52,10 +52,10 @@
 			n.Decoder = upstreamsOnly{}
 			n.knowledge.replica.Merge(replica.Batch{Snapshot: true, Through: 1})
 			if c.before != nil {
-				n.merge(change(t, 2, c.before), time.Now())
+				n.merge(change(t, 2, c.before), time.Now(), fromStore)
 			}
 			asked(n)
-			n.merge(change(t, 3, c.after), time.Now())
+			n.merge(change(t, 3, c.after), time.Now(), fromStore)
 			is.Equal(asked(n), c.passed)
 		})
 	}
@@ -82,18 +82,18 @@
 	n.Decoder = upstreamsOnly{}
 	n.knowledge.replica.Merge(replica.Batch{Snapshot: true, Through: 1})
 	upstream := traffic.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", Born: 1}
-	n.merge(change(t, 2, &upstream), time.Now())
+	n.merge(change(t, 2, &upstream), time.Now(), fromStore)
 	is.Equal(len(n.CatchUp(1).Items), 1)
 	upstream.Models = []traffic.LoadedModel{{Name: "m", Version: 1}}
-	n.merge(change(t, 3, &upstream), time.Now())
+	n.merge(change(t, 3, &upstream), time.Now(), fromStore)
 	is.Equal(len(n.CatchUp(1).Items), 1) // the peer does not know the upstream yet
 	batch := n.CatchUp(2)
 	is.Equal(len(batch.Items), 0)
 	is.Equal(batch.Through, int64(3))
 	upstream.Draining = true
-	n.merge(change(t, 4, &upstream), time.Now())
+	n.merge(change(t, 4, &upstream), time.Now(), fromStore)
 	is.Equal(len(n.CatchUp(3).Items), 1)
-	n.merge(change(t, 5, nil), time.Now())
+	n.merge(change(t, 5, nil), time.Now(), fromStore)
 	is.Equal(len(n.CatchUp(4).Items), 1)
 }
 
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -34,7 +34,7 @@
 				n.Decoder = namesOnly{}
 				upstream := traffic.Upstream{ID: "u", Service: "s"}
 				n.advice.Pool.Declare(time.Now(), upstream)
-				n.merge(replica.Batch{Snapshot: true, Through: 1}, time.Now())
+				n.merge(replica.Batch{Snapshot: true, Through: 1}, time.Now(), fromStore)
 				time.Sleep(outageGap + 50*time.Millisecond)
 				if c.ownFailed {
 					n.storeFailed.Store(time.Now().UnixNano())
@@ -46,7 +46,7 @@
 					n.overlay.setStoreUnreachable(time.Now(), peer, true)
 				}
 				removed := replica.Item{Key: "u", Revision: 2, Removed: true}
-				is.True(n.merge(replica.Batch{After: 1, Through: 2, Items: []replica.Item{removed}}, time.Now()))
+				is.True(n.merge(replica.Batch{After: 1, Through: 2, Items: []replica.Item{removed}}, time.Now(), fromStore))
 				is.Equal(n.advice.Pool.Takes(upstream), c.stillTaken)
 			})
 		})
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -83,7 +83,7 @@
 	}
 	instances := k.roster.Instances()
 	unchanged := !n.overlay.readersChanged.Swap(false) && isSameList(instances, k.readers)
-	if unchanged && !k.reader && now.Sub(k.confirmed) < leaveReader {
+	if unchanged && !k.reader && now.Sub(k.confirmed.last()) < leaveReader {
 		return false
 	}
 	k.readers = instances
@@ -98,7 +98,7 @@
 	if k.reader {
 		return true
 	}
-	return now.Sub(k.confirmed) > readAfter+readDelay(rank)
+	return now.Sub(k.confirmed.last()) > readAfter+readDelay(rank)
 }
 
 // readDelay is how much longer an instance waits than the first in line. It grows with the square root of the place:
@@ -128,7 +128,7 @@
 	if len(batch.Items) > 0 {
 		confirmed = began // what came after the first of these changes may not be among them
 	}
-	n.merge(batch, confirmed)
+	n.merge(batch, confirmed, fromStore)
 	return nil
 }
 
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	n.merge(batch, began)
+	n.merge(batch, began, fromStore)
 	n.Log.Info().Int64("Revision", batch.Through).Int("Items", len(batch.Items)).Msg("SnapshotRead")
 	return nil
 }
--- a/internal/entry/node/reports_test.go
+++ b/internal/entry/node/reports_test.go
@@ -73,7 +73,7 @@
 	}
 	n.knowledge.mutex.Lock()
 	defer n.knowledge.mutex.Unlock()
-	n.apply(replica.Item{Key: key, Value: encoded, Revision: revision})
+	n.apply(replica.Item{Key: key, Value: encoded, Revision: revision}, fromStore)
 }
 
 func (n *Node) setHolder(t *testing.T, upstream, holder string, revision int64) {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -59,6 +59,8 @@
 	bytes int64
 	// cause is what went wrong at the last upstream, if that ended the request.
 	cause error
+	// refusedByTable: the configuration has no such route or key.
+	refusedByTable bool
 }
 
 // refuse answers a request that got no answer from an upstream.
@@ -104,6 +106,9 @@
 	if err != nil {
 		event = event.Err(err)
 	}
+	if j.refusedByTable {
+		event = event.Int64("ConfirmedMillis", j.handler.Fleet.ConfirmedAge().Milliseconds())
+	}
 	if j.cause != nil {
 		event = event.Str("Cause", j.cause.Error())
 	}
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -30,6 +30,8 @@
 type Fleet interface {
 	// Table is the configuration in force, nil while none is known.
 	Table() *traffic.Table
+	// ConfirmedAge is how long ago the store vouched for the configuration in force; negative if never.
+	ConfirmedAge() time.Duration
 	// Newest is the newest declared version of an adapter, 0 if none was declared. Required tells that
 	// requests must not begin on an older one any more.
 	Newest(adapter traffic.Adapter) (version int64, required bool)
@@ -119,6 +121,7 @@
 		return refusal.New(refusal.BadRequest, err.Error())
 	}
 	if err := j.resolve(); err != nil {
+		j.refusedByTable = true
 		return err
 	}
 	if err := j.readBody(r); err != nil {
--- a/internal/gateway/serve/world_test.go
+++ b/internal/gateway/serve/world_test.go
@@ -46,6 +46,7 @@
 func (f *fleet) Table() *traffic.Table                { return f.table.Load() }
 func (f *fleet) Newest(traffic.Adapter) (int64, bool) { return 0, false }
 func (f *fleet) Ask(context.Context, string)          {}
+func (f *fleet) ConfirmedAge() time.Duration          { return 0 }
 func (f *fleet) ShareSpent()                          {}
 func (f *fleet) Touch(string)                         {}
 func (f *fleet) Broke(u traffic.Upstream, _ suspect.Fingerprint) {
