Count the time that a message takes in the age of the store's word

Cause: each message over a link says how long ago the store vouched for what its sender knows, and the receiver took that as of the moment at which it took the message up. Time in buffers was not counted: seconds at a relay that is short of its processor. Passed on from one to the next the word even grew younger. So instances behind a slow relay, and the relay itself, took an old configuration for the newest and did not read the store, which they do once its word is 1.1 to 2.3 s old. Changed: messages carry when they were made, and an echo of the last one received; a message that answers one cannot have been on its way for longer than that round trip. The age of the store's word counts it in full (gossip.Link.Receive). Clocks of instances are not compared.

--- a/internal/entry/node/confirmation_test.go
+++ b/internal/entry/node/confirmation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,21 +86,19 @@
 	}
 }
 
-// readingStore notes when it is asked, and has no changes.
+// readingStore notes when it was last asked, in Unix nanoseconds, and has no changes.
 type readingStore struct {
 	coordination.Store
-	asked []time.Time
+	asked atomic.Int64
 }
 
 func (s *readingStore) Watch(_ context.Context, after int64, _ time.Duration) (replica.Batch, error) {
-	s.asked = append(s.asked, time.Now())
+	s.asked.Store(time.Now().UnixNano())
 	return replica.Batch{After: after, Through: after}, nil
 }
 
 // askedSince tells whether the store was asked after a moment.
-func (s *readingStore) askedSince(moment time.Time) bool {
-	return len(s.asked) > 0 && s.asked[len(s.asked)-1].After(moment)
-}
+func (s *readingStore) askedSince(moment time.Time) bool { return s.asked.Load() > moment.UnixNano() }
 
 // instanceThatKnows is an instance of a fleet of the given names that has read the store.
 func instanceThatKnows(t *testing.T, name string, names []string) *Node {
--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -132,10 +132,11 @@
 func (n *Node) message(end *linkEnd) mesh.Message {
 	n.overlay.mutex.Lock()
 	records := n.overlay.table.Due(time.Now(), &end.link, end.peer)
+	stamp := end.link.Stamp(time.Since(end.made))
 	n.overlay.mutex.Unlock()
-	message := mesh.Message{Records: records, ConfirmedAge: n.ConfirmedAge()}
 	n.knowledge.mutex.Lock()
 	defer n.knowledge.mutex.Unlock()
+	message := mesh.Message{Stamp: stamp, Records: records, ConfirmedAge: n.ConfirmedAge()}
 	message.Revision = n.knowledge.replica.Revision()
 	message.News = n.knowledge.news
 	return message
@@ -147,7 +148,12 @@
 	n.overlay.mutex.Lock()
 	n.overlay.table.Heard(end.peer, now)
 	changed := n.overlay.table.Merge(now, &end.link, message.Records)
+	transit, known := end.link.Receive(now.Sub(end.made), message.Stamp)
 	n.overlay.mutex.Unlock()
+	var confirmed time.Time
+	if known && message.ConfirmedAge >= 0 {
+		confirmed = now.Add(-transit - message.ConfirmedAge)
+	}
 	urgent := false
 	for _, record := range changed {
 		n.learn(now, record, record.Instance == end.peer)
@@ -156,16 +162,13 @@
 	if urgent {
 		n.overlay.wake(false)
 	}
-	n.compareRevision(ctx, end, message)
+	n.compareRevision(ctx, end, message, confirmed)
 }
 
 // compareRevision fetches the changes that a peer shows to know and this instance does not: news at once, others, such
-// as what upstreams say to have loaded, now and then.
-func (n *Node) compareRevision(ctx context.Context, end *linkEnd, message mesh.Message) {
-	confirmed := time.Now().Add(-message.ConfirmedAge)
-	if message.ConfirmedAge < 0 {
-		confirmed = time.Time{}
-	}
+// as what upstreams say to have loaded, now and then. Confirmed is when the store vouched for what the peer knows, zero
+// if that is not known.
+func (n *Node) compareRevision(ctx context.Context, end *linkEnd, message mesh.Message, confirmed time.Time) {
 	n.knowledge.mutex.Lock()
 	revision := n.knowledge.replica.Revision()
 	if message.News <= revision && !confirmed.IsZero() {
--- a/internal/fleet/gossip/table.go
+++ b/internal/fleet/gossip/table.go
@@ -81,7 +81,8 @@
 	// Attached: the other end is attached to this instance.
 	Attached bool
 
-	passed map[key]passed
+	passed  map[key]passed
+	transit transit
 }
 
 // passed is what the other end knows of a part.
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -27,6 +27,9 @@
 		Revision:           m.Revision,
 		NewsRevision:       m.News,
 		ConfirmedAgeMicros: m.ConfirmedAge.Microseconds(),
+		SentMicros:         m.Stamp.Sent.Microseconds(),
+		EchoMicros:         m.Stamp.Echo.Microseconds(),
+		EchoAgeMicros:      m.Stamp.EchoAge.Microseconds(),
 	}
 	for _, record := range m.Records {
 		wire.Records = append(wire.Records, &meshpb.Record{
@@ -49,6 +52,11 @@
 		Revision:     wire.GetRevision(),
 		News:         wire.GetNewsRevision(),
 		ConfirmedAge: micros(wire.GetConfirmedAgeMicros()),
+		Stamp: gossip.Stamp{
+			Sent:    micros(wire.GetSentMicros()),
+			Echo:    micros(wire.GetEchoMicros()),
+			EchoAge: micros(wire.GetEchoAgeMicros()),
+		},
 	}
 	for _, record := range wire.GetRecords() {
 		m.Records = append(m.Records, gossip.Record{
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -85,7 +85,7 @@
 	stream, err := peers.Gossip(ctx, address)
 	is.NoErr(err)
 	messages := []mesh.Message{
-		{Instance: "i", Address: "10.0.0.1:1", Attached: true, Revision: 7, News: 5, ConfirmedAge: 250 * time.Millisecond},
+		{Instance: "i", Address: "10.0.0.1:1", Attached: true, Revision: 7, News: 5, ConfirmedAge: 250 * time.Millisecond, Stamp: gossip.Stamp{Sent: 3 * time.Second, Echo: 2 * time.Second, EchoAge: time.Millisecond}},
 		{Revision: 8, ConfirmedAge: -time.Microsecond, Records: []gossip.Record{
 			{Instance: "j", Version: 5, Age: time.Second, Urgent: true, Content: []byte("x")}, {Instance: "k", Version: 2, Part: gossip.PartHeld},
 		}},
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -28,6 +28,7 @@
 	ConfirmedAge time.Duration
 	// News is the revision of the last change that the sender knows and that all have to know at once.
 	News    int64
+	Stamp   gossip.Stamp
 	Records []gossip.Record
 }
 
