Refuse nobody for good by a configuration that may be out of date

Clients do not come back after 404 or 401. Cause: an instance said so by whatever configuration it had, also when the store had not vouched for it for longer than a change may take. Changed: beyond that time (new setting [Callers] ChangeWithin, from the platform's bound on changes, 2 s if not stated) such a request gets 503, not run, to be tried again after 0.3 s, at another instance as clients do. A request that is served is not affected. Test: TestOutdatedConfigurationRefusesNobodyForGood, 404 and 401 before (3 of 3 cases), 503 now.

--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -33,3 +33,10 @@
 // ConfirmedAge is how long ago the store vouched for what this instance knows, as far as it can tell; negative if
 // never.
 func (n *Node) ConfirmedAge() time.Duration { return n.knowledge.confirmed.age(time.Now()) }
+
+// MayLackChanges tells whether the store has not vouched for what this instance knows for as long as a change may take
+// until it is in force.
+func (n *Node) MayLackChanges() bool {
+	age := n.ConfirmedAge()
+	return age < 0 || age > n.current.Load().Callers.ChangeWithin
+}
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -95,7 +95,7 @@
 			PeerAddress: anyPort, MetricsAddress: anyPort,
 		},
 		Platform:  node.PlatformSettings{StoreTimeout: time.Second},
-		Callers:   node.CallerSettings{HeaderBytes: 16384, HeaderTimeout: time.Second, IdleTimeout: time.Second, StopWithin: 5 * time.Second},
+		Callers:   node.CallerSettings{HeaderBytes: 16384, HeaderTimeout: time.Second, IdleTimeout: time.Second, StopWithin: 5 * time.Second, ChangeWithin: 2 * time.Second},
 		Upstreams: node.UpstreamSettings{FencesChecked: true},
 		Retries:   node.RetrySettings{Ratio: 0.2, Slack: 54},
 	}
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -42,6 +42,8 @@
 	IdleTimeout   time.Duration
 	// StopWithin is how long a planned stop may take.
 	StopWithin time.Duration
+	// ChangeWithin is how soon a change of the configuration has to be in force.
+	ChangeWithin time.Duration
 }
 
 // UpstreamSettings say what is known of upstreams beforehand.
@@ -133,6 +135,12 @@
 			Set: inifile.Duration(time.Second, time.Hour,
 				func(s *Settings) *time.Duration { return &s.Callers.StopWithin }),
 		},
+		{
+			Section: "Callers", Name: "ChangeWithin", Default: "2s",
+			Help: "how soon a change of the configuration has to be in force; nobody is refused for good by an older one",
+			Set: inifile.Duration(100*time.Millisecond, time.Minute,
+				func(s *Settings) *time.Duration { return &s.Callers.ChangeWithin }),
+		},
 		{
 			Section: "Upstreams", Name: "FencesChecked", Default: "false",
 			Help: "whether upstreams refuse orders under an earlier fence",
--- a/internal/entry/node/settings_test.go
+++ b/internal/entry/node/settings_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -14,17 +15,18 @@
 
 // given are the platform's fields that the template names, with values of a real instance.
 var given = map[string]string{
-	"node-name":            "edge-kgn-1",
-	"zone":                 "kgn",
-	"ip":                   "10.1.0.25",
-	"listen.frontend":      "10.1.0.25:8221",
-	"listen.ready":         "10.1.0.25:8224",
-	"internal-ports.0":     "7600",
-	"platform.address":     "10.200.1.7:8225",
-	"bounds.fence-checked": "true",
-	"bounds.lease-ms":      "3000",
-	"bounds.retry-ratio":   "0.2",
-	"bounds.retry-slack":   "54",
+	"node-name":              "edge-kgn-1",
+	"zone":                   "kgn",
+	"ip":                     "10.1.0.25",
+	"listen.frontend":        "10.1.0.25:8221",
+	"listen.ready":           "10.1.0.25:8224",
+	"internal-ports.0":       "7600",
+	"platform.address":       "10.200.1.7:8225",
+	"bounds.fence-checked":   "true",
+	"bounds.lease-ms":        "3000",
+	"bounds.config-apply-ms": "3000",
+	"bounds.retry-ratio":     "0.2",
+	"bounds.retry-slack":     "54",
 }
 
 func rendered(t *testing.T) string {
@@ -61,6 +63,7 @@
 	is.Equal(settings.Instance.PeerAddress, "10.1.0.25:7600")
 	is.Equal(settings.Platform.StoreAddress, "10.200.1.7:8225")
 	is.True(settings.Upstreams.FencesChecked)
+	is.Equal(settings.Callers.ChangeWithin, 3*time.Second)
 	is.Equal(settings.Retries.Slack, 54.0)
 }
 
--- a/internal/gateway/serve/refusals_test.go
+++ b/internal/gateway/serve/refusals_test.go
@@ -57,6 +57,29 @@
 	}
 }
 
+// Guards against a final refusal by an instance whose configuration is out of date: a route or key that was just added is
+// not there, and callers do not come back after a 404 or 401.
+func TestOutdatedConfigurationRefusesNobodyForGood(t *testing.T) {
+	for _, test := range []struct {
+		name, path, key string
+	}{
+		{"no such route", "/none/", key},
+		{"no key", "/once/", ""},
+		{"unknown key", "/once/", "x"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, served)
+			w.fleet.outdated = true
+			response, _, err := w.call(test.path, "", headerKey, test.key)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.True(response.Header.Get("Retry-After") != "")
+			is.Equal(w.runs(), 0)
+		})
+	}
+}
+
 // A workspace has used up its rate. The refusal says when to come back, and that time is true.
 func TestOverTheRate(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -32,6 +32,8 @@
 	Table() *traffic.Table
 	// ConfirmedAge is how long ago the store vouched for the configuration in force; negative if never.
 	ConfirmedAge() time.Duration
+	// MayLackChanges tells whether changes of the configuration may be missing that operators expect to be in force.
+	MayLackChanges() bool
 	// Newest is the newest declared version of an adapter, 0 if none was declared. Required tells that
 	// requests must not begin on an older one any more.
 	Newest(adapter traffic.Adapter) (version int64, required bool)
@@ -121,7 +123,6 @@
 		return refusal.New(refusal.BadRequest, err.Error())
 	}
 	if err := j.resolve(); err != nil {
-		j.refusedByTable = true
 		return err
 	}
 	if err := j.readBody(r); err != nil {
@@ -177,7 +178,7 @@
 func (j *job) resolve() error {
 	route, found := j.table.Route(j.call.Host, j.call.Path)
 	if !found {
-		return refusal.New(refusal.NotFound, "no route matches the host and path")
+		return j.unknown(refusal.NotFound, "no route matches the host and path")
 	}
 	j.route = route
 	j.service = route.Target()
@@ -191,11 +192,11 @@
 		return nil
 	}
 	if j.call.Key == "" {
-		return refusal.New(refusal.MissingKey, "the route needs a key")
+		return j.unknown(refusal.MissingKey, "the route needs a key")
 	}
 	workspace, found := j.table.Workspace(j.call.Key)
 	if !found {
-		return refusal.New(refusal.InvalidKey, "the key is not known")
+		return j.unknown(refusal.InvalidKey, "the key is not known")
 	}
 	j.workspace = workspace
 	if workspace.HasPriority {
@@ -204,6 +205,16 @@
 	return nil
 }
 
+// unknown refuses a request for which the configuration has no route or key. Callers take that for final, so it is not
+// said by a configuration that may be out of date: the route or key may have been added.
+func (j *job) unknown(code refusal.Code, reason string) error {
+	j.refusedByTable = true
+	if j.handler.Fleet.MayLackChanges() {
+		return refusal.New(refusal.NotFresh, "the configuration may be out of date: "+reason).WithRetryAfter(startingRetryAfter)
+	}
+	return refusal.New(code, reason)
+}
+
 // readBody reads the whole body: a request that is sent again needs it, and an upstream that a slow
 // caller holds is lost to others.
 func (j *job) readBody(r *http.Request) error {
--- a/internal/gateway/serve/world_test.go
+++ b/internal/gateway/serve/world_test.go
@@ -38,15 +38,18 @@
 }
 
 type fleet struct {
-	table  atomic.Pointer[traffic.Table]
-	mutex  sync.Mutex
-	broken []string
+	table atomic.Pointer[traffic.Table]
+	// outdated: changes may be missing.
+	outdated bool
+	mutex    sync.Mutex
+	broken   []string
 }
 
 func (f *fleet) Table() *traffic.Table                { return f.table.Load() }
 func (f *fleet) Newest(traffic.Adapter) (int64, bool) { return 0, false }
 func (f *fleet) Ask(context.Context, string)          {}
 func (f *fleet) ConfirmedAge() time.Duration          { return 0 }
+func (f *fleet) MayLackChanges() bool                 { return f.outdated }
 func (f *fleet) ShareSpent()                          {}
 func (f *fleet) Touch(string)                         {}
 func (f *fleet) Broke(u traffic.Upstream, _ suspect.Fingerprint) {
