Take an answer of the store that nothing has changed as of the end of its wait

At an instance that is short of its processor that is up to 0.6 s later, and the whole fleet goes by what its reader says. Changed: without changes a watch vouches for the moment at which the store's wait was over, at most. Test: TestLateAnswerOfTheStoreIsOld failed before (age 0 in place of 1 s).

--- a/internal/entry/node/confirmation_test.go
+++ b/internal/entry/node/confirmation_test.go
@@ -100,6 +100,17 @@
 // askedSince tells whether the store was asked after a moment.
 func (s *readingStore) askedSince(moment time.Time) bool { return s.asked.Load() > moment.UnixNano() }
 
+// lateStore has no changes, and its answers take a while.
+type lateStore struct {
+	coordination.Store
+	answersAfter, onTheWay time.Duration
+}
+
+func (s lateStore) Watch(_ context.Context, after int64, _ time.Duration) (replica.Batch, error) {
+	time.Sleep(s.answersAfter + s.onTheWay)
+	return replica.Batch{After: after, Through: after}, nil
+}
+
 // instanceThatKnows is an instance of a fleet of the given names that has read the store.
 func instanceThatKnows(t *testing.T, name string, names []string) *Node {
 	t.Helper()
@@ -156,6 +167,19 @@
 	})
 }
 
+// Guards against a reader that is short of its processor: the store's answer that nothing has changed lies in a buffer,
+// and counts as of when it is taken up, while changes are made.
+func TestLateAnswerOfTheStoreIsOld(t *testing.T) {
+	const onTheWay = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := instanceThatKnows(t, "a", []string{"a"})
+		n.Store = lateStore{answersAfter: watchFor, onTheWay: onTheWay}
+		is.NoErr(n.read(t.Context()))
+		is.Equal(n.ConfirmedAge(), onTheWay)
+	})
+}
+
 // Guards against instances that keep each other's knowledge fresh while none of them has the store's word: each passes
 // it on a little younger than it is, for the time that a message takes, and gets it back younger still.
 func TestConfirmationAgesWhileItIsPassedOn(t *testing.T) {
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -124,14 +124,20 @@
 	if err != nil {
 		return err
 	}
-	confirmed := time.Now()
-	if len(batch.Items) > 0 {
-		confirmed = began // what came after the first of these changes may not be among them
-	}
-	n.merge(batch, confirmed, fromStore)
+	n.merge(batch, vouchedAt(began, time.Now(), len(batch.Items) > 0), fromStore)
 	return nil
 }
 
+// vouchedAt is when the store vouched for what a watch has given, which began and ended at the given moments. With
+// changes that is when it began: what came after the first of them may not be among them. Without any it is when the
+// store's wait was over, as the answer may have taken long since.
+func vouchedAt(began, ended time.Time, changes bool) time.Time {
+	if changes {
+		return began
+	}
+	return began.Add(min(ended.Sub(began), watchFor))
+}
+
 func (n *Node) readSnapshot(ctx context.Context) error {
 	began := time.Now()
 	batch, err := n.Store.Snapshot(ctx)
