--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -7,6 +7,9 @@
 
 // confirmation.go keeps how old the store's word is that this instance goes by.
 
+// outageGap is how long nobody may have had the store's word until its absence counts as an outage: several reads.
+const outageGap = 1500 * time.Millisecond
+
 // confirmation is when the store last vouched for the revision of the replica. It is safe for use by several
 // goroutines: requests ask for it without waiting for a batch that is being merged.
 type confirmation struct{ at atomic.Pointer[time.Time] }
@@ -40,3 +43,34 @@
 	age := n.ConfirmedAge()
 	return age < 0 || age > n.current.Load().Callers.ChangeWithin
 }
+
+// confirm notes that the store vouched for what is known; the lock is held.
+func (n *Node) confirm(at time.Time) {
+	k := &n.knowledge
+	before := k.confirmed.last()
+	if !at.After(before) {
+		return
+	}
+	if gap := at.Sub(before); !before.IsZero() && gap > outageGap {
+		outage := n.wasOutage(before)
+		if outage {
+			k.returned = time.Now()
+		}
+		n.Log.Warn().Int64("GapMillis", gap.Milliseconds()).Bool("Outage", outage).Msg("StoreReturned")
+	}
+	k.confirmed.set(at)
+}
+
+// wasOutage tells whether the store was away for the fleet since its last word, and not for this instance or for the
+// one that read for all: at least half of the instances have failed to read it.
+//
+// Made for a reader that the store turns away, or whose way there is cut. The next instance begins to read some time
+// later, so that nobody had the store's word for a while. Taken for an outage, the removal of an upstream's entry
+// would be put down to it, and requests would be sent to an upstream that left two seconds ago and is gone by now.
+func (n *Node) wasOutage(since time.Time) bool {
+	away, heard := n.overlay.storeFailedSince(since)
+	if n.storeFailed.Load() >= since.UnixNano() {
+		away++
+	}
+	return 2*away >= heard+1
+}
