--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// confirmation.go keeps how old the store's word is that this instance goes by.
+// confirmation.go keeps when the store last confirmed the revision that this instance goes by.
 
-// outageGap is how long nobody may have had the store's word until its absence counts as an outage: several reads.
+// outageGap is how long nobody may have had a confirmation until that counts as an outage of the store: several reads.
 const outageGap = 1500 * time.Millisecond
 
-// confirmation is when the store last vouched for the revision of the replica. It is safe for use by several
+// confirmation is when the store last confirmed the revision of the replica as its newest. It is safe for use by several
 // goroutines: requests ask for it without waiting for a batch that is being merged.
 type confirmation struct{ at atomic.Pointer[time.Time] }
 
-// last is zero if the store never vouched for anything.
+// last is zero if the store never confirmed anything.
 func (c *confirmation) last() time.Time {
 	if at := c.at.Load(); at != nil {
 		return *at
@@ -24,7 +24,7 @@
 
 func (c *confirmation) set(at time.Time) { c.at.Store(&at) }
 
-// age is negative if the store never vouched for anything.
+// age is negative if the store never confirmed anything.
 func (c *confirmation) age(now time.Time) time.Duration {
 	at := c.last()
 	if at.IsZero() {
@@ -33,18 +33,16 @@
 	return now.Sub(at)
 }
 
-// ConfirmedAge is how long ago the store vouched for what this instance knows, as far as it can tell; negative if
-// never.
+// ConfirmedAge is an upper bound on how long ago the store confirmed this instance's revision; negative if never.
 func (n *Node) ConfirmedAge() time.Duration { return n.knowledge.confirmed.age(time.Now()) }
 
-// MayLackChanges tells whether the store has not vouched for what this instance knows for as long as a change may take
-// until it is in force.
+// MayLackChanges reports whether the last confirmation is older than a change may take until it is in force.
 func (n *Node) MayLackChanges() bool {
 	age := n.ConfirmedAge()
 	return age < 0 || age > n.current.Load().Callers.ChangeWithin
 }
 
-// confirm notes that the store vouched for what is known; the lock is held.
+// confirm notes that the store confirmed what is known; the lock is held.
 func (n *Node) confirm(at time.Time) {
 	k := &n.knowledge
 	before := k.confirmed.last()
@@ -61,16 +59,16 @@
 	k.confirmed.set(at)
 }
 
-// wasOutage tells whether the store was away for the fleet since its last word, and not for this instance or for the
-// one that read for all: at least half of the instances have failed to read it.
+// wasOutage reports whether the store was unreachable for the fleet since it last confirmed anything, and not only for
+// this instance or for the one that read for all: at least half of the instances have failed to read it.
 //
-// Made for a reader that the store turns away, or whose way there is cut. The next instance begins to read some time
-// later, so that nobody had the store's word for a while. Taken for an outage, the removal of an upstream's entry
+// Made for a reader that the store refuses, or whose connections to it are cut. The next instance begins to read some
+// time later, so that nobody had a confirmation for a while. Taken for an outage, the removal of an upstream's entry
 // would be put down to it, and requests would be sent to an upstream that left two seconds ago and is gone by now.
 func (n *Node) wasOutage(since time.Time) bool {
-	away, heard := n.overlay.storeFailedSince(since)
+	failed, heard := n.overlay.storeFailedSince(since)
 	if n.storeFailed.Load() >= since.UnixNano() {
-		away++
+		failed++
 	}
-	return 2*away >= heard+1
+	return 2*failed >= heard+1
 }
--- a/internal/entry/node/confirmation_test.go
+++ b/internal/entry/node/confirmation_test.go
@@ -97,7 +97,7 @@
 	return replica.Batch{After: after, Through: after}, nil
 }
 
-// askedSince tells whether the store was asked after a moment.
+// askedSince reports whether the store was asked after a moment.
 func (s *readingStore) askedSince(moment time.Time) bool { return s.asked.Load() > moment.UnixNano() }
 
 // lateStore has no changes, and its answers take a while.
@@ -180,8 +180,9 @@
 	})
 }
 
-// Guards against instances that keep each other's knowledge fresh while none of them has the store's word: each passes
-// it on a little younger than it is, for the time that a message takes, and gets it back younger still.
+// Guards against instances that keep each other's knowledge fresh while none of them reads the store: each passes
+// the last confirmation on as a little younger than it is, for the time that a message takes, and gets it back younger
+// still.
 func TestConfirmationAgesWhileItIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/entry/node/knowledge.go
+++ b/internal/entry/node/knowledge.go
@@ -103,7 +103,7 @@
 // fromStore is the source of changes that this instance has read itself.
 const fromStore = "store"
 
-// merge takes a batch in that came from the store or a peer, and tells whether it joined what was known.
+// merge takes a batch in that came from the store or a peer, and reports whether it joined what was known.
 func (n *Node) merge(batch replica.Batch, confirmed time.Time, from string) bool {
 	k := &n.knowledge
 	k.mutex.Lock()
@@ -138,7 +138,7 @@
 	}
 }
 
-// apply hands one change on; the lock is held. It tells whether that is news which others should hear at once, and
+// apply hands one change on; the lock is held. It reports whether that is news which others should get at once, and
 // not with a heartbeat.
 func (n *Node) apply(item replica.Item, from string) (news bool) {
 	k := &n.knowledge
--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -166,8 +166,8 @@
 }
 
 // compareRevision fetches the changes that a peer shows to know and this instance does not: news at once, others, such
-// as what upstreams say to have loaded, now and then. Confirmed is when the store vouched for what the peer knows, zero
-// if that is not known.
+// as what upstreams say to have loaded, now and then. Confirmed is when the store confirmed the peer's revision,
+// zero if that is not known.
 func (n *Node) compareRevision(ctx context.Context, end *linkEnd, message mesh.Message, confirmed time.Time) {
 	n.knowledge.mutex.Lock()
 	revision := n.knowledge.replica.Revision()
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -13,16 +13,16 @@
 )
 
 // reading.go reads the store. Each call is billed and a watch counts as one, so one instance watches for
-// all; the others follow by heartbeats. Each reads by itself as soon as nobody has the store's word.
+// all; the others follow by heartbeats. Each reads by itself as soon as nobody has a recent confirmation.
 
 const (
-	// watchFor is how long one watch waits. It also bounds how old the store's word gets while nothing
+	// watchFor is how long one watch waits. It also bounds how old the confirmation gets while nothing
 	// changes.
 	watchFor = 600 * time.Millisecond
 	// watchEvery paces the watches while there are many changes: a change is known this much later, of
 	// the two seconds that there are.
 	watchEvery = 250 * time.Millisecond
-	// readAfter is how old the store's word may get until the next instance in line reads by itself, and
+	// readAfter is how old the confirmation may get until the next instance in line reads by itself, and
 	// readStep what the next one waits on top, see readDelay.
 	readAfter = 1100 * time.Millisecond
 	readStep  = 150 * time.Millisecond
@@ -68,12 +68,12 @@
 // Made for an outage of the store in a large fleet. When all others say that they do not reach it, each instance is the
 // first in line and tries by itself; each try is billed, and when the store is back it first has to turn most of them
 // away. So the tries of all instances together stay as frequent as those of a small fleet. The first one that reaches
-// the store tells the others at once.
+// the store lets the others know at once.
 func failurePause(peers int) time.Duration {
 	return readPause * time.Duration(max(peers, peersAtFullPace)) / peersAtFullPace
 }
 
-// shouldRead tells whether it is this instance's turn.
+// shouldRead reports whether it is this instance's turn.
 func (n *Node) shouldRead(now time.Time) bool {
 	k := &n.knowledge
 	k.mutex.Lock()
@@ -124,14 +124,14 @@
 	if err != nil {
 		return err
 	}
-	n.merge(batch, vouchedAt(began, time.Now(), len(batch.Items) > 0), fromStore)
+	n.merge(batch, confirmedAt(began, time.Now(), len(batch.Items) > 0), fromStore)
 	return nil
 }
 
-// vouchedAt is when the store vouched for what a watch has given, which began and ended at the given moments. With
+// confirmedAt is when the store confirmed what a watch has given, which began and ended at the given moments. With
 // changes that is when it began: what came after the first of them may not be among them. Without any it is when the
 // store's wait was over, as the answer may have taken long since.
-func vouchedAt(began, ended time.Time, changes bool) time.Time {
+func confirmedAt(began, ended time.Time, changes bool) time.Time {
 	if changes {
 		return began
 	}
--- a/internal/entry/node/ticks.go
+++ b/internal/entry/node/ticks.go
@@ -27,7 +27,7 @@
 	for pause(ctx, tick) {
 		now := time.Now()
 		n.forgetLapsed(now)
-		n.tellPeers(now)
+		n.setLedgerPeers(now)
 		n.keepConnections()
 		n.keepPeerConnections()
 		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
@@ -38,8 +38,8 @@
 	return nil
 }
 
-// tellPeers tells the ledger which other instances may be admitting.
-func (n *Node) tellPeers(now time.Time) {
+// setLedgerPeers gives the ledger the other instances that may be admitting.
+func (n *Node) setLedgerPeers(now time.Time) {
 	k := &n.knowledge
 	k.mutex.Lock()
 	instances := k.roster.Instances()
@@ -74,7 +74,7 @@
 	})
 }
 
-// isSameList tells whether two lists of the roster are one, which it gives as long as nothing changes.
+// isSameList reports whether two lists of the roster are one, which it gives as long as nothing changes.
 func isSameList(a, b []roster.Instance) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -21,11 +21,11 @@
 		Msg("DataCentreEvacuated")
 }
 
-// applyUpstream takes an upstream's entry over. Entries lapse while the store is away although their
+// applyUpstream takes an upstream's entry over. Entries lapse while the store is down although their
 // upstreams live, so one that is missing around an outage is kept until it had the time to come back.
 //
-// An entry that only tells what is loaded by now is no news: its holder knows that better and tells it. In a fleet
-// of a hundred upstreams such entries come several times in each second, and told at once they were a quarter of
+// An entry that only lists what is loaded by now is no news: its holder knows that better and reports it. In a fleet
+// of a hundred upstreams such entries come several times in each second, and passed on at once they were a quarter of
 // all messages between instances.
 func (n *Node) applyUpstream(id string, item replica.Item) (news bool) {
 	k := &n.knowledge
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -30,9 +30,9 @@
 type Fleet interface {
 	// Table is the configuration in force, nil while none is known.
 	Table() *traffic.Table
-	// ConfirmedAge is how long ago the store vouched for the configuration in force; negative if never.
+	// ConfirmedAge is how long ago the store confirmed the configuration in force as its newest; negative if never.
 	ConfirmedAge() time.Duration
-	// MayLackChanges tells whether changes of the configuration may be missing that operators expect to be in force.
+	// MayLackChanges reports whether changes of the configuration may be missing that operators expect to be in force.
 	MayLackChanges() bool
 	// Newest is the newest declared version of an adapter, 0 if none was declared. Required tells that
 	// requests must not begin on an older one any more.
