Start no timer where nothing is left to wait for (TestCallsRunAtMostOnce)

What was seen: the process of TestCallsRunAtMostOnce ended with SIGSEGV in the Go runtime, beside load.

Cause: a runtime crash of the race detector. A timer that is due already when a select looks at it fires on the goroutine's own processor, in a synctest bubble under the one detector context of the bubble; two goroutines that do so at once corrupt it. Which of our uses: claim.(*worker).pace waits for writePace less the time since the last write, negative after each rest, in as many workers as there are groups.

Ruled out: load alone; the program crashes on a calm machine.

Change: pause.For waits, and starts no timer where nothing is left to wait for. It takes the place of five copies of the same function, in node, daemon, holding, live and engine; of these node's reading and stop passed differences of times as well. Other waits that could be due were looked through: turn, rest, tracker have a least wait; backoffs are positive. await in node/holding bounds itself by Hopeless and its timer may be due once; left.

--- a/internal/admission/claim/worker.go
+++ b/internal/admission/claim/worker.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/platform/store"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // This file writes the claims of one group. While one write is under way the next operations gather
@@ -78,10 +79,7 @@
 
 // pace waits until the group may be written again.
 func (w *worker) pace(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(writePace - time.Since(w.written)):
-	}
+	pause.For(ctx, writePace-time.Since(w.written))
 }
 
 // drain takes all that waits, outcomes first: one of them may free a key that a claim in the same
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -199,16 +199,6 @@
 	return freshness.Member{Name: m.Name, Incarnation: m.Incarnation, Since: m.Since}
 }
 
-// pause waits, and tells whether the context still lives.
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-time.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // detector is the membership.Detector with the lock that several duties need. It also remembers when
 // each member was last heard, for operators.
 type detector struct {
--- a/internal/entry/daemon/gauges.go
+++ b/internal/entry/daemon/gauges.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // gauges.go tells the metrics how this instance stands.
@@ -11,7 +13,7 @@
 const gaugesEvery = time.Second
 
 func (d *Daemon) runGauges(ctx context.Context) error {
-	for pause(ctx, gaugesEvery) {
+	for pause.For(ctx, gaugesEvery) {
 		current := d.repository.Current().Head
 		d.scope.Gauge("fresh").Update(truth(d.tracker.Fresh() == nil))
 		d.scope.Gauge("stopping").Update(truth(d.stopping.Load()))
--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -13,6 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/entry/pipeline"
 	"lacewingrock.example/lacewingrock/internal/fleet/freshness"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // knowledge.go keeps what this instance knows of the configuration: it reads the head when freshness
@@ -28,7 +29,7 @@
 // runReads reads the head whenever freshness says so.
 func (d *Daemon) runReads(ctx context.Context) error {
 	failing := false
-	for pause(ctx, considerReading) {
+	for pause.For(ctx, considerReading) {
 		if !d.tracker.ShouldReadStore() {
 			continue
 		}
@@ -156,7 +157,7 @@
 // gone, and ends the running requests when this instance could not confirm their keys for too long.
 func (d *Daemon) runInForce(ctx context.Context) error {
 	told := int64(0)
-	for pause(ctx, considerInForce) {
+	for pause.For(ctx, considerInForce) {
 		if inForce := d.tracker.InForce(); inForce > told {
 			told = inForce
 			d.holding.SetInForce(ctx, inForce)
--- a/internal/entry/daemon/members.go
+++ b/internal/entry/daemon/members.go
@@ -10,6 +10,7 @@
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
 	"lacewingrock.example/lacewingrock/internal/platform/listing"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // members.go changes who is a member: this instance joins, dead members are removed. Each change is one
@@ -32,7 +33,7 @@
 )
 
 func (d *Daemon) runMembership(ctx context.Context) error {
-	for pause(ctx, considerMembers) {
+	for pause.For(ctx, considerMembers) {
 		if d.stopping.Load() || d.repository.Current().Head.Revision == 0 && !d.storeRead() {
 			continue
 		}
@@ -96,7 +97,7 @@
 // runListing reads the platform's list: who is leaving, and who is gone.
 func (d *Daemon) runListing(ctx context.Context) error {
 	missing := map[head.Member]time.Time{}
-	for pause(ctx, listEvery) {
+	for pause.For(ctx, listEvery) {
 		if !d.readsList() {
 			d.leaving.setOwn(nil)
 			clear(missing)
--- a/internal/entry/daemon/stop.go
+++ b/internal/entry/daemon/stop.go
@@ -8,6 +8,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/catalog/head"
 	"lacewingrock.example/lacewingrock/internal/fleet/membership"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // stop.go is the planned stop. Callers notice nothing of it: the balancer is told first, requests run to
@@ -67,7 +68,7 @@
 			_ = d.tracker.WaitInForce(ctx, revision) // the context's error means that it is not known; the stop goes on
 			return
 		}
-		pause(ctx, leaveAgain)
+		pause.For(ctx, leaveAgain)
 	}
 	d.Log.Warn().Msg("MemberCouldNotLeave")
 }
--- a/internal/entry/daemon/top_ups.go
+++ b/internal/entry/daemon/top_ups.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // topUpEvery is how often full and empty buckets are balanced between members. The figures of the outage
@@ -10,7 +12,7 @@
 const topUpEvery = 250 * time.Millisecond
 
 func (d *Daemon) runTopUps(ctx context.Context) error {
-	for pause(ctx, topUpEvery) {
+	for pause.For(ctx, topUpEvery) {
 		d.pipeline.TopUp(ctx)
 	}
 	return nil
--- a/internal/entry/holding/orders.go
+++ b/internal/entry/holding/orders.go
@@ -11,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
 	"lacewingrock.example/lacewingrock/internal/placement/model"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 	"lacewingrock.example/lacewingrock/internal/upstream/engine"
 )
 
@@ -39,7 +40,7 @@
 func (r *Runner) runReports(u *heldUpstream) {
 	incarnation := ""
 	failed := 0
-	for pause(u.context, reportEvery) {
+	for pause.For(u.context, reportEvery) {
 		report, err := u.engine.Report(u.context)
 		if err != nil {
 			failed++
@@ -96,7 +97,7 @@
 			r.tell(u, holder.PinsTold{Instance: member.Name, Epoch: epoch, Pins: list.Pins})
 			return
 		}
-		if !pause(u.context, askAgain) {
+		if !pause.For(u.context, askAgain) {
 			return
 		}
 	}
@@ -105,7 +106,7 @@
 // runReconcile releases pins that their instance does not know any more.
 func (r *Runner) runReconcile(u *heldUpstream) {
 	before := map[string]bool{}
-	for pause(u.context, reconcileEvery) {
+	for pause.For(u.context, reconcileEvery) {
 		pins, ok := r.list(u)
 		if !ok {
 			return
@@ -176,7 +177,7 @@
 func (r *Runner) runCancelStreams(u *heldUpstream, pins []holder.Pin, gone holder.InstanceGone) {
 	for _, pin := range pins {
 		for u.engine.Cancel(u.context, pin.RequestID) != nil {
-			if !pause(u.context, askAgain) {
+			if !pause.For(u.context, askAgain) {
 				return
 			}
 		}
@@ -290,13 +291,3 @@
 	}
 	return ref.String()
 }
-
-// pause waits, and tells whether the context still lives.
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-time.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/node/confirmation_test.go
+++ b/internal/entry/node/confirmation_test.go
@@ -16,6 +16,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // changeWithin is how soon a change has to be in force on the smallest deployments, and the soonest of all.
@@ -79,7 +80,7 @@
 
 // beating has an instance send over its links as often as it does when it runs.
 func beating(ctx context.Context, nodes ...*Node) {
-	for pause(ctx, beatEvery) {
+	for pause.For(ctx, beatEvery) {
 		for _, n := range nodes {
 			n.overlay.wake(true)
 		}
@@ -154,7 +155,7 @@
 		linkLate(ctx, n, relay, always(0), growing)
 		go beating(ctx, n, relay)
 		go func() {
-			for pause(ctx, watchEvery) {
+			for pause.For(ctx, watchEvery) {
 				relay.merge(replica.Batch{After: 2, Through: 2}, time.Now(), fromStore)
 			}
 		}()
--- a/internal/entry/node/lease.go
+++ b/internal/entry/node/lease.go
@@ -9,6 +9,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // lease.go keeps the instance's lease in the store, to which all its keys are bound: when the instance is
@@ -81,15 +82,15 @@
 func (n *Node) runLease(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if n.stopping.Load() {
-			pause(ctx, leasePause)
+			pause.For(ctx, leasePause)
 			continue
 		}
 		if err := n.renew(ctx); err != nil {
 			n.Log.Warn().Err(err).Msg("LeaseNotRenewed")
-			pause(ctx, leasePause)
+			pause.For(ctx, leasePause)
 			continue
 		}
-		pause(ctx, renewEvery)
+		pause.For(ctx, renewEvery)
 	}
 	return nil
 }
--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -13,6 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // link_end.go sends and receives over one link, which either instance may have opened.
@@ -85,7 +86,7 @@
 		select {
 		case <-e.beat:
 		case <-e.news:
-			pause(ctx, gatherFor)
+			pause.For(ctx, gatherFor)
 		case err := <-broken:
 			return err
 		case <-ctx.Done():
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -9,6 +9,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // links.go opens the links that the topology asks for, and closes those that it does not any more.
@@ -50,7 +51,7 @@
 		if errors.Is(err, errLinkSilent) {
 			p.node.peers.Drop(p.instance.Address)
 		}
-		pause(ctx, reopenPause)
+		pause.For(ctx, reopenPause)
 	}
 }
 
@@ -98,7 +99,7 @@
 			beat = !beat
 		case <-n.overlay.urged:
 			urgent = true
-			pause(ctx, gatherFor)
+			pause.For(ctx, gatherFor)
 		case <-ctx.Done():
 		}
 		switch {
--- a/internal/entry/node/losses.go
+++ b/internal/entry/node/losses.go
@@ -11,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // losses.go finds out whether an upstream crashed when an answer of it broke. A request that crashes each
@@ -47,7 +48,7 @@
 	for {
 		select {
 		case first := <-n.losses:
-			pause(ctx, lossSettle)
+			pause.For(ctx, lossSettle)
 			n.lookInto(ctx, first)
 		case <-ctx.Done():
 			return nil
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -32,6 +32,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 	"lacewingrock.example/lacewingrock/internal/telemetry/metrics"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // Decoder maps the store's items to what they declare.
@@ -270,26 +271,14 @@
 	n.Log.Info().Msg("Stopping")
 	n.handler.Leave()
 	n.endLease()
-	pause(working, leaveAfter-time.Since(began))
+	pause.For(working, leaveAfter-time.Since(began))
 	n.handler.Close()
 	closing, cancel := context.WithDeadline(context.Background(), began.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(closing)
-	pause(working, idleLinger)
+	pause.For(working, idleLinger)
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("StoppedWithRequestsRunning")
 	}
 	return nil
 }
-
-// pause waits, and tells whether the context still lives.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/node/reading.go
+++ b/internal/entry/node/reading.go
@@ -10,6 +10,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // reading.go reads the store. Each call is billed and a watch counts as one, so one instance watches for
@@ -41,7 +42,7 @@
 	reached := true
 	for ctx.Err() == nil {
 		if !n.shouldRead(time.Now()) {
-			pause(ctx, readPause)
+			pause.For(ctx, readPause)
 			continue
 		}
 		began := time.Now()
@@ -55,10 +56,10 @@
 		}
 		if err != nil {
 			n.storeFailed.Store(time.Now().UnixNano())
-			pause(ctx, failurePause(n.overlay.peerCount()))
+			pause.For(ctx, failurePause(n.overlay.peerCount()))
 			continue
 		}
-		pause(ctx, watchEvery-time.Since(began))
+		pause.For(ctx, watchEvery-time.Since(began))
 	}
 	return nil
 }
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -9,6 +9,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // reports.go reports to the holders of upstreams what this instance has in flight there, and takes such reports. Sent
@@ -138,7 +139,7 @@
 
 // runReports reports again what goes on.
 func (n *Node) runReports(ctx context.Context) error {
-	for pause(ctx, reportAgainEvery) {
+	for pause.For(ctx, reportAgainEvery) {
 		n.reportAgain()
 	}
 	return nil
--- a/internal/entry/node/ticks.go
+++ b/internal/entry/node/ticks.go
@@ -6,6 +6,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // ticks.go does what only time brings about.
@@ -24,7 +25,7 @@
 
 // runTicks does what only time brings about.
 func (n *Node) runTicks(ctx context.Context) error {
-	for pause(ctx, tick) {
+	for pause.For(ctx, tick) {
 		now := time.Now()
 		n.forgetLapsed(now)
 		n.setLedgerPeers(now)
--- a/internal/measure/live/live.go
+++ b/internal/measure/live/live.go
@@ -17,6 +17,7 @@
 	"lacewingrock.example/lacewingrock/internal/measure/section"
 	"lacewingrock.example/lacewingrock/internal/standin/deployment"
 	"lacewingrock.example/lacewingrock/internal/standin/kv"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // Options of a run. Binaries is where the programs are; Markdown is the page to write to, or empty.
@@ -129,14 +130,14 @@
 
 func measureRest(ctx context.Context, options Options, instances int) (measured atRest, err error) {
 	err = within(ctx, options, instances, nil, func(d *deployment.Deployment) error {
-		if !pause(ctx, settle) {
+		if !pause.For(ctx, settle) {
 			return ctx.Err()
 		}
 		before, err := take(ctx, d)
 		if err != nil {
 			return err
 		}
-		if !pause(ctx, rest) {
+		if !pause.For(ctx, rest) {
 			return ctx.Err()
 		}
 		after, err := take(ctx, d)
@@ -187,12 +188,3 @@
 	}
 	return measured
 }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-time.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/upstream/engine/complete.go
+++ b/internal/upstream/engine/complete.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/caller/stream"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 	"lacewingrock.example/lacewingrock/internal/upstream/exchange"
 )
 
@@ -54,7 +55,7 @@
 			return r.givenUp(ctx, err)
 		}
 		if fruitless > 0 {
-			pause(ctx, resumePause<<(fruitless-1))
+			pause.For(ctx, resumePause<<(fruitless-1))
 		}
 		fruitless++
 		before := r.position.progress
@@ -325,10 +326,3 @@
 func (r *runner) stop(ctx context.Context) bool {
 	return r.client.Cancel(context.WithoutCancel(ctx), r.dispatch.ID) == nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
