Look only at upstreams that are in use, and list them only after changes

In one process, 40 real nodes before 3,000 upstreams (BenchmarkFleetAtRest/40, a size added for it) took 1,900 ms of processor time each to start, and 104 ms before 400 upstreams: 18 times as much for 7.5 times the upstreams.

Cause, by profile (92 s in all): each change of a holder's key had the instance look through all upstreams for what it has in flight at that one (reportToNewHolder, 12.7 s: upstreams times upstreams while a fleet starts), and five times a second it listed all upstreams to drop the connections to those that are gone (keepConnections, 12.8 s).

Change: the pool keeps the upstreams at which this instance has something in flight; Own and Report look at those. Names are listed only after an upstream was added or dropped.

Ruled out: claims in turn, of whose 8.3 s nearly all are the store of the test.

TestIdleUpstreamsAreNotLookedAt and TestNamesAreListedAfterChangesOnly hold it; the functions that they ask did not exist, so they did not compile before.

--- a/internal/entry/node/fleet_cost_test.go
+++ b/internal/entry/node/fleet_cost_test.go
@@ -16,7 +16,7 @@
 // loopback, with a store in memory and upstreams that nobody calls.
 
 // fleetSizes are instances and upstreams of the fleets that are measured.
-var fleetSizes = []struct{ instances, upstreams int }{{7, 12}, {30, 50}, {60, 100}, {100, 130}, {195, 160}}
+var fleetSizes = []struct{ instances, upstreams int }{{7, 12}, {30, 50}, {60, 100}, {100, 130}, {195, 160}, {40, 3000}}
 
 // restProfile is a file for the processor profile of the time in which a fleet rests, starts and stops left out.
 var restProfile = flag.String("rest-profile", "", "file for the processor profile of fleets at rest")
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -82,8 +82,11 @@
 	lease     lease
 	holdings  holdings
 	forward   *forward.Client
-	scope     tally.Scope
-	stopping  atomic.Bool
+	// upstreamChanges is as of when connections to upstreams were last dropped; only runTicks uses it.
+	upstreamChanges int
+
+	scope    tally.Scope
+	stopping atomic.Bool
 	// storeUnreachable: the last read of the store failed; storeFailed is when one last did, in Unix nanoseconds.
 	storeUnreachable atomic.Bool
 	storeFailed      atomic.Int64
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -166,11 +166,9 @@
 	if !found || !held || holder.Instance == n.self.Name {
 		return
 	}
-	var loads map[string]pool.Load
-	n.advice.With(func(a *serve.Advice) {
-		loads = a.Pool.Own(func(id string) bool { return id == upstream })
-	})
-	if len(loads) > 0 {
+	inFlight := false
+	n.advice.With(func(a *serve.Advice) { inFlight = a.Pool.HasOwn(upstream) })
+	if inFlight {
 		n.report(holder.Instance)
 	}
 }
--- a/internal/entry/node/ticks.go
+++ b/internal/entry/node/ticks.go
@@ -82,11 +82,9 @@
 
 // keepConnections drops the connections to upstreams that are gone.
 func (n *Node) keepConnections() {
-	ids := make(map[string]bool)
-	n.advice.With(func(a *serve.Advice) {
-		for _, upstream := range a.Pool.Upstreams() {
-			ids[upstream.ID] = true
-		}
-	})
-	n.forward.Keep(ids)
+	var names map[string]bool
+	n.advice.With(func(a *serve.Advice) { names, n.upstreamChanges = a.Pool.NamesSince(n.upstreamChanges) })
+	if names != nil {
+		n.forward.Keep(names)
+	}
 }
--- /dev/null
+++ b/internal/placement/pool/idle_upstreams_test.go
@@ -0,0 +1,60 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+)
+
+func declareMany(p *pool.Pool, now time.Time, upstreams int) {
+	for i := range upstreams {
+		p.Declare(now, traffic.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i)})
+	}
+}
+
+// TestIdleUpstreamsAreNotLookedAt guards against reports that cost as much as there are upstreams, which start a large
+// fleet too slowly to serve.
+func TestIdleUpstreamsAreNotLookedAt(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := &pool.Pool{Settings: pool.DefaultSettings()}
+	declareMany(p, now, 1000)
+	upstream, _ := p.Upstream("u7")
+	send := p.Begin(now, pool.Choice{Upstream: upstream}, pool.Query{Service: "s"})
+	looked := 0
+	all := func(string) bool {
+		looked++
+		return true
+	}
+	is.Equal(len(p.Report(all)), 1)
+	is.True(p.HasOwn("u7"))
+	is.True(!p.HasOwn("u8"))
+	is.Equal(looked, 2) // once to note what is reported, once to report it
+	p.Finish(now, send, pool.EndServed)
+	is.Equal(len(p.Report(all)), 0)
+	is.True(!p.HasOwn("u7"))
+	looked = 0
+	is.Equal(len(p.Report(all)), 0)
+	is.Equal(looked, 0)
+}
+
+// TestNamesAreListedAfterChangesOnly guards against listing all upstreams of a large service several times a second.
+func TestNamesAreListedAfterChangesOnly(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := &pool.Pool{Settings: pool.DefaultSettings()}
+	declareMany(p, now, 3)
+	names, changes := p.NamesSince(0)
+	is.Equal(names, map[string]bool{"u0": true, "u1": true, "u2": true})
+	declareMany(p, now, 3) // the same again
+	names, changes = p.NamesSince(changes)
+	is.Equal(len(names), 0)
+	p.Forget("u1")
+	names, _ = p.NamesSince(changes)
+	is.Equal(names, map[string]bool{"u0": true, "u2": true})
+}
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -39,6 +39,14 @@
 	return l
 }
 
+// isInFlight reports whether anything runs, or waits for its adapter.
+func (l Load) isInFlight() bool { return l.Running > 0 || l.Awaiting > 0 }
+
+// isZero reports whether nothing is left of the load, but for the adapters in use.
+func (l Load) isZero() bool {
+	return l.Running == 0 && l.Prompt == 0 && l.Memory == 0 && l.Awaiting == 0
+}
+
 // source is where another instance's loads come from: its state, which all instances get, or its reports to the
 // holder of the upstreams.
 type source struct {
@@ -168,8 +176,9 @@
 // Own is what this instance has in flight at the selected upstreams, for its heartbeats.
 func (p *Pool) Own(asked func(upstream string) bool) map[string]Load {
 	loads := make(map[string]Load)
-	for id, u := range p.upstreams {
-		if own := u.own; (own.Running > 0 || own.Awaiting > 0) && asked(id) {
+	for u := range p.active {
+		id := u.declared.ID
+		if own := u.own; own.isInFlight() && asked(id) {
 			own.InUse = u.inUse()
 			loads[id] = own
 		}
@@ -177,16 +186,29 @@
 	return loads
 }
 
+// HasOwn reports whether this instance has anything in flight at an upstream.
+func (p *Pool) HasOwn(id string) bool {
+	u := p.upstreams[id]
+	return u != nil && u.own.isInFlight()
+}
+
 // Report is Own for the holder of the selected upstreams.
 func (p *Pool) Report(asked func(upstream string) bool) map[string]Load {
-	for id, u := range p.upstreams {
-		if asked(id) {
+	for u := range p.active {
+		if asked(u.declared.ID) {
 			u.reported = u.own
 		}
+		if u.own.isZero() && u.reported.isZero() {
+			delete(p.active, u)
+		}
 	}
 	return p.Own(asked)
 }
 
+// activate takes note that this instance has something in flight at an upstream. Own and Report come many times a second and
+// look at these alone: the others are most of a large service.
+func (p *Pool) activate(u *upstream) { p.active[u] = true }
+
 // InUse lists the adapters with requests in flight at an upstream, from any instance.
 func (p *Pool) InUse(now time.Time, id string) (adapters []traffic.Adapter) {
 	if u := p.upstreams[id]; u != nil {
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -118,6 +118,10 @@
 	Settings Settings
 
 	upstreams map[string]*upstream
+	// active are the declared upstreams at which this instance has something in flight, or has reported so to the holder.
+	active map[*upstream]bool
+	// changes counts changes of which upstreams are declared.
+	changes int
 	// services lists the upstreams of each service by their names; nil after a change until it is needed.
 	services map[string][]*upstream
 	engines  map[string]traffic.Engine
@@ -153,8 +157,10 @@
 	p.prepare()
 	u := p.upstreams[declared.ID]
 	if u == nil || u.declared.Born != declared.Born || u.declared.Address != declared.Address {
+		delete(p.active, u)
 		u = newUpstream(now)
 		p.upstreams[declared.ID] = u
+		p.changes++
 		p.services = nil
 		for _, peer := range p.peers {
 			u.beside = u.beside.plus(peer.loads[declared.ID])
@@ -172,10 +178,25 @@
 
 // Forget drops an upstream that is gone.
 func (p *Pool) Forget(id string) {
+	delete(p.active, p.upstreams[id])
 	delete(p.upstreams, id)
+	p.changes++
 	p.services = nil
 }
 
+// NamesSince gives the names of all upstreams that are declared if any was added or dropped since a count of such changes,
+// and the count now.
+func (p *Pool) NamesSince(changes int) (names map[string]bool, now int) {
+	if changes == p.changes {
+		return nil, changes
+	}
+	names = make(map[string]bool, len(p.upstreams))
+	for id := range p.upstreams {
+		names[id] = true
+	}
+	return names, p.changes
+}
+
 // Upstreams lists all that are declared.
 func (p *Pool) Upstreams() (list []traffic.Upstream) {
 	for _, u := range p.upstreams {
@@ -241,6 +262,7 @@
 func (p *Pool) prepare() {
 	if p.upstreams == nil {
 		p.upstreams = make(map[string]*upstream)
+		p.active = make(map[*upstream]bool)
 		p.peers = make(map[source]peerLoads)
 		p.paces = make(map[string]*pace)
 		p.evacuated = make(map[string]bool)
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -102,6 +102,7 @@
 		send.usual = p.usual(u, query, send.found)
 		u.sends[send] = true
 		u.own = u.own.plus(send.load())
+		p.activate(u)
 	}
 	return send
 }
@@ -216,6 +217,7 @@
 	if u != nil {
 		u.preparing++
 		u.own.Awaiting += tokens
+		p.activate(u)
 	}
 	return Preparation{upstream: u, tokens: tokens}
 }
