--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -87,6 +87,16 @@
 	Misdirected bool
 	// Signed: the answer bears the upstream's signature.
 	Signed bool
+	// Load is what the upstream had to do when it answered; zero if it does not state that.
+	Load UpstreamLoad
+}
+
+// UpstreamLoad is what an upstream states of its own load.
+type UpstreamLoad struct {
+	// Running and Waiting are requests, Places how many run at once.
+	Running int
+	Waiting int
+	Places  int
 }
 
 // Dialect maps between HTTP messages and calls.
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -47,7 +47,10 @@
 // run brings the request to its end. The error is a refusal, or what broke an answer that was begun.
 func (j *job) run(ctx context.Context) error {
 	h := j.handler
-	h.Advice.With(func(a *Advice) { a.Retries.Of(j.service).First() })
+	h.Advice.With(func(a *Advice) {
+		a.Retries.Of(j.service).First()
+		a.Pool.Asked(j.began, j.service, j.route.Name)
+	})
 	var last error
 	for j.sends < mostTries && len(j.tried) < mostTried {
 		if ctx.Err() != nil {
@@ -55,7 +58,7 @@
 		}
 		choice, query, err := j.chooseKnowing(ctx)
 		if err != nil {
-			return j.noUpstream(err, query, last)
+			return j.noUpstream(err, choice, query, last)
 		}
 		if !j.mayHaveRun {
 			if err := j.refuseInOverload(choice, query); err != nil {
@@ -206,7 +209,10 @@
 	case answer.Reply.Misdirected:
 		return resultMissing, errors.New("upstream lacks the model or version, or another has its address")
 	case answer.Reply.NotRun:
-		return resultNotRun, errors.Errorf("upstream refused with status %d", answer.Status)
+		load := answer.Reply.Load
+		j.handler.Advice.With(func(*Advice) { sending.State(load.Running + load.Waiting) })
+		return resultNotRun, errors.Errorf("upstream refused with status %d, %d running and %d waiting of %d places",
+			answer.Status, load.Running, load.Waiting, load.Places)
 	}
 	relay := relay{job: j, answer: answer, sending: sending, silent: silent}
 	return relay.run()
@@ -252,13 +258,15 @@
 }
 
 // noUpstream is the end of a request for which there is no upstream to send it to.
-func (j *job) noUpstream(why error, query pool.Query, last error) error {
+func (j *job) noUpstream(why error, choice pool.Choice, query pool.Query, last error) error {
 	if j.mayHaveRun || j.soonest > 0 {
 		return j.exhausted(last)
 	}
 	if errors.Is(why, pool.ErrFull) {
 		var retryAfter time.Duration
 		j.handler.Advice.With(func(a *Advice) { retryAfter = a.Pool.RetryWhenFull(time.Now(), query) })
+		j.step("full").Str("Upstream", choice.Upstream.ID).Int("Running", choice.Running).
+			Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
 		return refusal.New(refusal.Busy, "the upstreams are full").WithRetryAfter(retryAfter)
 	}
 	return refusal.New(refusal.ServiceUnavailable, "no upstream can take the request").WithRetryAfter(awayRetryAfter)
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -21,7 +21,7 @@
 	p.dropSilent(now)
 	var best Choice
 	found := false
-	full := false
+	var full *Choice
 	bestTotal := time.Duration(0)
 	p.turn++
 	upstreams := p.servingFor(query.Service)
@@ -31,8 +31,10 @@
 		if !p.isCandidate(now, u, query) || p.isConnectedOut(u) {
 			continue
 		}
-		if p.isFull(now, u) {
-			full = true
+		if p.isFull(now, u, query) {
+			if running := p.load(now, u).Running; full == nil || running < full.Running {
+				full = &Choice{Upstream: u.declared, Running: running}
+			}
 			continue
 		}
 		choice, total := p.weigh(now, u, query, homes)
@@ -45,8 +47,8 @@
 	switch {
 	case found:
 		return best, nil
-	case full:
-		return Choice{}, ErrFull
+	case full != nil:
+		return *full, ErrFull
 	}
 	return Choice{}, ErrNone
 }
--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -8,24 +8,41 @@
 const fullFor = 10 * time.Second
 
 // isFull reports whether an upstream has as much in flight, in terms of its places, as one of its service had when it
-// refused a request for want of room.
-func (p *Pool) isFull(now time.Time, u *upstream) bool {
+// refused a request for want of room, or nearly as much where the request is on no seldom route.
+func (p *Pool) isFull(now time.Time, u *upstream, query Query) bool {
 	known := p.pace(u.declared.Service)
-	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= known.full
+	most := known.full
+	if !known.demand.isSeldom(query.Route) {
+		most *= 1 - roomForSeldom
+	}
+	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= most
 }
 
-// noteRefusal learns from a refusal for want of room how much an upstream takes, if all that it had in flight was known.
-// A late refusal means that the request timed out in the queue, not that the queue was full.
+// noteRefusal learns from a refusal for want of room how much an upstream takes, by what the upstream stated of its load
+// or else if all that it had in flight was known. A late refusal means that the request timed out in the queue, not that
+// the queue was full.
+//
+// What was known may be some milliseconds old. While several times what fits arrives at many instances, a good part of a
+// queue comes in that time, and an upstream would count as full for seconds by what it had before.
 func (p *Pool) noteRefusal(now time.Time, send *Send) {
 	u := send.upstream
 	known := p.pace(u.declared.Service)
 	atOnce := now.Sub(send.began) < known.service.Answer(0)
-	if !send.certain || !atOnce || send.found.Running < u.places() {
+	found := send.found
+	if send.stated.Running > 0 {
+		found = send.stated
+	} else if !send.certain {
+		return
+	}
+	if !atOnce || found.Running < u.places() {
 		return
 	}
-	known.full = send.found.perPlace(u)
+	known.full = found.perPlace(u)
 	known.fullAt = now
 }
 
+// State takes note of the requests that the upstream says to have had, running or waiting, when it answered.
+func (s *Send) State(requests int) { s.stated = Load{Running: requests} }
+
 // perPlace is the requests in flight in terms of an upstream's places.
 func (l Load) perPlace(u *upstream) float64 { return float64(l.Running) / float64(u.places()) }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -79,7 +79,9 @@
 	found Load
 	usual time.Duration
 	// certain: what was found is from a fresh report of the holder.
-	certain  bool
+	certain bool
+	// stated is what was under way there by the upstream's own word in its answer, zero if it gave none.
+	stated   Load
 	answered bool
 }
 
