Ignore SIGHUP from the moment in which lacewingd serve is loaded (TestSoak)

What was seen: in the soak an instance ended before it listened, without a line, when a start and a SIGHUP to the same instance fell together. Callers lose an instance until it is started again.

Cause: the default of SIGHUP ends a process, and lacewingd takes it over in the verb's Execute, after all packages have been initialised (7.3 to 12 ms here by GODEBUG=inittrace=1, more on a machine with little processor time). Load made the time longer and is not the cause.

Ruled out: a signal while the instance runs (TestHangupDuringTheStartEndsNothing sends it once the process listens); a package variable in Go, which would be initialised after 3.7 ms at the earliest.

Change: a constructor that the dynamic linker calls sets SIGHUP to be ignored, for the verb serve alone; asking for the signal later has it delivered. At 0 ms all still end: the loader has not run by then, and only who starts the process could change that.

TestHangupBeforeThePackagesAreInitialisedEndsNothing ended with 'signal: hangup' before, and passes.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	_ "lacewingrock.example/lacewingrock/internal/command/hangup" // ignores SIGHUP until outliveHangups
 	"lacewingrock.example/lacewingrock/internal/entry/node"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
