Log what a refusal for want of tokens was decided by

For TestPlannedStopCutsNoStream/nothing_else_fails and TestRateOverAllInstances/store_out: requests within the rate were refused with 429, and the line of the refusal did not tell why. Three hypotheses have to be parted: shares shrink before tokens are handed over; asks time out beside load; the buckets of new members are empty. TokensShort names the bucket's level and capacity, what peers may have, shares that wait for a head to be in force, and asks made and failed.

--- a/internal/admission/rate/ledger.go
+++ b/internal/admission/rate/ledger.go
@@ -140,7 +140,10 @@
 	if fleetRate > 0 {
 		wait = time.Duration(max(missing-elsewhere, 0) / fleetRate * float64(time.Second))
 	}
-	return &ShortError{Missing: missing, RetryAfter: max(wait, time.Millisecond), WithinRate: elsewhere >= missing}
+	return &ShortError{
+		Missing: missing, RetryAfter: max(wait, time.Millisecond), WithinRate: elsewhere >= missing,
+		Level: b.level, Own: b.own(), Elsewhere: elsewhere, PendingShares: len(b.shares) - 1,
+	}
 }
 
 // usable finds a workspace's bucket and brings it to now, or refuses.
--- a/internal/admission/rate/rate.go
+++ b/internal/admission/rate/rate.go
@@ -146,11 +146,18 @@
 
 // ShortError refuses a request for want of tokens. Missing is how many; RetryAfter is when they will be
 // there at the workspace's rate. WithinRate tells whether the fleet, as far as this instance knows, has
-// the tokens: such a refusal is wrongful, and is counted as one.
+// the tokens: such a refusal is wrongful, and is counted as one. The rest are inputs of the decision, for the log.
 type ShortError struct {
 	Missing    float64
 	RetryAfter time.Duration
 	WithinRate bool
+
+	// Level is what the bucket has, Own its capacity less what is lent, and Elsewhere what the peers may have.
+	Level     float64
+	Own       float64
+	Elsewhere float64
+	// PendingShares are the shares of older heads that bind the bucket until the newest is in force everywhere.
+	PendingShares int
 }
 
 // UnknownError refuses a workspace that the installed head does not declare.
--- a/internal/entry/pipeline/tokens.go
+++ b/internal/entry/pipeline/tokens.go
@@ -30,8 +30,11 @@
 	reservation, err := p.Ledger.Reserve(workspace, tokens)
 	var short *rate.ShortError
 	if errors.As(err, &short) {
-		p.borrow(ctx, workspace, tokens)
+		asks := p.borrow(ctx, workspace, tokens)
 		reservation, err = p.Ledger.Reserve(workspace, tokens)
+		if errors.As(err, &short) {
+			p.logShort(workspace, tokens, short, asks)
+		}
 	}
 	if err != nil {
 		return nil, p.rateRefusal(workspace, err)
@@ -40,18 +43,36 @@
 	return reservation, nil
 }
 
+// askCounts is how the asks of one request for tokens ended.
+type askCounts struct {
+	made   int
+	failed int
+}
+
 // borrow asks peers, most promising first, until the bucket has what the request needs. The ledger's
 // plan is empty when the peers together cannot have it.
-func (p *Pipeline) borrow(ctx context.Context, workspace string, tokens float64) {
+func (p *Pipeline) borrow(ctx context.Context, workspace string, tokens float64) (asks askCounts) {
 	ctx, cancel := context.WithTimeout(ctx, borrowWithin)
 	defer cancel()
 	for range p.Current().Head.Members {
 		plan := p.Ledger.Plan(workspace, tokens)
 		if len(plan) == 0 || ctx.Err() != nil {
-			return
+			return asks
+		}
+		asks.made++
+		if !p.ask(ctx, plan[0]) {
+			asks.failed++
 		}
-		p.ask(ctx, plan[0])
 	}
+	return asks
+}
+
+func (p *Pipeline) logShort(workspace string, tokens float64, short *rate.ShortError, asks askCounts) {
+	p.Log.Info().Str("Workspace", workspace).Float64("Tokens", tokens).Float64("Missing", short.Missing).
+		Float64("Level", short.Level).Float64("Own", short.Own).Float64("Elsewhere", short.Elsewhere).
+		Int("PendingShares", short.PendingShares).Int("Members", len(p.Current().Head.Members)).
+		Int("Asks", asks.made).Int("AsksFailed", asks.failed).
+		Int64("RetryAfterMillis", short.RetryAfter.Milliseconds()).Msg("TokensShort")
 }
 
 // TopUp balances the buckets of the workspaces in use, apart from any request. The daemon calls it about
@@ -62,11 +83,12 @@
 	}
 }
 
-func (p *Pipeline) ask(ctx context.Context, ask rate.Ask) {
+// ask asks a peer for tokens, and reports whether it answered.
+func (p *Pipeline) ask(ctx context.Context, ask rate.Ask) (answered bool) {
 	member, found := memberOf(p.Current().Head, ask.Peer)
 	if !found {
 		p.Ledger.Receive(ask, rate.Loan{Lender: ask.Peer})
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
@@ -83,6 +105,7 @@
 		loan = rate.Loan{Lender: ask.Peer}
 	}
 	p.Ledger.Receive(ask, loan)
+	return err == nil
 }
 
 func memberOf(h head.Head, identity rate.Identity) (head.Member, bool) {
