Remember for a minute how much an upstream takes

Cause: each instance learns by itself how much an upstream takes, from a refusal, and forgot it after ten seconds. At four plain requests a second and instance a good part of the instances knows no bound at any time, and they fill the room that the others leave. Change: it counts for a minute. It binds only where the queue is long, so no place stays empty by it, and it is kept in terms of places.

--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -5,7 +5,7 @@
 // full.go learns how much the upstreams of a service take, from the requests that they refuse.
 
 // fullFor is how long it counts that an upstream refused a request for want of room at a load.
-const fullFor = 10 * time.Second
+const fullFor = time.Minute
 
 // isFull reports whether an upstream has as much in flight, in terms of its places, as one of its service had when it
 // refused a request for want of room, or nearly as much where the request is on no seldom route.
