Log when and why an instance's knowledge stops being fresh

For TestRateOverAllInstances/store_out, which failed in one of four runs beside five plays (load 13 on five processors): 759 of 1,450 tokens got through, 1,296 refusals not_fresh, 1,476 rate_limited. TokensShort of those shows level 8 to 20 of 58 asked, peers with nothing, no asks failed, no shares pending: the tokens are gone, as buckets refill only while the knowledge is fresh. That parts the hypotheses: neither lost asks nor pending shares, but freshness itself is lost in the outage. Why is not in the log: Freshness now names the ages of both confirmations and the highest revision heard of, HeartbeatFailed each failed heartbeat. No change of behaviour.

--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -108,6 +108,8 @@
 	answer, err := d.directory.Ping(ctx, member.Address, beat)
 	if err != nil {
 		d.scope.Counter("heartbeats_failed").Inc(1)
+		d.Log.Info().Err(err).Str("Peer", member.Name).Int64("TookMillis", time.Since(asked).Milliseconds()).
+			Msg("HeartbeatFailed")
 		return
 	}
 	if answer.Incarnation == member.Incarnation {
--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -29,7 +29,12 @@
 // runReads reads the head whenever freshness says so.
 func (d *Daemon) runReads(ctx context.Context) error {
 	failing := false
+	fresh := false
 	for pause.For(ctx, considerReading) {
+		if grounds := d.tracker.Grounds(); grounds.Fresh != fresh {
+			fresh = grounds.Fresh
+			d.logFreshness(grounds)
+		}
 		if !d.tracker.ShouldReadStore() {
 			continue
 		}
@@ -48,6 +53,12 @@
 	return nil
 }
 
+func (d *Daemon) logFreshness(grounds freshness.Grounds) {
+	d.Log.Info().Bool("Fresh", grounds.Fresh).Int64("Revision", grounds.Revision).Int64("Highest", grounds.Highest).
+		Int64("ReadMillis", grounds.Read.Milliseconds()).Int64("MajorityMillis", grounds.Majority.Milliseconds()).
+		Msg("Freshness")
+}
+
 func (d *Daemon) logReading(err error) {
 	if err != nil {
 		d.Log.Warn().Err(err).Msg("StoreUnreadable")
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -192,6 +192,38 @@
 	return nil
 }
 
+// Grounds is what an instance's freshness rests on.
+type Grounds struct {
+	// Fresh tells whether the knowledge may be used.
+	Fresh bool
+	// Revision is the installed one, and Highest the highest that was heard of.
+	Revision int64
+	Highest  int64
+	// Read and Majority are how long ago a read of the store and a majority of members confirmed the revision; negative
+	// if never.
+	Read     time.Duration
+	Majority time.Duration
+}
+
+// Grounds returns what freshness rests on now, for the log.
+func (t *Tracker) Grounds() Grounds {
+	fresh := t.Fresh() == nil
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	return Grounds{
+		Fresh: fresh, Revision: t.head.Revision, Highest: t.highest,
+		Read: ageOf(t.read, now), Majority: ageOf(t.quorum, now),
+	}
+}
+
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return elapsed(at, now)
+}
+
 // FreshUntil returns the installed revision and until when it may be used if nothing more is heard;
 // the zero time when it may not be used at all.
 func (t *Tracker) FreshUntil() (revision int64, until time.Time) {
