Take the least load at which an upstream refuses for what it takes

Upstreams of 30 places in all stated 30 to 62 requests when they refused: what comes to a full queue is counted with it. Instances that had met 62 let the queue grow to 30 and filled the room that is left to seldom routes. Change: of what upstreams state, the least counts, until it has not been met for a minute. TestLeastLoadThatWasRefusedIsFull fails on the commit before (the first choice is not refused as full at 24).

--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -15,7 +15,7 @@
 	if !known.demand.isSeldom(query.Route) {
 		most *= 1 - roomForSeldom
 	}
-	return known.full > 0 && now.Sub(known.fullAt) < fullFor && p.load(now, u).perPlace(u) >= most
+	return known.isFullKnown(now) && p.load(now, u).perPlace(u) >= most
 }
 
 // noteRefusal learns from a refusal for want of room how much an upstream takes, by what the upstream stated of its load
@@ -28,19 +28,25 @@
 	u := send.upstream
 	known := p.pace(u.declared.Service)
 	atOnce := now.Sub(send.began) < known.service.Answer(0)
+	isStated := send.stated.Running > 0
 	found := send.found
-	if send.stated.Running > 0 {
+	if isStated {
 		found = send.stated
-	} else if !send.certain {
-		return
 	}
-	if !atOnce || found.Running < u.places() {
+	if !atOnce || !isStated && !send.certain || found.Running < u.places() {
 		return
 	}
-	known.full = found.perPlace(u)
+	full := found.perPlace(u)
+	if isStated && full > known.full && known.isFullKnown(now) {
+		return // what comes to a full queue may be counted with it until it is refused
+	}
+	known.full = full
 	known.fullAt = now
 }
 
+// isFullKnown reports whether a request was refused lately for want of room.
+func (p *pace) isFullKnown(now time.Time) bool { return p.full > 0 && now.Sub(p.fullAt) < fullFor }
+
 // State takes note of the requests that the upstream says to have had, running or waiting, when it answered.
 func (s *Send) State(requests int) { s.stated = Load{Running: requests} }
 
--- a/internal/placement/pool/plain_fleet_test.go
+++ b/internal/placement/pool/plain_fleet_test.go
@@ -268,6 +268,27 @@
 	}
 }
 
+// Guards against a bound of a queue that is taken from what stood before it when it refused: upstreams count what comes to
+// a full queue with it, and the queue of callers would be let grow to that.
+func TestLeastLoadThatWasRefusedIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("s1")
+		for _, stated := range []int{45, 30, 38} {
+			p.LearnHeld(time.Now(), "s1", pool.Load{Running: 10})
+			_, send := place(is, p, plain())
+			send.State(stated)
+			p.Finish(time.Now(), send, pool.EndRefused)
+		}
+		p.LearnHeld(time.Now(), "s1", pool.Load{Running: 23})
+		_, err := p.Choose(time.Now(), plain())
+		is.NoErr(err)
+		p.LearnHeld(time.Now(), "s1", pool.Load{Running: 24}) // 30 less the room for seldom routes
+		_, err = p.Choose(time.Now(), plain())
+		is.Equal(err, pool.ErrFull)
+	})
+}
+
 // Guards against calls of a route without an objective that are all refused while a queue stands: they are never late.
 func TestCallWithoutObjectiveIsNotRefusedForTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
