Read the store at once when a newer head was heard of (TestRateOverAllInstances/store_out)

Cause, from the lines added for it: instance-2 went by revision 7 when the store went down and had heard of 8, with which instance-3 had joined within the second before. Freshness: Fresh=false Highest=8 Revision=7 MajorityMillis=0 ReadMillis=3079, until the store was back 8 s later. An instance that has heard of a newer head cannot be confirmed by a majority, and it waited up to a second before it read that head. What the bucket would have refilled meanwhile is lost, and so a third of the rate. Load makes the second longer and is not the cause: any change within it does the same to callers on a calm machine. Ruled out, by TokensShort and HeartbeatFailed: lost asks for tokens (none failed), shares that wait for a head (none pending), heartbeats that time out (none in the outage). Change: who has heard of a newer head reads within 0.1 s; a store that fails is asked no more often than before. An instance that joins lets all others know at once. What is left is the time of one heartbeat. TestInstanceThatIsBehindReadsAtOnce fails without the change (read first asked for after 1 s). Not mended: an instance that has not read the head when the store goes down gets it from nobody, as peers do not pass heads on.

--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -104,6 +104,15 @@
 	d.tracker.Install(trackerHead(now.Head))
 	d.Log.Info().Int64("Revision", now.Head.Revision).Int64("Epoch", now.Head.Epoch).
 		Int("Members", len(now.Head.Members)).Msg("RevisionInForceHere")
+	if d.isListed(now.Head) && !d.isListed(before.Head) {
+		d.tellAll() // the others need this head before the store goes down, see freshness.ShouldReadStore
+	}
+}
+
+// isListed reports whether this process is a member by a head.
+func (d *Daemon) isListed(h head.Head) bool {
+	member, found := h.Member(d.self.Name)
+	return found && member.Incarnation == d.self.Incarnation
 }
 
 // tenure is what the head says about the upstreams this instance holds. An upstream was certainly held
--- a/internal/fleet/freshness/reading.go
+++ b/internal/fleet/freshness/reading.go
@@ -8,6 +8,10 @@
 
 // reading.go decides when an instance reads the store, and how few do.
 
+// behindPace is how many times as often an instance reads that has heard of a newer head. Until it has read that, no
+// majority can confirm what it knows, and a store that goes down meanwhile leaves it refusing all callers.
+const behindPace = 10
+
 // ShouldReadStore tells whether this instance should read the head from the store now. Made for a
 // fleet in which every instance would otherwise read each second: at 330 instances that is a sixth of
 // all the reads the store takes. A few, chosen by rendezvous hashing, read each ReadEvery. The others
@@ -19,6 +23,9 @@
 	defer t.mutex.Unlock()
 	now := time.Now()
 	since := elapsed(t.lastRead, now)
+	if t.highest > t.head.Revision && t.readSucceed {
+		return since >= t.readEvery()/behindPace
+	}
 	if t.highest > t.head.Revision || t.isReader() {
 		return since >= t.readEvery()
 	}
--- a/internal/fleet/freshness/tracker_test.go
+++ b/internal/fleet/freshness/tracker_test.go
@@ -138,3 +138,21 @@
 	}
 	return reads
 }
+
+// TestInstanceThatIsBehindReadsAtOnce guards against an instance that has heard of a newer head and puts off reading it:
+// a store that goes down meanwhile leaves it refusing all callers until it is back.
+func TestInstanceThatIsBehindReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, tracker := is.New(t), three()
+		tracker.ReadConfirmed(time.Now(), 3)
+		time.Sleep(150 * time.Millisecond)
+		is.True(!tracker.ShouldReadStore())
+		tracker.Replied(reply(member("b", 2), time.Now(), 4))
+		is.True(tracker.ShouldReadStore())
+		tracker.ReadFailed(time.Now()) // a store that is down is asked no more often than before
+		time.Sleep(500 * time.Millisecond)
+		is.True(!tracker.ShouldReadStore())
+		time.Sleep(500 * time.Millisecond)
+		is.True(tracker.ShouldReadStore())
+	})
+}
