Write log lines without taking events apart into maps

Cause: the library's writer for consoles decodes each event into a map, sorts it and encodes it again.

--- a/internal/telemetry/logline/logline.go
+++ b/internal/telemetry/logline/logline.go
@@ -4,7 +4,6 @@
 package logline
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/pkg/errors"
@@ -30,19 +29,6 @@
 	return Through(zerolog.SyncWriter(Format(out)), program, level)
 }
 
-// Format gives a writer that turns zerolog's events into lines.
-func Format(out io.Writer) io.Writer {
-	return zerolog.ConsoleWriter{
-		Out:             out,
-		NoColor:         true,
-		TimeFormat:      zerolog.TimeFormatUnixMs,
-		PartsOrder:      []string{zerolog.MessageFieldName, zerolog.TimestampFieldName, zerolog.LevelFieldName},
-		FormatMessage:   labelled("event"),
-		FormatTimestamp: labelled("time"),
-		FormatLevel:     labelled("level"),
-	}
-}
-
 // Through gives a logger whose events go to a writer that formats them itself.
 func Through(writer io.Writer, program, level string) (_ zerolog.Logger, err error) {
 	defer func() { err = errors.WithMessage(err, "logline: make a logger") }()
@@ -53,9 +39,3 @@
 	}
 	return zerolog.New(writer).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
 }
-
-func labelled(label string) zerolog.Formatter {
-	return func(value any) string {
-		return fmt.Sprintf("%s=%v", label, value)
-	}
-}
