--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -209,63 +209,6 @@
 // idleCheck is how soon a place that became idle is noticed while an adapter waits for one.
 const idleCheck = 20 * time.Millisecond
 
-// Learn takes a report over. One that is older than the orders accepted since is dropped.
-//
-// A report lags, and what it shows of a load that has just ended may be neither pending nor loaded. Taken at
-// its word, there is a free place, and an upstream that is ordered to load more than it has places for
-// crashes. So what is known at the same count of orders stays, as only an order could have removed it, and
-// until a second report agrees no place counts as free.
-func (p *Planner) Learn(now time.Time, report Report) {
-	p.prepare()
-	if p.known && report.Sequence < p.sequence {
-		p.inspectAt = now.Add(inspectAgain)
-		return
-	}
-	if report.Busy {
-		p.doubt(now, inspectAgain)
-		return
-	}
-	if p.unanswered != nil && report.Sequence != p.unanswered.Sequence {
-		p.unanswered = nil
-	}
-	same := p.learnt && report.Sequence == p.sequence
-	if !same {
-		p.settled = false
-		p.settleAt = now.Add(reportLag)
-	} else if !now.Before(p.settleAt) {
-		p.settled = true
-	}
-	before := p.places
-	p.places = make(map[traffic.Adapter]*place)
-	if same {
-		for adapter, known := range before {
-			p.places[adapter] = known
-		}
-	}
-	p.takeOver(now, before, report)
-	p.sequence = report.Sequence
-	p.known = true
-	p.learnt = true
-	p.inspected = now
-}
-
-// takeOver enters what a report shows.
-func (p *Planner) takeOver(now time.Time, before map[traffic.Adapter]*place, report Report) {
-	for _, model := range report.Models {
-		p.found(before, traffic.Adapter{Model: model.Name}, model.Version)
-		for _, adapter := range model.Adapters {
-			p.found(before, traffic.Adapter{Model: model.Name, Name: adapter.Name}, adapter.Version)
-		}
-	}
-	for _, pending := range report.Pending {
-		known := p.found(before, pending.Adapter, 0)
-		known.ordered = max(pending.Version, 1)
-		known.asked = pending.Version
-		known.state = loading
-		known.checkAt = now
-	}
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -273,28 +216,6 @@
 	return b
 }
 
-// ReportFailed takes note that no report came.
-func (p *Planner) ReportFailed(now time.Time) {
-	p.inspectAt = now.Add(inspectAgain)
-	p.known = false
-}
-
-// ---------------------------------------------------------------------------------------------
-
-func (p *Planner) found(before map[traffic.Adapter]*place, adapter traffic.Adapter, version int64) *place {
-	known := &place{version: version}
-	if old := before[adapter]; old != nil {
-		known.used = old.used
-		known.reservedUntil = old.reservedUntil
-	}
-	if there := p.places[adapter]; there != nil {
-		return there
-	}
-	known.leaving = p.unanswered != nil && p.unanswered.Unload && p.unanswered.Adapter == adapter
-	p.places[adapter] = known
-	return known
-}
-
 // check gives the order again whose end is due to be seen, or when the next is due.
 func (p *Planner) check(now time.Time) (order Order, at time.Time, found bool) {
 	for adapter, known := range p.places {
@@ -319,76 +240,6 @@
 	return Order{}, at, false
 }
 
-// load gives the order that the wants ask for: to load, or to make room first.
-func (p *Planner) load(now time.Time) (order Order, found bool) {
-	if model, missing := p.missingModel(now); missing {
-		return Order{Adapter: model}, true
-	}
-	if p.isReplacing() {
-		return Order{}, false // the upstream refuses all else until that is done
-	}
-	if adapter, version, stale := p.staleVersion(now); stale {
-		return Order{Adapter: adapter, Version: version}, true
-	}
-	for _, adapter := range p.wantedFirst(now) {
-		known := p.places[adapter]
-		if known != nil || adapter.Name == "" {
-			continue
-		}
-		if p.inTransit() >= mostInTransit {
-			return Order{}, false
-		}
-		if p.settled && p.adapters() < p.Engine.AdapterPlaces && p.fits(adapter) {
-			return Order{Adapter: adapter, Version: p.newest[adapter]}, true
-		}
-		if victim, idle := p.victim(now); idle {
-			p.granted(now)
-			return Order{Unload: true, Adapter: victim}, true
-		}
-		return Order{}, false
-	}
-	return Order{}, false
-}
-
-// missingModel finds the base model to load where none is there: the wanted one, or the first.
-func (p *Planner) missingModel(now time.Time) (traffic.Adapter, bool) {
-	for adapter := range p.places {
-		if adapter.Name == "" {
-			return traffic.Adapter{}, false
-		}
-	}
-	for _, adapter := range p.wantedFirst(now) {
-		return traffic.Adapter{Model: adapter.Model}, true
-	}
-	if len(p.Engine.Models) == 0 {
-		return traffic.Adapter{}, false
-	}
-	return traffic.Adapter{Model: p.Engine.Models[0].Name}, true
-}
-
-// isReplacing tells whether a version is being replaced, or a model loaded.
-func (p *Planner) isReplacing() bool {
-	for adapter, known := range p.places {
-		if known.ordered > 0 && (known.state == loaded || adapter.Name == "") {
-			return true
-		}
-	}
-	return false
-}
-
-// staleVersion finds a loaded adapter of which a newer version was declared, if it is in use or wanted.
-func (p *Planner) staleVersion(now time.Time) (adapter traffic.Adapter, version int64, found bool) {
-	for adapter, known := range p.places {
-		if known.state != loaded || known.ordered != 0 || known.version >= p.newest[adapter] {
-			continue
-		}
-		if p.wants[adapter] != nil || now.Sub(known.used) < replaceUsedWithin {
-			return adapter, p.newest[adapter], true
-		}
-	}
-	return adapter, 0, false
-}
-
 // prepare makes the zero value usable.
 func (p *Planner) prepare() {
 	if p.places == nil {
