Leave no place empty for headroom

Found by reading the change: an upstream of six places that queues nothing refuses at six in flight, and a fifth of that kept for requests not known of yet left one place empty for a minute. TestHeadroomLeavesNoPlaceEmpty fails on the commit before: refused as full at five of six.

--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -7,14 +7,16 @@
 // fullFor is how long it counts that an upstream refused a request for want of room at a load.
 const fullFor = time.Minute
 
-// headroom is the part of what an upstream takes that is left to requests that are not known of yet.
+// headroom is the part of what an upstream takes that is left to requests that are not known of yet. No place is left
+// empty for it.
 const headroom = 0.2
 
 // isFull reports whether an upstream has nearly as much in flight, in terms of its places, as one of its service had when
 // it refused a request for want of room.
 func (p *Pool) isFull(now time.Time, u *upstream) bool {
 	known := p.pace(u.declared.Service)
-	return known.isFullKnown(now) && p.load(now, u).perPlace(u) >= (1-headroom)*known.full
+	most := max((1-headroom)*known.full, 1)
+	return known.isFullKnown(now) && p.load(now, u).perPlace(u) >= most
 }
 
 // noteRefusal learns from a refusal for want of room how much an upstream takes, by what the upstream stated of its load
--- a/internal/placement/pool/plain_fleet_test.go
+++ b/internal/placement/pool/plain_fleet_test.go
@@ -251,6 +251,24 @@
 	})
 }
 
+// Guards against places that stay empty at upstreams with hardly any queue, for headroom.
+func TestHeadroomLeavesNoPlaceEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool("s1")
+		p.LearnHeld(time.Now(), "s1", pool.Load{Running: 6})
+		_, send := place(is, p, plain())
+		send.State(6)
+		p.Finish(time.Now(), send, pool.EndRefused)
+		p.LearnHeld(time.Now(), "s1", pool.Load{Running: 5})
+		_, err := p.Choose(time.Now(), plain())
+		is.NoErr(err)
+		p.LearnHeld(time.Now(), "s1", pool.Load{Running: 6})
+		_, err = p.Choose(time.Now(), plain())
+		is.Equal(err, pool.ErrFull)
+	})
+}
+
 // Guards against calls of a route without an objective that are all refused while a queue stands: they are never late.
 func TestCallWithoutObjectiveIsNotRefusedForTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
