--- a/internal/entry/daemon/knowledge.go
+++ b/internal/entry/daemon/knowledge.go
@@ -105,7 +105,7 @@
 	d.Log.Info().Int64("Revision", now.Head.Revision).Int64("Epoch", now.Head.Epoch).
 		Int("Members", len(now.Head.Members)).Msg("RevisionInForceHere")
 	if d.isListed(now.Head) && !d.isListed(before.Head) {
-		d.tellAll() // the others need this head before the store goes down, see freshness.ShouldReadStore
+		d.tellAll() // a store outage would leave members without this head stale, see freshness.Tracker.ShouldReadStore
 	}
 }
 
--- a/internal/fleet/freshness/reading.go
+++ b/internal/fleet/freshness/reading.go
@@ -8,8 +8,8 @@
 
 // reading.go decides when an instance reads the store, and how few do.
 
-// behindPace is how many times as often an instance reads that has heard of a newer head. Until it has read that, no
-// majority can confirm what it knows, and a store that goes down meanwhile leaves it refusing all callers.
+// behindPace is how many times as often an instance reads while it lacks the newest head that peers have reported. Until
+// it has read that, no majority can confirm its own, and if the store goes down meanwhile it refuses all callers.
 const behindPace = 10
 
 // ShouldReadStore tells whether this instance should read the head from the store now. Made for a
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -196,7 +196,7 @@
 type Grounds struct {
 	// Fresh tells whether the knowledge may be used.
 	Fresh bool
-	// Revision is the installed one, and Highest the highest that was heard of.
+	// Revision is the installed one, and Highest the highest that any peer has reported.
 	Revision int64
 	Highest  int64
 	// Read and Majority are how long ago a read of the store and a majority of members confirmed the revision; negative
--- a/internal/fleet/freshness/tracker_test.go
+++ b/internal/fleet/freshness/tracker_test.go
@@ -139,8 +139,8 @@
 	return reads
 }
 
-// TestInstanceThatIsBehindReadsAtOnce guards against an instance that has heard of a newer head and puts off reading it:
-// a store that goes down meanwhile leaves it refusing all callers until it is back.
+// TestInstanceThatIsBehindReadsAtOnce guards against an instance that puts off reading a newer head that a peer has reported:
+// if the store goes down meanwhile it refuses all callers until the store is back.
 func TestInstanceThatIsBehindReadsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, tracker := is.New(t), three()
--- a/internal/placement/pool/full.go
+++ b/internal/placement/pool/full.go
@@ -39,7 +39,7 @@
 	}
 	full := found.perPlace(u)
 	if isStated && full > known.full && known.isFullKnown(now) {
-		return // what comes to a full queue may be counted with it until it is refused
+		return // upstreams may count requests that they are just refusing
 	}
 	known.full = full
 	known.fullAt = now
@@ -48,7 +48,7 @@
 // isFullKnown reports whether a request was refused lately for want of room.
 func (p *pace) isFullKnown(now time.Time) bool { return p.full > 0 && now.Sub(p.fullAt) < fullFor }
 
-// State takes note of the requests that the upstream says to have had, running or waiting, when it answered.
+// State takes note of how many requests, running or waiting, the upstream states in its answer.
 func (s *Send) State(requests int) { s.stated = Load{Running: requests} }
 
 // perPlace is the requests in flight in terms of an upstream's places.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -40,7 +40,7 @@
 var ErrNone = errors.New("pool: no upstream")
 
 // ErrFull means that each upstream of the service would refuse the request: their queues are full, or nearly. The choice
-// then tells what runs where least does.
+// is then the upstream with the least in flight.
 var ErrFull = errors.New("pool: all upstreams are full")
 
 // Query describes a request to place.
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -80,7 +80,7 @@
 	usual time.Duration
 	// certain: what was found is from a fresh report of the holder.
 	certain bool
-	// stated is what was under way there by the upstream's own word in its answer, zero if it gave none.
+	// stated is what was in flight there according to the upstream's answer, zero if it states nothing.
 	stated   Load
 	answered bool
 }
@@ -250,8 +250,8 @@
 // ---------------------------------------------------------------------------------------------
 
 func (u *upstream) setResident(list []Resident) {
-	if u.hasJust(list) {
-		return // as mostly: holders tell all that is there again and again
+	if u.hasExactly(list) {
+		return // the usual case: holders repeat the whole list
 	}
 	u.resident = make(map[traffic.Adapter]Resident, len(list))
 	for _, resident := range list {
@@ -260,8 +260,8 @@
 	}
 }
 
-// hasJust reports whether what is known to be there is what a list names.
-func (u *upstream) hasJust(list []Resident) bool {
+// hasExactly reports whether the known residents are those of a list.
+func (u *upstream) hasExactly(list []Resident) bool {
 	if len(list) != len(u.resident) {
 		return false
 	}
