Take a process for frozen once it stands still (TestWithdrawnKeyDoesNotRunAtAWokenInstance)

Cause, by a scratch copy of the test that prints when the engine began: SIGSTOP was sent 45 ms before the requests; the engine began three of them 14 to 37 ms after they were sent, 6.0 s before the instance was woken. The signal is sent before all threads have stopped, and at load 28 the process ran on for 80 ms. Those requests ran within a tenth of a second of the withdrawal, of which the instance may have five; nothing ran after the freeze. So the test's stand-in was wrong, not the product. Change: Freeze returns once every thread is stopped, by the kernel's word. The check is as it was, and stricter in what it holds: all that is sent is sent to an instance that stands still.

--- a/internal/standin/deployment/process.go
+++ b/internal/standin/deployment/process.go
@@ -240,8 +240,19 @@
 	return nil
 }
 
-// Freeze pauses the process, as a machine that stands still would.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+// Freeze pauses the process, as a machine that stands still would, and waits until it stands still: the signal is sent
+// before all threads have stopped, and beside load some run on for a tenth of a second.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for begun := time.Now(); time.Since(begun) < startLimit; time.Sleep(time.Millisecond) {
+		if stopped, err := hasStopped(p.Pid()); stopped || err != nil {
+			return err
+		}
+	}
+	return errors.Errorf("%s: does not stand still", p.Name)
+}
 
 // Wake lets a frozen process go on.
 func (p *Process) Wake() error { return p.Signal(syscall.SIGCONT) }
