Let the owner of an instance open its connections to upstreams

Connections to upstreams are opened by one function that the command sets (Node.DialUpstream), in place of dialers in two packages. In the tests of entry/node it fails as a cut link does; there the stand-in of orders now keeps what engines have loaded. Time-outs and socket options are as they were, but that a probe of a crashed upstream has the socket options too.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -83,6 +84,7 @@
 		Decoder:          platform.Decoder{},
 		Dialect:          platform.Dialect{},
 		Orders:           &platform.Orders{Client: newHTTPClient(), Timeout: orderTimeout},
+		DialUpstream:     dialUpstream,
 		ReadyPath:        platform.PathReady,
 		Log:              logger,
 		DroppedLogEvents: ring.TakeDropped,
@@ -117,6 +119,11 @@
 	idleConnectionTimeout = 5 * time.Second
 )
 
+// dialUpstream opens a connection to the address of an upstream. The caller's context bounds the time for it.
+func dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+	return socket.Dialer(connectTimeout).DialContext(ctx, "tcp", address)
+}
+
 // newHTTPClient returns an HTTP client whose connections detect that the other end is gone.
 func newHTTPClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -70,7 +70,7 @@
 		}
 	}
 	for id, fingerprints := range broken {
-		if !refusesConnections(ctx, addresses[id]) {
+		if !n.refusesConnections(ctx, addresses[id]) {
 			continue
 		}
 		now := time.Now()
@@ -83,15 +83,16 @@
 	}
 }
 
-// dial opens a connection to an upstream only to test whether it accepts one.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
+// probe opens a connection to an upstream only to test whether it accepts one.
+func (n *Node) probe(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return n.DialUpstream(ctx, address)
 }
 
 // refusesConnections reports whether no process listens at the address.
-func refusesConnections(ctx context.Context, address string) bool {
-	connection, err := dial(ctx, address)
+func (n *Node) refusesConnections(ctx context.Context, address string) bool {
+	connection, err := n.probe(ctx, address)
 	if err == nil {
 		connection.Close()
 		return false
--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -22,17 +22,22 @@
 const (
 	headerID     = "Call-Id"
 	headerSigned = "Reply-Signed"
-	pathReady    = "/ready"
+	// headerAdapter names the adapter of model m that a call asks for.
+	headerAdapter = "Call-Adapter"
+	pathReady     = "/ready"
 )
 
-// configuration has one public route to a plain service, and a service with engines.
+// configuration has one public route to a plain service, and one below it to a service with engines.
 func configuration(version int, prefix string) string {
+	route := func(name, prefix, service string) traffic.Route {
+		return traffic.Route{
+			Name: name, Host: "a.example", Prefix: prefix, Execution: traffic.Idempotent, Timeout: 2 * time.Second,
+			Targets: []traffic.Target{{Service: service, Weight: 1}}, MaxAttempts: 1, Public: true,
+		}
+	}
 	return encoded(traffic.Configuration{
 		Version: int64(version),
-		Routes: []traffic.Route{{
-			Name: "r", Host: "a.example", Prefix: prefix, Execution: traffic.Idempotent, Timeout: 2 * time.Second,
-			Targets: []traffic.Target{{Service: "app", Weight: 1}}, MaxAttempts: 1, Public: true,
-		}},
+		Routes:  []traffic.Route{route("r", prefix, "app"), route("g", prefix+"generate/", "llm")},
 		Services: map[string]traffic.Service{
 			"app": {Name: "app"},
 			"llm": {Name: "llm", Engine: &traffic.Engine{BatchSlots: 8, AdapterSlots: 2, Models: []traffic.Model{{Name: "m"}}}},
@@ -84,10 +89,14 @@
 type dialect struct{}
 
 func (dialect) Decode(request *http.Request) (call.Call, error) {
-	return call.Call{
+	c := call.Call{
 		ID: request.Header.Get(headerID), Method: request.Method, Host: request.Host, Target: request.RequestURI,
 		Path: request.URL.Path, Header: request.Header.Clone(),
-	}, nil
+	}
+	if name := request.Header.Get(headerAdapter); name != "" {
+		c.Generation.Adapter = traffic.Adapter{Model: "m", Name: name}
+	}
+	return c, nil
 }
 
 func (dialect) RequestHeader(c call.Call, _ call.Attempt) http.Header { return c.Header.Clone() }
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -19,8 +19,6 @@
 	"github.com/rs/zerolog"
 
 	"lacewingrock.example/lacewingrock/internal/entry/node"
-	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
-	"lacewingrock.example/lacewingrock/internal/placement/residence"
 )
 
 // instance is a node that runs in the process of the test, on loopback.
@@ -33,6 +31,7 @@
 	mutex    sync.Mutex
 	reload   func() (node.Settings, error)
 	log      *logBuffer
+	links    *upstreamLinks
 }
 
 // logBuffer collects the log of an instance.
@@ -53,25 +52,6 @@
 	return strings.Contains(l.text.String(), text)
 }
 
-// acceptingOrders accepts every order and records its fencing token.
-type acceptingOrders struct {
-	mutex  sync.Mutex
-	fences []int64
-}
-
-func (o *acceptingOrders) Order(
-	_ context.Context, _ traffic.Upstream, _ string, fence int64, _ residence.Order,
-) (residence.Outcome, error) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	o.fences = append(o.fences, fence)
-	return residence.Accepted, nil
-}
-
-func (*acceptingOrders) Report(context.Context, traffic.Upstream) (residence.Report, error) {
-	return residence.Report{Models: []traffic.LoadedModel{{Name: "m", Version: 1}}}, nil
-}
-
 // anyPort makes an instance listen on a free port, which it logs.
 const anyPort = "127.0.0.1:0"
 
@@ -88,7 +68,13 @@
 
 func start(t testing.TB, s *store, name string) *instance {
 	t.Helper()
-	i := &instance{name: name, client: &client{store: s}, ended: make(chan error, 1), log: &logBuffer{}}
+	return startWith(t, s, name, &engines{})
+}
+
+// startWith starts an instance before engines that it shares with others.
+func startWith(t testing.TB, s *store, name string, shared *engines) *instance {
+	t.Helper()
+	i := &instance{name: name, client: &client{store: s}, ended: make(chan error, 1), log: &logBuffer{}, links: &upstreamLinks{}}
 	i.settings = node.Settings{
 		Instance: node.InstanceSettings{
 			Name: name, DataCentre: "here", CallerAddress: anyPort, ReadyAddress: anyPort,
@@ -102,7 +88,7 @@
 	i.reload = func() (node.Settings, error) { return i.settings, nil }
 	n := &node.Node{
 		Settings: i.settings, Store: i.client, Decoder: decoder{}, Dialect: dialect{},
-		Orders: &acceptingOrders{}, ReadyPath: pathReady, Log: zerolog.New(i.log).With().Timestamp().Logger(),
+		Orders: &linkedOrders{links: i.links, engines: shared}, DialUpstream: i.links.dial, ReadyPath: pathReady, Log: zerolog.New(i.log).With().Timestamp().Logger(),
 		DroppedLogEvents: func() int { return 0 },
 		ApplySettings:    func(node.Settings) {},
 		ReloadSettings: func() (node.Settings, error) {
@@ -137,13 +123,21 @@
 	t.Fatalf("condition not met within %s since %s: %s", within, began.Format(time.RFC3339Nano), what)
 }
 
-func (i *instance) status(path string) int {
+func (i *instance) status(path string) int { return i.send(path, "") }
+
+// generate sends a request for an adapter to the service with engines.
+func (i *instance) generate(adapter string) int { return i.send("/p/generate/", adapter) }
+
+func (i *instance) send(path, adapter string) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+i.address("CallerAddress")+path, nil)
 	if err != nil {
 		return 0
 	}
 	request.Host = "a.example"
 	request.Header.Set(headerID, "id1")
+	if adapter != "" {
+		request.Header.Set(headerAdapter, adapter)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -184,7 +184,7 @@
 // isReachable reports whether the upstream accepts a connection. A missing response to an order or a report does not
 // prove that it is unreachable: a working upstream may lose responses or carry out orders late.
 func (h *heldUpstream) isReachable(ctx context.Context) bool {
-	connection, err := dial(ctx, h.upstream.Address)
+	connection, err := h.node.probe(ctx, h.upstream.Address)
 	if err != nil {
 		return false
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -55,13 +55,15 @@
 
 // Node is one instance. Set the exported fields before Run.
 type Node struct {
-	Settings  Settings
-	Store     coordination.Store
-	Decoder   Decoder
-	Dialect   call.Dialect
-	Orders    Orders
-	ReadyPath string
-	Log       zerolog.Logger
+	Settings Settings
+	Store    coordination.Store
+	Decoder  Decoder
+	Dialect  call.Dialect
+	Orders   Orders
+	// DialUpstream opens a connection to the address of an upstream.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	ReadyPath    string
+	Log          zerolog.Logger
 	// DroppedLogEvents returns the number of log events that were dropped since the previous call.
 	DroppedLogEvents func() int
 	// ReloadSettings reads the settings again.
@@ -158,7 +160,7 @@
 	n.scope = scope
 	n.closeScope = func() { _ = closer.Close() }
 	n.peers = &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
-	n.forward = &forward.Client{Dialect: n.Dialect}
+	n.forward = &forward.Client{Dialect: n.Dialect, Dial: n.connect}
 	n.brokenResponses = make(chan brokenResponse, maxBrokenResponses)
 	n.current.Store(&n.Settings)
 	n.view.wake = make(chan struct{}, 1)
--- a/internal/entry/node/unreachable_upstream_test.go
+++ b/internal/entry/node/unreachable_upstream_test.go
@@ -28,8 +28,13 @@
 	return residence.Report{}, errors.New("no response from the upstream")
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func heldUpstreamAt(address string) *heldUpstream {
-	n := &Node{Log: zerolog.Nop(), Orders: noResponseOrders{}, heldUpstreams: newHeldUpstreams()}
+	n := &Node{Log: zerolog.Nop(), Orders: noResponseOrders{}, DialUpstream: dialTCP, heldUpstreams: newHeldUpstreams()}
 	n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: true}})
 	n.sharedState = &serve.SharedState{Pool: &pool.Pool{Settings: pool.DefaultSettings()}}
 	upstream := traffic.Upstream{ID: "u", Service: "s", Address: address}
--- /dev/null
+++ b/internal/entry/node/upstream_links_test.go
@@ -0,0 +1,172 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/residence"
+)
+
+// cut is what has happened to the links of one instance to upstreams.
+type cut int
+
+const (
+	linksWhole cut = iota
+	// linksSilent: packets are dropped. Open connections carry nothing, new ones are not answered.
+	linksSilent
+	// linksReset: open connections are reset, and new ones refused.
+	linksReset
+	// linksClosedToNew: open connections go on, and new ones are refused.
+	linksClosedToNew
+)
+
+// upstreamLinks are the links of one instance to all upstreams.
+type upstreamLinks struct {
+	mutex sync.Mutex
+	state cut
+	open  map[*linkConnection]bool
+}
+
+func (l *upstreamLinks) set(state cut) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.state = state
+	if state != linksReset {
+		return
+	}
+	for connection := range l.open {
+		connection.Close()
+	}
+	clear(l.open)
+}
+
+func (l *upstreamLinks) is(states ...cut) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Contains(states, l.state)
+}
+
+func (l *upstreamLinks) dial(ctx context.Context, address string) (net.Conn, error) {
+	switch {
+	case l.is(linksSilent):
+		<-ctx.Done()
+		return nil, errors.Wrap(ctx.Err(), "dial")
+	case l.is(linksReset, linksClosedToNew):
+		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
+	}
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	linked := &linkConnection{Conn: connection, links: l}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.open == nil {
+		l.open = map[*linkConnection]bool{}
+	}
+	l.open[linked] = true
+	return linked, nil
+}
+
+// linkConnection is a connection over a link.
+type linkConnection struct {
+	net.Conn
+	links *upstreamLinks
+}
+
+// Read returns nothing while the link is silent.
+func (c *linkConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for c.links.is(linksSilent) && err == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return n, err
+}
+
+// Write drops what is written while the link is silent.
+func (c *linkConnection) Write(p []byte) (int, error) {
+	if c.links.is(linksSilent) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// engines are the engines of a fleet. They carry out each order at once, and check fencing tokens.
+type engines struct {
+	mutex     sync.Mutex
+	byAddress map[string]*engineState
+}
+
+type engineState struct {
+	sequence int64
+	fence    int64
+	adapters []traffic.LoadedAdapter
+}
+
+// linkedOrders sends the orders of one instance over its links.
+type linkedOrders struct {
+	links   *upstreamLinks
+	engines *engines
+}
+
+var errNoResponse = errors.New("no response")
+
+// Order carries out an order.
+func (o *linkedOrders) Order(
+	_ context.Context, upstream traffic.Upstream, _ string, fence int64, order residence.Order,
+) (residence.Outcome, error) {
+	if !o.links.is(linksWhole) {
+		return residence.NoAnswer, errNoResponse
+	}
+	o.engines.mutex.Lock()
+	defer o.engines.mutex.Unlock()
+	engine := o.engines.at(upstream.Address)
+	if fence < engine.fence {
+		return residence.Fenced, nil
+	}
+	engine.fence = fence
+	has := slices.ContainsFunc(engine.adapters, func(loaded traffic.LoadedAdapter) bool { return loaded.Name == order.Adapter.Name })
+	if has != order.Unload {
+		return residence.AlreadyDone, nil
+	}
+	if order.Sequence != engine.sequence {
+		return residence.Conflict, nil
+	}
+	engine.sequence++
+	engine.adapters = slices.DeleteFunc(engine.adapters, func(loaded traffic.LoadedAdapter) bool { return loaded.Name == order.Adapter.Name })
+	if !order.Unload {
+		engine.adapters = append(engine.adapters, traffic.LoadedAdapter{Name: order.Adapter.Name, Version: 1})
+	}
+	return residence.Accepted, nil
+}
+
+// Report returns what an engine has loaded.
+func (o *linkedOrders) Report(_ context.Context, upstream traffic.Upstream) (residence.Report, error) {
+	if !o.links.is(linksWhole) {
+		return residence.Report{}, errNoResponse
+	}
+	o.engines.mutex.Lock()
+	defer o.engines.mutex.Unlock()
+	engine := o.engines.at(upstream.Address)
+	model := traffic.LoadedModel{Name: "m", Version: 1, Adapters: slices.Clone(engine.adapters)}
+	return residence.Report{Sequence: engine.sequence, Models: []traffic.LoadedModel{model}}, nil
+}
+
+// at returns the engine at an address. The caller holds the lock.
+func (e *engines) at(address string) *engineState {
+	if e.byAddress == nil {
+		e.byAddress = map[string]*engineState{}
+	}
+	if e.byAddress[address] == nil {
+		e.byAddress[address] = &engineState{}
+	}
+	return e.byAddress[address]
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
-	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -27,8 +26,6 @@
 )
 
 const (
-	// connectTimeout bounds the time to open a connection, which normally takes a few milliseconds.
-	connectTimeout = 250 * time.Millisecond
 	// idleTimeout is how long an idle connection is kept. Upstreams close idle connections after some seconds, and a
 	// call sent on a connection that is being closed is lost, so the instance closes it well before that.
 	idleTimeout = 2 * time.Second
@@ -36,9 +33,11 @@
 	maxIdle = 8
 )
 
-// Client sends calls to upstreams. Set Dialect before the first call.
+// Client sends calls to upstreams. Set the exported fields before the first call.
 type Client struct {
 	Dialect call.Dialect
+	// Dial opens a connection to an upstream.
+	Dial func(ctx context.Context, upstream traffic.Upstream) (net.Conn, error)
 
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
@@ -127,10 +126,9 @@
 	if transport, found := c.transports[upstream.ID]; found {
 		return transport
 	}
-	dialer := socket.Dialer(connectTimeout)
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			connection, err := c.Dial(ctx, upstream)
 			if err != nil {
 				return nil, dialError{err}
 			}
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -22,6 +22,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
@@ -137,7 +138,7 @@
 	h.handler = &serve.Handler{
 		Dialect: dialect{},
 		Fleet:   h.fleet,
-		Forward: &forward.Client{Dialect: dialect{}},
+		Forward: &forward.Client{Dialect: dialect{}, Dial: dialUpstream},
 		State: &serve.SharedState{
 			Pool: p, Ledger: ledger, Retries: retries,
 			Suspects: &suspect.Tracker{Settings: suspect.DefaultSettings()},
@@ -227,3 +228,8 @@
 }
 
 func hanging(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// dialUpstream opens a connection to an upstream.
+func dialUpstream(ctx context.Context, upstream traffic.Upstream) (net.Conn, error) {
+	return socket.Dialer(250*time.Millisecond).DialContext(ctx, "tcp", upstream.Address)
+}
