--- /dev/null
+++ b/internal/entry/node/cut_off_test.go
@@ -0,0 +1,144 @@
+package node_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// contactTime is how long after the links of an instance were cut its callers may be served worse than those of others.
+const contactTime = 3 * time.Second
+
+// triesEach is how many requests each instance gets, and minTries how many of them must be served, by how often the
+// others serve theirs: two thirds.
+const (
+	triesEach = 30
+	minTries  = triesEach * 2 / 3
+)
+
+// startFleet starts instances before two plain upstreams and three engines, and waits until all serve.
+func startFleet(t *testing.T, s *store, names ...string) (fleet []*instance) {
+	t.Helper()
+	s.put(keyConfiguration, configuration(1, "/p/"))
+	for number := range 2 {
+		s.put(fmt.Sprintf("%sapp%d", prefixUpstreams, number), upstreamEntry("app", newUpstream(t, 5*time.Millisecond)))
+	}
+	for number := range 3 {
+		s.put(fmt.Sprintf("%sengine%d", prefixUpstreams, number), upstreamEntry("llm", newUpstream(t, 5*time.Millisecond)))
+	}
+	shared := &engines{}
+	for _, name := range names {
+		fleet = append(fleet, startWith(t, s, name, shared))
+	}
+	for _, member := range fleet {
+		eventually(t, 5*time.Second, member.name+" serves", func() bool {
+			return member.ready() && member.status("/p/") == 200 && member.generate("warm") == 200
+		})
+		eventually(t, 5*time.Second, member.name+" has found the others", func() bool {
+			for _, other := range fleet {
+				if other != member && !member.log.has(fmt.Sprintf(`"Peer":%q`, other.name)) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	return fleet
+}
+
+// served sends requests to each instance at the same time and counts those that are served.
+func served(fleet []*instance, send func(member *instance, number int) int) map[string]int {
+	var mutex sync.Mutex
+	var callers sync.WaitGroup
+	counts := map[string]int{}
+	for _, member := range fleet {
+		callers.Go(func() {
+			for number := range triesEach {
+				if send(member, number) == 200 {
+					mutex.Lock()
+					counts[member.name]++
+					mutex.Unlock()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return counts
+}
+
+// Guards against callers who are refused or get no response because their instance has lost its links to all upstreams,
+// although other instances reach the upstreams: half of the instances, a whole data centre, or all but one.
+func TestInstancesCutOffFromUpstreamsServe(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state cut
+		off   []string
+	}{
+		{"some are silent", linksSilent, []string{"a", "b"}},
+		{"some are reset", linksReset, []string{"a", "b"}},
+		{"some get no new connections", linksClosedToNew, []string{"b", "c"}},
+		{"all but one are silent", linksSilent, []string{"a", "b", "c"}},
+		{"all but one are reset", linksReset, []string{"b", "c", "d"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStore()
+			fleet := startFleet(t, s, "a", "b", "c", "d")
+			for _, member := range fleet {
+				if strings.Contains(strings.Join(c.off, " "), member.name) {
+					member.links.set(c.state)
+				}
+			}
+			time.Sleep(contactTime)
+			for _, kind := range []struct {
+				name string
+				send func(member *instance, number int) int
+			}{
+				{"plain", func(member *instance, _ int) int { return member.status("/p/") }},
+				{"loaded adapter", func(member *instance, _ int) int { return member.generate("warm") }},
+				{"new adapter", func(member *instance, number int) int {
+					return member.generate(fmt.Sprintf("%s%d", member.name, number/10))
+				}},
+			} {
+				counts := served(fleet, kind.send)
+				t.Logf("%s: served of %d: %v", kind.name, triesEach, counts)
+				for _, member := range fleet {
+					if counts[member.name] < minTries {
+						t.Errorf("%s: %s served %d of %d", kind.name, member.name, counts[member.name], triesEach)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a holder that takes an upstream from all instances because it has lost its own link there: the upstream
+// idles, no adapter is loaded there, and callers of the other instances are refused.
+func TestHolderThatIsCutOffHandsItsUpstreamsOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore()
+	fleet := startFleet(t, s, "a", "b", "c")
+	key := "fleet/holders/engine0"
+	eventually(t, 4*time.Second, "the engine has a holder", func() bool { _, found := s.get(key); return found })
+	before, _ := s.get(key)
+	var holder *instance
+	for _, member := range fleet {
+		if strings.Contains(string(before.Value), fmt.Sprintf("%q", member.name)) {
+			holder = member
+		}
+	}
+	holder.links.set(linksSilent)
+	eventually(t, contactTime, "another instance is the holder", func() bool {
+		now, found := s.get(key)
+		return found && !strings.Contains(string(now.Value), fmt.Sprintf("%q", holder.name))
+	})
+	after, _ := s.get(key)
+	time.Sleep(contactTime)
+	still, _ := s.get(key)
+	is.Equal(still.Revision, after.Revision) // one change of holder, and none back
+}
