Open connections to upstreams through a peer where the own link is lost

Cause: an instance had no way to an upstream but its own connection. What it concluded from a failed connection (the upstream is gone, try the next) was its own link's state.

Now placement/reach keeps what an instance knows of its own links apart from the upstreams' state, and what the others state of theirs. A connection is opened by the first of some ways that works, with a head start of 60 ms each: directly, then through up to three peers (Mesh.Connect carries the bytes over a gRPC stream). With the link known as lost peers come first, and the direct way is probed each 500 ms. A peer connects directly or not at all, so requests do not go in circles; it refuses beyond 128 connections and while it stops, and a planned stop waits for the open ones. The request itself stays with the instance that took it: admission, tokens, attempts, deadlines and the meaning of a failed connection (nothing was sent) are as before. A reset stays a reset, so that a cut response does not look complete. Crashes count only if no peer can connect either: links may be lost with resets.

Weighed: readiness (kept connections stay, and with most of a data centre cut off the balancer uses all of it); refusing at once (callers are not served). A request passed on as a message in place of a connection: whether it ran would be unknown where the hop fails before the upstream got it.

Log: UpstreamLink (the own link lost or back), PeerNotConnected. Metrics: upstream_connections by path, connections_for_peers, lost_upstream_links.

--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"net"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
@@ -59,18 +55,18 @@
 // detectCrashes counts a crash for all requests with broken responses whose upstreams refuse connections.
 func (n *Node) detectCrashes(ctx context.Context, first brokenResponse) {
 	broken := map[string][]suspect.Fingerprint{first.upstream.ID: {first.fingerprint}}
-	addresses := map[string]string{first.upstream.ID: first.upstream.Address}
+	upstreams := map[string]traffic.Upstream{first.upstream.ID: first.upstream}
 	for more := true; more; {
 		select {
 		case next := <-n.brokenResponses:
 			broken[next.upstream.ID] = append(broken[next.upstream.ID], next.fingerprint)
-			addresses[next.upstream.ID] = next.upstream.Address
+			upstreams[next.upstream.ID] = next.upstream
 		default:
 			more = false
 		}
 	}
 	for id, fingerprints := range broken {
-		if !n.refusesConnections(ctx, addresses[id]) {
+		if !n.refusesConnections(ctx, upstreams[id]) {
 			continue
 		}
 		now := time.Now()
@@ -82,20 +78,3 @@
 		n.overlay.requestStateSend()
 	}
 }
-
-// probe opens a connection to an upstream only to test whether it accepts one.
-func (n *Node) probe(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	return n.DialUpstream(ctx, address)
-}
-
-// refusesConnections reports whether no process listens at the address.
-func (n *Node) refusesConnections(ctx context.Context, address string) bool {
-	connection, err := n.probe(ctx, address)
-	if err == nil {
-		connection.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -40,7 +40,7 @@
 	changed      chan struct{}
 	fenced       bool
 	hasReport    bool
-	// unreachable: the upstream refuses connections or does not respond.
+	// unreachable: neither this instance nor its peers can connect to the upstream.
 	unreachable bool
 }
 
@@ -181,15 +181,10 @@
 	h.updateOwnPool()
 }
 
-// isReachable reports whether the upstream accepts a connection. A missing response to an order or a report does not
+// isReachable reports whether the upstream accepts a connection of this instance or of a peer. A missing response to an order or a report does not
 // prove that it is unreachable: a working upstream may lose responses or carry out orders late.
 func (h *heldUpstream) isReachable(ctx context.Context) bool {
-	connection, err := h.node.probe(ctx, h.upstream.Address)
-	if err != nil {
-		return false
-	}
-	connection.Close()
-	return true
+	return h.node.findPath(ctx, h.upstream) != pathNone
 }
 
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -85,6 +85,7 @@
 	lease           lease
 	heldUpstreams   heldUpstreams
 	forward         *forward.Client
+	links           links
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
 	upstreamChanges int
@@ -160,13 +161,15 @@
 	n.scope = scope
 	n.closeScope = func() { _ = closer.Close() }
 	n.peers = &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
-	n.forward = &forward.Client{Dialect: n.Dialect, Dial: n.connect}
+	n.forward = &forward.Client{Dialect: n.Dialect, Dial: n.connect, KeepsConnections: n.isDirect}
 	n.brokenResponses = make(chan brokenResponse, maxBrokenResponses)
 	n.current.Store(&n.Settings)
 	n.view.wake = make(chan struct{}, 1)
 	n.lease.suspended = timeSuspended
 	n.heldUpstreams = newHeldUpstreams()
 	n.overlay.initialise(n.self.Name)
+	n.links.tracker.Self = n.self.Name
+	n.links.tracker.DataCentre = n.self.DataCentre
 	n.assembleSharedState()
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
@@ -284,6 +287,7 @@
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(shutdownCtx)
+	n.awaitPeerConnections(shutdownCtx)
 	pause.For(tasksCtx, responseFlushDelay)
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("StoppedWithRequestsRunning")
--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -30,6 +30,7 @@
 		n.removeExpired(now)
 		n.setLedgerPeers(now)
 		n.closeStaleUpstreamConnections()
+		n.probeLostLinks(now)
 		n.closeStalePeerConnections()
 		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
 		if dropped := n.DroppedLogEvents(); dropped > 0 {
@@ -87,5 +88,6 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) { names, n.upstreamChanges = state.Pool.NamesSince(n.upstreamChanges) })
 	if names != nil {
 		n.forward.CloseIdleExcept(names)
+		n.links.keep(names)
 	}
 }
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -111,6 +111,7 @@
 		Incarnation:      n.self.Incarnation,
 		Address:          n.self.Address,
 		StoreUnreachable: n.storeUnreachable.Load(),
+		Unreached:        n.unreached(),
 	}
 	holders := n.view.liveHolders()
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
@@ -169,6 +170,7 @@
 		return err
 	}
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
+	n.applyUnreached(now, record.Instance, state.Unreached)
 	outdated := !n.overlay.recordSpentVersion(record)
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		if !outdated {
--- a/internal/entry/node/store_test.go
+++ b/internal/entry/node/store_test.go
@@ -163,6 +163,9 @@
 			c.store.bound[write.Key] = write.Lease
 		}
 	}
+	for _, key := range t.Removals {
+		c.store.remove(key)
+	}
 	return c.store.revision, nil
 }
 
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -100,6 +100,7 @@
 		Address:          s.Address,
 		StoreUnreachable: s.StoreUnreachable,
 		Loads:            loadsToWire(s.Loads),
+		Unreached:        s.Unreached,
 	}
 	for workspace, units := range s.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
@@ -130,6 +131,7 @@
 		StoreUnreachable: wire.GetStoreUnreachable(),
 		Spent:            make(quota.Totals, len(wire.GetSpent())),
 		Loads:            loadsFromWire(wire.GetLoads()),
+		Unreached:        wire.GetUnreached(),
 	}
 	for _, spent := range wire.GetSpent() {
 		s.Spent[spent.GetWorkspace()] = spent.GetUnits()
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
@@ -46,6 +47,8 @@
 	Suspects []suspect.Count
 	// Evidence is the instance's least-squares sums over the answers of each service's engines, by service.
 	Evidence map[string]forecast.Evidence
+	// Unreached are the upstreams to which the instance cannot connect, which says nothing about the upstreams.
+	Unreached []string
 }
 
 // LoadReport is what an instance has in flight at the upstreams that the receiver holds.
@@ -106,4 +109,13 @@
 	Report(report LoadReport) HeldReport
 	CatchUp(after int64) replica.Batch
 	Prepare(ctx context.Context, request PrepareRequest) PrepareResult
+	// Connect connects to an upstream for a peer, directly or not at all. The error wraps syscall.ECONNREFUSED if nothing
+	// listens there.
+	Connect(ctx context.Context, request ConnectRequest) (net.Conn, error)
+}
+
+// ConnectRequest asks for a connection to an upstream to which the instance that sends it cannot connect.
+type ConnectRequest struct {
+	Upstream string
+	Instance string
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -38,6 +38,8 @@
 	Dialect call.Dialect
 	// Dial opens a connection to an upstream.
 	Dial func(ctx context.Context, upstream traffic.Upstream) (net.Conn, error)
+	// KeepsConnections reports whether connections to an upstream are kept for the next call.
+	KeepsConnections func(upstream string) bool
 
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
@@ -64,7 +66,7 @@
 		Host:          outgoing.Host,
 		Header:        c.Dialect.RequestHeader(outgoing, attempt),
 		ContentLength: int64(len(outgoing.Body)),
-		Close:         newConnection,
+		Close:         newConnection || !c.KeepsConnections(upstream.ID),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -106,6 +108,15 @@
 	return nil
 }
 
+// CloseIdle closes the idle connections to an upstream.
+func (c *Client) CloseIdle(id string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if transport, found := c.transports[id]; found {
+		transport.CloseIdleConnections()
+	}
+}
+
 // CloseIdleExcept closes the idle connections to all upstreams except the given ones.
 func (c *Client) CloseIdleExcept(ids map[string]bool) {
 	c.mutex.Lock()
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -163,7 +163,10 @@
 	case outcome == resultNotRun:
 		end = pool.EndRefused
 	}
-	if outcome == resultBroken && ctx.Err() == nil && !errors.Is(err, errNoData) {
+	switch {
+	case errors.Is(err, errNoData):
+		j.handler.Fleet.VerifyLink(upstream)
+	case outcome == resultBroken && ctx.Err() == nil:
 		j.handler.Fleet.ReportBrokenResponse(upstream, j.fingerprint)
 	}
 	j.handler.State.WithLock(func(state *SharedState) {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -50,6 +50,8 @@
 	NotifyHolder(upstream string)
 	// ReportBrokenResponse reports that a response broke with its connection: the upstream may have crashed.
 	ReportBrokenResponse(upstream traffic.Upstream, fingerprint suspect.Fingerprint)
+	// VerifyLink reports that an upstream has not responded: the link of this instance to it may be lost.
+	VerifyLink(upstream traffic.Upstream)
 }
 
 // SharedState is the state that decisions about requests are based on. Its parts are not safe for concurrent use, so one
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -12,6 +12,8 @@
 	// crossDataCentreCost is the cost of an upstream in another data centre: the round trip, and the bytes that are
 	// billed.
 	crossDataCentreCost = 20 * time.Millisecond
+	// indirectCost is the cost of an upstream to which requests go through another instance.
+	indirectCost = 20 * time.Millisecond
 	// failureCost is the cost of a certain failure: the time of a retry. A request that may not be repeated is lost
 	// on failure, so its caller gains from an upstream that fails less as well.
 	failureCost = 800 * time.Millisecond
@@ -138,6 +140,9 @@
 	if u.declared.DataCentre != p.Settings.DataCentre {
 		total += crossDataCentreCost
 	}
+	if u.indirect {
+		total += indirectCost
+	}
 	if query.Alone && load.Running > 0 {
 		total += time.Hour
 	}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -64,6 +64,8 @@
 	unreachableUntil time.Time
 	servedAt         time.Time
 	cold             cold
+	// indirect: this instance has lost its link there, and sends through another instance.
+	indirect bool
 	// retryAt is when an upstream that could not be reached is tried again.
 	retryAt time.Time
 	backoff time.Duration
@@ -193,6 +195,19 @@
 	}
 }
 
+// SetIndirect records whether requests to an upstream are sent through another instance.
+func (p *Pool) SetIndirect(id string, indirect bool) {
+	if u := p.upstreams[id]; u != nil {
+		u.indirect = indirect
+	}
+}
+
+// AnsweredRecently reports whether this instance had a response from an upstream a moment ago.
+func (p *Pool) AnsweredRecently(now time.Time, id string) bool {
+	u := p.upstreams[id]
+	return u != nil && now.Sub(u.servedAt) <= reachableFor
+}
+
 // RecordCrash records that nothing listens at an upstream any more.
 func (p *Pool) RecordCrash(now time.Time, id string) {
 	if u := p.upstreams[id]; u != nil {
