Hand an upstream over if its holder has lost its link there

Cause: what a holder saw of its own link counted as the state of the upstream (UpstreamAway), and it stayed holder, so that nothing was loaded there.

Now a holder whose orders or reports fail asks by which way the upstream can be reached. If only peers reach it, the holder removes its key on its revision, and instances that have not lost their links there claim it, by rank among those; only if nobody reaches it the upstream counts as unreachable.

The second test now sends requests while it waits, as nobody notices a lost link, nor misses the holder, without any.

--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -133,7 +133,10 @@
 		}
 	}
 	holder.links.set(linksSilent)
+	callers := 0
 	eventually(t, contactTime, "another instance is the holder", func() bool {
+		callers++
+		fleet[callers%len(fleet)].generate(fmt.Sprintf("new%d", callers%10))
 		now, found := s.get(key)
 		return found && !strings.Contains(string(now.Value), fmt.Sprintf("%q", holder.name))
 	})
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
@@ -42,6 +43,8 @@
 	hasReport    bool
 	// unreachable: neither this instance nor its peers can connect to the upstream.
 	unreachable bool
+	// pathInDoubt: the link of this instance was lost since the loop last checked how the upstream can be reached.
+	pathInDoubt atomic.Bool
 }
 
 func newHeldUpstream(
@@ -73,6 +76,9 @@
 // token.
 func (h *heldUpstream) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if h.pathInDoubt.Swap(false) {
+			h.applyPath(ctx, h.pathAfter(ctx, true))
+		}
 		switch step := h.next().(type) {
 		case residence.SendOrder:
 			h.sendOrder(ctx, step.Order)
@@ -128,7 +134,7 @@
 	}
 	h.node.heldUpstreams.recordOrder(h.upstream.ID, start)
 	outcome, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
-	unreachable := outcome == residence.NoAnswer && !h.isReachable(ctx)
+	reached := h.pathAfter(ctx, outcome == residence.NoAnswer)
 	if ctx.Err() != nil {
 		return
 	}
@@ -136,7 +142,7 @@
 		Str("Adapter", order.Adapter.String()).Int64("Version", order.Version).Int64("Sequence", order.Sequence).
 		Str("Outcome", string(outcome)).Err(err).Int64("TookMillis", time.Since(start).Milliseconds()).Msg("Order")
 	h.node.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("orders").Inc(1)
-	h.setUnreachable(unreachable)
+	h.applyPath(ctx, reached)
 	h.mutex.Lock()
 	h.planner.RecordOutcome(time.Now(), order, outcome)
 	h.fenced = outcome == residence.Fenced
@@ -159,14 +165,14 @@
 
 func (h *heldUpstream) fetchReport(ctx context.Context) {
 	report, err := h.node.Orders.Report(ctx, h.upstream)
-	unreachable := err != nil && !h.isReachable(ctx)
+	reached := h.pathAfter(ctx, err != nil)
 	if ctx.Err() != nil {
 		return
 	}
 	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Sequence", report.Sequence).
 		Bool("Busy", report.Busy).Interface("Models", report.Models).Interface("Pending", report.Pending).
 		Err(err).Msg("Report")
-	h.setUnreachable(unreachable)
+	h.applyPath(ctx, reached)
 	h.mutex.Lock()
 	if err != nil || report.Born != 0 && h.upstream.StartedMillis != 0 && report.Born != h.upstream.StartedMillis {
 		h.planner.ReportFailed(time.Now()) // no response, or the response of another upstream
@@ -181,10 +187,30 @@
 	h.updateOwnPool()
 }
 
-// isReachable reports whether the upstream accepts a connection of this instance or of a peer. A missing response to an order or a report does not
-// prove that it is unreachable: a working upstream may lose responses or carry out orders late.
-func (h *heldUpstream) isReachable(ctx context.Context) bool {
-	return h.node.findPath(ctx, h.upstream) != pathNone
+// pathAfter returns how the upstream can be reached if a call to it failed. A missing response to an order or a report
+// does not prove that it is unreachable: a working upstream may lose responses or carry out orders late.
+func (h *heldUpstream) pathAfter(ctx context.Context, failed bool) path {
+	if !failed {
+		return pathDirect
+	}
+	return h.node.findPath(ctx, h.upstream)
+}
+
+// checkPath makes the loop check how the upstream can be reached, because the link of this instance is lost.
+func (h *heldUpstream) checkPath() {
+	h.pathInDoubt.Store(true)
+	h.wakeLoop()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.notifyWaiters()
+}
+
+// applyPath records how the upstream can be reached. If only other instances reach it, this one hands it over.
+func (h *heldUpstream) applyPath(ctx context.Context, reached path) {
+	h.setUnreachable(reached == pathNone)
+	if reached == pathPeer && h.node.links.isLost(h.upstream.ID) {
+		h.handOver(ctx)
+	}
 }
 
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
@@ -251,6 +277,10 @@
 		h.mutex.Unlock()
 		return mesh.Busy{}
 	}
+	if h.node.links.isLost(h.upstream.ID) {
+		h.mutex.Unlock()
+		return mesh.NotHolder{}
+	}
 	if wait, tooLate := h.planner.WouldBeLate(now, request.Adapter, deadline); tooLate {
 		h.mutex.Unlock()
 		return mesh.Busy{RetryAfter: wait}
@@ -288,6 +318,9 @@
 		if unreachable {
 			return mesh.Busy{}
 		}
+		if h.node.links.isLost(h.upstream.ID) {
+			return mesh.NotHolder{}
+		}
 		h.wakeLoop()
 		select {
 		case <-changed:
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	vacantSince map[string]time.Time
 	// lastOrders is when this instance last sent an order to an upstream, under any fencing token.
 	lastOrders map[string]time.Time
+	// released is the fencing token with which this instance last gave up an upstream.
+	released map[string]int64
 }
 
 // newHeldUpstreams is called before the tasks start: a peer may request the held upstreams before the ownership loop
@@ -46,6 +49,7 @@
 func newHeldUpstreams() heldUpstreams {
 	return heldUpstreams{
 		byID: make(map[string]*heldUpstream), vacantSince: make(map[string]time.Time), lastOrders: make(map[string]time.Time),
+		released: make(map[string]int64),
 	}
 }
 
@@ -150,6 +154,9 @@
 		return 0, false
 	}
 	if found && holder.Incarnation == n.self.Incarnation {
+		if n.heldUpstreams.isReleased(id, holder.Fence) {
+			return 0, false
+		}
 		n.startHolding(ctx, upstream, holder)
 		return 0, false
 	}
@@ -255,24 +262,47 @@
 		held[holder.Instance]++
 	}
 	n.view.mutex.Unlock()
-	var subjects []string
-	for _, vacant := range free {
-		subjects = append(subjects, vacant.upstream.ID)
-	}
-	ranks := roster.TakeoverRanks(subjects, names, held, n.self.Name)
+	ranks := n.takeoverRanks(free, names, held)
 	for _, vacant := range free {
 		id := vacant.upstream.ID
+		rank, mayClaim := ranks[id]
+		if !mayClaim {
+			continue
+		}
 		since, found := n.heldUpstreams.vacantSince[id]
 		if !found {
 			n.heldUpstreams.vacantSince[id] = now
 			continue
 		}
-		if now.Sub(since) >= claimDelay+time.Duration(ranks[id])*claimRankDelay && !now.Before(n.mayOrderFrom(id)) {
+		if now.Sub(since) >= claimDelay+time.Duration(rank)*claimRankDelay && !now.Before(n.mayOrderFrom(id)) {
 			n.claim(ctx, vacant.upstream, vacant.revision)
 		}
 	}
 }
 
+// takeoverRanks returns the rank of this instance for each upstream that it may claim. Upstreams that the same instances
+// reach are ranked together, so that they are spread over those.
+func (n *Node) takeoverRanks(free []vacancy, names []string, held map[string]int) map[string]int {
+	type group struct{ names, subjects []string }
+	groups := make(map[string]*group)
+	for _, vacant := range free {
+		reaching, mayClaim := n.claimants(vacant.upstream.ID, names)
+		if !mayClaim {
+			continue
+		}
+		key := strings.Join(reaching, "\x00")
+		if groups[key] == nil {
+			groups[key] = &group{names: reaching}
+		}
+		groups[key].subjects = append(groups[key].subjects, vacant.upstream.ID)
+	}
+	ranks := make(map[string]int)
+	for _, one := range groups {
+		maps.Copy(ranks, roster.TakeoverRanks(one.subjects, one.names, held, n.self.Name))
+	}
+	return ranks
+}
+
 // claim makes this instance the holder if the key is unchanged. The instance sends orders from then on, without waiting
 // until the claim appears in the replicated state: after a restart of the whole fleet every adapter waits for a holder.
 func (n *Node) claim(ctx context.Context, upstream traffic.Upstream, revision int64) {
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -132,6 +132,13 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.SetIndirect(upstream.ID, lost) })
 	n.forward.CloseIdle(upstream.ID)
 	n.overlay.requestStateSend()
+	if !lost {
+		return
+	}
+	if held := n.heldUpstreams.get(upstream.ID); held != nil {
+		held.checkPath()
+	}
+	n.verifyHeldLinks()
 }
 
 // VerifyLink checks soon whether this instance can still connect to an upstream that has not responded.
@@ -140,6 +147,16 @@
 	go probe.run()
 }
 
+// verifyHeldLinks checks the links to the upstreams that this instance holds, because another link was lost: links are
+// often lost together, and without requests there this instance would not notice until an adapter has to be loaded.
+func (n *Node) verifyHeldLinks() {
+	for id := range n.heldUpstreams.ids() {
+		if upstream, declared := n.declaredUpstream(id); declared && !n.links.isLost(id) {
+			n.VerifyLink(upstream)
+		}
+	}
+}
+
 // linkProbe opens a direct connection to an upstream only to learn whether its link is lost.
 type linkProbe struct {
 	node     *Node
