Check the links to upstreams that are quiet

Cause: a holder without requests notices a lost link when the first adapter has to be loaded, and the requests of the next second meet no holder.

A holder that has had no response from an upstream for a second opens a connection there to check its link. With requests nothing is opened.

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -32,6 +32,8 @@
 	ended <-chan struct{}
 	wake  chan struct{}
 
+	// checkedAt is when the upstream last responded, or when its link was last checked. Only the loop uses it.
+	checkedAt time.Time
 	// declarations counts the declared versions that the planner has received. Only the loop uses it.
 	declarations int
 
@@ -79,6 +81,7 @@
 		if h.pathInDoubt.Swap(false) {
 			h.applyPath(ctx, h.pathAfter(ctx, true))
 		}
+		h.verifyQuietLink(time.Now())
 		switch step := h.next().(type) {
 		case residence.SendOrder:
 			h.sendOrder(ctx, step.Order)
@@ -94,6 +97,23 @@
 	}
 }
 
+// maxQuiet is how long a holder may have no response from an upstream before it checks its link.
+const maxQuiet = time.Second
+
+// verifyQuietLink checks the link of this instance if nothing has come from the upstream for a while. Without requests it
+// would notice a lost link only when an adapter has to be loaded, and the request would wait for another holder.
+func (h *heldUpstream) verifyQuietLink(now time.Time) {
+	answered := false
+	h.node.sharedState.WithLock(func(state *serve.SharedState) { answered = state.Pool.AnsweredRecently(now, h.upstream.ID) })
+	if answered {
+		h.checkedAt = now
+	}
+	if now.Sub(h.checkedAt) > maxQuiet && !h.node.links.isLost(h.upstream.ID) {
+		h.checkedAt = now
+		h.node.VerifyLink(h.upstream)
+	}
+}
+
 func (h *heldUpstream) isFenced() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -191,6 +211,7 @@
 // does not prove that it is unreachable: a working upstream may lose responses or carry out orders late.
 func (h *heldUpstream) pathAfter(ctx context.Context, failed bool) path {
 	if !failed {
+		h.checkedAt = time.Now()
 		return pathDirect
 	}
 	return h.node.findPath(ctx, h.upstream)
