Admit requests to brittle upstreams by their holders

Upstreams may state that they are brittle (Server-Brittle, new on the users' pages): one that turns away more than N requests in a second for want of room falls over, and queues less meanwhile. Nothing decoded that. Each instance counted rejections for itself, and learnt capacity counted for a minute.

Now the dialect decodes the statement; deciding code sees whether a service is brittle and how many rejections in a second an upstream bears. News goes to the other instances at once, as those with few responses would learn it late. While it lasts the holder of an upstream admits each request of all instances, as for cold ones: no more than run at once, and none for a quarter of a second once half of N was rejected over the whole fleet, which load reports count. A request waits up to 60 ms for room and is then tried elsewhere.

Weighed: a part of N for each instance (below one rejection a second for each in any fleet, and a whole part of the load refused with it); learnt capacity as for sound upstreams (wrong once they queue less).

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -13,6 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
 	"lacewingrock.example/lacewingrock/internal/placement/turn"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // held_upstream.go carries out the decisions of the planner at one upstream that this instance holds.
@@ -253,8 +254,8 @@
 	h.changed = make(chan struct{})
 }
 
-// prepare waits until the adapter is loaded, then until the prompt may start its prefill. If the upstream is cold, its
-// limit for cold upstreams must admit the request too.
+// prepare waits until the adapter is loaded, then until the prompt may start its prefill. A cold or brittle upstream must
+// have room for the request too.
 func (h *heldUpstream) prepare(ctx context.Context, request mesh.PrepareRequest) (prepared mesh.PrepareResult) {
 	deadline := time.Now().Add(min(request.MaxWait, request.OnTime))
 	prepared = mesh.Loaded{}
@@ -269,15 +270,36 @@
 			return mesh.Busy{RetryAfter: wait}
 		}
 	}
-	if wait, admitted := h.admitCold(); !admitted {
+	if wait, admitted := h.awaitRoom(ctx, deadline); !admitted {
 		return mesh.Busy{RetryAfter: wait}
 	}
 	return prepared
 }
 
-// admitCold counts a request against the load that the upstream can take while it is cold.
-func (h *heldUpstream) admitCold() (wait time.Duration, admitted bool) {
-	h.node.sharedState.WithLock(func(state *serve.SharedState) { wait, admitted = state.Pool.AdmitCold(time.Now(), h.upstream.ID) })
+// maxRoomWait bounds how long a request waits until a brittle upstream has room, before it is tried elsewhere.
+const maxRoomWait = 60 * time.Millisecond
+
+// awaitRoom waits until the upstream has room for a request, if that is expected to be soon.
+func (h *heldUpstream) awaitRoom(ctx context.Context, deadline time.Time) (wait time.Duration, admitted bool) {
+	if latest := time.Now().Add(maxRoomWait); latest.Before(deadline) {
+		deadline = latest
+	}
+	for {
+		wait, admitted = h.admit()
+		if admitted || time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
+			return wait, admitted
+		}
+	}
+}
+
+// admit counts a request against the load that the upstream can take while it is cold or brittle.
+func (h *heldUpstream) admit() (wait time.Duration, admitted bool) {
+	h.node.sharedState.WithLock(func(state *serve.SharedState) {
+		now := time.Now()
+		if wait, admitted = state.Pool.AdmitCold(now, h.upstream.ID); admitted {
+			wait, admitted = state.Pool.AdmitBrittle(now, h.upstream.ID)
+		}
+	})
 	return wait, admitted
 }
 
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -118,6 +118,7 @@
 		state.Spent = shared.Ledger.OwnTotals()
 		state.Suspects = shared.Suspects.LocalCounts(now)
 		state.Evidence = shared.Pool.Evidence()
+		state.Brittle = shared.Pool.OwnBrittleness(now)
 		state.Loads = shared.Pool.OwnLoads(func(upstream string) bool { return holders[upstream] == "" })
 	})
 	return state
@@ -179,6 +180,7 @@
 		shared.Suspects.SetPeerCounts(now, record.Instance, state.Suspects)
 		shared.Pool.RecordPeerLoads(now, record.Instance, state.Loads)
 		shared.Pool.RecordPeerEvidence(now, record.Instance, state.Evidence)
+		shared.Pool.RecordPeerBrittleness(now, state.Brittle)
 	})
 	if len(state.Loads) > 0 {
 		n.heldUpstreams.wakeWaiting()
@@ -219,3 +221,6 @@
 
 // PublishSpent sends the usage that this instance has admitted to the other instances immediately.
 func (n *Node) PublishSpent() { n.overlay.requestSpentSend() }
+
+// PublishState sends the state of this instance to the other instances immediately.
+func (n *Node) PublishState() { n.overlay.requestStateSend() }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -112,6 +112,9 @@
 			Cleared:     int32(count.Cleared),
 		})
 	}
+	for service, stated := range s.Brittle {
+		wire.Brittle = append(wire.Brittle, &meshpb.BrittleService{Service: service, Rejections: int32(stated.Rejections)})
+	}
 	for service, evidence := range s.Evidence {
 		wire.Evidence = append(wire.Evidence, evidenceToWire(service, evidence))
 	}
@@ -136,6 +139,12 @@
 	for _, spent := range wire.GetSpent() {
 		s.Spent[spent.GetWorkspace()] = spent.GetUnits()
 	}
+	for _, stated := range wire.GetBrittle() {
+		if s.Brittle == nil {
+			s.Brittle = make(map[string]pool.Brittleness)
+		}
+		s.Brittle[stated.GetService()] = pool.Brittleness{Brittle: true, Rejections: int(stated.GetRejections())}
+	}
 	for _, count := range wire.GetSuspects() {
 		s.Suspects = append(s.Suspects, suspect.Count{
 			Fingerprint: suspect.Fingerprint(count.GetFingerprint()),
@@ -234,6 +243,7 @@
 		PromptTokens:   int64(load.PromptTokens),
 		MemoryTokens:   int64(load.MemoryTokens),
 		AwaitingTokens: int64(load.AwaitingTokens),
+		Rejected:       int32(load.Rejected),
 	}
 	for _, adapter := range load.InUse {
 		wire.InUse = append(wire.InUse, adapterToWire(adapter))
@@ -247,6 +257,7 @@
 		PromptTokens:   int(wire.GetPromptTokens()),
 		MemoryTokens:   int(wire.GetMemoryTokens()),
 		AwaitingTokens: int(wire.GetAwaitingTokens()),
+		Rejected:       int(wire.GetRejected()),
 	}
 	for _, adapter := range wire.GetInUse() {
 		load.InUse = append(load.InUse, adapterFromWire(adapter))
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -115,8 +115,9 @@
 	engine.Observe(1500, forecast.Backlog{Prefill: 300, Running: 2}, 90*time.Millisecond)
 	state := mesh.State{
 		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true, Unreached: []string{"u", "v"},
+		Brittle:  map[string]pool.Brittleness{"s": {Brittle: true, Rejections: 3}},
 		Spent:    quota.Totals{"w": 12.5},
-		Loads:    map[string]pool.Load{"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, InUse: []traffic.Adapter{a}}},
+		Loads:    map[string]pool.Load{"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, Rejected: 2, InUse: []traffic.Adapter{a}}},
 		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
 		Evidence: map[string]forecast.Evidence{"s": engine.LocalEvidence()},
 	}
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -49,6 +49,8 @@
 	Evidence map[string]forecast.Evidence
 	// Unreached are the upstreams to which the instance cannot connect, which says nothing about the upstreams.
 	Unreached []string
+	// Brittle are the services whose upstreams have stated to the instance that they are brittle.
+	Brittle map[string]pool.Brittleness
 }
 
 // LoadReport is what an instance has in flight at the upstreams that the receiver holds.
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -87,6 +87,9 @@
 	Misdirected bool
 	// Signed: the response carries the upstream's signature.
 	Signed bool
+	// Brittle: the upstream states that it falls over if it has to turn away more than Rejections requests in a second.
+	Brittle    bool
+	Rejections int
 	// Load is the load that the upstream reported with the response; zero if it reported none.
 	Load UpstreamLoad
 }
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -206,6 +206,7 @@
 		return resultBroken, err
 	}
 	defer response.Body.Close()
+	j.recordBrittleness(response.Info)
 	switch {
 	case response.Info.Misdirected:
 		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
@@ -219,6 +220,18 @@
 	return relay.run()
 }
 
+// recordBrittleness records whether the upstream states that it is brittle. News is sent to the other instances at once:
+// those that get few responses there would learn it late.
+func (j *job) recordBrittleness(info call.ResponseInfo) {
+	stated := pool.Brittleness{Brittle: info.Brittle, Rejections: info.Rejections}
+	news := false
+	j.handler.State.WithLock(func(state *SharedState) { news = state.Pool.RecordBrittleness(time.Now(), j.service, stated) })
+	if news {
+		j.handler.Log.Info().Str("Service", j.service).Bool("Brittle", info.Brittle).Int("Rejections", info.Rejections).Msg("Brittleness")
+		j.handler.Fleet.PublishState()
+	}
+}
+
 var errNoData = errors.New("upstream sent nothing within the time-out")
 
 const (
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -81,8 +81,8 @@
 	return refusal.New(refusal.Busy, "the service has more to do than fits").WithRetryAfter(retryAfter)
 }
 
-// ensureReady has the adapter loaded at the chosen upstream, and waits for the prefill turn if prompts take turns
-// there.
+// ensureReady has the adapter loaded at the chosen upstream, waits for the prefill turn if prompts take turns there, and
+// has the request admitted if the upstream is cold or brittle.
 func (j *job) ensureReady(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
 	j.handler.State.WithLock(func(state *SharedState) {
 		j.inTurn = query.Adapter.Model != "" && state.Pool.PromptsTakeTurns(query.Service)
@@ -91,7 +91,7 @@
 	if j.inTurn {
 		tokens = query.Tokens
 	}
-	return choice.Loaded && !j.inTurn && !choice.Cold || j.prepare(ctx, choice, query, tokens)
+	return choice.Loaded && !j.inTurn && !choice.Cold && !choice.Brittle || j.prepare(ctx, choice, query, tokens)
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if tokens is not 0.
@@ -115,7 +115,7 @@
 		j.recordBusy(*choice, busy)
 	}
 	_, notHeld := prepared.(mesh.NotHolder)
-	if !ok && (!notHeld || !choice.Loaded || choice.Cold) { // without a holder no prefill turns are granted
+	if !ok && (!notHeld || !choice.Loaded || choice.Cold || choice.Brittle) { // without a holder no prefill turns are granted
 		return false
 	}
 	valid := false
@@ -158,6 +158,8 @@
 	}
 	j.handler.State.WithLock(func(state *SharedState) {
 		switch {
+		case choice.Brittle:
+			state.Pool.RecordBrittleRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case choice.Cold:
 			state.Pool.RecordColdRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case !choice.Loaded:
--- a/internal/placement/pool/capacity.go
+++ b/internal/placement/pool/capacity.go
@@ -12,8 +12,11 @@
 const headroom = 0.2
 
 // isFull reports whether an upstream has nearly as many requests in flight, per slot, as an upstream of its service
-// had when it refused a request for lack of capacity.
+// had when it refused a request for lack of capacity. Brittle upstreams get no more than they state to run at once.
 func (p *Pool) isFull(now time.Time, u *upstream) bool {
+	if brittle := p.Brittleness(now, u.declared.Service); brittle.Brittle {
+		return p.isBrittleFull(now, u, brittle)
+	}
 	stats := p.statsOf(u.declared.Service)
 	limit := max((1-headroom)*stats.capacity, 1)
 	return stats.isCapacityKnown(now) && p.load(now, u).perSlot(u) >= limit
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -121,6 +121,7 @@
 	slowdown := u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
+	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -18,6 +18,8 @@
 	MemoryTokens int
 	// AwaitingTokens is the tokens of the prompts that will be sent there as soon as their adapter is loaded.
 	AwaitingTokens int
+	// Rejected is how many requests the upstream has turned away within the last second.
+	Rejected int
 	// InUse are the adapters of the running requests.
 	InUse []traffic.Adapter
 }
@@ -28,6 +30,7 @@
 	l.PromptTokens += other.PromptTokens
 	l.MemoryTokens += other.MemoryTokens
 	l.AwaitingTokens += other.AwaitingTokens
+	l.Rejected += other.Rejected
 	return l
 }
 
@@ -37,6 +40,7 @@
 	l.PromptTokens -= other.PromptTokens
 	l.MemoryTokens -= other.MemoryTokens
 	l.AwaitingTokens -= other.AwaitingTokens
+	l.Rejected -= other.Rejected
 	return l
 }
 
@@ -45,7 +49,7 @@
 
 // isZero reports whether the load is zero, except for the adapters in use.
 func (l Load) isZero() bool {
-	return l.Running == 0 && l.PromptTokens == 0 && l.MemoryTokens == 0 && l.AwaitingTokens == 0
+	return l.Running == 0 && l.PromptTokens == 0 && l.MemoryTokens == 0 && l.AwaitingTokens == 0 && l.Rejected == 0
 }
 
 // source identifies the origin of another instance's loads: its state, which all instances get, or its reports to
@@ -95,8 +99,9 @@
 	delete(p.peers, from)
 }
 
-// dropExpired removes loads that are too old.
+// dropExpired removes loads and rejections that are too old.
 func (p *Pool) dropExpired(now time.Time) {
+	p.dropOldRejections(now)
 	for from, peer := range p.peers {
 		if now.Sub(peer.at) > p.Settings.PeerLoadTTL {
 			p.dropLoads(from)
@@ -123,6 +128,7 @@
 	others := total.minus(u.reported)
 	u.holderLoad = Load{
 		Running: max(others.Running, 0), PromptTokens: max(others.PromptTokens, 0), MemoryTokens: max(others.MemoryTokens, 0), AwaitingTokens: max(others.AwaitingTokens, 0),
+		Rejected: max(others.Rejected, 0),
 	}
 	u.holderLoadAt = at
 }
@@ -180,7 +186,7 @@
 	loads := make(map[string]Load)
 	for u := range p.active {
 		id := u.declared.ID
-		if own := u.own; own.isInFlight() && selected(id) {
+		if own := u.own; (own.isInFlight() || own.Rejected > 0) && selected(id) {
 			own.InUse = u.inUse()
 			loads[id] = own
 		}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -77,6 +77,8 @@
 	SlotWait time.Duration
 	// Cold: the upstream is cold, and its holder has to admit the request first, to limit the rate.
 	Cold bool
+	// Brittle: the upstream is brittle, and its holder has to admit the request first, so that it has room.
+	Brittle bool
 	// LoadStale: the load that the holder reported is so old that it is worth asking the holder again before the
 	// request is sent.
 	LoadStale bool
--- a/internal/placement/pool/service_stats.go
+++ b/internal/placement/pool/service_stats.go
@@ -24,6 +24,9 @@
 	// capacityAt.
 	capacity   float64
 	capacityAt time.Time
+	// brittle is what the last response to this instance stated, and peerBrittle what another instance stated last.
+	brittle     statedBrittleness
+	peerBrittle statedBrittleness
 	// nextRetry is when the next refused caller may retry.
 	nextRetry time.Time
 	// standingSince is the start of a standing queue: a request was late because of the queue, and none has found a
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -64,6 +64,7 @@
 	unreachableUntil time.Time
 	servedAt         time.Time
 	cold             cold
+	brittle          brittleUpstream
 	// indirect: this instance has lost its link there, and sends through another instance.
 	indirect bool
 	// retryAt is when an upstream that could not be reached is tried again.
@@ -187,6 +188,7 @@
 	case EndRefused:
 		u.countResult(now, refusalWeight)
 		p.recordRefusal(now, attempt)
+		p.recordRejection(now, u)
 	case EndUnreachable:
 		u.countResult(now, 1)
 		u.backoff = min(max(2*u.backoff, minBackoff), maxBackoff)
