Let connections outlast a second of silence

Callers of a sound upstream that is silent for a second and goes on lost their requests: TCP_USER_TIMEOUT was 0.9 s. It also decides when keep-alive probes give up, whatever their count, so a quiet connection was closed one second after a single unanswered probe, although the settings say two.

The time-out now follows from the probes: longer than all but the last of them take, 2.5 s. A connection that stopped working is noticed after 2.5 to 3 s in place of 0.9 to 2 s; requests that may run again have time-outs of their own (0.4 and 1.2 s), the store's calls too (0.6 s), and links between instances count heartbeats. gRPC sets TCP_USER_TIMEOUT by itself, to its keep-alive time-out of 1 s; that stays, and its comment says so.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -17,7 +17,8 @@
 const (
 	// keepaliveInterval and keepaliveTimeout detect a dead connection while new connections to the peer work, if the
 	// failure counting in RecordHeartbeat does not. Each call on it would time out. The interval is the shortest that
-	// gRPC accepts.
+	// gRPC accepts. gRPC also sets the time-out as TCP_USER_TIMEOUT: a peer that acknowledges nothing for that long
+	// loses its connection, as its heartbeats are missing by then.
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 1 * time.Second
 	// minKeepaliveInterval is the shortest ping interval that a server accepts; gRPC closes the connection of a peer
--- a/internal/gateway/socket/socket.go
+++ b/internal/gateway/socket/socket.go
@@ -15,12 +15,15 @@
 )
 
 const (
-	// userTimeout is how long sent bytes may stay unacknowledged. Lost packets are retransmitted within some 200 ms, so
-	// two losses in a row are tolerated on paths with a delay of some milliseconds.
-	userTimeout = 900 * time.Millisecond
-	// keepAliveIdle and keepAliveInterval are whole seconds, the smallest unit that the kernel supports.
+	// keepAliveIdle and keepAliveInterval are whole seconds, the smallest unit that the kernel supports. After
+	// keepAliveCount probes without an answer the connection is closed: one may be lost.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// userTimeout is how long sent bytes may stay unacknowledged. It also decides when keep-alive probes give up, in place
+	// of their count, so it is longer than all but the last probe take. Otherwise one lost probe, or a process that is
+	// silent for a second and goes on, would cost the connection and the requests on it.
+	userTimeout = keepAliveIdle + (keepAliveCount-1)*keepAliveInterval + keepAliveInterval/2
 )
 
 // HandshakeTimeout bounds the handshake on an accepted connection. Between instances a handshake takes some
@@ -39,7 +42,7 @@
 }
 
 func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 2}
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
 // Control sets TCP_USER_TIMEOUT, which bounds how long sent bytes may stay unacknowledged.
