Keep holders and links through a second of silence

TestSilenceOfASecondChangesNoHolder, new: all upstreams are silent for 1.1 s, three times. Attempts from before a link was regained do not count now (TestAttemptFromBeforeTheLinkHealedDoesNotCount). - A holder that found its upstream unreachable because its link was lost did not fetch a report afterwards, so the upstream stayed unreachable for all until the next order.

--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -145,3 +145,41 @@
 	still, _ := s.get(key)
 	is.Equal(still.Revision, after.Revision) // one change of holder, and none back
 }
+
+// Guards against a fleet that takes an upstream for gone, or gives it a new holder, because it is silent for a second and
+// goes on: each change costs the requests that wait for its adapters.
+func TestSilenceOfASecondChangesNoHolder(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore()
+	fleet := startFleet(t, s, "a", "b", "c")
+	revisions := func() (list []int64) {
+		for number := range 3 {
+			item, found := s.get(fmt.Sprint("fleet/holders/engine", number))
+			is.True(found)
+			list = append(list, item.Revision)
+		}
+		return list
+	}
+	eventually(t, 4*time.Second, "all engines have holders", func() bool { _, found := s.get("fleet/holders/engine2"); return found })
+	before := revisions()
+	for range 3 {
+		for _, member := range fleet {
+			member.links.set(linksSilent)
+		}
+		for begun := time.Now(); time.Since(begun) < 1100*time.Millisecond; {
+			for _, member := range fleet {
+				member.generate("warm")
+			}
+		}
+		for _, member := range fleet {
+			member.links.set(linksWhole)
+		}
+		for _, member := range fleet {
+			eventually(t, 1500*time.Millisecond, member.name+" serves again", func() bool {
+				return member.status("/p/") == 200 && member.generate("warm") == 200
+			})
+		}
+	}
+	is.Equal(revisions(), before)
+}
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -80,7 +80,7 @@
 func (h *heldUpstream) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if h.pathInDoubt.Swap(false) {
-			h.applyPath(ctx, h.pathAfter(ctx, true))
+			h.resolvePath(ctx)
 		}
 		h.verifyQuietLink(time.Now())
 		switch step := h.next().(type) {
@@ -227,12 +227,30 @@
 	h.notifyWaiters()
 }
 
+// resolvePath finds out how the upstream can be reached. If it is unreachable, its report is fetched until one arrives.
+func (h *heldUpstream) resolvePath(ctx context.Context) {
+	reached := h.pathAfter(ctx, true)
+	h.applyPath(ctx, reached)
+	if reached == pathNone {
+		h.mutex.Lock()
+		h.planner.ReportFailed(time.Now())
+		h.mutex.Unlock()
+		h.updateOwnPool()
+	}
+}
+
 // applyPath records how the upstream can be reached. If only other instances reach it, this one hands it over.
 func (h *heldUpstream) applyPath(ctx context.Context, reached path) {
 	h.setUnreachable(reached == pathNone)
-	if reached == pathPeer && h.node.links.isLost(h.upstream.ID) {
-		h.handOver(ctx)
+	if reached != pathPeer || !h.node.links.isLost(h.upstream.ID) {
+		return
+	}
+	// An upstream that was silent for a second for all may have answered the peer just now.
+	if connection, err := h.node.dialDirect(ctx, h.upstream, probeTimeout); err == nil {
+		connection.Close()
+		return
 	}
+	h.handOver(ctx)
 }
 
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -103,22 +103,23 @@
 func (n *Node) dialDirect(ctx context.Context, upstream traffic.Upstream, timeout time.Duration) (net.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	connection, err := n.DialUpstream(dialCtx, upstream.Address)
 	if ctx.Err() == nil {
-		n.recordLink(upstream, err)
+		n.recordLink(upstream, began, err)
 	}
 	return connection, err
 }
 
-// recordLink records whether this instance could connect to an upstream. If its link is lost, the idle connections there
+// recordLink records whether this instance could connect to an upstream, by an attempt that began some time ago. If its link is lost, the idle connections there
 // are closed, as a request on one of them would wait in vain, and the others are notified.
-func (n *Node) recordLink(upstream traffic.Upstream, err error) {
+func (n *Node) recordLink(upstream traffic.Upstream, began time.Time, err error) {
 	now := time.Now()
 	lost := err != nil
 	n.links.mutex.Lock()
 	changed := false
 	if lost {
-		changed = n.links.tracker.RecordLost(now, upstream.ID)
+		changed = n.links.tracker.RecordLost(now, began, upstream.ID)
 	} else {
 		changed = n.links.tracker.RecordReached(now, upstream.ID)
 	}
--- a/internal/entry/node/upstream_links_test.go
+++ b/internal/entry/node/upstream_links_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,23 +80,33 @@
 // linkConnection is a connection over a link.
 type linkConnection struct {
 	net.Conn
-	links *upstreamLinks
+	links  *upstreamLinks
+	closed atomic.Bool
+}
+
+// Close closes the connection.
+func (c *linkConnection) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// awaitLink waits while the link is silent.
+func (c *linkConnection) awaitLink() {
+	for c.links.is(linksSilent) && !c.closed.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // Read returns nothing while the link is silent.
 func (c *linkConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for c.links.is(linksSilent) && err == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	c.awaitLink()
 	return n, err
 }
 
-// Write drops what is written while the link is silent.
+// Write sends nothing while the link is silent.
 func (c *linkConnection) Write(p []byte) (int, error) {
-	if c.links.is(linksSilent) {
-		return len(p), nil
-	}
+	c.awaitLink()
 	return c.Conn.Write(p)
 }
 
--- a/internal/placement/reach/tracker.go
+++ b/internal/placement/reach/tracker.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +37,8 @@
 
 	// lost are the upstreams that this instance cannot connect to, with the time of the next probe.
 	lost map[string]time.Time
+	// reached is when this instance last connected to an upstream whose link had been lost.
+	reached map[string]time.Time
 	// unreached are the upstreams that each peer states it cannot connect to.
 	unreached map[string]map[string]bool
 	// failed is when a peer last could not connect to an upstream for this instance.
@@ -45,8 +48,12 @@
 // hop is a peer on the way to an upstream.
 type hop struct{ peer, upstream string }
 
-// RecordLost records that this instance could not connect to an upstream, and reports whether that is new.
-func (t *Tracker) RecordLost(now time.Time, upstream string) (changed bool) {
+// RecordLost records that this instance could not connect to an upstream, and reports whether that is new. An attempt
+// that began before a link was regained does not count: it shows only that the link was lost then.
+func (t *Tracker) RecordLost(now, began time.Time, upstream string) (changed bool) {
+	if began.Before(t.reached[upstream]) {
+		return false
+	}
 	if t.lost == nil {
 		t.lost = make(map[string]time.Time)
 	}
@@ -62,6 +69,10 @@
 		return false
 	}
 	delete(t.lost, upstream)
+	if t.reached == nil {
+		t.reached = make(map[string]time.Time)
+	}
+	t.reached[upstream] = now
 	for other := range t.lost {
 		t.lost[other] = now
 	}
@@ -161,9 +172,7 @@
 
 // Keep forgets all upstreams except the given ones.
 func (t *Tracker) Keep(upstreams map[string]bool) {
-	for upstream := range t.lost {
-		if !upstreams[upstream] {
-			delete(t.lost, upstream)
-		}
+	for _, times := range []map[string]time.Time{t.lost, t.reached} {
+		maps.DeleteFunc(times, func(upstream string, _ time.Time) bool { return !upstreams[upstream] })
 	}
 }
