Never let the HTTP client send a request again by itself

The library's transport sends a request with a safe method again when a reused connection breaks before the response. If the second connection failed, the error was that of connecting, so a request that had reached its upstream counted as not sent; if it worked, the second run counted in no budget.

Now an exchange notes when its request was written. After that a second connection ends the exchange, and a failure to connect does not count as 'not connected'. Calls on new connections have a transport that keeps none.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -42,7 +42,19 @@
 	KeepsConnections func(upstream string) bool
 
 	mutex      sync.Mutex
-	transports map[string]*http.Transport
+	transports map[string]transports
+}
+
+// transports are the HTTP clients of one upstream. The library may use an idle connection for any request, also one that
+// asks for its connection to be closed afterwards, so calls on new connections have a client that keeps none.
+type transports struct {
+	reusing *http.Transport
+	single  *http.Transport
+}
+
+func (t transports) closeIdle() {
+	t.reusing.CloseIdleConnections()
+	t.single.CloseIdleConnections()
 }
 
 // Response is an upstream's response whose body has not been read yet.
@@ -66,7 +78,6 @@
 		Host:          outgoing.Host,
 		Header:        c.Dialect.RequestHeader(outgoing, attempt),
 		ContentLength: int64(len(outgoing.Body)),
-		Close:         newConnection || !c.KeepsConnections(upstream.ID),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -77,10 +88,14 @@
 	if _, stated := request.Header["User-Agent"]; !stated {
 		request.Header["User-Agent"] = nil // otherwise net/http adds its own
 	}
-	response, err := c.transport(upstream).RoundTrip(request.WithContext(ctx))
+	exchange := newExchange(ctx)
+	transport := c.transport(upstream, newConnection || !c.KeepsConnections(upstream.ID))
+	response, err := transport.RoundTrip(request.WithContext(exchange.ctx))
 	if err != nil {
-		return nil, classify(err)
+		exchange.cancel(nil)
+		return nil, exchange.classify(err)
 	}
+	response.Body = &exchangeBody{ReadCloser: response.Body, exchange: exchange}
 	result = &Response{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -112,8 +127,8 @@
 func (c *Client) CloseIdle(id string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if transport, found := c.transports[id]; found {
-		transport.CloseIdleConnections()
+	if known, found := c.transports[id]; found {
+		known.closeIdle()
 	}
 }
 
@@ -121,9 +136,9 @@
 func (c *Client) CloseIdleExcept(ids map[string]bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for id, transport := range c.transports {
+	for id, known := range c.transports {
 		if !ids[id] {
-			transport.CloseIdleConnections()
+			known.closeIdle()
 			delete(c.transports, id)
 		}
 	}
@@ -131,13 +146,26 @@
 
 // ---------------------------------------------------------------------------------------------
 
-func (c *Client) transport(upstream traffic.Upstream) *http.Transport {
+func (c *Client) transport(upstream traffic.Upstream, newConnection bool) *http.Transport {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if transport, found := c.transports[upstream.ID]; found {
-		return transport
+	known, found := c.transports[upstream.ID]
+	if !found {
+		known = transports{reusing: c.newTransport(upstream), single: c.newTransport(upstream)}
+		known.single.DisableKeepAlives = true
+		if c.transports == nil {
+			c.transports = make(map[string]transports)
+		}
+		c.transports[upstream.ID] = known
+	}
+	if newConnection {
+		return known.single
 	}
-	transport := &http.Transport{
+	return known.reusing
+}
+
+func (c *Client) newTransport(upstream traffic.Upstream) *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			connection, err := c.Dial(ctx, upstream)
 			if err != nil {
@@ -149,20 +177,7 @@
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 	}
-	if c.transports == nil {
-		c.transports = make(map[string]*http.Transport)
-	}
-	c.transports[upstream.ID] = transport
-	return transport
 }
 
 // dialError marks an error of opening a connection.
 type dialError struct{ error }
-
-func classify(err error) error {
-	var dial dialError
-	if errors.As(err, &dial) {
-		return errors.WithMessage(ErrNotConnected, err.Error())
-	}
-	return errors.WithMessage(ErrBrokenResponse, err.Error())
-}
