Send lost links and brittle services with the regular state

Each change of a link and each news of brittle upstreams made an instance send its whole state at once. In a fleet of up to 11 that gains nothing, as states go out each 250 ms; in one of 195, where a crash of an upstream is a lost link at each instance, it would send all states to all at the same moment. A peer that is asked to connect and has lost its own link says so within milliseconds, and news of brittle upstreams comes with each response.

A state lists at most 100 lost links.

--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -221,6 +221,3 @@
 
 // PublishSpent sends the usage that this instance has admitted to the other instances immediately.
 func (n *Node) PublishSpent() { n.overlay.requestSpentSend() }
-
-// PublishState sends the state of this instance to the other instances immediately.
-func (n *Node) PublishState() { n.overlay.requestStateSend() }
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -33,6 +33,9 @@
 	// because a peer has lost its own.
 	maxProbes   = 4
 	maxVerified = 32
+	// maxStatedLost bounds the lost links in the state of an instance, which all others receive. A peer that is asked to
+	// connect to one of the rest says so.
+	maxStatedLost = 100
 )
 
 // links are the links of this instance to upstreams, and the connections that it has open for peers.
@@ -111,8 +114,8 @@
 	return connection, err
 }
 
-// recordLink records whether this instance could connect to an upstream, by an attempt that began some time ago. If its link is lost, the idle connections there
-// are closed, as a request on one of them would wait in vain, and the others are notified.
+// recordLink records whether this instance could connect to an upstream, by an attempt that began some time ago. If its
+// link is lost, the idle connections there are closed, as a request on one of them would wait in vain.
 func (n *Node) recordLink(upstream traffic.Upstream, began time.Time, err error) {
 	now := time.Now()
 	lost := err != nil
@@ -132,7 +135,6 @@
 	n.scope.Gauge("lost_upstream_links").Update(float64(count))
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.SetIndirect(upstream.ID, lost) })
 	n.forward.CloseIdle(upstream.ID)
-	n.overlay.requestStateSend()
 	if !lost {
 		return
 	}
@@ -204,11 +206,12 @@
 	return upstream, declared
 }
 
-// unreached lists the upstreams to which this instance cannot connect.
+// unreached lists upstreams to which this instance cannot connect, for its state.
 func (n *Node) unreached() []string {
 	n.links.mutex.Lock()
 	defer n.links.mutex.Unlock()
-	return n.links.tracker.Lost()
+	lost := n.links.tracker.Lost()
+	return lost[:min(len(lost), maxStatedLost)]
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -220,15 +220,13 @@
 	return relay.run()
 }
 
-// recordBrittleness records whether the upstream states that it is brittle. News is sent to the other instances at once:
-// those that get few responses there would learn it late.
+// recordBrittleness records whether the upstream states that it is brittle.
 func (j *job) recordBrittleness(info call.ResponseInfo) {
 	stated := pool.Brittleness{Brittle: info.Brittle, Rejections: info.Rejections}
 	news := false
 	j.handler.State.WithLock(func(state *SharedState) { news = state.Pool.RecordBrittleness(time.Now(), j.service, stated) })
 	if news {
 		j.handler.Log.Info().Str("Service", j.service).Bool("Brittle", info.Brittle).Int("Rejections", info.Rejections).Msg("Brittleness")
-		j.handler.Fleet.PublishState()
 	}
 }
 
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -50,7 +50,6 @@
 func (f *fleet) NewestVersion(traffic.Adapter) (int64, bool) { return 0, false }
 func (f *fleet) QueryHolder(context.Context, string)         {}
 func (f *fleet) VerifyLink(traffic.Upstream)                 {}
-func (f *fleet) PublishState()                               {}
 func (f *fleet) ConfirmedAge() time.Duration                 { return 0 }
 func (f *fleet) MayBeStale() bool                            { return f.stale }
 func (f *fleet) PublishSpent()                               {}
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -45,8 +45,6 @@
 	QueryHolder(ctx context.Context, upstream string)
 	// PublishSpent sends the totals that this instance has admitted to the other instances at once.
 	PublishSpent()
-	// PublishState sends the state of this instance to the other instances at once.
-	PublishState()
 	// NotifyHolder reports to the holder that the load of this instance at the upstream has changed (preparation,
 	// attempt or first event).
 	NotifyHolder(upstream string)
