List the peers for a connection only when they are needed

Each new connection to an upstream asked for the liveness of all instances and sorted them, though nearly all connections are opened directly, within the head start. The list is made when the direct attempt has failed, takes long or is the last one. No measurement alone; the package's tests pass with the race detector.

--- a/internal/entry/node/connection_race.go
+++ b/internal/entry/node/connection_race.go
@@ -39,7 +39,12 @@
 type connectionRace struct {
 	node     *Node
 	upstream traffic.Upstream
-	results  chan connectionResult
+	// waiting are the attempts that have not been started.
+	waiting []connectionAttempt
+	// peersListed: the attempts through peers are among those that were waiting. They are listed when they are needed, as
+	// most connections are opened directly.
+	peersListed bool
+	results     chan connectionResult
 	// over is closed when nobody receives results any more.
 	over chan struct{}
 }
@@ -50,8 +55,14 @@
 	err        error
 }
 
+// newConnectionRace returns a race whose first attempt is the direct one, unless that link is lost: then it is the last.
 func newConnectionRace(n *Node, upstream traffic.Upstream) *connectionRace {
-	return &connectionRace{node: n, upstream: upstream, results: make(chan connectionResult), over: make(chan struct{})}
+	r := &connectionRace{node: n, upstream: upstream, results: make(chan connectionResult), over: make(chan struct{})}
+	if n.links.isLost(upstream.ID) {
+		r.listPeers()
+	}
+	r.waiting = append(r.waiting, connectionAttempt{race: r})
+	return r
 }
 
 // connect returns the first connection. If there is none, the error is that of the direct attempt: it tells whether the
@@ -60,36 +71,47 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout+headStart)
 	defer cancel()
 	defer close(r.over)
-	waiting := r.attempts()
 	running := 0
 	err := errNoPath
-	for len(waiting) > 0 || running > 0 {
-		if len(waiting) > 0 {
-			go waiting[0].run(ctx)
-			waiting = waiting[1:]
+	for ctx.Err() == nil {
+		if r.startNext(ctx) {
 			running++
 		}
-		result, ended := r.await(ctx, len(waiting) > 0)
-		switch {
-		case ended && result.err == nil:
-			return result.connection, result.path, nil
-		case ended && result.path == pathDirect:
-			err = result.err
+		if running == 0 {
+			break
 		}
-		if ended {
-			running--
+		result, ended := r.await(ctx)
+		if !ended {
+			continue
 		}
-		if ctx.Err() != nil {
-			break
+		running--
+		if result.err == nil {
+			return result.connection, result.path, nil
+		}
+		if result.path == pathDirect {
+			err = result.err
 		}
 	}
 	return nil, pathNone, err
 }
 
-// await waits for the next result. If more attempts are waiting, it returns without one after the head start.
-func (r *connectionRace) await(ctx context.Context, more bool) (result connectionResult, ended bool) {
+// startNext starts the next attempt, and reports whether there was one.
+func (r *connectionRace) startNext(ctx context.Context) bool {
+	if len(r.waiting) == 0 && !r.peersListed {
+		r.listPeers()
+	}
+	if len(r.waiting) == 0 {
+		return false
+	}
+	go r.waiting[0].run(ctx)
+	r.waiting = r.waiting[1:]
+	return true
+}
+
+// await waits for the next result. If more attempts may be waiting, it returns without one after the head start.
+func (r *connectionRace) await(ctx context.Context) (result connectionResult, ended bool) {
 	var next <-chan time.Time
-	if more {
+	if len(r.waiting) > 0 || !r.peersListed {
 		next = time.After(headStart)
 	}
 	select {
@@ -101,18 +123,12 @@
 	return result, false
 }
 
-// attempts lists the ways to connect: the direct one first, unless its link is lost.
-func (r *connectionRace) attempts() []connectionAttempt {
-	n := r.node
-	direct := connectionAttempt{race: r}
-	var throughPeers []connectionAttempt
-	for _, peer := range n.peersFor(r.upstream) {
-		throughPeers = append(throughPeers, connectionAttempt{race: r, peer: peer.Name, address: peer.Address})
-	}
-	if n.links.isLost(r.upstream.ID) {
-		return append(throughPeers, direct)
+// listPeers adds the attempts through peers.
+func (r *connectionRace) listPeers() {
+	r.peersListed = true
+	for _, peer := range r.node.peersFor(r.upstream) {
+		r.waiting = append(r.waiting, connectionAttempt{race: r, peer: peer.Name, address: peer.Address})
 	}
-	return append([]connectionAttempt{direct}, throughPeers...)
 }
 
 // connectionAttempt is one way to connect: directly if peer is empty.
