Hand over after a wait where fences are not checked

A holder that has lost its link keeps the upstream until none of its orders can arrive any more where fences are not checked. If nothing was ordered meanwhile, as nobody waits for adapters at a holder without its link, it did not try again until its report was ten seconds old.

--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/entry/node"
 )
 
 // contactTime is how long after the links of an instance were cut its callers may be served worse than those of others.
@@ -25,21 +27,28 @@
 func startFleet(t *testing.T, s *store, names ...string) (fleet []*instance) {
 	t.Helper()
 	upstream := func(t *testing.T) string { return newUpstream(t, 5*time.Millisecond) }
-	return startFleetBefore(t, s, &engines{}, upstream, names...)
+	return startFleetBefore(t, s, fleetOptions{shared: &engines{}, upstream: upstream, change: func(*node.Settings) {}}, names...)
+}
+
+// fleetOptions are the engines' state, a function that starts an upstream, and a change of the settings.
+type fleetOptions struct {
+	shared   *engines
+	upstream func(t *testing.T) string
+	change   func(*node.Settings)
 }
 
-// startFleetBefore is startFleet with the engines' state and a function that starts an upstream.
-func startFleetBefore(t *testing.T, s *store, shared *engines, upstream func(t *testing.T) string, names ...string) (fleet []*instance) {
+// startFleetBefore is startFleet with options.
+func startFleetBefore(t *testing.T, s *store, options fleetOptions, names ...string) (fleet []*instance) {
 	t.Helper()
 	s.put(keyConfiguration, configuration(1, "/p/"))
 	for number := range 2 {
-		s.put(fmt.Sprintf("%sapp%d", prefixUpstreams, number), upstreamEntry("app", upstream(t)))
+		s.put(fmt.Sprintf("%sapp%d", prefixUpstreams, number), upstreamEntry("app", options.upstream(t)))
 	}
 	for number := range 3 {
-		s.put(fmt.Sprintf("%sengine%d", prefixUpstreams, number), upstreamEntry("llm", upstream(t)))
+		s.put(fmt.Sprintf("%sengine%d", prefixUpstreams, number), upstreamEntry("llm", options.upstream(t)))
 	}
 	for _, name := range names {
-		fleet = append(fleet, startWith(t, s, name, shared))
+		fleet = append(fleet, startWith(t, s, name, options.shared, options.change))
 	}
 	for _, member := range fleet {
 		eventually(t, 5*time.Second, member.name+" serves", func() bool {
@@ -124,33 +133,46 @@
 }
 
 // Guards against a holder that takes an upstream from all instances because it has lost its own link there: the upstream
-// idles, no adapter is loaded there, and callers of the other instances are refused.
+// idles, no adapter is loaded there, and callers of the other instances are refused. Where fencing tokens are not checked,
+// the holder first waits until none of its orders can arrive any more.
 func TestHolderThatIsCutOffHandsItsUpstreamsOver(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	s := newStore()
-	fleet := startFleet(t, s, "a", "b", "c")
-	key := "fleet/holders/engine0"
-	eventually(t, 4*time.Second, "the engine has a holder", func() bool { _, found := s.get(key); return found })
-	before, _ := s.get(key)
-	var holder *instance
-	for _, member := range fleet {
-		if strings.Contains(string(before.Value), fmt.Sprintf("%q", member.name)) {
-			holder = member
-		}
+	const returnAfter = time.Second
+	for _, c := range []struct {
+		name    string
+		checked bool
+		within  time.Duration
+	}{{"fences checked", true, contactTime}, {"fences not checked", false, contactTime + returnAfter}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore()
+			upstream := func(t *testing.T) string { return newUpstream(t, 5*time.Millisecond) }
+			fleet := startFleetBefore(t, s, fleetOptions{shared: &engines{}, upstream: upstream, change: func(settings *node.Settings) {
+				settings.Upstreams = node.UpstreamSettings{FencesChecked: c.checked, ReturnAfter: returnAfter}
+			}}, "a", "b", "c")
+			key := "fleet/holders/engine0"
+			eventually(t, 4*time.Second, "the engine has a holder", func() bool { _, found := s.get(key); return found })
+			before, _ := s.get(key)
+			var holder *instance
+			for _, member := range fleet {
+				if strings.Contains(string(before.Value), fmt.Sprintf("%q", member.name)) {
+					holder = member
+				}
+			}
+			holder.links.set(linksSilent)
+			callers := 0
+			eventually(t, c.within, "another instance is the holder", func() bool {
+				callers++
+				fleet[callers%len(fleet)].generate(fmt.Sprintf("new%d", callers%10))
+				now, found := s.get(key)
+				return found && !strings.Contains(string(now.Value), fmt.Sprintf("%q", holder.name))
+			})
+			after, _ := s.get(key)
+			time.Sleep(contactTime)
+			still, _ := s.get(key)
+			is.Equal(still.Revision, after.Revision) // one change of holder, and none back
+		})
 	}
-	holder.links.set(linksSilent)
-	callers := 0
-	eventually(t, contactTime, "another instance is the holder", func() bool {
-		callers++
-		fleet[callers%len(fleet)].generate(fmt.Sprintf("new%d", callers%10))
-		now, found := s.get(key)
-		return found && !strings.Contains(string(now.Value), fmt.Sprintf("%q", holder.name))
-	})
-	after, _ := s.get(key)
-	time.Sleep(contactTime)
-	still, _ := s.get(key)
-	is.Equal(still.Revision, after.Revision) // one change of holder, and none back
 }
 
 // Guards against a fleet that takes an upstream for gone, or gives it a new holder, because it is silent for a second and
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -71,8 +71,8 @@
 	return startWith(t, s, name, &engines{})
 }
 
-// startWith starts an instance before engines that it shares with others.
-func startWith(t testing.TB, s *store, name string, shared *engines) *instance {
+// startWith starts an instance before engines that it shares with others, with changes of its settings.
+func startWith(t testing.TB, s *store, name string, shared *engines, changes ...func(*node.Settings)) *instance {
 	t.Helper()
 	i := &instance{name: name, client: &client{store: s}, ended: make(chan error, 1), log: &logBuffer{}, links: &upstreamLinks{}}
 	i.settings = node.Settings{
@@ -85,6 +85,9 @@
 		Upstreams: node.UpstreamSettings{FencesChecked: true},
 		Retries:   node.RetrySettings{Ratio: 0.2, Slack: 54},
 	}
+	for _, change := range changes {
+		change(&i.settings)
+	}
 	i.reload = func() (node.Settings, error) { return i.settings, nil }
 	n := &node.Node{
 		Settings: i.settings, Store: i.client, Decoder: decoder{}, Dialect: dialect{},
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -13,7 +13,6 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
 	"lacewingrock.example/lacewingrock/internal/placement/turn"
-	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // held_upstream.go carries out the decisions of the planner at one upstream that this instance holds.
@@ -98,23 +97,6 @@
 	}
 }
 
-// maxQuiet is how long a holder may have no response from an upstream before it checks its link.
-const maxQuiet = time.Second
-
-// verifyQuietLink checks the link of this instance if nothing has come from the upstream for a while. Without requests it
-// would notice a lost link only when an adapter has to be loaded, and the request would wait for another holder.
-func (h *heldUpstream) verifyQuietLink(now time.Time) {
-	answered := false
-	h.node.sharedState.WithLock(func(state *serve.SharedState) { answered = state.Pool.AnsweredRecently(now, h.upstream.ID) })
-	if answered {
-		h.checkedAt = now
-	}
-	if now.Sub(h.checkedAt) > maxQuiet && !h.node.links.isLost(h.upstream.ID) {
-		h.checkedAt = now
-		h.node.VerifyLink(h.upstream)
-	}
-}
-
 func (h *heldUpstream) isFenced() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -208,51 +190,6 @@
 	h.updateOwnPool()
 }
 
-// pathAfter returns how the upstream can be reached if a call to it failed. A missing response to an order or a report
-// does not prove that it is unreachable: a working upstream may lose responses or carry out orders late.
-func (h *heldUpstream) pathAfter(ctx context.Context, failed bool) path {
-	if !failed {
-		h.checkedAt = time.Now()
-		return pathDirect
-	}
-	return h.node.findPath(ctx, h.upstream)
-}
-
-// checkPath makes the loop check how the upstream can be reached, because the link of this instance is lost.
-func (h *heldUpstream) checkPath() {
-	h.pathInDoubt.Store(true)
-	h.wakeLoop()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.notifyWaiters()
-}
-
-// resolvePath finds out how the upstream can be reached. If it is unreachable, its report is fetched until one arrives.
-func (h *heldUpstream) resolvePath(ctx context.Context) {
-	reached := h.pathAfter(ctx, true)
-	h.applyPath(ctx, reached)
-	if reached == pathNone {
-		h.mutex.Lock()
-		h.planner.ReportFailed(time.Now())
-		h.mutex.Unlock()
-		h.updateOwnPool()
-	}
-}
-
-// applyPath records how the upstream can be reached. If only other instances reach it, this one hands it over.
-func (h *heldUpstream) applyPath(ctx context.Context, reached path) {
-	h.setUnreachable(reached == pathNone)
-	if reached != pathPeer || !h.node.links.isLost(h.upstream.ID) {
-		return
-	}
-	// An upstream that was silent for a second for all may have answered the peer just now.
-	if connection, err := h.node.dialDirect(ctx, h.upstream, probeTimeout); err == nil {
-		connection.Close()
-		return
-	}
-	h.handOver(ctx)
-}
-
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
 // immediately, so that they can be served elsewhere while there is still time.
 func (h *heldUpstream) setUnreachable(unreachable bool) {
@@ -294,33 +231,6 @@
 	return prepared
 }
 
-// maxRoomWait bounds how long a request waits until a brittle upstream has room, before it is tried elsewhere.
-const maxRoomWait = 60 * time.Millisecond
-
-// awaitRoom waits until the upstream has room for a request, if that is expected to be soon.
-func (h *heldUpstream) awaitRoom(ctx context.Context, deadline time.Time) (wait time.Duration, admitted bool) {
-	if latest := time.Now().Add(maxRoomWait); latest.Before(deadline) {
-		deadline = latest
-	}
-	for {
-		wait, admitted = h.admit()
-		if admitted || time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
-			return wait, admitted
-		}
-	}
-}
-
-// admit counts a request against the load that the upstream can take while it is cold or brittle.
-func (h *heldUpstream) admit() (wait time.Duration, admitted bool) {
-	h.node.sharedState.WithLock(func(state *serve.SharedState) {
-		now := time.Now()
-		if wait, admitted = state.Pool.AdmitCold(now, h.upstream.ID); admitted {
-			wait, admitted = state.Pool.AdmitBrittle(now, h.upstream.ID)
-		}
-	})
-	return wait, admitted
-}
-
 // loadAdapter waits until the adapter is loaded. A request that cannot get it before its deadline is refused
 // immediately: it may find capacity elsewhere, or its caller can retry later.
 func (h *heldUpstream) loadAdapter(ctx context.Context, request mesh.PrepareRequest, deadline time.Time) mesh.PrepareResult {
--- a/internal/entry/node/link_soak_test.go
+++ b/internal/entry/node/link_soak_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/entry/node"
 )
 
 // link_soak_test.go cuts links to upstreams at random: at some instances, all but one or all, in series and overlapping.
@@ -154,7 +156,8 @@
 			s := &linkSoak{
 				t: t, random: rand.New(rand.NewPCG(seed, 0)), counts: counts, stop: make(chan struct{}), statuses: map[string]int{},
 			}
-			s.fleet = startFleetBefore(t, store, shared, counts.upstream, "a", "b", "c", "d")
+			options := fleetOptions{shared: shared, upstream: counts.upstream, change: func(*node.Settings) {}}
+			s.fleet = startFleetBefore(t, store, options, "a", "b", "c", "d")
 			defer s.end()
 			for _, member := range s.fleet {
 				for caller := range callersEach {
