Log connections through peers with the request's id

An operator could not follow a request over both instances: its lines stand at the one that took it, and the peer that carried its connection wrote nothing. ConnectedThroughPeer, PeerNotConnected and ConnectedForPeer have the id now, which the request for a connection carries; a test looks for both lines. Comments that said 'turn away' say reject.

--- a/internal/entry/node/connection_race.go
+++ b/internal/entry/node/connection_race.go
@@ -8,8 +8,10 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/reach"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // connection_race.go tries the ways to connect to an upstream, one after the other with a short head start each, as
@@ -65,7 +67,7 @@
 	return r
 }
 
-// connect returns the first connection. If there is none, the error is that of the direct attempt: it tells whether the
+// connect returns the first connection. If there is none, the error is that of the direct attempt: it shows whether the
 // upstream refuses connections.
 func (r *connectionRace) connect(ctx context.Context) (net.Conn, path, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout+headStart)
@@ -159,12 +161,18 @@
 		return result
 	}
 	result.path = pathPeer
-	request := mesh.ConnectRequest{Upstream: upstream.ID, Instance: n.self.Name}
-	result.connection, result.err = n.peers.Connect(ctx, a.address, request)
-	if result.err != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		n.Log.Info().Str("Upstream", upstream.ID).Str("Peer", a.peer).Err(result.err).Msg("PeerNotConnected")
+	id := call.IDOf(ctx)
+	result.connection, result.err = n.peers.Connect(ctx, a.address, mesh.ConnectRequest{Upstream: upstream.ID, Instance: n.self.Name, CallID: id})
+	event := "ConnectedThroughPeer"
+	switch {
+	case result.err == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		return result // another attempt was faster
+	default:
+		event = "PeerNotConnected"
 		n.links.recordPeerFailed(a.peer, upstream.ID)
 	}
+	n.Log.Info().Str(logline.FieldRequest, id).Str(logline.FieldUpstream, upstream.ID).Str("Peer", a.peer).Err(result.err).Msg(event)
 	return result
 }
 
--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -53,11 +53,11 @@
 	}
 }
 
-// maxOthersProbed bounds the other upstreams that are probed to tell a crash from lost links.
+// maxOthersProbed bounds the other upstreams that are probed to distinguish a crash from lost links.
 const maxOthersProbed = 3
 
 // isCutOff reports whether this instance reaches none of some other upstreams either. Links that are reset refuse
-// connections like an upstream that has crashed, and if the peers have lost theirs too, they cannot tell either. Crashes
+// connections like an upstream that has crashed, and if the peers have lost theirs too, they cannot distinguish the two. Crashes
 // that are counted by mistake get the requests of innocent callers refused.
 func (n *Node) isCutOff(ctx context.Context, id string) bool {
 	var others []traffic.Upstream
--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -110,6 +110,7 @@
 				}
 			}
 			time.Sleep(contactTime)
+			checkFollowed(t, fleet, c.off[0])
 			for _, kind := range []struct {
 				name string
 				send func(member *instance, number int) int
@@ -132,6 +133,24 @@
 	}
 }
 
+// checkFollowed checks that a request which is sent through a peer has its id in the log lines of both instances.
+func checkFollowed(t *testing.T, fleet []*instance, off string) {
+	t.Helper()
+	lines := map[string]bool{}
+	for _, member := range fleet {
+		if member.name == off {
+			member.sendAs("followed", "/p/", "")
+			lines["ConnectedThroughPeer"] = member.log.hasLine(`"RequestId":"followed"`, "ConnectedThroughPeer")
+		}
+	}
+	for _, member := range fleet {
+		lines["ConnectedForPeer"] = lines["ConnectedForPeer"] || member.log.hasLine(`"RequestId":"followed"`, "ConnectedForPeer")
+	}
+	if !lines["ConnectedThroughPeer"] || !lines["ConnectedForPeer"] {
+		t.Errorf("the request cannot be followed: %v", lines)
+	}
+}
+
 // Guards against a holder that takes an upstream from all instances because it has lost its own link there: the upstream
 // idles, no adapter is loaded there, and callers of the other instances are refused. Where fencing tokens are not checked,
 // the holder first waits until none of its orders can arrive any more.
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -52,6 +53,18 @@
 	return strings.Contains(l.text.String(), text)
 }
 
+// hasLine reports whether a line has all texts.
+func (l *logBuffer) hasLine(texts ...string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for line := range strings.Lines(l.text.String()) {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // anyPort makes an instance listen on a free port, which it logs.
 const anyPort = "127.0.0.1:0"
 
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -15,6 +15,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/reach"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
@@ -230,6 +231,8 @@
 	}
 	connection, err := n.dialDirect(ctx, upstream, connectTimeout)
 	n.scope.Tagged(map[string]string{"opened": strconv.FormatBool(err == nil)}).Counter("connections_for_peers").Inc(1)
+	n.Log.Info().Str(logline.FieldRequest, request.CallID).Str(logline.FieldUpstream, upstream.ID).Str("Peer", request.Instance).
+		Err(err).Msg("ConnectedForPeer")
 	if err != nil {
 		n.links.forPeers.Add(-1)
 		return nil, err
--- a/internal/fleet/mesh/connect.go
+++ b/internal/fleet/mesh/connect.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(&meshpb.ConnectRequest{Upstream: request.Upstream, Instance: request.Instance}); err != nil {
+	if err := stream.Send(&meshpb.ConnectRequest{Upstream: request.Upstream, Instance: request.Instance, Request: request.CallID}); err != nil {
 		return nil, err
 	}
 	reply, err := stream.Recv()
@@ -149,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	request := ConnectRequest{Upstream: first.GetUpstream(), Instance: first.GetInstance()}
+	request := ConnectRequest{Upstream: first.GetUpstream(), Instance: first.GetInstance(), CallID: first.GetRequest()}
 	connection, err := s.handler.Connect(stream.Context(), request)
 	if err != nil {
 		verdict := meshpb.ConnectVerdict_CONNECT_VERDICT_UNREACHED
--- a/internal/fleet/mesh/connect_test.go
+++ b/internal/fleet/mesh/connect_test.go
@@ -27,10 +27,10 @@
 	accepted, err := listener.Accept()
 	is.NoErr(err)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	instanceEnd, err = peers.Connect(ctx, address, mesh.ConnectRequest{Upstream: "u", Instance: "i"})
+	instanceEnd, err = peers.Connect(ctx, address, mesh.ConnectRequest{Upstream: "u", Instance: "i", CallID: "id"})
 	is.NoErr(err)
 	cancel() // bounds the opening only
-	is.Equal(peer.connectRequest, mesh.ConnectRequest{Upstream: "u", Instance: "i"})
+	is.Equal(peer.connectRequest, mesh.ConnectRequest{Upstream: "u", Instance: "i", CallID: "id"})
 	return instanceEnd, accepted.(*net.TCPConn)
 }
 
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -120,4 +120,6 @@
 type ConnectRequest struct {
 	Upstream string
 	Instance string
+	// CallID is the id of the call that the connection is for, for the log; empty if it is for none.
+	CallID string
 }
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -3,6 +3,7 @@
 package call
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -87,7 +88,7 @@
 	Misdirected bool
 	// Signed: the response carries the upstream's signature.
 	Signed bool
-	// Brittle: the upstream states that it falls over if it has to turn away more than Rejections requests in a second.
+	// Brittle: the upstream states that it falls over if it has to reject more than Rejections requests in a second.
 	Brittle    bool
 	Rejections int
 	// Load is the load that the upstream reported with the response; zero if it reported none.
@@ -102,6 +103,19 @@
 	BatchSlots int
 }
 
+type idKey struct{}
+
+// WithID returns a context that carries the id of a call, for the log lines of what is done for it.
+func WithID(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, idKey{}, id)
+}
+
+// IDOf returns the id of the call that something is done for, empty if it is done for none.
+func IDOf(ctx context.Context) string {
+	id, _ := ctx.Value(idKey{}).(string)
+	return id
+}
+
 // Dialect maps between HTTP messages and calls.
 type Dialect interface {
 	// Decode reads all but the body. It keeps no reference to the request's headers.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -88,7 +88,7 @@
 	if _, stated := request.Header["User-Agent"]; !stated {
 		request.Header["User-Agent"] = nil // otherwise net/http adds its own
 	}
-	exchange := newExchange(ctx)
+	exchange := newExchange(call.WithID(ctx, outgoing.ID))
 	transport := c.transport(upstream, newConnection || !c.KeepsConnections(upstream.ID))
 	response, err := transport.RoundTrip(request.WithContext(exchange.ctx))
 	if err != nil {
--- a/internal/placement/pool/brittle.go
+++ b/internal/placement/pool/brittle.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// brittle.go limits the requests to upstreams that state that they are brittle: one that has to turn away more requests in
+// brittle.go limits the requests to upstreams that state that they are brittle: one that has to reject more requests in
 // a second than it states falls over, and the requests that run there are lost. Such a service may queue less than
 // before, so what was learnt of its capacity does not count meanwhile. The holder of each upstream admits the requests of
-// all instances: no more than run at once, and none for a while after the upstream had to turn some away.
+// all instances: no more than run at once, and none for a while after the upstream had to reject some.
 
 const (
 	// brittleTTL is how long a statement counts. Every response of an upstream repeats or ends it, but an instance may get
@@ -21,14 +21,14 @@
 	// is for requests that are on their way, and for instances that do not know yet.
 	rejectionFraction = 0.5
 	// brittleWait is when a request is worth another try if the upstream has no room, and rejectionWait the same if it had
-	// to turn requests away.
+	// to reject requests.
 	brittleWait   = 20 * time.Millisecond
 	rejectionWait = 250 * time.Millisecond
 )
 
 // Brittleness is what the upstreams of a service state of themselves.
 type Brittleness struct {
-	// Brittle: one that turns away more than Rejections requests in a second falls over.
+	// Brittle: one that rejects more than Rejections requests in a second falls over.
 	Brittle    bool
 	Rejections int
 }
@@ -39,11 +39,11 @@
 	at time.Time
 }
 
-// brittleUpstream is what the holder of an upstream, and each instance, knows of requests that it may turn away.
+// brittleUpstream is what the holder of an upstream, and each instance, knows about requests that it may reject.
 type brittleUpstream struct {
 	// granted is when requests were admitted that may not have been reported yet. It is used at the holder.
 	granted []time.Time
-	// rejected is when the upstream turned away requests of this instance, within the window.
+	// rejected is when the upstream rejected requests of this instance, within the window.
 	rejected []time.Time
 	// fullUntil is when its holder is expected to admit another request, by the last refusal.
 	fullUntil time.Time
@@ -132,7 +132,7 @@
 	}
 }
 
-// recordRejection records that an upstream has turned a request of this instance away.
+// recordRejection records that an upstream has rejected a request of this instance.
 func (p *Pool) recordRejection(now time.Time, u *upstream) {
 	u.brittle.rejected = append(u.brittle.rejected, now)
 	u.own.Rejected = len(u.brittle.rejected)
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -18,7 +18,7 @@
 	MemoryTokens int
 	// AwaitingTokens is the tokens of the prompts that will be sent there as soon as their adapter is loaded.
 	AwaitingTokens int
-	// Rejected is how many requests the upstream has turned away within the last second.
+	// Rejected is how many requests the upstream has rejected within the last second.
 	Rejected int
 	// InUse are the adapters of the running requests.
 	InUse []traffic.Adapter
--- a/internal/placement/reach/tracker.go
+++ b/internal/placement/reach/tracker.go
@@ -1,5 +1,5 @@
 // Package reach tracks which upstreams this instance can connect to, and which other instances may connect to the rest
-// for it. It keeps apart what an instance knows of its own link and what is known of the upstream: an upstream that this
+// for it. It distinguishes the state of an instance's own link from the state of the upstream: an upstream that this
 // instance cannot connect to may work well for the others. The package does no I/O; the caller reads the clock and passes
 // the time in.
 package reach
