Verify links only where an upstream is to be claimed

Cause: whoever received that a peer had lost a link opened a connection to check its own.

What it was for is that the successor of a holder reaches the upstream. Now the first three instances by rank check their link when they find an upstream without a holder, 300 ms before the first of them claims it. The test of a crash takes the connection that carries a request now: claimants open one to check their link. Its checks are as they were.

--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -27,6 +27,9 @@
 	// claimDelay is the wait of the instance with the first rank. The roster fills in that time after a start of the
 	// fleet.
 	claimDelay = 300 * time.Millisecond
+	// claimantsVerified is how many instances, by rank, check their links to an upstream without a holder before they
+	// claim it: links are often lost at several instances at once.
+	claimantsVerified = 3
 	// claimInterval is the interval between checks while an upstream has no holder, and ownershipInterval the interval
 	// while every upstream has one. Changes in the store trigger a check immediately.
 	claimInterval     = 100 * time.Millisecond
@@ -272,6 +275,9 @@
 		since, found := n.heldUpstreams.vacantSince[id]
 		if !found {
 			n.heldUpstreams.vacantSince[id] = now
+			if rank < claimantsVerified {
+				n.VerifyLink(vacant.upstream)
+			}
 			continue
 		}
 		if now.Sub(since) >= claimDelay+time.Duration(rank)*claimRankDelay && !now.Before(n.mayOrderFrom(id)) {
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,10 @@
 // nodeWithoutFenceChecks returns an instance whose upstreams do not check fencing tokens.
 func nodeWithoutFenceChecks(suspended *time.Duration) *Node {
 	n := &Node{
+		DialUpstream: func(context.Context, string) (net.Conn, error) {
+			connection, _ := net.Pipe()
+			return connection, nil
+		},
 		Log: zerolog.Nop(), Store: &leaseStore{}, Orders: noResponseOrders{}, heldUpstreams: newHeldUpstreams(),
 		self: roster.Instance{Name: "self", Incarnation: "first"},
 	}
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -171,7 +171,7 @@
 		return err
 	}
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
-	n.applyUnreached(now, record.Instance, state.Unreached)
+	n.links.setPeer(record.Instance, state.Unreached)
 	outdated := !n.overlay.recordSpentVersion(record)
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		if !outdated {
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -30,10 +30,8 @@
 	maxPeerConnections = 128
 	// peerConnectionsInterval is how often a planned stop checks whether connections for peers are still open.
 	peerConnectionsInterval = 20 * time.Millisecond
-	// maxProbes bounds the probes of lost links that start at each tick, and maxVerified the links that are verified
-	// because a peer has lost its own.
-	maxProbes   = 4
-	maxVerified = 32
+	// maxProbes bounds the probes of lost links that start at each tick.
+	maxProbes = 4
 	// maxStatedLost bounds the lost links in the state of an instance, which all others receive. A peer that is asked to
 	// connect to one of the rest says so.
 	maxStatedLost = 100
@@ -80,6 +78,13 @@
 	return connection, err
 }
 
+// setPeer records which upstreams a peer states it cannot connect to.
+func (l *links) setPeer(peer string, unreached []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.tracker.SetPeer(peer, unreached)
+}
+
 // isDirect reports whether requests are sent to an upstream directly. A connection through a peer is used once: the peer
 // may stop, and the short way may work again.
 func (n *Node) isDirect(upstream string) bool { return !n.links.isLost(upstream) }
@@ -186,22 +191,6 @@
 	}
 }
 
-// applyUnreached applies the upstreams that a peer states it cannot connect to. This instance verifies its own links to
-// them if it has had no response from there lately: links are often lost at several instances at once, and the instance
-// that takes over as holder has to be one that reaches the upstream.
-func (n *Node) applyUnreached(now time.Time, peer string, unreached []string) {
-	n.links.mutex.Lock()
-	added := n.links.tracker.SetPeer(peer, unreached)
-	n.links.mutex.Unlock()
-	for _, id := range added[:min(len(added), maxVerified)] {
-		answeredRecently := false
-		n.sharedState.WithLock(func(state *serve.SharedState) { answeredRecently = state.Pool.AnsweredRecently(now, id) })
-		if upstream, declared := n.declaredUpstream(id); declared && !answeredRecently && !n.links.isLost(id) {
-			n.VerifyLink(upstream)
-		}
-	}
-}
-
 func (n *Node) declaredUpstream(id string) (upstream traffic.Upstream, declared bool) {
 	n.sharedState.WithLock(func(state *serve.SharedState) { upstream, declared = state.Pool.Upstream(id) })
 	return upstream, declared
--- a/internal/placement/reach/tracker.go
+++ b/internal/placement/reach/tracker.go
@@ -110,24 +110,20 @@
 	return due
 }
 
-// SetPeer records which upstreams a peer states it cannot connect to, and returns those that it did not state before.
-func (t *Tracker) SetPeer(peer string, unreached []string) (added []string) {
+// SetPeer records which upstreams a peer states it cannot connect to.
+func (t *Tracker) SetPeer(peer string, unreached []string) {
+	if len(unreached) == 0 {
+		delete(t.unreached, peer)
+		return
+	}
 	if t.unreached == nil {
 		t.unreached = make(map[string]map[string]bool)
 	}
-	known := t.unreached[peer]
 	set := make(map[string]bool, len(unreached))
 	for _, upstream := range unreached {
 		set[upstream] = true
-		if !known[upstream] {
-			added = append(added, upstream)
-		}
 	}
 	t.unreached[peer] = set
-	if len(set) == 0 {
-		delete(t.unreached, peer)
-	}
-	return added
 }
 
 // IsLostAt reports whether a peer states that it cannot connect to an upstream.
