Log how a response was framed and what a stream ended with

Change: forward.Response states its framing (length, chunks, close) in place of a length that nobody needed, and Decision Step=sent has Framing and TailBytes, the bytes after the last complete event at the end of a stream. No decision changes.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -57,14 +57,35 @@
 	t.single.CloseIdleConnections()
 }
 
+// Framing is how an upstream marks the end of a response's body.
+type Framing string
+
+// The framings of HTTP/1.1.
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	// FramingClose: the body ends with the connection. An upstream that crashes may close its connections in order, so the
+	// end of such a body does not show that it is complete.
+	FramingClose Framing = "close"
+)
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramingLength
+	case len(response.TransferEncoding) > 0:
+		return FramingChunks
+	}
+	return FramingClose
+}
+
 // Response is an upstream's response whose body has not been read yet.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
-	// Length is the length of the body, negative if it is not stated.
-	Length int64
-	Info   call.ResponseInfo
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser
+	Framing Framing
+	Info    call.ResponseInfo
 }
 
 // Do sends a call. If newConnection is set, it opens a new connection: on a reused connection the call could cross with
@@ -97,11 +118,11 @@
 	}
 	response.Body = &exchangeBody{ReadCloser: response.Body, exchange: exchange}
 	result = &Response{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   response.Body,
-		Length: response.ContentLength,
-		Info:   c.Dialect.ParseResponse(response),
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Body:    response.Body,
+		Framing: framingOf(response),
+		Info:    c.Dialect.ParseResponse(response),
 	}
 	return result, c.check(outgoing, result)
 }
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -39,8 +39,16 @@
 	wroteAt time.Time
 }
 
+// receivedBody describes the body of the last response, for the log.
+type receivedBody struct {
+	framing forward.Framing
+	// tail is the number of bytes after the last complete event of a stream that ended.
+	tail int
+}
+
 // run relays the response.
 func (r *relay) run() (result, error) {
+	r.job.body = receivedBody{framing: r.response.Framing}
 	if r.response.Status >= http.StatusInternalServerError && r.job.mayRetryFailure() {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.response.Body, chunkBytes)) // drained, so that the connection can be reused
 		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
@@ -82,7 +90,7 @@
 		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
 	}
 	r.copyHeader(!truncated)
-	if !truncated && r.response.Length < 0 {
+	if !truncated && r.response.Framing != forward.FramingLength {
 		j.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	j.start(r.response.Status)
@@ -154,6 +162,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			r.job.body.tail = len(pending)
 			r.recordEvent()
 			if err := r.writeEvents(pending); err != nil {
 				return resultServed, errCallerDisconnected
