--- a/internal/gateway/serve/streams_test.go
+++ b/internal/gateway/serve/streams_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,3 +64,98 @@
 	is.Equal(body, event(1))
 	is.Equal(h.runs(), 1)
 }
+
+// respondUnframed responds without a length or chunks, and ends the response by closing the connection in order.
+func respondUnframed(rw http.ResponseWriter, r *http.Request, body string) {
+	connection, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s1\r\n\r\n%s", headerID, r.Header.Get(headerID), headerSigned, body)
+}
+
+func respondWithLength(rw http.ResponseWriter, _ *http.Request, body string) {
+	rw.Header().Set(headerSigned, "s1")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(rw, body)
+}
+
+func respondInChunks(rw http.ResponseWriter, _ *http.Request, body string) {
+	rw.Header().Set(headerSigned, "s1")
+	_, _ = io.WriteString(rw, body)
+	rw.(http.Flusher).Flush()
+}
+
+// streamEnds are ways in which an upstream ends a stream. The connection is closed in order and the framing is sound in
+// all of them.
+var streamEnds = []struct {
+	name    string
+	respond func(rw http.ResponseWriter, r *http.Request, body string)
+	body    string
+	// relayed is what the caller receives.
+	relayed  string
+	complete bool
+}{
+	{name: "without a length, between events", respond: respondUnframed, body: event(1) + event(2), relayed: event(1) + event(2), complete: true},
+	{name: "without a length, in an id", respond: respondUnframed, body: event(1) + "id: 2", relayed: event(1)},
+	{name: "without a length, in data", respond: respondUnframed, body: event(1) + "id: 2\ndata: pie", relayed: event(1)},
+	{name: "without a length, before the blank line", respond: respondUnframed, body: event(1) + "id: 2\ndata: piece 2\n", relayed: event(1)},
+	{name: "without a length, in the first event", respond: respondUnframed, body: "id: 1\nda"},
+	{name: "without a length, before the first event", respond: respondUnframed},
+	{name: "with a length, between events", respond: respondWithLength, body: event(1), relayed: event(1), complete: true},
+	{name: "with a length, in data", respond: respondWithLength, body: event(1) + "id: 2\ndata: pie", relayed: event(1)},
+	{name: "in chunks, between events", respond: respondInChunks, body: event(1), relayed: event(1), complete: true},
+	{name: "in chunks, in data", respond: respondInChunks, body: event(1) + "id: 2\ndata: pie", relayed: event(1)},
+}
+
+// Guards against a stream that its upstream broke off inside an event and whose caller receives it as complete.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	for _, tt := range streamEnds {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, func(rw http.ResponseWriter, r *http.Request) { tt.respond(rw, r, tt.body) })
+			response, body, err := h.call("/single/", "b")
+			is.Equal(h.runs(), 1)
+			if tt.relayed == "" {
+				is.NoErr(err) // nothing was sent to the caller, who gets a refusal
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				return
+			}
+			is.Equal(err == nil, tt.complete)
+			is.Equal(body, tt.relayed)
+			is.Equal(len(h.fleet.broken) > 0, !tt.complete) // a crash is suspected where a stream breaks
+		})
+	}
+}
+
+// Guards against a resumable stream that ends for its caller where one upstream broke off.
+func TestStreamThatEndsInsideAnEventGoesOnElsewhere(t *testing.T) {
+	const last = 3
+	for _, tt := range streamEnds {
+		if tt.complete {
+			continue
+		}
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var attempts atomic.Int32
+			respond := func(rw http.ResponseWriter, r *http.Request) {
+				if attempts.Add(1) == 1 {
+					tt.respond(rw, r, tt.body)
+					return
+				}
+				from, _ := strconv.Atoi(r.Header.Get(headerLastEvent)) // 0 without the header
+				var rest strings.Builder
+				for id := from + 1; id <= last; id++ {
+					rest.WriteString(event(id))
+				}
+				respondInChunks(rw, r, rest.String())
+			}
+			h := newHarness(t, respond, respond)
+			_, body, err := h.call("/stream/", "b")
+			is.NoErr(err)
+			is.Equal(body, event(1)+event(2)+event(3))
+			is.Equal(h.runs(), 2)
+		})
+	}
+}
