Split event streams in one place, for the relay and the reader of engines

Change: stream.Splitter finds complete events for both, with one table of tests over every size of a piece; an incomplete event is bounded in the relay too.

--- a/internal/caller/stream/reader.go
+++ b/internal/caller/stream/reader.go
@@ -1,7 +1,6 @@
 package stream
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 
@@ -18,62 +17,97 @@
 	ErrMalformed = errors.New("stream: malformed event")
 )
 
-// byteOrderMark may start a stream and is ignored.
-const byteOrderMark = "\ufeff"
+const (
+	// byteOrderMark may start a stream and is ignored.
+	byteOrderMark = "\ufeff"
+	// readBytes is the size of one read.
+	readBytes = 4 << 10
+	// maxOverhead is the maximum size of an incomplete event, as a multiple of the limit for its data: it also has field
+	// names and comments.
+	maxOverhead = 4
+)
 
 // Reader reads events from a stream. Lines end in LF or CR LF. A lone CR, which the format also allows but no engine
 // sends, is malformed, because waiting for the byte after it would delay an event.
 type Reader struct {
-	source  *bufio.Reader
-	limit   int
+	source   io.Reader
+	limit    int
+	splitter Splitter
+	buffer   []byte
+	// ready are complete events that were not returned yet, ended the error of the source after them.
+	ready   []byte
+	ended   error
 	started bool
 }
 
 // NewReader returns a reader of events whose lines, and whose data in total, are at most limit bytes long.
 func NewReader(source io.Reader, limit int) *Reader {
-	return &Reader{source: bufio.NewReader(source), limit: limit}
+	return &Reader{source: source, limit: limit, splitter: Splitter{Limit: maxOverhead * limit}, buffer: make([]byte, readBytes)}
 }
 
 // Next returns the next event that has data. An event without its closing blank line is never returned, because its
 // data may be truncated.
 func (r *Reader) Next() (Event, error) {
-	var pending pendingEvent
 	for {
-		line, err := r.readLine()
-		if err != nil {
-			return Event{}, unexpectedEOF(err, pending.started)
+		event, found, err := r.nextReady()
+		if found || err != nil {
+			return event, err
 		}
-		if len(line) == 0 {
-			if pending.hasData {
-				return pending.event(), nil
-			}
-			pending = pendingEvent{}
-			continue
+		if r.ended != nil {
+			return Event{}, r.endError()
 		}
-		pending.add(line)
-		if len(pending.data) > r.limit {
-			return Event{}, ErrTooLong
+		if err := r.read(); err != nil {
+			return Event{}, err
 		}
 	}
 }
 
-// unexpectedEOF converts io.EOF inside an event to io.ErrUnexpectedEOF.
-func unexpectedEOF(err error, started bool) error {
-	if errors.Is(err, io.EOF) && started {
+// read reads once from the source.
+func (r *Reader) read() (err error) {
+	n, ended := r.source.Read(r.buffer)
+	r.ended = ended
+	r.ready, err = r.splitter.Add(r.buffer[:n])
+	return err
+}
+
+// endError converts io.EOF inside an event to io.ErrUnexpectedEOF.
+func (r *Reader) endError() error {
+	if errors.Is(r.ended, io.EOF) && r.splitter.Incomplete() > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	return err
+	return r.ended
 }
 
-// readLine returns one line without its line ending. A last line without a line ending is truncated. The line is
-// valid until the next call: copying each line would be a large part of the cost of an event.
-func (r *Reader) readLine() (line []byte, err error) {
-	line, err = r.readRawLine()
-	if err != nil {
-		return nil, unexpectedEOF(err, len(line) > 0)
+// nextReady returns the next event with data of those that are ready.
+func (r *Reader) nextReady() (event Event, found bool, err error) {
+	var pending pendingEvent
+	for len(r.ready) > 0 {
+		line, err := r.nextLine()
+		if err != nil {
+			return Event{}, false, err
+		}
+		if len(line) > 0 {
+			pending.add(line)
+			if len(pending.data) > r.limit {
+				return Event{}, false, ErrTooLong
+			}
+			continue
+		}
+		if pending.hasData {
+			return pending.event(), true, nil
+		}
+		pending = pendingEvent{}
 	}
-	line = bytes.TrimSuffix(line, []byte("\n"))
+	return Event{}, false, nil
+}
+
+// nextLine returns the next line of the events that are ready, without its line ending.
+func (r *Reader) nextLine() (line []byte, err error) {
+	line, r.ready, _ = bytes.Cut(r.ready, []byte("\n"))
 	line = bytes.TrimSuffix(line, []byte("\r"))
+	if len(line) > r.limit {
+		return nil, ErrTooLong
+	}
 	if !r.started {
 		line = bytes.TrimPrefix(line, []byte(byteOrderMark))
 		r.started = true
@@ -84,27 +118,8 @@
 	return line, nil
 }
 
-// readRawLine returns a line with its line ending, and copies it only if it is longer than the source's buffer. With
-// an error it returns the bytes read before it.
-func (r *Reader) readRawLine() (line []byte, err error) {
-	for {
-		part, err := r.source.ReadSlice('\n')
-		if len(line)+len(part) > r.limit+len("\r\n") {
-			return nil, ErrTooLong
-		}
-		if line == nil && err == nil {
-			return part, nil
-		}
-		line = append(line, part...)
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
-		}
-	}
-}
-
 // pendingEvent collects the lines of one event.
 type pendingEvent struct {
-	started bool
 	hasData bool
 	name    string
 	id      string
@@ -113,7 +128,6 @@
 
 // add adds one line. Unknown fields and comments are skipped, as the format requires.
 func (p *pendingEvent) add(line []byte) {
-	p.started = true
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -153,8 +153,8 @@
 	return h
 }
 
-// call sends a request and reads the whole response.
-func (h *harness) call(path, body string, headers ...string) (*http.Response, string, error) {
+// request returns a request to the handler.
+func (h *harness) request(path, body string, headers ...string) *http.Request {
 	h.t.Helper()
 	request, err := http.NewRequest(http.MethodPost, h.server.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -167,7 +167,13 @@
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	return request
+}
+
+// call sends a request and reads the whole response.
+func (h *harness) call(path, body string, headers ...string) (*http.Response, string, error) {
+	h.t.Helper()
+	response, err := http.DefaultClient.Do(h.request(path, body, headers...))
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/caller/stream"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -23,6 +23,8 @@
 	maxBuffered = 256 << 10
 	// chunkBytes is the size of one read.
 	chunkBytes = 16 << 10
+	// maxEventBytes bounds one event of a stream, which is held until it is complete.
+	maxEventBytes = 4 << 20
 	// minEventSilence is the minimum time that a running stream may pause, and eventSilencePauses is the same as a
 	// multiple of the longest pause of its route. Callers time out after two seconds or eight such pauses, so a stream
 	// that is resumed in time still reaches them.
@@ -146,25 +148,24 @@
 func (r *relay) stream() (result, error) {
 	defer r.recordPause()
 	buffer := make([]byte, chunkBytes)
-	var pending []byte
+	splitter := stream.Splitter{Limit: maxEventBytes}
 	for {
 		n, err := r.response.Body.Read(buffer)
-		if n > 0 {
-			pending = append(pending, buffer[:n]...)
-			complete := completeEvents(pending)
-			if complete > 0 {
-				r.recordEvent()
-				r.silenceTimer.Reset(max(minEventSilence, eventSilencePauses*r.job.route.MaxPause))
-				if err := r.writeEvents(pending[:complete]); err != nil {
-					return resultServed, errCallerDisconnected
-				}
-				pending = append(pending[:0], pending[complete:]...)
+		events, splitErr := splitter.Add(buffer[:n])
+		if splitErr != nil {
+			return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, splitErr.Error())
+		}
+		if len(events) > 0 {
+			r.recordEvent()
+			r.silenceTimer.Reset(max(minEventSilence, eventSilencePauses*r.job.route.MaxPause))
+			if err := r.writeEvents(events); err != nil {
+				return resultServed, errCallerDisconnected
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			r.job.body.tail = len(pending)
+			r.job.body.tail = splitter.Incomplete()
 			r.recordEvent()
-			if err := r.writeEvents(pending); err != nil {
+			if err := r.writeEvents(splitter.Rest()); err != nil {
 				return resultServed, errCallerDisconnected
 			}
 			return resultServed, nil
@@ -252,18 +253,6 @@
 
 // ---------------------------------------------------------------------------------------------
 
-// eventEnd is the blank line after an event.
-var eventEnd = []byte("\n\n")
-
-// completeEvents returns the length of the complete events at the beginning of data.
-func completeEvents(data []byte) int {
-	at := bytes.LastIndex(data, eventEnd)
-	if at < 0 {
-		return 0
-	}
-	return at + len(eventEnd)
-}
-
 // lastID returns the id of the last event that has one.
 func lastID(data []byte) string {
 	lines := strings.Split(string(data), "\n")
--- a/internal/gateway/serve/streams_test.go
+++ b/internal/gateway/serve/streams_test.go
@@ -65,6 +65,29 @@
 	is.Equal(h.runs(), 1)
 }
 
+// Guards against events that are held back until the stream ends because their lines end in CR LF.
+func TestEventsInCRLFArriveAtOnce(t *testing.T) {
+	is := is.New(t)
+	const first = "id: 1\r\ndata: piece 1\r\n\r\n"
+	received := make(chan struct{})
+	h := newHarness(t, func(rw http.ResponseWriter, r *http.Request) {
+		respondInChunks(rw, r, first)
+		select {
+		case <-received:
+		case <-r.Context().Done():
+		}
+	})
+	request := h.request("/single/", "b")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body := make([]byte, len(first))
+	_, err = io.ReadFull(response.Body, body)
+	close(received)
+	is.NoErr(err)
+	is.Equal(string(body), first)
+}
+
 // respondUnframed responds without a length or chunks, and ends the response by closing the connection in order.
 func respondUnframed(rw http.ResponseWriter, r *http.Request, body string) {
 	connection, _, err := rw.(http.Hijacker).Hijack()
