--- a/internal/caller/stream/splitter.go
+++ b/internal/caller/stream/splitter.go
@@ -49,6 +49,3 @@
 
 // Incomplete returns the number of bytes after the last complete event.
 func (s *Splitter) Incomplete() int { return len(s.received) - s.complete }
-
-// Rest returns the bytes after the last complete event.
-func (s *Splitter) Rest() []byte { return s.received[s.complete:] }
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -190,9 +190,12 @@
 	return count
 }
 
+// answer is a complete response on each kind of route: it is a complete event too.
+const answer = "data: answer\n\n"
+
 func served(rw http.ResponseWriter, _ *http.Request) {
 	rw.Header().Set(headerSigned, "s1")
-	_, _ = io.WriteString(rw, "answer")
+	_, _ = io.WriteString(rw, answer)
 }
 
 func full(rw http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -163,12 +163,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			r.job.body.tail = splitter.Incomplete()
-			r.recordEvent()
-			if err := r.writeEvents(splitter.Rest()); err != nil {
-				return resultServed, errCallerDisconnected
-			}
-			return resultServed, nil
+			return r.endStream(splitter.Incomplete())
 		}
 		if err != nil {
 			return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
@@ -176,6 +171,23 @@
 	}
 }
 
+// endStream ends a stream whose input has ended in order, with some bytes after its last complete event. An upstream that
+// crashes may end its responses so, whatever their framing, and only what was received shows that the stream was broken.
+func (r *relay) endStream(incomplete int) (result, error) {
+	r.job.body.tail = incomplete
+	if incomplete > 0 {
+		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
+	}
+	if r.wroteAt.IsZero() && r.response.Framing == forward.FramingClose {
+		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended before the first event")
+	}
+	r.recordEvent()
+	if err := r.writeEvents(nil); err != nil {
+		return resultServed, errCallerDisconnected
+	}
+	return resultServed, nil
+}
+
 var errCallerDisconnected = errors.New("the caller has disconnected")
 
 // writeEvents writes complete events, and the header before the first of them.
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -22,7 +22,7 @@
 	response, body, err := h.call("/once/a%2Fb?q=%20x", "the body", headerWorkspace, "forged", "X-Own", "kept")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
-	is.Equal(body, "answer")
+	is.Equal(body, answer)
 	is.Equal(response.Header.Get(headerSigned), "s1")
 	received := h.upstreams[0].requests()[0]
 	is.Equal(received.RequestURI, "/once/a%2Fb?q=%20x")
@@ -82,7 +82,7 @@
 			is.Equal(response.StatusCode, test.status)
 			is.Equal(h.runs(), test.runs)
 			if test.status == http.StatusOK {
-				is.Equal(body, "answer")
+				is.Equal(body, answer)
 			}
 			if test.status == http.StatusBadGateway {
 				is.Equal(response.Header.Get("X-Run"), "unknown")
--- a/internal/gateway/serve/silence_test.go
+++ b/internal/gateway/serve/silence_test.go
@@ -24,7 +24,7 @@
 		{"may run once", "/once/", func(rw http.ResponseWriter, r *http.Request) {
 			time.Sleep(silence)
 			served(rw, r)
-		}, "answer"},
+		}, answer},
 		{"before the first event", "/stream/", func(rw http.ResponseWriter, _ *http.Request) {
 			time.Sleep(silence)
 			rw.Header().Set(headerSigned, "s1")
