Pass responses without a length on without one

A plain response or a stream that a crash ends between two events reached its caller so.

Change: the response to the caller is framed as the upstream's was. What ends with its connection ends with the caller's, and is reset if it was broken off, also for callers that speak HTTP/1.0, whose broken streams were closed in order before. A stream begun in chunks is cut if its second run proves nothing.

Ruled out: cutting such responses, as most are complete; taking the last event for an end mark, as the protocol has none.

--- a/internal/fleet/mesh/connect_test.go
+++ b/internal/fleet/mesh/connect_test.go
@@ -14,14 +14,17 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 )
 
-// openThroughPeer opens a connection through a peer and returns both ends: that of the instance and the upstream's.
-func openThroughPeer(t *testing.T) (instanceEnd net.Conn, upstreamEnd *net.TCPConn) {
+// openThroughPeer opens a connection through a peer and returns both ends, that of the instance and the upstream's, and
+// the peer.
+func openThroughPeer(t *testing.T) (instanceEnd net.Conn, upstreamEnd *net.TCPConn, peer *echo) {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	peer, peers, address := serveEcho(t)
+	var peers *mesh.Peers
+	var address string
+	peer, peers, address = serveEcho(t)
 	peer.connection, err = net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	accepted, err := listener.Accept()
@@ -31,22 +34,24 @@
 	is.NoErr(err)
 	cancel() // bounds the opening only
 	is.Equal(peer.connectRequest, mesh.ConnectRequest{Upstream: "u", Instance: "i", CallID: "id"})
-	return instanceEnd, accepted.(*net.TCPConn)
+	return instanceEnd, accepted.(*net.TCPConn), peer
 }
 
 // Guards against a response of an upstream that is cut on the way through a peer and looks complete to the caller.
 func TestConnectionThroughAPeerEndsAsTheUpstreamEndsIt(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		end  func(upstream *net.TCPConn)
+		end  func(upstream *net.TCPConn, peer *echo)
 		err  error
 	}{
-		{"closed", func(upstream *net.TCPConn) { upstream.Close() }, io.EOF},
-		{"reset", func(upstream *net.TCPConn) { _ = upstream.SetLinger(0); upstream.Close() }, nil},
+		{"closed", func(upstream *net.TCPConn, _ *echo) { upstream.Close() }, io.EOF},
+		{"reset", func(upstream *net.TCPConn, _ *echo) { _ = upstream.SetLinger(0); upstream.Close() }, nil},
+		{"the peer ends", func(_ *net.TCPConn, peer *echo) { peer.server.Stop() }, nil},
+		{"the peer closes its connection", func(_ *net.TCPConn, peer *echo) { peer.connection.Close() }, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			instance, upstream := openThroughPeer(t)
+			instance, upstream, peer := openThroughPeer(t)
 			defer instance.Close()
 			sent := make([]byte, 200<<10)
 			for i := range sent {
@@ -62,7 +67,7 @@
 			_, err = io.ReadFull(instance, received[:6])
 			is.NoErr(err)
 			is.Equal(string(received[:6]), "answer")
-			c.end(upstream)
+			c.end(upstream, peer)
 			_, err = instance.Read(received)
 			is.Equal(errors.Is(err, io.EOF), errors.Is(c.err, io.EOF))
 			is.True(err != nil)
@@ -73,7 +78,7 @@
 // Guards against an upstream that works on for a caller who has left an instance that sends through a peer.
 func TestClosingAConnectionThroughAPeerReachesTheUpstream(t *testing.T) {
 	is := is.New(t)
-	instance, upstream := openThroughPeer(t)
+	instance, upstream, _ := openThroughPeer(t)
 	is.NoErr(instance.Close())
 	is.NoErr(upstream.SetReadDeadline(time.Now().Add(500 * time.Millisecond)))
 	_, err := upstream.Read(make([]byte, 1))
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
@@ -25,6 +26,7 @@
 
 // echo is a peer that records the calls it receives and returns the configured responses.
 type echo struct {
+	server         *grpc.Server
 	messages       []mesh.Message
 	report         mesh.LoadReport
 	held           mesh.HeldReport
@@ -78,9 +80,9 @@
 		t.Fatal(err)
 	}
 	peer := &echo{}
-	server := mesh.NewServer(peer)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Stop)
+	peer.server = mesh.NewServer(peer)
+	go func() { _ = peer.server.Serve(listener) }()
+	t.Cleanup(peer.server.Stop)
 	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	t.Cleanup(peers.Close)
 	return peer, peers, listener.Addr().String()
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -60,6 +60,12 @@
 	f.broken = append(f.broken, u.ID)
 }
 
+func (f *fleet) brokenCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.broken)
+}
+
 func (f *fleet) Prepare(context.Context, mesh.PrepareRequest) mesh.PrepareResult {
 	return mesh.Loaded{Version: 1}
 }
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -49,10 +49,14 @@
 	inTurn bool
 	// retryTaken: the next attempt was already taken from the retry budget.
 	retryTaken bool
+	// acceptsChunks: the caller speaks HTTP/1.1.
+	acceptsChunks bool
 	// started: the header of the response was sent to the caller.
-	started   bool
-	status    int
-	firstByte time.Time
+	started bool
+	// endsWithConnection: the response to the caller has neither a length nor chunks.
+	endsWithConnection bool
+	status             int
+	firstByte          time.Time
 	// longestPause is the longest time between two events of a stream from the same upstream.
 	longestPause time.Duration
 	lastEventID  string
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,10 +93,10 @@
 		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
 	}
 	r.copyHeader(!truncated)
-	if !truncated && r.response.Framing != forward.FramingLength {
+	if !truncated && r.response.Framing == forward.FramingChunks {
 		j.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	j.start(r.response.Status)
+	j.start(r.response)
 	if err := j.write(body); err != nil {
 		return resultServed, nil // the caller has disconnected; the upstream's response was complete
 	}
@@ -178,8 +179,9 @@
 	if incomplete > 0 {
 		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
 	}
-	if r.wroteAt.IsZero() && r.response.Framing == forward.FramingClose {
-		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended before the first event")
+	if r.response.Framing == forward.FramingClose && (r.wroteAt.IsZero() || !r.job.endsWithConnection) {
+		// Nothing shows that the stream is complete, and the caller cannot be left in doubt.
+		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
 	}
 	r.recordEvent()
 	if err := r.writeEvents(nil); err != nil {
@@ -195,7 +197,7 @@
 	j := r.job
 	if !j.started {
 		r.copyHeader(false)
-		j.start(r.response.Status)
+		j.start(r.response)
 	}
 	if len(data) == 0 {
 		return nil
@@ -241,11 +243,38 @@
 	}
 }
 
-// start sends the header of the response.
-func (j *job) start(status int) {
+// start sends the header of the response. If the upstream's response ends with its connection, the caller's does too:
+// with a length or chunks, the instance would claim that the response is complete, which the upstream has not stated.
+func (j *job) start(response *forward.Response) {
 	j.started = true
-	j.status = status
-	j.writer.WriteHeader(status)
+	j.status = response.Status
+	header := j.writer.Header()
+	if response.Framing == forward.FramingClose {
+		header.Set("Transfer-Encoding", "identity") // net/http sends no chunks, and closes the connection afterwards
+	}
+	framed := header.Get("Content-Length") != "" || j.acceptsChunks && response.Framing != forward.FramingClose
+	j.endsWithConnection = !framed
+	j.writer.WriteHeader(response.Status)
+}
+
+// abort ends a started response that cannot be completed, so that it does not look complete. If it ends with its
+// connection, the connection has to be reset.
+func (j *job) abort() {
+	if j.endsWithConnection {
+		j.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (j *job) resetConnection() {
+	connection, _, err := http.NewResponseController(j.writer).Hijack()
+	if err != nil {
+		return // the connection is broken already
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // closing resets the connection then
+	}
+	_ = connection.Close()
 }
 
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -99,7 +99,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{handler: h, writer: w, startedAt: time.Now()}
+	j := &job{handler: h, writer: w, startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
 	j.setDeadlines(maxRequestTime)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -110,7 +110,7 @@
 	}
 	j.log(err)
 	if err != nil && j.started {
-		panic(http.ErrAbortHandler) // a started response that cannot be completed must not look complete
+		j.abort()
 	}
 }
 
