--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -108,8 +108,12 @@
 	return query.Adapter.Name != "" && choice.Loaded
 }
 
-// mayRunAgain reports whether the request may be sent again although it may have run.
+// mayRunAgain reports whether the request may be sent again although it may have run. Only a stream can be resumed once its
+// caller has received a part of it.
 func (j *job) mayRunAgain() bool {
+	if j.started && j.route.Execution != traffic.Streaming {
+		return false
+	}
 	return j.route.IsRepeatable() && j.runs < j.route.MaxAttempts
 }
 
--- a/internal/gateway/serve/streams_test.go
+++ b/internal/gateway/serve/streams_test.go
@@ -265,6 +265,18 @@
 	}
 }
 
+// Guards against a second run of a request whose plain response has partly reached the caller, who could get nothing of it.
+func TestPlainResponseThatBreaksMidwayIsNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	respond := func(rw http.ResponseWriter, r *http.Request) {
+		respondUnframedAndReset(rw, r, strings.Repeat("x", 600<<10))
+	}
+	h := newHarness(t, respond, respond)
+	_, _, err := h.call("/idem/", "b")
+	is.True(err != nil)
+	is.Equal(h.runs(), 1)
+}
+
 // Guards against a broken stream whose caller speaks HTTP/1.0: there the end of the connection is the end of the response,
 // so that it has to be reset.
 func TestBrokenStreamIsResetForCallersWithoutChunks(t *testing.T) {
