Read and log what upstreams state with their responses: a pause, their leaving

Change: the adapter decodes both, and Decision Step=sent has RetryAfterMillis and Leaving. No decision changes.

--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -88,6 +88,11 @@
 	Misdirected bool
 	// Signed: the response carries the upstream's signature.
 	Signed bool
+	// RetryAfter is how long the upstream, which refused the request, wants no more of them from this instance; 0 if it
+	// states nothing.
+	RetryAfter time.Duration
+	// Leaving: the sender of the response takes no new requests and will end.
+	Leaving bool
 	// Brittle: the upstream states that it falls over if it has to reject more than Rejections requests in a second.
 	Brittle    bool
 	Rejections int
--- a/internal/gateway/serve/dialect_test.go
+++ b/internal/gateway/serve/dialect_test.go
@@ -34,6 +34,9 @@
 const (
 	headerSigned = "Reply-Signed"
 	headerNotRun = "Reply-Not-Run"
+	// headerBackpressure is a number of milliseconds.
+	headerBackpressure = "Reply-Backpressure-Ms"
+	headerLeaving      = "Reply-Leaving"
 )
 
 type dialect struct{}
@@ -84,11 +87,14 @@
 // ParseResponse reads the headers of an upstream's response.
 func (dialect) ParseResponse(response *http.Response) call.ResponseInfo {
 	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	backpressure, _ := strconv.Atoi(response.Header.Get(headerBackpressure)) // 0 without the header
 	return call.ResponseInfo{
 		ID:          response.Header.Get(headerID),
 		NotRun:      misdirected || response.Header.Get(headerNotRun) != "",
 		Misdirected: misdirected,
 		Signed:      response.Header.Get(headerSigned) != "",
+		RetryAfter:  time.Duration(backpressure) * time.Millisecond,
+		Leaving:     response.Header.Get(headerLeaving) != "",
 	}
 }
 
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -74,7 +74,8 @@
 		var outcome result
 		outcome, last = j.send(ctx, choice, query)
 		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Outcome", string(outcome)).Err(last).
-			Str("Framing", string(j.body.framing)).Int("TailBytes", j.body.tail).
+			Str("Framing", string(j.received.framing)).Int("TailBytes", j.received.tail).
+			Int64("RetryAfterMillis", j.received.info.RetryAfter.Milliseconds()).Bool("Leaving", j.received.info.Leaving).
 			Int("Tokens", query.Tokens).Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
 			Float64("Slow", choice.Slowdown).Float64("Failing", choice.FailureRate).
 			Int64("ExpectedMillis", choice.Expected.Milliseconds()).Msg("Decision")
@@ -127,7 +128,7 @@
 func (j *job) send(ctx context.Context, choice pool.Choice, query pool.Query) (outcome result, err error) {
 	h := j.handler
 	j.upstream = choice.Upstream.ID
-	j.body = receivedBody{}
+	j.received = received{}
 	j.attempts++
 	now := time.Now()
 	var attempt *pool.Attempt
@@ -212,6 +213,7 @@
 		return resultBroken, err
 	}
 	defer response.Body.Close()
+	j.received = received{info: response.Info, framing: response.Framing}
 	j.recordBrittleness(response.Info)
 	switch {
 	case response.Info.Misdirected:
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -61,7 +61,7 @@
 	longestPause time.Duration
 	lastEventID  string
 	upstream     string
-	body         receivedBody
+	received     received
 	// bytes is the number of bytes of the response body that were sent to the caller.
 	bytes int64
 	// cause is the error at the last upstream, if it ended the request.
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/caller/stream"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -42,8 +43,9 @@
 	wroteAt time.Time
 }
 
-// receivedBody describes the body of the last response, for the log.
-type receivedBody struct {
+// received describes the last response, for the log.
+type received struct {
+	info    call.ResponseInfo
 	framing forward.Framing
 	// tail is the number of bytes after the last complete event of a stream that ended.
 	tail int
@@ -51,7 +53,6 @@
 
 // run relays the response.
 func (r *relay) run() (result, error) {
-	r.job.body = receivedBody{framing: r.response.Framing}
 	if r.response.Status >= http.StatusInternalServerError && r.job.mayRetryFailure() {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.response.Body, chunkBytes)) // drained, so that the connection can be reused
 		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
@@ -175,7 +176,7 @@
 // endStream ends a stream whose input has ended in order, with some bytes after its last complete event. An upstream that
 // crashes may end its responses so, whatever their framing, and only what was received shows that the stream was broken.
 func (r *relay) endStream(incomplete int) (result, error) {
-	r.job.body.tail = incomplete
+	r.job.received.tail = incomplete
 	if incomplete > 0 {
 		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
 	}
