--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -191,6 +191,7 @@
 func (n *Node) assembleSharedState() {
 	settings := pool.DefaultSettings()
 	settings.DataCentre = n.self.DataCentre
+	settings.MaxBackpressure = n.Settings.Upstreams.MaxBackpressure
 	n.sharedState = &serve.SharedState{
 		Pool:     &pool.Pool{Settings: settings},
 		Ledger:   &quota.Ledger{Self: n.self.Name},
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -48,7 +48,7 @@
 				}
 				removed := replica.Item{Key: "u", Revision: 2, Removed: true}
 				is.True(n.merge(replica.Batch{After: 1, Through: 2, Items: []replica.Item{removed}}, time.Now(), sourceStore))
-				is.Equal(n.sharedState.Pool.IsChoiceValid(upstream), c.stillAccepted)
+				is.Equal(n.sharedState.Pool.IsChoiceValid(time.Now(), upstream), c.stillAccepted)
 			})
 		})
 	}
--- a/internal/entry/node/reload.go
+++ b/internal/entry/node/reload.go
@@ -54,6 +54,9 @@
 	if settings.Retries != previous.Retries {
 		n.sharedState.WithLock(func(state *serve.SharedState) { state.Retries = retryBudgets(settings.Retries) })
 	}
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		state.Pool.Settings.MaxBackpressure = settings.Upstreams.MaxBackpressure
+	})
 	if settings.Instance != previous.Instance {
 		n.Log.Warn().Msg("RestartNeeded") // addresses and names change only with a restart
 	}
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -52,6 +52,8 @@
 	// ReturnAfter applies where fencing tokens are not checked. It is how long after its last order to an upstream that
 	// it lost an instance may send orders there again.
 	ReturnAfter time.Duration
+	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests from this instance.
+	MaxBackpressure time.Duration
 }
 
 // RetrySettings limit the attempts beyond the first of each request, over all instances and in any Window.
@@ -151,6 +153,12 @@
 			Set: inifile.Duration(0, time.Minute,
 				func(s *Settings) *time.Duration { return &s.Upstreams.ReturnAfter }),
 		},
+		{
+			Section: "Upstreams", Name: "MaxBackpressure", Default: "5m",
+			Help: "longest time for which an upstream that asks for it (Retry-After) gets no requests from this instance",
+			Set: inifile.Duration(0, 24*time.Hour,
+				func(s *Settings) *time.Duration { return &s.Upstreams.MaxBackpressure }),
+		},
 		{
 			Section: "Retries", Name: "Ratio", Default: "0.1",
 			Help: "sends beyond the first, over all instances, as a ratio of the requests",
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -11,6 +11,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // dispatch.go sends a request to upstreams, and retries it where that is allowed and useful.
@@ -42,6 +43,8 @@
 	resultUnreached   result = "unreached"
 	resultBroken      result = "broken"
 	resultFailed      result = "failed"
+	// resultWithdrawn: nothing was sent, because the upstream does not take requests any more.
+	resultWithdrawn result = "withdrawn"
 )
 
 // run processes the request until it has a response. The error is a refusal, or the cause that broke a started
@@ -87,7 +90,7 @@
 				j.tried = append(j.tried, choice.Upstream.ID)
 			}
 		case resultUnreached:
-		case resultNotRun:
+		case resultNotRun, resultWithdrawn:
 			j.tried = append(j.tried, choice.Upstream.ID)
 		case resultBroken, resultFailed:
 			j.tried = append(j.tried, choice.Upstream.ID)
@@ -130,9 +133,10 @@
 	j.upstream = choice.Upstream.ID
 	j.received = received{}
 	j.attempts++
-	now := time.Now()
-	var attempt *pool.Attempt
-	h.State.WithLock(func(state *SharedState) { attempt = state.Pool.Begin(now, choice, query) })
+	attempt := j.begin(choice, query)
+	if attempt == nil {
+		return resultWithdrawn, nil
+	}
 	h.Fleet.NotifyHolder(choice.Upstream.ID)
 	defer h.Fleet.NotifyHolder(choice.Upstream.ID)
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
@@ -152,6 +156,18 @@
 	return outcome, err
 }
 
+// begin counts the request as in flight, and returns nil if the upstream does not take it any more: the request may have
+// waited since the upstream was chosen.
+func (j *job) begin(choice pool.Choice, query pool.Query) (attempt *pool.Attempt) {
+	now := time.Now()
+	j.handler.State.WithLock(func(state *SharedState) {
+		if state.Pool.IsChoiceValid(now, choice.Upstream) {
+			attempt = state.Pool.Begin(now, choice, query)
+		}
+	})
+	return attempt
+}
+
 // finish reports the result of an attempt to the pool, the suspect register and the fleet.
 func (j *job) finish(
 	ctx context.Context, upstream traffic.Upstream, query pool.Query, attempt *pool.Attempt, outcome result, err error,
@@ -167,6 +183,8 @@
 		end = pool.EndUnreachable
 	case outcome == resultBroken:
 		end = pool.EndFailed
+	case outcome == resultNotRun && j.received.info.RetryAfter > 0:
+		end = pool.EndBackpressure
 	case outcome == resultNotRun:
 		end = pool.EndRefused
 	}
@@ -215,6 +233,7 @@
 	defer response.Body.Close()
 	j.received = received{info: response.Info, framing: response.Framing}
 	j.recordBrittleness(response.Info)
+	j.recordStatements(choice.Upstream, response.Info)
 	switch {
 	case response.Info.Misdirected:
 		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
@@ -238,6 +257,22 @@
 	}
 }
 
+// recordStatements records what the upstream states about itself. A misdirected request was answered by another one, perhaps.
+func (j *job) recordStatements(upstream traffic.Upstream, info call.ResponseInfo) {
+	if info.Misdirected || info.RetryAfter <= 0 {
+		return
+	}
+	news := false
+	j.handler.State.WithLock(func(state *SharedState) {
+		news = state.Pool.RecordBackpressure(time.Now(), upstream, info.RetryAfter)
+	})
+	if news {
+		j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str(logline.FieldUpstream, upstream.ID).
+			Int64("RetryAfterMillis", info.RetryAfter.Milliseconds()).Msg("UpstreamBackpressure")
+		j.handler.Scope.Counter("upstream_backpressure").Inc(1)
+	}
+}
+
 var errNoData = errors.New("upstream sent nothing within the time-out")
 
 const (
@@ -282,6 +317,9 @@
 	if j.mayHaveRun || j.shortestWait > 0 {
 		return j.exhausted(last)
 	}
+	if wait := j.backpressureWait(); wait > 0 {
+		return refusal.New(refusal.Busy, "the upstreams have asked for no requests").WithRetryAfter(wait)
+	}
 	if errors.Is(cause, pool.ErrFull) {
 		var retryAfter time.Duration
 		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), query) })
@@ -300,11 +338,25 @@
 	return min(max(j.shortestWait, minBusyRetryAfter), maxBusyRetryAfter)
 }
 
+// backpressureWait returns when the caller should come back if no upstream takes requests before then; 0 if one may.
+func (j *job) backpressureWait() (wait time.Duration) {
+	j.handler.State.WithLock(func(state *SharedState) {
+		wait = state.Pool.RetryAfterBackpressure(time.Now(), pool.Query{
+			Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens,
+		})
+	})
+	return wait
+}
+
 // exhausted returns the refusal for a request that may not be sent again, or that has used up its attempts.
 func (j *job) exhausted(last error) error {
 	if !j.mayHaveRun {
 		j.cause = last
-		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(j.busyWait())
+		wait := j.backpressureWait()
+		if wait == 0 {
+			wait = j.busyWait()
+		}
+		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(wait)
 	}
 	j.cause = last // only for the log: it contains addresses that callers must not see
 	return refusal.New(refusal.UpstreamFailed, "the upstream failed or its answer was lost")
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -123,7 +123,7 @@
 		if ok && query.Adapter.Model != "" {
 			state.Pool.RecordLoadedAdapter(choice.Upstream.ID, query.Adapter, loaded.Version)
 		}
-		valid = state.Pool.IsChoiceValid(choice.Upstream)
+		valid = state.Pool.IsChoiceValid(time.Now(), choice.Upstream)
 	})
 	return valid
 }
--- a/internal/placement/pool/evacuation_test.go
+++ b/internal/placement/pool/evacuation_test.go
@@ -23,7 +23,7 @@
 		choice, err := p.Choose(time.Now(), generation("a"))
 		is.NoErr(err)
 		p.SetEvacuated(time.Now(), "there", true)
-		is.True(!p.IsChoiceValid(choice.Upstream)) // chosen before, sent after its adapter was loaded
+		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream)) // chosen before, sent after its adapter was loaded
 		declare(p, "e2", there)
 		_, err = p.Choose(time.Now(), generation("a"))
 		is.Equal(err, pool.ErrNoUpstream)
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -96,8 +96,7 @@
 // that were refused before it. It assumes that the other instances refuse as many.
 func (p *Pool) scheduleRetry(now time.Time, query Query, wait time.Duration) time.Duration {
 	stats := p.statsOf(query.Service)
-	upstreams := max(p.countAccepting(query.Service), 1)
-	interval := p.occupiedTime(query) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
+	interval := p.retryInterval(query)
 	due := now.Add(max(wait, minRetryAfter))
 	if due.Before(stats.nextRetry) {
 		due = stats.nextRetry
@@ -108,3 +107,9 @@
 	stats.nextRetry = due.Add(interval)
 	return due.Sub(now)
 }
+
+// retryInterval is the time between the turns of two refused callers of this instance.
+func (p *Pool) retryInterval(query Query) time.Duration {
+	upstreams := max(p.countAccepting(query.Service), 1)
+	return p.occupiedTime(query) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -24,6 +24,8 @@
 	// PeerLoadTTL is how long the loads of another instance are valid: some heartbeats. An instance that is silent
 	// for longer may be gone, and its requests with it.
 	PeerLoadTTL time.Duration
+	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests.
+	MaxBackpressure time.Duration
 }
 
 // DefaultSettings are those of a small fleet.
@@ -33,6 +35,7 @@
 		HeartbeatInterval: 250 * time.Millisecond,
 		HolderLoadTTL:     250 * time.Millisecond,
 		PeerLoadTTL:       1500 * time.Millisecond,
+		MaxBackpressure:   5 * time.Minute,
 	}
 }
 
@@ -139,6 +142,8 @@
 	coldStarts map[string]coldStart
 	// evacuated are the data centres that get no requests.
 	evacuated map[string]bool
+	// statements are what lives of upstreams have stated about themselves.
+	statements map[life]*statement
 	// rotation is the index at which the next choice starts, so that equal upstreams take turns.
 	rotation int
 }
@@ -177,6 +182,7 @@
 		p.services = nil
 	}
 	u.declared = declared
+	u.stated = p.statements[lifeOf(declared)]
 	u.cold.recordStated(now, declared.ColdRemaining)
 	if u.fence == 0 {
 		u.setResident(residentOf(declared.Models))
@@ -214,11 +220,14 @@
 	return list
 }
 
-// IsChoiceValid reports whether an upstream is still the incarnation that was chosen, and takes new requests. A choice can
-// be some seconds old when it is used, if an adapter had to be loaded first.
-func (p *Pool) IsChoiceValid(chosen traffic.Upstream) bool {
+// IsChoiceValid reports whether an upstream is still the incarnation that was chosen, and takes new requests of this
+// instance. A choice can be some seconds old when it is used, if an adapter had to be loaded first.
+func (p *Pool) IsChoiceValid(now time.Time, chosen traffic.Upstream) bool {
 	u := p.upstreams[chosen.ID]
-	return u != nil && p.AcceptsRequests(u.declared) && u.declared.StartedMillis == chosen.StartedMillis && u.declared.Address == chosen.Address
+	if u == nil || !p.AcceptsRequests(u.declared) || u.isUnderBackpressure(now) {
+		return false
+	}
+	return u.declared.StartedMillis == chosen.StartedMillis && u.declared.Address == chosen.Address
 }
 
 // Upstream returns the declaration of an upstream.
@@ -275,6 +284,7 @@
 		p.peers = make(map[source]peerLoads)
 		p.stats = make(map[string]*serviceStats)
 		p.evacuated = make(map[string]bool)
+		p.statements = make(map[life]*statement)
 	}
 }
 
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -227,13 +227,13 @@
 		p := newPool("e1", "e2")
 		resident(p, "e1", "a")
 		choice, _ := place(is, p, generation("a"))
-		is.True(p.IsChoiceValid(choice.Upstream))
+		is.True(p.IsChoiceValid(time.Now(), choice.Upstream))
 		declare(p, "e1", func(u *traffic.Upstream) { u.Draining = true })
-		is.True(!p.IsChoiceValid(choice.Upstream))
+		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
 		declare(p, "e1", func(u *traffic.Upstream) { u.StartedMillis = 2 })
-		is.True(!p.IsChoiceValid(choice.Upstream))
+		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
 		p.Remove("e1")
-		is.True(!p.IsChoiceValid(choice.Upstream))
+		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
 	})
 }
 
--- a/internal/placement/pool/service_stats.go
+++ b/internal/placement/pool/service_stats.go
@@ -29,6 +29,8 @@
 	peerBrittle statedBrittleness
 	// nextRetry is when the next refused caller may retry.
 	nextRetry time.Time
+	// nextAfterBackpressure is the same for callers that are refused because of the backpressure of all upstreams.
+	nextAfterBackpressure time.Time
 	// standingSince is the start of a standing queue: a request was late because of the queue, and none has found a
 	// short queue since. Zero if the queue is not standing.
 	standingSince time.Time
--- /dev/null
+++ b/internal/placement/pool/statements.go
@@ -0,0 +1,108 @@
+package pool
+
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// statements.go keeps what upstreams state about themselves in their responses to this instance. It holds for one life of
+// the upstream, whatever the store says meanwhile: entries expire in an outage of the store, and come back.
+
+// statementTTL is how long a statement is kept for an upstream that is not declared.
+const statementTTL = 10 * time.Minute
+
+// life is one incarnation of an upstream, which may start again under its id.
+type life struct {
+	id            string
+	startedMillis int64
+}
+
+func lifeOf(upstream traffic.Upstream) life {
+	return life{id: upstream.ID, startedMillis: upstream.StartedMillis}
+}
+
+// statement is what an upstream has stated.
+type statement struct {
+	// backpressureUntil is when this instance may send it requests again.
+	backpressureUntil time.Time
+	at                time.Time
+}
+
+// RecordBackpressure records that an upstream refused a request and wants no more from this instance for some time, at most
+// Settings.MaxBackpressure. A later statement may extend that time, and nothing shortens it. It reports whether the upstream
+// took requests until now.
+func (p *Pool) RecordBackpressure(now time.Time, upstream traffic.Upstream, retryAfter time.Duration) (news bool) {
+	s := p.statementOf(now, upstream)
+	news = !now.Before(s.backpressureUntil)
+	if until := now.Add(min(retryAfter, p.Settings.MaxBackpressure)); until.After(s.backpressureUntil) {
+		s.backpressureUntil = until
+	}
+	return news
+}
+
+// RetryAfterBackpressure is the retry delay of a caller that is refused because of the backpressure of all upstreams: until
+// the first of them takes requests again, after the turns of the callers that were refused before it. It is 0 if any
+// upstream of the service may be sent requests as far as backpressure is concerned.
+func (p *Pool) RetryAfterBackpressure(now time.Time, query Query) time.Duration {
+	var ends time.Time
+	for _, u := range p.upstreamsOf(query.Service) {
+		if !p.AcceptsRequests(u.declared) {
+			continue
+		}
+		if !u.isUnderBackpressure(now) {
+			return 0
+		}
+		if until := u.stated.backpressureUntil; ends.IsZero() || until.Before(ends) {
+			ends = until
+		}
+	}
+	if ends.IsZero() {
+		return 0
+	}
+	stats := p.statsOf(query.Service)
+	due := ends
+	if due.Before(stats.nextAfterBackpressure) {
+		due = stats.nextAfterBackpressure
+	}
+	if latest := ends.Add(maxBackpressureSpread); due.After(latest) {
+		due = latest
+	}
+	stats.nextAfterBackpressure = due.Add(p.retryInterval(query))
+	return max(due.Sub(now), minRetryAfter)
+}
+
+// maxBackpressureSpread bounds how much later than the first callers the last ones return.
+const maxBackpressureSpread = 400 * time.Millisecond
+
+// isUnderBackpressure reports whether an upstream wants no requests from this instance now.
+func (u *upstream) isUnderBackpressure(now time.Time) bool {
+	return u.stated != nil && now.Before(u.stated.backpressureUntil)
+}
+
+// statementOf returns the statement of a life, and creates it at the first call.
+func (p *Pool) statementOf(now time.Time, upstream traffic.Upstream) *statement {
+	p.prepare()
+	s := p.statements[lifeOf(upstream)]
+	if s == nil {
+		p.dropOldStatements(now)
+		s = &statement{}
+		p.statements[lifeOf(upstream)] = s
+		if u := p.upstreams[upstream.ID]; u != nil && lifeOf(u.declared) == lifeOf(upstream) {
+			u.stated = s
+		}
+	}
+	s.at = now
+	return s
+}
+
+// dropOldStatements removes the old statements of upstreams that are not declared any more.
+func (p *Pool) dropOldStatements(now time.Time) {
+	for of, s := range p.statements {
+		u := p.upstreams[of.id]
+		declared := u != nil && lifeOf(u.declared) == of
+		if !declared && now.Sub(s.at) > statementTTL {
+			delete(p.statements, of)
+		}
+	}
+}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -65,6 +65,8 @@
 	servedAt         time.Time
 	cold             cold
 	brittle          brittleUpstream
+	// stated is what the upstream has stated about itself, nil if nothing.
+	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
 	indirect bool
 	// retryAt is when an upstream that could not be reached is tried again.
@@ -164,6 +166,9 @@
 	EndUnreachable End = "unreachable"
 	// EndRefused: the upstream did not run it, for lack of capacity.
 	EndRefused End = "refused"
+	// EndBackpressure: the upstream did not run it and has asked for a pause, which is kept instead of the refusal being
+	// counted as half a failure.
+	EndBackpressure End = "backpressure"
 	// EndOther: the result says nothing about the upstream.
 	EndOther End = "other"
 )
@@ -189,6 +194,9 @@
 		u.countResult(now, refusalWeight)
 		p.recordRefusal(now, attempt)
 		p.recordRejection(now, u)
+	case EndBackpressure:
+		p.recordRefusal(now, attempt)
+		p.recordRejection(now, u)
 	case EndUnreachable:
 		u.countResult(now, 1)
 		u.backoff = min(max(2*u.backoff, minBackoff), maxBackoff)
