Send nothing new to upstreams that state that they are leaving (DRAIN)

Cause: only the store's entry said that an upstream leaves. An upstream that states it with its responses, while the store does not or is out of reach, got requests until its entry changed.

Change: the statement is kept for the upstream's life beside its backpressure, and holds whatever the store says; running requests and streams go on, and a holder stops loading there. A misdirected response says nothing, as another upstream may have sent it.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -259,18 +259,27 @@
 
 // recordStatements records what the upstream states about itself. A misdirected request was answered by another one, perhaps.
 func (j *job) recordStatements(upstream traffic.Upstream, info call.ResponseInfo) {
-	if info.Misdirected || info.RetryAfter <= 0 {
+	if info.Misdirected {
 		return
 	}
-	news := false
+	backpressure, leaving := false, false
 	j.handler.State.WithLock(func(state *SharedState) {
-		news = state.Pool.RecordBackpressure(time.Now(), upstream, info.RetryAfter)
+		now := time.Now()
+		if info.RetryAfter > 0 {
+			backpressure = state.Pool.RecordBackpressure(now, upstream, info.RetryAfter)
+		}
+		if info.Leaving {
+			leaving = state.Pool.RecordLeaving(now, upstream)
+		}
 	})
-	if news {
+	if backpressure {
 		j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str(logline.FieldUpstream, upstream.ID).
 			Int64("RetryAfterMillis", info.RetryAfter.Milliseconds()).Msg("UpstreamBackpressure")
 		j.handler.Scope.Counter("upstream_backpressure").Inc(1)
 	}
+	if leaving {
+		j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str(logline.FieldUpstream, upstream.ID).Msg("UpstreamLeaving")
+	}
 }
 
 var errNoData = errors.New("upstream sent nothing within the time-out")
--- a/internal/placement/pool/evacuation.go
+++ b/internal/placement/pool/evacuation.go
@@ -22,15 +22,23 @@
 	delete(p.evacuated, dataCentre)
 }
 
-// AcceptsRequests reports whether an upstream takes new requests: it is not draining, and its data centre is not evacuated.
+// AcceptsRequests reports whether an upstream takes new requests: it is not draining by its entry or leaving by its own
+// statement, and its data centre is not evacuated.
 func (p *Pool) AcceptsRequests(upstream traffic.Upstream) bool {
-	return !upstream.Draining && !p.evacuated[upstream.DataCentre]
+	s := p.statements[lifeOf(upstream)]
+	return !upstream.Draining && (s == nil || !s.leaving) && !p.evacuated[upstream.DataCentre]
+}
+
+// accepts is the same for an upstream that is declared, without a look-up of its statement: it is asked for each upstream
+// at each choice.
+func (p *Pool) accepts(u *upstream) bool {
+	return !u.declared.Draining && (u.stated == nil || !u.stated.leaving) && !p.evacuated[u.declared.DataCentre]
 }
 
 // countAccepting counts the upstreams of a service that take new requests.
 func (p *Pool) countAccepting(service string) (count int) {
 	for _, u := range p.upstreamsOf(service) {
-		if p.AcceptsRequests(u.declared) {
+		if p.accepts(u) {
 			count++
 		}
 	}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -224,7 +224,7 @@
 // instance. A choice can be some seconds old when it is used, if an adapter had to be loaded first.
 func (p *Pool) IsChoiceValid(now time.Time, chosen traffic.Upstream) bool {
 	u := p.upstreams[chosen.ID]
-	if u == nil || !p.AcceptsRequests(u.declared) || u.isUnderBackpressure(now) {
+	if u == nil || !p.accepts(u) || u.isUnderBackpressure(now) {
 		return false
 	}
 	return u.declared.StartedMillis == chosen.StartedMillis && u.declared.Address == chosen.Address
--- a/internal/placement/pool/statements.go
+++ b/internal/placement/pool/statements.go
@@ -24,6 +24,8 @@
 
 // statement is what an upstream has stated.
 type statement struct {
+	// leaving: it takes no new requests, and will end.
+	leaving bool
 	// backpressureUntil is when this instance may send it requests again.
 	backpressureUntil time.Time
 	at                time.Time
@@ -41,13 +43,21 @@
 	return news
 }
 
+// RecordLeaving records that an upstream is leaving, and reports whether that is news. Nothing but its next life ends that.
+func (p *Pool) RecordLeaving(now time.Time, upstream traffic.Upstream) (news bool) {
+	s := p.statementOf(now, upstream)
+	news = !s.leaving
+	s.leaving = true
+	return news
+}
+
 // RetryAfterBackpressure is the retry delay of a caller that is refused because of the backpressure of all upstreams: until
 // the first of them takes requests again, after the turns of the callers that were refused before it. It is 0 if any
 // upstream of the service may be sent requests as far as backpressure is concerned.
 func (p *Pool) RetryAfterBackpressure(now time.Time, query Query) time.Duration {
 	var ends time.Time
 	for _, u := range p.upstreamsOf(query.Service) {
-		if !p.AcceptsRequests(u.declared) {
+		if !p.accepts(u) {
 			continue
 		}
 		if !u.isUnderBackpressure(now) {
--- a/internal/placement/pool/statements_test.go
+++ b/internal/placement/pool/statements_test.go
@@ -133,3 +133,49 @@
 		is.Equal(choice.FailureRate, 0.0)
 	})
 }
+
+// Guards against requests to an upstream that is leaving, because of what the store says of it meanwhile, and against an
+// upstream that gets none although it has started again.
+func TestLeavingUpstreamIsLeftForItsLife(t *testing.T) {
+	tests := []struct {
+		name      string
+		meanwhile func(p *pool.Pool, u traffic.Upstream)
+		accepted  bool
+	}{
+		{name: "nothing", meanwhile: func(*pool.Pool, traffic.Upstream) {}},
+		{name: "the store says it is ready", meanwhile: func(p *pool.Pool, u traffic.Upstream) { p.Declare(time.Now(), u) }},
+		{
+			name: "its entry expires and comes back",
+			meanwhile: func(p *pool.Pool, u traffic.Upstream) {
+				p.Remove(u.ID)
+				p.Declare(time.Now(), u)
+			},
+		},
+		{name: "time passes", meanwhile: func(*pool.Pool, traffic.Upstream) { time.Sleep(time.Hour) }},
+		{
+			name: "it starts again under its id",
+			meanwhile: func(p *pool.Pool, u traffic.Upstream) {
+				u.StartedMillis++
+				p.Declare(time.Now(), u)
+			},
+			accepted: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool("s1")
+				stated := upstreamOf(is, p, "s1")
+				is.True(p.RecordLeaving(time.Now(), stated))
+				is.True(!p.RecordLeaving(time.Now(), stated))
+				tt.meanwhile(p, stated)
+				_, err := p.Choose(time.Now(), plain())
+				is.Equal(err == nil, tt.accepted)
+				is.Equal(p.AcceptsRequests(upstreamOf(is, p, "s1")), tt.accepted)
+				is.True(!p.AcceptsRequests(stated))
+				is.Equal(p.RetryAfterBackpressure(time.Now(), plain()), time.Duration(0))
+			})
+		})
+	}
+}
