Read from orders and reports too that an upstream is leaving

Cause: a holder talks to its upstream with orders and reports also while no requests go there, and the upstream states its leaving with those responses as well. The holder loaded on until the store's entry changed.

Change: the responses to orders and reports state it, for the life of the upstream that the holder holds; one of another life, or of another upstream at the address, says nothing.

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -13,6 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
 	"lacewingrock.example/lacewingrock/internal/placement/turn"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // held_upstream.go carries out the decisions of the planner at one upstream that this instance holds.
@@ -136,7 +137,8 @@
 		return
 	}
 	h.node.heldUpstreams.recordOrder(h.upstream.ID, start)
-	outcome, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	response, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	outcome := response.Outcome
 	reached := h.pathAfter(ctx, outcome == residence.NoAnswer)
 	if ctx.Err() != nil {
 		return
@@ -151,6 +153,9 @@
 	h.fenced = outcome == residence.Fenced
 	h.notifyWaiters()
 	h.mutex.Unlock()
+	if response.Leaving && outcome != residence.OtherUpstream {
+		h.recordLeaving()
+	}
 	if outcome == residence.OtherUpstream {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream.ID) })
 	}
@@ -187,9 +192,21 @@
 	h.planner.ApplyReport(time.Now(), report)
 	h.notifyWaiters()
 	h.mutex.Unlock()
+	if report.Leaving {
+		h.recordLeaving()
+	}
 	h.updateOwnPool()
 }
 
+// recordLeaving records that the upstream is leaving. This instance stops holding it soon.
+func (h *heldUpstream) recordLeaving() {
+	news := false
+	h.node.sharedState.WithLock(func(state *serve.SharedState) { news = state.Pool.RecordLeaving(time.Now(), h.upstream) })
+	if news {
+		h.node.Log.Info().Str(logline.FieldUpstream, h.upstream.ID).Msg("UpstreamLeaving")
+	}
+}
+
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
 // immediately, so that they can be served elsewhere while there is still time.
 func (h *heldUpstream) setUnreachable(unreachable bool) {
--- /dev/null
+++ b/internal/entry/node/leaving_upstream_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/residence"
+)
+
+// statingOrders gets the same responses to all orders and reports.
+type statingOrders struct {
+	response residence.Response
+	report   residence.Report
+}
+
+func (o statingOrders) Order(context.Context, traffic.Upstream, string, int64, residence.Order) (residence.Response, error) {
+	return o.response, nil
+}
+
+func (o statingOrders) Report(context.Context, traffic.Upstream) (residence.Report, error) {
+	return o.report, nil
+}
+
+// Guards against a holder that goes on to load adapters at an upstream which states that it is leaving, and against one that
+// takes the statement of another upstream at the same address for its own upstream's.
+func TestHolderLearnsThatItsUpstreamIsLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		orders statingOrders
+		left   bool
+	}{
+		{"nothing is stated", statingOrders{response: residence.Response{Outcome: residence.Conflict}}, false},
+		{"with an order", statingOrders{response: residence.Response{Outcome: residence.Conflict, Leaving: true}}, true},
+		{"by another upstream", statingOrders{response: residence.Response{Outcome: residence.OtherUpstream, Leaving: true}}, false},
+		{"with a report", statingOrders{report: residence.Report{Leaving: true, Born: 7}}, true},
+		{"with a report of another life", statingOrders{report: residence.Report{Leaving: true, Born: 8}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := heldUpstreamAt("127.0.0.1:1")
+			h.upstream.StartedMillis = 7
+			h.node.sharedState.Pool.Declare(time.Now(), h.upstream)
+			h.node.Orders = c.orders
+			h.sendOrder(t.Context(), residence.Order{Adapter: traffic.Adapter{Model: "m", Name: "a"}})
+			h.fetchReport(t.Context())
+			is.Equal(h.node.acceptsRequests(h.upstream), !c.left)
+		})
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -49,7 +49,7 @@
 type Orders interface {
 	Order(
 		ctx context.Context, upstream traffic.Upstream, holder string, fence int64, order residence.Order,
-	) (residence.Outcome, error)
+	) (residence.Response, error)
 	Report(ctx context.Context, upstream traffic.Upstream) (residence.Report, error)
 }
 
--- a/internal/entry/node/unreachable_upstream_test.go
+++ b/internal/entry/node/unreachable_upstream_test.go
@@ -22,8 +22,8 @@
 // noResponseOrders gets no response to any order.
 type noResponseOrders struct{}
 
-func (noResponseOrders) Order(context.Context, traffic.Upstream, string, int64, residence.Order) (residence.Outcome, error) {
-	return residence.NoAnswer, errors.New("no response from the upstream")
+func (noResponseOrders) Order(context.Context, traffic.Upstream, string, int64, residence.Order) (residence.Response, error) {
+	return residence.Response{Outcome: residence.NoAnswer}, errors.New("no response from the upstream")
 }
 
 func (noResponseOrders) Report(context.Context, traffic.Upstream) (residence.Report, error) {
--- a/internal/entry/node/upstream_links_test.go
+++ b/internal/entry/node/upstream_links_test.go
@@ -136,15 +136,15 @@
 // Order carries out an order.
 func (o *linkedOrders) Order(
 	_ context.Context, upstream traffic.Upstream, holder string, fence int64, order residence.Order,
-) (residence.Outcome, error) {
+) (residence.Response, error) {
 	if !o.links.is(linksWhole) {
-		return residence.NoAnswer, errNoResponse
+		return residence.Response{Outcome: residence.NoAnswer}, errNoResponse
 	}
 	o.engines.mutex.Lock()
 	defer o.engines.mutex.Unlock()
 	engine := o.engines.at(upstream.Address)
 	if fence < engine.fence {
-		return residence.Fenced, nil
+		return residence.Response{Outcome: residence.Fenced}, nil
 	}
 	if fence == engine.fence && holder != engine.holder {
 		o.engines.violations = append(o.engines.violations, engine.holder+" and "+holder)
@@ -152,17 +152,17 @@
 	engine.fence, engine.holder = fence, holder
 	has := slices.ContainsFunc(engine.adapters, func(loaded traffic.LoadedAdapter) bool { return loaded.Name == order.Adapter.Name })
 	if has != order.Unload {
-		return residence.AlreadyDone, nil
+		return residence.Response{Outcome: residence.AlreadyDone}, nil
 	}
 	if order.Sequence != engine.sequence {
-		return residence.Conflict, nil
+		return residence.Response{Outcome: residence.Conflict}, nil
 	}
 	engine.sequence++
 	engine.adapters = slices.DeleteFunc(engine.adapters, func(loaded traffic.LoadedAdapter) bool { return loaded.Name == order.Adapter.Name })
 	if !order.Unload {
 		engine.adapters = append(engine.adapters, traffic.LoadedAdapter{Name: order.Adapter.Name, Version: 1})
 	}
-	return residence.Accepted, nil
+	return residence.Response{Outcome: residence.Accepted}, nil
 }
 
 // Report returns what an engine has loaded.
--- a/internal/placement/residence/residence.go
+++ b/internal/placement/residence/residence.go
@@ -44,8 +44,16 @@
 	NoAnswer Outcome = "no_answer"
 )
 
+// Response is an upstream's response to an order. Leaving: the upstream takes no new requests, and will end.
+type Response struct {
+	Outcome Outcome
+	Leaving bool
+}
+
 // Report lists what an upstream had loaded shortly before the report was requested.
 type Report struct {
+	// Leaving: the upstream takes no new requests, and will end.
+	Leaving  bool
 	Sequence int64
 	Busy     bool
 	Born     int64
