Keep pauses and leaving of upstreams also where requests go through a peer

Cause: a connection through a peer counts as the peer's at the upstream, and the peer does not read the responses that it carries.

Change: the instance that reads the response forwards the statement to the peer, which keeps it as its own and opens no connection for others meanwhile.

Ruled out: sending it over the stream that carries the connection. The HTTP client closes a connection as soon as it has a response without a body, so that the statement was lost in some of the cases of the test.

--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,9 @@
 const (
 	headerID     = "Call-Id"
 	headerSigned = "Reply-Signed"
+	// headerBackpressure is a number of milliseconds, with a refusal.
+	headerBackpressure = "Reply-Backpressure-Ms"
+	headerLeaving      = "Reply-Leaving"
 	// headerAdapter names the adapter of model m that a call asks for.
 	headerAdapter = "Call-Adapter"
 	pathReady     = "/ready"
@@ -114,7 +118,12 @@
 func (dialect) RequestHeader(c call.Call, _ call.Attempt) http.Header { return c.Header.Clone() }
 
 func (dialect) ParseResponse(response *http.Response) call.ResponseInfo {
-	return call.ResponseInfo{ID: response.Header.Get(headerID), Signed: response.Header.Get(headerSigned) != ""}
+	backpressure, _ := strconv.Atoi(response.Header.Get(headerBackpressure)) // 0 without the header
+	return call.ResponseInfo{
+		ID: response.Header.Get(headerID), Signed: response.Header.Get(headerSigned) != "",
+		NotRun: backpressure > 0, RetryAfter: time.Duration(backpressure) * time.Millisecond,
+		Leaving: response.Header.Get(headerLeaving) != "",
+	}
 }
 
 func (dialect) SetRefusalHeader(header http.Header, id string, _ time.Duration) {
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -13,7 +13,6 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
 	"lacewingrock.example/lacewingrock/internal/placement/turn"
-	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // held_upstream.go carries out the decisions of the planner at one upstream that this instance holds.
@@ -153,8 +152,8 @@
 	h.fenced = outcome == residence.Fenced
 	h.notifyWaiters()
 	h.mutex.Unlock()
-	if response.Leaving && outcome != residence.OtherUpstream {
-		h.recordLeaving()
+	if outcome != residence.OtherUpstream {
+		h.node.handler.RecordStatement("", h.upstream, 0, response.Leaving)
 	}
 	if outcome == residence.OtherUpstream {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream.ID) })
@@ -192,21 +191,10 @@
 	h.planner.ApplyReport(time.Now(), report)
 	h.notifyWaiters()
 	h.mutex.Unlock()
-	if report.Leaving {
-		h.recordLeaving()
-	}
+	h.node.handler.RecordStatement("", h.upstream, 0, report.Leaving)
 	h.updateOwnPool()
 }
 
-// recordLeaving records that the upstream is leaving. This instance stops holding it soon.
-func (h *heldUpstream) recordLeaving() {
-	news := false
-	h.node.sharedState.WithLock(func(state *serve.SharedState) { news = state.Pool.RecordLeaving(time.Now(), h.upstream) })
-	if news {
-		h.node.Log.Info().Str(logline.FieldUpstream, h.upstream.ID).Msg("UpstreamLeaving")
-	}
-}
-
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
 // immediately, so that they can be served elsewhere while there is still time.
 func (h *heldUpstream) setUnreachable(unreachable bool) {
--- a/internal/entry/node/unreachable_upstream_test.go
+++ b/internal/entry/node/unreachable_upstream_test.go
@@ -39,6 +39,7 @@
 	n := &Node{Log: zerolog.Nop(), Orders: noResponseOrders{}, DialUpstream: dialTCP, heldUpstreams: newHeldUpstreams(), scope: tally.NoopScope, forward: &forward.Client{}}
 	n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: true}})
 	n.sharedState = &serve.SharedState{Pool: &pool.Pool{Settings: pool.DefaultSettings()}}
+	n.handler = &serve.Handler{State: n.sharedState, Log: zerolog.Nop(), Scope: tally.NoopScope}
 	upstream := traffic.Upstream{ID: "u", Service: "s", Address: address}
 	n.sharedState.Pool.Declare(time.Now(), upstream)
 	return &heldUpstream{node: n, upstream: upstream, fence: 1, wake: make(chan struct{}, 1), changed: make(chan struct{})}
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -210,7 +210,7 @@
 // outdated knowledge of each other's links cannot send it in circles.
 func (n *Node) Connect(ctx context.Context, request mesh.ConnectRequest) (net.Conn, error) {
 	upstream, declared := n.declaredUpstream(request.Upstream)
-	if !declared || !n.acceptsRequests(upstream) || n.stopping.Load() || n.links.isLost(request.Upstream) {
+	if !declared || !n.isWanted(upstream) || n.stopping.Load() || n.links.isLost(request.Upstream) {
 		return nil, errNoPath
 	}
 	if n.links.forPeers.Add(1) > maxPeerConnections {
@@ -229,6 +229,19 @@
 	return &connectionForPeer{Conn: connection, count: &n.links.forPeers}, nil
 }
 
+// isWanted reports whether an upstream takes new requests, and from this instance.
+func (n *Node) isWanted(upstream traffic.Upstream) (wanted bool) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { wanted = state.Pool.IsChoiceValid(time.Now(), upstream) })
+	return wanted
+}
+
+// RecordStatement records what an upstream has stated in a response that was carried for a peer.
+func (n *Node) RecordStatement(statement mesh.Statement) {
+	if upstream, declared := n.declaredUpstream(statement.Upstream); declared {
+		n.handler.RecordStatement(statement.CallID, upstream, statement.RetryAfter, statement.Leaving)
+	}
+}
+
 // connectionForPeer is an open connection for a peer. It is counted until it is closed.
 type connectionForPeer struct {
 	net.Conn
--- a/internal/entry/node/upstream_links_test.go
+++ b/internal/entry/node/upstream_links_test.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	senders.Store(connection.LocalAddr().String(), l)
 	linked := &linkConnection{Conn: connection, links: l}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -77,6 +78,10 @@
 	return linked, nil
 }
 
+// senders maps the local addresses of connections to the links over which they were opened, so that an upstream can tell
+// which instance a request comes from.
+var senders sync.Map
+
 // linkConnection is a connection over a link.
 type linkConnection struct {
 	net.Conn
--- a/internal/fleet/mesh/connect.go
+++ b/internal/fleet/mesh/connect.go
@@ -141,6 +141,20 @@
 // String returns the address.
 func (n name) String() string { return string(n) }
 
+// ForwardStatement sends the peer at address what an upstream has stated in a response that the peer has carried.
+func (p *Peers) ForwardStatement(ctx context.Context, address string, statement Statement) (err error) {
+	defer func() { err = errors.WithMessage(err, "mesh: forward statement") }()
+	client, err := p.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.ForwardStatement(ctx, &meshpb.StatementRequest{
+		Upstream: statement.Upstream, Instance: statement.Instance, Request: statement.CallID,
+		RetryAfterMillis: statement.RetryAfter.Milliseconds(), Leaving: statement.Leaving,
+	})
+	return err
+}
+
 // ---------------------------------------------------------------------------------------------
 
 // Connect serves a connection for a peer until either end closes it.
@@ -206,3 +220,12 @@
 		}
 	}
 }
+
+// ForwardStatement receives what an upstream has stated in a response that was carried for a peer.
+func (s service) ForwardStatement(_ context.Context, wire *meshpb.StatementRequest) (*meshpb.StatementReply, error) {
+	s.handler.RecordStatement(Statement{
+		Upstream: wire.GetUpstream(), Instance: wire.GetInstance(), CallID: wire.GetRequest(),
+		RetryAfter: time.Duration(wire.GetRetryAfterMillis()) * time.Millisecond, Leaving: wire.GetLeaving(),
+	})
+	return &meshpb.StatementReply{}, nil
+}
--- a/internal/fleet/mesh/connect_test.go
+++ b/internal/fleet/mesh/connect_test.go
@@ -87,6 +87,16 @@
 	is.True(!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
+// Guards against a peer that sends on to an upstream which wants nothing from it, because only the instance for which it
+// carries a response reads the upstream's statement.
+func TestPeerGetsTheUpstreamsStatement(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	statement := mesh.Statement{Upstream: "u", Instance: "i", CallID: "id", RetryAfter: 1500 * time.Millisecond, Leaving: true}
+	is.NoErr(peers.ForwardStatement(t.Context(), address, statement))
+	is.Equal(<-peer.statements, statement)
+}
+
 // Guards against a request that counts as one that may have run although the peer opened no connection for it, and
 // against crashes of an upstream that are not seen by an instance which has lost its own link.
 func TestPeerThatCannotConnectSaysWhy(t *testing.T) {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -35,6 +35,7 @@
 	batch          replica.Batch
 	prepared       mesh.PrepareResult
 	connectRequest mesh.ConnectRequest
+	statements     chan mesh.Statement
 	// connection and connectError are the result of Connect.
 	connection   net.Conn
 	connectError error
@@ -73,13 +74,17 @@
 	return e.connection, e.connectError
 }
 
+func (e *echo) RecordStatement(statement mesh.Statement) {
+	e.statements <- statement
+}
+
 func serveEcho(t *testing.T) (*echo, *mesh.Peers, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	peer := &echo{}
+	peer := &echo{statements: make(chan mesh.Statement, 1)}
 	peer.server = mesh.NewServer(peer)
 	go func() { _ = peer.server.Serve(listener) }()
 	t.Cleanup(peer.server.Stop)
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -114,6 +114,21 @@
 	// Connect connects to an upstream for a peer, directly or not at all. The error wraps syscall.ECONNREFUSED if nothing
 	// listens there.
 	Connect(ctx context.Context, request ConnectRequest) (net.Conn, error)
+	// RecordStatement records what an upstream has stated in a response that this instance has carried for a peer.
+	RecordStatement(statement Statement)
+}
+
+// Statement is what an upstream has stated about itself in a response. The receiver has carried it over a connection for
+// the sender, so that the upstream takes the receiver for the sender of the request.
+type Statement struct {
+	Upstream string
+	Instance string
+	// CallID is the id of the call that was responded to, for the log.
+	CallID string
+	// RetryAfter is how long the upstream wants no requests from the receiver; 0 if it states nothing.
+	RetryAfter time.Duration
+	// Leaving: the upstream takes no new requests, and will end.
+	Leaving bool
 }
 
 // ConnectRequest asks for a connection to an upstream to which the instance that sends it cannot connect.
--- a/internal/gateway/forward/exchange.go
+++ b/internal/gateway/forward/exchange.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
 )
 
 // exchange.go observes whether a request was sent, and keeps the HTTP client from sending it again by itself. The client
@@ -22,13 +26,16 @@
 	cancel context.CancelCauseFunc
 	// sent: the whole request was written to a connection.
 	sent atomic.Bool
+	// connection is the last one that was used.
+	connection atomic.Pointer[net.Conn]
 }
 
 func newExchange(ctx context.Context) *exchange {
 	e := &exchange{}
 	ctx, e.cancel = context.WithCancelCause(ctx)
 	e.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
+			e.connection.Store(&info.Conn)
 			if e.sent.Load() {
 				e.cancel(errSentAgain)
 			}
@@ -42,6 +49,26 @@
 	return e
 }
 
+// relayedConnection is a connection through another instance, which the upstream takes for the sender of the request.
+type relayedConnection interface {
+	// ForwardStatement gives that instance what the upstream has stated in its response, without waiting for it.
+	ForwardStatement(retryAfter time.Duration, leaving bool)
+}
+
+// forwardStatement gives the instance that carried the request what the upstream has stated to it.
+func (e *exchange) forwardStatement(info call.ResponseInfo) {
+	if info.Misdirected || info.RetryAfter <= 0 && !info.Leaving {
+		return
+	}
+	connection := e.connection.Load()
+	if connection == nil {
+		return
+	}
+	if relayed, ok := (*connection).(relayedConnection); ok {
+		relayed.ForwardStatement(info.RetryAfter, info.Leaving)
+	}
+}
+
 // classify returns ErrNotConnected only if no connection carried the request.
 func (e *exchange) classify(err error) error {
 	var dial dialError
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -124,7 +124,11 @@
 		Framing: framingOf(response),
 		Info:    c.Dialect.ParseResponse(response),
 	}
-	return result, c.check(outgoing, result)
+	if err := c.check(outgoing, result); err != nil {
+		return result, err
+	}
+	exchange.forwardStatement(result.Info)
+	return result, nil
 }
 
 // check rejects a response that does not belong to this call. A late second response to an earlier call can arrive
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -11,7 +11,6 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
-	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // dispatch.go sends a request to upstreams, and retries it where that is allowed and useful.
@@ -233,7 +232,9 @@
 	defer response.Body.Close()
 	j.received = received{info: response.Info, framing: response.Framing}
 	j.recordBrittleness(response.Info)
-	j.recordStatements(choice.Upstream, response.Info)
+	if !response.Info.Misdirected { // another upstream may have answered
+		j.handler.RecordStatement(j.call.ID, choice.Upstream, response.Info.RetryAfter, response.Info.Leaving)
+	}
 	switch {
 	case response.Info.Misdirected:
 		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
@@ -257,31 +258,6 @@
 	}
 }
 
-// recordStatements records what the upstream states about itself. A misdirected request was answered by another one, perhaps.
-func (j *job) recordStatements(upstream traffic.Upstream, info call.ResponseInfo) {
-	if info.Misdirected {
-		return
-	}
-	backpressure, leaving := false, false
-	j.handler.State.WithLock(func(state *SharedState) {
-		now := time.Now()
-		if info.RetryAfter > 0 {
-			backpressure = state.Pool.RecordBackpressure(now, upstream, info.RetryAfter)
-		}
-		if info.Leaving {
-			leaving = state.Pool.RecordLeaving(now, upstream)
-		}
-	})
-	if backpressure {
-		j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str(logline.FieldUpstream, upstream.ID).
-			Int64("RetryAfterMillis", info.RetryAfter.Milliseconds()).Msg("UpstreamBackpressure")
-		j.handler.Scope.Counter("upstream_backpressure").Inc(1)
-	}
-	if leaving {
-		j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str(logline.FieldUpstream, upstream.ID).Msg("UpstreamLeaving")
-	}
-}
-
 var errNoData = errors.New("upstream sent nothing within the time-out")
 
 const (
