--- a/internal/entry/node/link_soak_test.go
+++ b/internal/entry/node/link_soak_test.go
@@ -24,29 +24,35 @@
 var keptLinkSeeds = []uint64{493115377}
 
 const (
-	soakTime      = 5 * time.Second
-	callersEach   = 4
-	minSoakPause  = 100 * time.Millisecond
-	maxSoakPause  = 900 * time.Millisecond
-	soakRecovery  = 3 * time.Second
-	statusNotRead = -1
+	soakTime     = 5 * time.Second
+	callersEach  = 4
+	minSoakPause = 100 * time.Millisecond
+	maxSoakPause = 900 * time.Millisecond
+	// maxSoakPressure is the longest pause that an upstream asks for, and maxLate how many requests it may get in it.
+	maxSoakPressure = 2 * time.Second
+	maxLate         = 2
+	soakRecovery    = 3 * time.Second
+	statusNotRead   = -1
 )
 
 // runCounts counts how often each request ran.
 type runCounts struct {
-	mutex sync.Mutex
-	byID  map[string]int
+	mutex   sync.Mutex
+	byID    map[string]int
+	stating *statingUpstreams
 }
 
 // upstream starts a plain upstream or engine that counts its requests.
 func (c *runCounts) upstream(t *testing.T) string {
+	number := c.stating.add()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.stating.respond(number, w, r) {
+			return
+		}
 		c.mutex.Lock()
 		c.byID[r.Header.Get(headerID)]++
 		c.mutex.Unlock()
 		time.Sleep(20 * time.Millisecond)
-		w.Header().Set(headerID, r.Header.Get(headerID))
-		w.Header().Set(headerSigned, "s")
 	}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -108,6 +114,20 @@
 	time.Sleep(minSoakPause + time.Duration(s.random.Int64N(int64(maxSoakPause-minSoakPause))))
 }
 
+// press puts some upstreams under backpressure, which overlaps with what happens to the links.
+func (s *linkSoak) press(random *rand.Rand) {
+	for begun := time.Now(); time.Since(begun) < soakTime; {
+		number := random.IntN(len(s.counts.stating.members))
+		backpressure := minSoakPause + time.Duration(random.Int64N(int64(maxSoakPressure)))
+		s.counts.stating.set(number, statingUpstream{backpressure: backpressure, refusing: random.Float64()})
+		time.Sleep(minSoakPause + time.Duration(random.Int64N(int64(maxSoakPause-minSoakPause))))
+		s.counts.stating.set(random.IntN(len(s.counts.stating.members)), statingUpstream{})
+	}
+	for number := range s.counts.stating.members {
+		s.counts.stating.set(number, statingUpstream{})
+	}
+}
+
 func (s *linkSoak) heal() {
 	for _, member := range s.fleet {
 		member.links.set(linksWhole)
@@ -138,11 +158,16 @@
 			s.t.Errorf("%s was refused as not run, and ran", id)
 		}
 	}
-	s.t.Logf("statuses: %v", tally)
+	late, statements := s.counts.stating.mostLate()
+	if late > maxLate {
+		s.t.Errorf("%d requests from an instance arrived while the upstream wanted none from it", late)
+	}
+	s.t.Logf("statuses: %v, statements of upstreams: %d, most late: %d", tally, statements, late)
 }
 
 // Guards against requests that run twice, are refused although they ran or get another's response while links to upstreams
-// come and go, and against instances that do not recover when all links are back.
+// come and go and upstreams ask for pauses, against requests in those pauses, and against instances that do not recover when
+// all is well again.
 func TestSoakOfLinks(t *testing.T) {
 	seeds := slices.Clone(keptLinkSeeds)
 	for range *linkSeeds {
@@ -151,12 +176,14 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			store := newStore()
-			counts := &runCounts{byID: map[string]int{}}
+			counts := &runCounts{byID: map[string]int{}, stating: newStatingUpstreams(seed)}
 			shared := &engines{}
 			s := &linkSoak{
 				t: t, random: rand.New(rand.NewPCG(seed, 0)), counts: counts, stop: make(chan struct{}), statuses: map[string]int{},
 			}
-			options := fleetOptions{shared: shared, upstream: counts.upstream, change: func(*node.Settings) {}}
+			options := fleetOptions{shared: shared, upstream: counts.upstream, change: func(settings *node.Settings) {
+				settings.Upstreams.MaxBackpressure = time.Minute
+			}}
 			s.fleet = startFleetBefore(t, store, options, "a", "b", "c", "d")
 			defer s.end()
 			for _, member := range s.fleet {
@@ -164,9 +191,12 @@
 					s.callers.Go(func() { s.runCaller(member, caller) })
 				}
 			}
+			var pressing sync.WaitGroup
+			pressing.Go(func() { s.press(rand.New(rand.NewPCG(seed, 1))) })
 			for begun := time.Now(); time.Since(begun) < soakTime; {
 				s.disturb()
 			}
+			pressing.Wait()
 			s.heal()
 			time.Sleep(soakRecovery)
 			for _, member := range s.fleet {
