--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -22,14 +21,6 @@
 	// maxTried bounds the upstreams that are tried for one request. That includes the upstreams whose holders refused
 	// to load the adapter or to grant a prefill turn. Such a query takes some milliseconds and no work of the upstream.
 	maxTried = 16
-	// busyRetryAfter is the retry time for a service without free capacity if no holder stated a wait: some requests
-	// have ended by then.
-	busyRetryAfter = 350 * time.Millisecond
-	// minBusyRetryAfter and maxBusyRetryAfter bound the waits that holders state.
-	minBusyRetryAfter = 100 * time.Millisecond
-	maxBusyRetryAfter = 3 * time.Second
-	// unreachableRetryAfter is the retry time if no upstream is reachable.
-	unreachableRetryAfter = 500 * time.Millisecond
 )
 
 // result is the result of one attempt.
@@ -282,67 +273,3 @@
 	}
 	return max(shortest, silenceFactor*choice.Expected)
 }
-
-// ---------------------------------------------------------------------------------------------
-
-// expired returns the refusal for a request whose deadline has passed, or whose caller has disconnected.
-func (j *job) expired(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(j.deadline) {
-		refused := refusal.New(refusal.Deadline, "no answer within the time for it")
-		if !j.mayHaveRun {
-			refused = refused.WithRun(refusal.NotRun)
-		}
-		return refused
-	}
-	return refusal.New(refusal.Cancelled, "the caller closed the connection")
-}
-
-// refuseUnplaced returns the refusal for a request if no upstream can be chosen.
-func (j *job) refuseUnplaced(cause error, choice pool.Choice, query pool.Query, last error) error {
-	if j.mayHaveRun || j.shortestWait > 0 {
-		return j.exhausted(last)
-	}
-	if wait := j.backpressureWait(); wait > 0 {
-		return refusal.New(refusal.Busy, "the upstreams have asked for no requests").WithRetryAfter(wait)
-	}
-	if errors.Is(cause, pool.ErrFull) {
-		var retryAfter time.Duration
-		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), query) })
-		j.step("full").Str("Upstream", choice.Upstream.ID).Int("Running", choice.Running).
-			Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
-		return refusal.New(refusal.Busy, "the upstreams are full").WithRetryAfter(retryAfter)
-	}
-	return refusal.New(refusal.ServiceUnavailable, "no upstream can take the request").WithRetryAfter(unreachableRetryAfter)
-}
-
-// busyWait returns the shortest wait for an adapter slot or a prefill turn that a holder stated, within bounds.
-func (j *job) busyWait() time.Duration {
-	if j.shortestWait == 0 {
-		return busyRetryAfter
-	}
-	return min(max(j.shortestWait, minBusyRetryAfter), maxBusyRetryAfter)
-}
-
-// backpressureWait returns when the caller should come back if no upstream takes requests before then; 0 if one may.
-func (j *job) backpressureWait() (wait time.Duration) {
-	j.handler.State.WithLock(func(state *SharedState) {
-		wait = state.Pool.RetryAfterBackpressure(time.Now(), pool.Query{
-			Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens,
-		})
-	})
-	return wait
-}
-
-// exhausted returns the refusal for a request that may not be sent again, or that has used up its attempts.
-func (j *job) exhausted(last error) error {
-	if !j.mayHaveRun {
-		j.cause = last
-		wait := j.backpressureWait()
-		if wait == 0 {
-			wait = j.busyWait()
-		}
-		return refusal.New(refusal.Busy, "the upstreams are busy").WithRetryAfter(wait)
-	}
-	j.cause = last // only for the log: it contains addresses that callers must not see
-	return refusal.New(refusal.UpstreamFailed, "the upstream failed or its answer was lost")
-}
