--- a/internal/entry/node/connection_race.go
+++ b/internal/entry/node/connection_race.go
@@ -177,42 +177,6 @@
 	return result
 }
 
-// connectionThroughPeer is a connection to an upstream through a peer.
-type connectionThroughPeer struct {
-	net.Conn
-	node     *Node
-	address  string
-	upstream string
-	call     string
-}
-
-// ForwardStatement sends the peer what the upstream has stated in its response, without waiting for it.
-func (c *connectionThroughPeer) ForwardStatement(retryAfter time.Duration, leaving bool) {
-	sender := statementSender{node: c.node, address: c.address, statement: mesh.Statement{
-		Upstream: c.upstream, Instance: c.node.self.Name, CallID: c.call, RetryAfter: retryAfter, Leaving: leaving,
-	}}
-	go sender.run()
-}
-
-// statementTimeout bounds the sending of a statement. If it fails, the peer gets the next response's.
-const statementTimeout = 400 * time.Millisecond
-
-// statementSender sends one statement to a peer.
-type statementSender struct {
-	node      *Node
-	address   string
-	statement mesh.Statement
-}
-
-func (s statementSender) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), statementTimeout)
-	defer cancel()
-	if err := s.node.peers.ForwardStatement(ctx, s.address, s.statement); err != nil {
-		s.node.Log.Warn().Str(logline.FieldRequest, s.statement.CallID).Str(logline.FieldUpstream, s.statement.Upstream).
-			Err(err).Msg("StatementNotForwarded")
-	}
-}
-
 // peerAddress is a peer that may connect to an upstream for this instance.
 type peerAddress struct {
 	reach.Peer
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -152,11 +152,10 @@
 	h.fenced = outcome == residence.Fenced
 	h.notifyWaiters()
 	h.mutex.Unlock()
-	if outcome != residence.OtherUpstream {
-		h.node.handler.RecordStatement("", h.upstream, 0, response.Leaving)
-	}
 	if outcome == residence.OtherUpstream {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream.ID) })
+	} else {
+		h.node.handler.RecordStatement("", h.upstream, 0, response.Leaving)
 	}
 	h.updateOwnPool()
 }
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -235,13 +235,6 @@
 	return wanted
 }
 
-// RecordStatement records what an upstream has stated in a response that was carried for a peer.
-func (n *Node) RecordStatement(statement mesh.Statement) {
-	if upstream, declared := n.declaredUpstream(statement.Upstream); declared {
-		n.handler.RecordStatement(statement.CallID, upstream, statement.RetryAfter, statement.Leaving)
-	}
-}
-
 // connectionForPeer is an open connection for a peer. It is counted until it is closed.
 type connectionForPeer struct {
 	net.Conn
--- /dev/null
+++ b/internal/gateway/serve/caller_response.go
@@ -0,0 +1,50 @@
+package serve
+
+import (
+	"net"
+	"net/http"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+)
+
+// caller_response.go writes the response to the caller, and ends it so that a broken one does not look complete.
+
+// start sends the header of the response. If the upstream's response ends with its connection, the caller's does too:
+// with a length or chunks, the instance would claim that the response is complete, which the upstream has not stated.
+func (j *job) start(response *forward.Response) {
+	j.started = true
+	j.status = response.Status
+	header := j.writer.Header()
+	if response.Framing == forward.FramingClose {
+		header.Set("Transfer-Encoding", "identity") // net/http sends no chunks, and closes the connection afterwards
+	}
+	framed := header.Get("Content-Length") != "" || j.acceptsChunks && response.Framing != forward.FramingClose
+	j.endsWithConnection = !framed
+	j.writer.WriteHeader(response.Status)
+}
+
+// abort ends a started response that cannot be completed, so that it does not look complete. If it ends with its
+// connection, the connection has to be reset.
+func (j *job) abort() {
+	if j.endsWithConnection {
+		j.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (j *job) resetConnection() {
+	connection, _, err := http.NewResponseController(j.writer).Hijack()
+	if err != nil {
+		return // the connection is broken already
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // closing resets the connection then
+	}
+	_ = connection.Close()
+}
+
+func (j *job) write(data []byte) error {
+	n, err := j.writer.Write(data)
+	j.bytes += int64(n)
+	return err
+}
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -181,7 +180,7 @@
 		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
 	}
 	if r.response.Framing == forward.FramingClose && (r.wroteAt.IsZero() || !r.job.endsWithConnection) {
-		// Nothing shows that the stream is complete, and the caller cannot be left in doubt.
+		// Without an event nothing was sent, and with chunks the end would be a claim.
 		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
 	}
 	r.recordEvent()
@@ -244,40 +243,6 @@
 	}
 }
 
-// start sends the header of the response. If the upstream's response ends with its connection, the caller's does too:
-// with a length or chunks, the instance would claim that the response is complete, which the upstream has not stated.
-func (j *job) start(response *forward.Response) {
-	j.started = true
-	j.status = response.Status
-	header := j.writer.Header()
-	if response.Framing == forward.FramingClose {
-		header.Set("Transfer-Encoding", "identity") // net/http sends no chunks, and closes the connection afterwards
-	}
-	framed := header.Get("Content-Length") != "" || j.acceptsChunks && response.Framing != forward.FramingClose
-	j.endsWithConnection = !framed
-	j.writer.WriteHeader(response.Status)
-}
-
-// abort ends a started response that cannot be completed, so that it does not look complete. If it ends with its
-// connection, the connection has to be reset.
-func (j *job) abort() {
-	if j.endsWithConnection {
-		j.resetConnection()
-	}
-	panic(http.ErrAbortHandler)
-}
-
-func (j *job) resetConnection() {
-	connection, _, err := http.NewResponseController(j.writer).Hijack()
-	if err != nil {
-		return // the connection is broken already
-	}
-	if tcp, ok := connection.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // closing resets the connection then
-	}
-	_ = connection.Close()
-}
-
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
 // however early its first event was.
 func (r *relay) measurePause(now time.Time) {
@@ -287,12 +252,6 @@
 	r.wroteAt = now
 }
 
-func (j *job) write(data []byte) error {
-	n, err := j.writer.Write(data)
-	j.bytes += int64(n)
-	return err
-}
-
 // ---------------------------------------------------------------------------------------------
 
 // lastID returns the id of the last event that has one.
