Keep the retry of an attempt that was withdrawn before it was sent

Cause: an attempt after the first takes a retry from the budget before the upstream is checked the last time. If that upstream has just asked for a pause, nothing is sent, and the retry was lost to the request's next upstream. Found by reading; no test shows the loss of one retry.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -80,8 +80,11 @@
 				j.tried = append(j.tried, choice.Upstream.ID)
 			}
 		case resultUnreached:
-		case resultNotRun, resultWithdrawn:
+		case resultNotRun:
 			j.tried = append(j.tried, choice.Upstream.ID)
+		case resultWithdrawn:
+			j.tried = append(j.tried, choice.Upstream.ID)
+			j.retryTaken = j.arrivals > 0 // the retry that was taken was not made
 		case resultBroken, resultFailed:
 			j.tried = append(j.tried, choice.Upstream.ID)
 			if ctx.Err() != nil {
