Log the software of upstreams and the streams that callers take up

Where a stream began and where it went on could only be read by hand, from the operators' log. No decision uses them.

--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -59,6 +59,7 @@
 		(previous.ColdRemaining > 0) != (upstream.ColdRemaining > 0)
 	if urgent {
 		n.Log.Info().Str("Upstream", id).Str("Service", upstream.Service).Str("Address", upstream.Address).
+			Str("Software", upstream.Software).
 			Bool("Draining", upstream.Draining).Int64("ColdMillis", upstream.ColdRemaining.Milliseconds()).
 			Int64("Revision", item.Revision).Msg("UpstreamDeclared")
 	}
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -32,6 +32,9 @@
 	Generation    Generation
 	// LastEventID is the id of the last event that the caller received of an earlier stream; empty if there was none.
 	LastEventID string
+	// Resumes is the id of the call that brought the first event of the stream that this call resumes; empty if it resumes
+	// none.
+	Resumes string
 }
 
 // Generation describes what a request asks a model to generate: the model or adapter, and the token counts.
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -66,7 +66,8 @@
 		j.retryTaken = false
 		var outcome result
 		outcome, last = j.send(ctx, choice, query)
-		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Outcome", string(outcome)).Err(last).
+		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
+			Str("Outcome", string(outcome)).Err(last).
 			Str("Framing", string(j.received.framing)).Int("TailBytes", j.received.tail).
 			Int64("RetryAfterMillis", j.received.info.RetryAfter.Milliseconds()).Bool("Leaving", j.received.info.Leaving).
 			Int("Tokens", query.Tokens).Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
@@ -238,7 +239,7 @@
 		return resultNotRun, errors.Errorf("upstream refused with status %d: %d running and %d waiting requests, %d batch slots",
 			response.Status, load.Running, load.Waiting, load.BatchSlots)
 	}
-	relay := relay{job: j, response: response, attempt: attempt, silenceTimer: silenceTimer}
+	relay := relay{job: j, response: response, attempt: attempt, software: choice.Upstream.Software, silenceTimer: silenceTimer}
 	return relay.run()
 }
 
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -60,8 +60,11 @@
 	// longestPause is the longest time between two events of a stream from the same upstream.
 	longestPause time.Duration
 	lastEventID  string
-	upstream     string
-	received     received
+	// software is the software version of the upstream that sent the last events, mixed that others sent some before.
+	software string
+	mixed    bool
+	upstream string
+	received received
 	// bytes is the number of bytes of the response body that were sent to the caller.
 	bytes int64
 	// cause is the error at the last upstream, if it ended the request.
@@ -105,6 +108,9 @@
 	if j.table != nil {
 		event = event.Int64("Configuration", j.table.Configuration.Version)
 	}
+	if j.call.LastEventID != "" || j.call.Resumes != "" {
+		event = event.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEventID)
+	}
 	if !j.firstByte.IsZero() {
 		event = event.Int64("FirstMillis", j.firstByte.Sub(j.startedAt).Milliseconds()).
 			Int64("PauseMillis", j.longestPause.Milliseconds()).
@@ -142,6 +148,12 @@
 	if !j.firstByte.IsZero() {
 		scope.Histogram("first_event_time", latencyBuckets).RecordDuration(j.firstByte.Sub(j.startedAt))
 	}
+	if j.call.LastEventID != "" {
+		scope.Tagged(map[string]string{"status": strconv.Itoa(j.status)}).Counter("resumed_requests").Inc(1)
+	}
+	if j.mixed {
+		scope.Counter("mixed_software_streams").Inc(1)
+	}
 	if j.attempts > 1 {
 		scope.Counter("retries").Inc(int64(j.attempts - 1))
 	}
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -34,9 +34,11 @@
 )
 
 type relay struct {
-	job          *job
-	response     *forward.Response
-	attempt      *pool.Attempt
+	job      *job
+	response *forward.Response
+	attempt  *pool.Attempt
+	// software is the software version of the upstream.
+	software     string
 	silenceTimer *time.Timer
 	// wroteAt is when the last events of the stream were written.
 	wroteAt time.Time
@@ -205,6 +207,7 @@
 	if err := j.write(data); err != nil {
 		return err
 	}
+	r.recordSoftware()
 	r.measurePause(time.Now())
 	if id := lastID(data); id != "" {
 		j.lastEventID = id
@@ -243,6 +246,16 @@
 	}
 }
 
+// recordSoftware records which software version wrote the events that were just sent, and logs a change of it.
+func (r *relay) recordSoftware() {
+	j := r.job
+	if j.software != "" && j.software != r.software {
+		j.mixed = true
+		j.step("mixed").Str("Upstream", j.upstream).Str("Software", r.software).Str("Before", j.software).Msg("Decision")
+	}
+	j.software = r.software
+}
+
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
 // however early its first event was.
 func (r *relay) measurePause(now time.Time) {
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -149,6 +149,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Software is the version of the upstream's software, empty if it is not stated.
+	Software   string
 	BatchSlots int
 	// Draining upstreams take no new requests.
 	Draining bool
