Continue a stream only at the software version that began it

Upstreams of a service were taken for interchangeable, and the position in a stream for all that identifies it.

The version of the upstream that wrote the first event for the caller is now a condition of the choice, of the ranking for its adapter and of the wait that a caller is told, and is checked again right before the send. An attempt that ended before its first event binds nothing. An unknown version (missing, empty, of another type) is equal to none, and its upstream serves all the same. Where no upstream of the version is left the response is cut, and the caller can tell. Requests bound so are refused for their deadline only: they have events already.

The serve tests' upstreams state a version, as real ones do.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -112,6 +112,9 @@
 	if j.started && j.route.Execution != traffic.Streaming {
 		return false
 	}
+	if j.begun && j.software == "" {
+		return false
+	}
 	return j.route.IsRepeatable() && j.runs < j.route.MaxAttempts
 }
 
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -133,7 +133,7 @@
 		t.Cleanup(u.server.Close)
 		h.upstreams = append(h.upstreams, u)
 		p.Declare(time.Now(), traffic.Upstream{
-			ID: u.id, Service: "app", Address: strings.TrimPrefix(u.server.URL, "http://"), BatchSlots: 10,
+			ID: u.id, Service: "app", Address: strings.TrimPrefix(u.server.URL, "http://"), BatchSlots: 10, Software: "v1",
 		})
 	}
 	ledger := &quota.Ledger{}
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -60,9 +60,12 @@
 	// longestPause is the longest time between two events of a stream from the same upstream.
 	longestPause time.Duration
 	lastEventID  string
-	// software is the software version of the upstream that sent the last events, mixed that others sent some before.
+	// begun: the caller has events of the stream. Only upstreams with the software that wrote the first of them may
+	// continue it; none may if that is unknown, which is the empty version.
+	begun    bool
 	software string
-	mixed    bool
+	// mixed: events of another software version followed.
+	mixed bool
 	upstream string
 	received received
 	// bytes is the number of bytes of the response body that were sent to the caller.
--- a/internal/gateway/serve/job_refusals.go
+++ b/internal/gateway/serve/job_refusals.go
@@ -65,7 +65,7 @@
 func (j *job) backpressureWait() (wait time.Duration) {
 	j.handler.State.WithLock(func(state *SharedState) {
 		wait = state.Pool.RetryAfterBackpressure(time.Now(), pool.Query{
-			Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens,
+			Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens, Software: j.software,
 		})
 	})
 	return wait
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -204,10 +204,10 @@
 	if len(data) == 0 {
 		return nil
 	}
+	r.recordSoftware()
 	if err := j.write(data); err != nil {
 		return err
 	}
-	r.recordSoftware()
 	r.measurePause(time.Now())
 	if id := lastID(data); id != "" {
 		j.lastEventID = id
@@ -246,14 +246,17 @@
 	}
 }
 
-// recordSoftware records which software version wrote the events that were just sent, and logs a change of it.
+// recordSoftware records which software version wrote the first events of the stream, and whether others follow.
 func (r *relay) recordSoftware() {
 	j := r.job
-	if j.software != "" && j.software != r.software {
+	switch {
+	case !j.begun:
+		j.begun = true
+		j.software = r.software
+	case j.software != r.software && !j.mixed:
 		j.mixed = true
 		j.step("mixed").Str("Upstream", j.upstream).Str("Software", r.software).Str("Before", j.software).Msg("Decision")
 	}
-	j.software = r.software
 }
 
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
--- a/internal/gateway/serve/software_test.go
+++ b/internal/gateway/serve/software_test.go
@@ -71,13 +71,13 @@
 	for _, c := range []struct {
 		name     string
 		software []string
-		// resumed: an upstream of each version is left when another one breaks.
-		resumed bool
+		// resumed are the versions of which another upstream is left when one breaks. An unknown version is equal to none.
+		resumed string
 	}{
-		{"one version", []string{"v1", "v1", "v1"}, true},
-		{"two versions", []string{"v1", "v2", "v1", "v2", "v1", "v2"}, true},
-		{"each has its own version", []string{"v1", "v2", "v3"}, false},
-		{"one version is not stated", []string{"", "v1", "", "v1"}, true},
+		{"one version", []string{"v1", "v1", "v1"}, "v1"},
+		{"two versions", []string{"v1", "v2", "v1", "v2", "v1", "v2"}, "v1 v2"},
+		{"each has its own version", []string{"v1", "v2", "v3"}, ""},
+		{"two versions are unknown", []string{"", "v1", "", "v1"}, "v1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -97,9 +97,10 @@
 					versions[c.software[index]] = true
 				}
 				is.Equal(len(versions), 1) // all parts are of one software version
-				if !c.resumed {
+				if begun := c.software[reached[0]]; begun == "" || !strings.Contains(c.resumed, begun) {
 					is.True(err != nil) // the caller can tell that the stream is incomplete
 					is.Equal(body, event(1)+event(2))
+					is.Equal(len(reached), 1)
 					continue
 				}
 				is.NoErr(err)
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -149,7 +149,8 @@
 	Service    string
 	Address    string
 	DataCentre string
-	// Software is the version of the upstream's software, empty if it is not stated.
+	// Software is the version of the upstream's software, empty if it is unknown. What two versions write does not fit
+	// together, and an unknown one may be any.
 	Software   string
 	BatchSlots int
 	// Draining upstreams take no new requests.
--- a/internal/placement/pool/evacuation.go
+++ b/internal/placement/pool/evacuation.go
@@ -35,10 +35,15 @@
 	return !u.declared.Draining && (u.stated == nil || !u.stated.leaving) && !p.evacuated[u.declared.DataCentre]
 }
 
-// countAccepting counts the upstreams of a service that take new requests.
-func (p *Pool) countAccepting(service string) (count int) {
-	for _, u := range p.upstreamsOf(service) {
-		if p.accepts(u) {
+// mayRun reports whether an upstream takes new requests and has the software that a request needs.
+func (p *Pool) mayRun(u *upstream, query Query) bool {
+	return p.accepts(u) && (query.Software == "" || u.declared.Software == query.Software)
+}
+
+// countRunnable counts the upstreams that may run a request.
+func (p *Pool) countRunnable(query Query) (count int) {
+	for _, u := range p.upstreamsOf(query.Service) {
+		if p.mayRun(u, query) {
 			count++
 		}
 	}
--- a/internal/placement/pool/homes.go
+++ b/internal/placement/pool/homes.go
@@ -27,7 +27,7 @@
 	_, _ = adapter.WriteString(query.Adapter.String()) // never fails
 	_, _ = adapter.WriteString("\x00")
 	for _, u := range p.upstreamsOf(query.Service) {
-		if !p.AcceptsRequests(u.declared) {
+		if !p.mayRun(u, query) {
 			continue
 		}
 		weight := adapter
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -42,6 +42,9 @@
 	eta := choice.Expected + choice.SlotWait
 	queued := choice.Expected - choice.ExpectedIdle
 	pastDeadline := eta > budget.Remaining
+	if query.Software != "" && !pastDeadline {
+		return 0, false // its caller has a part of the stream, and its queue is that of a few upstreams
+	}
 	maxQueued := scale(maxQueueFraction, budget.Objective)
 	if choice.ExpectedIdle > budget.OnTime-maxQueued {
 		maxQueued = budget.Objective
@@ -110,6 +113,6 @@
 
 // retryInterval is the time between the turns of two refused callers of this instance.
 func (p *Pool) retryInterval(query Query) time.Duration {
-	upstreams := max(p.countAccepting(query.Service), 1)
+	upstreams := max(p.countRunnable(query), 1)
 	return p.occupiedTime(query) * time.Duration(max(p.Settings.Instances, 1)) / time.Duration(upstreams)
 }
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -53,7 +53,10 @@
 	Adapter traffic.Adapter
 	// Version is the minimum version of the adapter; 0 for any.
 	Version int64
-	Tokens  int
+	// Software is the only software version of the upstream that may run the request, as it resumes a stream that this
+	// version began; empty for any.
+	Software string
+	Tokens   int
 	Output  int
 	// OnTime is how long from now the first event is on time. Objective is the same from the start of the request;
 	// 0 if there is none.
@@ -220,14 +223,15 @@
 	return list
 }
 
-// IsChoiceValid reports whether an upstream is still the incarnation that was chosen, and takes new requests of this
-// instance. A choice can be some seconds old when it is used, if an adapter had to be loaded first.
+// IsChoiceValid reports whether an upstream is still the incarnation that was chosen, with the software that it had, and
+// takes new requests of this instance. A choice can be some seconds old when it is used, if an adapter had to be loaded first.
 func (p *Pool) IsChoiceValid(now time.Time, chosen traffic.Upstream) bool {
 	u := p.upstreams[chosen.ID]
 	if u == nil || !p.accepts(u) || u.isUnderBackpressure(now) {
 		return false
 	}
-	return u.declared.StartedMillis == chosen.StartedMillis && u.declared.Address == chosen.Address
+	return u.declared.StartedMillis == chosen.StartedMillis && u.declared.Address == chosen.Address &&
+		u.declared.Software == chosen.Software
 }
 
 // Upstream returns the declaration of an upstream.
--- a/internal/placement/pool/statements.go
+++ b/internal/placement/pool/statements.go
@@ -53,11 +53,11 @@
 
 // RetryAfterBackpressure is the retry delay of a caller that is refused because of the backpressure of all upstreams: until
 // the first of them takes requests again, after the turns of the callers that were refused before it. It is 0 if any
-// upstream of the service may be sent requests as far as backpressure is concerned.
+// upstream that may run the request may be sent requests as far as backpressure is concerned.
 func (p *Pool) RetryAfterBackpressure(now time.Time, query Query) time.Duration {
 	var ends time.Time
 	for _, u := range p.upstreamsOf(query.Service) {
-		if !p.accepts(u) {
+		if !p.mayRun(u, query) {
 			continue
 		}
 		if !u.isUnderBackpressure(now) {
