--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -65,7 +65,7 @@
 	begun    bool
 	software string
 	// mixed: events of another software version followed.
-	mixed bool
+	mixed    bool
 	upstream string
 	received received
 	// bytes is the number of bytes of the response body that were sent to the caller.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -57,7 +57,7 @@
 	// version began; empty for any.
 	Software string
 	Tokens   int
-	Output  int
+	Output   int
 	// OnTime is how long from now the first event is on time. Objective is the same from the start of the request;
 	// 0 if there is none.
 	OnTime    time.Duration
