Take streams up only at the software version that began them, at any instance

An instance records where each resumable stream began, under its workspace and the id of its request, just before the first event goes out, and sends the record to the two live peers that rank highest for it; three are asked when a caller takes the stream up. While an instance can prove that the service has had one version for longer than a stream lives, nothing is sent or asked. An instance that has just started adopts such a proof from a peer. What is neither recorded nor proven is refused at once as not run. Records that were kept back are sent as soon as a second version appears. The service is kept too, for split and moved routes.

--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -61,6 +61,21 @@
 	v.confirmed.set(at)
 }
 
+// isViewCurrent reports whether no upstream can have begun to serve without this instance knowing of it: the store has
+// confirmed what it knows a moment ago, or most instances are in touch and none of them hears of changes. An instance
+// that is cut off from the others cannot tell an outage of the store from its own.
+func (n *Node) isViewCurrent() bool {
+	last := n.view.confirmed.last()
+	if last.IsZero() {
+		return false
+	}
+	if time.Since(last) <= outageThreshold {
+		return true
+	}
+	_, reachable := n.overlay.storeFailedSince(last)
+	return 2*reachable >= n.overlay.peerCount() && n.wasOutage(last)
+}
+
 // wasOutage reports whether the store has been unreachable for the whole fleet since its last confirmation, and not
 // only for this instance or for the instance that reads for all. It requires that at least half of the instances failed
 // to read the store.
--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -28,7 +28,10 @@
 	headerLeaving      = "Reply-Leaving"
 	// headerAdapter names the adapter of model m that a call asks for.
 	headerAdapter = "Call-Adapter"
-	pathReady     = "/ready"
+	// headerLastEvent is the last event that the caller has, of the stream that the request headerResumes began.
+	headerLastEvent = "Call-Last-Event"
+	headerResumes   = "Call-Resumes"
+	pathReady       = "/ready"
 )
 
 // pathLong is the path of requests that take longDelay at the upstreams of newUpstream, longer than callers still arrive
@@ -38,8 +41,11 @@
 	longDelay = 3400 * time.Millisecond
 )
 
+// pathStream is the path of streams that may be taken up, and are not continued within their response.
+const pathStream = "/p/stream/"
+
 // configuration has one public route to a plain service, one below it with more time, one for requests
-// that may run once, and one to a service with engines.
+// that may run once, one to a service with engines, and one to a service that streams.
 func configuration(version int, prefix string) string {
 	route := func(name, prefix, service string) traffic.Route {
 		return traffic.Route{
@@ -51,11 +57,13 @@
 	long.Timeout = 2 * longDelay
 	once := route("o", prefix+"once/", "app")
 	once.Execution = traffic.AtMostOnce
+	stream := route("s", prefix+"stream/", "streams")
+	stream.Execution, stream.Resumable = traffic.Streaming, true
 	return encoded(traffic.Configuration{
 		Version: int64(version),
-		Routes:  []traffic.Route{route("r", prefix, "app"), long, once, route("g", prefix+"generate/", "llm")},
+		Routes:  []traffic.Route{route("r", prefix, "app"), long, once, route("g", prefix+"generate/", "llm"), stream},
 		Services: map[string]traffic.Service{
-			"app": {Name: "app"},
+			"app": {Name: "app"}, "streams": {Name: "streams"},
 			"llm": {Name: "llm", Engine: &traffic.Engine{BatchSlots: 8, AdapterSlots: 8, Models: []traffic.Model{{Name: "m"}}}},
 		},
 	})
@@ -108,6 +116,7 @@
 	c := call.Call{
 		ID: request.Header.Get(headerID), Method: request.Method, Host: request.Host, Target: request.RequestURI,
 		Path: request.URL.Path, Header: request.Header.Clone(),
+		LastEventID: request.Header.Get(headerLastEvent), Resumes: request.Header.Get(headerResumes),
 	}
 	if name := request.Header.Get(headerAdapter); name != "" {
 		c.Generation.Adapter = traffic.Adapter{Model: "m", Name: name}
@@ -115,7 +124,11 @@
 	return c, nil
 }
 
-func (dialect) RequestHeader(c call.Call, _ call.Attempt) http.Header { return c.Header.Clone() }
+func (dialect) RequestHeader(c call.Call, attempt call.Attempt) http.Header {
+	header := c.Header.Clone()
+	header.Set(headerLastEvent, attempt.LastEventID)
+	return header
+}
 
 func (dialect) ParseResponse(response *http.Response) call.ResponseInfo {
 	backpressure, _ := strconv.Atoi(response.Header.Get(headerBackpressure)) // 0 without the header
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -86,6 +86,7 @@
 	heldUpstreams   heldUpstreams
 	forward         *forward.Client
 	links           links
+	origins         streamOrigins
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
 	upstreamChanges int
--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -30,6 +30,7 @@
 		n.removeExpired(now)
 		n.setLedgerPeers(now)
 		n.closeStaleUpstreamConnections()
+		n.sendUnsentOrigins()
 		n.probeLostLinks(now)
 		n.closeStalePeerConnections()
 		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -190,8 +190,10 @@
 	}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Configure(configuration.Services)
+		state.Pool.Settings.StreamLifetime = configuration.StreamLifetime()
 		state.Ledger.SetLimits(time.Now(), limits)
 	})
+	n.origins.setRetention(configuration.StreamLifetime())
 	n.Log.Info().Int64("Version", configuration.Version).Int64("Revision", revision).
 		Int("Routes", len(configuration.Routes)).Int("Workspaces", len(configuration.Workspaces)).
 		Str("From", source).Int64("ConfirmedMillis", n.ConfirmedAge().Milliseconds()).
--- /dev/null
+++ b/internal/entry/node/stream_origins.go
@@ -0,0 +1,302 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
+)
+
+// stream_origins.go keeps where streams began, also for peers. A caller takes its stream up at any instance, and often
+// because the instance that began it is gone. So each record is sent to some peers that rank highest for the stream by
+// rendezvous hashing, where the others find it. As long as this instance can prove that a service has one software version
+// only, nothing is sent.
+
+const (
+	// recordKeepers is the number of peers that keep a record. One of them may be lost together with the sender.
+	recordKeepers = 2
+	// askedKeepers is the number of peers that are asked for a record. It is higher because instances may differ in
+	// which peers are alive.
+	askedKeepers = recordKeepers + 1
+	// keepTimeout bounds the sending of records to a peer.
+	keepTimeout = 400 * time.Millisecond
+	// findTimeout bounds one round of questions. An answer takes a few milliseconds.
+	findTimeout = 100 * time.Millisecond
+)
+
+// findPauses are the pauses before the rounds of questions for a record. In the first milliseconds it may be on its way,
+// and an instance that has just started needs some time until it knows its peers.
+var findPauses = []time.Duration{0, 30 * time.Millisecond, 150 * time.Millisecond}
+
+// streamOrigins is safe for concurrent use.
+type streamOrigins struct {
+	mutex   sync.Mutex
+	records origin.Records
+	// senders send records, one for each peer to which some are due.
+	senders map[string]*recordSender
+}
+
+func (o *streamOrigins) setRetention(retention time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.records.Retention = retention
+}
+
+func (o *streamOrigins) addOwn(now time.Time, stream origin.Stream, began origin.Origin) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.records.AddOwn(now, stream, began)
+}
+
+func (o *streamOrigins) add(now time.Time, records []origin.Record) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, record := range records {
+		o.records.Add(now, record)
+	}
+}
+
+func (o *streamOrigins) find(now time.Time, stream origin.Stream) (origin.Record, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.records.Find(now, stream)
+}
+
+func (o *streamOrigins) unsentServices() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.records.UnsentServices()
+}
+
+func (o *streamOrigins) takeUnsent(now time.Time, service string) []origin.Record {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.records.TakeUnsent(now, service)
+}
+
+// RecordOrigin keeps where a stream of this instance began. The first event does not wait until peers have the record:
+// if this instance ends within about a millisecond, the stream's origin is unknown, and its caller is refused.
+func (n *Node) RecordOrigin(stream origin.Stream, began origin.Origin) {
+	n.origins.addOwn(time.Now(), stream, began)
+	n.sendOrigins(began.Service)
+}
+
+// sendUnsentOrigins sends the records that became necessary since they were made: another version has appeared, or this
+// instance is not up to date any more.
+func (n *Node) sendUnsentOrigins() {
+	for _, service := range n.origins.unsentServices() {
+		n.sendOrigins(service)
+	}
+}
+
+// sendOrigins sends the records of a service to the peers that keep them, unless only one version can have served.
+func (n *Node) sendOrigins(service string) {
+	if _, proven := n.provenSoftware(service); proven {
+		return
+	}
+	for _, record := range n.origins.takeUnsent(time.Now(), service) {
+		for _, keeper := range n.keepers(record.Stream, recordKeepers, "") {
+			n.origins.send(n, keeper, record)
+		}
+	}
+}
+
+// provenSoftware returns the only software version that can have served since a stream that is taken up now may have
+// begun, if this instance can prove that.
+func (n *Node) provenSoftware(service string) (sole pool.SoleSoftware, proven bool) {
+	if service == "" || !n.isViewCurrent() {
+		return pool.SoleSoftware{}, false
+	}
+	n.sharedState.WithLock(func(state *serve.SharedState) { sole, proven = state.Pool.ProvenSoftware(time.Now(), service) })
+	return sole, proven
+}
+
+func (n *Node) adoptSoftware(sole pool.SoleSoftware) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.AdoptSoftware(time.Now(), sole) })
+}
+
+// keepers returns the live peers that rank highest for a stream, without one that has just failed.
+func (n *Node) keepers(stream origin.Stream, count int, failed string) []roster.Instance {
+	return n.overlay.livePeersByRank(time.Now(), stream.Workspace+"\x00"+stream.ID, count, failed)
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// recordSender sends records to one peer, until none are due.
+type recordSender struct {
+	node   *Node
+	keeper roster.Instance
+	due    []dueRecord
+}
+
+// dueRecord is a record to send. again: another peer has failed to take it.
+type dueRecord struct {
+	record origin.Record
+	again  bool
+}
+
+// send has a record sent to a peer. While one message is on its way, further records are collected for the next.
+func (o *streamOrigins) send(n *Node, keeper roster.Instance, record origin.Record) {
+	o.sendDue(n, keeper, dueRecord{record: record})
+}
+
+func (o *streamOrigins) sendDue(n *Node, keeper roster.Instance, due dueRecord) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if sender := o.senders[keeper.Name]; sender != nil {
+		sender.due = append(sender.due, due)
+		return
+	}
+	if o.senders == nil {
+		o.senders = make(map[string]*recordSender)
+	}
+	sender := &recordSender{node: n, keeper: keeper, due: []dueRecord{due}}
+	o.senders[keeper.Name] = sender
+	go sender.run()
+}
+
+func (s *recordSender) run() {
+	for {
+		due := s.take()
+		if len(due) == 0 {
+			return
+		}
+		s.sendAll(due)
+	}
+}
+
+// take returns what is due, and removes the sender if nothing is.
+func (s *recordSender) take() (due []dueRecord) {
+	origins := &s.node.origins
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	due, s.due = s.due, nil
+	if len(due) == 0 {
+		delete(origins.senders, s.keeper.Name)
+	}
+	return due
+}
+
+// sendAll sends records, and sends them to other peers if this one does not take them.
+func (s *recordSender) sendAll(due []dueRecord) {
+	n := s.node
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	records := make([]origin.Record, 0, len(due))
+	for _, one := range due {
+		records = append(records, one.record)
+	}
+	proofs, err := n.peers.KeepStreams(ctx, s.keeper.Address, records)
+	for _, sole := range proofs {
+		n.adoptSoftware(sole)
+	}
+	if err == nil {
+		return
+	}
+	n.Log.Warn().Str("Peer", s.keeper.Name).Int("Records", len(records)).Err(err).Msg("StreamRecordsNotKept")
+	for _, one := range due {
+		if one.again {
+			continue
+		}
+		for _, keeper := range n.keepers(one.record.Stream, recordKeepers, s.keeper.Name) {
+			n.origins.sendDue(n, keeper, dueRecord{record: one.record, again: true})
+		}
+	}
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// FindOrigin returns where a stream began that a caller takes up. service is the only one that it can belong to; empty if
+// there are several.
+func (n *Node) FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding {
+	if !stream.IsValid() {
+		stream = origin.Stream{}
+	}
+	if record, found := n.origins.find(time.Now(), stream); found {
+		return origin.Finding{Origin: record.Origin, Source: origin.SourceOwn}
+	}
+	for _, wait := range findPauses {
+		if sole, proven := n.provenSoftware(service); proven {
+			return origin.Finding{Origin: origin.Origin{Service: service, Software: sole.Software}, Source: origin.SourceProof}
+		}
+		if !stream.IsValid() && wait > 0 || !pause.For(ctx, wait) {
+			break // there is no record of such a stream, only proofs
+		}
+		if record, found := n.askKeepers(ctx, mesh.StreamQuestion{Stream: stream, Service: service}); found {
+			n.origins.add(time.Now(), []origin.Record{record})
+			return origin.Finding{Origin: record.Origin, Source: origin.SourcePeer}
+		}
+	}
+	if sole, proven := n.provenSoftware(service); proven {
+		return origin.Finding{Origin: origin.Origin{Service: service, Software: sole.Software}, Source: origin.SourceProof}
+	}
+	return origin.Finding{Source: origin.SourceNone}
+}
+
+// askKeepers asks the peers that may keep the record of a stream, all at the same time, and adopts what they can prove of
+// the service.
+func (n *Node) askKeepers(ctx context.Context, question mesh.StreamQuestion) (record origin.Record, found bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	keepers := n.keepers(question.Stream, askedKeepers, "")
+	answers := make(chan mesh.StreamAnswer, len(keepers))
+	for _, keeper := range keepers {
+		asker := keeperAsker{node: n, keeper: keeper, question: question, answers: answers}
+		go asker.run(ctx)
+	}
+	for range keepers {
+		answer := <-answers
+		if answer.Found {
+			return answer.Record, true
+		}
+		if answer.Proven {
+			n.adoptSoftware(answer.Sole)
+		}
+	}
+	return origin.Record{}, false
+}
+
+// keeperAsker asks one peer. An error counts as an answer that knows nothing.
+type keeperAsker struct {
+	node     *Node
+	keeper   roster.Instance
+	question mesh.StreamQuestion
+	answers  chan<- mesh.StreamAnswer
+}
+
+func (a keeperAsker) run(ctx context.Context) {
+	answer, err := a.node.peers.FindStream(ctx, a.keeper.Address, a.question)
+	if err != nil && ctx.Err() == nil {
+		a.node.Log.Warn().Str("Peer", a.keeper.Name).Err(err).Msg("StreamNotAskedFor")
+	}
+	a.answers <- answer
+}
+
+// KeepStreams keeps records for a peer.
+func (n *Node) KeepStreams(records []origin.Record) (proofs []pool.SoleSoftware) {
+	n.origins.add(time.Now(), records)
+	asked := make(map[string]bool)
+	for _, record := range records {
+		if asked[record.Origin.Service] {
+			continue
+		}
+		asked[record.Origin.Service] = true
+		if sole, proven := n.provenSoftware(record.Origin.Service); proven {
+			proofs = append(proofs, sole)
+		}
+	}
+	return proofs
+}
+
+// FindStream answers a peer that was asked to take a stream up.
+func (n *Node) FindStream(question mesh.StreamQuestion) (answer mesh.StreamAnswer) {
+	answer.Record, answer.Found = n.origins.find(time.Now(), question.Stream)
+	answer.Sole, answer.Proven = n.provenSoftware(question.Service)
+	return answer
+}
--- /dev/null
+++ b/internal/entry/node/stream_origins_test.go
@@ -0,0 +1,258 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/entry/node"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// streams are upstreams of several software versions that stream. Their events name the version that wrote them.
+type streams struct {
+	store *store
+	// breaking: streams break after half of their events.
+	breaking atomic.Bool
+	begun    atomic.Int64
+}
+
+// streamEvents is the number of events of a stream.
+const streamEvents = 4
+
+// declare starts and declares an upstream, or declares it again.
+func (s *streams) declare(t *testing.T, id, software string) {
+	address := s.start(t, software)
+	s.store.put(prefixUpstreams+id, encoded(traffic.Upstream{
+		Service: "streams", Address: address, DataCentre: "here", BatchSlots: 6, StartedMillis: time.Now().UnixMilli(), Software: software,
+	}))
+}
+
+func (s *streams) start(t *testing.T, software string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerSigned, "s")
+		last, _ := strconv.Atoi(r.Header.Get(headerLastEvent)) // 0 for a new stream
+		for number := last + 1; number <= streamEvents; number++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, software)
+			w.(http.Flusher).Flush()
+			if s.breaking.Load() && number == streamEvents/2 {
+				time.Sleep(10 * time.Millisecond)
+				connection, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				connection.Close()
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// taken is a stream as its caller has it.
+type taken struct {
+	id     string
+	status int
+	// software are the versions that wrote its events, one for each.
+	software []string
+}
+
+func (c taken) isComplete() bool { return c.status == http.StatusOK && len(c.software) == streamEvents }
+
+func (c taken) isMixed() bool {
+	for _, software := range c.software {
+		if software != c.software[0] {
+			return true
+		}
+	}
+	return false
+}
+
+// request sends a request for a stream, or for the rest of one.
+func (s *streams) request(member *instance, before taken) (after taken) {
+	after = taken{id: fmt.Sprint("stream-", s.begun.Add(1)), software: before.software}
+	request, err := http.NewRequest(http.MethodGet, "http://"+member.address("CallerAddress")+pathStream, nil)
+	if err != nil {
+		return after
+	}
+	request.Host = "a.example"
+	request.Header.Set(headerID, after.id)
+	if before.id != "" {
+		request.Header.Set(headerResumes, before.id)
+		request.Header.Set(headerLastEvent, fmt.Sprint(len(before.software)))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return after
+	}
+	defer response.Body.Close()
+	after.status = response.StatusCode
+	body, _ := io.ReadAll(response.Body) // a broken stream has an error and some events
+	for line := range strings.Lines(string(body)) {
+		if software, found := strings.CutPrefix(strings.TrimSpace(line), "data: "); found {
+			after.software = append(after.software, software)
+		}
+	}
+	return after
+}
+
+// begin begins streams at an instance that break.
+func (s *streams) begin(t *testing.T, member *instance, count int) (broken []taken) {
+	t.Helper()
+	s.breaking.Store(true)
+	defer s.breaking.Store(false)
+	for range count {
+		stream := s.request(member, taken{})
+		if len(stream.software) != streamEvents/2 {
+			t.Fatalf("a stream that should break: %+v", stream)
+		}
+		broken = append(broken, stream)
+	}
+	return broken
+}
+
+// takeUp has the callers take streams up, all at the same time.
+func (s *streams) takeUp(member *instance, broken []taken) (complete, mixed, refused int) {
+	var mutex sync.Mutex
+	var callers sync.WaitGroup
+	for _, stream := range broken {
+		callers.Go(func() {
+			after := s.request(member, stream)
+			mutex.Lock()
+			defer mutex.Unlock()
+			switch {
+			case after.isMixed():
+				mixed++
+			case after.isComplete():
+				complete++
+			case after.status == http.StatusServiceUnavailable:
+				refused++
+			}
+		})
+	}
+	callers.Wait()
+	return complete, mixed, refused
+}
+
+// startStreaming starts a fleet before streaming upstreams of the given versions.
+func startStreaming(t *testing.T, software []string, names ...string) (*streams, []*instance) {
+	t.Helper()
+	s := newStore()
+	upstreams := &streams{store: s}
+	for number, version := range software {
+		upstreams.declare(t, fmt.Sprint("stream", number), version)
+	}
+	return upstreams, startFleetBefore(t, s, fleetOptions{
+		shared: &engines{}, upstream: func(t *testing.T) string { return newUpstream(t, 0) }, change: func(*node.Settings) {},
+	}, names...)
+}
+
+const (
+	streamsEach = 12
+	// provenAfter is the time after the start of a fleet within which nothing can be proven: the time of a stream.
+	provenAfter = 2 * time.Second
+)
+
+// Guards against a stream that goes on at another software version, or nowhere, because its caller takes it up at an
+// instance that has not seen it begin.
+func TestStreamIsTakenUpAtAnyInstance(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// meanwhile happens between the break and the return of the caller. It returns the instance that the caller comes to.
+		meanwhile func(t *testing.T, s *store, fleet []*instance) *instance
+	}{
+		{"the same", func(_ *testing.T, _ *store, fleet []*instance) *instance { return fleet[0] }},
+		{"another", func(_ *testing.T, _ *store, fleet []*instance) *instance { return fleet[1] }},
+		{"another, after the first has stopped", func(_ *testing.T, _ *store, fleet []*instance) *instance {
+			fleet[0].stop()
+			<-fleet[0].ended
+			return fleet[2]
+		}},
+		{"another, while the store is down", func(_ *testing.T, s *store, fleet []*instance) *instance {
+			s.setDown(true)
+			time.Sleep(2 * time.Second)
+			return fleet[3]
+		}},
+		{"one that has just started", func(t *testing.T, s *store, _ []*instance) *instance {
+			added := start(t, s, "added")
+			eventually(t, 5*time.Second, "the added instance serves", func() bool { return added.ready() && added.status("/p/") == 200 })
+			return added
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			upstreams, fleet := startStreaming(t, []string{"v1", "v1", "v2", "v2"}, "a", "b", "c", "d")
+			broken := upstreams.begin(t, fleet[0], streamsEach)
+			complete, mixed, _ := upstreams.takeUp(c.meanwhile(t, upstreams.store, fleet), broken)
+			is.Equal(mixed, 0)
+			is.Equal(complete, streamsEach)
+		})
+	}
+}
+
+// Guards against a caller that returns within a millisecond, before the record of its stream has arrived at the peers.
+func TestStreamIsTakenUpAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1", "v2", "v2"}, "a", "b", "c", "d")
+	for number := range 2 * streamsEach {
+		broken := upstreams.begin(t, fleet[number%len(fleet)], 1)
+		complete, mixed, _ := upstreams.takeUp(fleet[(number+1)%len(fleet)], broken)
+		is.Equal(mixed, 0)
+		is.Equal(complete, 1)
+	}
+}
+
+// Guards against streams of which no record exists: they must go on while one version is all that can have begun them, and
+// must not once another one serves, also at an instance that has just started and has seen nothing.
+func TestStreamWithoutARecordNeedsAProof(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	began := time.Now()
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1"}, "a", "b", "c")
+	unrecorded := func(count int) (list []taken) {
+		for number := range count {
+			list = append(list, taken{id: fmt.Sprint("unrecorded-", number), software: []string{"v1", "v1"}})
+		}
+		return list
+	}
+	if _, _, refused := upstreams.takeUp(fleet[0], unrecorded(1)); time.Since(began) < provenAfter {
+		is.Equal(refused, 1) // the whole fleet has just started
+	}
+	eventually(t, 10*time.Second, "one version is proven", func() bool {
+		complete, _, _ := upstreams.takeUp(fleet[0], unrecorded(1))
+		return complete == 1
+	})
+	added := start(t, upstreams.store, "added")
+	eventually(t, 5*time.Second, "the added instance serves", func() bool { return added.ready() && added.status("/p/") == 200 })
+	complete, mixed, _ := upstreams.takeUp(added, unrecorded(streamsEach))
+	is.Equal(mixed, 0)
+	is.Equal(complete, streamsEach)
+
+	early := upstreams.begin(t, fleet[1], streamsEach) // not sent to peers, as one version is proven
+	upstreams.declare(t, "stream2", "v2")
+	upstreams.declare(t, "stream3", "v2")
+	for _, member := range append(fleet, added) {
+		eventually(t, 5*time.Second, member.name+" knows both versions", func() bool {
+			_, _, refused := upstreams.takeUp(member, unrecorded(1))
+			return refused == 1
+		})
+	}
+	complete, mixed, _ = upstreams.takeUp(added, early)
+	is.Equal(mixed, 0)
+	is.Equal(complete, streamsEach) // the records were sent when the second version appeared
+}
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -67,7 +67,7 @@
 }
 
 func (n *Node) removeUpstream(id, reason string, revision int64) {
-	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Remove(id) })
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Remove(time.Now(), id) })
 	n.Log.Info().Str("Upstream", id).Str("Why", reason).Int64("Revision", revision).Msg("UpstreamGone")
 }
 
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/forecast"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
@@ -36,6 +37,10 @@
 	prepared       mesh.PrepareResult
 	connectRequest mesh.ConnectRequest
 	statements     chan mesh.Statement
+	kept           []origin.Record
+	proofs         []pool.SoleSoftware
+	question       mesh.StreamQuestion
+	answer         mesh.StreamAnswer
 	// connection and connectError are the result of Connect.
 	connection   net.Conn
 	connectError error
@@ -78,6 +83,16 @@
 	e.statements <- statement
 }
 
+func (e *echo) KeepStreams(records []origin.Record) []pool.SoleSoftware {
+	e.kept = records
+	return e.proofs
+}
+
+func (e *echo) FindStream(question mesh.StreamQuestion) mesh.StreamAnswer {
+	e.question = question
+	return e.answer
+}
+
 func serveEcho(t *testing.T) (*echo, *mesh.Peers, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -13,6 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/forecast"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
@@ -116,6 +117,10 @@
 	Connect(ctx context.Context, request ConnectRequest) (net.Conn, error)
 	// RecordStatement records what an upstream has stated in a response that this instance has carried for a peer.
 	RecordStatement(statement Statement)
+	// KeepStreams keeps where streams of a peer began, and returns what this instance can prove of their services.
+	KeepStreams(records []origin.Record) []pool.SoleSoftware
+	// FindStream returns what this instance knows of a stream.
+	FindStream(question StreamQuestion) StreamAnswer
 }
 
 // Statement is what an upstream has stated about itself in a response. The receiver has carried it over a connection for
--- a/internal/gateway/serve/dialect_test.go
+++ b/internal/gateway/serve/dialect_test.go
@@ -20,6 +20,9 @@
 	headerTimeout = "Call-Timeout-Ms"
 	// headerTokens holds the token counts of the prompt and of the output.
 	headerTokens = "Call-Tokens"
+	// headerHas is the last event that the caller has, of the stream that the request headerResumes began.
+	headerHas     = "Call-Last-Event"
+	headerResumes = "Call-Resumes"
 )
 
 // Headers that only the instance may set on requests to upstreams.
@@ -46,6 +49,7 @@
 	c = call.Call{
 		ID: request.Header.Get(headerID), Key: request.Header.Get(headerKey), Method: request.Method,
 		Host: request.Host, Target: request.RequestURI, Path: request.URL.Path, Header: request.Header.Clone(),
+		LastEventID: request.Header.Get(headerHas), Resumes: request.Header.Get(headerResumes),
 	}
 	for _, name := range []string{
 		headerKey, headerTimeout, headerWorkspace, headerUpstream, headerRemaining, headerLastEvent, "Content-Length", "Connection",
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -41,6 +41,9 @@
 // response.
 func (j *job) run(ctx context.Context) error {
 	h := j.handler
+	if err := j.takeUp(ctx); err != nil {
+		return err
+	}
 	h.State.WithLock(func(state *SharedState) { state.Retries.For(j.service).CountFirstTry() })
 	var last error
 	for j.attempts < maxAttempts && len(j.tried) < maxTried {
@@ -242,7 +245,7 @@
 		return resultNotRun, errors.Errorf("upstream refused with status %d: %d running and %d waiting requests, %d batch slots",
 			response.Status, load.Running, load.Waiting, load.BatchSlots)
 	}
-	relay := relay{job: j, response: response, attempt: attempt, software: choice.Upstream.Software, silenceTimer: silenceTimer}
+	relay := relay{job: j, response: response, attempt: attempt, upstream: choice.Upstream, silenceTimer: silenceTimer}
 	return relay.run()
 }
 
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -24,6 +24,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
@@ -44,6 +45,9 @@
 	stale  bool
 	mutex  sync.Mutex
 	broken []string
+	// origins are the origins of streams that were recorded, and sole is the only software version, if that is proven.
+	origins map[origin.Stream]origin.Origin
+	sole    string
 }
 
 func (f *fleet) Table() *traffic.Table                       { return f.table.Load() }
@@ -60,6 +64,27 @@
 	f.broken = append(f.broken, u.ID)
 }
 
+func (f *fleet) RecordOrigin(stream origin.Stream, began origin.Origin) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.origins == nil {
+		f.origins = map[origin.Stream]origin.Origin{}
+	}
+	f.origins[stream] = began
+}
+
+func (f *fleet) FindOrigin(_ context.Context, stream origin.Stream, service string) origin.Finding {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if began, found := f.origins[stream]; found {
+		return origin.Finding{Origin: began, Source: origin.SourcePeer}
+	}
+	if f.sole != "" && service != "" {
+		return origin.Finding{Origin: origin.Origin{Service: service, Software: f.sole}, Source: origin.SourceProof}
+	}
+	return origin.Finding{Source: origin.SourceNone}
+}
+
 func (f *fleet) brokenCount() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -64,7 +64,9 @@
 	// continue it; none may if that is unknown, which is the empty version.
 	begun    bool
 	software string
-	// mixed: events of another software version followed.
+	// recorded: the origin of the stream was recorded under the id of this request. mixed: events of another software
+	// version followed.
+	recorded bool
 	mixed    bool
 	upstream string
 	received received
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -34,11 +34,10 @@
 )
 
 type relay struct {
-	job      *job
-	response *forward.Response
-	attempt  *pool.Attempt
-	// software is the software version of the upstream.
-	software     string
+	job          *job
+	response     *forward.Response
+	attempt      *pool.Attempt
+	upstream     traffic.Upstream
 	silenceTimer *time.Timer
 	// wroteAt is when the last events of the stream were written.
 	wroteAt time.Time
@@ -204,7 +203,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	r.recordSoftware()
+	j.recordOrigin(r.upstream)
 	if err := j.write(data); err != nil {
 		return err
 	}
@@ -246,19 +245,6 @@
 	}
 }
 
-// recordSoftware records which software version wrote the first events of the stream, and whether others follow.
-func (r *relay) recordSoftware() {
-	j := r.job
-	switch {
-	case !j.begun:
-		j.begun = true
-		j.software = r.software
-	case j.software != r.software && !j.mixed:
-		j.mixed = true
-		j.step("mixed").Str("Upstream", j.upstream).Str("Software", r.software).Str("Before", j.software).Msg("Decision")
-	}
-}
-
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
 // however early its first event was.
 func (r *relay) measurePause(now time.Time) {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -21,6 +21,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
@@ -52,6 +53,11 @@
 	ReportBrokenResponse(upstream traffic.Upstream, fingerprint suspect.Fingerprint)
 	// VerifyLink reports that an upstream has not responded: the link of this instance to it may be lost.
 	VerifyLink(upstream traffic.Upstream)
+	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event.
+	RecordOrigin(stream origin.Stream, began origin.Origin)
+	// FindOrigin returns where a stream began that a caller takes up, here or at another instance. service is the only one
+	// that the stream can belong to, empty if there are several.
+	FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding
 }
 
 // SharedState is the state that decisions about requests are based on. Its parts are not safe for concurrent use, so one
--- a/internal/gateway/traffic/table.go
+++ b/internal/gateway/traffic/table.go
@@ -3,7 +3,9 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
+	"time"
 )
 
 // table.go looks up the route and the workspace of a request in a configuration.
@@ -60,6 +62,36 @@
 	return len(t.Configuration.Workspaces) > 0 && !route.Public
 }
 
+// comeBackTime is how long after the end of a stream's time its caller may still be on the way back.
+const comeBackTime = 5 * time.Second
+
+// StreamLifetime returns the longest time from the first event of a stream until its caller takes it up again; 0 if no
+// route has streams that can be taken up.
+func (c Configuration) StreamLifetime() (longest time.Duration) {
+	for _, route := range c.Routes {
+		if route.IsResumable() {
+			longest = max(longest, route.Timeout+comeBackTime)
+		}
+	}
+	return longest
+}
+
+// IsResumable reports whether the route has streams that may be continued.
+func (r Route) IsResumable() bool { return r.Execution == Streaming && r.Resumable }
+
+// Serves reports whether a service is one of the route's targets.
+func (r Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service })
+}
+
+// SoleService returns the service of the route, empty if there are several.
+func (r Route) SoleService() string {
+	if len(r.Targets) != 1 {
+		return ""
+	}
+	return r.Targets[0].Service
+}
+
 // PickService picks one of the route's services at random, by weight.
 func (r Route) PickService() string {
 	total := 0
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -58,7 +58,7 @@
 
 // IsRepeatable reports whether a request of the route may run again after it may have run.
 func (r Route) IsRepeatable() bool {
-	return r.Execution == Idempotent || r.Execution == Streaming && r.Resumable
+	return r.Execution == Idempotent || r.IsResumable()
 }
 
 // Target is a service and its weight in a route.
--- a/internal/placement/pool/idle_upstreams_test.go
+++ b/internal/placement/pool/idle_upstreams_test.go
@@ -54,7 +54,7 @@
 	declareMany(p, now, 3) // no change
 	names, changes = p.NamesSince(changes)
 	is.Equal(len(names), 0)
-	p.Remove("u1")
+	p.Remove(time.Now(), "u1")
 	names, _ = p.NamesSince(changes)
 	is.Equal(names, map[string]bool{"u0": true, "u2": true})
 }
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -26,6 +26,8 @@
 	PeerLoadTTL time.Duration
 	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests.
 	MaxBackpressure time.Duration
+	// StreamLifetime is the longest time from the first event of a stream until its caller takes it up again.
+	StreamLifetime time.Duration
 }
 
 // DefaultSettings are those of a small fleet.
@@ -147,6 +149,10 @@
 	evacuated map[string]bool
 	// statements are what lives of upstreams have stated about themselves.
 	statements map[life]*statement
+	// software is the history of the software versions of each service, and knownSince is when the first upstream was
+	// declared.
+	software   map[string]*softwareHistory
+	knownSince time.Time
 	// rotation is the index at which the next choice starts, so that equal upstreams take turns.
 	rotation int
 }
@@ -170,7 +176,11 @@
 // state of the old one.
 func (p *Pool) Declare(now time.Time, declared traffic.Upstream) {
 	p.prepare()
+	if p.knownSince.IsZero() {
+		p.knownSince = now
+	}
 	u := p.upstreams[declared.ID]
+	p.trackSoftware(now, u.declaration(), &declared)
 	if u == nil || u.declared.StartedMillis != declared.StartedMillis || u.declared.Address != declared.Address {
 		delete(p.active, u)
 		u = newUpstream(now)
@@ -193,7 +203,9 @@
 }
 
 // Remove removes an upstream that is gone.
-func (p *Pool) Remove(id string) {
+func (p *Pool) Remove(now time.Time, id string) {
+	p.prepare()
+	p.trackSoftware(now, p.upstreams[id].declaration(), nil)
 	delete(p.active, p.upstreams[id])
 	delete(p.upstreams, id)
 	p.changes++
@@ -289,6 +301,7 @@
 		p.stats = make(map[string]*serviceStats)
 		p.evacuated = make(map[string]bool)
 		p.statements = make(map[life]*statement)
+		p.software = make(map[string]*softwareHistory)
 	}
 }
 
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -232,7 +232,7 @@
 		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
 		declare(p, "e1", func(u *traffic.Upstream) { u.StartedMillis = 2 })
 		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
-		p.Remove("e1")
+		p.Remove(time.Now(), "e1")
 		is.True(!p.IsChoiceValid(time.Now(), choice.Upstream))
 	})
 }
--- a/internal/placement/pool/running_totals_test.go
+++ b/internal/placement/pool/running_totals_test.go
@@ -114,7 +114,7 @@
 }
 
 func (s *plainSums) forget(upstream string) {
-	s.pool.Remove(upstream)
+	s.pool.Remove(time.Now(), upstream)
 	for attempt, one := range s.attempts {
 		if one.upstream == upstream {
 			delete(s.attempts, attempt) // an upstream that is declared again starts without them
--- /dev/null
+++ b/internal/placement/pool/software.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// software.go keeps which software versions the upstreams of a service have had, to prove that a stream whose record is
+// missing can have begun at one version only.
+
+// softwareHistory is what this instance knows of the software versions of one service's upstreams.
+type softwareHistory struct {
+	// declared counts the declared upstreams of each version. removed is when the last upstream of a version was removed.
+	declared map[string]int
+	removed  map[string]time.Time
+	// adoptedSince is the beginning of the history as a peer stated it; zero if none did.
+	adoptedSince time.Time
+}
+
+// SoleSoftware states that the upstreams of a service have had no other software version than one, for some time until
+// now.
+type SoleSoftware struct {
+	Service  string
+	Software string
+	For      time.Duration
+}
+
+// trackSoftware records that the declaration of an upstream replaces another one; nil stands for none.
+func (p *Pool) trackSoftware(now time.Time, before, after *traffic.Upstream) {
+	if before != nil && after != nil && before.Service == after.Service && before.Software == after.Software {
+		return
+	}
+	if after != nil {
+		p.softwareOf(after.Service).declared[after.Software]++
+	}
+	if before == nil {
+		return
+	}
+	history := p.softwareOf(before.Service)
+	history.declared[before.Software]--
+	if history.declared[before.Software] == 0 {
+		delete(history.declared, before.Software)
+		history.removed[before.Software] = now
+	}
+}
+
+func (p *Pool) softwareOf(service string) *softwareHistory {
+	history := p.software[service]
+	if history == nil {
+		history = &softwareHistory{declared: make(map[string]int), removed: make(map[string]time.Time)}
+		p.software[service] = history
+	}
+	return history
+}
+
+// versions lists the versions that were declared within some time until now.
+func (h *softwareHistory) versions(now time.Time, within time.Duration) map[string]bool {
+	versions := make(map[string]bool, len(h.declared))
+	for version := range h.declared {
+		versions[version] = true
+	}
+	for version, at := range h.removed {
+		if now.Sub(at) > within {
+			delete(h.removed, version)
+			continue
+		}
+		versions[version] = true
+	}
+	return versions
+}
+
+// ProvenSoftware returns the only software version that the upstreams of a service can have had since a stream whose
+// caller comes back now may have begun. It says nothing if there are several, if the only one is unknown, or if this
+// instance has not known the upstreams for so long.
+func (p *Pool) ProvenSoftware(now time.Time, service string) (sole SoleSoftware, proven bool) {
+	p.prepare()
+	history := p.softwareOf(service)
+	versions := history.versions(now, p.Settings.StreamLifetime)
+	if len(versions) != 1 || versions[""] {
+		return SoleSoftware{}, false
+	}
+	sole = SoleSoftware{Service: service, For: now.Sub(p.knownSince)}
+	if since := history.adoptedSince; !since.IsZero() && since.Before(p.knownSince) {
+		sole.For = now.Sub(since)
+	}
+	for version := range versions {
+		sole.Software = version
+	}
+	return sole, !p.knownSince.IsZero() && sole.For >= p.Settings.StreamLifetime
+}
+
+// AdoptSoftware extends the history of a service by what a peer has just proved. An instance that has just started has
+// seen nothing, which proves nothing.
+func (p *Pool) AdoptSoftware(now time.Time, sole SoleSoftware) {
+	p.prepare()
+	history := p.softwareOf(sole.Service)
+	versions := history.versions(now, p.Settings.StreamLifetime)
+	if sole.Software == "" || len(versions) != 1 || !versions[sole.Software] {
+		return
+	}
+	if since := now.Add(-sole.For); history.adoptedSince.IsZero() || since.Before(history.adoptedSince) {
+		history.adoptedSince = since
+	}
+}
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -38,9 +38,9 @@
 			withSoftware(p, "e3", "v1")
 			declare(p, "e3", func(u *traffic.Upstream) { u.Software, u.Draining = "v1", true })
 		}, "e1"},
-		{"all of the version are gone", func(p *pool.Pool) { p.Remove("e1") }, ""},
+		{"all of the version are gone", func(p *pool.Pool) { p.Remove(time.Now(), "e1") }, ""},
 		{"only one of unknown version is left", func(p *pool.Pool) {
-			p.Remove("e1")
+			p.Remove(time.Now(), "e1")
 			withSoftware(p, "e3", "")
 		}, ""},
 	} {
@@ -84,3 +84,99 @@
 		is.True(p.RetryAfterBackpressure(time.Now(), resumed("v1")) >= 2*time.Second)
 	})
 }
+
+const streamLifetime = 20 * time.Second
+
+// Guards against a stream whose record is missing and that goes on at the only version that serves now, although another
+// one may have begun it, and against one that goes on nowhere although only one version can have begun it.
+func TestSoftwareIsProvenByItsHistory(t *testing.T) {
+	sole := func(length time.Duration) pool.SoleSoftware {
+		return pool.SoleSoftware{Service: engines, Software: "v1", For: length}
+	}
+	for _, c := range []struct {
+		name string
+		// history happens after the first upstream of v1 was declared.
+		history func(p *pool.Pool)
+		proven  bool
+	}{
+		{"one version for long", func(*pool.Pool) { time.Sleep(streamLifetime) }, true},
+		{"one version, known for a moment", func(*pool.Pool) { time.Sleep(streamLifetime / 2) }, false},
+		{"a second version serves", func(p *pool.Pool) {
+			time.Sleep(streamLifetime)
+			withSoftware(p, "e2", "v2")
+		}, false},
+		{"a second version has just gone", func(p *pool.Pool) {
+			withSoftware(p, "e2", "v2")
+			time.Sleep(streamLifetime)
+			p.Remove(time.Now(), "e2")
+			time.Sleep(streamLifetime - time.Second)
+		}, false},
+		{"a second version is long gone", func(p *pool.Pool) {
+			withSoftware(p, "e2", "v2")
+			p.Remove(time.Now(), "e2")
+			time.Sleep(streamLifetime + time.Second)
+		}, true},
+		{"a second version was replaced in place", func(p *pool.Pool) {
+			withSoftware(p, "e2", "v2")
+			time.Sleep(streamLifetime)
+			withSoftware(p, "e2", "v1")
+			time.Sleep(streamLifetime - time.Second)
+		}, false},
+		{"an unknown version serves beside it", func(p *pool.Pool) {
+			withSoftware(p, "e2", "")
+			time.Sleep(streamLifetime)
+		}, false},
+		{"another service has another version", func(p *pool.Pool) {
+			withSoftware(p, "s2", "v2")
+			time.Sleep(streamLifetime)
+		}, true},
+		{"known for a moment, and proved by a peer", func(p *pool.Pool) {
+			time.Sleep(time.Second)
+			p.AdoptSoftware(time.Now(), sole(streamLifetime))
+		}, true},
+		{"known for a moment, and a peer knows it for a moment", func(p *pool.Pool) {
+			time.Sleep(time.Second)
+			p.AdoptSoftware(time.Now(), sole(streamLifetime/2))
+		}, false},
+		{"a peer states another version", func(p *pool.Pool) {
+			p.AdoptSoftware(time.Now(), pool.SoleSoftware{Service: engines, Software: "v2", For: time.Hour})
+		}, false},
+		{"a peer states it while two versions serve", func(p *pool.Pool) {
+			withSoftware(p, "e2", "v2")
+			p.AdoptSoftware(time.Now(), sole(time.Hour))
+			p.Remove(time.Now(), "e2")
+			time.Sleep(streamLifetime - time.Second)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool()
+				p.Settings.StreamLifetime = streamLifetime
+				withSoftware(p, "e1", "v1")
+				c.history(p)
+				proof, proven := p.ProvenSoftware(time.Now(), engines)
+				is.Equal(proven, c.proven)
+				if proven {
+					is.Equal(proof.Software, "v1")
+					is.True(proof.For >= streamLifetime)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a proof by an instance that knows no upstream of the service, or none of known version.
+func TestNothingIsProvenOfUnknownSoftware(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool()
+		p.Settings.StreamLifetime = streamLifetime
+		withSoftware(p, "e1", "")
+		time.Sleep(2 * streamLifetime)
+		_, proven := p.ProvenSoftware(time.Now(), engines)
+		is.True(!proven)
+		_, proven = p.ProvenSoftware(time.Now(), services)
+		is.True(!proven)
+	})
+}
--- a/internal/placement/pool/statements_test.go
+++ b/internal/placement/pool/statements_test.go
@@ -52,7 +52,7 @@
 		{
 			name: "the entry expires and comes back",
 			meanwhile: func(p *pool.Pool, u traffic.Upstream) {
-				p.Remove(u.ID)
+				p.Remove(time.Now(), u.ID)
 				p.Declare(time.Now(), u)
 			},
 			lasts: asked,
@@ -147,7 +147,7 @@
 		{
 			name: "its entry expires and comes back",
 			meanwhile: func(p *pool.Pool, u traffic.Upstream) {
-				p.Remove(u.ID)
+				p.Remove(time.Now(), u.ID)
 				p.Declare(time.Now(), u)
 			},
 		},
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// declaration returns nil for an upstream that is not declared.
+func (u *upstream) declaration() *traffic.Upstream {
+	if u == nil {
+		return nil
+	}
+	return &u.declared
+}
+
 // Begin counts a request as in flight.
 func (p *Pool) Begin(now time.Time, choice Choice, query Query) *Attempt {
 	attempt := &Attempt{pool: p, query: query, began: now, upstream: p.upstreams[choice.Upstream.ID]}
