Send calls to the life of an upstream that was chosen

The HTTP clients to an upstream were kept by its id, with the address of the declaration that made them. An upstream that started again under its id at another address got no calls as long as it was declared: they went to the old address.

TestCallsReachTheUpstreamsNewLife: all three calls reached the old address before.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -45,13 +45,21 @@
 	transports map[string]transports
 }
 
-// transports are the HTTP clients of one upstream. The library may use an idle connection for any request, also one that
+// transports are the HTTP clients of one life of an upstream, at one address. The library may use an idle connection for any request, also one that
 // asks for its connection to be closed afterwards, so calls on new connections have a client that keeps none.
 type transports struct {
+	address       string
+	startedMillis int64
+
 	reusing *http.Transport
 	single  *http.Transport
 }
 
+// isFor reports whether the clients are for the declared life of their upstream.
+func (t transports) isFor(upstream traffic.Upstream) bool {
+	return t.address == upstream.Address && t.startedMillis == upstream.StartedMillis
+}
+
 func (t transports) closeIdle() {
 	t.reusing.CloseIdleConnections()
 	t.single.CloseIdleConnections()
@@ -175,8 +183,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known, found := c.transports[upstream.ID]
-	if !found {
-		known = transports{reusing: c.newTransport(upstream), single: c.newTransport(upstream)}
+	if found && !known.isFor(upstream) {
+		known.closeIdle()
+	}
+	if !found || !known.isFor(upstream) {
+		known = transports{
+			address: upstream.Address, startedMillis: upstream.StartedMillis,
+			reusing: c.newTransport(upstream), single: c.newTransport(upstream),
+		}
 		known.single.DisableKeepAlives = true
 		if c.transports == nil {
 			c.transports = make(map[string]transports)
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -121,3 +121,29 @@
 	is.True(errors.Is(err, forward.ErrBrokenResponse))
 	is.Equal(upstream.requests.Load(), int32(2))
 }
+
+// Guards against calls that go to the address that an upstream had before it started again under its id, and over idle
+// connections to its life before.
+func TestCallsReachTheUpstreamsNewLife(t *testing.T) {
+	for _, newConnection := range []bool{false, true} {
+		is := is.New(t)
+		before, client, upstream := newCountingUpstream(t, false)
+		after, _, restarted := newCountingUpstream(t, false)
+		restarted.ID = upstream.ID
+		for _, declared := range []traffic.Upstream{upstream, restarted, restarted} {
+			response, err := client.Do(t.Context(), declared, call.Call{Method: http.MethodGet, Target: "/"}, call.Attempt{}, newConnection)
+			is.NoErr(err)
+			_, err = io.ReadAll(response.Body)
+			is.NoErr(err)
+			response.Body.Close()
+		}
+		is.Equal(before.requests.Load(), int32(1))
+		is.Equal(after.requests.Load(), int32(2))
+		restarted.StartedMillis++ // at the same address
+		connections := after.connections.Load()
+		response, err := client.Do(t.Context(), restarted, call.Call{Method: http.MethodGet, Target: "/"}, call.Attempt{}, newConnection)
+		is.NoErr(err)
+		response.Body.Close()
+		is.Equal(after.connections.Load(), connections+1)
+	}
+}
