Doubt where a stream began around a restart of its upstream in place

An upstream that starts again under its id and address passes the check of its id. Until its entry arrives, streams that it begins count as begun at the version of its life before, and would go on there: its caller has events of two versions.

The record names the life. If the entry of another version arrives at about the time when the stream began, or came before, the origin is unknown; and after nothing has listened at an upstream, its software is unknown until its entry arrives or the verdict is old. A crash counts for the life that was asked. A proof that only one version can have served still lets such streams go on.

TestStreamBegunUnderALateEntryIsNotContinued failed before: streams of v2 went on at v1. The responses of upstreams do not say which life they are of, so streams that begin and break before the entry arrives, at an instance that has not seen the crash, remain.

--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -95,7 +95,7 @@
 		now := time.Now()
 		n.sharedState.WithLock(func(state *serve.SharedState) {
 			state.Suspects.RecordCrash(now, fingerprints)
-			state.Pool.RecordCrash(now, id)
+			state.Pool.RecordCrash(now, upstreams[id])
 		})
 		n.Log.Warn().Str("Upstream", id).Int("Requests", len(fingerprints)).Msg("UpstreamCrashed")
 		n.overlay.requestStateSend()
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -153,7 +153,7 @@
 	h.notifyWaiters()
 	h.mutex.Unlock()
 	if outcome == residence.OtherUpstream {
-		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream.ID) })
+		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream) })
 	} else {
 		h.node.handler.RecordStatement("", h.upstream, 0, response.Leaving)
 	}
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -219,24 +219,40 @@
 		stream = origin.Stream{}
 	}
 	if record, found := n.origins.find(time.Now(), stream); found {
-		return origin.Finding{Origin: record.Origin, Source: origin.SourceOwn}
+		return n.findingOf(record, service, origin.SourceOwn)
 	}
 	for _, wait := range findPauses {
-		if sole, proven := n.provenSoftware(service); proven {
-			return origin.Finding{Origin: origin.Origin{Service: service, Software: sole.Software}, Source: origin.SourceProof}
+		if finding := n.findProof(service); finding.Source == origin.SourceProof {
+			return finding
 		}
 		if !stream.IsValid() && wait > 0 || !pause.For(ctx, wait) {
 			break // there is no record of such a stream, only proofs
 		}
 		if record, found := n.askKeepers(ctx, mesh.StreamQuestion{Stream: stream, Service: service}); found {
 			n.origins.add(time.Now(), []origin.Record{record})
-			return origin.Finding{Origin: record.Origin, Source: origin.SourcePeer}
+			return n.findingOf(record, service, origin.SourcePeer)
 		}
 	}
-	if sole, proven := n.provenSoftware(service); proven {
-		return origin.Finding{Origin: origin.Origin{Service: service, Software: sole.Software}, Source: origin.SourceProof}
+	return n.findProof(service)
+}
+
+// findingOf returns what a record says. If that is no version, a proof may still say which.
+func (n *Node) findingOf(record origin.Record, service string, source origin.Source) origin.Finding {
+	doubtful := false
+	n.sharedState.WithLock(func(state *serve.SharedState) { doubtful = state.Pool.IsOriginDoubtful(time.Now(), record) })
+	if doubtful || record.Origin.Software == "" {
+		return n.findProof(service)
+	}
+	return origin.Finding{Origin: record.Origin, Source: source}
+}
+
+// findProof returns the only version that can have served, if there is a proof.
+func (n *Node) findProof(service string) origin.Finding {
+	sole, proven := n.provenSoftware(service)
+	if !proven {
+		return origin.Finding{Source: origin.SourceNone}
 	}
-	return origin.Finding{Source: origin.SourceNone}
+	return origin.Finding{Origin: origin.Origin{Service: service, Software: sole.Software}, Source: origin.SourceProof}
 }
 
 // askKeepers asks the peers that may keep the record of a stream, all at the same time, and adopts what they can prove of
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -30,9 +30,13 @@
 // streamEvents is the number of events of a stream.
 const streamEvents = 4
 
-// declare starts and declares an upstream, or declares it again.
+// declare starts an upstream and writes its entry.
 func (s *streams) declare(t *testing.T, id, software string) {
-	address := s.start(t, software)
+	s.register(id, s.start(t, software), software)
+}
+
+// register writes the entry of an upstream that has just started.
+func (s *streams) register(id, address, software string) {
 	s.store.put(prefixUpstreams+id, encoded(traffic.Upstream{
 		Service: "streams", Address: address, DataCentre: "here", BatchSlots: 6, StartedMillis: time.Now().UnixMilli(), Software: software,
 	}))
@@ -256,3 +260,32 @@
 	is.Equal(mixed, 0)
 	is.Equal(complete, streamsEach) // the records were sent when the second version appeared
 }
+
+// Guards against a stream that counts as begun at the version that an upstream had before it started again in place: its
+// entry is late, and names the life and the version before.
+func TestStreamBegunUnderALateEntryIsNotContinued(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1", "v2", "v2"}, "a", "b", "c", "d")
+	replaced := upstreams.start(t, "v2")
+	upstreams.register("stream0", replaced, "v1") // the entry of the life before
+	upstreams.store.drop(prefixUpstreams + "stream1")
+	upstreams.store.drop(prefixUpstreams + "stream2")
+	upstreams.store.drop(prefixUpstreams + "stream3")
+	upstreams.declare(t, "stream4", "v1")
+	var broken []taken
+	eventually(t, 5*time.Second, "streams begin at the upstream that was replaced", func() bool {
+		for _, stream := range upstreams.begin(t, fleet[0], streamsEach) {
+			if stream.software[0] == "v2" {
+				broken = append(broken, stream)
+			}
+		}
+		return len(broken) >= streamsEach
+	})
+	upstreams.register("stream0", replaced, "v2")
+	eventually(t, 5*time.Second, "the entry has arrived", func() bool {
+		return fleet[1].log.hasLine("UpstreamDeclared", "stream0", `"Software":"v2"`, replaced)
+	})
+	_, mixed, _ := upstreams.takeUp(fleet[1], broken)
+	is.Equal(mixed, 0)
+}
--- a/internal/gateway/serve/stream_origin.go
+++ b/internal/gateway/serve/stream_origin.go
@@ -22,7 +22,7 @@
 func (j *job) recordOrigin(upstream traffic.Upstream) {
 	if !j.begun {
 		j.begun = true
-		j.software = upstream.Software
+		j.handler.State.WithLock(func(state *SharedState) { j.software = state.Pool.Software(time.Now(), upstream) })
 	}
 	if !j.recorded && j.route.IsResumable() {
 		j.recorded = true
@@ -30,7 +30,7 @@
 			Service: j.service, Software: j.software, Upstream: upstream.ID, StartedMillis: upstream.StartedMillis,
 		})
 	}
-	if j.software != upstream.Software && !j.mixed {
+	if j.software != "" && j.software != upstream.Software && !j.mixed {
 		j.mixed = true
 		j.step("mixed").Str("Upstream", upstream.ID).Str("Software", upstream.Software).Str("Before", j.software).Msg("Decision")
 	}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -67,7 +67,7 @@
 
 // isCandidate reports whether an upstream of the service can take the request.
 func (p *Pool) isCandidate(now time.Time, u *upstream, query Query) bool {
-	if !p.mayRun(u, query) || u.isUnderBackpressure(now) || now.Before(u.retryAt) || u.isUnreachable(now) {
+	if !p.mayRun(u, query) || query.Software != "" && u.isLifeInDoubt(now) || u.isUnderBackpressure(now) || now.Before(u.retryAt) || u.isUnreachable(now) {
 		return false
 	}
 	if p.isCold(now, u) && now.Before(u.cold.fullUntil) {
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 )
 
 // software.go keeps which software versions the upstreams of a service have had, to prove that a stream whose record is
@@ -103,3 +104,34 @@
 		history.adoptedSince = since
 	}
 }
+
+// maxEntryDelay is how long after its start an upstream that has started again in place may be taken for its life before:
+// until it has written its entry, and that has arrived.
+const maxEntryDelay = 3 * time.Second
+
+// IsOriginDoubtful reports whether a stream that counts as begun at one life of an upstream may have begun at its next
+// one, whose software is another: the entry of that life arrived at about the time when the stream began, or before.
+func (p *Pool) IsOriginDoubtful(now time.Time, record origin.Record) bool {
+	u := p.upstreams[record.Origin.Upstream]
+	if u == nil || u.declared.StartedMillis == record.Origin.StartedMillis || u.declared.Software == record.Origin.Software {
+		return false
+	}
+	began := now.Add(-record.Age)
+	return u.declaredAt.Sub(began) < maxEntryDelay
+}
+
+// Software returns the software version of a life of an upstream that has just responded; empty if it is unknown, because
+// another life may have responded whose entry has not arrived yet.
+func (p *Pool) Software(now time.Time, upstream traffic.Upstream) string {
+	u := p.upstreams[upstream.ID]
+	if u != nil && u.isLifeInDoubt(now) {
+		return ""
+	}
+	return upstream.Software
+}
+
+// isLifeInDoubt reports whether the upstream may have started again without its entry having arrived: nothing has listened
+// there a moment ago.
+func (u *upstream) isLifeInDoubt(now time.Time) bool {
+	return !u.crashedAt.IsZero() && now.Sub(u.crashedAt) < maxEntryDelay
+}
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
 
@@ -180,3 +181,64 @@
 		is.True(!proven)
 	})
 }
+
+// Guards against a stream that counts as begun at the version that an upstream had before it started again in place.
+func TestOriginIsDoubtfulAroundARestartInPlace(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// age is the time from the first event until the entry of the next life arrives; negative if the entry came first.
+		age      time.Duration
+		next     func(*traffic.Upstream)
+		doubtful bool
+	}{
+		{"the entry follows at once", time.Second, func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v2", 2 }, true},
+		{"the entry came before", -time.Second, func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v2", 2 }, true},
+		{"the stream is old", 10 * time.Second, func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v2", 2 }, false},
+		{"the same version", time.Second, func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v1", 2 }, false},
+		{"the same life", time.Second, func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v1", 1 }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool()
+				withSoftware(p, "e1", "v1")
+				time.Sleep(time.Minute)
+				record := origin.Record{Origin: origin.Origin{Service: engines, Software: "v1", Upstream: "e1", StartedMillis: 1}}
+				is.True(!p.IsOriginDoubtful(time.Now(), record))
+				time.Sleep(max(c.age, 0))
+				declare(p, "e1", c.next)
+				time.Sleep(max(-c.age, 0) + 5*time.Second)
+				record.Age = c.age + max(-c.age, 0) + 5*time.Second
+				if c.age < 0 {
+					record.Age = 5 * time.Second
+				}
+				is.Equal(p.IsOriginDoubtful(time.Now(), record), c.doubtful)
+			})
+		})
+	}
+}
+
+// Guards against streams that begin or go on at an upstream that has crashed and started again in place with another
+// version, as long as its entry is that of the life before.
+func TestUpstreamIsOfUnknownSoftwareAfterACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPool()
+		withSoftware(p, "e1", "v1")
+		is.Equal(p.Software(time.Now(), upstreamOf(is, p, "e1")), "v1")
+		crashed := upstreamOf(is, p, "e1")
+		p.RecordCrash(time.Now(), crashed)
+		time.Sleep(2 * time.Second) // longer than nothing is sent to an upstream that has crashed
+		is.Equal(p.Software(time.Now(), upstreamOf(is, p, "e1")), "")
+		_, err := p.Choose(time.Now(), resumed("v1"))
+		is.True(err != nil)
+		_, err = p.Choose(time.Now(), generation("a")) // new streams may begin there
+		is.NoErr(err)
+		declare(p, "e1", func(u *traffic.Upstream) { u.Software, u.StartedMillis = "v1", 2 })
+		p.RecordCrash(time.Now(), crashed) // the verdict on the life before comes late
+		is.Equal(p.Software(time.Now(), upstreamOf(is, p, "e1")), "v1")
+		choice, err := p.Choose(time.Now(), resumed("v1"))
+		is.NoErr(err)
+		is.Equal(choice.Upstream.ID, "e1")
+	})
+}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -28,13 +28,16 @@
 )
 
 type upstream struct {
-	declared  traffic.Upstream
-	fence     int64
-	version   int64
-	resident  map[traffic.Adapter]Resident
-	recent    recentAdapters
-	idleSlots int
-	slotWait  time.Duration
+	declared traffic.Upstream
+	// declaredAt is when the first entry of this life arrived, and crashedAt is when nothing listened there.
+	declaredAt time.Time
+	crashedAt  time.Time
+	fence      int64
+	version    int64
+	resident   map[traffic.Adapter]Resident
+	recent     recentAdapters
+	idleSlots  int
+	slotWait   time.Duration
 	// holderLoad is the load that the holder last reported, without this instance's own.
 	holderLoad   Load
 	holderLoadAt time.Time
@@ -93,11 +96,12 @@
 
 func newUpstream(now time.Time) *upstream {
 	return &upstream{
-		resident: make(map[traffic.Adapter]Resident),
-		attempts: make(map[*Attempt]bool),
-		slow:     1,
-		counted:  now,
-		measured: now,
+		resident:   make(map[traffic.Adapter]Resident),
+		attempts:   make(map[*Attempt]bool),
+		slow:       1,
+		declaredAt: now,
+		counted:    now,
+		measured:   now,
 	}
 }
 
@@ -226,11 +230,12 @@
 	return u != nil && now.Sub(u.servedAt) <= reachableFor
 }
 
-// RecordCrash records that nothing listens at an upstream any more.
-func (p *Pool) RecordCrash(now time.Time, id string) {
-	if u := p.upstreams[id]; u != nil {
+// RecordCrash records that nothing listens at an upstream any more. It says nothing of another life of the upstream.
+func (p *Pool) RecordCrash(now time.Time, upstream traffic.Upstream) {
+	if u := p.upstreams[upstream.ID]; u != nil && lifeOf(u.declared) == lifeOf(upstream) {
 		u.backoff = min(max(2*u.backoff, minBackoff), maxBackoff)
 		u.retryAt = now.Add(u.backoff)
+		u.crashedAt = now
 	}
 }
 
