Keep a stream that is taken up with the service that began it

The proof that a service has had one software version says nothing of a stream whose route was split, or moved to another service, since it began: the stream went on at the other service. Nothing is proven of such services, so their records are sent to peers and decide: always while a route is split, and for the time of a stream after a change.

--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -183,6 +183,10 @@
 		n.Log.Warn().Int64("Version", configuration.Version).Int64("Revision", revision).Msg("StaleConfigurationIgnored")
 		return
 	}
+	previous := traffic.Configuration{}
+	if table := v.table.Load(); table != nil {
+		previous = table.Configuration
+	}
 	v.table.Store(traffic.NewTable(configuration))
 	limits := make(map[string]quota.Limit)
 	for _, workspace := range configuration.Workspaces {
@@ -191,6 +195,7 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Configure(configuration.Services)
 		state.Pool.Settings.StreamLifetime = configuration.StreamLifetime()
+		state.Pool.RecordSharedStreams(time.Now(), configuration.SharedStreams(previous))
 		state.Ledger.SetLimits(time.Now(), limits)
 	})
 	n.origins.setRetention(configuration.StreamLifetime())
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -37,8 +38,12 @@
 
 // register writes the entry of an upstream that has just started.
 func (s *streams) register(id, address, software string) {
+	s.registerAt("streams", id, address, software)
+}
+
+func (s *streams) registerAt(service, id, address, software string) {
 	s.store.put(prefixUpstreams+id, encoded(traffic.Upstream{
-		Service: "streams", Address: address, DataCentre: "here", BatchSlots: 6, StartedMillis: time.Now().UnixMilli(), Software: software,
+		Service: service, Address: address, DataCentre: "here", BatchSlots: 6, StartedMillis: time.Now().UnixMilli(), Software: software,
 	}))
 }
 
@@ -164,6 +169,25 @@
 	}, names...)
 }
 
+// routeTo makes services the targets of the route of streams.
+func (s *streams) routeTo(t *testing.T, version int, services ...string) {
+	t.Helper()
+	var declared traffic.Configuration
+	if err := json.Unmarshal([]byte(configuration(version, "/p/")), &declared); err != nil {
+		t.Fatal(err)
+	}
+	for i := range declared.Routes {
+		if declared.Routes[i].Prefix != pathStream {
+			continue
+		}
+		declared.Routes[i].Targets = nil
+		for _, service := range services {
+			declared.Routes[i].Targets = append(declared.Routes[i].Targets, traffic.Target{Service: service, Weight: 1})
+		}
+	}
+	s.store.put(keyConfiguration, encoded(declared))
+}
+
 const (
 	streamsEach = 12
 	// provenAfter is the time after the start of a fleet within which nothing can be proven: the time of a stream.
@@ -289,3 +313,41 @@
 	_, mixed, _ := upstreams.takeUp(fleet[1], broken)
 	is.Equal(mixed, 0)
 }
+
+// Guards against a stream that goes on at another service than the one that began it, because its route was moved or is
+// split, although each of the services has one version only.
+func TestStreamStaysWithItsService(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1"}, "a", "b", "c")
+	for number := range 2 {
+		// The service is named in the events, so that a stream that changes it shows as mixed.
+		upstreams.registerAt("others", fmt.Sprint("other", number), upstreams.start(t, "v1 of others"), "v1")
+	}
+	awaitProof := func(member *instance) {
+		t.Helper()
+		eventually(t, 10*time.Second, "one version is proven", func() bool {
+			complete, _, _ := upstreams.takeUp(member, []taken{{id: "unrecorded", software: []string{"v1", "v1"}}})
+			return complete == 1
+		})
+	}
+	for _, member := range fleet {
+		awaitProof(member)
+	}
+	early := upstreams.begin(t, fleet[0], streamsEach)
+	upstreams.routeTo(t, 2, "others")
+	for _, member := range fleet {
+		eventually(t, 5*time.Second, "the route has moved", func() bool { return member.log.hasLine("ConfigurationInForce", `"Version":2`) })
+	}
+	complete, mixed, refused := upstreams.takeUp(fleet[1], early)
+	is.Equal([]int{complete, mixed, refused}, []int{0, 0, streamsEach}) // the service gets no requests of the route any more
+
+	upstreams.routeTo(t, 3, "streams", "others")
+	for _, member := range fleet {
+		eventually(t, 5*time.Second, "the route is split", func() bool { return member.log.hasLine("ConfigurationInForce", `"Version":3`) })
+	}
+	complete, mixed, _ = upstreams.takeUp(fleet[1], early)
+	is.Equal([]int{complete, mixed}, []int{streamsEach, 0})
+	complete, mixed, _ = upstreams.takeUp(fleet[1], upstreams.begin(t, fleet[2], streamsEach))
+	is.Equal([]int{complete, mixed}, []int{streamsEach, 0})
+}
--- a/internal/gateway/traffic/table.go
+++ b/internal/gateway/traffic/table.go
@@ -79,6 +79,58 @@
 // IsResumable reports whether the route has streams that may be continued.
 func (r Route) IsResumable() bool { return r.Execution == Streaming && r.Resumable }
 
+// streamRoute identifies a route over changes of the configuration.
+type streamRoute struct{ host, prefix string }
+
+func (c Configuration) streamRoutes() map[streamRoute]Route {
+	routes := make(map[streamRoute]Route)
+	for _, route := range c.Routes {
+		if route.IsResumable() {
+			routes[streamRoute{host: strings.ToLower(route.Host), prefix: route.Prefix}] = route
+		}
+	}
+	return routes
+}
+
+// RoutesOf states which services have streams that may also belong to another service.
+type RoutesOf struct {
+	// Split are the services that share a route with others.
+	Split map[string]bool
+	// Moved are the services that routes were moved from or to since another configuration.
+	Moved map[string]bool
+}
+
+// SharedStreams returns the services whose streams a route alone does not tell from those of other services, as the route
+// is split or has changed its services since the previous configuration.
+func (c Configuration) SharedStreams(previous Configuration) RoutesOf {
+	services := RoutesOf{Split: make(map[string]bool), Moved: make(map[string]bool)}
+	before := previous.streamRoutes()
+	for key, route := range c.streamRoutes() {
+		old, existed := before[key]
+		moved := existed && !slices.Equal(old.services(), route.services())
+		for _, service := range route.services() {
+			services.Split[service] = services.Split[service] || len(route.Targets) > 1
+			services.Moved[service] = services.Moved[service] || moved
+		}
+		if !moved {
+			continue
+		}
+		for _, service := range old.services() {
+			services.Moved[service] = true
+		}
+	}
+	return services
+}
+
+// services lists the targets in a fixed order.
+func (r Route) services() (names []string) {
+	for _, target := range r.Targets {
+		names = append(names, target.Service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Serves reports whether a service is one of the route's targets.
 func (r Route) Serves(service string) bool {
 	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service })
--- a/internal/gateway/traffic/table_test.go
+++ b/internal/gateway/traffic/table_test.go
@@ -1,7 +1,9 @@
 package traffic_test
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -69,3 +71,59 @@
 	is.True(!traffic.Route{Execution: traffic.Streaming}.IsRepeatable())
 	is.True(traffic.Route{Execution: traffic.Streaming, Resumable: true}.IsRepeatable())
 }
+
+// Guards against a stream that is taken for one of the only service of its route, although the route is split or was moved
+// since it began.
+func TestServicesThatShareStreams(t *testing.T) {
+	route := func(prefix string, services ...string) traffic.Route {
+		r := traffic.Route{Host: "a.example", Prefix: prefix, Execution: traffic.Streaming, Resumable: true, Timeout: 15 * time.Second}
+		for _, service := range services {
+			r.Targets = append(r.Targets, traffic.Target{Service: service, Weight: 1})
+		}
+		return r
+	}
+	plain := func(prefix string, services ...string) traffic.Route {
+		r := route(prefix, services...)
+		r.Execution = traffic.Idempotent
+		return r
+	}
+	for _, c := range []struct {
+		name   string
+		before []traffic.Route
+		after  []traffic.Route
+		split  string
+		moved  string
+	}{
+		{"nothing changes", []traffic.Route{route("/p/", "s")}, []traffic.Route{route("/p/", "s")}, "", ""},
+		{"the first configuration", nil, []traffic.Route{route("/p/", "s")}, "", ""},
+		{"split", nil, []traffic.Route{route("/p/", "s", "t")}, "s t", ""},
+		{"moved", []traffic.Route{route("/p/", "s")}, []traffic.Route{route("/p/", "t")}, "", "s t"},
+		{"split since", []traffic.Route{route("/p/", "s")}, []traffic.Route{route("/p/", "t", "s")}, "s t", "s t"},
+		{"other weights", []traffic.Route{route("/p/", "s", "t")}, []traffic.Route{route("/p/", "t", "s")}, "s t", ""},
+		{"a route is added", []traffic.Route{route("/p/", "s")}, []traffic.Route{route("/p/", "s"), route("/q/", "t")}, "", ""},
+		{"plain routes", []traffic.Route{plain("/p/", "s")}, []traffic.Route{plain("/p/", "t", "u")}, "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			configuration := traffic.Configuration{Routes: c.after}
+			shared := configuration.SharedStreams(traffic.Configuration{Routes: c.before})
+			for _, service := range []string{"s", "t", "u"} {
+				is.Equal(shared.Split[service], strings.Contains(c.split, service))
+				is.Equal(shared.Moved[service], strings.Contains(c.moved, service))
+			}
+		})
+	}
+}
+
+// Guards against records of streams that are dropped while their callers may come back: the longest time of a route counts.
+func TestStreamLifetime(t *testing.T) {
+	is := is.New(t)
+	streaming := traffic.Route{Execution: traffic.Streaming, Resumable: true, Timeout: 15 * time.Second}
+	short, single, plain := streaming, streaming, streaming
+	short.Timeout = 5 * time.Second
+	single.Resumable, single.Timeout = false, time.Minute
+	plain.Execution, plain.Timeout = traffic.Idempotent, time.Minute
+	is.Equal(traffic.Configuration{Routes: []traffic.Route{single, plain}}.StreamLifetime(), time.Duration(0))
+	is.True(traffic.Configuration{Routes: []traffic.Route{short, streaming, single, plain}}.StreamLifetime() > 15*time.Second)
+	is.True(traffic.Configuration{Routes: []traffic.Route{short, streaming, single, plain}}.StreamLifetime() < time.Minute)
+}
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -17,6 +17,9 @@
 	removed  map[string]time.Time
 	// adoptedSince is the beginning of the history as a peer stated it; zero if none did.
 	adoptedSince time.Time
+	// split: the service shares routes of streams with others. movedAt is when it last lost or gained such a route.
+	split   bool
+	movedAt time.Time
 }
 
 // SoleSoftware states that the upstreams of a service have had no other software version than one, for some time until
@@ -71,14 +74,32 @@
 	return versions
 }
 
+// RecordSharedStreams records which services have streams that may also have begun at another service. Nothing can be
+// proven of them without a record: as long as their routes are split, and for the time of a stream after a change.
+func (p *Pool) RecordSharedStreams(now time.Time, shared traffic.RoutesOf) {
+	p.prepare()
+	for service, history := range p.software {
+		history.split = shared.Split[service]
+	}
+	for service, split := range shared.Split {
+		p.softwareOf(service).split = split
+	}
+	for service, moved := range shared.Moved {
+		if moved {
+			p.softwareOf(service).movedAt = now
+		}
+	}
+}
+
 // ProvenSoftware returns the only software version that the upstreams of a service can have had since a stream whose
-// caller comes back now may have begun. It says nothing if there are several, if the only one is unknown, or if this
-// instance has not known the upstreams for so long.
+// caller comes back now may have begun. It says nothing if there are several, if the only one is unknown, if the stream may
+// have begun at another service, or if this instance has not known the upstreams for so long.
 func (p *Pool) ProvenSoftware(now time.Time, service string) (sole SoleSoftware, proven bool) {
 	p.prepare()
 	history := p.softwareOf(service)
 	versions := history.versions(now, p.Settings.StreamLifetime)
-	if len(versions) != 1 || versions[""] {
+	moved := !history.movedAt.IsZero() && now.Sub(history.movedAt) < p.Settings.StreamLifetime
+	if len(versions) != 1 || versions[""] || history.split || moved {
 		return SoleSoftware{}, false
 	}
 	sole = SoleSoftware{Service: service, For: now.Sub(p.knownSince)}
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -131,6 +131,20 @@
 			withSoftware(p, "s2", "v2")
 			time.Sleep(streamLifetime)
 		}, true},
+		{"its streams share a route with another service's", func(p *pool.Pool) {
+			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Split: map[string]bool{engines: true}})
+			time.Sleep(2 * streamLifetime)
+		}, false},
+		{"its streams shared a route", func(p *pool.Pool) {
+			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Split: map[string]bool{engines: true}})
+			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Moved: map[string]bool{engines: true}})
+			time.Sleep(streamLifetime)
+		}, true},
+		{"a route has just moved", func(p *pool.Pool) {
+			time.Sleep(streamLifetime)
+			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Moved: map[string]bool{engines: true}})
+			time.Sleep(streamLifetime - time.Second)
+		}, false},
 		{"known for a moment, and proved by a peer", func(p *pool.Pool) {
 			time.Sleep(time.Second)
 			p.AdoptSoftware(time.Now(), sole(streamLifetime))
