Hand the records of streams over at a planned stop

In a rolling restart all instances that keep the record of a stream were gone within the stream's time, and its caller was refused everywhere. A stopping instance sends the records that it keeps to the peers that rank highest next; peers that have left the roster come last.

--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -44,6 +44,9 @@
 // pathStream is the path of streams that may be taken up, and are not continued within their response.
 const pathStream = "/p/stream/"
 
+// streamTimeout is the time of streams; their callers may take them up some seconds longer.
+const streamTimeout = 5 * time.Second
+
 // configuration has one public route to a plain service, one below it with more time, one for requests
 // that may run once, one to a service with engines, and one to a service that streams.
 func configuration(version int, prefix string) string {
@@ -58,7 +61,7 @@
 	once := route("o", prefix+"once/", "app")
 	once.Execution = traffic.AtMostOnce
 	stream := route("s", prefix+"stream/", "streams")
-	stream.Execution, stream.Resumable = traffic.Streaming, true
+	stream.Execution, stream.Resumable, stream.Timeout = traffic.Streaming, true, streamTimeout
 	return encoded(traffic.Configuration{
 		Version: int64(version),
 		Routes:  []traffic.Route{route("r", prefix, "app"), long, once, route("g", prefix+"generate/", "llm"), stream},
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -290,6 +290,7 @@
 	defer cancel()
 	err := n.callers.Shutdown(shutdownCtx)
 	n.awaitPeerConnections(shutdownCtx)
+	n.handOverOrigins(shutdownCtx)
 	pause.For(tasksCtx, responseFlushDelay)
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("StoppedWithRequestsRunning")
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -201,21 +201,19 @@
 	return now.Sub(at) <= relayedTimeout
 }
 
-// livePeersByRank returns the live members that rank highest for a subject, without this instance and one that is
-// excluded.
-func (o *overlay) livePeersByRank(now time.Time, subject string, count int, excluded string) (peers []roster.Instance) {
+// livePeersByRank returns the live members by their rank for a subject, highest first, without this instance and one that
+// is excluded.
+func (o *overlay) livePeersByRank(now time.Time, subject, excluded string) (peers []roster.Instance) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	names := make([]string, 0, len(o.members))
 	for name := range o.members {
-		if name != o.table.Self && name != excluded {
+		if name != o.table.Self && name != excluded && o.isAliveLocked(now, name) {
 			names = append(names, name)
 		}
 	}
 	for _, name := range roster.SortByRank(subject, names) {
-		if len(peers) < count && o.isAliveLocked(now, name) {
-			peers = append(peers, o.members[name].instance)
-		}
+		peers = append(peers, o.members[name].instance)
 	}
 	return peers
 }
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	keepTimeout = 400 * time.Millisecond
 	// findTimeout bounds one round of questions. An answer takes a few milliseconds.
 	findTimeout = 100 * time.Millisecond
+	// handOverInterval is how often a planned stop checks whether all records are sent.
+	handOverInterval = 5 * time.Millisecond
 )
 
 // findPauses are the pauses before the rounds of questions for a record. In the first milliseconds it may be on its way,
@@ -68,6 +71,18 @@
 	return o.records.Find(now, stream)
 }
 
+func (o *streamOrigins) all(now time.Time) []origin.Record {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.records.All(now)
+}
+
+func (o *streamOrigins) isSending() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.senders) > 0
+}
+
 func (o *streamOrigins) unsentServices() []string {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -107,6 +122,27 @@
 	}
 }
 
+// handOverOrigins sends the records that this instance keeps to other peers, before it ends: in a rolling restart all
+// that keep a record would be gone within the time of a stream.
+func (n *Node) handOverOrigins(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	sent := 0
+	for _, record := range n.origins.all(time.Now()) {
+		if _, proven := n.provenSoftware(record.Origin.Service); proven {
+			continue
+		}
+		sent++
+		for _, keeper := range n.keepers(record.Stream, recordKeepers, "") {
+			n.origins.send(n, keeper, record)
+		}
+	}
+	for n.origins.isSending() && pause.For(ctx, handOverInterval) {
+		continue
+	}
+	n.Log.Info().Int("Records", sent).Bool("Complete", !n.origins.isSending()).Msg("StreamRecordsHandedOver")
+}
+
 // provenSoftware returns the only software version that can have served since a stream that is taken up now may have
 // begun, if this instance can prove that.
 func (n *Node) provenSoftware(service string) (sole pool.SoleSoftware, proven bool) {
@@ -121,9 +157,27 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.AdoptSoftware(time.Now(), sole) })
 }
 
-// keepers returns the live peers that rank highest for a stream, without one that has just failed.
-func (n *Node) keepers(stream origin.Stream, count int, failed string) []roster.Instance {
-	return n.overlay.livePeersByRank(time.Now(), stream.Workspace+"\x00"+stream.ID, count, failed)
+// keepers returns the live peers that rank highest for a stream, without one that has just failed. Peers that have left the
+// roster come last: they are about to stop, unless the store is away.
+func (n *Node) keepers(stream origin.Stream, count int, failed string) (keepers []roster.Instance) {
+	n.view.mutex.Lock()
+	instances := n.view.roster.Instances()
+	n.view.mutex.Unlock()
+	joined := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		joined[instance.Name] = true
+	}
+	peers := n.overlay.livePeersByRank(time.Now(), stream.Workspace+"\x00"+stream.ID, failed)
+	slices.SortStableFunc(peers, func(a, b roster.Instance) int {
+		switch {
+		case joined[a.Name] == joined[b.Name]:
+			return 0
+		case joined[a.Name]:
+			return -1
+		}
+		return 1
+	})
+	return peers[:min(count, len(peers))]
 }
 
 // -----------------------------------------------------------------------------------------------
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -192,6 +192,8 @@
 	streamsEach = 12
 	// provenAfter is the time after the start of a fleet within which nothing can be proven: the time of a stream.
 	provenAfter = 2 * time.Second
+	// proofLimit is the time within which a fleet has a proof.
+	proofLimit = 4 * streamTimeout
 )
 
 // Guards against a stream that goes on at another software version, or nowhere, because its caller takes it up at an
@@ -261,7 +263,7 @@
 	if _, _, refused := upstreams.takeUp(fleet[0], unrecorded(1)); time.Since(began) < provenAfter {
 		is.Equal(refused, 1) // the whole fleet has just started
 	}
-	eventually(t, 10*time.Second, "one version is proven", func() bool {
+	eventually(t, proofLimit, "one version is proven", func() bool {
 		complete, _, _ := upstreams.takeUp(fleet[0], unrecorded(1))
 		return complete == 1
 	})
@@ -326,7 +328,7 @@
 	}
 	awaitProof := func(member *instance) {
 		t.Helper()
-		eventually(t, 10*time.Second, "one version is proven", func() bool {
+		eventually(t, proofLimit, "one version is proven", func() bool {
 			complete, _, _ := upstreams.takeUp(member, []taken{{id: "unrecorded", software: []string{"v1", "v1"}}})
 			return complete == 1
 		})
@@ -351,3 +353,29 @@
 	complete, mixed, _ = upstreams.takeUp(fleet[1], upstreams.begin(t, fleet[2], streamsEach))
 	is.Equal([]int{complete, mixed}, []int{streamsEach, 0})
 }
+
+// Guards against streams that go on nowhere after a rolling restart: their instance stops, and one after the other those
+// that keep their records.
+func TestStreamIsTakenUpAfterARollingRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1", "v2", "v2"}, "a", "b", "c", "d")
+	broken := upstreams.begin(t, fleet[0], streamsEach)
+	var added []*instance
+	for _, name := range []string{"e", "f", "g", "h"} {
+		added = append(added, start(t, upstreams.store, name))
+	}
+	for _, member := range added {
+		eventually(t, 5*time.Second, member.name+" serves", func() bool { return member.ready() && member.status("/p/") == 200 })
+	}
+	for _, member := range fleet {
+		member.stop()
+		time.Sleep(300 * time.Millisecond)
+	}
+	for _, member := range fleet {
+		<-member.ended
+	}
+	complete, mixed, _ := upstreams.takeUp(added[0], broken)
+	is.Equal(mixed, 0)
+	is.Equal(complete, streamsEach)
+}
--- a/internal/placement/origin/records.go
+++ b/internal/placement/origin/records.go
@@ -77,6 +77,18 @@
 	return services
 }
 
+// All returns all records that callers may still need.
+func (r *Records) All(now time.Time) (records []Record) {
+	for _, generation := range []map[Stream]record{r.current, r.previous} {
+		for stream, known := range generation {
+			if age := now.Sub(known.began); age <= r.Retention {
+				records = append(records, Record{Stream: stream, Origin: known.origin, Age: age})
+			}
+		}
+	}
+	return records
+}
+
 // Find returns the record of a stream.
 func (r *Records) Find(now time.Time, stream Stream) (found Record, ok bool) {
 	r.rotate(now)
--- a/internal/placement/origin/records_test.go
+++ b/internal/placement/origin/records_test.go
@@ -141,3 +141,21 @@
 	is.True(!ok)
 	is.Equal(len(records.UnsentServices()), 0)
 }
+
+// Guards against an instance that stops and hands over records that nobody needs any more, or misses some.
+func TestAllRecordsThatMatterAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		records := &origin.Records{Retention: retention}
+		records.Add(time.Now(), origin.Record{Stream: stream("w", "old"), Origin: at("s", "v1")})
+		time.Sleep(retention / 2)
+		records.AddOwn(time.Now(), stream("w", "own"), at("s", "v1"))
+		time.Sleep(retention/2 + time.Second)
+		records.Add(time.Now(), origin.Record{Stream: stream("w", "young"), Origin: at("t", "v2")})
+		listed := map[string]time.Duration{}
+		for _, record := range records.All(time.Now()) {
+			listed[record.Stream.ID] = record.Age
+		}
+		is.Equal(listed, map[string]time.Duration{"own": retention/2 + time.Second, "young": 0})
+	})
+}
