--- a/internal/gateway/serve/stream_origin.go
+++ b/internal/gateway/serve/stream_origin.go
@@ -48,6 +48,7 @@
 	j.step("takeup").Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEventID).Bool("Known", known).
 		Str("From", string(found.Source)).Str("Service", found.Origin.Service).Str("Software", found.Origin.Software).
 		Int64("TookMillis", time.Since(asked).Milliseconds()).Msg("Decision")
+	j.handler.Scope.Tagged(map[string]string{"from": string(found.Source)}).Counter("stream_origins").Inc(1)
 	if !known {
 		return refusal.New(refusal.ServiceUnavailable, "the upstreams that can continue the stream are not known").
 			WithRetryAfter(unreachableRetryAfter)
