--- a/internal/placement/origin/records.go
+++ b/internal/placement/origin/records.go
@@ -4,7 +4,7 @@
 
 // records.go keeps the origins of recent streams in a bounded memory.
 
-// maxRecords bounds the records of one generation; a record takes some hundred bytes.
+// maxRecords bounds the records of one generation, which take some hundred bytes each.
 const maxRecords = 20_000
 
 // Records keeps the origins of streams for Retention at least, and twice that at most, unless there are more than
