--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -73,3 +74,54 @@
 }
 
 func (keysAsUpstreams) EvacuatedDataCentre(string) (string, bool) { return "", false }
+
+// Guards against an instance that is cut off and takes what it knows for all there is, and against one that continues no
+// streams during an outage of the store, although nobody can learn of a new upstream then.
+func TestViewIsCurrentInAnOutageOnly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// confirmed is how long ago the store confirmed what the instance knows; negative if it never did.
+		confirmed time.Duration
+		ownFailed bool
+		// reachable are the peers of which messages have arrived since, and failing those that cannot reach the store.
+		reachable []string
+		failing   []string
+		current   bool
+	}{
+		{"never confirmed", -1, true, []string{"b", "c", "d"}, []string{"b", "c", "d"}, false},
+		{"confirmed a moment ago", time.Second, false, nil, nil, true},
+		{"the store is down for all", 10 * time.Second, true, []string{"b", "c", "d"}, []string{"b", "c", "d"}, true},
+		{"the store is down, and half of the others are seen", 10 * time.Second, true, []string{"b", "c"}, []string{"b", "c"}, true},
+		{"only this instance cannot reach it", 10 * time.Second, true, []string{"b", "c", "d"}, nil, false},
+		{"cut off from the store and from the others", 10 * time.Second, true, nil, nil, false},
+		{"cut off with one other", 10 * time.Second, true, []string{"b"}, []string{"b"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var suspended time.Duration
+				n := nodeWithoutFenceChecks(&suspended)
+				members := []roster.Instance{{Name: n.self.Name}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
+				n.overlay.setMembers(time.Now(), members)
+				for _, peer := range members[1:] {
+					n.overlay.recordContact(peer.Name, time.Now())
+				}
+				time.Sleep(time.Millisecond)
+				if c.confirmed >= 0 {
+					n.merge(replica.Batch{Snapshot: true, Through: 1}, time.Now(), sourceStore)
+					time.Sleep(c.confirmed)
+				}
+				if c.ownFailed {
+					n.storeFailedAt.Store(time.Now().UnixNano())
+				}
+				for _, peer := range c.reachable {
+					n.overlay.recordContact(peer, time.Now())
+				}
+				for _, peer := range c.failing {
+					n.overlay.setStoreUnreachable(time.Now(), peer, true)
+				}
+				is.Equal(n.isViewCurrent(), c.current)
+			})
+		})
+	}
+}
