Keep records of streams until a live peer can take them

An instance that knew no live peer, as it had just started or was cut off, dropped the records of its streams unsent; after its end their callers were refused. TestRecordsWaitForALivePeer failed before.

--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -101,17 +101,18 @@
 	n.sendOrigins(began.Service)
 }
 
-// sendUnsentOrigins sends the records that became necessary since they were made: another version has appeared, or this
-// instance is not up to date any more.
+// sendUnsentOrigins sends the records that became necessary since they were made: another version has appeared, this
+// instance is not up to date any more, or it knew no live peer.
 func (n *Node) sendUnsentOrigins() {
 	for _, service := range n.origins.unsentServices() {
 		n.sendOrigins(service)
 	}
 }
 
-// sendOrigins sends the records of a service to the peers that keep them, unless only one version can have served.
+// sendOrigins sends the records of a service to the peers that keep them, unless only one version can have served. Without
+// a live peer they wait.
 func (n *Node) sendOrigins(service string) {
-	if _, proven := n.provenSoftware(service); proven {
+	if _, proven := n.provenSoftware(service); proven || len(n.keepers(origin.Stream{}, 1, "")) == 0 {
 		return
 	}
 	for _, record := range n.origins.takeUnsent(time.Now(), service) {
