--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -62,8 +62,8 @@
 }
 
 // isViewCurrent reports whether no upstream can have begun to serve without this instance knowing of it: the store has
-// confirmed what it knows a moment ago, or most instances are in touch and none of them hears of changes. An instance
-// that is cut off from the others cannot tell an outage of the store from its own.
+// confirmed its revision a moment ago, or most instances are reachable and cannot read the store either. An instance that
+// is partitioned from the others cannot tell an outage of the store from the loss of its own link.
 func (n *Node) isViewCurrent() bool {
 	last := n.view.confirmed.last()
 	if last.IsZero() {
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -195,7 +195,7 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Configure(configuration.Services)
 		state.Pool.Settings.StreamLifetime = configuration.StreamLifetime()
-		state.Pool.RecordSharedStreams(time.Now(), configuration.SharedStreams(previous))
+		state.Pool.RecordSharedServices(time.Now(), configuration.SharedServices(previous))
 		state.Ledger.SetLimits(time.Now(), limits)
 	})
 	n.origins.setRetention(configuration.StreamLifetime())
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -13,7 +13,7 @@
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
-// stream_origins.go keeps where streams began, also for peers. A caller takes its stream up at any instance, and often
+// stream_origins.go keeps where streams began, also for peers. A caller resumes its stream at any instance, and often
 // because the instance that began it is gone. So each record is sent to some peers that rank highest for the stream by
 // rendezvous hashing, where the others find it. As long as this instance can prove that a service has one software version
 // only, nothing is sent.
@@ -143,7 +143,7 @@
 	n.Log.Info().Int("Records", sent).Bool("Complete", !n.origins.isSending()).Msg("StreamRecordsHandedOver")
 }
 
-// provenSoftware returns the only software version that can have served since a stream that is taken up now may have
+// provenSoftware returns the only software version that can have served since a stream that is resumed now may have
 // begun, if this instance can prove that.
 func (n *Node) provenSoftware(service string) (sole pool.SoleSoftware, proven bool) {
 	if service == "" || !n.isViewCurrent() {
@@ -258,7 +258,7 @@
 
 // -----------------------------------------------------------------------------------------------
 
-// FindOrigin returns where a stream began that a caller takes up. service is the only one that it can belong to; empty if
+// FindOrigin returns where a stream began that a caller resumes. service is the only one that it can belong to; empty if
 // there are several.
 func (n *Node) FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding {
 	if !stream.IsValid() {
@@ -356,7 +356,7 @@
 	return proofs
 }
 
-// FindStream answers a peer that was asked to take a stream up.
+// FindStream answers a peer whose caller resumes a stream.
 func (n *Node) FindStream(question mesh.StreamQuestion) (answer mesh.StreamAnswer) {
 	answer.Record, answer.Found = n.origins.find(time.Now(), question.Stream)
 	answer.Sole, answer.Proven = n.provenSoftware(question.Service)
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -41,7 +41,7 @@
 // response.
 func (j *job) run(ctx context.Context) error {
 	h := j.handler
-	if err := j.takeUp(ctx); err != nil {
+	if err := j.bindResumed(ctx); err != nil {
 		return err
 	}
 	h.State.WithLock(func(state *SharedState) { state.Retries.For(j.service).CountFirstTry() })
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -55,7 +55,7 @@
 	VerifyLink(upstream traffic.Upstream)
 	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event.
 	RecordOrigin(stream origin.Stream, began origin.Origin)
-	// FindOrigin returns where a stream began that a caller takes up, here or at another instance. service is the only one
+	// FindOrigin returns where a stream began that a caller resumes, here or at another instance. service is the only one
 	// that the stream can belong to, empty if there are several.
 	FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding
 }
--- a/internal/gateway/serve/stream_origin.go
+++ b/internal/gateway/serve/stream_origin.go
@@ -9,8 +9,8 @@
 	"lacewingrock.example/lacewingrock/internal/placement/origin"
 )
 
-// stream_origin.go keeps a stream at the software version that began it: within its response, and when its caller takes it
-// up again.
+// stream_origin.go keeps a stream at the software version that began it: within its response, and when its caller resumes
+// it.
 
 // stream identifies a stream of the request's workspace.
 func (j *job) stream(id string) origin.Stream {
@@ -36,16 +36,16 @@
 	}
 }
 
-// takeUp binds a request for the rest of a stream to the service and the software version that began it. If they are not
+// bindResumed binds a request that resumes a stream to the service and the software version that began it. If they are not
 // known, it is refused at once: the parts of two versions do not fit together, and nothing in them shows it.
-func (j *job) takeUp(ctx context.Context) error {
+func (j *job) bindResumed(ctx context.Context) error {
 	if j.route.Execution != traffic.Streaming || j.call.LastEventID == "" {
 		return nil
 	}
 	asked := time.Now()
 	found := j.handler.Fleet.FindOrigin(ctx, j.stream(j.call.Resumes), j.route.SoleService())
 	known := found.Source != origin.SourceNone && found.Origin.Software != "" && j.route.Serves(found.Origin.Service)
-	j.step("takeup").Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEventID).Bool("Known", known).
+	j.step("resumed").Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEventID).Bool("Known", known).
 		Str("From", string(found.Source)).Str("Service", found.Origin.Service).Str("Software", found.Origin.Software).
 		Int64("TookMillis", time.Since(asked).Milliseconds()).Msg("Decision")
 	j.handler.Scope.Tagged(map[string]string{"from": string(found.Source)}).Counter("stream_origins").Inc(1)
--- a/internal/gateway/traffic/table.go
+++ b/internal/gateway/traffic/table.go
@@ -65,8 +65,8 @@
 // comeBackTime is how long after the end of a stream's time its caller may still be on the way back.
 const comeBackTime = 5 * time.Second
 
-// StreamLifetime returns the longest time from the first event of a stream until its caller takes it up again; 0 if no
-// route has streams that can be taken up.
+// StreamLifetime returns the longest time from the first event of a stream until its caller resumes it; 0 if no route
+// has streams that can be resumed.
 func (c Configuration) StreamLifetime() (longest time.Duration) {
 	for _, route := range c.Routes {
 		if route.IsResumable() {
@@ -92,18 +92,17 @@
 	return routes
 }
 
-// RoutesOf states which services have streams that may also belong to another service.
-type RoutesOf struct {
+// SharedServices are the services that have streams whose route may also belong to another service.
+type SharedServices struct {
 	// Split are the services that share a route with others.
 	Split map[string]bool
-	// Moved are the services that routes were moved from or to since another configuration.
+	// Moved are the services that routes were moved from or to since the previous configuration.
 	Moved map[string]bool
 }
 
-// SharedStreams returns the services whose streams a route alone does not tell from those of other services, as the route
-// is split or has changed its services since the previous configuration.
-func (c Configuration) SharedStreams(previous Configuration) RoutesOf {
-	services := RoutesOf{Split: make(map[string]bool), Moved: make(map[string]bool)}
+// SharedServices returns the services whose streams a route alone does not tell from those of other services.
+func (c Configuration) SharedServices(previous Configuration) SharedServices {
+	services := SharedServices{Split: make(map[string]bool), Moved: make(map[string]bool)}
 	before := previous.streamRoutes()
 	for key, route := range c.streamRoutes() {
 		old, existed := before[key]
--- a/internal/gateway/traffic/table_test.go
+++ b/internal/gateway/traffic/table_test.go
@@ -106,7 +106,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			configuration := traffic.Configuration{Routes: c.after}
-			shared := configuration.SharedStreams(traffic.Configuration{Routes: c.before})
+			shared := configuration.SharedServices(traffic.Configuration{Routes: c.before})
 			for _, service := range []string{"s", "t", "u"} {
 				is.Equal(shared.Split[service], strings.Contains(c.split, service))
 				is.Equal(shared.Moved[service], strings.Contains(c.moved, service))
--- a/internal/placement/origin/origin.go
+++ b/internal/placement/origin/origin.go
@@ -1,5 +1,5 @@
 // Package origin keeps where streams began. What two versions of an upstream's software write does not fit together, so a
-// stream that is taken up goes on only at the version that began it, whatever instance its caller comes to. The package
+// stream is resumed only at the version that began it, whatever instance its caller comes to. The package
 // does no I/O; the caller reads the clock and passes the time in.
 package origin
 
@@ -25,7 +25,7 @@
 // Origin is where a stream began: at a version of the software of a service's upstreams.
 type Origin struct {
 	Service string
-	// Software is empty if it is unknown. The stream then goes on nowhere.
+	// Software is empty if it is unknown. The stream is not resumed then.
 	Software string
 	// Upstream and StartedMillis, its start in Unix milliseconds, identify the life of the upstream.
 	Upstream      string
--- a/internal/placement/origin/records.go
+++ b/internal/placement/origin/records.go
@@ -10,7 +10,7 @@
 // Records keeps the origins of streams for Retention at least, and twice that at most, unless there are more than
 // maxRecords. Set Retention before use; 0 keeps nothing. It is not safe for concurrent use.
 type Records struct {
-	// Retention is how long after the first event a caller may take its stream up.
+	// Retention is how long after the first event a caller may resume its stream.
 	Retention time.Duration
 
 	current   map[Stream]record
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -26,7 +26,7 @@
 	PeerLoadTTL time.Duration
 	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests.
 	MaxBackpressure time.Duration
-	// StreamLifetime is the longest time from the first event of a stream until its caller takes it up again.
+	// StreamLifetime is the longest time from the first event of a stream until its caller resumes it.
 	StreamLifetime time.Duration
 }
 
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -74,9 +74,9 @@
 	return versions
 }
 
-// RecordSharedStreams records which services have streams that may also have begun at another service. Nothing can be
+// RecordSharedServices records which services have streams that may also have begun at another service. Nothing can be
 // proven of them without a record: as long as their routes are split, and for the time of a stream after a change.
-func (p *Pool) RecordSharedStreams(now time.Time, shared traffic.RoutesOf) {
+func (p *Pool) RecordSharedServices(now time.Time, shared traffic.SharedServices) {
 	p.prepare()
 	for service, history := range p.software {
 		history.split = shared.Split[service]
@@ -91,8 +91,8 @@
 	}
 }
 
-// ProvenSoftware returns the only software version that the upstreams of a service can have had since a stream whose
-// caller comes back now may have begun. It says nothing if there are several, if the only one is unknown, if the stream may
+// ProvenSoftware returns the only software version that the upstreams of a service can have had since a stream
+// that its caller resumes now may have begun. It says nothing if there are several, if the only one is unknown, if the stream may
 // have begun at another service, or if this instance has not known the upstreams for so long.
 func (p *Pool) ProvenSoftware(now time.Time, service string) (sole SoleSoftware, proven bool) {
 	p.prepare()
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -132,17 +132,17 @@
 			time.Sleep(streamLifetime)
 		}, true},
 		{"its streams share a route with another service's", func(p *pool.Pool) {
-			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Split: map[string]bool{engines: true}})
+			p.RecordSharedServices(time.Now(), traffic.SharedServices{Split: map[string]bool{engines: true}})
 			time.Sleep(2 * streamLifetime)
 		}, false},
 		{"its streams shared a route", func(p *pool.Pool) {
-			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Split: map[string]bool{engines: true}})
-			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Moved: map[string]bool{engines: true}})
+			p.RecordSharedServices(time.Now(), traffic.SharedServices{Split: map[string]bool{engines: true}})
+			p.RecordSharedServices(time.Now(), traffic.SharedServices{Moved: map[string]bool{engines: true}})
 			time.Sleep(streamLifetime)
 		}, true},
 		{"a route has just moved", func(p *pool.Pool) {
 			time.Sleep(streamLifetime)
-			p.RecordSharedStreams(time.Now(), traffic.RoutesOf{Moved: map[string]bool{engines: true}})
+			p.RecordSharedServices(time.Now(), traffic.SharedServices{Moved: map[string]bool{engines: true}})
 			time.Sleep(streamLifetime - time.Second)
 		}, false},
 		{"known for a moment, and proved by a peer", func(p *pool.Pool) {
