Send no records because of an outage of the store

When the store went away, every instance held its proof for out of date, sent the records of all its recent streams to two peers each, and went on so for each stream: some ten thousand calls at once in a fleet of 63. Nobody learns of another version then, so that none of them is needed; a second version, a split or moved route and a short history still have records sent.

TestOutageSendsNoRecords failed before: the record was sent.

--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -101,18 +101,19 @@
 	n.sendOrigins(began.Service)
 }
 
-// sendUnsentOrigins sends the records that became necessary since they were made: another version has appeared, this
-// instance is not up to date any more, or it knew no live peer.
+// sendUnsentOrigins sends the records that became necessary since they were made, as another version has appeared, or for
+// which there was no live peer.
 func (n *Node) sendUnsentOrigins() {
 	for _, service := range n.origins.unsentServices() {
 		n.sendOrigins(service)
 	}
 }
 
-// sendOrigins sends the records of a service to the peers that keep them, unless only one version can have served. Without
-// a live peer they wait.
+// sendOrigins sends the records of a service to the peers that keep them, unless this instance knows one version only.
+// Without a live peer they wait. An outage of the store alone makes none of them necessary, and sending them would load
+// the whole fleet when it begins.
 func (n *Node) sendOrigins(service string) {
-	if _, proven := n.provenSoftware(service); proven || len(n.keepers(origin.Stream{}, 1, "")) == 0 {
+	if _, sole := n.soleSoftware(service); sole || len(n.keepers(origin.Stream{}, 1, "")) == 0 {
 		return
 	}
 	for _, record := range n.origins.takeUnsent(time.Now(), service) {
@@ -129,7 +130,7 @@
 	defer cancel()
 	sent := 0
 	for _, record := range n.origins.all(time.Now()) {
-		if _, proven := n.provenSoftware(record.Origin.Service); proven {
+		if _, sole := n.soleSoftware(record.Origin.Service); sole {
 			continue
 		}
 		sent++
@@ -149,8 +150,13 @@
 	if service == "" || !n.isViewCurrent() {
 		return pool.SoleSoftware{}, false
 	}
-	n.sharedState.WithLock(func(state *serve.SharedState) { sole, proven = state.Pool.ProvenSoftware(time.Now(), service) })
-	return sole, proven
+	return n.soleSoftware(service)
+}
+
+// soleSoftware returns the only software version that this instance has known a service to have for the time of a stream.
+func (n *Node) soleSoftware(service string) (sole pool.SoleSoftware, known bool) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { sole, known = state.Pool.SoleSoftware(time.Now(), service) })
+	return sole, known
 }
 
 func (n *Node) adoptSoftware(sole pool.SoleSoftware) {
--- a/internal/entry/node/unsent_origins_test.go
+++ b/internal/entry/node/unsent_origins_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/origin"
 )
 
@@ -24,3 +26,24 @@
 		is.Equal(len(n.origins.takeUnsent(time.Now(), "s")), 1)
 	})
 }
+
+// Guards against a flood of records in an outage of the store: no instance learns of another software version then, and all
+// would send the records of their recent streams at the same time.
+func TestOutageSendsNoRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var suspended time.Duration
+		n := nodeWithoutFenceChecks(&suspended)
+		n.origins.setRetention(time.Minute)
+		n.sharedState.Pool.Settings.StreamLifetime = time.Minute
+		n.sharedState.Pool.Declare(time.Now(), traffic.Upstream{ID: "u", Service: "s", Software: "v1"})
+		time.Sleep(time.Minute) // the store has not confirmed anything for long
+		n.overlay.setMembers(time.Now(), []roster.Instance{{Name: n.self.Name}, {Name: "b"}})
+		n.overlay.recordContact("b", time.Now())
+		n.RecordOrigin(origin.Stream{Workspace: "w", ID: "r"}, origin.Origin{Service: "s", Software: "v1"})
+		n.sendUnsentOrigins()
+		_, proven := n.provenSoftware("s")
+		is.True(!proven)
+		is.Equal(len(n.origins.takeUnsent(time.Now(), "s")), 1)
+	})
+}
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -91,10 +91,10 @@
 	}
 }
 
-// ProvenSoftware returns the only software version that the upstreams of a service can have had since a stream
+// SoleSoftware returns the only software version that the upstreams of a service can have had since a stream
 // that its caller resumes now may have begun. It says nothing if there are several, if the only one is unknown, if the stream may
 // have begun at another service, or if this instance has not known the upstreams for so long.
-func (p *Pool) ProvenSoftware(now time.Time, service string) (sole SoleSoftware, proven bool) {
+func (p *Pool) SoleSoftware(now time.Time, service string) (sole SoleSoftware, known bool) {
 	p.prepare()
 	history := p.softwareOf(service)
 	versions := history.versions(now, p.Settings.StreamLifetime)
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -170,7 +170,7 @@
 				p.Settings.StreamLifetime = streamLifetime
 				withSoftware(p, "e1", "v1")
 				c.history(p)
-				proof, proven := p.ProvenSoftware(time.Now(), engines)
+				proof, proven := p.SoleSoftware(time.Now(), engines)
 				is.Equal(proven, c.proven)
 				if proven {
 					is.Equal(proof.Software, "v1")
@@ -189,9 +189,9 @@
 		p.Settings.StreamLifetime = streamLifetime
 		withSoftware(p, "e1", "")
 		time.Sleep(2 * streamLifetime)
-		_, proven := p.ProvenSoftware(time.Now(), engines)
+		_, proven := p.SoleSoftware(time.Now(), engines)
 		is.True(!proven)
-		_, proven = p.ProvenSoftware(time.Now(), services)
+		_, proven = p.SoleSoftware(time.Now(), services)
 		is.True(!proven)
 	})
 }
