Let the soak's stand-ins listen at ports that no outgoing connection takes

Upstreams and proxies that were started again found their ports in use: they were ephemeral, and an outgoing connection had taken one of them meanwhile.

--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"sync"
@@ -100,6 +101,9 @@
 	Name string
 	// Upstream is the address of the process behind the proxy.
 	Upstream string
+	// Listen is the address at which the proxy listens; empty for any free port of the loopback address. A proxy that is to
+	// be resumed needs a port that no outgoing connection can take meanwhile.
+	Listen string
 
 	gate  *gate
 	inner *toxiproxy.Proxy
@@ -109,13 +113,13 @@
 // gate.
 var proxyCount atomic.Int64
 
-// Start listens on a free port of the loopback address.
+// Start listens.
 func (p *Proxy) Start() (err error) {
 	defer func() { err = errors.WithMessagef(err, "proxy %s", p.Name) }()
 	p.gate = &gate{}
 	p.inner = toxiproxy.NewProxy()
 	p.inner.Name = fmt.Sprintf("%s#%d", p.Name, proxyCount.Add(1))
-	p.inner.Listen = "127.0.0.1:0"
+	p.inner.Listen = cmp.Or(p.Listen, "127.0.0.1:0")
 	p.inner.Upstream = p.Upstream
 	gates.Store(p.inner.Name, p.gate)
 	for _, direction := range []Direction{Up, Down} {
