Wait until both links are known as lost before a stop in their test

Traced in its log: three requests went to app1 through the other instance, as the test assumes of all four; the fourth went to app0 over a kept direct connection before that link was known as lost, and never reached it. The test now waits for what it assumes; what it asks of the stop is unchanged.

--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -239,7 +239,12 @@
 	s := newStore()
 	fleet := startFleet(t, s, "a", "b")
 	fleet[0].links.set(linksSilent)
-	eventually(t, contactTime, "requests go through the other instance", func() bool { return fleet[0].status("/p/") == 200 })
+	eventually(t, contactTime, "requests go through the other instance", func() bool {
+		served := fleet[0].status("/p/") == 200
+		// A request on a kept connection over a link that is not known as lost would not go through the other instance.
+		return served && fleet[0].log.hasLine(`"UpstreamLink"`, `"app0"`, `"Lost":true`) &&
+			fleet[0].log.hasLine(`"UpstreamLink"`, `"app1"`, `"Lost":true`)
+	})
 	statuses := make(chan int, 4)
 	for range cap(statuses) {
 		go func() { statuses <- fleet[0].status(pathLong) }()
