Prove a service's only version by a history of seconds

The version that began a stream served until the stream broke, and the caller is back within seconds: it was declared then at the latest. So five seconds of history are enough; a second version that was seen within the time of a stream still ends the proof, and named streams are looked up first.

--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -93,7 +93,7 @@
 
 // SoleSoftware returns the only software version that the upstreams of a service can have had since a stream
 // that its caller resumes now may have begun. It says nothing if there are several, if the only one is unknown, if the stream may
-// have begun at another service, or if this instance has not known the upstreams for so long.
+// have begun at another service, or if this instance has known the upstreams for a moment only.
 func (p *Pool) SoleSoftware(now time.Time, service string) (sole SoleSoftware, known bool) {
 	p.prepare()
 	history := p.softwareOf(service)
@@ -109,9 +109,13 @@
 	for version := range versions {
 		sole.Software = version
 	}
-	return sole, !p.knownSince.IsZero() && sole.For >= p.Settings.StreamLifetime
+	return sole, !p.knownSince.IsZero() && sole.For >= minSoftwareHistory
 }
 
+// minSoftwareHistory is how long before a caller resumes a stream the version that began it was declared at the latest: its
+// upstream served until the stream broke, and the caller is back within seconds.
+const minSoftwareHistory = 5 * time.Second
+
 // AdoptSoftware extends the history of a service by what a peer has just proved. An instance that has just started has
 // seen nothing, which proves nothing.
 func (p *Pool) AdoptSoftware(now time.Time, sole SoleSoftware) {
