Count only live peers where an instance relies on its view in an outage

An instance that had just been cut off from the store and from the others took its own loss for an outage of the store: a peer whose last message had come after the last confirmation counted as reachable from then on, and its own failure as half.

Most instances have to be alive now, and half of those have to have reported that they cannot read the store.

--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -72,8 +72,8 @@
 	if time.Since(last) <= outageThreshold {
 		return true
 	}
-	_, reachable := n.overlay.storeFailedSince(last)
-	return 2*reachable >= n.overlay.peerCount() && n.wasOutage(last)
+	alive, failing := n.overlay.aliveWithoutStore(time.Now(), last)
+	return 2*alive >= n.overlay.peerCount() && 2*failing >= alive && n.storeFailedAt.Load() >= last.UnixNano()
 }
 
 // wasOutage reports whether the store has been unreachable for the whole fleet since its last confirmation, and not
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,7 @@
 		{"only this instance cannot reach it", 10 * time.Second, true, []string{"b", "c", "d"}, nil, false},
 		{"cut off from the store and from the others", 10 * time.Second, true, nil, nil, false},
 		{"cut off with one other", 10 * time.Second, true, []string{"b"}, []string{"b"}, false},
+		{"cut off, after a last message of most others", 10 * time.Second, true, []string{"b early", "c early"}, nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -109,13 +111,21 @@
 				time.Sleep(time.Millisecond)
 				if c.confirmed >= 0 {
 					n.merge(replica.Batch{Snapshot: true, Through: 1}, time.Now(), sourceStore)
+					for _, peer := range c.reachable {
+						name, early := strings.CutSuffix(peer, " early")
+						if early {
+							n.overlay.recordContact(name, time.Now().Add(time.Millisecond))
+						}
+					}
 					time.Sleep(c.confirmed)
 				}
 				if c.ownFailed {
 					n.storeFailedAt.Store(time.Now().UnixNano())
 				}
 				for _, peer := range c.reachable {
-					n.overlay.recordContact(peer, time.Now())
+					if !strings.HasSuffix(peer, " early") {
+						n.overlay.recordContact(peer, time.Now())
+					}
 				}
 				for _, peer := range c.failing {
 					n.overlay.setStoreUnreachable(time.Now(), peer, true)
--- a/internal/entry/node/overlay.go
+++ b/internal/entry/node/overlay.go
@@ -275,6 +275,23 @@
 	return failed, reachable
 }
 
+// aliveWithoutStore counts the other instances that are alive, and those of them that have reported since the given time
+// that they cannot reach the store.
+func (o *overlay) aliveWithoutStore(now, since time.Time) (alive, failing int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for name := range o.members {
+		if name == o.table.Self || !o.isAliveLocked(now, name) {
+			continue
+		}
+		alive++
+		if !o.storeFailedAt[name].Before(since) {
+			failing++
+		}
+	}
+	return alive, failing
+}
+
 // recordSpentVersion records the version of a record of admitted usage, and reports whether it is the newest one
 // received. Records that pass through different relays may arrive out of order.
 func (o *overlay) recordSpentVersion(record gossip.Record) (newest bool) {
