--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -8,6 +8,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
@@ -28,15 +29,16 @@
 // brokenResponse is a request whose response broke off.
 type brokenResponse struct {
 	upstream    traffic.Upstream
+	callID      string
 	fingerprint suspect.Fingerprint
 }
 
 // ReportBrokenResponse queues a crash check for a response that broke off with its connection.
-func (n *Node) ReportBrokenResponse(upstream traffic.Upstream, fingerprint suspect.Fingerprint) {
+func (n *Node) ReportBrokenResponse(upstream traffic.Upstream, callID string, fingerprint suspect.Fingerprint) {
 	select {
-	case n.brokenResponses <- brokenResponse{upstream: upstream, fingerprint: fingerprint}:
+	case n.brokenResponses <- brokenResponse{upstream: upstream, callID: callID, fingerprint: fingerprint}:
 	default:
-		n.Log.Warn().Str("Upstream", upstream.ID).Msg("CrashCheckDropped")
+		n.Log.Warn().Str(logline.FieldRequest, callID).Str("Upstream", upstream.ID).Msg("CrashCheckDropped")
 	}
 }
 
@@ -77,27 +79,47 @@
 
 // detectCrashes counts a crash for all requests with broken responses whose upstreams refuse connections.
 func (n *Node) detectCrashes(ctx context.Context, first brokenResponse) {
-	broken := map[string][]suspect.Fingerprint{first.upstream.ID: {first.fingerprint}}
-	upstreams := map[string]traffic.Upstream{first.upstream.ID: first.upstream}
+	broken := map[string][]brokenResponse{first.upstream.ID: {first}}
 	for more := true; more; {
 		select {
 		case next := <-n.brokenResponses:
-			broken[next.upstream.ID] = append(broken[next.upstream.ID], next.fingerprint)
-			upstreams[next.upstream.ID] = next.upstream
+			broken[next.upstream.ID] = append(broken[next.upstream.ID], next)
 		default:
 			more = false
 		}
 	}
-	for id, fingerprints := range broken {
-		if !n.refusesConnections(ctx, upstreams[id]) || n.isCutOff(ctx, id) {
-			continue
+	for id, responses := range broken {
+		upstream := responses[len(responses)-1].upstream
+		began := time.Now()
+		refused := n.refusesConnections(ctx, upstream)
+		cutOff := refused && n.isCutOff(ctx, id)
+		n.Log.Info().Str("Upstream", id).Int("Requests", len(responses)).Bool("Refused", refused).Bool("CutOff", cutOff).
+			Int64("TookMillis", time.Since(began).Milliseconds()).Msg("CrashChecked")
+		if refused && !cutOff {
+			n.recordCrash(upstream, responses)
 		}
-		now := time.Now()
-		n.sharedState.WithLock(func(state *serve.SharedState) {
-			state.Suspects.RecordCrash(now, fingerprints)
-			state.Pool.RecordCrash(now, upstreams[id])
-		})
-		n.Log.Warn().Str("Upstream", id).Int("Requests", len(fingerprints)).Msg("UpstreamCrashed")
-		n.overlay.requestStateSend()
 	}
 }
+
+// recordCrash counts a crash of an upstream for the requests that were in flight there.
+func (n *Node) recordCrash(upstream traffic.Upstream, responses []brokenResponse) {
+	var fingerprints []suspect.Fingerprint
+	for _, response := range responses {
+		fingerprints = append(fingerprints, response.fingerprint)
+	}
+	counts := make(map[suspect.Fingerprint]int)
+	now := time.Now()
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		state.Suspects.RecordCrash(now, fingerprints)
+		state.Pool.RecordCrash(now, upstream)
+		for _, fingerprint := range fingerprints {
+			counts[fingerprint] = state.Suspects.Crashes(fingerprint)
+		}
+	})
+	n.Log.Warn().Str("Upstream", upstream.ID).Int("Requests", len(fingerprints)).Msg("UpstreamCrashed")
+	for _, response := range responses {
+		n.Log.Warn().Str(logline.FieldRequest, response.callID).Str("Upstream", upstream.ID).
+			Str("Fingerprint", string(response.fingerprint)).Int("Crashes", counts[response.fingerprint]).Msg("InFlightAtCrash")
+	}
+	n.overlay.requestStateSend()
+}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -192,8 +192,9 @@
 	case errors.Is(err, errNoData):
 		j.handler.Fleet.VerifyLink(upstream)
 	case outcome == resultBroken && ctx.Err() == nil:
-		j.handler.Fleet.ReportBrokenResponse(upstream, j.fingerprint)
+		j.handler.Fleet.ReportBrokenResponse(upstream, j.call.ID, j.fingerprint)
 	}
+	cleared := 0
 	j.handler.State.WithLock(func(state *SharedState) {
 		now := time.Now()
 		state.Pool.Finish(now, attempt, end)
@@ -201,9 +202,13 @@
 			state.Pool.RecordMissingAdapter(upstream.ID, query.Adapter)
 		}
 		if outcome == resultServed {
-			state.Suspects.RecordCompletion(now, j.fingerprint)
+			cleared = state.Suspects.RecordCompletion(now, j.fingerprint)
 		}
 	})
+	if cleared > 0 {
+		j.step("cleared").Str("Upstream", upstream.ID).Str("Fingerprint", string(j.fingerprint)).Int("Crashes", cleared).
+			Int("Status", j.status).Str("Framing", string(j.received.framing)).Msg("Decision")
+	}
 }
 
 // exchange sends the call and relays the response.
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -58,7 +58,7 @@
 func (f *fleet) MayBeStale() bool                            { return f.stale }
 func (f *fleet) PublishSpent()                               {}
 func (f *fleet) NotifyHolder(string)                         {}
-func (f *fleet) ReportBrokenResponse(u traffic.Upstream, _ suspect.Fingerprint) {
+func (f *fleet) ReportBrokenResponse(u traffic.Upstream, _ string, _ suspect.Fingerprint) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.broken = append(f.broken, u.ID)
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -32,7 +32,9 @@
 
 	cost        float64
 	fingerprint suspect.Fingerprint
-	alone       bool
+	// crashes is how many crashes of upstreams the request was in flight at, as known when it was admitted.
+	crashes int
+	alone   bool
 
 	// tried lists the upstreams that must not be chosen again.
 	tried []string
@@ -116,6 +118,9 @@
 	if j.call.LastEventID != "" || j.call.Resumes != "" {
 		event = event.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEventID)
 	}
+	if j.crashes > 0 || j.mayHaveRun && err != nil {
+		event = event.Str("Fingerprint", string(j.fingerprint)).Int("Crashes", j.crashes)
+	}
 	if !j.firstByte.IsZero() {
 		event = event.Int64("FirstMillis", j.firstByte.Sub(j.startedAt).Milliseconds()).
 			Int64("PauseMillis", j.longestPause.Milliseconds()).
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -49,8 +49,8 @@
 	// NotifyHolder reports to the holder that the load of this instance at the upstream has changed (preparation,
 	// attempt or first event).
 	NotifyHolder(upstream string)
-	// ReportBrokenResponse reports that a response broke with its connection: the upstream may have crashed.
-	ReportBrokenResponse(upstream traffic.Upstream, fingerprint suspect.Fingerprint)
+	// ReportBrokenResponse reports that the response to a call broke with its connection: the upstream may have crashed.
+	ReportBrokenResponse(upstream traffic.Upstream, callID string, fingerprint suspect.Fingerprint)
 	// VerifyLink reports that an upstream has not responded: the link of this instance to it may be lost.
 	VerifyLink(upstream traffic.Upstream)
 	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event.
@@ -261,6 +261,7 @@
 	verdict := suspect.Free
 	j.handler.State.WithLock(func(state *SharedState) {
 		verdict, retryAfter = state.Suspects.Judge(now, j.fingerprint)
+		j.crashes = state.Suspects.Crashes(j.fingerprint)
 		if verdict != suspect.Refused {
 			retryAfter, admitted = state.Ledger.Admit(now, j.workspace.Name, j.cost)
 		}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -109,21 +109,25 @@
 	}
 }
 
-// RecordCompletion records that the request ran to completion, so it did not cause the crashes so far. Crashes counted by
-// peers are cleared with a local count, which peers receive in the next heartbeat.
-func (t *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint) {
+// RecordCompletion records that the request ran to completion, so it did not cause the crashes so far, and returns their
+// number. Crashes counted by peers are cleared with a local count, which peers receive in the next heartbeat.
+func (t *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint) (cleared int) {
 	t.initialize()
 	crashes := t.openCrashes(fingerprint)
 	if crashes <= 0 {
-		return
+		return 0
 	}
 	count := t.local[fingerprint]
 	count.Fingerprint = fingerprint
 	count.Cleared += crashes
 	count.changedAt = now
 	t.local[fingerprint] = count
+	return crashes
 }
 
+// Crashes returns the number of crashes that the request was in flight at and that it is not cleared of.
+func (t *Tracker) Crashes(fingerprint Fingerprint) int { return t.openCrashes(fingerprint) }
+
 // Judge returns how the request may run, and when to retry if it is refused.
 func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint) (verdict Verdict, retryAfter time.Duration) {
 	t.initialize()
