--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
@@ -152,3 +153,24 @@
 	is.Equal(response.Header.Get("X-Run"), "not-run")
 	is.Equal(h.runs(), 2)
 }
+
+// Guards against a further attempt of a request that is known to crash upstreams since its last one: the verdict at its
+// admission is too old by then.
+func TestRequestKnownToCrashUpstreamsIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	crashing := func(rw http.ResponseWriter, r *http.Request) {
+		fingerprint := suspect.FingerprintOf("own", "POST a.example/idem/", []byte("poison"))
+		h.handler.State.WithLock(func(state *serve.SharedState) {
+			for range 3 {
+				state.Suspects.RecordCrash(time.Now(), []suspect.Fingerprint{fingerprint})
+			}
+		})
+		reset(rw, r)
+	}
+	h = newHarness(t, crashing, crashing)
+	response, _, err := h.call("/idem/", "poison")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(h.runs(), 1)
+}
