--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -48,8 +48,8 @@
 // transports are the HTTP clients of one life of an upstream, at one address. The library may use an idle connection for any request, also one that
 // asks for its connection to be closed afterwards, so calls on new connections have a client that keeps none.
 type transports struct {
-	address       string
-	startedMillis int64
+	address string
+	life    traffic.Life
 
 	reusing *http.Transport
 	single  *http.Transport
@@ -57,7 +57,7 @@
 
 // isFor reports whether the clients are for the declared life of their upstream.
 func (t transports) isFor(upstream traffic.Upstream) bool {
-	return t.address == upstream.Address && t.startedMillis == upstream.StartedMillis
+	return t.address == upstream.Address && t.life == upstream.Life()
 }
 
 func (t transports) closeIdle() {
@@ -188,7 +188,7 @@
 	}
 	if !found || !known.isFor(upstream) {
 		known = transports{
-			address: upstream.Address, startedMillis: upstream.StartedMillis,
+			address: upstream.Address, life: upstream.Life(),
 			reusing: c.newTransport(upstream), single: c.newTransport(upstream),
 		}
 		known.single.DisableKeepAlives = true
--- a/internal/gateway/traffic/traffic.go
+++ b/internal/gateway/traffic/traffic.go
@@ -167,6 +167,15 @@
 
 func (Upstream) isDeclaration() {}
 
+// Life identifies one life of an upstream, which may start again under its id.
+type Life struct {
+	Upstream      string
+	StartedMillis int64
+}
+
+// Life returns the life of the upstream that wrote the declaration.
+func (u Upstream) Life() Life { return Life{Upstream: u.ID, StartedMillis: u.StartedMillis} }
+
 // LoadedModel is a base model in an upstream's memory, with its adapters.
 type LoadedModel struct {
 	Name     string
--- a/internal/placement/pool/evacuation.go
+++ b/internal/placement/pool/evacuation.go
@@ -25,7 +25,7 @@
 // AcceptsRequests reports whether an upstream takes new requests: it is not draining by its entry or leaving by its own
 // statement, and its data centre is not evacuated.
 func (p *Pool) AcceptsRequests(upstream traffic.Upstream) bool {
-	s := p.statements[lifeOf(upstream)]
+	s := p.statements[upstream.Life()]
 	return !upstream.Draining && (s == nil || !s.leaving) && !p.evacuated[upstream.DataCentre]
 }
 
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -148,7 +148,7 @@
 	// evacuated are the data centres that get no requests.
 	evacuated map[string]bool
 	// statements are what lives of upstreams have stated about themselves.
-	statements map[life]*statement
+	statements map[traffic.Life]*statement
 	// software is the history of the software versions of each service, and knownSince is when the first upstream was
 	// declared.
 	software   map[string]*softwareHistory
@@ -195,7 +195,7 @@
 		p.services = nil
 	}
 	u.declared = declared
-	u.stated = p.statements[lifeOf(declared)]
+	u.stated = p.statements[declared.Life()]
 	u.cold.recordStated(now, declared.ColdRemaining)
 	if u.fence == 0 {
 		u.setResident(residentOf(declared.Models))
@@ -300,7 +300,7 @@
 		p.peers = make(map[source]peerLoads)
 		p.stats = make(map[string]*serviceStats)
 		p.evacuated = make(map[string]bool)
-		p.statements = make(map[life]*statement)
+		p.statements = make(map[traffic.Life]*statement)
 		p.software = make(map[string]*softwareHistory)
 	}
 }
--- a/internal/placement/pool/statements.go
+++ b/internal/placement/pool/statements.go
@@ -12,16 +12,6 @@
 // statementTTL is how long a statement is kept for an upstream that is not declared.
 const statementTTL = 10 * time.Minute
 
-// life is one incarnation of an upstream, which may start again under its id.
-type life struct {
-	id            string
-	startedMillis int64
-}
-
-func lifeOf(upstream traffic.Upstream) life {
-	return life{id: upstream.ID, startedMillis: upstream.StartedMillis}
-}
-
 // statement is what an upstream has stated.
 type statement struct {
 	// leaving: it takes no new requests, and will end.
@@ -93,12 +83,12 @@
 // statementOf returns the statement of a life, and creates it at the first call.
 func (p *Pool) statementOf(now time.Time, upstream traffic.Upstream) *statement {
 	p.prepare()
-	s := p.statements[lifeOf(upstream)]
+	s := p.statements[upstream.Life()]
 	if s == nil {
 		p.dropOldStatements(now)
 		s = &statement{}
-		p.statements[lifeOf(upstream)] = s
-		if u := p.upstreams[upstream.ID]; u != nil && lifeOf(u.declared) == lifeOf(upstream) {
+		p.statements[upstream.Life()] = s
+		if u := p.upstreams[upstream.ID]; u != nil && u.declared.Life() == upstream.Life() {
 			u.stated = s
 		}
 	}
@@ -109,8 +99,8 @@
 // dropOldStatements removes the old statements of upstreams that are not declared any more.
 func (p *Pool) dropOldStatements(now time.Time) {
 	for of, s := range p.statements {
-		u := p.upstreams[of.id]
-		declared := u != nil && lifeOf(u.declared) == of
+		u := p.upstreams[of.Upstream]
+		declared := u != nil && u.declared.Life() == of
 		if !declared && now.Sub(s.at) > statementTTL {
 			delete(p.statements, of)
 		}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -232,7 +232,7 @@
 
 // RecordCrash records that nothing listens at an upstream any more. It says nothing of another life of the upstream.
 func (p *Pool) RecordCrash(now time.Time, upstream traffic.Upstream) {
-	if u := p.upstreams[upstream.ID]; u != nil && lifeOf(u.declared) == lifeOf(upstream) {
+	if u := p.upstreams[upstream.ID]; u != nil && u.declared.Life() == upstream.Life() {
 		u.backoff = min(max(2*u.backoff, minBackoff), maxBackoff)
 		u.retryAt = now.Add(u.backoff)
 		u.crashedAt = now
