Record a crash by the life of the upstream that ended, and merge records by union

The next process's empty state replaced the last one's counts at all peers, and one crash counted as often as requests of that content were in flight, at each instance. A crash is now the end of one life, whoever notices it; records are sets, merged by union, so that nothing erases them and duplicates do not count. Peers pass on what they know of requests that run alone or not at all, at most 64 records, so that an instance that starts again learns of them. Records carry their age: without a minimum left to live two instances revive an expired record without end (TestRecordsExpireEverywhere fails so). After: TestCrashesOutliveTheProcessThatObservedThem, TestCrashCountsOnceHoweverManyRequestsWereInFlight.

--- a/internal/entry/daemon/heartbeats.go
+++ b/internal/entry/daemon/heartbeats.go
@@ -140,7 +140,7 @@
 		for _, summary := range heartbeat.Upstreams {
 			state.Router.UpdateSummary(now, routeSummary(summary, sampledAt))
 		}
-		state.Suspects.SetPeerCounts(now, heartbeat.Instance, heartbeat.Suspects)
+		state.Suspects.Merge(now, heartbeat.Suspects)
 	})
 }
 
@@ -186,7 +186,7 @@
 		heartbeat.InForceMembers = bitmap
 	}
 	d.pipeline.State.WithLock(func(state *pipeline.SharedState) {
-		heartbeat.Suspects = state.Suspects.LocalCounts(time.Now())
+		heartbeat.Suspects = state.Suspects.Records(time.Now())
 	})
 	return heartbeat
 }
--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -110,7 +110,7 @@
 	counts := make(map[suspect.Fingerprint]int)
 	now := time.Now()
 	n.sharedState.WithLock(func(state *serve.SharedState) {
-		state.Suspects.RecordCrash(now, fingerprints)
+		state.Suspects.RecordCrash(now, suspect.CrashOf(upstream.Life()), fingerprints)
 		state.Pool.RecordCrash(now, upstream)
 		for _, fingerprint := range fingerprints {
 			counts[fingerprint] = state.Suspects.Crashes(fingerprint)
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -116,7 +116,7 @@
 	holders := n.view.liveHolders()
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		state.Spent = shared.Ledger.OwnTotals()
-		state.Suspects = shared.Suspects.LocalCounts(now)
+		state.Suspects = shared.Suspects.Records(now)
 		state.Evidence = shared.Pool.Evidence()
 		state.Brittle = shared.Pool.OwnBrittleness(now)
 		state.Loads = shared.Pool.OwnLoads(func(upstream string) bool { return holders[upstream] == "" })
@@ -177,7 +177,7 @@
 		if !outdated {
 			shared.Ledger.MergeTotals(now, record.Instance, state.Incarnation, state.Spent)
 		}
-		shared.Suspects.SetPeerCounts(now, record.Instance, state.Suspects)
+		shared.Suspects.Merge(now, state.Suspects)
 		shared.Pool.RecordPeerLoads(now, record.Instance, state.Loads)
 		shared.Pool.RecordPeerEvidence(now, record.Instance, state.Evidence)
 		shared.Pool.RecordPeerBrittleness(now, state.Brittle)
--- a/internal/entry/pipeline/completion_outcome.go
+++ b/internal/entry/pipeline/completion_outcome.go
@@ -97,7 +97,7 @@
 			state.Suspects.RecordCompletion(now, run.fingerprint)
 		default:
 			if isCrash(outcome) {
-				state.Suspects.RecordCrash(now, []suspect.Fingerprint{run.fingerprint})
+				state.Suspects.RecordCrash(now, suspect.CrashUnder(grant.pin.ID), []suspect.Fingerprint{run.fingerprint})
 			}
 		}
 	})
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -105,13 +105,7 @@
 	for workspace, units := range s.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
 	}
-	for _, count := range s.Suspects {
-		wire.Suspects = append(wire.Suspects, &meshpb.Suspect{
-			Fingerprint: string(count.Fingerprint),
-			Crashes:     int32(count.Crashes),
-			Cleared:     int32(count.Cleared),
-		})
-	}
+	wire.Suspects = suspectsToWire(s.Suspects)
 	for service, stated := range s.Brittle {
 		wire.Brittle = append(wire.Brittle, &meshpb.BrittleService{Service: service, Rejections: int32(stated.Rejections)})
 	}
@@ -145,13 +139,7 @@
 		}
 		s.Brittle[stated.GetService()] = pool.Brittleness{Brittle: true, Rejections: int(stated.GetRejections())}
 	}
-	for _, count := range wire.GetSuspects() {
-		s.Suspects = append(s.Suspects, suspect.Count{
-			Fingerprint: suspect.Fingerprint(count.GetFingerprint()),
-			Crashes:     int(count.GetCrashes()),
-			Cleared:     int(count.GetCleared()),
-		})
-	}
+	s.Suspects = suspectsFromWire(wire.GetSuspects())
 	if len(wire.GetEvidence()) > 0 {
 		s.Evidence = make(map[string]forecast.Evidence, len(wire.GetEvidence()))
 	}
@@ -389,3 +377,41 @@
 func millis(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
 
 func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
+
+func suspectsToWire(records []suspect.Record) (wire []*meshpb.Suspect) {
+	for _, record := range records {
+		wire = append(wire, &meshpb.Suspect{
+			Fingerprint: string(record.Fingerprint),
+			Crashes:     crashesToWire(record.Crashes),
+			Cleared:     crashesToWire(record.Cleared),
+			AgeMillis:   record.Age.Milliseconds(),
+		})
+	}
+	return wire
+}
+
+func suspectsFromWire(wire []*meshpb.Suspect) (records []suspect.Record) {
+	for _, w := range wire {
+		records = append(records, suspect.Record{
+			Fingerprint: suspect.Fingerprint(w.GetFingerprint()),
+			Crashes:     crashesFromWire(w.GetCrashes()),
+			Cleared:     crashesFromWire(w.GetCleared()),
+			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
+		})
+	}
+	return records
+}
+
+func crashesToWire(crashes []suspect.Crash) (wire []uint64) {
+	for _, crash := range crashes {
+		wire = append(wire, uint64(crash))
+	}
+	return wire
+}
+
+func crashesFromWire(wire []uint64) (crashes []suspect.Crash) {
+	for _, w := range wire {
+		crashes = append(crashes, suspect.Crash(w))
+	}
+	return crashes
+}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -140,7 +140,7 @@
 		Brittle:  map[string]pool.Brittleness{"s": {Brittle: true, Rejections: 3}},
 		Spent:    quota.Totals{"w": 12.5},
 		Loads:    map[string]pool.Load{"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, Rejected: 2, InUse: []traffic.Adapter{a}}},
-		Suspects: []suspect.Count{{Fingerprint: "f", Crashes: 2, Cleared: 1}},
+		Suspects: []suspect.Record{{Fingerprint: "f", Crashes: []suspect.Crash{2, 1 << 63}, Cleared: []suspect.Crash{2}, Age: time.Second}},
 		Evidence: map[string]forecast.Evidence{"s": engine.LocalEvidence()},
 	}
 	content, err := mesh.EncodeState(state)
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -45,7 +45,7 @@
 	Spent            quota.Totals
 	// Loads is what the instance has in flight at upstreams without a holder, by upstream.
 	Loads    map[string]pool.Load
-	Suspects []suspect.Count
+	Suspects []suspect.Record
 	// Evidence is the instance's least-squares sums over the answers of each service's engines, by service.
 	Evidence map[string]forecast.Evidence
 	// Unreached are the upstreams to which the instance cannot connect, which says nothing about the upstreams.
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -32,13 +32,7 @@
 	for _, summary := range b.Upstreams {
 		wire.Upstreams = append(wire.Upstreams, summaryToWire(summary))
 	}
-	for _, count := range b.Suspects {
-		wire.Suspects = append(wire.Suspects, &fleetpb.Suspect{
-			Fingerprint: string(count.Fingerprint),
-			Crashes:     int32(count.Crashes),
-			Cleared:     int32(count.Cleared),
-		})
-	}
+	wire.Suspects = suspectsToWire(b.Suspects)
 	for _, loanReturn := range b.Returns {
 		wire.Returns = append(wire.Returns, &fleetpb.LoanReturn{
 			Workspace: loanReturn.Workspace,
@@ -65,13 +59,7 @@
 	for _, summary := range wire.GetUpstreams() {
 		b.Upstreams = append(b.Upstreams, summaryFromWire(summary))
 	}
-	for _, count := range wire.GetSuspects() {
-		b.Suspects = append(b.Suspects, suspect.Count{
-			Fingerprint: suspect.Fingerprint(count.GetFingerprint()),
-			Crashes:     int(count.GetCrashes()),
-			Cleared:     int(count.GetCleared()),
-		})
-	}
+	b.Suspects = suspectsFromWire(wire.GetSuspects())
 	for _, loanReturn := range wire.GetReturns() {
 		b.Returns = append(b.Returns, rate.LoanReturn{
 			Workspace: loanReturn.GetWorkspace(),
@@ -326,3 +314,41 @@
 func millis(count int64) time.Duration {
 	return time.Duration(count) * time.Millisecond
 }
+
+func suspectsToWire(records []suspect.Record) (wire []*fleetpb.Suspect) {
+	for _, record := range records {
+		wire = append(wire, &fleetpb.Suspect{
+			Fingerprint: string(record.Fingerprint),
+			Crashes:     crashesToWire(record.Crashes),
+			Cleared:     crashesToWire(record.Cleared),
+			AgeMillis:   record.Age.Milliseconds(),
+		})
+	}
+	return wire
+}
+
+func suspectsFromWire(wire []*fleetpb.Suspect) (records []suspect.Record) {
+	for _, w := range wire {
+		records = append(records, suspect.Record{
+			Fingerprint: suspect.Fingerprint(w.GetFingerprint()),
+			Crashes:     crashesFromWire(w.GetCrashes()),
+			Cleared:     crashesFromWire(w.GetCleared()),
+			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
+		})
+	}
+	return records
+}
+
+func crashesToWire(crashes []suspect.Crash) (wire []uint64) {
+	for _, crash := range crashes {
+		wire = append(wire, uint64(crash))
+	}
+	return wire
+}
+
+func crashesFromWire(wire []uint64) (crashes []suspect.Crash) {
+	for _, w := range wire {
+		crashes = append(crashes, suspect.Crash(w))
+	}
+	return crashes
+}
--- a/internal/fleet/peer/messages.go
+++ b/internal/fleet/peer/messages.go
@@ -23,7 +23,7 @@
 	ConfirmedAge time.Duration
 	InForceSince time.Time
 	Upstreams    []holder.Summary
-	Suspects     []suspect.Count
+	Suspects     []suspect.Record
 	Leaving      []string
 	Stopping     bool
 	Returns      []rate.LoanReturn
--- a/internal/fleet/peer/round_trip_test.go
+++ b/internal/fleet/peer/round_trip_test.go
@@ -138,10 +138,12 @@
 			Coldest: amount.Draw(t, "coldest"),
 		}
 	})
-	suspectCount = rapid.Custom(func(t *rapid.T) suspect.Count {
-		return suspect.Count{
+	crash         = rapid.Map(rapid.Uint64(), func(id uint64) suspect.Crash { return suspect.Crash(id) })
+	suspectRecord = rapid.Custom(func(t *rapid.T) suspect.Record {
+		return suspect.Record{
 			Fingerprint: suspect.Fingerprint(name.Draw(t, "fingerprint")),
-			Crashes:     count.Draw(t, "crashes"), Cleared: count.Draw(t, "cleared"),
+			Crashes:     listOf(t, crash), Cleared: listOf(t, crash),
+			Age: time.Duration(count.Draw(t, "age")) * time.Millisecond,
 		}
 	})
 	loanReturn = rapid.Custom(func(t *rapid.T) rate.LoanReturn {
@@ -151,7 +153,7 @@
 		return peer.Heartbeat{
 			Instance: name.Draw(t, "instance"), Incarnation: name.Draw(t, "incarnation"), Revision: number.Draw(t, "revision"),
 			ConfirmedAge: time.Duration(rapid.Int64Range(-1, 1<<40).Draw(t, "age")) * time.Microsecond,
-			InForceSince: time.UnixMicro(number.Draw(t, "since")), Upstreams: listOf(t, summary), Suspects: listOf(t, suspectCount),
+			InForceSince: time.UnixMicro(number.Draw(t, "since")), Upstreams: listOf(t, summary), Suspects: listOf(t, suspectRecord),
 			Leaving: listOf(t, name), Stopping: rapid.Bool().Draw(t, "stopping"), Returns: listOf(t, loanReturn),
 			OldestRevision: number.Draw(t, "oldest"),
 			InForceMembers: listOf(t, rapid.Byte()),
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -100,8 +100,8 @@
 	is := is.New(t)
 	h := newHarness(t, served)
 	fingerprint := suspect.FingerprintOf("own", "POST a.example/once/", []byte("poison"))
-	for range 3 {
-		h.handler.State.Suspects.RecordCrash(time.Now(), []suspect.Fingerprint{fingerprint})
+	for number := range 3 {
+		h.handler.State.Suspects.RecordCrash(time.Now(), suspect.Crash(number), []suspect.Fingerprint{fingerprint})
 	}
 	response, _, err := h.call("/once/", "poison")
 	is.NoErr(err)
@@ -162,8 +162,8 @@
 	crashing := func(rw http.ResponseWriter, r *http.Request) {
 		fingerprint := suspect.FingerprintOf("own", "POST a.example/idem/", []byte("poison"))
 		h.handler.State.WithLock(func(state *serve.SharedState) {
-			for range 3 {
-				state.Suspects.RecordCrash(time.Now(), []suspect.Fingerprint{fingerprint})
+			for number := range 3 {
+				state.Suspects.RecordCrash(time.Now(), suspect.Crash(number), []suspect.Fingerprint{fingerprint})
 			}
 		})
 		reset(rw, r)
--- a/internal/measure/policy/entry.go
+++ b/internal/measure/policy/entry.go
@@ -216,14 +216,14 @@
 }
 
 // recordCrash records a crash with this instance's requests that were in flight.
-func (e *entry) recordCrash(lost []*execution) {
+func (e *entry) recordCrash(crash suspect.Crash, lost []*execution) {
 	var mine []suspect.Fingerprint
 	for _, r := range lost {
 		if r.call.entry == e {
 			mine = append(mine, r.call.fingerprint)
 		}
 	}
-	e.suspects.RecordCrash(e.sim.clock.now, mine)
+	e.suspects.RecordCrash(e.sim.clock.now, crash, mine)
 }
 
 // refuse refuses the request. The caller of a poison request retries it at another instance.
--- a/internal/measure/policy/simulation.go
+++ b/internal/measure/policy/simulation.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/catalog/resource"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/broker"
 	"lacewingrock.example/lacewingrock/internal/placement/holder"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // simulation.go connects engines, holders, instances and the broker, and delivers the messages between
@@ -197,10 +199,10 @@
 
 func (s *simulation) exchangeSuspects() {
 	for _, from := range s.entries {
-		counts := from.suspects.LocalCounts(s.clock.now)
+		records := from.suspects.Records(s.clock.now)
 		for _, to := range s.entries {
 			if to != from {
-				to.suspects.SetPeerCounts(s.clock.now, from.name, counts)
+				to.suspects.Merge(s.clock.now, records)
 			}
 		}
 	}
@@ -214,8 +216,9 @@
 
 // notifyCrash notifies the instances of a crash, and the holder and the instances of the lost requests.
 func (s *simulation) notifyCrash(e *engine, lost []*execution) {
+	crash := suspect.CrashOf(traffic.Life{Upstream: e.name(), StartedMillis: s.clock.now.UnixMilli()})
 	for _, entry := range s.entries {
-		entry.recordCrash(lost)
+		entry.recordCrash(crash, lost)
 	}
 	for _, r := range lost {
 		s.notifyEnd(e, r.call, holder.Released{Pin: r.pin.ID, UpstreamFailed: true}, 0)
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -1,13 +1,19 @@
 // Package suspect detects poisonous requests: requests that crash each upstream that runs them. Every instance
-// counts, by the fingerprints of its own requests, the crashes that they were in flight at, and shares the counts in
+// records, by the fingerprints of its own requests, the crashes that they were in flight at, and shares the records in
 // heartbeats. The caller reads the runtime's clock and passes the time in.
 package suspect
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"sort"
+	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
 // fingerprintBytes is the truncated length of the hash. With 16 bytes a collision is unlikely for any number of
@@ -17,12 +23,26 @@
 // Fingerprint identifies the content of a request, so that a retry by the caller is recognized.
 type Fingerprint string
 
-// Count holds the observations of one instance for a fingerprint: the crashes that the request was in flight at, and
-// how many of those were cleared because it ran to completion later.
-type Count struct {
+// Crash identifies the crash of an upstream: a life ends once, whoever notices it. Two requests of the same content that
+// are in flight there, perhaps from two instances, were in flight at one crash.
+type Crash uint64
+
+// CrashOf returns the crash that ends a life of an upstream.
+func CrashOf(life traffic.Life) Crash {
+	return Crash(xxhash.Sum64String(life.Upstream + " " + strconv.FormatInt(life.StartedMillis, 10)))
+}
+
+// CrashUnder returns the crash of an upstream under a run, by the run's unique id, where it is not known which life ended.
+func CrashUnder(run string) Crash { return Crash(xxhash.Sum64String(run)) }
+
+// Record lists the crashes that a request was in flight at, and those of them that it did not cause. Records of the same
+// request are merged by union, so that it does not matter from whom and how often they come.
+type Record struct {
 	Fingerprint Fingerprint
-	Crashes     int
-	Cleared     int
+	Crashes     []Crash
+	Cleared     []Crash
+	// Age is the time since the last crash.
+	Age time.Duration
 }
 
 // Verdict is how a request may run.
@@ -50,36 +70,55 @@
 	RefuseAfter int
 	// Retention is how long a fingerprint is kept after its last crash.
 	Retention time.Duration
-	// MaxFingerprints is the maximum number of fingerprints that an instance keeps of its own requests.
+	// MaxFingerprints is the maximum number of fingerprints that an instance keeps.
 	MaxFingerprints int
 }
 
 // DefaultSettings limit a request to three crashes within ten minutes.
 func DefaultSettings() Settings {
-	return Settings{ApartAfter: 1, AloneAfter: 2, RefuseAfter: 3, Retention: 10 * time.Minute, MaxFingerprints: 1024}
+	return Settings{ApartAfter: 1, AloneAfter: 2, RefuseAfter: 3, Retention: 10 * time.Minute, MaxFingerprints: 4096}
 }
 
-// Tracker tracks crash counts. Set the exported field before use. It is not safe for concurrent use.
+// maxPassedOn bounds the records of other instances that this one passes on.
+const maxPassedOn = 64
+
+// minRemaining is how much of the retention has to be left of a record that is merged. Otherwise two instances would pass a
+// record that has just expired at one of them back and forth without end.
+const minRemaining = 5 * time.Second
+
+// Tracker tracks the crashes that requests were in flight at. Set the exported field before use. It is not safe for
+// concurrent use.
 //
 // It stops a caller that retries a request which crashes each upstream that runs it. Otherwise each retry would crash
 // one more upstream, with all requests in the same batch.
 type Tracker struct {
 	Settings Settings
 
-	local map[Fingerprint]localCount
-	peers map[string]peerCounts
+	histories map[Fingerprint]*history
 }
 
-// peerCounts are the latest counts of a peer and when they were received.
-type peerCounts struct {
-	counts     map[Fingerprint]Count
-	receivedAt time.Time
+// history is what is known of one request, by any instance.
+type history struct {
+	crashes map[Crash]mark
+	cleared map[Crash]mark
+	// changedAt is when a crash was last added, here or as a peer stated it.
+	changedAt time.Time
 }
 
-// localCount is a count of this instance and the time of its last change.
-type localCount struct {
-	Count
-	changedAt time.Time
+// mark is what is known of a crash besides itself.
+type mark struct {
+	// own: this instance observed it. stored: the store has it.
+	own, stored bool
+}
+
+// open counts the crashes that the request may have caused.
+func (h *history) open() (count int) {
+	for crash := range h.crashes {
+		if _, cleared := h.cleared[crash]; !cleared {
+			count++
+		}
+	}
+	return count
 }
 
 // FingerprintOf returns the fingerprint of a request. Retries with the same body have the same fingerprint.
@@ -94,48 +133,49 @@
 }
 
 // RecordCrash records that an upstream crashed while these requests of this instance were in flight there.
-func (t *Tracker) RecordCrash(now time.Time, inFlight []Fingerprint) {
-	t.initialize()
-	t.dropExpired(now)
+func (t *Tracker) RecordCrash(now time.Time, crash Crash, inFlight []Fingerprint) {
 	for _, fingerprint := range inFlight {
-		count := t.local[fingerprint]
-		count.Fingerprint = fingerprint
-		count.Crashes++
-		count.changedAt = now
-		t.local[fingerprint] = count
-	}
-	for len(t.local) > t.Settings.MaxFingerprints {
-		t.dropOldest()
+		t.add(now, fingerprint, crash, mark{own: true})
 	}
+	t.dropOld(now)
 }
 
 // RecordCompletion records that the request ran to completion, so it did not cause the crashes so far, and returns their
-// number. Crashes counted by peers are cleared with a local count, which peers receive in the next heartbeat.
-func (t *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint) (cleared int) {
-	t.initialize()
-	crashes := t.openCrashes(fingerprint)
-	if crashes <= 0 {
+// number. Peers receive that in the next heartbeat.
+func (t *Tracker) RecordCompletion(_ time.Time, fingerprint Fingerprint) (cleared int) {
+	known := t.histories[fingerprint]
+	if known == nil {
 		return 0
 	}
-	count := t.local[fingerprint]
-	count.Fingerprint = fingerprint
-	count.Cleared += crashes
-	count.changedAt = now
-	t.local[fingerprint] = count
-	return crashes
+	cleared = known.open()
+	for crash := range known.crashes {
+		if _, found := known.cleared[crash]; !found {
+			known.cleared[crash] = mark{own: true}
+		}
+	}
+	return cleared
 }
 
 // Crashes returns the number of crashes that the request was in flight at and that it is not cleared of.
-func (t *Tracker) Crashes(fingerprint Fingerprint) int { return t.openCrashes(fingerprint) }
+func (t *Tracker) Crashes(fingerprint Fingerprint) int {
+	known := t.histories[fingerprint]
+	if known == nil {
+		return 0
+	}
+	return known.open()
+}
 
-// Judge returns how the request may run, and when to retry if it is refused.
+// Judge returns how the request may run, and when to retry if it is refused. A retry of a refused request does not
+// extend the retention, so the request is allowed again after the engine was repaired.
 func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint) (verdict Verdict, retryAfter time.Duration) {
-	t.initialize()
-	t.dropExpired(now)
-	crashes := t.openCrashes(fingerprint)
+	known := t.histories[fingerprint]
+	if known == nil || t.isExpired(now, known) {
+		return Free, 0
+	}
+	crashes := known.open()
 	switch {
 	case crashes >= t.Settings.RefuseAfter:
-		return Refused, t.Settings.Retention
+		return Refused, known.changedAt.Add(t.Settings.Retention).Sub(now)
 	case crashes >= t.Settings.AloneAfter:
 		return Alone, 0
 	case crashes >= t.Settings.ApartAfter:
@@ -145,75 +185,108 @@
 	}
 }
 
-// LocalCounts returns the counts of this instance, for its heartbeat, sorted by fingerprint.
-func (t *Tracker) LocalCounts(now time.Time) []Count {
-	t.initialize()
-	t.dropExpired(now)
-	counts := make([]Count, 0, len(t.local))
-	for _, count := range t.local {
-		counts = append(counts, count.Count)
+// Records returns what this instance observed, for its heartbeat, sorted by fingerprint. It also passes on what it knows
+// of requests that run alone or not at all: the instances that observed it may have ended since.
+func (t *Tracker) Records(now time.Time) (records []Record) {
+	t.dropOld(now)
+	passedOn := 0
+	for fingerprint, known := range t.histories {
+		all := known.open() >= t.Settings.AloneAfter && passedOn < maxPassedOn
+		record := Record{
+			Fingerprint: fingerprint,
+			Crashes:     list(known.crashes, func(m mark) bool { return all || m.own }),
+			Cleared:     list(known.cleared, func(m mark) bool { return all || m.own }),
+			Age:         now.Sub(known.changedAt),
+		}
+		if all {
+			passedOn++
+		}
+		if len(record.Crashes)+len(record.Cleared) > 0 {
+			records = append(records, record)
+		}
 	}
-	sort.Slice(counts, func(i, j int) bool { return counts[i].Fingerprint < counts[j].Fingerprint })
-	return counts
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return records
 }
 
-// SetPeerCounts replaces the counts of a peer. A heartbeat contains all counts of its sender, so a lost heartbeat loses
-// nothing and a duplicate has no effect.
-func (t *Tracker) SetPeerCounts(now time.Time, instance string, counts []Count) {
-	t.initialize()
-	if len(counts) == 0 {
-		delete(t.peers, instance)
-		return
-	}
-	received := peerCounts{counts: make(map[Fingerprint]Count, len(counts)), receivedAt: now}
-	for _, count := range counts {
-		received.counts[count.Fingerprint] = count
-	}
-	t.peers[instance] = received
-}
+// Merge adds records of another instance.
+func (t *Tracker) Merge(now time.Time, records []Record) { t.merge(now, records, mark{}) }
 
 // ---------------------------------------------------------------------------------------------
 
-// openCrashes returns the number of crashes, counted by any instance, that the request is not cleared of.
-func (t *Tracker) openCrashes(fingerprint Fingerprint) (crashes int) {
-	count := t.local[fingerprint]
-	crashes = count.Crashes - count.Cleared
-	for _, peer := range t.peers {
-		crashes += peer.counts[fingerprint].Crashes - peer.counts[fingerprint].Cleared
+func (t *Tracker) merge(now time.Time, records []Record, as mark) {
+	for _, record := range records {
+		if record.Age > t.Settings.Retention-minRemaining {
+			continue
+		}
+		for _, crash := range record.Crashes {
+			t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
+		}
+		known := t.histories[record.Fingerprint]
+		if known == nil {
+			continue // its crashes have expired here
+		}
+		for _, crash := range record.Cleared {
+			known.cleared[crash] = known.cleared[crash].or(as)
+		}
 	}
-	return crashes
+	t.dropOld(now)
 }
 
-// dropExpired drops local counts that have not changed within the retention time, and the counts of instances that no
-// longer send heartbeats. A retry of a refused request does not extend the retention, so the request is allowed again
-// after the engine was repaired.
-func (t *Tracker) dropExpired(now time.Time) {
-	for fingerprint, count := range t.local {
-		if now.Sub(count.changedAt) > t.Settings.Retention {
-			delete(t.local, fingerprint)
-		}
+func (t *Tracker) add(at time.Time, fingerprint Fingerprint, crash Crash, as mark) {
+	if t.histories == nil {
+		t.histories = make(map[Fingerprint]*history)
 	}
-	for instance, peer := range t.peers {
-		if now.Sub(peer.receivedAt) > t.Settings.Retention {
-			delete(t.peers, instance)
-		}
+	known := t.histories[fingerprint]
+	if known == nil {
+		known = &history{crashes: make(map[Crash]mark), cleared: make(map[Crash]mark)}
+		t.histories[fingerprint] = known
+	}
+	before, found := known.crashes[crash]
+	if !found && at.After(known.changedAt) {
+		known.changedAt = at
 	}
+	known.crashes[crash] = before.or(as)
+}
+
+func (m mark) or(other mark) mark {
+	return mark{own: m.own || other.own, stored: m.stored || other.stored}
 }
 
-func (t *Tracker) dropOldest() {
-	var oldest Fingerprint
-	for fingerprint, count := range t.local {
-		if oldest == "" || count.changedAt.Before(t.local[oldest].changedAt) {
-			oldest = fingerprint
+// list returns the selected crashes in ascending order.
+func list(crashes map[Crash]mark, selected func(mark) bool) (sorted []Crash) {
+	for crash, m := range crashes {
+		if selected(m) {
+			sorted = append(sorted, crash)
 		}
 	}
-	delete(t.local, oldest)
+	slices.Sort(sorted)
+	return sorted
+}
+
+func (t *Tracker) isExpired(now time.Time, known *history) bool {
+	return now.Sub(known.changedAt) > t.Settings.Retention
 }
 
-// initialize makes the zero value usable, as the exported field is set after construction.
-func (t *Tracker) initialize() {
-	if t.local == nil {
-		t.local = make(map[Fingerprint]localCount)
-		t.peers = make(map[string]peerCounts)
+// dropOld drops what has expired, and the oldest histories beyond the maximum number.
+func (t *Tracker) dropOld(now time.Time) {
+	for fingerprint, known := range t.histories {
+		if t.isExpired(now, known) {
+			delete(t.histories, fingerprint)
+		}
+	}
+	excess := len(t.histories) - t.Settings.MaxFingerprints
+	if excess <= 0 {
+		return
+	}
+	oldest := make([]Fingerprint, 0, len(t.histories))
+	for fingerprint := range t.histories {
+		oldest = append(oldest, fingerprint)
+	}
+	slices.SortFunc(oldest, func(a, b Fingerprint) int {
+		return t.histories[a].changedAt.Compare(t.histories[b].changedAt)
+	})
+	for _, fingerprint := range oldest[:excess] {
+		delete(t.histories, fingerprint)
 	}
 }
--- a/internal/placement/suspect/tracker_test.go
+++ b/internal/placement/suspect/tracker_test.go
@@ -26,20 +26,20 @@
 		is := is.New(t)
 		a, b := newTracker(), newTracker()
 		bad := suspect.FingerprintOf("w", "bids@v1", []byte("body"))
-		a.RecordCrash(time.Now(), []suspect.Fingerprint{bad, "innocent"})
-		b.SetPeerCounts(time.Now(), "a", a.LocalCounts(time.Now()))
+		a.RecordCrash(time.Now(), 1, []suspect.Fingerprint{bad, "innocent"})
+		b.Merge(time.Now(), a.Records(time.Now()))
 		is.Equal(verdict(b, bad), suspect.Apart)
-		b.RecordCrash(time.Now(), []suspect.Fingerprint{bad})
-		a.SetPeerCounts(time.Now(), "b", b.LocalCounts(time.Now()))
-		a.SetPeerCounts(time.Now(), "b", b.LocalCounts(time.Now())) // a duplicate heartbeat has no effect
+		b.RecordCrash(time.Now(), 2, []suspect.Fingerprint{bad})
+		a.Merge(time.Now(), b.Records(time.Now()))
+		a.Merge(time.Now(), b.Records(time.Now())) // a duplicate heartbeat has no effect
 		is.Equal(verdict(a, bad), suspect.Alone)
 		is.Equal(verdict(a, "innocent"), suspect.Apart)
-		a.RecordCrash(time.Now(), []suspect.Fingerprint{bad})
+		a.RecordCrash(time.Now(), 3, []suspect.Fingerprint{bad})
 		refused, retryAfter := a.Judge(time.Now(), bad)
 		is.Equal(refused, suspect.Refused)
 		is.True(retryAfter > 0)
 		time.Sleep(suspect.DefaultSettings().Retention + time.Second)
-		b.SetPeerCounts(time.Now(), "a", a.LocalCounts(time.Now()))
+		b.Merge(time.Now(), a.Records(time.Now()))
 		is.Equal(verdict(b, bad), suspect.Free)
 	})
 }
@@ -50,12 +50,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		a, b := newTracker(), newTracker()
-		a.RecordCrash(time.Now(), []suspect.Fingerprint{"innocent"})
-		a.RecordCrash(time.Now(), []suspect.Fingerprint{"innocent"})
-		b.SetPeerCounts(time.Now(), "a", a.LocalCounts(time.Now()))
+		a.RecordCrash(time.Now(), 1, []suspect.Fingerprint{"innocent"})
+		a.RecordCrash(time.Now(), 2, []suspect.Fingerprint{"innocent"})
+		b.Merge(time.Now(), a.Records(time.Now()))
 		is.Equal(verdict(b, "innocent"), suspect.Alone)
 		b.RecordCompletion(time.Now(), "innocent")
-		a.SetPeerCounts(time.Now(), "b", b.LocalCounts(time.Now()))
+		a.Merge(time.Now(), b.Records(time.Now()))
 		is.Equal(verdict(a, "innocent"), suspect.Free)
 		is.Equal(verdict(b, "innocent"), suspect.Free)
 	})
@@ -70,8 +70,64 @@
 		r.Settings.MaxFingerprints = 10
 		for i := range 100 {
 			time.Sleep(time.Second)
-			r.RecordCrash(time.Now(), []suspect.Fingerprint{suspect.FingerprintOf("w", "m", []byte{byte(i)})})
+			r.RecordCrash(time.Now(), suspect.Crash(i), []suspect.Fingerprint{suspect.FingerprintOf("w", "m", []byte{byte(i)})})
+		}
+		is.Equal(len(r.Records(time.Now())), 10)
+	})
+}
+
+// Guards against counts that end with the process that made them: what an instance has observed of a request that crashes
+// upstreams is passed on by its peers, also to the instance itself when it has started again.
+func TestCrashesOutliveTheProcessThatObservedThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newTracker(), newTracker()
+		for crash := range suspect.Crash(3) {
+			a.RecordCrash(time.Now(), crash, []suspect.Fingerprint{"bad"})
+		}
+		b.Merge(time.Now(), a.Records(time.Now()))
+		a = newTracker()
+		b.Merge(time.Now(), a.Records(time.Now())) // it has observed nothing
+		is.Equal(verdict(b, "bad"), suspect.Refused)
+		a.Merge(time.Now(), b.Records(time.Now()))
+		is.Equal(verdict(a, "bad"), suspect.Refused)
+	})
+}
+
+// Guards against one crash that counts several times, because requests of the same content were in flight there, at
+// several instances. A caller that polls would be refused for one crash.
+func TestCrashCountsOnceHoweverManyRequestsWereInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newTracker(), newTracker()
+		a.RecordCrash(time.Now(), 1, []suspect.Fingerprint{"poll", "poll", "poll"})
+		b.RecordCrash(time.Now(), 1, []suspect.Fingerprint{"poll"})
+		a.Merge(time.Now(), b.Records(time.Now()))
+		is.Equal(a.Crashes("poll"), 1)
+	})
+}
+
+// Guards against records that are passed back and forth between instances and never expire.
+func TestRecordsExpireEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		trackers := []*suspect.Tracker{newTracker(), newTracker(), newTracker()}
+		for crash := range suspect.Crash(3) {
+			trackers[0].RecordCrash(time.Now(), crash, []suspect.Fingerprint{"bad"})
+		}
+		for end := time.Now().Add(suspect.DefaultSettings().Retention + time.Minute); time.Now().Before(end); {
+			var sent [][]suspect.Record
+			for _, from := range trackers {
+				sent = append(sent, from.Records(time.Now()))
+			}
+			time.Sleep(250 * time.Millisecond)
+			for i, records := range sent {
+				trackers[(i+1)%len(trackers)].Merge(time.Now(), records)
+			}
+		}
+		for _, tracker := range trackers {
+			is.Equal(verdict(tracker, "bad"), suspect.Free)
+			is.Equal(len(tracker.Records(time.Now())), 0)
 		}
-		is.Equal(len(r.LocalCounts(time.Now())), 10)
 	})
 }
