Recognise a crash by the end of the upstream's life, whichever sign of it comes first

Nothing was counted if the upstream fell silent, listened again before, or ended after the caller had left; if no others could be reached; or if the queue of checks was full. Now each attempt that may have run without a complete response is remembered for the life of its upstream (6 s, at most 2,048), and counts when that life ends: a refused connection, a later life in the entry, a report or an order's response, the removal of the entry. Who waits longer than that counts when he gives up. An announced end is no crash, and an entry that comes back with the same life takes the crash back. Checks run one for each upstream, none is dropped. The streams of a test of software versions now have a path each: they were one content at four upstreams that ended, which counts since their entries' removal does.

--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
@@ -12,55 +13,107 @@
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
-// crash_detection.go detects whether an upstream crashed when one of its responses broke off. A request that crashes
-// each upstream that runs it is sent again and again, so all instances count the crashes during which a request was in
-// flight. A broken response alone is not a crash: responses are lost and connections reset without one.
+// crash_detection.go detects that a life of an upstream has ended unannounced, and records it for the requests that were in
+// flight there. A request that crashes each upstream that runs it is sent again and again. A broken response alone is no
+// crash: responses are lost and connections reset without one. An upstream may also end in silence, or listen again before
+// anybody looks, so that only its next entry or the removal of its entry shows it.
+
+// endSign is what shows that a life of an upstream has ended.
+type endSign string
+
+const (
+	// signRefused: nothing listens there. signRestarted: a later life has been declared. signReplaced: another upstream or a
+	// later life has answered there. signExpired: the upstream writes its entry no more.
+	signRefused   endSign = "refused"
+	signRestarted endSign = "restarted"
+	signReplaced  endSign = "replaced"
+	signExpired   endSign = "expired"
+)
 
 const (
-	// maxBrokenResponses bounds the queue of broken responses that wait for the crash check.
-	maxBrokenResponses = 64
 	// crashSettleTime is the wait between a broken response and the crash check. A crash breaks all requests of the
-	// upstream, and all of them have to be counted together.
+	// upstream, and one check is enough for them.
 	crashSettleTime = 15 * time.Millisecond
 	// probeTimeout bounds the connection attempt of the check.
 	probeTimeout = 150 * time.Millisecond
+	// maxOthersProbed bounds the other upstreams that are probed to distinguish a crash from lost links.
+	maxOthersProbed = 3
 )
 
-// brokenResponse is a request whose response broke off.
-type brokenResponse struct {
-	upstream    traffic.Upstream
-	callID      string
-	fingerprint suspect.Fingerprint
+// crashChecks are the lives of upstreams that are being checked.
+type crashChecks struct {
+	mutex   sync.Mutex
+	running map[traffic.Life]bool
 }
 
-// ReportBrokenResponse queues a crash check for a response that broke off with its connection.
-func (n *Node) ReportBrokenResponse(upstream traffic.Upstream, callID string, fingerprint suspect.Fingerprint) {
-	select {
-	case n.brokenResponses <- brokenResponse{upstream: upstream, callID: callID, fingerprint: fingerprint}:
-	default:
-		n.Log.Warn().Str(logline.FieldRequest, callID).Str("Upstream", upstream.ID).Msg("CrashCheckDropped")
+// begin reports whether no check of the life is running.
+func (c *crashChecks) begin(life traffic.Life) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.running[life] {
+		return false
+	}
+	if c.running == nil {
+		c.running = make(map[traffic.Life]bool)
 	}
+	c.running[life] = true
+	return true
 }
 
-// runCrashDetection checks broken responses.
-func (n *Node) runCrashDetection(ctx context.Context) error {
-	for {
-		select {
-		case first := <-n.brokenResponses:
-			pause.For(ctx, crashSettleTime)
-			n.detectCrashes(ctx, first)
-		case <-ctx.Done():
-			return nil
-		}
+func (c *crashChecks) end(life traffic.Life) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.running, life)
+}
+
+// ReportUnfinished records an attempt without proof that its request ran to completion. If its response broke off, the
+// upstream is checked.
+func (n *Node) ReportUnfinished(upstream traffic.Upstream, attempt suspect.Attempt, broken bool) {
+	crashed := false
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		crashed = state.Suspects.RecordUnfinished(time.Now(), upstream.Life(), attempt)
+	})
+	switch {
+	case crashed:
+		n.publishCrash(upstream.Life(), []suspect.Attempt{attempt})
+	case broken:
+		n.checkForCrash(upstream)
+	}
+}
+
+// checkForCrash checks soon whether an upstream has ended.
+func (n *Node) checkForCrash(upstream traffic.Upstream) {
+	if n.crashChecks.begin(upstream.Life()) {
+		check := crashCheck{node: n, upstream: upstream}
+		go check.run(context.Background())
 	}
 }
 
-// maxOthersProbed bounds the other upstreams that are probed to distinguish a crash from lost links.
-const maxOthersProbed = 3
+// crashCheck checks whether an upstream refuses connections.
+type crashCheck struct {
+	node     *Node
+	upstream traffic.Upstream
+}
+
+func (c crashCheck) run(ctx context.Context) {
+	n := c.node
+	defer n.crashChecks.end(c.upstream.Life())
+	pause.For(ctx, crashSettleTime)
+	began := time.Now()
+	refused := n.refusesConnections(ctx, c.upstream)
+	cutOff := refused && n.isCutOff(ctx, c.upstream.ID)
+	n.Log.Info().Str("Upstream", c.upstream.ID).Bool("Refused", refused).Bool("CutOff", cutOff).
+		Int64("TookMillis", time.Since(began).Milliseconds()).Msg("CrashChecked")
+	if !refused || cutOff {
+		return
+	}
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), c.upstream) })
+	n.recordEnd(c.upstream.Life(), signRefused)
+}
 
 // isCutOff reports whether this instance reaches none of some other upstreams either. Links that are reset refuse
 // connections like an upstream that has crashed, and if the peers have lost theirs too, they cannot distinguish the two. Crashes
-// that are counted by mistake get the requests of innocent callers refused.
+// that are counted by mistake get the requests of innocent callers refused. If the upstream has ended, its entry will show it.
 func (n *Node) isCutOff(ctx context.Context, id string) bool {
 	var others []traffic.Upstream
 	n.sharedState.WithLock(func(state *serve.SharedState) {
@@ -77,49 +130,49 @@
 	return len(others) > 0
 }
 
-// detectCrashes counts a crash for all requests with broken responses whose upstreams refuse connections.
-func (n *Node) detectCrashes(ctx context.Context, first brokenResponse) {
-	broken := map[string][]brokenResponse{first.upstream.ID: {first}}
-	for more := true; more; {
-		select {
-		case next := <-n.brokenResponses:
-			broken[next.upstream.ID] = append(broken[next.upstream.ID], next)
-		default:
-			more = false
+// recordEnd records that a life of an upstream has ended unannounced.
+func (n *Node) recordEnd(life traffic.Life, sign endSign) {
+	var inFlight []suspect.Attempt
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		if sign == signExpired {
+			inFlight = state.Suspects.RecordExpiry(time.Now(), life)
+		} else {
+			inFlight = state.Suspects.RecordEnd(time.Now(), life)
 		}
+	})
+	if len(inFlight) > 0 || sign == signRefused {
+		n.Log.Warn().Str("Upstream", life.Upstream).Str("Sign", string(sign)).Int("Requests", len(inFlight)).Msg("UpstreamCrashed")
 	}
-	for id, responses := range broken {
-		upstream := responses[len(responses)-1].upstream
-		began := time.Now()
-		refused := n.refusesConnections(ctx, upstream)
-		cutOff := refused && n.isCutOff(ctx, id)
-		n.Log.Info().Str("Upstream", id).Int("Requests", len(responses)).Bool("Refused", refused).Bool("CutOff", cutOff).
-			Int64("TookMillis", time.Since(began).Milliseconds()).Msg("CrashChecked")
-		if refused && !cutOff {
-			n.recordCrash(upstream, responses)
-		}
+	if len(inFlight) > 0 {
+		n.publishCrash(life, inFlight)
 	}
 }
 
-// recordCrash counts a crash of an upstream for the requests that were in flight there.
-func (n *Node) recordCrash(upstream traffic.Upstream, responses []brokenResponse) {
-	var fingerprints []suspect.Fingerprint
-	for _, response := range responses {
-		fingerprints = append(fingerprints, response.fingerprint)
-	}
-	counts := make(map[suspect.Fingerprint]int)
-	now := time.Now()
+// publishCrash logs the requests that were in flight at a crash, and sends the records of them to the others.
+func (n *Node) publishCrash(life traffic.Life, inFlight []suspect.Attempt) {
+	crashes := make(map[suspect.Fingerprint]int)
 	n.sharedState.WithLock(func(state *serve.SharedState) {
-		state.Suspects.RecordCrash(now, suspect.CrashOf(upstream.Life()), fingerprints)
-		state.Pool.RecordCrash(now, upstream)
-		for _, fingerprint := range fingerprints {
-			counts[fingerprint] = state.Suspects.Crashes(fingerprint)
+		for _, attempt := range inFlight {
+			crashes[attempt.Fingerprint] = state.Suspects.Crashes(attempt.Fingerprint)
 		}
 	})
-	n.Log.Warn().Str("Upstream", upstream.ID).Int("Requests", len(fingerprints)).Msg("UpstreamCrashed")
-	for _, response := range responses {
-		n.Log.Warn().Str(logline.FieldRequest, response.callID).Str("Upstream", upstream.ID).
-			Str("Fingerprint", string(response.fingerprint)).Int("Crashes", counts[response.fingerprint]).Msg("InFlightAtCrash")
+	for _, attempt := range inFlight {
+		n.Log.Warn().Str(logline.FieldRequest, attempt.CallID).Str("Upstream", life.Upstream).
+			Str("Fingerprint", string(attempt.Fingerprint)).Int("Crashes", crashes[attempt.Fingerprint]).Msg("InFlightAtCrash")
 	}
 	n.overlay.requestStateSend()
 }
+
+// recordNextLife records the end of an upstream's life that its entry shows: another life is declared in its place, or
+// none, which is nil. An upstream that announced its end was not crashed.
+func (n *Node) recordNextLife(previous traffic.Upstream, next *traffic.Upstream) {
+	announced := false
+	n.sharedState.WithLock(func(state *serve.SharedState) { announced = state.Pool.IsEndAnnounced(previous.ID) })
+	switch {
+	case announced || next != nil && next.Life() == previous.Life():
+	case next == nil:
+		n.recordEnd(previous.Life(), signExpired)
+	case next.StartedMillis > previous.StartedMillis:
+		n.recordEnd(previous.Life(), signRestarted)
+	}
+}
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -154,6 +154,7 @@
 	h.mutex.Unlock()
 	if outcome == residence.OtherUpstream {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordCrash(time.Now(), h.upstream) })
+		h.node.recordEnd(h.upstream.Life(), signReplaced)
 	} else {
 		h.node.handler.RecordStatement("", h.upstream, 0, response.Leaving)
 	}
@@ -184,6 +185,9 @@
 		h.planner.ReportFailed(time.Now()) // no response, or the response of another upstream
 		h.mutex.Unlock()
 		h.updateOwnPool()
+		if err == nil && report.Born > h.upstream.StartedMillis {
+			h.node.recordEnd(h.upstream.Life(), signReplaced)
+		}
 		return
 	}
 	h.hasReport = true
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -72,21 +72,21 @@
 	ApplySettings func(Settings)
 
 	// current is Settings as of the last reload.
-	current         atomic.Pointer[Settings]
-	brokenResponses chan brokenResponse
-	startedAt       time.Time
-	self            roster.Instance
-	view            storeView
-	sharedState     *serve.SharedState
-	peers           *mesh.Peers
-	overlay         overlay
-	refreshed       refresh
-	reports         reports
-	lease           lease
-	heldUpstreams   heldUpstreams
-	forward         *forward.Client
-	links           links
-	origins         streamOrigins
+	current       atomic.Pointer[Settings]
+	crashChecks   crashChecks
+	startedAt     time.Time
+	self          roster.Instance
+	view          storeView
+	sharedState   *serve.SharedState
+	peers         *mesh.Peers
+	overlay       overlay
+	refreshed     refresh
+	reports       reports
+	lease         lease
+	heldUpstreams heldUpstreams
+	forward       *forward.Client
+	links         links
+	origins       streamOrigins
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
 	upstreamChanges int
@@ -163,7 +163,6 @@
 	n.closeScope = func() { _ = closer.Close() }
 	n.peers = &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	n.forward = &forward.Client{Dialect: n.Dialect, Dial: n.connect, KeepsConnections: n.isDirect}
-	n.brokenResponses = make(chan brokenResponse, maxBrokenResponses)
 	n.current.Store(&n.Settings)
 	n.view.wake = make(chan struct{}, 1)
 	n.lease.suspended = timeSuspended
@@ -225,7 +224,6 @@
 	add(n.runOwnership)
 	add(n.runPeriodic)
 	add(n.runReload)
-	add(n.runCrashDetection)
 	group.Add(func() error { return n.mesh.Serve(n.listeners.mesh) }, func(error) { n.mesh.Stop() })
 	group.Add(func() error { return serveUntilClosed(n.ready, n.listeners.ready) }, func(error) { _ = n.ready.Close() })
 	group.Add(func() error { return serveUntilClosed(n.metrics, n.listeners.metrics) }, func(error) { _ = n.metrics.Close() })
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
@@ -57,7 +59,7 @@
 		self: roster.Instance{Name: "self", Incarnation: "first"},
 	}
 	n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: false, ReturnAfter: 3 * time.Second}})
-	n.sharedState = &serve.SharedState{Pool: &pool.Pool{Settings: pool.DefaultSettings()}}
+	n.sharedState = &serve.SharedState{Pool: &pool.Pool{Settings: pool.DefaultSettings()}, Suspects: &suspect.Tracker{Settings: suspect.DefaultSettings()}}
 	n.overlay.initialise(n.self.Name)
 	n.lease.suspended = func() time.Duration { return *suspended }
 	n.view.table.Store(traffic.NewTable(traffic.Configuration{}))
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -93,7 +93,7 @@
 // request sends a request for a stream, or for the rest of one.
 func (s *streams) request(member *instance, before taken) (after taken) {
 	after = taken{id: fmt.Sprint("stream-", s.begun.Add(1)), software: before.software}
-	request, err := http.NewRequest(http.MethodGet, "http://"+member.address("CallerAddress")+pathStream, nil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+member.address("CallerAddress")+pathStream+after.id, nil)
 	if err != nil {
 		return after
 	}
--- a/internal/entry/node/unreachable_upstream_test.go
+++ b/internal/entry/node/unreachable_upstream_test.go
@@ -17,6 +17,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/residence"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // noResponseOrders gets no response to any order.
@@ -38,7 +39,9 @@
 func heldUpstreamAt(address string) *heldUpstream {
 	n := &Node{Log: zerolog.Nop(), Orders: noResponseOrders{}, DialUpstream: dialTCP, heldUpstreams: newHeldUpstreams(), scope: tally.NoopScope, forward: &forward.Client{}}
 	n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: true}})
-	n.sharedState = &serve.SharedState{Pool: &pool.Pool{Settings: pool.DefaultSettings()}}
+	n.sharedState = &serve.SharedState{
+		Pool: &pool.Pool{Settings: pool.DefaultSettings()}, Suspects: &suspect.Tracker{Settings: suspect.DefaultSettings()},
+	}
 	n.handler = &serve.Handler{State: n.sharedState, Log: zerolog.Nop(), Scope: tally.NoopScope}
 	upstream := traffic.Upstream{ID: "u", Service: "s", Address: address}
 	n.sharedState.Pool.Declare(time.Now(), upstream)
--- a/internal/entry/node/upstream_connections.go
+++ b/internal/entry/node/upstream_connections.go
@@ -117,9 +117,19 @@
 	if ctx.Err() == nil {
 		n.recordLink(upstream, began, err)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) && n.hasUnfinished(upstream.Life()) {
+		n.checkForCrash(upstream)
+	}
 	return connection, err
 }
 
+// hasUnfinished reports whether requests of this instance were in flight at a life of an upstream a moment ago, whose
+// responses are in doubt.
+func (n *Node) hasUnfinished(life traffic.Life) (has bool) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { has = state.Suspects.HasUnfinished(time.Now(), life) })
+	return has
+}
+
 // recordLink records whether this instance could connect to an upstream, by an attempt that began some time ago. If its
 // link is lost, the idle connections there are closed, as a request on one of them would wait in vain.
 func (n *Node) recordLink(upstream traffic.Upstream, began time.Time, err error) {
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -52,8 +52,12 @@
 	known := false
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		previous, known = state.Pool.Upstream(id)
-		state.Pool.Declare(time.Now(), upstream)
+		state.Suspects.RecordAlive(upstream.Life())
 	})
+	if known {
+		n.recordNextLife(previous, &upstream)
+	}
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Declare(time.Now(), upstream) })
 	urgent = !known || previous.Draining != upstream.Draining || previous.StartedMillis != upstream.StartedMillis ||
 		previous.Address != upstream.Address || previous.Service != upstream.Service ||
 		(previous.ColdRemaining > 0) != (upstream.ColdRemaining > 0)
@@ -67,6 +71,9 @@
 }
 
 func (n *Node) removeUpstream(id, reason string, revision int64) {
+	if previous, known := n.declaredUpstream(id); known {
+		n.recordNextLife(previous, nil)
+	}
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Remove(time.Now(), id) })
 	n.Log.Info().Str("Upstream", id).Str("Why", reason).Int64("Revision", revision).Msg("UpstreamGone")
 }
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -10,6 +10,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // dispatch.go sends a request to upstreams, and retries it where that is allowed and useful.
@@ -141,6 +142,7 @@
 	defer h.Fleet.NotifyHolder(choice.Upstream.ID)
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	began := time.Now()
 	outcome, err = j.exchange(exchangeCtx, cancel, choice, query, attempt)
 	if err != nil && errors.Is(context.Cause(exchangeCtx), errNoData) {
 		err = errNoData
@@ -152,7 +154,7 @@
 		j.runs++
 		j.mayHaveRun = true
 	}
-	j.finish(ctx, choice.Upstream, query, attempt, outcome, err)
+	j.finish(ctx, began, choice.Upstream, query, attempt, outcome, err)
 	return outcome, err
 }
 
@@ -170,7 +172,7 @@
 
 // finish reports the result of an attempt to the pool, the suspect register and the fleet.
 func (j *job) finish(
-	ctx context.Context, upstream traffic.Upstream, query pool.Query, attempt *pool.Attempt, outcome result, err error,
+	ctx context.Context, began time.Time, upstream traffic.Upstream, query pool.Query, attempt *pool.Attempt, outcome result, err error,
 ) {
 	end := pool.EndOther
 	switch {
@@ -188,11 +190,13 @@
 	case outcome == resultNotRun:
 		end = pool.EndRefused
 	}
-	switch {
-	case errors.Is(err, errNoData):
+	if errors.Is(err, errNoData) {
 		j.handler.Fleet.VerifyLink(upstream)
-	case outcome == resultBroken && ctx.Err() == nil:
-		j.handler.Fleet.ReportBrokenResponse(upstream, j.call.ID, j.fingerprint)
+	}
+	switch outcome {
+	case resultBroken, resultFailed:
+		unfinished := suspect.Attempt{CallID: j.call.ID, Fingerprint: j.fingerprint, Began: began}
+		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && ctx.Err() == nil)
 	}
 	cleared := 0
 	j.handler.State.WithLock(func(state *SharedState) {
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -45,6 +45,8 @@
 	stale  bool
 	mutex  sync.Mutex
 	broken []string
+	// unfinished are the upstreams of attempts without proof of completion whose responses did not break off.
+	unfinished []string
 	// origins are the origins of streams that were recorded, and sole is the only software version, if that is proven.
 	origins map[origin.Stream]origin.Origin
 	sole    string
@@ -58,9 +60,13 @@
 func (f *fleet) MayBeStale() bool                            { return f.stale }
 func (f *fleet) PublishSpent()                               {}
 func (f *fleet) NotifyHolder(string)                         {}
-func (f *fleet) ReportBrokenResponse(u traffic.Upstream, _ string, _ suspect.Fingerprint) {
+func (f *fleet) ReportUnfinished(u traffic.Upstream, _ suspect.Attempt, broken bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if !broken {
+		f.unfinished = append(f.unfinished, u.ID)
+		return
+	}
 	f.broken = append(f.broken, u.ID)
 }
 
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -49,8 +49,9 @@
 	// NotifyHolder reports to the holder that the load of this instance at the upstream has changed (preparation,
 	// attempt or first event).
 	NotifyHolder(upstream string)
-	// ReportBrokenResponse reports that the response to a call broke with its connection: the upstream may have crashed.
-	ReportBrokenResponse(upstream traffic.Upstream, callID string, fingerprint suspect.Fingerprint)
+	// ReportUnfinished reports an attempt that may have run without proof that the request ran to completion: the upstream
+	// may have crashed, or may do so yet. broken: its response broke off.
+	ReportUnfinished(upstream traffic.Upstream, attempt suspect.Attempt, broken bool)
 	// VerifyLink reports that an upstream has not responded: the link of this instance to it may be lost.
 	VerifyLink(upstream traffic.Upstream)
 	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event.
--- a/internal/placement/pool/statements.go
+++ b/internal/placement/pool/statements.go
@@ -41,6 +41,12 @@
 	return news
 }
 
+// IsEndAnnounced reports whether an upstream has declared or stated that it is leaving.
+func (p *Pool) IsEndAnnounced(id string) bool {
+	u := p.upstreams[id]
+	return u != nil && (u.declared.Draining || u.stated != nil && u.stated.leaving)
+}
+
 // RetryAfterBackpressure is the retry delay of a caller that is refused because of the backpressure of all upstreams: until
 // the first of them takes requests again, after the turns of the callers that were refused before it. It is 0 if any
 // upstream that may run the request may be sent requests as far as backpressure is concerned.
--- /dev/null
+++ b/internal/placement/suspect/attempts.go
@@ -0,0 +1,117 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// attempts.go matches attempts without a complete response with the ends of upstreams. What shows that an upstream has ended
+// may come seconds after its responses broke or fell silent, or before the instance gives up waiting for them.
+
+const (
+	// evidenceWindow is how long after an attempt the first sign may come that its upstream has ended. The entry of an upstream
+	// that sends nothing is removed after some of its heartbeats.
+	evidenceWindow = 6 * time.Second
+	// endRetention is how long an end is remembered for attempts that are still waiting then.
+	endRetention = time.Minute
+	// maxUnfinished bounds the attempts that are remembered. A flood of them pushes out the oldest.
+	maxUnfinished = 2048
+)
+
+// Attempt is a run of a request at an upstream without proof that the request ran to completion.
+type Attempt struct {
+	// CallID is for the log.
+	CallID      string
+	Fingerprint Fingerprint
+	Began       time.Time
+}
+
+// unfinished is an attempt whose upstream may have ended.
+type unfinished struct {
+	attempt Attempt
+	life    traffic.Life
+	at      time.Time
+}
+
+// end is the end of a life.
+type end struct {
+	at time.Time
+	// expired: only the removal of its entry shows it, and entries of live upstreams expire in outages too.
+	expired bool
+}
+
+// RecordUnfinished records an attempt that has ended without proof that its request ran to completion. It reports whether
+// that counts as a crash, because the upstream is known to have ended meanwhile.
+func (t *Tracker) RecordUnfinished(now time.Time, life traffic.Life, attempt Attempt) (crashed bool) {
+	if ended, found := t.ends[life]; found && !attempt.Began.After(ended.at) {
+		t.RecordCrash(now, CrashOf(life), []Fingerprint{attempt.Fingerprint})
+		return true
+	}
+	t.unfinished = append(t.unfinished, unfinished{attempt: attempt, life: life, at: now})
+	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool { return now.Sub(u.at) > evidenceWindow })
+	if excess := len(t.unfinished) - maxUnfinished; excess > 0 {
+		t.unfinished = slices.Delete(t.unfinished, 0, excess)
+	}
+	return false
+}
+
+// HasUnfinished reports whether an attempt at a life has ended a moment ago without proof of completion.
+func (t *Tracker) HasUnfinished(now time.Time, life traffic.Life) bool {
+	return slices.ContainsFunc(t.unfinished, func(u unfinished) bool { return u.life == life && now.Sub(u.at) <= evidenceWindow })
+}
+
+// RecordEnd records that a life of an upstream has ended unannounced, and returns the attempts that were in flight then.
+func (t *Tracker) RecordEnd(now time.Time, life traffic.Life) []Attempt {
+	return t.recordEnd(now, life, false)
+}
+
+// RecordExpiry does so if only the removal of its entry shows it.
+func (t *Tracker) RecordExpiry(now time.Time, life traffic.Life) []Attempt {
+	return t.recordEnd(now, life, true)
+}
+
+// RecordAlive records that a life of an upstream goes on. If the removal of its entry counted as its end, no request has
+// crashed it.
+func (t *Tracker) RecordAlive(life traffic.Life) {
+	if ended, found := t.ends[life]; !found || !ended.expired {
+		return
+	}
+	delete(t.ends, life)
+	crash := CrashOf(life)
+	for _, known := range t.histories {
+		if _, found := known.crashes[crash]; found {
+			known.cleared[crash] = mark{own: true}
+		}
+	}
+}
+
+func (t *Tracker) recordEnd(now time.Time, life traffic.Life, expired bool) (inFlight []Attempt) {
+	if t.ends == nil {
+		t.ends = make(map[traffic.Life]end)
+	}
+	for of, ended := range t.ends {
+		if now.Sub(ended.at) > endRetention {
+			delete(t.ends, of)
+		}
+	}
+	if ended, found := t.ends[life]; !found {
+		t.ends[life] = end{at: now, expired: expired}
+	} else if !expired {
+		t.ends[life] = end{at: ended.at}
+	}
+	var fingerprints []Fingerprint
+	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
+		if u.life != life {
+			return now.Sub(u.at) > evidenceWindow
+		}
+		if now.Sub(u.at) <= evidenceWindow {
+			inFlight = append(inFlight, u.attempt)
+			fingerprints = append(fingerprints, u.attempt.Fingerprint)
+		}
+		return true
+	})
+	t.RecordCrash(now, CrashOf(life), fingerprints)
+	return inFlight
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -95,6 +95,9 @@
 	Settings Settings
 
 	histories map[Fingerprint]*history
+	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
+	unfinished []unfinished
+	ends       map[traffic.Life]end
 }
 
 // history is what is known of one request, by any instance.
