Clear a request of its crashes only by a response that shows its completion

Cause (BUDGET): each response that was passed on cleared a request at all instances: a failure, which may have been sent without running it, and the end of a connection, which is how an upstream that crashes ends a response without a length. Now a whole 2xx response with a length or in chunks clears it. Any other attempt that may have run is remembered for the life of its upstream and counts if that has ended.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -38,6 +38,11 @@
 	resultWithdrawn result = "withdrawn"
 )
 
+// mayHaveRun reports whether an attempt with that result, which was made, may have run the request.
+func (r result) mayHaveRun() bool {
+	return r == resultServed || r == resultBroken || r == resultFailed
+}
+
 // run processes the request until it has a response. The error is a refusal, or the cause that broke a started
 // response.
 func (j *job) run(ctx context.Context) error {
@@ -150,7 +155,7 @@
 	if outcome != resultUnreached {
 		j.arrivals++
 	}
-	if outcome != resultUnreached && outcome != resultNotRun && outcome != resultMisdirected {
+	if outcome.mayHaveRun() {
 		j.runs++
 		j.mayHaveRun = true
 	}
@@ -193,8 +198,8 @@
 	if errors.Is(err, errNoData) {
 		j.handler.Fleet.VerifyLink(upstream)
 	}
-	switch outcome {
-	case resultBroken, resultFailed:
+	complete := outcome == resultServed && j.received.provesCompletion()
+	if outcome.mayHaveRun() && !complete {
 		unfinished := suspect.Attempt{CallID: j.call.ID, Fingerprint: j.fingerprint, Began: began}
 		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && ctx.Err() == nil)
 	}
@@ -205,7 +210,7 @@
 		if outcome == resultMisdirected {
 			state.Pool.RecordMissingAdapter(upstream.ID, query.Adapter)
 		}
-		if outcome == resultServed {
+		if complete {
 			cleared = state.Suspects.RecordCompletion(now, j.fingerprint)
 		}
 	})
@@ -240,7 +245,7 @@
 		return resultBroken, err
 	}
 	defer response.Body.Close()
-	j.received = received{info: response.Info, framing: response.Framing}
+	j.received = received{info: response.Info, status: response.Status, framing: response.Framing}
 	j.recordBrittleness(response.Info)
 	if !response.Info.Misdirected { // another upstream may have answered
 		j.handler.RecordStatement(j.call.ID, choice.Upstream, response.Info.RetryAfter, response.Info.Leaving)
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -91,6 +91,13 @@
 	return origin.Finding{Source: origin.SourceNone}
 }
 
+// doubtfulCount counts the attempts without proof of completion.
+func (f *fleet) doubtfulCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.broken) + len(f.unfinished)
+}
+
 func (f *fleet) brokenCount() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -46,9 +46,18 @@
 // received describes the last response, for the log.
 type received struct {
 	info    call.ResponseInfo
+	status  int
 	framing forward.Framing
 	// tail is the number of bytes after the last complete event of a stream that ended.
 	tail int
+	// ended: the response was read to its end.
+	ended bool
+}
+
+// provesCompletion reports whether the response shows that the request ran to completion. A failure may have been sent without
+// running it, and an end of the connection is how an upstream that crashes ends its responses as well.
+func (r received) provesCompletion() bool {
+	return r.ended && r.status < http.StatusMultipleChoices && r.framing != forward.FramingClose
 }
 
 // run relays the response.
@@ -90,6 +99,7 @@
 	r.silenceTimer.Stop()
 	r.recordEvent()
 	truncated := len(body) == maxBuffered
+	j.received.ended = !truncated
 	if j.started {
 		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
 	}
@@ -128,6 +138,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			r.job.received.ended = true
 			return nil
 		}
 		if err != nil {
@@ -184,6 +195,7 @@
 		// Without an event nothing was sent, and with chunks the end would be a claim.
 		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
 	}
+	r.job.received.ended = true
 	r.recordEvent()
 	if err := r.writeEvents(nil); err != nil {
 		return resultServed, errCallerDisconnected
--- a/internal/gateway/serve/sends_test.go
+++ b/internal/gateway/serve/sends_test.go
@@ -3,6 +3,7 @@
 // Attempts at upstreams: what is forwarded, and which retries may follow a failed attempt.
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -174,3 +175,47 @@
 	is.Equal(response.StatusCode, http.StatusBadGateway)
 	is.Equal(h.runs(), 1)
 }
+
+// Guards against a request that crashes upstreams and is cleared of that by a response which does not show that it ran to
+// completion. Its crashes would not count, and it would be sent on and on.
+func TestOnlyACompleteResponseClearsARequest(t *testing.T) {
+	unframed := func(rw http.ResponseWriter, _ *http.Request) {
+		connection, _, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+headerSigned+": s\r\n"+headerID+": id1\r\n\r\nid: 1\ndata: 1\n\n")
+	}
+	tests := []struct {
+		name    string
+		path    string
+		respond http.HandlerFunc
+		clears  bool
+	}{
+		{"complete response", "/once/", served, true},
+		{"complete stream", "/single/", served, true},
+		{"failure", "/once/", failing, false},
+		{"rejection", "/once/", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set(headerSigned, "s")
+			rw.WriteHeader(http.StatusRequestEntityTooLarge)
+		}, false},
+		{"response without a length", "/once/", unframed, false},
+		{"stream without a length", "/single/", unframed, false},
+		{"truncated response", "/once/", truncated, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.respond)
+			fingerprint := suspect.FingerprintOf("own", "POST a.example"+tt.path, []byte("b"))
+			h.handler.State.Suspects.RecordCrash(time.Now(), 1, []suspect.Fingerprint{fingerprint})
+			_, _, err := h.call(tt.path, "b")
+			is.NoErr(err)
+			crashes := 0
+			h.handler.State.WithLock(func(state *serve.SharedState) { crashes = state.Suspects.Crashes(fingerprint) })
+			is.Equal(crashes == 0, tt.clears)
+			is.Equal(h.fleet.doubtfulCount() > 0, !tt.clears) // it counts if the upstream is found to have ended
+		})
+	}
+}
