Ask before each attempt whether a request has crashed several upstreams

A request that waited for an adapter or a turn, or whose attempt had just broken, was sent on although the third crash was known by then.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -73,6 +73,12 @@
 			return j.exhausted(last)
 		}
 		j.retryTaken = false
+		if err := j.refuseSuspect(); err != nil {
+			if j.mayHaveRun {
+				return j.exhausted(last)
+			}
+			return err
+		}
 		var outcome result
 		outcome, last = j.send(ctx, choice, query)
 		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -32,7 +32,7 @@
 
 	cost        float64
 	fingerprint suspect.Fingerprint
-	// crashes is how many crashes of upstreams the request was in flight at, as known when it was admitted.
+	// crashes is how many crashes of upstreams the request was in flight at, as last known.
 	crashes int
 	alone   bool
 
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -256,16 +256,14 @@
 	now := time.Now()
 	j.cost = j.call.Cost(j.workspace)
 	j.fingerprint = suspect.FingerprintOf(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
+	if err := j.refuseSuspect(); err != nil {
+		return err
+	}
 	var retryAfter time.Duration
 	admitted := false
 	publishSpent := false
-	verdict := suspect.Free
 	j.handler.State.WithLock(func(state *SharedState) {
-		verdict, retryAfter = state.Suspects.Judge(now, j.fingerprint)
-		j.crashes = state.Suspects.Crashes(j.fingerprint)
-		if verdict != suspect.Refused {
-			retryAfter, admitted = state.Ledger.Admit(now, j.workspace.Name, j.cost)
-		}
+		retryAfter, admitted = state.Ledger.Admit(now, j.workspace.Name, j.cost)
 		if admitted {
 			publishSpent = len(state.Ledger.TakeUrgentRecipients(now)) > 0
 		}
@@ -273,13 +271,24 @@
 	if publishSpent {
 		j.handler.Fleet.PublishSpent()
 	}
-	j.alone = verdict == suspect.Alone
-	switch {
-	case verdict == suspect.Refused:
-		return refusal.New(refusal.ServiceUnavailable, "the request was in flight at several crashes of upstreams").
-			WithRetryAfter(retryAfter)
-	case !admitted:
+	if !admitted {
 		return refusal.New(refusal.RateLimited, "the workspace is over its rate").WithRetryAfter(retryAfter)
 	}
 	return nil
 }
+
+// refuseSuspect refuses a request that has crashed several upstreams. It is asked again before each attempt: other instances
+// may have recorded a crash while the request waited or ran.
+func (j *job) refuseSuspect() error {
+	verdict, retryAfter := suspect.Free, time.Duration(0)
+	j.handler.State.WithLock(func(state *SharedState) {
+		verdict, retryAfter = state.Suspects.Judge(time.Now(), j.fingerprint)
+		j.crashes = state.Suspects.Crashes(j.fingerprint)
+	})
+	j.alone = verdict == suspect.Alone
+	if verdict != suspect.Refused {
+		return nil
+	}
+	return refusal.New(refusal.ServiceUnavailable, "the request was in flight at several crashes of upstreams").
+		WithRetryAfter(retryAfter)
+}
