Recognise a request that comes back by its caller, path and body

TestRequestThatComesBackIsRecognised: another method, or the host in other letters, was another request before.

--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -255,7 +255,7 @@
 func (j *job) admit() error {
 	now := time.Now()
 	j.cost = j.call.Cost(j.workspace)
-	j.fingerprint = suspect.FingerprintOf(j.workspace.Name, j.call.Method+" "+j.call.Host+j.call.Target, j.call.Body)
+	j.fingerprint = suspect.FingerprintOf(j.workspace.Name, j.call.Target, j.call.Body)
 	if err := j.refuseSuspect(); err != nil {
 		return err
 	}
