Keep the records of requests that crash upstreams in the store

One crash makes as many records as requests were in flight, so those are not stored: a kill of all instances right after the first crash forgets one.

--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -161,6 +161,7 @@
 			Str("Fingerprint", string(attempt.Fingerprint)).Int("Crashes", crashes[attempt.Fingerprint]).Msg("InFlightAtCrash")
 	}
 	n.overlay.requestStateSend()
+	n.crashRecords.requestWrite()
 }
 
 // recordNextLife records the end of an upstream's life that its entry shows: another life is declared in its place, or
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -74,6 +74,7 @@
 	// current is Settings as of the last reload.
 	current       atomic.Pointer[Settings]
 	crashChecks   crashChecks
+	crashRecords  crashRecords
 	startedAt     time.Time
 	self          roster.Instance
 	view          storeView
@@ -168,6 +169,7 @@
 	n.lease.suspended = timeSuspended
 	n.heldUpstreams = newHeldUpstreams()
 	n.overlay.initialise(n.self.Name)
+	n.crashRecords.requested = make(chan struct{}, 1)
 	n.links.tracker.Self = n.self.Name
 	n.links.tracker.DataCentre = n.self.DataCentre
 	n.assembleSharedState()
@@ -224,6 +226,7 @@
 	add(n.runOwnership)
 	add(n.runPeriodic)
 	add(n.runReload)
+	add(n.runCrashRecords)
 	group.Add(func() error { return n.mesh.Serve(n.listeners.mesh) }, func(error) { n.mesh.Stop() })
 	group.Add(func() error { return serveUntilClosed(n.ready, n.listeners.ready) }, func(error) { _ = n.ready.Close() })
 	group.Add(func() error { return serveUntilClosed(n.metrics, n.listeners.metrics) }, func(error) { _ = n.metrics.Close() })
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/crashrecord"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
@@ -153,6 +154,10 @@
 		n.reportToNewHolder(item.Key)
 		return true
 	}
+	if fingerprint, ok := crashrecord.FingerprintOf(item.Key); ok {
+		n.applyCrashRecord(fingerprint, item)
+		return false // the links carry it as well
+	}
 	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
 		return n.applyUpstream(id, item)
 	}
--- /dev/null
+++ b/internal/fleet/crashrecord/crashrecord_test.go
@@ -0,0 +1,28 @@
+package crashrecord_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/crashrecord"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+func TestRecordSurvivesTheStore(t *testing.T) {
+	is := is.New(t)
+	record := suspect.Record{Fingerprint: "f", Crashes: []suspect.Crash{1, 1<<64 - 1}, Cleared: []suspect.Crash{1}}
+	value, err := crashrecord.Encode(record)
+	is.NoErr(err)
+	decoded, err := crashrecord.Decode(crashrecord.Key("f"), value)
+	is.NoErr(err)
+	is.Equal(decoded, record)
+}
+
+// Guards against an entry of another writer that is taken for crashes.
+func TestUnreadableRecordIsAnError(t *testing.T) {
+	for _, value := range []string{"", "[]", `{"Crashes":["x"]}`, `{"Crashes":[1]}`, `{"Cleared":["-1"]}`} {
+		_, err := crashrecord.Decode(crashrecord.Key("f"), []byte(value))
+		is.New(t).True(err != nil)
+	}
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -215,6 +215,30 @@
 // Merge adds records of another instance.
 func (t *Tracker) Merge(now time.Time, records []Record) { t.merge(now, records, mark{}) }
 
+// MergeStored adds a record that the store has.
+func (t *Tracker) MergeStored(now time.Time, record Record) {
+	t.merge(now, []Record{record}, mark{stored: true})
+}
+
+// Unstored returns records that the store lacks something of which this instance observed, at most a given number. Those of
+// one crash are not stored: each crash makes as many as requests were in flight, nearly all of which did not cause it.
+func (t *Tracker) Unstored(now time.Time, most int) (records []Record) {
+	every := func(mark) bool { return true }
+	lacking := func(m mark) bool { return m.own && !m.stored }
+	for fingerprint, known := range t.histories {
+		if len(records) == most {
+			break
+		}
+		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) {
+			continue
+		}
+		if len(list(known.crashes, lacking))+len(list(known.cleared, lacking)) > 0 {
+			records = append(records, Record{Fingerprint: fingerprint, Crashes: list(known.crashes, every), Cleared: list(known.cleared, every)})
+		}
+	}
+	return records
+}
+
 // ---------------------------------------------------------------------------------------------
 
 func (t *Tracker) merge(now time.Time, records []Record, as mark) {
--- a/internal/placement/suspect/tracker_test.go
+++ b/internal/placement/suspect/tracker_test.go
@@ -131,3 +131,24 @@
 		}
 	})
 }
+
+// Guards against a store that is filled by each crash, and against a request that crashes upstreams and is not stored.
+func TestOnlyWhatTheStoreLacksIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const most = 16
+		a, b := newTracker(), newTracker()
+		a.RecordCrash(time.Now(), 1, []suspect.Fingerprint{"bad", "innocent"})
+		is.Equal(len(a.Unstored(time.Now(), most)), 0)
+		b.Merge(time.Now(), a.Records(time.Now()))
+		b.RecordCrash(time.Now(), 2, []suspect.Fingerprint{"bad"})
+		records := b.Unstored(time.Now(), most)
+		is.Equal(records, []suspect.Record{{Fingerprint: "bad", Crashes: []suspect.Crash{1, 2}}})
+		b.MergeStored(time.Now(), records[0])
+		is.Equal(len(b.Unstored(time.Now(), most)), 0)
+		a.MergeStored(time.Now(), records[0])
+		is.Equal(len(a.Unstored(time.Now(), most)), 0)
+		a.RecordCompletion(time.Now(), "bad")
+		is.Equal(a.Unstored(time.Now(), most)[0].Cleared, []suspect.Crash{1, 2})
+	})
+}
