--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -101,8 +101,26 @@
 	Rejections int
 	// Load is the load that the upstream reported with the response; zero if it reported none.
 	Load UpstreamLoad
+	// Limit is what the upstream states of the requests that it takes from all instances together.
+	Limit Limit
 }
 
+// Limit is what a response says of its upstream's limit: NoLimit, RateLimit or UnreadableLimit.
+type Limit interface{ isLimit() }
+
+// NoLimit means that the response states none.
+type NoLimit struct{}
+
+// RateLimit is the number of requests in a second.
+type RateLimit struct{ PerSecond float64 }
+
+// UnreadableLimit means that what the response states is no number of requests.
+type UnreadableLimit struct{}
+
+func (NoLimit) isLimit()         {}
+func (RateLimit) isLimit()       {}
+func (UnreadableLimit) isLimit() {}
+
 // UpstreamLoad is the load that an upstream reports about itself.
 type UpstreamLoad struct {
 	// Running and Waiting count requests. BatchSlots is how many requests run at once.
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -81,7 +81,7 @@
 		}
 		var outcome result
 		outcome, last = j.send(ctx, choice, query)
-		j.step("sent").Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
+		j.received.logLimit(j.step("sent")).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
 			Str("Outcome", string(outcome)).Err(last).
 			Str("Framing", string(j.received.framing)).Int("TailBytes", j.received.tail).
 			Int64("RetryAfterMillis", j.received.info.RetryAfter.Milliseconds()).Bool("Leaving", j.received.info.Leaving).
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"lacewingrock.example/lacewingrock/internal/caller/stream"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
@@ -60,6 +61,17 @@
 	return r.ended && r.status < http.StatusMultipleChoices && r.framing != forward.FramingClose
 }
 
+// logLimit adds what the response states of its upstream's limit, if it states anything.
+func (r received) logLimit(event *zerolog.Event) *zerolog.Event {
+	switch limit := r.info.Limit.(type) {
+	case call.RateLimit:
+		return event.Float64("Limit", limit.PerSecond)
+	case call.UnreadableLimit:
+		return event.Str("Limit", "unreadable")
+	}
+	return event
+}
+
 // run relays the response.
 func (r *relay) run() (result, error) {
 	if r.response.Status >= http.StatusInternalServerError && r.job.mayRetryFailure() {
