Keep upstreams to the requests in a second that they state to take

What was seen (LIMIT): engines that stated 1.2 and 1.5 requests a second got 14 and 19 in 4 s, as many as before. Cause: no code read the statement. Class: a statement of an upstream that is not read, as in the incident of the pauses. The holder of an upstream admits the requests of all instances, as at one that is cold or brittle, at the rate that is stated. Instances that are told pass statements and their ends on to the holder, and the holder to all; the younger one counts, by the life of the upstream, in the place where pauses and leaving are kept. What was chosen before is not sent. Without a holder each instance keeps to its part. Where all are limited, callers are refused at once and told turns.

--- a/internal/entry/node/held_room.go
+++ b/internal/entry/node/held_room.go
@@ -8,7 +8,7 @@
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
-// held_room.go admits requests to a held upstream that can take few: one that is cold or brittle.
+// held_room.go admits requests to a held upstream that can take few: one that is cold, brittle or limited.
 
 // maxRoomWait bounds how long a request waits until a brittle upstream has room, before it is tried elsewhere.
 const maxRoomWait = 60 * time.Millisecond
@@ -26,12 +26,16 @@
 	}
 }
 
-// admit counts a request against the load that the upstream can take while it is cold or brittle.
+// admit counts a request against the load that the upstream can take while it is cold, brittle or limited.
 func (h *heldUpstream) admit() (wait time.Duration, admitted bool) {
 	h.node.sharedState.WithLock(func(state *serve.SharedState) {
 		now := time.Now()
-		if wait, admitted = state.Pool.AdmitCold(now, h.upstream.ID); admitted {
-			wait, admitted = state.Pool.AdmitBrittle(now, h.upstream.ID)
+		for _, admit := range []func(time.Time, string) (time.Duration, bool){
+			state.Pool.AdmitLimited, state.Pool.AdmitCold, state.Pool.AdmitBrittle,
+		} {
+			if wait, admitted = admit(now, h.upstream.ID); !admitted {
+				return
+			}
 		}
 	})
 	return wait, admitted
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -217,10 +217,13 @@
 	h.changed = make(chan struct{})
 }
 
-// prepare waits until the adapter is loaded, then until the prompt may start its prefill. A cold or brittle upstream must
-// have room for the request too.
+// prepare waits until the adapter is loaded, then until the prompt may start its prefill. A cold, brittle or
+// limited upstream must have room for the request too.
 func (h *heldUpstream) prepare(ctx context.Context, request mesh.PrepareRequest) (prepared mesh.PrepareResult) {
 	deadline := time.Now().Add(min(request.MaxWait, request.OnTime))
+	if len(request.Limits) > 0 {
+		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.MergeLimits(time.Now(), request.Limits) })
+	}
 	prepared = mesh.Loaded{}
 	if !h.plain {
 		prepared = h.loadAdapter(ctx, request, deadline)
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -105,7 +105,9 @@
 	holders := n.view.liveHolders()
 	report := mesh.LoadReport{Instance: n.self.Name}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
-		report.Loads = state.Pool.Report(func(upstream string) bool { return holders[upstream] == holder })
+		selected := func(upstream string) bool { return holders[upstream] == holder }
+		report.Loads = state.Pool.Report(selected)
+		report.Limits = state.Pool.Limits(time.Now(), selected)
 	})
 	return report
 }
@@ -120,6 +122,7 @@
 		for id, load := range held.Loads {
 			state.Pool.RecordHolderLoad(now, id, load)
 		}
+		state.Pool.MergeLimits(now, held.Limits)
 	})
 }
 
@@ -128,8 +131,11 @@
 	now := time.Now()
 	n.overlay.recordContact(report.Instance, now)
 	held = mesh.HeldReport{Residencies: n.heldUpstreams.residencies(now), Loads: make(map[string]pool.Load)}
+	ids := n.heldUpstreams.ids()
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.RecordPeerReport(now, report.Instance, report.Loads)
+		state.Pool.MergeLimits(now, report.Limits)
+		held.Limits = state.Pool.Limits(now, func(upstream string) bool { return ids[upstream] })
 		for _, residency := range held.Residencies {
 			held.Loads[residency.Upstream] = state.Pool.TotalExcluding(now, residency.Upstream, report.Instance)
 		}
--- a/internal/entry/node/shared_limits.go
+++ b/internal/entry/node/shared_limits.go
@@ -24,6 +24,7 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Retries.SetMax(slack / parts)
 		state.Pool.Settings.Instances = int(math.Ceil(parts))
+		state.Pool.Settings.LiveInstances = others + 1
 		state.Pool.Settings.HeartbeatInterval = interval
 		state.Pool.Settings.HolderLoadTTL = loadsFor
 		state.Pool.Settings.PeerLoadTTL = max(loadsFor, pool.DefaultSettings().PeerLoadTTL)
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -47,7 +47,7 @@
 		n.setPart(gossip.PartGeneral, urgent, func() ([]byte, error) { return mesh.EncodeState(n.state(now)) })
 	}
 	residencies := n.heldUpstreams.residencies(now)
-	loaded := fingerprint(residencies)
+	loaded := fingerprint(residencies) + n.limitsFingerprint(now)
 	changed := loaded != n.refreshed.loadedFingerprint && now.Sub(n.refreshed.held) >= heldInterval-heartbeatInterval/2
 	if changed || !n.refreshed.held.After(since) {
 		n.refreshed.held = now
@@ -126,7 +126,7 @@
 
 // heldReport returns the state of the held upstreams that is sent to all others.
 func (n *Node) heldReport(now time.Time, residencies []pool.Residency) mesh.HeldReport {
-	held := mesh.HeldReport{Residencies: residencies, Loads: make(map[string]pool.Load)}
+	held := mesh.HeldReport{Residencies: residencies, Loads: make(map[string]pool.Load), Limits: n.heldLimits(now)}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		for _, residency := range residencies {
 			held.Loads[residency.Upstream] = state.Pool.Total(now, residency.Upstream)
@@ -146,6 +146,23 @@
 	return sum
 }
 
+// heldLimits lists what is known of the limits of the held upstreams.
+func (n *Node) heldLimits(now time.Time) (limits []pool.LimitStatement) {
+	ids := n.heldUpstreams.ids()
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		limits = state.Pool.Limits(now, func(upstream string) bool { return ids[upstream] })
+	})
+	return limits
+}
+
+// limitsFingerprint changes with the limits of the held upstreams.
+func (n *Node) limitsFingerprint(now time.Time) (sum uint64) {
+	for _, stated := range n.heldLimits(now) {
+		sum += xxhash.Sum64String(fmt.Sprint("limit", stated.Life, stated.Limited, stated.PerSecond))
+	}
+	return sum
+}
+
 // assumedRelayDelay is the assumed age of a state that arrived through relays.
 const assumedRelayDelay = heartbeatInterval
 
@@ -215,6 +232,7 @@
 		for id, load := range held.Loads {
 			state.Pool.RecordHolderTotal(at, id, load)
 		}
+		state.Pool.MergeLimits(at, held.Limits)
 	})
 	return nil
 }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -191,7 +191,7 @@
 }
 
 func heldToWire(r HeldReport) *meshpb.HeldReport {
-	wire := &meshpb.HeldReport{Held: loadsToWire(r.Loads)}
+	wire := &meshpb.HeldReport{Held: loadsToWire(r.Loads), Limits: limitsToWire(r.Limits)}
 	for _, residency := range r.Residencies {
 		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
 	}
@@ -199,7 +199,9 @@
 }
 
 func heldFromWire(wire *meshpb.HeldReport) HeldReport {
-	return HeldReport{Loads: loadsFromWire(wire.GetHeld()), Residencies: residenciesFromWire(wire.GetResidencies())}
+	return HeldReport{
+		Loads: loadsFromWire(wire.GetHeld()), Residencies: residenciesFromWire(wire.GetResidencies()), Limits: limitsFromWire(wire.GetLimits()),
+	}
 }
 
 func residenciesFromWire(wire []*meshpb.Residency) (list []pool.Residency) {
@@ -334,6 +336,7 @@
 		Priority:       int32(r.Priority),
 		OnTimeMillis:   r.OnTime.Milliseconds(),
 		Tokens:         int64(r.Tokens),
+		Limits:         limitsToWire(r.Limits),
 	}
 }
 
@@ -346,6 +349,7 @@
 		OnTime:   millis(wire.GetOnTimeMillis()),
 		Priority: int(wire.GetPriority()),
 		Tokens:   int(wire.GetTokens()),
+		Limits:   limitsFromWire(wire.GetLimits()),
 	}
 }
 
@@ -415,3 +419,23 @@
 	}
 	return crashes
 }
+
+func limitsToWire(statements []pool.LimitStatement) (wire []*meshpb.UpstreamLimit) {
+	for _, stated := range statements {
+		wire = append(wire, &meshpb.UpstreamLimit{
+			Upstream: stated.Life.Upstream, StartedMillis: stated.Life.StartedMillis,
+			Limited: stated.Limited, Rate: stated.PerSecond, AgeMillis: stated.Age.Milliseconds(),
+		})
+	}
+	return wire
+}
+
+func limitsFromWire(wire []*meshpb.UpstreamLimit) (statements []pool.LimitStatement) {
+	for _, w := range wire {
+		statements = append(statements, pool.LimitStatement{
+			Life:    traffic.Life{Upstream: w.GetUpstream(), StartedMillis: w.GetStartedMillis()},
+			Limited: w.GetLimited(), PerSecond: w.GetRate(), Age: millis(w.GetAgeMillis()),
+		})
+	}
+	return statements
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -32,7 +32,7 @@
 }
 
 func (s service) Report(_ context.Context, wire *meshpb.LoadReport) (*meshpb.HeldReport, error) {
-	report := LoadReport{Instance: wire.GetInstance(), Loads: loadsFromWire(wire.GetLoads())}
+	report := LoadReport{Instance: wire.GetInstance(), Loads: loadsFromWire(wire.GetLoads()), Limits: limitsFromWire(wire.GetLimits())}
 	return heldToWire(s.handler.Report(report)), nil
 }
 
@@ -78,7 +78,9 @@
 	if err != nil {
 		return HeldReport{}, err
 	}
-	wire, err := client.Report(ctx, &meshpb.LoadReport{Instance: report.Instance, Loads: loadsToWire(report.Loads)})
+	wire, err := client.Report(ctx, &meshpb.LoadReport{
+		Instance: report.Instance, Loads: loadsToWire(report.Loads), Limits: limitsToWire(report.Limits),
+	})
 	if err != nil {
 		return HeldReport{}, err
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -158,9 +158,10 @@
 	a := traffic.Adapter{Model: "m", Name: "a"}
 	report := mesh.LoadReport{Instance: "i", Loads: map[string]pool.Load{
 		"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, InUse: []traffic.Adapter{a}},
-	}}
+	}, Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "u", StartedMillis: 5}, Limited: true, PerSecond: 1.8, Age: time.Second}}}
 	peer.held = mesh.HeldReport{
-		Loads: map[string]pool.Load{"u": {Running: 5, PromptTokens: 100, MemoryTokens: 700}},
+		Loads:  map[string]pool.Load{"u": {Running: 5, PromptTokens: 100, MemoryTokens: 700}},
+		Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "v", StartedMillis: 6}}},
 		Residencies: []pool.Residency{{
 			Upstream: "u", Fence: 4, Version: 17, FreeSlots: 2, SlotWait: 300 * time.Millisecond, Unreachable: true,
 			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -58,6 +58,8 @@
 type LoadReport struct {
 	Instance string
 	Loads    map[string]pool.Load
+	// Limits are what the sender knows of the limits of these upstreams.
+	Limits []pool.LimitStatement
 }
 
 // HeldReport is what is in flight at the upstreams that the sender holds, and which adapters are loaded there. As a part
@@ -65,6 +67,7 @@
 type HeldReport struct {
 	Loads       map[string]pool.Load
 	Residencies []pool.Residency
+	Limits      []pool.LimitStatement
 }
 
 // Stream is one end of a link. At most one goroutine may send at a time, and at most one may receive.
@@ -87,6 +90,8 @@
 	Priority int
 	// Tokens is the length of the request's prompt; 0 if it needs no prefill turn.
 	Tokens int
+	// Limits are what the sender knows of the upstream's limit.
+	Limits []pool.LimitStatement
 }
 
 // PrepareResult is the response to a PrepareRequest: Loaded, NotHolder or Busy.
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -174,7 +174,8 @@
 func (j *job) begin(choice pool.Choice, query pool.Query) (attempt *pool.Attempt) {
 	now := time.Now()
 	j.handler.State.WithLock(func(state *SharedState) {
-		if state.Pool.IsChoiceValid(now, choice.Upstream) {
+		unadmitted := state.Pool.IsLimited(now, choice.Upstream) && !choice.Limited
+		if state.Pool.IsChoiceValid(now, choice.Upstream) && !unadmitted {
 			attempt = state.Pool.Begin(now, choice, query)
 		}
 	})
@@ -243,6 +244,7 @@
 	}
 	silenceTimer := time.AfterFunc(j.silenceTimeout(choice), func() { cancel(errNoData) })
 	defer silenceTimer.Stop()
+	began := time.Now()
 	response, err := j.handler.Forward.Do(ctx, choice.Upstream, j.call, info, !j.route.IsRepeatable())
 	if err != nil {
 		if errors.Is(err, forward.ErrNotConnected) {
@@ -255,6 +257,7 @@
 	j.recordBrittleness(response.Info)
 	if !response.Info.Misdirected { // another upstream may have answered
 		j.handler.RecordStatement(j.call.ID, choice.Upstream, response.Info.RetryAfter, response.Info.Leaving)
+		j.recordLimit(choice.Upstream, response.Info.Limit, began)
 	}
 	switch {
 	case response.Info.Misdirected:
@@ -269,6 +272,14 @@
 	return relay.run()
 }
 
+// recordLimit records what the response to an attempt says of its upstream's limit. News go to the upstream's holder, which
+// admits the requests of all instances.
+func (j *job) recordLimit(upstream traffic.Upstream, stated call.Limit, began time.Time) {
+	if j.handler.RecordLimit(j.call.ID, upstream, stated, began) {
+		j.handler.Fleet.NotifyHolder(upstream.ID)
+	}
+}
+
 // recordBrittleness records whether the upstream states that it is brittle.
 func (j *job) recordBrittleness(info call.ResponseInfo) {
 	stated := pool.Brittleness{Brittle: info.Brittle, Rejections: info.Rejections}
--- a/internal/gateway/serve/job_refusals.go
+++ b/internal/gateway/serve/job_refusals.go
@@ -43,6 +43,9 @@
 	if wait := j.backpressureWait(); wait > 0 {
 		return refusal.New(refusal.Busy, "the upstreams have asked for no requests").WithRetryAfter(wait)
 	}
+	if wait := j.limitWait(); wait > 0 {
+		return refusal.New(refusal.Busy, "the upstreams have limited their requests").WithRetryAfter(wait)
+	}
 	if errors.Is(cause, pool.ErrFull) {
 		var retryAfter time.Duration
 		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), query) })
@@ -63,19 +66,31 @@
 
 // backpressureWait returns when the caller should come back if no upstream takes requests before then; 0 if one may.
 func (j *job) backpressureWait() (wait time.Duration) {
-	j.handler.State.WithLock(func(state *SharedState) {
-		wait = state.Pool.RetryAfterBackpressure(time.Now(), pool.Query{
-			Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens, Software: j.software,
-		})
-	})
+	j.handler.State.WithLock(func(state *SharedState) { wait = state.Pool.RetryAfterBackpressure(time.Now(), j.anyUpstream()) })
 	return wait
 }
 
+// limitWait returns when the caller should come back if all upstreams state how many requests they take; 0 if one does not.
+func (j *job) limitWait() (wait time.Duration) {
+	j.handler.State.WithLock(func(state *SharedState) { wait = state.Pool.RetryAfterLimit(time.Now(), j.anyUpstream()) })
+	return wait
+}
+
+// anyUpstream returns the query for the upstreams that may run the request, whether they were tried or not.
+func (j *job) anyUpstream() pool.Query {
+	return pool.Query{
+		Service: j.service, Adapter: j.call.Generation.Adapter, Tokens: j.call.Generation.PromptTokens, Software: j.software,
+	}
+}
+
 // exhausted returns the refusal for a request that may not be sent again, or that has used up its attempts.
 func (j *job) exhausted(last error) error {
 	if !j.mayHaveRun {
 		j.cause = last
 		wait := j.backpressureWait()
+		if wait == 0 {
+			wait = j.limitWait()
+		}
 		if wait == 0 {
 			wait = j.busyWait()
 		}
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -83,7 +83,7 @@
 }
 
 // ensureReady has the adapter loaded at the chosen upstream, waits for the prefill turn if prompts take turns there, and
-// has the request admitted if the upstream is cold or brittle.
+// has the request admitted if the upstream is cold, brittle or limited.
 func (j *job) ensureReady(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
 	j.handler.State.WithLock(func(state *SharedState) {
 		j.inTurn = query.Adapter.Model != "" && state.Pool.PromptsTakeTurns(query.Service)
@@ -92,12 +92,17 @@
 	if j.inTurn {
 		tokens = query.Tokens
 	}
-	return choice.Loaded && !j.inTurn && !choice.Cold && !choice.Brittle || j.prepare(ctx, choice, query, tokens)
+	needsHolder := !choice.Loaded || j.inTurn || choice.Cold || choice.Brittle || choice.Limited
+	return !needsHolder || j.prepare(ctx, choice, query, tokens)
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if tokens is not 0.
 func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query, tokens int) bool {
 	start := time.Now()
+	var limits []pool.LimitStatement
+	j.handler.State.WithLock(func(state *SharedState) {
+		limits = state.Pool.Limits(start, func(upstream string) bool { return upstream == choice.Upstream.ID })
+	})
 	waiting := j.beginPreparing(*choice, query)
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
@@ -107,6 +112,7 @@
 		OnTime:   j.onTimeFor(*choice),
 		Priority: j.priority,
 		Tokens:   tokens,
+		Limits:   limits,
 	})
 	j.endPreparing(*choice, waiting)
 	loaded, ok := prepared.(mesh.Loaded)
@@ -121,6 +127,9 @@
 	}
 	valid := false
 	j.handler.State.WithLock(func(state *SharedState) {
+		if notHeld && choice.Limited && !state.Pool.AdmitLimitedShare(time.Now(), choice.Upstream.ID) {
+			return
+		}
 		if ok && query.Adapter.Model != "" {
 			state.Pool.RecordLoadedAdapter(choice.Upstream.ID, query.Adapter, loaded.Version)
 		}
@@ -159,6 +168,8 @@
 	}
 	j.handler.State.WithLock(func(state *SharedState) {
 		switch {
+		case choice.Limited:
+			state.Pool.RecordLimitRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case choice.Brittle:
 			state.Pool.RecordBrittleRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case choice.Cold:
--- a/internal/gateway/serve/statements.go
+++ b/internal/gateway/serve/statements.go
@@ -1,8 +1,10 @@
 package serve
 
 import (
+	"strconv"
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
@@ -32,3 +34,27 @@
 		h.Log.Info().Str(logline.FieldRequest, request).Str(logline.FieldUpstream, upstream.ID).Msg("UpstreamLeaving")
 	}
 }
+
+// RecordLimit records what an upstream's response to an attempt says of its limit, and reports whether that is news. The
+// request's id is for the log.
+func (h *Handler) RecordLimit(request string, upstream traffic.Upstream, stated call.Limit, began time.Time) (news bool) {
+	text := "none"
+	h.State.WithLock(func(state *SharedState) {
+		now := time.Now()
+		switch limit := stated.(type) {
+		case call.RateLimit:
+			text = strconv.FormatFloat(limit.PerSecond, 'g', -1, 64)
+			news = state.Pool.RecordLimit(now, upstream, limit.PerSecond)
+		case call.UnreadableLimit:
+			text = "unreadable"
+			news = state.Pool.RecordUnreadableLimit(now, upstream)
+		default:
+			news = state.Pool.RecordNoLimit(now, upstream, began)
+		}
+	})
+	if news {
+		h.Scope.Counter("upstream_limits").Inc(1)
+		h.Log.Info().Str(logline.FieldRequest, request).Str(logline.FieldUpstream, upstream.ID).Str("Limit", text).Msg("UpstreamLimit")
+	}
+	return news
+}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -70,7 +70,7 @@
 	if !p.mayRun(u, query) || query.Software != "" && u.isLifeInDoubt(now) || u.isUnderBackpressure(now) || now.Before(u.retryAt) || u.isUnreachable(now) {
 		return false
 	}
-	if p.isCold(now, u) && now.Before(u.cold.fullUntil) {
+	if p.isCold(now, u) && now.Before(u.cold.fullUntil) || u.isLimitReached(now) {
 		return false
 	}
 	if len(query.Candidates) > 0 && !slices.Contains(query.Candidates, u.declared.ID) {
@@ -122,6 +122,7 @@
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
+	choice.Limited = u.isLimited(now)
 	engine, isEngine := p.engines[u.declared.Service]
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
@@ -144,6 +145,9 @@
 	if u.indirect {
 		total += indirectCost
 	}
+	if choice.Limited && !choice.Loaded {
+		total += limitedLoadCost
+	}
 	if query.Alone && load.Running > 0 {
 		total += time.Hour
 	}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -15,8 +15,10 @@
 type Settings struct {
 	// DataCentre of this instance: upstreams in it are preferred slightly.
 	DataCentre string
-	// Instances is the number of instances that share the connection limit of an upstream.
-	Instances int
+	// Instances is the number of instances that share the connection limit of an upstream, with a reserve for those that
+	// are not known yet. LiveInstances is the number that is known.
+	Instances     int
+	LiveInstances int
 	// HeartbeatInterval is the interval between the heartbeats of another instance.
 	HeartbeatInterval time.Duration
 	// HolderLoadTTL is how long the load that a holder reports for its upstreams is valid.
@@ -34,6 +36,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Instances:         10,
+		LiveInstances:     1,
 		HeartbeatInterval: 250 * time.Millisecond,
 		HolderLoadTTL:     250 * time.Millisecond,
 		PeerLoadTTL:       1500 * time.Millisecond,
@@ -87,6 +90,8 @@
 	Cold bool
 	// Brittle: the upstream is brittle, and its holder has to admit the request first, so that it has room.
 	Brittle bool
+	// Limited: the upstream states how many requests it takes, and its holder has to admit the request first.
+	Limited bool
 	// LoadStale: the load that the holder reported is so old that it is worth asking the holder again before the
 	// request is sent.
 	LoadStale bool
--- a/internal/placement/pool/service_stats.go
+++ b/internal/placement/pool/service_stats.go
@@ -31,6 +31,8 @@
 	nextRetry time.Time
 	// nextAfterBackpressure is the same for callers that are refused because of the backpressure of all upstreams.
 	nextAfterBackpressure time.Time
+	// nextAfterLimit is the same for callers that are refused because of the limits of all upstreams.
+	nextAfterLimit time.Time
 	// standingSince is the start of a standing queue: a request was late because of the queue, and none has found a
 	// short queue since. Zero if the queue is not standing.
 	standingSince time.Time
--- a/internal/placement/pool/statements.go
+++ b/internal/placement/pool/statements.go
@@ -18,14 +18,17 @@
 	leaving bool
 	// backpressureUntil is when this instance may send it requests again.
 	backpressureUntil time.Time
-	at                time.Time
+	limit             statedLimit
+	// limitUnreadable: it has stated a limit that is no number.
+	limitUnreadable bool
+	at              time.Time
 }
 
 // RecordBackpressure records that an upstream refused a request and wants no more from this instance for some time, at most
 // Settings.MaxBackpressure. A later statement may extend that time, and nothing shortens it. It reports whether the upstream
 // took requests until now.
 func (p *Pool) RecordBackpressure(now time.Time, upstream traffic.Upstream, retryAfter time.Duration) (news bool) {
-	s := p.statementOf(now, upstream)
+	s := p.statementOf(now, upstream.Life())
 	news = !now.Before(s.backpressureUntil)
 	if until := now.Add(min(retryAfter, p.Settings.MaxBackpressure)); until.After(s.backpressureUntil) {
 		s.backpressureUntil = until
@@ -35,7 +38,7 @@
 
 // RecordLeaving records that an upstream is leaving, and reports whether that is news. Nothing but its next life ends that.
 func (p *Pool) RecordLeaving(now time.Time, upstream traffic.Upstream) (news bool) {
-	s := p.statementOf(now, upstream)
+	s := p.statementOf(now, upstream.Life())
 	news = !s.leaving
 	s.leaving = true
 	return news
@@ -87,14 +90,14 @@
 }
 
 // statementOf returns the statement of a life, and creates it at the first call.
-func (p *Pool) statementOf(now time.Time, upstream traffic.Upstream) *statement {
+func (p *Pool) statementOf(now time.Time, of traffic.Life) *statement {
 	p.prepare()
-	s := p.statements[upstream.Life()]
+	s := p.statements[of]
 	if s == nil {
 		p.dropOldStatements(now)
 		s = &statement{}
-		p.statements[upstream.Life()] = s
-		if u := p.upstreams[upstream.ID]; u != nil && u.declared.Life() == upstream.Life() {
+		p.statements[of] = s
+		if u := p.upstreams[of.Upstream]; u != nil && u.declared.Life() == of {
 			u.stated = s
 		}
 	}
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -68,6 +68,7 @@
 	servedAt         time.Time
 	cold             cold
 	brittle          brittleUpstream
+	limited          limitedUpstream
 	// stated is what the upstream has stated about itself, nil if nothing.
 	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
