--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -386,8 +386,8 @@
 	for _, record := range records {
 		wire = append(wire, &meshpb.Suspect{
 			Fingerprint: string(record.Fingerprint),
-			Crashes:     crashesToWire(record.Crashes),
-			Cleared:     crashesToWire(record.Cleared),
+			Crashes:     suspect.Numbers(record.Crashes),
+			Cleared:     suspect.Numbers(record.Cleared),
 			AgeMillis:   record.Age.Milliseconds(),
 		})
 	}
@@ -398,28 +398,14 @@
 	for _, w := range wire {
 		records = append(records, suspect.Record{
 			Fingerprint: suspect.Fingerprint(w.GetFingerprint()),
-			Crashes:     crashesFromWire(w.GetCrashes()),
-			Cleared:     crashesFromWire(w.GetCleared()),
+			Crashes:     suspect.FromNumbers(w.GetCrashes()),
+			Cleared:     suspect.FromNumbers(w.GetCleared()),
 			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
 		})
 	}
 	return records
 }
 
-func crashesToWire(crashes []suspect.Crash) (wire []uint64) {
-	for _, crash := range crashes {
-		wire = append(wire, uint64(crash))
-	}
-	return wire
-}
-
-func crashesFromWire(wire []uint64) (crashes []suspect.Crash) {
-	for _, w := range wire {
-		crashes = append(crashes, suspect.Crash(w))
-	}
-	return crashes
-}
-
 func limitsToWire(statements []pool.LimitStatement) (wire []*meshpb.UpstreamLimit) {
 	for _, stated := range statements {
 		wire = append(wire, &meshpb.UpstreamLimit{
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -35,6 +35,22 @@
 // CrashUnder returns the crash of an upstream under a run, by the run's unique id, where it is not known which life ended.
 func CrashUnder(run string) Crash { return Crash(xxhash.Sum64String(run)) }
 
+// Numbers returns the numbers of crashes, for messages.
+func Numbers(crashes []Crash) (numbers []uint64) {
+	for _, crash := range crashes {
+		numbers = append(numbers, uint64(crash))
+	}
+	return numbers
+}
+
+// FromNumbers returns the crashes with these numbers.
+func FromNumbers(numbers []uint64) (crashes []Crash) {
+	for _, number := range numbers {
+		crashes = append(crashes, Crash(number))
+	}
+	return crashes
+}
+
 // Record lists the crashes that a request was in flight at, and those of them that it did not cause. Records of the same
 // request are merged by union, so that it does not matter from whom and how often they come.
 type Record struct {
@@ -98,8 +114,13 @@
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
 	unfinished []unfinished
 	ends       map[traffic.Life]end
+	// droppedAt is when old histories were last dropped.
+	droppedAt time.Time
 }
 
+// dropInterval is how often old histories are dropped. An instance merges the records of hundreds of others many times a second.
+const dropInterval = time.Second
+
 // history is what is known of one request, by any instance.
 type history struct {
 	crashes map[Crash]mark
@@ -194,6 +215,9 @@
 	t.dropOld(now)
 	passedOn := 0
 	for fingerprint, known := range t.histories {
+		if t.isExpired(now, known) {
+			continue
+		}
 		all := known.open() >= t.Settings.AloneAfter && passedOn < maxPassedOn
 		record := Record{
 			Fingerprint: fingerprint,
@@ -297,6 +321,10 @@
 
 // dropOld drops what has expired, and the oldest histories beyond the maximum number.
 func (t *Tracker) dropOld(now time.Time) {
+	if now.Sub(t.droppedAt) < dropInterval && len(t.histories) <= t.Settings.MaxFingerprints {
+		return
+	}
+	t.droppedAt = now
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) {
 			delete(t.histories, fingerprint)
