Hand out no port that a starting process still has a copy of

Cause: a process that another goroutine starts has a copy of all open listeners until it runs its program; that of the check whether a port is free was among them. Ruled out: outgoing connections (from 32768 on), other processes (blocks).

--- a/internal/standin/deployment/address.go
+++ b/internal/standin/deployment/address.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -65,7 +66,11 @@
 
 func portAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
+// isFree checks whether a process can listen at an address. No process may be forked meanwhile: it would have a copy of the
+// listener until it runs its program, and the address would stay in use for so long.
 func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/Shopify/toxiproxy"
@@ -132,8 +133,13 @@
 	return p.inner.Start()
 }
 
-// Stop closes every connection and refuses new ones, as if the process had ended.
-func (p *Proxy) Stop() { p.inner.Stop() }
+// Stop closes every connection and refuses new ones, as if the process had ended. No process may be forked meanwhile: it
+// would have a copy of the listener until it runs its program, and the proxy could not be resumed.
+func (p *Proxy) Stop() {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	p.inner.Stop()
+}
 
 // Resume accepts connections again after Stop, at the same address.
 func (p *Proxy) Resume() error { return p.inner.Start() }
