Log who ended a response before it was complete, and how far it was

Nothing could part the hypotheses: a line named the outcome of an attempt, but not whether the instance, the upstream, the deadline or the caller ended it, how long the upstream had been silent, the last event that the caller has, or the version in force at the end. Now EndedBy, SilentMillis, LastSent and ConfigurationAtEnd stand in Request and in Decision Step=sent, and lacewingd_incomplete_responses counts by who ended them. TestLogNamesWhoEndedAResponse failed to compile before.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -81,7 +81,7 @@
 		}
 		var outcome result
 		outcome, last = j.send(ctx, choice, query)
-		j.received.logLimit(j.step("sent")).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
+		j.logEnd(j.received.logLimit(j.step("sent"))).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
 			Str("Outcome", string(outcome)).Err(last).
 			Str("Framing", string(j.received.framing)).Int("TailBytes", j.received.tail).
 			Int64("RetryAfterMillis", j.received.info.RetryAfter.Milliseconds()).Bool("Leaving", j.received.info.Leaving).
@@ -165,6 +165,7 @@
 		j.runs++
 		j.mayHaveRun = true
 	}
+	j.recordEnd(ctx, began, outcome, err)
 	j.finish(ctx, began, choice.Upstream, query, attempt, outcome, err)
 	return outcome, err
 }
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -72,6 +72,10 @@
 	mixed    bool
 	upstream string
 	received received
+	// endedBy is who ended the last attempt before its response was complete, empty if it is complete or nothing may have
+	// run; silentFor is how long the upstream had sent nothing by then.
+	endedBy   ender
+	silentFor time.Duration
 	// bytes is the number of bytes of the response body that were sent to the caller.
 	bytes int64
 	// cause is the error at the last upstream, if it ended the request.
@@ -129,6 +133,7 @@
 	if err != nil {
 		event = event.Err(err)
 	}
+	event = j.logEnd(event)
 	if j.refusedByTable {
 		event = event.Int64("ConfirmedMillis", j.handler.Fleet.ConfirmedAge().Milliseconds())
 	}
@@ -161,6 +166,9 @@
 	if j.call.LastEventID != "" {
 		scope.Tagged(map[string]string{"status": strconv.Itoa(j.status)}).Counter("resumed_requests").Inc(1)
 	}
+	if j.started && j.endedBy != "" {
+		scope.Tagged(map[string]string{"by": string(j.endedBy)}).Counter("incomplete_responses").Inc(1)
+	}
 	if j.mixed {
 		scope.Counter("mixed_software_streams").Inc(1)
 	}
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -51,6 +51,8 @@
 	framing forward.Framing
 	// tail is the number of bytes after the last complete event of a stream that ended.
 	tail int
+	// lastAt is when the last bytes of the body arrived.
+	lastAt time.Time
 	// ended: the response was read to its end.
 	ended bool
 }
@@ -176,6 +178,9 @@
 	splitter := stream.Splitter{Limit: maxEventBytes}
 	for {
 		n, err := r.response.Body.Read(buffer)
+		if n > 0 {
+			r.job.received.lastAt = time.Now()
+		}
 		events, splitErr := splitter.Add(buffer[:n])
 		if splitErr != nil {
 			return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, splitErr.Error())
