--- /dev/null
+++ b/internal/gateway/serve/attempt.go
@@ -0,0 +1,319 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/caller/stream"
+	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// attempt.go makes one attempt: it sends the call to an upstream, receives the first part of the response, relays it, and
+// records how the attempt ended.
+
+// result is the result of one attempt.
+type result string
+
+const (
+	resultServed      result = "served"
+	resultNotRun      result = "not_run"
+	resultMisdirected result = "missing"
+	resultUnreached   result = "unreached"
+	resultBroken      result = "broken"
+	resultFailed      result = "failed"
+	// resultUnneeded: the attempt was withdrawn because the upstream that was silent before it went on.
+	resultUnneeded result = "unneeded"
+	// resultWithdrawn: nothing was sent, because the upstream does not take requests any more.
+	resultWithdrawn result = "withdrawn"
+)
+
+// mayHaveRun reports whether an attempt with that result, which was made, may have run the request.
+func (r result) mayHaveRun() bool {
+	switch r {
+	case resultServed, resultBroken, resultFailed, resultUnneeded:
+		return true
+	}
+	return false
+}
+
+// Causes for which an attempt is cancelled.
+var (
+	errNoData   = errors.New("upstream sent nothing until another one did")
+	errUnneeded = errors.New("the upstream that was silent went on")
+)
+
+// attempt is one attempt of a request at an upstream.
+type attempt struct {
+	job       *job
+	placement placement
+	counted   *pool.Attempt
+	// requestCtx is the context of the request, ctx that of the attempt.
+	requestCtx context.Context
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	began      time.Time
+	standby    standby
+
+	response *forward.Response
+	received received
+	// first is the first part of the response, which nobody was sent yet: the first events of a stream, or the body.
+	first []byte
+	// ended: the body was read to its end.
+	ended bool
+	// failure is the error after what was read last.
+	failure  error
+	buffer   []byte
+	splitter stream.Splitter
+	// wroteAt is when the last events of the stream were written.
+	wroteAt time.Time
+}
+
+// attemptEnd is how an attempt ended. The successor, if any, has the first part of its response and goes on in its place.
+type attemptEnd struct {
+	outcome   result
+	err       error
+	successor *attempt
+}
+
+// begin counts an attempt as in flight. It returns nil if the upstream does not take the request any more, which may have
+// waited since the upstream was chosen.
+func (j *job) begin(ctx context.Context, chosen placement) *attempt {
+	now := time.Now()
+	upstream := chosen.choice.Upstream
+	a := &attempt{job: j, placement: chosen, requestCtx: ctx, began: now, splitter: stream.Splitter{Limit: maxEventBytes}}
+	a.standby.attempt = a
+	j.attempts++
+	j.handler.State.WithLock(func(state *SharedState) {
+		unadmitted := state.Pool.IsLimited(now, upstream) && !chosen.choice.Limited
+		if state.Pool.IsChoiceValid(now, upstream) && !unadmitted {
+			a.counted = state.Pool.Begin(now, chosen.choice, chosen.query)
+		}
+	})
+	if a.counted == nil {
+		j.retryTaken = j.arrivals+j.inFlight > 0 // the retry that was taken was not made
+		j.tried = append(j.tried, upstream.ID)
+		a.log(resultWithdrawn, nil)
+		return nil
+	}
+	j.inFlight++
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	j.handler.Fleet.NotifyHolder(upstream.ID)
+	return a
+}
+
+// run sends the call and relays the response, unless another upstream goes on in its place.
+func (a *attempt) run() (end attemptEnd) {
+	outcome, err := a.receive()
+	if outcome == "" && err == nil {
+		return a.relayAndSettle()
+	}
+	return a.settle(outcome, err)
+}
+
+// relayAndSettle relays the response, whose first part has been received.
+func (a *attempt) relayAndSettle() attemptEnd {
+	outcome, err := a.relay()
+	return a.settle(outcome, err)
+}
+
+// receive sends the call and receives the first part of the response. The result is empty if the response is to be relayed.
+func (a *attempt) receive() (result, error) {
+	if outcome, err := a.send(); outcome != "" {
+		return outcome, err
+	}
+	switch {
+	case a.response.Status >= http.StatusInternalServerError && a.job.mayRetryFailure():
+		a.drain()
+		return resultFailed, errors.Errorf("upstream responded with status %d", a.response.Status)
+	case a.isStream():
+		return a.receiveEvents()
+	}
+	return a.receiveBody()
+}
+
+// send sends the call and reads the header of the response. The result is empty if the response is one to the call.
+func (a *attempt) send() (result, error) {
+	j := a.job
+	upstream := a.placement.choice.Upstream
+	info := call.Attempt{
+		Upstream:    upstream.ID,
+		Workspace:   j.workspace.Name,
+		Remaining:   time.Until(j.deadline),
+		Priority:    j.priority,
+		Version:     a.placement.query.Version,
+		LastEventID: j.call.LastEventID,
+	}
+	if j.lastEventID != "" {
+		info.LastEventID = j.lastEventID
+	}
+	var response *forward.Response
+	err := a.standby.during(a.firstDataTimeout(), func() (progress bool, err error) {
+		response, err = j.handler.Forward.Do(a.ctx, upstream, j.call, info, !j.route.IsRepeatable())
+		runs := err == nil && !response.Info.NotRun && response.Status < http.StatusInternalServerError
+		return runs, err
+	})
+	if errors.Is(err, forward.ErrNotConnected) {
+		return resultUnreached, err
+	}
+	if err != nil {
+		return resultBroken, err
+	}
+	a.response = response
+	a.received = received{info: response.Info, status: response.Status, framing: response.Framing, lastAt: time.Now()}
+	return a.checkRun(upstream)
+}
+
+// checkRun records what the response states of its upstream, and returns a result if the upstream states that it has not run
+// the request.
+func (a *attempt) checkRun(upstream traffic.Upstream) (result, error) {
+	j := a.job
+	info := a.response.Info
+	j.recordBrittleness(info)
+	if !info.Misdirected { // another upstream may have answered
+		j.handler.RecordStatement(j.call.ID, upstream, info.RetryAfter, info.Leaving)
+		j.recordLimit(upstream, info.Limit, a.began)
+	}
+	switch {
+	case info.Misdirected:
+		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
+	case info.NotRun:
+		load := info.Load
+		j.handler.State.WithLock(func(*SharedState) { a.counted.RecordStatedLoad(load.Running + load.Waiting) })
+		return resultNotRun, errors.Errorf("upstream refused with status %d: %d running and %d waiting requests, %d batch slots",
+			a.response.Status, load.Running, load.Waiting, load.BatchSlots)
+	}
+	return "", nil
+}
+
+// settle ends the attempt and records its result at the pool, the suspect register and the fleet.
+func (a *attempt) settle(outcome result, err error) attemptEnd {
+	j := a.job
+	successor := a.standby.successor
+	if successor != nil {
+		outcome, err = resultBroken, errNoData
+	}
+	if a.response != nil {
+		a.response.Body.Close()
+	}
+	a.cancel(nil)
+	j.inFlight--
+	j.upstream = a.placement.choice.Upstream.ID
+	if outcome != resultUnreached {
+		j.arrivals++
+	}
+	if outcome.mayHaveRun() {
+		j.runs++
+		j.mayHaveRun = true
+	}
+	a.recordEnd(outcome, err)
+	a.finish(outcome)
+	a.log(outcome, err)
+	a.recordTried(outcome)
+	j.handler.Fleet.NotifyHolder(j.upstream)
+	return attemptEnd{outcome: outcome, err: err, successor: successor}
+}
+
+// recordTried excludes the upstream from further attempts, unless it may run the request a moment later.
+func (a *attempt) recordTried(outcome result) {
+	switch outcome {
+	case resultServed, resultUnreached: // an upstream that cannot be reached is avoided for a time
+		return
+	case resultMisdirected:
+		if mayBecomeLoaded(a.placement.choice, a.placement.query) {
+			return
+		}
+	}
+	a.job.tried = append(a.job.tried, a.placement.choice.Upstream.ID)
+}
+
+// mayBecomeLoaded reports whether an upstream that lacked the requested adapter may have it soon: this instance assumed
+// that an adapter was loaded when it was not, and can ask the holder to load it. If the holder has just reported the
+// adapter as loaded, or another upstream has the address, the next attempt would fail too.
+func mayBecomeLoaded(choice pool.Choice, query pool.Query) bool {
+	return query.Adapter.Name != "" && choice.Loaded
+}
+
+// poolEnd returns what the result says about the upstream.
+func (a *attempt) poolEnd(outcome result) pool.End {
+	switch {
+	case outcome == resultServed:
+		return pool.EndServed
+	case a.requestCtx.Err() != nil:
+		return pool.EndOther
+	}
+	switch outcome {
+	case resultFailed, resultBroken:
+		return pool.EndFailed
+	case resultUnreached:
+		return pool.EndUnreachable
+	case resultNotRun:
+		if a.received.info.RetryAfter > 0 {
+			return pool.EndBackpressure
+		}
+		return pool.EndRefused
+	}
+	return pool.EndOther
+}
+
+// finish reports the result to the pool, the suspect register and the fleet.
+func (a *attempt) finish(outcome result) {
+	j := a.job
+	upstream := a.placement.choice.Upstream
+	complete := outcome == resultServed && a.received.provesCompletion()
+	if outcome.mayHaveRun() && !complete {
+		unfinished := suspect.Attempt{CallID: j.call.ID, Fingerprint: j.fingerprint, Began: a.began}
+		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && a.requestCtx.Err() == nil)
+	}
+	cleared := 0
+	j.handler.State.WithLock(func(state *SharedState) {
+		now := time.Now()
+		state.Pool.Finish(now, a.counted, a.poolEnd(outcome))
+		if outcome == resultMisdirected {
+			state.Pool.RecordMissingAdapter(upstream.ID, a.placement.query.Adapter)
+		}
+		if complete {
+			cleared = state.Suspects.RecordCompletion(now, j.fingerprint)
+		}
+	})
+	if cleared > 0 {
+		j.step("cleared").Str("Upstream", upstream.ID).Str("Fingerprint", string(j.fingerprint)).Int("Crashes", cleared).
+			Int("Status", j.status).Str("Framing", string(a.received.framing)).Msg("Decision")
+	}
+}
+
+// log writes the line of the attempt: what decided, and how it ended.
+func (a *attempt) log(outcome result, err error) {
+	choice := a.placement.choice
+	a.job.logEnd(a.received.logLimit(a.job.step("sent"))).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
+		Str("Outcome", string(outcome)).Err(err).
+		Str("Framing", string(a.received.framing)).Int("TailBytes", a.received.tail).
+		Int64("RetryAfterMillis", a.received.info.RetryAfter.Milliseconds()).Bool("Leaving", a.received.info.Leaving).
+		Int("Tokens", a.placement.query.Tokens).Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
+		Float64("Slow", choice.Slowdown).Float64("Failing", choice.FailureRate).
+		Int64("ExpectedMillis", choice.Expected.Milliseconds()).Msg("Decision")
+}
+
+// recordLimit records what the response to an attempt says of its upstream's limit. News go to the upstream's holder, which
+// admits the requests of all instances.
+func (j *job) recordLimit(upstream traffic.Upstream, stated call.Limit, began time.Time) {
+	if j.handler.RecordLimit(j.call.ID, upstream, stated, began) {
+		j.handler.Fleet.NotifyHolder(upstream.ID)
+	}
+}
+
+// recordBrittleness records whether the upstream states that it is brittle.
+func (j *job) recordBrittleness(info call.ResponseInfo) {
+	stated := pool.Brittleness{Brittle: info.Brittle, Rejections: info.Rejections}
+	news := false
+	j.handler.State.WithLock(func(state *SharedState) { news = state.Pool.RecordBrittleness(time.Now(), j.service, stated) })
+	if news {
+		j.handler.Log.Info().Str("Service", j.service).Bool("Brittle", info.Brittle).Int("Rejections", info.Rejections).Msg("Brittleness")
+	}
+}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -6,11 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"lacewingrock.example/lacewingrock/internal/gateway/call"
-	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
-	"lacewingrock.example/lacewingrock/internal/placement/suspect"
 )
 
 // dispatch.go sends a request to upstreams, and retries it where that is allowed and useful.
@@ -24,294 +21,145 @@
 	maxTried = 16
 )
 
-// result is the result of one attempt.
-type result string
-
-const (
-	resultServed      result = "served"
-	resultNotRun      result = "not_run"
-	resultMisdirected result = "missing"
-	resultUnreached   result = "unreached"
-	resultBroken      result = "broken"
-	resultFailed      result = "failed"
-	// resultWithdrawn: nothing was sent, because the upstream does not take requests any more.
-	resultWithdrawn result = "withdrawn"
-)
-
-// mayHaveRun reports whether an attempt with that result, which was made, may have run the request.
-func (r result) mayHaveRun() bool {
-	return r == resultServed || r == resultBroken || r == resultFailed
-}
-
 // run processes the request until it has a response. The error is a refusal, or the cause that broke a started
 // response.
 func (j *job) run(ctx context.Context) error {
-	h := j.handler
 	if err := j.bindResumed(ctx); err != nil {
 		return err
 	}
-	h.State.WithLock(func(state *SharedState) { state.Retries.For(j.service).CountFirstTry() })
+	j.handler.State.WithLock(func(state *SharedState) { state.Retries.For(j.service).CountFirstTry() })
 	var last error
-	for j.attempts < maxAttempts && len(j.tried) < maxTried {
+	for j.hasAttemptsLeft() {
 		if ctx.Err() != nil {
 			return j.expired(ctx)
 		}
-		choice, query, err := j.chooseWithFreshLoad(ctx)
+		chosen, err := j.place(ctx, nil)
 		if err != nil {
-			return j.refuseUnplaced(err, choice, query, last)
-		}
-		if !j.mayHaveRun {
-			if err := j.shedLoad(choice, query); err != nil {
-				return err
-			}
+			return j.refuseUnplaced(err, last)
 		}
-		if !j.ensureReady(ctx, &choice, query) {
-			j.tried = append(j.tried, choice.Upstream.ID)
+		if chosen == nil {
 			continue
 		}
-		if j.arrivals > 0 && !j.retryTaken && !j.takeRetry() {
-			return j.exhausted(last)
+		var end attemptEnd
+		if a := j.begin(ctx, *chosen); a != nil {
+			end = a.run()
 		}
-		j.retryTaken = false
-		if err := j.refuseSuspect(); err != nil {
-			if j.mayHaveRun {
-				return j.exhausted(last)
-			}
-			return err
+		for end.successor != nil {
+			end = end.successor.relayAndSettle()
 		}
-		var outcome result
-		outcome, last = j.send(ctx, choice, query)
-		j.logEnd(j.received.logLimit(j.step("sent"))).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
-			Str("Outcome", string(outcome)).Err(last).
-			Str("Framing", string(j.received.framing)).Int("TailBytes", j.received.tail).
-			Int64("RetryAfterMillis", j.received.info.RetryAfter.Milliseconds()).Bool("Leaving", j.received.info.Leaving).
-			Int("Tokens", query.Tokens).Int("Running", choice.Running).Int("Waiting", choice.Waiting).Bool("Loaded", choice.Loaded).
-			Float64("Slow", choice.Slowdown).Float64("Failing", choice.FailureRate).
-			Int64("ExpectedMillis", choice.Expected.Milliseconds()).Msg("Decision")
-		switch outcome {
-		case resultServed:
-			return nil
-		case resultMisdirected:
-			if !mayBecomeLoaded(choice, query) {
-				j.tried = append(j.tried, choice.Upstream.ID)
-			}
-		case resultUnreached:
-		case resultNotRun:
-			j.tried = append(j.tried, choice.Upstream.ID)
-		case resultWithdrawn:
-			j.tried = append(j.tried, choice.Upstream.ID)
-			j.retryTaken = j.arrivals > 0 // the retry that was taken was not made
-		case resultBroken, resultFailed:
-			j.tried = append(j.tried, choice.Upstream.ID)
-			if ctx.Err() != nil {
-				return j.expired(ctx)
-			}
-			if !j.mayRunAgain() {
-				return j.exhausted(last)
-			}
+		last = end.err
+		if err := j.afterAttempt(ctx, end); err != nil || end.outcome == resultServed {
+			return err
 		}
 	}
 	return j.exhausted(last)
 }
 
-// mayBecomeLoaded reports whether an upstream that lacked the requested adapter may have it soon: this instance assumed
-// that an adapter was loaded when it was not, and can ask the holder to load it. If the holder has just reported the
-// adapter as loaded, or another upstream has the address, the next attempt would fail too.
-func mayBecomeLoaded(choice pool.Choice, query pool.Query) bool {
-	return query.Adapter.Name != "" && choice.Loaded
-}
+// hasAttemptsLeft reports whether the request may be tried at a further upstream, whatever the earlier ones did with it.
+func (j *job) hasAttemptsLeft() bool { return j.attempts < maxAttempts && len(j.tried) < maxTried }
 
-// mayRunAgain reports whether the request may be sent again although it may have run. Only a stream can be resumed once its
-// caller has received a part of it.
-func (j *job) mayRunAgain() bool {
-	if j.started && j.route.Execution != traffic.Streaming {
-		return false
+// afterAttempt returns the refusal of a request that may not be tried again after an attempt.
+func (j *job) afterAttempt(ctx context.Context, end attemptEnd) error {
+	if end.outcome != resultBroken && end.outcome != resultFailed {
+		return nil
 	}
-	if j.begun && j.software == "" {
-		return false
+	if ctx.Err() != nil {
+		return j.expired(ctx)
+	}
+	if !j.mayRunAgain() {
+		return j.exhausted(end.err)
 	}
-	return j.route.IsRepeatable() && j.runs < j.route.MaxAttempts
+	return nil
 }
 
-// takeRetry takes a retry from the retry budget of the service.
-func (j *job) takeRetry() (allowed bool) {
-	j.handler.State.WithLock(func(state *SharedState) { allowed = state.Retries.For(j.service).Allow() })
-	return allowed
+// placement is the upstream for an attempt, which is ready for it.
+type placement struct {
+	choice pool.Choice
+	query  pool.Query
+	inTurn bool
 }
 
-// send makes one attempt and relays its response.
-func (j *job) send(ctx context.Context, choice pool.Choice, query pool.Query) (outcome result, err error) {
-	h := j.handler
-	j.upstream = choice.Upstream.ID
-	j.received = received{}
-	j.attempts++
-	attempt := j.begin(choice, query)
-	if attempt == nil {
-		return resultWithdrawn, nil
-	}
-	h.Fleet.NotifyHolder(choice.Upstream.ID)
-	defer h.Fleet.NotifyHolder(choice.Upstream.ID)
-	exchangeCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	began := time.Now()
-	outcome, err = j.exchange(exchangeCtx, cancel, choice, query, attempt)
-	if err != nil && errors.Is(context.Cause(exchangeCtx), errNoData) {
-		err = errNoData
-	}
-	if outcome != resultUnreached {
-		j.arrivals++
-	}
-	if outcome.mayHaveRun() {
-		j.runs++
-		j.mayHaveRun = true
-	}
-	j.recordEnd(ctx, began, outcome, err)
-	j.finish(ctx, began, choice.Upstream, query, attempt, outcome, err)
-	return outcome, err
-}
+// Reasons why a request has no upstream for an attempt, besides those of the pool.
+var (
+	errNoRetry = errors.New("the retry budget of the service is used up")
+	errTooLate = errors.New("no other upstream would respond before the deadline")
+	errSuspect = errors.New("the request was in flight at several crashes of upstreams")
+)
 
-// begin counts the request as in flight, and returns nil if the upstream does not take it any more: the request may have
-// waited since the upstream was chosen.
-func (j *job) begin(choice pool.Choice, query pool.Query) (attempt *pool.Attempt) {
-	now := time.Now()
-	j.handler.State.WithLock(func(state *SharedState) {
-		unadmitted := state.Pool.IsLimited(now, choice.Upstream) && !choice.Limited
-		if state.Pool.IsChoiceValid(now, choice.Upstream) && !unadmitted {
-			attempt = state.Pool.Begin(now, choice, query)
-		}
-	})
-	return attempt
+// unplacedError is why a request has no upstream for an attempt.
+type unplacedError struct {
+	cause  error
+	choice pool.Choice
+	query  pool.Query
+	// refused is the refusal to send if the request has not run, nil if it follows from the cause.
+	refused error
 }
 
-// finish reports the result of an attempt to the pool, the suspect register and the fleet.
-func (j *job) finish(
-	ctx context.Context, began time.Time, upstream traffic.Upstream, query pool.Query, attempt *pool.Attempt, outcome result, err error,
-) {
-	end := pool.EndOther
-	switch {
-	case outcome == resultServed:
-		end = pool.EndServed
-	case ctx.Err() != nil:
-	case outcome == resultFailed:
-		end = pool.EndFailed
-	case outcome == resultUnreached:
-		end = pool.EndUnreachable
-	case outcome == resultBroken:
-		end = pool.EndFailed
-	case outcome == resultNotRun && j.received.info.RetryAfter > 0:
-		end = pool.EndBackpressure
-	case outcome == resultNotRun:
-		end = pool.EndRefused
-	}
-	if errors.Is(err, errNoData) {
-		j.handler.Fleet.VerifyLink(upstream)
-	}
-	complete := outcome == resultServed && j.received.provesCompletion()
-	if outcome.mayHaveRun() && !complete {
-		unfinished := suspect.Attempt{CallID: j.call.ID, Fingerprint: j.fingerprint, Began: began}
-		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && ctx.Err() == nil)
-	}
-	cleared := 0
-	j.handler.State.WithLock(func(state *SharedState) {
-		now := time.Now()
-		state.Pool.Finish(now, attempt, end)
-		if outcome == resultMisdirected {
-			state.Pool.RecordMissingAdapter(upstream.ID, query.Adapter)
-		}
-		if complete {
-			cleared = state.Suspects.RecordCompletion(now, j.fingerprint)
-		}
-	})
-	if cleared > 0 {
-		j.step("cleared").Str("Upstream", upstream.ID).Str("Fingerprint", string(j.fingerprint)).Int("Crashes", cleared).
-			Int("Status", j.status).Str("Framing", string(j.received.framing)).Msg("Decision")
-	}
-}
+// Error implements error.
+func (e *unplacedError) Error() string { return e.cause.Error() }
 
-// exchange sends the call and relays the response.
-func (j *job) exchange(
-	ctx context.Context, cancel context.CancelCauseFunc, choice pool.Choice, query pool.Query, attempt *pool.Attempt,
-) (result, error) {
-	info := call.Attempt{
-		Upstream:    choice.Upstream.ID,
-		Workspace:   j.workspace.Name,
-		Remaining:   time.Until(j.deadline),
-		Priority:    j.priority,
-		Version:     query.Version,
-		LastEventID: j.call.LastEventID,
+// place chooses an upstream for the next attempt, has it prepared, and takes a retry from the budget if the request was sent
+// before. It returns nil if the chosen upstream could not be prepared; the next call chooses another. The parameter beside is an
+// attempt that is in flight meanwhile, nil if there is none. The error is an *unplacedError.
+func (j *job) place(ctx context.Context, beside *attempt) (*placement, error) {
+	choice, query, err := j.chooseWithFreshLoad(ctx, beside)
+	if err != nil {
+		return nil, &unplacedError{cause: err, choice: choice, query: query}
 	}
-	if j.lastEventID != "" {
-		info.LastEventID = j.lastEventID
+	if beside != nil && choice.Expected > time.Until(j.deadline) {
+		return nil, &unplacedError{cause: errTooLate}
 	}
-	silenceTimer := time.AfterFunc(j.silenceTimeout(choice), func() { cancel(errNoData) })
-	defer silenceTimer.Stop()
-	began := time.Now()
-	response, err := j.handler.Forward.Do(ctx, choice.Upstream, j.call, info, !j.route.IsRepeatable())
-	if err != nil {
-		if errors.Is(err, forward.ErrNotConnected) {
-			return resultUnreached, err
+	if !j.mayHaveRun && j.inFlight == 0 {
+		if err := j.shedLoad(choice, query); err != nil {
+			return nil, &unplacedError{cause: err, refused: err}
 		}
-		return resultBroken, err
 	}
-	defer response.Body.Close()
-	j.received = received{info: response.Info, status: response.Status, framing: response.Framing}
-	j.recordBrittleness(response.Info)
-	if !response.Info.Misdirected { // another upstream may have answered
-		j.handler.RecordStatement(j.call.ID, choice.Upstream, response.Info.RetryAfter, response.Info.Leaving)
-		j.recordLimit(choice.Upstream, response.Info.Limit, began)
+	chosen := &placement{choice: choice, query: query}
+	if !j.ensureReady(ctx, chosen) {
+		j.tried = append(j.tried, choice.Upstream.ID)
+		return nil, nil
 	}
-	switch {
-	case response.Info.Misdirected:
-		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
-	case response.Info.NotRun:
-		load := response.Info.Load
-		j.handler.State.WithLock(func(*SharedState) { attempt.RecordStatedLoad(load.Running + load.Waiting) })
-		return resultNotRun, errors.Errorf("upstream refused with status %d: %d running and %d waiting requests, %d batch slots",
-			response.Status, load.Running, load.Waiting, load.BatchSlots)
+	if j.arrivals+j.inFlight > 0 && !j.retryTaken && !j.takeRetry() {
+		return nil, &unplacedError{cause: errNoRetry}
 	}
-	relay := relay{job: j, response: response, attempt: attempt, upstream: choice.Upstream, silenceTimer: silenceTimer}
-	return relay.run()
+	j.retryTaken = false
+	if err := j.refuseSuspect(); err != nil {
+		return nil, &unplacedError{cause: errSuspect, refused: err}
+	}
+	return chosen, nil
 }
 
-// recordLimit records what the response to an attempt says of its upstream's limit. News go to the upstream's holder, which
-// admits the requests of all instances.
-func (j *job) recordLimit(upstream traffic.Upstream, stated call.Limit, began time.Time) {
-	if j.handler.RecordLimit(j.call.ID, upstream, stated, began) {
-		j.handler.Fleet.NotifyHolder(upstream.ID)
+// mayRunAgain reports whether the request may be sent again although it may have run, or runs. Only a stream can be resumed
+// once its caller has received a part of it.
+func (j *job) mayRunAgain() bool {
+	if j.started && j.route.Execution != traffic.Streaming {
+		return false
 	}
+	if j.begun && j.software == "" {
+		return false
+	}
+	return j.route.IsRepeatable() && j.runs+j.inFlight < j.route.MaxAttempts
 }
 
-// recordBrittleness records whether the upstream states that it is brittle.
-func (j *job) recordBrittleness(info call.ResponseInfo) {
-	stated := pool.Brittleness{Brittle: info.Brittle, Rejections: info.Rejections}
-	news := false
-	j.handler.State.WithLock(func(state *SharedState) { news = state.Pool.RecordBrittleness(time.Now(), j.service, stated) })
-	if news {
-		j.handler.Log.Info().Str("Service", j.service).Bool("Brittle", info.Brittle).Int("Rejections", info.Rejections).Msg("Brittleness")
+// mayRetryFailure reports whether a failure response of the upstream is dropped for another attempt, and takes that
+// retry from the budget. The decision is made first because after the response is dropped there is nothing else to send
+// to the caller.
+func (j *job) mayRetryFailure() bool {
+	if j.started {
+		return true // a failure in the middle of a stream cannot be forwarded
+	}
+	if !j.route.IsRepeatable() || j.runs+j.inFlight >= j.route.MaxAttempts || time.Until(j.deadline) < minRetryTime {
+		return false
 	}
+	j.retryTaken = j.takeRetry()
+	return j.retryTaken
 }
 
-var errNoData = errors.New("upstream sent nothing within the time-out")
-
-const (
-	// minSilence is the minimum time that an upstream may send nothing before a request that may run again is sent to
-	// another one. silenceFactor is the same as a multiple of the expected time.
-	minSilence    = 1200 * time.Millisecond
-	silenceFactor = 4
-	// minPlainSilence replaces minSilence for plain calls, which take some ten milliseconds.
-	minPlainSilence = 400 * time.Millisecond
-)
+// minRetryTime is the least time until the deadline that makes another attempt useful.
+const minRetryTime = 30 * time.Millisecond
 
-// silenceTimeout returns how long the upstream may send nothing. A request that may not run again waits until its
-// deadline: cancelling it would lose a response that may still arrive.
-func (j *job) silenceTimeout(choice pool.Choice) time.Duration {
-	remaining := time.Until(j.deadline)
-	if !j.route.IsRepeatable() || j.runs+1 >= j.route.MaxAttempts {
-		return remaining + time.Second
-	}
-	shortest := minSilence
-	if j.route.Execution != traffic.Streaming {
-		shortest = minPlainSilence
-	}
-	return max(shortest, silenceFactor*choice.Expected)
+// takeRetry takes a retry from the retry budget of the service.
+func (j *job) takeRetry() (allowed bool) {
+	j.handler.State.WithLock(func(state *SharedState) { allowed = state.Retries.For(j.service).Allow() })
+	return allowed
 }
--- a/internal/gateway/serve/first_event_test.go
+++ b/internal/gateway/serve/first_event_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
@@ -29,11 +28,12 @@
 		upstream := traffic.Upstream{ID: "u", Service: "s", StartedMillis: 1}
 		state.Pool.Declare(time.Now(), upstream)
 		fleet := &notifications{}
-		j := &job{handler: &Handler{Fleet: fleet, State: state}, startedAt: time.Now(), upstream: "u", inTurn: inTurn}
-		attempt := state.Pool.Begin(time.Now(), pool.Choice{Upstream: upstream}, pool.Query{Service: "s"})
-		r := &relay{job: j, response: &forward.Response{}, attempt: attempt}
-		r.recordEvent()
-		r.recordEvent() // later events cause no notification
+		j := &job{handler: &Handler{Fleet: fleet, State: state}, startedAt: time.Now()}
+		chosen := placement{choice: pool.Choice{Upstream: upstream}, query: pool.Query{Service: "s"}, inTurn: inTurn}
+		counted := state.Pool.Begin(time.Now(), chosen.choice, chosen.query)
+		a := &attempt{job: j, placement: chosen, counted: counted}
+		a.recordEvent()
+		a.recordEvent() // later events cause no notification
 		want := 0
 		if inTurn {
 			want = 1
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -41,14 +41,13 @@
 	// shortestWait is the shortest wait for an adapter slot or a prefill turn that a holder stated when it had none; 0
 	// if none did.
 	shortestWait time.Duration
-	// attempts counts the attempts, arrivals the attempts that may have reached an upstream, and runs those in which the
-	// request may have run.
+	// attempts counts the attempts, inFlight those that have not ended. Of those that have, arrivals counts the ones that may
+	// have reached an upstream, and runs the ones in which the request may have run.
 	attempts   int
+	inFlight   int
 	arrivals   int
 	runs       int
 	mayHaveRun bool
-	// inTurn: the prompt has waited for its prefill turn, and the next prompt waits for the first event of this one.
-	inTurn bool
 	// retryTaken: the next attempt was already taken from the retry budget.
 	retryTaken bool
 	// acceptsChunks: the caller speaks HTTP/1.1.
@@ -71,7 +70,6 @@
 	recorded bool
 	mixed    bool
 	upstream string
-	received received
 	// endedBy is who ended the last attempt before its response was complete, empty if it is complete or nothing may have
 	// run; silentFor is how long the upstream had sent nothing by then.
 	endedBy   ender
@@ -177,6 +175,13 @@
 	}
 }
 
+// recordFirstByte records when the caller gets the first part of the response.
+func (j *job) recordFirstByte() {
+	if j.firstByte.IsZero() {
+		j.firstByte = time.Now()
+	}
+}
+
 // step logs one decision about the request.
 func (j *job) step(name string) *zerolog.Event {
 	return j.handler.Log.Info().Str(logline.FieldRequest, j.call.ID).Str("Step", name)
--- a/internal/gateway/serve/job_refusals.go
+++ b/internal/gateway/serve/job_refusals.go
@@ -35,21 +35,34 @@
 	return refusal.New(refusal.Cancelled, "the caller closed the connection")
 }
 
-// refuseUnplaced returns the refusal for a request if no upstream can be chosen.
-func (j *job) refuseUnplaced(cause error, choice pool.Choice, query pool.Query, last error) error {
+// refuseUnplaced returns the refusal for a request that has no upstream for an attempt. The parameter last is how its last
+// attempt ended, if there was one.
+func (j *job) refuseUnplaced(err, last error) error {
+	var unplaced *unplacedError
+	if !errors.As(err, &unplaced) || errors.Is(unplaced.cause, errNoRetry) {
+		return j.exhausted(last)
+	}
+	if unplaced.refused != nil && !j.mayHaveRun {
+		return unplaced.refused
+	}
 	if j.mayHaveRun || j.shortestWait > 0 {
 		return j.exhausted(last)
 	}
+	return j.refuseWithoutUpstream(unplaced)
+}
+
+// refuseWithoutUpstream returns the refusal for a request that has not run if no upstream can be chosen.
+func (j *job) refuseWithoutUpstream(unplaced *unplacedError) error {
 	if wait := j.backpressureWait(); wait > 0 {
 		return refusal.New(refusal.Busy, "the upstreams have asked for no requests").WithRetryAfter(wait)
 	}
 	if wait := j.limitWait(); wait > 0 {
 		return refusal.New(refusal.Busy, "the upstreams have limited their requests").WithRetryAfter(wait)
 	}
-	if errors.Is(cause, pool.ErrFull) {
+	if errors.Is(unplaced.cause, pool.ErrFull) {
 		var retryAfter time.Duration
-		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), query) })
-		j.step("full").Str("Upstream", choice.Upstream.ID).Int("Running", choice.Running).
+		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), unplaced.query) })
+		j.step("full").Str("Upstream", unplaced.choice.Upstream.ID).Int("Running", unplaced.choice.Running).
 			Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
 		return refusal.New(refusal.Busy, "the upstreams are full").WithRetryAfter(retryAfter)
 	}
--- a/internal/gateway/serve/pause_test.go
+++ b/internal/gateway/serve/pause_test.go
@@ -30,11 +30,11 @@
 				j := &job{route: route, startedAt: time.Now()}
 				time.Sleep(c.first)
 				j.firstByte = time.Now()
-				r := &relay{job: j}
-				r.measurePause(time.Now())
+				a := &attempt{job: j}
+				a.measurePause(time.Now())
 				for _, pause := range c.pauses {
 					time.Sleep(pause)
-					r.measurePause(time.Now())
+					a.measurePause(time.Now())
 				}
 				is.Equal(j.isOnTime(), c.onTime)
 			})
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -22,10 +22,10 @@
 // This matters for popular adapters. Load reports between instances are a quarter of a second old in a small fleet and
 // some seconds old in a large one. All instances would send to the upstream that looked best at that time, where
 // prompts queue while the next upstream is idle.
-func (j *job) chooseWithFreshLoad(ctx context.Context) (choice pool.Choice, query pool.Query, err error) {
+func (j *job) chooseWithFreshLoad(ctx context.Context, beside *attempt) (choice pool.Choice, query pool.Query, err error) {
 	var queried []string
 	for len(queried) < maxQueries {
-		choice, query, err = j.choose(nil)
+		choice, query, err = j.choose(beside, nil)
 		known := !choice.LoadStale || slices.Contains(queried, choice.Upstream.ID)
 		if err != nil || known {
 			return choice, query, err
@@ -35,11 +35,12 @@
 	}
 	// An upstream that was not queried would look idle just because its load is stale, so choose among the queried
 	// ones.
-	return j.choose(queried)
+	return j.choose(beside, queried)
 }
 
-// choose picks an upstream, from the candidates if any are given.
-func (j *job) choose(candidates []string) (choice pool.Choice, query pool.Query, err error) {
+// choose picks an upstream, from the candidates if any are given. It picks another one than that of the attempt beside, and
+// none that is silent as well.
+func (j *job) choose(beside *attempt, candidates []string) (choice pool.Choice, query pool.Query, err error) {
 	newest, required := j.handler.Fleet.NewestVersion(j.call.Generation.Adapter)
 	query = pool.Query{
 		Service:    j.service,
@@ -57,6 +58,10 @@
 	if required {
 		query.Version = newest
 	}
+	if beside != nil {
+		query.Exclude = append(slices.Clone(j.tried), beside.placement.choice.Upstream.ID)
+		query.MaxSilence = alternativeSilence
+	}
 	j.handler.State.WithLock(func(state *SharedState) { choice, err = state.Pool.Choose(time.Now(), query) })
 	return choice, query, err
 }
@@ -84,42 +89,44 @@
 
 // ensureReady has the adapter loaded at the chosen upstream, waits for the prefill turn if prompts take turns there, and
 // has the request admitted if the upstream is cold, brittle or limited.
-func (j *job) ensureReady(ctx context.Context, choice *pool.Choice, query pool.Query) bool {
+func (j *job) ensureReady(ctx context.Context, chosen *placement) bool {
+	choice, query := chosen.choice, chosen.query
 	j.handler.State.WithLock(func(state *SharedState) {
-		j.inTurn = query.Adapter.Model != "" && state.Pool.PromptsTakeTurns(query.Service)
+		chosen.inTurn = query.Adapter.Model != "" && state.Pool.PromptsTakeTurns(query.Service)
 	})
+	needsHolder := !choice.Loaded || chosen.inTurn || choice.Cold || choice.Brittle || choice.Limited
+	return !needsHolder || j.prepare(ctx, *chosen)
+}
+
+// prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if prompts take turns.
+func (j *job) prepare(ctx context.Context, chosen placement) bool {
+	choice, query := chosen.choice, chosen.query
 	tokens := 0
-	if j.inTurn {
+	if chosen.inTurn {
 		tokens = query.Tokens
 	}
-	needsHolder := !choice.Loaded || j.inTurn || choice.Cold || choice.Brittle || choice.Limited
-	return !needsHolder || j.prepare(ctx, choice, query, tokens)
-}
-
-// prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if tokens is not 0.
-func (j *job) prepare(ctx context.Context, choice *pool.Choice, query pool.Query, tokens int) bool {
 	start := time.Now()
 	var limits []pool.LimitStatement
 	j.handler.State.WithLock(func(state *SharedState) {
 		limits = state.Pool.Limits(start, func(upstream string) bool { return upstream == choice.Upstream.ID })
 	})
-	waiting := j.beginPreparing(*choice, query)
+	waiting := j.beginPreparing(chosen)
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
 		Adapter:  query.Adapter,
 		Version:  query.Version,
-		MaxWait:  j.holderTimeout(*choice),
-		OnTime:   j.onTimeFor(*choice),
+		MaxWait:  j.holderTimeout(choice),
+		OnTime:   j.onTimeFor(choice),
 		Priority: j.priority,
 		Tokens:   tokens,
 		Limits:   limits,
 	})
-	j.endPreparing(*choice, waiting)
+	j.endPreparing(choice, waiting)
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.SlotWait.Milliseconds()).Int64("TookMillis", time.Since(start).Milliseconds()).Msg("Decision")
 	if busy, refused := prepared.(mesh.Busy); refused {
-		j.recordBusy(*choice, busy)
+		j.recordBusy(choice, busy)
 	}
 	_, notHeld := prepared.(mesh.NotHolder)
 	if !ok && (!notHeld || !choice.Loaded || choice.Cold || choice.Brittle) { // without a holder no prefill turns are granted
@@ -140,14 +147,15 @@
 
 // beginPreparing counts the prompt as in flight before it is sent, and reports it to the holder. If prompts take turns,
 // the holder counts it itself.
-func (j *job) beginPreparing(choice pool.Choice, query pool.Query) (waiting pool.Preparation) {
-	tokens := query.Tokens
-	if j.inTurn {
+func (j *job) beginPreparing(chosen placement) (waiting pool.Preparation) {
+	upstream := chosen.choice.Upstream.ID
+	tokens := chosen.query.Tokens
+	if chosen.inTurn {
 		tokens = 0
 	}
-	j.handler.State.WithLock(func(state *SharedState) { waiting = state.Pool.Prepare(choice.Upstream.ID, tokens) })
+	j.handler.State.WithLock(func(state *SharedState) { waiting = state.Pool.Prepare(upstream, tokens) })
 	if tokens > 0 {
-		j.handler.Fleet.NotifyHolder(choice.Upstream.ID)
+		j.handler.Fleet.NotifyHolder(upstream)
 	}
 	return waiting
 }
--- a/internal/gateway/serve/ready_test.go
+++ b/internal/gateway/serve/ready_test.go
@@ -59,7 +59,7 @@
 			}
 			h := &Handler{Fleet: holderless{beforeReply: drain}, State: state, Log: zerolog.Nop()}
 			j := &job{handler: h, startedAt: time.Now(), deadline: time.Now().Add(time.Second)}
-			is.Equal(j.ensureReady(t.Context(), &choice, query), c.ready)
+			is.Equal(j.ensureReady(t.Context(), &placement{choice: choice, query: query}), c.ready)
 		})
 	}
 }
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -10,14 +10,12 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"lacewingrock.example/lacewingrock/internal/caller/stream"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
-	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
 
-// relay.go forwards an upstream's response to the caller: complete, or event by event.
+// relay.go receives an upstream's response and forwards it to the caller: complete, or event by event.
 
 const (
 	// maxBuffered is the maximum length of a response that is read completely before any of it is forwarded. If such a
@@ -27,24 +25,9 @@
 	chunkBytes = 16 << 10
 	// maxEventBytes bounds one event of a stream, which is held until it is complete.
 	maxEventBytes = 4 << 20
-	// minEventSilence is the minimum time that a running stream may pause, and eventSilencePauses is the same as a
-	// multiple of the longest pause of its route. Callers time out after two seconds or eight such pauses, so a stream
-	// that is resumed in time still reaches them.
-	minEventSilence    = 1200 * time.Millisecond
-	eventSilencePauses = 4
 )
 
-type relay struct {
-	job          *job
-	response     *forward.Response
-	attempt      *pool.Attempt
-	upstream     traffic.Upstream
-	silenceTimer *time.Timer
-	// wroteAt is when the last events of the stream were written.
-	wroteAt time.Time
-}
-
-// received describes the last response, for the log.
+// received describes the response to an attempt, for the log.
 type received struct {
 	info    call.ResponseInfo
 	status  int
@@ -74,147 +57,191 @@
 	return event
 }
 
-// run relays the response.
-func (r *relay) run() (result, error) {
-	if r.response.Status >= http.StatusInternalServerError && r.job.mayRetryFailure() {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.response.Body, chunkBytes)) // drained, so that the connection can be reused
-		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
+// isStream reports whether the response is a stream of events.
+func (a *attempt) isStream() bool {
+	return a.job.route.Execution == traffic.Streaming && a.response.Status < http.StatusMultipleChoices
+}
+
+// receiveBody receives a response that is not a stream, up to maxBuffered.
+func (a *attempt) receiveBody() (result, error) {
+	for len(a.first) < maxBuffered && !a.ended {
+		data, err := a.read(a.firstDataTimeout())
+		if err != nil {
+			return resultBroken, err
+		}
+		a.first = append(a.first, data...)
 	}
-	if r.job.route.Execution == traffic.Streaming && r.response.Status < http.StatusMultipleChoices {
-		return r.stream()
+	a.received.ended = a.ended
+	a.recordEvent()
+	if a.job.started {
+		return resultFailed, errors.Errorf("upstream responded with status %d", a.response.Status)
 	}
-	return r.buffered()
+	return "", nil
 }
 
-// mayRetryFailure reports whether a failure response of the upstream is dropped for another attempt, and takes that
-// retry from the budget. The decision is made first because after the response is dropped there is nothing else to send
-// to the caller.
-func (j *job) mayRetryFailure() bool {
-	if j.started {
-		return true // a failure in the middle of a stream cannot be forwarded
-	}
-	if !j.route.IsRepeatable() || j.runs+1 >= j.route.MaxAttempts || time.Until(j.deadline) < minRetryTime {
-		return false
-	}
-	j.retryTaken = j.takeRetry()
-	return j.retryTaken
+// read reads a part of the body, which is valid until the next call.
+func (a *attempt) read(timeout time.Duration) (data []byte, err error) {
+	if a.failure != nil {
+		return nil, a.failure
+	}
+	if a.buffer == nil {
+		a.buffer = make([]byte, chunkBytes)
+	}
+	n := 0
+	err = a.standby.during(timeout, func() (progress bool, err error) {
+		n, err = a.response.Body.Read(a.buffer)
+		isEnd := errors.Is(err, io.EOF) && a.splitter.Incomplete() == 0
+		return n > 0 || isEnd, err
+	})
+	if n > 0 {
+		a.received.lastAt = time.Now()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		a.ended = true
+		err = nil
+	case n > 0 && !errors.Is(err, errNoData):
+		a.failure = err
+		err = nil
+	}
+	return a.buffer[:n], err
 }
 
-// minRetryTime is the least time until the deadline that makes another attempt useful.
-const minRetryTime = 30 * time.Millisecond
-
-// buffered forwards a response that is not a stream.
-func (r *relay) buffered() (result, error) {
-	j := r.job
-	body, err := io.ReadAll(io.LimitReader(r.response.Body, maxBuffered))
+// receiveEvents receives the first events of a stream.
+func (a *attempt) receiveEvents() (result, error) {
+	events, err := a.nextEvents(a.firstDataTimeout())
+	if err == nil && a.ended && len(events) == 0 {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		return resultBroken, err
 	}
-	r.silenceTimer.Stop()
-	r.recordEvent()
-	truncated := len(body) == maxBuffered
-	j.received.ended = !truncated
-	if j.started {
-		return resultFailed, errors.Errorf("upstream responded with status %d", r.response.Status)
+	a.first = events
+	return "", nil
+}
+
+// nextEvents receives further events of a stream, at least one unless the stream ends. They are valid until the next call.
+// Only complete events are forwarded: a partial event is sent again by the upstream where the stream is resumed.
+func (a *attempt) nextEvents(timeout time.Duration) (events []byte, err error) {
+	for len(events) == 0 && !a.ended {
+		data, err := a.read(timeout)
+		if err != nil {
+			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
+		}
+		if events, err = a.splitter.Add(data); err != nil {
+			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
+		}
 	}
-	r.copyHeader(!truncated)
-	if !truncated && r.response.Framing == forward.FramingChunks {
-		j.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if len(events) > 0 || a.ended && a.checkEnd() == nil {
+		a.recordEvent()
 	}
-	j.start(r.response)
-	if err := j.write(body); err != nil {
-		return resultServed, nil // the caller has disconnected; the upstream's response was complete
+	return events, nil
+}
+
+// checkEnd checks the end of a stream whose input has ended in order. An upstream that crashes may end its responses so,
+// whatever their framing, and only what was received shows that the stream was broken.
+func (a *attempt) checkEnd() error {
+	a.received.tail = a.splitter.Incomplete()
+	if a.received.tail > 0 {
+		return errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
 	}
-	if truncated {
-		if err := r.remainder(); err != nil {
-			return resultBroken, err
-		}
+	if a.response.Framing == forward.FramingClose && (a.wroteAt.IsZero() || !a.job.endsWithConnection) {
+		// Without an event nothing was sent, and with chunks the end would be a claim.
+		return errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
 	}
-	return r.finalResult(), nil
+	return nil
 }
 
-// finalResult returns the result of a complete response, and records that the request may have run if it failed.
-func (r *relay) finalResult() result {
-	if r.response.Status >= http.StatusInternalServerError {
-		r.job.mayHaveRun = true
+// recordEvent records that the upstream has sent events, or the whole response.
+func (a *attempt) recordEvent() {
+	first := false
+	a.job.handler.State.WithLock(func(*SharedState) { first = a.counted.RecordAnswer(time.Now()) })
+	if first && a.placement.inTurn {
+		a.job.handler.Fleet.NotifyHolder(a.placement.choice.Upstream.ID)
 	}
-	return resultServed
 }
 
-// remainder forwards the rest of a long response.
-func (r *relay) remainder() error {
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := r.response.Body.Read(buffer)
-		if n > 0 {
-			if err := r.job.write(buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			r.job.received.ended = true
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+// drain reads a response that is dropped, so that the connection can be reused.
+func (a *attempt) drain() {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, chunkBytes))
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// relay forwards the response, whose first part has been received.
+func (a *attempt) relay() (result, error) {
+	if a.isStream() {
+		return a.relayEvents()
 	}
+	return a.relayBody()
 }
 
-// recordPause records, once a stream has ended, whether it paused for longer than its route allows.
-func (r *relay) recordPause() {
-	if r.job.route.MaxPause <= 0 {
-		return
+// relayBody forwards a response that is not a stream.
+func (a *attempt) relayBody() (result, error) {
+	j := a.job
+	j.recordFirstByte()
+	a.copyHeader(a.ended)
+	if a.ended && a.response.Framing == forward.FramingChunks {
+		j.writer.Header().Set("Content-Length", strconv.Itoa(len(a.first)))
+	}
+	j.start(a.response)
+	if err := j.write(a.first); err != nil {
+		if a.ended {
+			return resultServed, nil // the caller has disconnected; the upstream's response was complete
+		}
+		return resultServed, errCallerDisconnected
+	}
+	if err := a.relayRemainder(); err != nil {
+		return resultBroken, err
 	}
-	late := r.job.longestPause > r.job.route.MaxPause
-	r.job.handler.State.WithLock(func(*SharedState) { r.attempt.RecordPause(late) })
+	if a.response.Status >= http.StatusInternalServerError {
+		j.mayHaveRun = true
+	}
+	return resultServed, nil
 }
 
-// stream forwards events as they arrive. Only complete events are written: a partial event is sent again by the
-// upstream where the stream is resumed.
-func (r *relay) stream() (result, error) {
-	defer r.recordPause()
-	buffer := make([]byte, chunkBytes)
-	splitter := stream.Splitter{Limit: maxEventBytes}
-	for {
-		n, err := r.response.Body.Read(buffer)
-		if n > 0 {
-			r.job.received.lastAt = time.Now()
+// relayRemainder forwards the rest of a long response.
+func (a *attempt) relayRemainder() error {
+	for !a.ended {
+		data, err := a.read(a.firstDataTimeout())
+		if err != nil {
+			return err
 		}
-		events, splitErr := splitter.Add(buffer[:n])
-		if splitErr != nil {
-			return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, splitErr.Error())
+		if err := a.job.write(data); err != nil {
+			return err
 		}
+	}
+	a.received.ended = true
+	return nil
+}
+
+// relayEvents forwards events as they arrive.
+func (a *attempt) relayEvents() (result, error) {
+	defer a.recordPause()
+	events := a.first
+	for {
 		if len(events) > 0 {
-			r.recordEvent()
-			r.silenceTimer.Reset(max(minEventSilence, eventSilencePauses*r.job.route.MaxPause))
-			if err := r.writeEvents(events); err != nil {
+			if err := a.writeEvents(events); err != nil {
 				return resultServed, errCallerDisconnected
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return r.endStream(splitter.Incomplete())
+		if a.ended {
+			return a.endStream()
 		}
-		if err != nil {
-			return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
+		var err error
+		if events, err = a.nextEvents(a.pauseTimeout()); err != nil {
+			return resultBroken, err
 		}
 	}
 }
 
-// endStream ends a stream whose input has ended in order, with some bytes after its last complete event. An upstream that
-// crashes may end its responses so, whatever their framing, and only what was received shows that the stream was broken.
-func (r *relay) endStream(incomplete int) (result, error) {
-	r.job.received.tail = incomplete
-	if incomplete > 0 {
-		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
-	}
-	if r.response.Framing == forward.FramingClose && (r.wroteAt.IsZero() || !r.job.endsWithConnection) {
-		// Without an event nothing was sent, and with chunks the end would be a claim.
-		return resultBroken, errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
+// endStream ends the stream for the caller.
+func (a *attempt) endStream() (result, error) {
+	if err := a.checkEnd(); err != nil {
+		return resultBroken, err
 	}
-	r.job.received.ended = true
-	r.recordEvent()
-	if err := r.writeEvents(nil); err != nil {
+	a.received.ended = true
+	if err := a.writeEvents(nil); err != nil {
 		return resultServed, errCallerDisconnected
 	}
 	return resultServed, nil
@@ -223,30 +250,40 @@
 var errCallerDisconnected = errors.New("the caller has disconnected")
 
 // writeEvents writes complete events, and the header before the first of them.
-func (r *relay) writeEvents(data []byte) error {
-	j := r.job
+func (a *attempt) writeEvents(data []byte) error {
+	j := a.job
+	j.recordFirstByte()
 	if !j.started {
-		r.copyHeader(false)
-		j.start(r.response)
+		a.copyHeader(false)
+		j.start(a.response)
 	}
 	if len(data) == 0 {
 		return nil
 	}
-	j.recordOrigin(r.upstream)
+	j.recordOrigin(a.placement.choice.Upstream)
 	if err := j.write(data); err != nil {
 		return err
 	}
-	r.measurePause(time.Now())
+	a.measurePause(time.Now())
 	if id := lastID(data); id != "" {
 		j.lastEventID = id
 	}
 	return http.NewResponseController(j.writer).Flush()
 }
 
+// recordPause records, once a stream has ended, whether it paused for longer than its route allows.
+func (a *attempt) recordPause() {
+	if a.job.route.MaxPause <= 0 {
+		return
+	}
+	late := a.job.longestPause > a.job.route.MaxPause
+	a.job.handler.State.WithLock(func(*SharedState) { a.counted.RecordPause(late) })
+}
+
 // copyHeader copies the upstream's headers, except hop-by-hop headers.
-func (r *relay) copyHeader(withLength bool) {
-	header := r.job.writer.Header()
-	for name, values := range r.response.Header {
+func (a *attempt) copyHeader(withLength bool) {
+	header := a.job.writer.Header()
+	for name, values := range a.response.Header {
 		switch name {
 		case "Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection":
 			continue
@@ -262,25 +299,13 @@
 	}
 }
 
-func (r *relay) recordEvent() {
-	now := time.Now()
-	if r.job.firstByte.IsZero() {
-		r.job.firstByte = now
-	}
-	first := false
-	r.job.handler.State.WithLock(func(*SharedState) { first = r.attempt.RecordAnswer(now) })
-	if first && r.job.inTurn {
-		r.job.handler.Fleet.NotifyHolder(r.job.upstream)
-	}
-}
-
 // measurePause measures the pauses between events. A stream with a pause that is longer than its route allows is late,
 // however early its first event was.
-func (r *relay) measurePause(now time.Time) {
-	if !r.wroteAt.IsZero() {
-		r.job.longestPause = max(r.job.longestPause, now.Sub(r.wroteAt))
+func (a *attempt) measurePause(now time.Time) {
+	if !a.wroteAt.IsZero() {
+		a.job.longestPause = max(a.job.longestPause, now.Sub(a.wroteAt))
 	}
-	r.wroteAt = now
+	a.wroteAt = now
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/internal/gateway/serve/response_end.go
+++ b/internal/gateway/serve/response_end.go
@@ -17,7 +17,7 @@
 	endedByUpstream ender = "upstream"
 	endedByCaller   ender = "caller"
 	endedByDeadline ender = "deadline"
-	// endedBySilence: this instance gave up an upstream because it sent nothing.
+	// endedBySilence: another upstream went on in place of one that sent nothing.
 	endedBySilence ender = "silence"
 )
 
@@ -36,18 +36,15 @@
 	return endedByUpstream
 }
 
-// recordEnd records who ended the last attempt, and how long its upstream had sent nothing by then.
-func (j *job) recordEnd(ctx context.Context, began time.Time, outcome result, err error) {
+// recordEnd records who ended the attempt, and how long its upstream had sent nothing by then.
+func (a *attempt) recordEnd(outcome result, err error) {
+	j := a.job
 	j.endedBy = ""
 	if !outcome.mayHaveRun() || err == nil {
 		return
 	}
-	j.endedBy = attemptEnder(ctx, err)
-	last := began
-	if j.received.lastAt.After(last) {
-		last = j.received.lastAt
-	}
-	j.silentFor = time.Since(last)
+	j.endedBy = attemptEnder(a.requestCtx, err)
+	j.silentFor = time.Since(a.lastData())
 }
 
 // logEnd adds who ended the response, if it was ended before it was complete, and how far it was.
--- /dev/null
+++ b/internal/gateway/serve/standby.go
@@ -0,0 +1,271 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// standby.go looks for another upstream while the one of an attempt is silent. A silent upstream may be lost or merely slow,
+// and nothing shows which. So the attempt goes on until another upstream has sent the first part of its response, and until
+// the deadline if none does.
+
+const (
+	// minSilence is the minimum time that an upstream may send nothing before another one is looked for. silenceFactor is the
+	// same as a multiple of the expected time until the first data, silencePauses as one of the longest pause of the route.
+	minSilence    = 1200 * time.Millisecond
+	silenceFactor = 4
+	silencePauses = 4
+	// minPlainSilence replaces minSilence for plain calls, which take some ten milliseconds.
+	minPlainSilence = 400 * time.Millisecond
+	// alternativeSilence is how long another upstream may have sent nothing to this instance while it had requests in flight.
+	alternativeSilence = minSilence / 2
+	// searchInterval is how often another upstream is looked for.
+	searchInterval = 200 * time.Millisecond
+	// maxTimerLag is how late the timer of a silence may expire. Later, this instance itself stood still, and what the upstream
+	// has sent may not have been read yet: the silence counts for timerLagGrace more.
+	maxTimerLag   = 100 * time.Millisecond
+	timerLagGrace = 200 * time.Millisecond
+)
+
+// errNoAttempt means that the request may not be sent to another upstream.
+var errNoAttempt = errors.New("no further attempt is allowed, or the deadline is too near")
+
+// silenceEnd is how a silence ended.
+type silenceEnd string
+
+const (
+	silenceWentOn   silenceEnd = "went_on"
+	silenceReplaced silenceEnd = "replaced"
+	silenceFailed   silenceEnd = "failed"
+)
+
+// standby watches the waits of one attempt for data of its upstream.
+type standby struct {
+	attempt *attempt
+	// off: the attempt is itself on standby for another one.
+	off bool
+
+	mutex sync.Mutex
+	timer *time.Timer
+	// waiting: the attempt waits for data. due is when the silence is too long, and search is under way from then on.
+	waiting bool
+	due     time.Time
+	search  *search
+	// successor is the attempt that goes on in place of this one.
+	successor *attempt
+}
+
+// during runs a step that waits for data of the upstream. The step returns whether it received some. The error is errNoData if
+// a successor goes on in place of the attempt.
+//
+// While the step runs, a search may use the state of the job; when during returns, it has ended.
+func (s *standby) during(timeout time.Duration, step func() (progress bool, err error)) error {
+	if s.off || !s.attempt.job.route.IsRepeatable() {
+		_, err := step()
+		return err
+	}
+	s.arm(timeout)
+	progress, err := step()
+	if s.disarm(progress) {
+		return errNoData
+	}
+	return err
+}
+
+func (s *standby) arm(timeout time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting = true
+	s.due = time.Now().Add(timeout)
+	if s.timer == nil {
+		s.timer = time.AfterFunc(timeout, s.expire)
+		return
+	}
+	s.timer.Reset(timeout)
+}
+
+// disarm ends the search, if one is under way, and reports whether the attempt has a successor. If the attempt has failed, the
+// upstream that is being tried becomes the successor if it responds.
+func (s *standby) disarm(progress bool) (replaced bool) {
+	s.mutex.Lock()
+	s.waiting = false
+	s.timer.Stop()
+	running := s.search
+	s.search = nil
+	if running != nil && progress && s.successor == nil {
+		running.cancel(errUnneeded)
+	}
+	if running != nil && !progress {
+		close(running.orphaned)
+	}
+	s.mutex.Unlock()
+	if running == nil {
+		return false
+	}
+	<-running.done
+	return s.successor != nil
+}
+
+// expire starts the search if the attempt still waits.
+func (s *standby) expire() {
+	s.mutex.Lock()
+	now := time.Now()
+	if !s.waiting || s.search != nil || now.Before(s.due) {
+		s.mutex.Unlock()
+		return
+	}
+	if now.Sub(s.due) > maxTimerLag {
+		s.due = now.Add(timerLagGrace)
+		s.timer.Reset(timerLagGrace)
+		s.mutex.Unlock()
+		return
+	}
+	begun := newSearch(s)
+	s.search = begun
+	s.mutex.Unlock()
+	begun.run()
+}
+
+// adopt makes an attempt that has the first part of its response the successor, unless the silent upstream has gone on.
+func (s *standby) adopt(by *search, next *attempt) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if by.ctx.Err() != nil {
+		return false
+	}
+	s.successor = next
+	s.attempt.cancel(errNoData)
+	return true
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// search looks for a successor of a silent attempt.
+type search struct {
+	standby *standby
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// orphaned is closed when the attempt has failed, done when the search has ended.
+	orphaned chan struct{}
+	done     chan struct{}
+}
+
+func newSearch(s *standby) *search {
+	search := &search{standby: s, orphaned: make(chan struct{}), done: make(chan struct{})}
+	search.ctx, search.cancel = context.WithCancelCause(s.attempt.requestCtx)
+	return search
+}
+
+// run tries other upstreams until one responds or the search is not needed any more.
+func (s *search) run() {
+	defer close(s.done)
+	silent := s.standby.attempt
+	silent.job.handler.Fleet.VerifyLink(silent.placement.choice.Upstream)
+	var next *attempt
+	var reason error
+	for next == nil {
+		var err error
+		if next, err = s.try(); err != nil {
+			reason = err
+		}
+		if next == nil && !s.pause() {
+			break
+		}
+	}
+	s.log(next, reason)
+}
+
+// try makes an attempt at another upstream. It returns nil if there is none, or if it did not respond as it should.
+func (s *search) try() (next *attempt, err error) {
+	silent := s.standby.attempt
+	j := silent.job
+	if !j.mayRunAgain() || !j.hasAttemptsLeft() || time.Until(j.deadline) < minRetryTime {
+		return nil, errNoAttempt
+	}
+	chosen, err := j.place(s.ctx, silent)
+	if chosen == nil {
+		return nil, err
+	}
+	next = j.begin(s.ctx, *chosen)
+	if next == nil {
+		return nil, nil
+	}
+	next.standby.off = true
+	outcome, err := next.receive()
+	if outcome == "" && next.response.Status >= http.StatusMultipleChoices {
+		outcome, err = resultFailed, errors.Errorf("upstream responded with status %d", next.response.Status)
+	}
+	if outcome == "" && s.standby.adopt(s, next) {
+		next.standby.off = false
+		return next, nil
+	}
+	if errors.Is(context.Cause(s.ctx), errUnneeded) {
+		outcome, err = resultUnneeded, errUnneeded
+	}
+	next.settle(outcome, err)
+	return nil, err
+}
+
+// pause waits until another upstream is to be looked for, and returns false if none is needed.
+func (s *search) pause() bool {
+	timer := time.NewTimer(searchInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.orphaned:
+		return false
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// log writes how the silence ended, and why no other upstream was found if so.
+func (s *search) log(next *attempt, reason error) {
+	silent := s.standby.attempt
+	j := silent.job
+	end := silenceFailed
+	event := j.step("silent").Str("Upstream", silent.placement.choice.Upstream.ID).Str("LastSent", j.lastEventID).
+		Int64("SilentMillis", time.Since(silent.lastData()).Milliseconds()).
+		Int64("LeftMillis", time.Until(j.deadline).Milliseconds())
+	switch {
+	case next != nil:
+		end = silenceReplaced
+		event = event.Str("Successor", next.placement.choice.Upstream.ID)
+	case errors.Is(context.Cause(s.ctx), errUnneeded):
+		end = silenceWentOn
+	}
+	event.Str("Outcome", string(end)).AnErr("NoSuccessor", reason).Msg("Decision")
+	j.handler.Scope.Tagged(map[string]string{"outcome": string(end)}).Counter("silent_upstreams").Inc(1)
+}
+
+// -----------------------------------------------------------------------------------------------
+
+// firstDataTimeout returns how long the upstream may be silent before the response begins, or between two parts of a response
+// that is not a stream.
+func (a *attempt) firstDataTimeout() time.Duration {
+	shortest := minSilence
+	if a.job.route.Execution != traffic.Streaming {
+		shortest = minPlainSilence
+	}
+	return max(shortest, silenceFactor*a.placement.choice.Expected)
+}
+
+// pauseTimeout returns how long a stream may pause.
+func (a *attempt) pauseTimeout() time.Duration {
+	return max(minSilence, silencePauses*a.job.route.MaxPause)
+}
+
+// lastData returns when the upstream last sent something, or when the attempt began.
+func (a *attempt) lastData() time.Time {
+	if a.received.lastAt.After(a.began) {
+		return a.received.lastAt
+	}
+	return a.began
+}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -73,6 +73,9 @@
 	if p.isCold(now, u) && now.Before(u.cold.fullUntil) || u.isLimitReached(now) {
 		return false
 	}
+	if query.MaxSilence > 0 && u.isSilent(now, query.MaxSilence) {
+		return false
+	}
 	if len(query.Candidates) > 0 && !slices.Contains(query.Candidates, u.declared.ID) {
 		return false
 	}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -71,6 +71,8 @@
 	Exclude []string
 	// Candidates lists the upstreams to choose from; empty for all.
 	Candidates []string
+	// MaxSilence, if not 0, excludes upstreams that have sent this instance nothing for longer while they had requests of it.
+	MaxSilence time.Duration
 	// Alone asks for an upstream without other running requests, if there is one.
 	Alone bool
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -66,9 +66,11 @@
 	// this instance last had a response from there.
 	unreachableUntil time.Time
 	servedAt         time.Time
-	cold             cold
-	brittle          brittleUpstream
-	limited          limitedUpstream
+	// dataAt is when this instance last received a part of a response from there.
+	dataAt  time.Time
+	cold    cold
+	brittle brittleUpstream
+	limited limitedUpstream
 	// stated is what the upstream has stated about itself, nil if nothing.
 	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
@@ -137,10 +139,14 @@
 	return load
 }
 
-// RecordAnswer records the first event or the whole response, and reports whether it is the first call.
+// RecordAnswer records events or the whole response, and reports whether it is the first call.
 func (a *Attempt) RecordAnswer(now time.Time) (first bool) {
 	u := a.upstream
-	if a.answered || u == nil {
+	if u == nil {
+		return false
+	}
+	u.dataAt = now
+	if a.answered {
 		return false
 	}
 	a.answered = true
@@ -160,6 +166,19 @@
 	return true
 }
 
+// isSilent reports whether the upstream has sent nothing for a time, and has had a request of this instance for as long.
+func (u *upstream) isSilent(now time.Time, limit time.Duration) bool {
+	if now.Sub(u.dataAt) <= limit {
+		return false
+	}
+	for attempt := range u.attempts {
+		if now.Sub(attempt.began) > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // maxSample limits one sample, so that a single stall does not make an upstream count as unusable.
 const maxSample = 20
 
