Look for a third upstream while two are silent

An attempt beside a silent one had no standby, so that a request with three attempts waited at two lost upstreams until its deadline while a third one could have served it: TestThirdUpstreamServesWhileTwoAreSilent, both cases failed on the commit before (3 s, the whole time), pass now. The attempt in a search has a standby of its own; upstreams with attempts in flight are no candidates. A timer that is late counts once. Plain responses are read in pieces of 4 KiB. TestSilentUpstreamsLoseNoResponse and the tests of streams and stops with real processes: passed.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,12 +98,12 @@
 		}
 	})
 	if a.counted == nil {
-		j.retryTaken = j.arrivals+j.inFlight > 0 // the retry that was taken was not made
+		j.retryTaken = j.arrivals+len(j.inFlight) > 0 // the retry that was taken was not made
 		j.tried = append(j.tried, upstream.ID)
 		a.log(resultWithdrawn, nil)
 		return nil
 	}
-	j.inFlight++
+	j.inFlight = append(j.inFlight, upstream.ID)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	j.handler.Fleet.NotifyHolder(upstream.ID)
 	return a
@@ -203,8 +204,8 @@
 		a.response.Body.Close()
 	}
 	a.cancel(nil)
-	j.inFlight--
 	j.upstream = a.placement.choice.Upstream.ID
+	j.inFlight = slices.DeleteFunc(j.inFlight, func(id string) bool { return id == j.upstream })
 	if outcome != resultUnreached {
 		j.arrivals++
 	}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -33,7 +33,7 @@
 		if ctx.Err() != nil {
 			return j.expired(ctx)
 		}
-		chosen, err := j.place(ctx, nil)
+		chosen, err := j.place(ctx)
 		if err != nil {
 			return j.refuseUnplaced(err, last)
 		}
@@ -99,17 +99,17 @@
 func (e *unplacedError) Error() string { return e.cause.Error() }
 
 // place chooses an upstream for the next attempt, has it prepared, and takes a retry from the budget if the request was sent
-// before. It returns nil if the chosen upstream could not be prepared; the next call chooses another. The parameter beside is an
-// attempt that is in flight meanwhile, nil if there is none. The error is an *unplacedError.
-func (j *job) place(ctx context.Context, beside *attempt) (*placement, error) {
-	choice, query, err := j.chooseWithFreshLoad(ctx, beside)
+// before. It returns nil if the chosen upstream could not be prepared; the next call chooses another. The error is an
+// *unplacedError.
+func (j *job) place(ctx context.Context) (*placement, error) {
+	choice, query, err := j.chooseWithFreshLoad(ctx)
 	if err != nil {
 		return nil, &unplacedError{cause: err, choice: choice, query: query}
 	}
-	if beside != nil && choice.Expected > time.Until(j.deadline) {
+	if len(j.inFlight) > 0 && choice.Expected > time.Until(j.deadline) {
 		return nil, &unplacedError{cause: errTooLate}
 	}
-	if !j.mayHaveRun && j.inFlight == 0 {
+	if !j.mayHaveRun && len(j.inFlight) == 0 {
 		if err := j.shedLoad(choice, query); err != nil {
 			return nil, &unplacedError{cause: err, refused: err}
 		}
@@ -119,7 +119,7 @@
 		j.tried = append(j.tried, choice.Upstream.ID)
 		return nil, nil
 	}
-	if j.arrivals+j.inFlight > 0 && !j.retryTaken && !j.takeRetry() {
+	if j.arrivals+len(j.inFlight) > 0 && !j.retryTaken && !j.takeRetry() {
 		return nil, &unplacedError{cause: errNoRetry}
 	}
 	j.retryTaken = false
@@ -138,7 +138,7 @@
 	if j.begun && j.software == "" {
 		return false
 	}
-	return j.route.IsRepeatable() && j.runs+j.inFlight < j.route.MaxAttempts
+	return j.route.IsRepeatable() && j.runs+len(j.inFlight) < j.route.MaxAttempts
 }
 
 // mayRetryFailure reports whether a failure response of the upstream is dropped for another attempt, and takes that
@@ -148,7 +148,7 @@
 	if j.started {
 		return true // a failure in the middle of a stream cannot be forwarded
 	}
-	if !j.route.IsRepeatable() || j.runs+j.inFlight >= j.route.MaxAttempts || time.Until(j.deadline) < minRetryTime {
+	if !j.route.IsRepeatable() || j.runs+len(j.inFlight) >= j.route.MaxAttempts || time.Until(j.deadline) < minRetryTime {
 		return false
 	}
 	j.retryTaken = j.takeRetry()
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -150,6 +150,7 @@
 		"idem":   {Execution: traffic.Idempotent, MaxAttempts: 2},
 		"once":   {Execution: traffic.AtMostOnce, MaxAttempts: 1},
 		"stream": {Execution: traffic.Streaming, MaxAttempts: 2, Resumable: true},
+		"thrice": {Execution: traffic.Streaming, MaxAttempts: 3, Resumable: true},
 		"single": {Execution: traffic.Streaming, MaxAttempts: 1},
 		"short":  {Execution: traffic.AtMostOnce, MaxAttempts: 1, Timeout: 150 * time.Millisecond},
 	} {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -41,10 +41,10 @@
 	// shortestWait is the shortest wait for an adapter slot or a prefill turn that a holder stated when it had none; 0
 	// if none did.
 	shortestWait time.Duration
-	// attempts counts the attempts, inFlight those that have not ended. Of those that have, arrivals counts the ones that may
-	// have reached an upstream, and runs the ones in which the request may have run.
+	// attempts counts the attempts, and inFlight has the upstreams of those that have not ended. Of those that have, arrivals
+	// counts the ones that may have reached an upstream, and runs the ones in which the request may have run.
 	attempts   int
-	inFlight   int
+	inFlight   []string
 	arrivals   int
 	runs       int
 	mayHaveRun bool
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -22,10 +22,10 @@
 // This matters for popular adapters. Load reports between instances are a quarter of a second old in a small fleet and
 // some seconds old in a large one. All instances would send to the upstream that looked best at that time, where
 // prompts queue while the next upstream is idle.
-func (j *job) chooseWithFreshLoad(ctx context.Context, beside *attempt) (choice pool.Choice, query pool.Query, err error) {
+func (j *job) chooseWithFreshLoad(ctx context.Context) (choice pool.Choice, query pool.Query, err error) {
 	var queried []string
 	for len(queried) < maxQueries {
-		choice, query, err = j.choose(beside, nil)
+		choice, query, err = j.choose(nil)
 		known := !choice.LoadStale || slices.Contains(queried, choice.Upstream.ID)
 		if err != nil || known {
 			return choice, query, err
@@ -35,12 +35,12 @@
 	}
 	// An upstream that was not queried would look idle just because its load is stale, so choose among the queried
 	// ones.
-	return j.choose(beside, queried)
+	return j.choose(queried)
 }
 
-// choose picks an upstream, from the candidates if any are given. It picks another one than that of the attempt beside, and
+// choose picks an upstream, from the candidates if any are given. While an attempt is in flight at a silent upstream, it picks
 // none that is silent as well.
-func (j *job) choose(beside *attempt, candidates []string) (choice pool.Choice, query pool.Query, err error) {
+func (j *job) choose(candidates []string) (choice pool.Choice, query pool.Query, err error) {
 	newest, required := j.handler.Fleet.NewestVersion(j.call.Generation.Adapter)
 	query = pool.Query{
 		Service:    j.service,
@@ -58,8 +58,8 @@
 	if required {
 		query.Version = newest
 	}
-	if beside != nil {
-		query.Exclude = append(slices.Clone(j.tried), beside.placement.choice.Upstream.ID)
+	if len(j.inFlight) > 0 {
+		query.Exclude = slices.Concat(j.tried, j.inFlight)
 		query.MaxSilence = alternativeSilence
 	}
 	j.handler.State.WithLock(func(state *SharedState) { choice, err = state.Pool.Choose(time.Now(), query) })
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -21,8 +21,9 @@
 	// maxBuffered is the maximum length of a response that is read completely before any of it is forwarded. If such a
 	// response breaks, the request can be retried, and the caller never sees a partial response.
 	maxBuffered = 256 << 10
-	// chunkBytes is the size of one read.
-	chunkBytes = 16 << 10
+	// chunkBytes is the size of one read of a stream, and bodyChunkBytes that of another response, most of which are short.
+	chunkBytes     = 16 << 10
+	bodyChunkBytes = 4 << 10
 	// maxEventBytes bounds one event of a stream, which is held until it is complete.
 	maxEventBytes = 4 << 20
 )
@@ -85,7 +86,7 @@
 		return nil, a.failure
 	}
 	if a.buffer == nil {
-		a.buffer = make([]byte, chunkBytes)
+		a.buffer = make([]byte, a.readSize())
 	}
 	n := 0
 	err = a.standby.during(timeout, func() (progress bool, err error) {
@@ -107,6 +108,13 @@
 	return a.buffer[:n], err
 }
 
+func (a *attempt) readSize() int {
+	if a.isStream() {
+		return chunkBytes
+	}
+	return bodyChunkBytes
+}
+
 // receiveEvents receives the first events of a stream.
 func (a *attempt) receiveEvents() (result, error) {
 	events, err := a.nextEvents(a.firstDataTimeout())
--- a/internal/gateway/serve/standby.go
+++ b/internal/gateway/serve/standby.go
@@ -48,8 +48,6 @@
 // standby watches the waits of one attempt for data of its upstream.
 type standby struct {
 	attempt *attempt
-	// off: the attempt is itself on standby for another one.
-	off bool
 
 	mutex sync.Mutex
 	timer *time.Timer
@@ -57,6 +55,8 @@
 	waiting bool
 	due     time.Time
 	search  *search
+	// graced: the timer has expired late, and due was put off.
+	graced bool
 	// successor is the attempt that goes on in place of this one.
 	successor *attempt
 }
@@ -64,9 +64,10 @@
 // during runs a step that waits for data of the upstream. The step returns whether it received some. The error is errNoData if
 // a successor goes on in place of the attempt.
 //
-// While the step runs, a search may use the state of the job; when during returns, it has ended.
+// While the step runs, a search may use the state of the job; when during returns, it has ended. The attempt that a search makes
+// may be silent as well, and have a standby of its own.
 func (s *standby) during(timeout time.Duration, step func() (progress bool, err error)) error {
-	if s.off || !s.attempt.job.route.IsRepeatable() {
+	if !s.attempt.job.route.IsRepeatable() {
 		_, err := step()
 		return err
 	}
@@ -82,6 +83,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.waiting = true
+	s.graced = false
 	s.due = time.Now().Add(timeout)
 	if s.timer == nil {
 		s.timer = time.AfterFunc(timeout, s.expire)
@@ -120,7 +122,8 @@
 		s.mutex.Unlock()
 		return
 	}
-	if now.Sub(s.due) > maxTimerLag {
+	if now.Sub(s.due) > maxTimerLag && !s.graced {
+		s.graced = true
 		s.due = now.Add(timerLagGrace)
 		s.timer.Reset(timerLagGrace)
 		s.mutex.Unlock()
@@ -183,26 +186,26 @@
 
 // try makes an attempt at another upstream. It returns nil if there is none, or if it did not respond as it should.
 func (s *search) try() (next *attempt, err error) {
-	silent := s.standby.attempt
-	j := silent.job
+	j := s.standby.attempt.job
 	if !j.mayRunAgain() || !j.hasAttemptsLeft() || time.Until(j.deadline) < minRetryTime {
 		return nil, errNoAttempt
 	}
-	chosen, err := j.place(s.ctx, silent)
+	chosen, err := j.place(s.ctx)
 	if chosen == nil {
 		return nil, err
 	}
-	next = j.begin(s.ctx, *chosen)
-	if next == nil {
+	if next = j.begin(s.ctx, *chosen); next == nil {
 		return nil, nil
 	}
-	next.standby.off = true
 	outcome, err := next.receive()
+	if next.standby.successor != nil { // it was silent as well
+		next = next.settle(outcome, err).successor
+		outcome, err = "", nil
+	}
 	if outcome == "" && next.response.Status >= http.StatusMultipleChoices {
 		outcome, err = resultFailed, errors.Errorf("upstream responded with status %d", next.response.Status)
 	}
 	if outcome == "" && s.standby.adopt(s, next) {
-		next.standby.off = false
 		return next, nil
 	}
 	if errors.Is(context.Cause(s.ctx), errUnneeded) {
--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -114,6 +114,38 @@
 	}
 }
 
+// Guards against a request that waits for two lost upstreams until its deadline while a third one could serve it.
+func TestThirdUpstreamServesWhileTwoAreSilent(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first http.HandlerFunc
+	}{
+		{"both stay silent", pausesFor(time.Minute)},
+		{"the first one breaks off meanwhile", breaksAfter(1500 * time.Millisecond)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var attempts atomic.Int32
+			respond := func(rw http.ResponseWriter, r *http.Request) {
+				switch attempts.Add(1) {
+				case 1:
+					c.first(rw, r)
+				case 2:
+					isLateFor(time.Minute, allEvents)(rw, r)
+				default:
+					allEvents(rw, r)
+				}
+			}
+			h := newHarness(t, respond, respond, respond)
+			_, body, err := h.call("/thrice/", "b", headerTimeout, "3000")
+			is.NoErr(err)
+			is.Equal(body, event(1)+event(2)+event(3)+event(4))
+			is.Equal(h.runs(), 3)
+		})
+	}
+}
+
 // Guards against a stream that is given up although the retry budget is used up, so that it can go on nowhere else.
 func TestSilentUpstreamIsKeptWithoutARetry(t *testing.T) {
 	is := is.New(t)
