Name no end of attempts that were withdrawn

An attempt beside a silent one that was not needed any more was logged with EndedBy=caller, as its context had ended, and one that was not sent with the end of the attempt before. Seen by reading. Tests of serve with the race detector passed.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -100,6 +100,7 @@
 	if a.counted == nil {
 		j.retryTaken = j.arrivals+len(j.inFlight) > 0 // the retry that was taken was not made
 		j.tried = append(j.tried, upstream.ID)
+		j.endedBy = ""
 		a.log(resultWithdrawn, nil)
 		return nil
 	}
--- a/internal/gateway/serve/response_end.go
+++ b/internal/gateway/serve/response_end.go
@@ -40,7 +40,7 @@
 func (a *attempt) recordEnd(outcome result, err error) {
 	j := a.job
 	j.endedBy = ""
-	if !outcome.mayHaveRun() || err == nil {
+	if !outcome.mayHaveRun() || err == nil || outcome == resultUnneeded {
 		return
 	}
 	j.endedBy = attemptEnder(a.requestCtx, err)
