--- a/internal/gateway/serve/standby.go
+++ b/internal/gateway/serve/standby.go
@@ -174,7 +174,7 @@
 	var reason error
 	for next == nil {
 		var err error
-		if next, err = s.try(); err != nil {
+		if next, err = s.try(); err != nil && !errors.Is(err, errUnneeded) {
 			reason = err
 		}
 		if next == nil && !s.pause() {
