Grant nothing from a rate before the other instances are known

Cause: the ledger got the other instances with the next tick, up to 0.2 s after the configuration; until then a bucket gained the whole rate, and totals that arrived were dropped, so that the next ones a quarter of a second later counted as the beginning.

Now a bucket gains nothing before the others are known, and they are known with the first configuration, so that nobody is refused for it. Three tests set the (empty) list of others where they had relied on none being set; their checks are unchanged.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -38,7 +38,9 @@
 	limits  map[string]Limit
 	buckets map[string]*bucket
 	own     Totals
-	peers   map[string]*peer
+	// peers are the other instances. They are nil until they are known, and no bucket gains anything before: with whom the
+	// rates are shared is not known then.
+	peers map[string]*peer
 	// sentTotals are this instance's totals when it last sent them urgently.
 	sentTotals Totals
 	// sentToAll is when the totals were last sent urgently to all peers because of a workspace, and not only to the
@@ -358,6 +360,9 @@
 		limit := l.limits[workspace]
 		gained := limit.Rate * now.Sub(b.updatedAt).Seconds()
 		b.updatedAt = now
+		if l.peers == nil {
+			continue
+		}
 		b.level += gained
 		for _, p := range silent {
 			p.reserved[workspace] += gained * share
@@ -384,7 +389,6 @@
 func (l *Ledger) initialize() {
 	if l.buckets == nil {
 		l.buckets = make(map[string]*bucket)
-		l.peers = make(map[string]*peer)
 		l.own = Totals{}
 		l.sentToAll = make(map[string]time.Time)
 	}
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -35,6 +35,15 @@
 	heartbeatEvery time.Duration
 	urgent         bool
 	urgentUpdates  int
+	// rosterDelay is how long after its start an instance knows of the others.
+	rosterDelay time.Duration
+	unknowing   map[*quota.Ledger]unknowing
+}
+
+// unknowing is an instance that does not know the others yet.
+type unknowing struct {
+	others []string
+	until  time.Time
 }
 
 type admission struct {
@@ -46,6 +55,7 @@
 	f := &fleet{
 		limit: limit, ledgers: map[string]*quota.Ledger{}, starts: map[string]int{},
 		partitioned: map[string]bool{}, down: map[string]bool{}, heartbeatEvery: heartbeat,
+		unknowing: map[*quota.Ledger]unknowing{},
 	}
 	for i := range count {
 		f.names = append(f.names, fmt.Sprint("instance", i))
@@ -65,7 +75,11 @@
 			others = append(others, other)
 		}
 	}
-	ledger.SetPeers(time.Now(), others)
+	if f.rosterDelay == 0 {
+		ledger.SetPeers(time.Now(), others)
+	} else {
+		f.unknowing[ledger] = unknowing{others: others, until: time.Now().Add(f.rosterDelay)}
+	}
 	f.ledgers[name] = ledger
 	f.starts[name]++
 	f.down[name] = false
@@ -85,6 +99,12 @@
 func (f *fleet) advance(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
+		for ledger, u := range f.unknowing {
+			if !time.Now().Before(u.until) {
+				ledger.SetPeers(time.Now(), u.others)
+				delete(f.unknowing, ledger)
+			}
+		}
 		if f.partialEvery > 0 && time.Since(f.lastPartial) >= f.partialEvery {
 			f.lastPartial = time.Now()
 			f.sendPartial()
@@ -422,6 +442,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ledger := &quota.Ledger{Self: "a"}
+		ledger.SetPeers(time.Now(), nil)
 		ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: {Rate: 10_000, Burst: 1_000}})
 		time.Sleep(time.Second) // a new bucket is empty
 		var returns []time.Duration
@@ -448,6 +469,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ledger := &quota.Ledger{Self: "a"}
+		ledger.SetPeers(time.Now(), nil)
 		ledger.SetLimits(time.Now(), map[string]quota.Limit{workspace: {Rate: 10_000, Burst: 1_000}})
 		for range 400 {
 			time.Sleep(10 * time.Millisecond)
@@ -457,3 +479,46 @@
 		}
 	})
 }
+
+// Guards against spending above the rate when instances are stopped and started in turn under a flood: one that has just
+// started knows neither what the others have admitted nor their debt.
+func TestRollingRestartStaysWithinTheRate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		down time.Duration
+	}{
+		{"back at once", 100 * time.Millisecond},
+		{"away for three seconds", 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(quota.Limit{Rate: 30_000, Burst: 58_000}, 8)
+				f.urgent = true
+				f.advance(10 * time.Second)
+				f.rosterDelay = 200 * time.Millisecond
+				back := map[string]time.Time{}
+				begun := time.Now()
+				next := 0
+				for i := 0; time.Since(begun) < 16*time.Second; i++ {
+					if next < len(f.names) && time.Since(begun) > time.Duration(next+1)*time.Second {
+						name := f.names[next]
+						f.down[name] = true
+						back[name] = time.Now().Add(c.down)
+						next++
+					}
+					for name, at := range back {
+						if !time.Now().Before(at) {
+							f.start(name)
+							delete(back, name)
+						}
+					}
+					f.admit(f.names[(i*3)%len(f.names)], float64(400+(i*1571)%6400))
+					f.advance(10 * time.Millisecond)
+				}
+				t.Logf("%.0f in %s, %.0f allowed", f.maxAdmitted(window), window, f.allowed())
+				is.True(f.maxAdmitted(window) <= f.allowed())
+			})
+		})
+	}
+}
--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -43,11 +43,16 @@
 
 // setLedgerPeers gives the ledger the other instances that may be admitting requests.
 func (n *Node) setLedgerPeers(now time.Time) {
+	n.view.mutex.Lock()
+	defer n.view.mutex.Unlock()
+	n.updateLedgerPeers(now)
+}
+
+// updateLedgerPeers does so with the lock of the view held.
+func (n *Node) updateLedgerPeers(now time.Time) {
 	v := &n.view
-	v.mutex.Lock()
 	instances := v.roster.Instances()
 	if now.Sub(v.ledgerPeersUpdated) < ledgerPeersInterval && isSameList(instances, v.ledgerRoster) {
-		v.mutex.Unlock()
 		return
 	}
 	v.ledgerPeersUpdated = now
@@ -68,7 +73,6 @@
 		}
 		names = append(names, name)
 	}
-	v.mutex.Unlock()
 	n.setSharedLimits(len(names))
 	peerTimeout := missedHeartbeats * n.overlay.currentStateInterval()
 	n.sharedState.WithLock(func(state *serve.SharedState) {
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -127,6 +127,9 @@
 			v.urgentRevisions[item.Key] = item.Revision
 		}
 	}
+	if v.ledgerPeers == nil && v.table.Load() != nil {
+		n.updateLedgerPeers(time.Now()) // the ledger grants nothing before
+	}
 	if urgent {
 		n.wakeOwnership()
 		n.overlay.requestMessages(false)
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -185,6 +185,7 @@
 		})
 	}
 	ledger := &quota.Ledger{}
+	ledger.SetPeers(time.Now(), nil)
 	ledger.SetLimits(time.Now().Add(-time.Minute), map[string]quota.Limit{"own": {Rate: 1000, Burst: 1000}})
 	retries := &retry.Budgets{Ratio: 1, MaxUnused: 100}
 	for range 100 {
