Count no run where no connection was obtained

An attempt whose context ended while its connection was being opened was reported as one that may have run, because the library returns the context's error and not the dialer's. No connection was obtained, so nothing can have been sent: such a call has not run.

--- a/internal/gateway/forward/exchange.go
+++ b/internal/gateway/forward/exchange.go
@@ -72,7 +72,7 @@
 // classify returns ErrNotConnected only if no connection carried the request.
 func (e *exchange) classify(err error) error {
 	var dial dialError
-	if errors.As(err, &dial) && !e.sent.Load() {
+	if e.connection.Load() == nil || errors.As(err, &dial) && !e.sent.Load() {
 		return errors.WithMessage(ErrNotConnected, err.Error())
 	}
 	return errors.WithMessage(ErrBrokenResponse, err.Error())
