Take no long call for a silent upstream

What shows silence is a stream that had begun there, or a request to which the upstream has been silent for as long as starts a search.

--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -95,6 +95,8 @@
 	// stated is the load that the upstream stated in its response, zero if it stated none.
 	stated   Load
 	answered bool
+	// silent: the upstream has sent nothing for too long.
+	silent bool
 }
 
 func newUpstream(now time.Time) *upstream {
@@ -146,6 +148,7 @@
 		return false
 	}
 	u.dataAt = now
+	a.silent = false
 	if a.answered {
 		return false
 	}
@@ -166,13 +169,17 @@
 	return true
 }
 
-// isSilent reports whether the upstream has sent nothing for a time, and has had a request of this instance for as long.
+// RecordSilence records that the upstream has sent nothing for too long.
+func (a *Attempt) RecordSilence() { a.silent = true }
+
+// isSilent reports whether the upstream has sent nothing for a time although a stream of this instance had begun there, or has
+// been silent for too long to a request that still waits. Requests that just take long do not show it.
 func (u *upstream) isSilent(now time.Time, limit time.Duration) bool {
 	if now.Sub(u.dataAt) <= limit {
 		return false
 	}
 	for attempt := range u.attempts {
-		if now.Sub(attempt.began) > limit {
+		if attempt.answered || attempt.silent {
 			return true
 		}
 	}
@@ -223,6 +230,7 @@
 	case EndFailed:
 		u.countResult(now, 1)
 	case EndRefused:
+		u.dataAt = now
 		u.countResult(now, refusalWeight)
 		p.recordRefusal(now, attempt)
 		p.recordRejection(now, u)
