Let a search take nothing from its request, and end it for whole events only

The wait for the first part is one step now, and it ends a search with events or the whole response; anything else only starts the time of the silence anew. - An upstream without room when it was first asked was never asked again (TestUpstreamThatWasBusyIsAskedAgain). It is asked again, at intervals that double from 0.2 s; the last attempt is not for searches. - Without a retry left, holders were asked to prepare again and again (TestSearchWithoutARetryAsksNoHolder); for a suspect request, a retry was taken each time (TestSearchForASuspectTakesNoRetries). Both are asked first. - A refusal that came late was dropped with the attempt (TestRefusalOfAReplacedUpstreamIsKept): the upstream's pause was not kept. - TestWithdrawnAttemptIsNotEndedByTheCaller guards the log. In TestSilentUpstreamIsKeptUntilAnotherResponds the upstream that is full gets the request twice in place of once, as it is asked again.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,7 +70,9 @@
 	// ended: the body was read to its end.
 	ended bool
 	// failure is the error after what was read last.
-	failure  error
+	failure error
+	// dataAt is when the upstream last sent something, in Unix nanoseconds.
+	dataAt   atomic.Int64
 	buffer   []byte
 	splitter stream.Splitter
 	// wroteAt is when the last events of the stream were written.
@@ -98,8 +101,8 @@
 		}
 	})
 	if a.counted == nil {
-		j.retryTaken = j.arrivals+len(j.inFlight) > 0 // the retry that was taken was not made
-		j.tried = append(j.tried, upstream.ID)
+		j.retryTaken = j.isRetry() // the retry that was taken was not made
+		j.declined = append(j.declined, upstream.ID)
 		j.endedBy = ""
 		a.log(resultWithdrawn, nil)
 		return nil
@@ -126,14 +129,43 @@
 }
 
 // receive sends the call and receives the first part of the response. The result is empty if the response is to be relayed.
-func (a *attempt) receive() (result, error) {
-	if outcome, err := a.send(); outcome != "" {
+func (a *attempt) receive() (outcome result, err error) {
+	replaced := a.standby.during(a.firstDataTimeout(), func() (received bool) {
+		outcome, err = a.exchange()
+		return outcome == "" && a.response.Status < http.StatusInternalServerError
+	})
+	switch {
+	case replaced:
+		return a.replacedResult(outcome, err)
+	case outcome != "" || a.response.Status < http.StatusInternalServerError:
 		return outcome, err
+	case a.job.mayRetryFailure():
+		a.drain()
+		return resultFailed, errors.Errorf("upstream responded with status %d", a.response.Status)
 	}
+	return a.receiveFailure()
+}
+
+// replacedResult returns the result of an attempt in whose place another one goes on.
+func (a *attempt) replacedResult(outcome result, err error) (result, error) {
 	switch {
-	case a.response.Status >= http.StatusInternalServerError && a.job.mayRetryFailure():
-		a.drain()
+	case !a.standby.failed:
+		return resultBroken, errNoData
+	case outcome == "":
 		return resultFailed, errors.Errorf("upstream responded with status %d", a.response.Status)
+	}
+	return outcome, err
+}
+
+// exchange sends the call and reads the response up to its first part, or the header only of a failure of the upstream.
+func (a *attempt) exchange() (result, error) {
+	if outcome, err := a.send(); outcome != "" {
+		return outcome, err
+	}
+	a.standby.extend()
+	switch {
+	case a.response.Status >= http.StatusInternalServerError:
+		return "", nil
 	case a.isStream():
 		return a.receiveEvents()
 	}
@@ -155,12 +187,7 @@
 	if j.lastEventID != "" {
 		info.LastEventID = j.lastEventID
 	}
-	var response *forward.Response
-	err := a.standby.during(a.firstDataTimeout(), func() (progress bool, err error) {
-		response, err = j.handler.Forward.Do(a.ctx, upstream, j.call, info, !j.route.IsRepeatable())
-		runs := err == nil && !response.Info.NotRun && response.Status < http.StatusInternalServerError
-		return runs, err
-	})
+	response, err := j.handler.Forward.Do(a.ctx, upstream, j.call, info, !j.route.IsRepeatable())
 	if errors.Is(err, forward.ErrNotConnected) {
 		return resultUnreached, err
 	}
@@ -168,7 +195,8 @@
 		return resultBroken, err
 	}
 	a.response = response
-	a.received = received{info: response.Info, status: response.Status, framing: response.Framing, lastAt: time.Now()}
+	a.received = received{info: response.Info, status: response.Status, framing: response.Framing}
+	a.recordData()
 	return a.checkRun(upstream)
 }
 
@@ -198,9 +226,6 @@
 func (a *attempt) settle(outcome result, err error) attemptEnd {
 	j := a.job
 	successor := a.standby.successor
-	if successor != nil {
-		outcome, err = resultBroken, errNoData
-	}
 	if a.response != nil {
 		a.response.Body.Close()
 	}
@@ -224,15 +249,19 @@
 
 // recordTried excludes the upstream from further attempts, unless it may run the request a moment later.
 func (a *attempt) recordTried(outcome result) {
+	j := a.job
+	upstream := a.placement.choice.Upstream.ID
 	switch outcome {
 	case resultServed, resultUnreached: // an upstream that cannot be reached is avoided for a time
-		return
+	case resultNotRun:
+		j.declined = append(j.declined, upstream)
 	case resultMisdirected:
-		if mayBecomeLoaded(a.placement.choice, a.placement.query) {
-			return
+		if !mayBecomeLoaded(a.placement.choice, a.placement.query) {
+			j.declined = append(j.declined, upstream)
 		}
+	default:
+		j.tried = append(j.tried, upstream)
 	}
-	a.job.tried = append(a.job.tried, a.placement.choice.Upstream.ID)
 }
 
 // mayBecomeLoaded reports whether an upstream that lacked the requested adapter may have it soon: this instance assumed
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -56,7 +56,9 @@
 }
 
 // hasAttemptsLeft reports whether the request may be tried at a further upstream, whatever the earlier ones did with it.
-func (j *job) hasAttemptsLeft() bool { return j.attempts < maxAttempts && len(j.tried) < maxTried }
+func (j *job) hasAttemptsLeft() bool {
+	return j.attempts < maxAttempts && len(j.tried)+len(j.declined) < maxTried
+}
 
 // afterAttempt returns the refusal of a request that may not be tried again after an attempt.
 func (j *job) afterAttempt(ctx context.Context, end attemptEnd) error {
@@ -115,20 +117,36 @@
 		}
 	}
 	chosen := &placement{choice: choice, query: query}
-	if !j.ensureReady(ctx, chosen) {
-		j.tried = append(j.tried, choice.Upstream.ID)
-		return nil, nil
+	ready := j.ensureReady(ctx, chosen)
+	if ctx.Err() != nil {
+		return nil, nil // the holder was not waited for
 	}
-	if j.arrivals+len(j.inFlight) > 0 && !j.retryTaken && !j.takeRetry() {
-		return nil, &unplacedError{cause: errNoRetry}
+	if !ready {
+		j.declined = append(j.declined, choice.Upstream.ID)
+		return nil, nil
 	}
-	j.retryTaken = false
 	if err := j.refuseSuspect(); err != nil {
 		return nil, &unplacedError{cause: errSuspect, refused: err}
 	}
+	if j.isRetry() && !j.retryTaken && !j.takeRetry() {
+		return nil, &unplacedError{cause: errNoRetry}
+	}
+	j.retryTaken = false
 	return chosen, nil
 }
 
+// isRetry reports whether a further attempt adds to the load of the service.
+func (j *job) isRetry() bool { return j.arrivals+len(j.inFlight) > 0 }
+
+// hasRetry reports whether the retry budget allows a further attempt now.
+func (j *job) hasRetry() (has bool) {
+	if !j.isRetry() || j.retryTaken {
+		return true
+	}
+	j.handler.State.WithLock(func(state *SharedState) { has = state.Retries.For(j.service).IsAvailable() })
+	return has
+}
+
 // mayRunAgain reports whether the request may be sent again although it may have run, or runs. Only a stream can be resumed
 // once its caller has received a part of it.
 func (j *job) mayRunAgain() bool {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -36,8 +36,10 @@
 	crashes int
 	alone   bool
 
-	// tried lists the upstreams that must not be chosen again.
-	tried []string
+	// tried lists the upstreams that must not be chosen again, declined those that had no room for the request when they were
+	// asked.
+	tried    []string
+	declined []string
 	// shortestWait is the shortest wait for an adapter slot or a prefill turn that a holder stated when it had none; 0
 	// if none did.
 	shortestWait time.Duration
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -48,7 +48,7 @@
 		Tokens:     j.call.Generation.PromptTokens,
 		Output:     j.call.Generation.OutputTokens,
 		Software:   j.software,
-		Exclude:    j.tried,
+		Exclude:    slices.Concat(j.tried, j.declined, j.inFlight),
 		Candidates: candidates,
 		Alone:      j.alone,
 
@@ -59,7 +59,6 @@
 		query.Version = newest
 	}
 	if len(j.inFlight) > 0 {
-		query.Exclude = slices.Concat(j.tried, j.inFlight)
 		query.MaxSilence = alternativeSilence
 	}
 	j.handler.State.WithLock(func(state *SharedState) { choice, err = state.Pool.Choose(time.Now(), query) })
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -35,8 +35,6 @@
 	framing forward.Framing
 	// tail is the number of bytes after the last complete event of a stream that ended.
 	tail int
-	// lastAt is when the last bytes of the body arrived.
-	lastAt time.Time
 	// ended: the response was read to its end.
 	ended bool
 }
@@ -63,17 +61,28 @@
 	return a.job.route.Execution == traffic.Streaming && a.response.Status < http.StatusMultipleChoices
 }
 
+// receiveFailure receives a failure of the upstream that is forwarded.
+func (a *attempt) receiveFailure() (outcome result, err error) {
+	replaced := a.standby.during(a.firstDataTimeout(), func() (received bool) {
+		outcome, err = a.receiveBody()
+		return outcome == ""
+	})
+	if replaced {
+		return a.replacedResult(outcome, err)
+	}
+	return outcome, err
+}
+
 // receiveBody receives a response that is not a stream, up to maxBuffered.
 func (a *attempt) receiveBody() (result, error) {
 	for len(a.first) < maxBuffered && !a.ended {
-		data, err := a.read(a.firstDataTimeout())
+		data, err := a.read()
 		if err != nil {
 			return resultBroken, err
 		}
 		a.first = append(a.first, data...)
 	}
 	a.received.ended = a.ended
-	a.recordEvent()
 	if a.job.started {
 		return resultFailed, errors.Errorf("upstream responded with status %d", a.response.Status)
 	}
@@ -81,33 +90,34 @@
 }
 
 // read reads a part of the body, which is valid until the next call.
-func (a *attempt) read(timeout time.Duration) (data []byte, err error) {
+func (a *attempt) read() (data []byte, err error) {
 	if a.failure != nil {
 		return nil, a.failure
 	}
 	if a.buffer == nil {
 		a.buffer = make([]byte, a.readSize())
 	}
-	n := 0
-	err = a.standby.during(timeout, func() (progress bool, err error) {
-		n, err = a.response.Body.Read(a.buffer)
-		isEnd := errors.Is(err, io.EOF) && a.splitter.Incomplete() == 0
-		return n > 0 || isEnd, err
-	})
+	n, err := a.response.Body.Read(a.buffer)
 	if n > 0 {
-		a.received.lastAt = time.Now()
+		a.recordData()
 	}
 	switch {
 	case errors.Is(err, io.EOF):
 		a.ended = true
 		err = nil
-	case n > 0 && !errors.Is(err, errNoData):
+	case n > 0:
 		a.failure = err
 		err = nil
 	}
 	return a.buffer[:n], err
 }
 
+// recordData records that the upstream has sent something.
+func (a *attempt) recordData() {
+	a.dataAt.Store(time.Now().UnixNano())
+	a.standby.extend()
+}
+
 func (a *attempt) readSize() int {
 	if a.isStream() {
 		return chunkBytes
@@ -117,10 +127,7 @@
 
 // receiveEvents receives the first events of a stream.
 func (a *attempt) receiveEvents() (result, error) {
-	events, err := a.nextEvents(a.firstDataTimeout())
-	if err == nil && a.ended && len(events) == 0 {
-		err = a.checkEnd()
-	}
+	events, err := a.readEvents()
 	if err != nil {
 		return resultBroken, err
 	}
@@ -129,10 +136,22 @@
 }
 
 // nextEvents receives further events of a stream, at least one unless the stream ends. They are valid until the next call.
-// Only complete events are forwarded: a partial event is sent again by the upstream where the stream is resumed.
-func (a *attempt) nextEvents(timeout time.Duration) (events []byte, err error) {
+func (a *attempt) nextEvents() (events []byte, err error) {
+	replaced := a.standby.during(a.pauseTimeout(), func() (received bool) {
+		events, err = a.readEvents()
+		return err == nil
+	})
+	if replaced {
+		_, err = a.replacedResult(resultBroken, err)
+	}
+	return events, err
+}
+
+// readEvents reads until an event is complete or the stream has ended in order. Only complete events are forwarded: a partial
+// event is sent again by the upstream where the stream is resumed.
+func (a *attempt) readEvents() (events []byte, err error) {
 	for len(events) == 0 && !a.ended {
-		data, err := a.read(timeout)
+		data, err := a.read()
 		if err != nil {
 			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
 		}
@@ -140,8 +159,8 @@
 			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
 		}
 	}
-	if len(events) > 0 || a.ended && a.checkEnd() == nil {
-		a.recordEvent()
+	if len(events) == 0 {
+		return nil, a.checkEnd()
 	}
 	return events, nil
 }
@@ -187,6 +206,7 @@
 // relayBody forwards a response that is not a stream.
 func (a *attempt) relayBody() (result, error) {
 	j := a.job
+	a.recordEvent()
 	j.recordFirstByte()
 	a.copyHeader(a.ended)
 	if a.ended && a.response.Framing == forward.FramingChunks {
@@ -211,7 +231,7 @@
 // relayRemainder forwards the rest of a long response.
 func (a *attempt) relayRemainder() error {
 	for !a.ended {
-		data, err := a.read(a.firstDataTimeout())
+		data, err := a.read()
 		if err != nil {
 			return err
 		}
@@ -229,6 +249,7 @@
 	events := a.first
 	for {
 		if len(events) > 0 {
+			a.recordEvent()
 			if err := a.writeEvents(events); err != nil {
 				return resultServed, errCallerDisconnected
 			}
@@ -237,7 +258,7 @@
 			return a.endStream()
 		}
 		var err error
-		if events, err = a.nextEvents(a.pauseTimeout()); err != nil {
+		if events, err = a.nextEvents(); err != nil {
 			return resultBroken, err
 		}
 	}
@@ -249,6 +270,7 @@
 		return resultBroken, err
 	}
 	a.received.ended = true
+	a.recordEvent()
 	if err := a.writeEvents(nil); err != nil {
 		return resultServed, errCallerDisconnected
 	}
--- a/internal/gateway/serve/standby.go
+++ b/internal/gateway/serve/standby.go
@@ -23,10 +23,10 @@
 	silencePauses = 4
 	// minPlainSilence replaces minSilence for plain calls, which take some ten milliseconds.
 	minPlainSilence = 400 * time.Millisecond
-	// alternativeSilence is how long another upstream may have sent nothing to this instance while it had requests in flight.
+	// alternativeSilence is how long another upstream may have sent nothing to this instance while it had streams in flight.
 	alternativeSilence = minSilence / 2
-	// searchInterval is how often another upstream is looked for.
-	searchInterval = 200 * time.Millisecond
+	// minSearchInterval is the time until another upstream is looked for again. It doubles each time.
+	minSearchInterval = 200 * time.Millisecond
 	// maxTimerLag is how late the timer of a silence may expire. Later, this instance itself stood still, and what the upstream
 	// has sent may not have been read yet: the silence counts for timerLagGrace more.
 	maxTimerLag   = 100 * time.Millisecond
@@ -53,36 +53,51 @@
 	timer *time.Timer
 	// waiting: the attempt waits for data. due is when the silence is too long, and search is under way from then on.
 	waiting bool
+	timeout time.Duration
 	due     time.Time
 	search  *search
 	// graced: the timer has expired late, and due was put off.
 	graced bool
+	// failed: the attempt failed before another one had responded.
+	failed bool
 	// successor is the attempt that goes on in place of this one.
 	successor *attempt
 }
 
-// during runs a step that waits for data of the upstream. The step returns whether it received some. The error is errNoData if
-// a successor goes on in place of the attempt.
+// during runs a step that waits for data of the upstream, and reports whether a successor goes on in place of the attempt. The
+// step returns whether it received what the caller can be given: events, or the whole response. Anything less does not end a
+// search.
 //
-// While the step runs, a search may use the state of the job; when during returns, it has ended. The attempt that a search makes
-// may be silent as well, and have a standby of its own.
-func (s *standby) during(timeout time.Duration, step func() (progress bool, err error)) error {
+// While the step runs, a search may use the state of the job, so the step may not. When during returns, the search has ended. The
+// attempt that a search makes may be silent as well, and have a standby of its own.
+func (s *standby) during(timeout time.Duration, step func() (received bool)) (replaced bool) {
 	if !s.attempt.job.route.IsRepeatable() {
-		_, err := step()
-		return err
+		step()
+		return false
 	}
 	s.arm(timeout)
-	progress, err := step()
-	if s.disarm(progress) {
-		return errNoData
-	}
-	return err
+	return s.disarm(step())
 }
 
 func (s *standby) arm(timeout time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.waiting = true
+	s.timeout = timeout
+	s.startTimer(timeout)
+}
+
+// extend starts the time of the silence anew, because a part of the response has arrived. It does not end a search.
+func (s *standby) extend() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.waiting && s.search == nil {
+		s.startTimer(s.timeout)
+	}
+}
+
+// startTimer starts the time of the silence. The lock is held.
+func (s *standby) startTimer(timeout time.Duration) {
 	s.graced = false
 	s.due = time.Now().Add(timeout)
 	if s.timer == nil {
@@ -94,16 +109,19 @@
 
 // disarm ends the search, if one is under way, and reports whether the attempt has a successor. If the attempt has failed, the
 // upstream that is being tried becomes the successor if it responds.
-func (s *standby) disarm(progress bool) (replaced bool) {
+func (s *standby) disarm(received bool) (replaced bool) {
 	s.mutex.Lock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
 	s.waiting = false
-	s.timer.Stop()
+	s.failed = !received && s.successor == nil
 	running := s.search
 	s.search = nil
-	if running != nil && progress && s.successor == nil {
+	if running != nil && received && s.successor == nil {
 		running.cancel(errUnneeded)
 	}
-	if running != nil && !progress {
+	if running != nil && !received {
 		close(running.orphaned)
 	}
 	s.mutex.Unlock()
@@ -169,17 +187,20 @@
 func (s *search) run() {
 	defer close(s.done)
 	silent := s.standby.attempt
-	silent.job.handler.Fleet.VerifyLink(silent.placement.choice.Upstream)
+	j := silent.job
+	j.handler.State.WithLock(func(*SharedState) { silent.counted.RecordSilence() })
+	j.handler.Fleet.VerifyLink(silent.placement.choice.Upstream)
 	var next *attempt
 	var reason error
-	for next == nil {
+	for interval := minSearchInterval; next == nil; interval *= 2 {
 		var err error
 		if next, err = s.try(); err != nil && !errors.Is(err, errUnneeded) {
 			reason = err
 		}
-		if next == nil && !s.pause() {
+		if next == nil && !s.pause(interval) {
 			break
 		}
+		j.declined = nil // they may have room by now
 	}
 	s.log(next, reason)
 }
@@ -187,9 +208,15 @@
 // try makes an attempt at another upstream. It returns nil if there is none, or if it did not respond as it should.
 func (s *search) try() (next *attempt, err error) {
 	j := s.standby.attempt.job
-	if !j.mayRunAgain() || !j.hasAttemptsLeft() || time.Until(j.deadline) < minRetryTime {
+	if !j.mayRunAgain() || j.attempts >= maxAttempts-1 || time.Until(j.deadline) < minRetryTime {
 		return nil, errNoAttempt
 	}
+	if !j.hasRetry() {
+		return nil, errNoRetry
+	}
+	if j.refuseSuspect() != nil {
+		return nil, errSuspect
+	}
 	chosen, err := j.place(s.ctx)
 	if chosen == nil {
 		return nil, err
@@ -197,6 +224,11 @@
 	if next = j.begin(s.ctx, *chosen); next == nil {
 		return nil, nil
 	}
+	return s.receive(next)
+}
+
+// receive receives the first part of the response to an attempt, which becomes the successor.
+func (s *search) receive(next *attempt) (successor *attempt, err error) {
 	outcome, err := next.receive()
 	if next.standby.successor != nil { // it was silent as well
 		next = next.settle(outcome, err).successor
@@ -208,7 +240,10 @@
 	if outcome == "" && s.standby.adopt(s, next) {
 		return next, nil
 	}
-	if errors.Is(context.Cause(s.ctx), errUnneeded) {
+	if outcome == "" {
+		outcome, err = resultBroken, context.Cause(s.ctx)
+	}
+	if outcome == resultBroken && errors.Is(context.Cause(s.ctx), errUnneeded) {
 		outcome, err = resultUnneeded, errUnneeded
 	}
 	next.settle(outcome, err)
@@ -216,8 +251,8 @@
 }
 
 // pause waits until another upstream is to be looked for, and returns false if none is needed.
-func (s *search) pause() bool {
-	timer := time.NewTimer(searchInterval)
+func (s *search) pause(interval time.Duration) bool {
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -267,8 +302,8 @@
 
 // lastData returns when the upstream last sent something, or when the attempt began.
 func (a *attempt) lastData() time.Time {
-	if a.received.lastAt.After(a.began) {
-		return a.received.lastAt
+	if at := a.dataAt.Load(); at > 0 {
+		return time.Unix(0, at)
 	}
 	return a.began
 }
--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -84,7 +84,7 @@
 		{"the other one is silent too", "/stream/", pausesFor(longSilence), isLateFor(time.Minute, allEvents), whole, 2, 0},
 		{"the other one is silent too before the first event", "/stream/", isLateFor(longSilence, allEvents), isLateFor(time.Minute, allEvents), whole, 2, 0},
 		{"the other one is silent too before its answer", "/idem/", isLateFor(longSilence, served), isLateFor(time.Minute, served), answer, 2, 0},
-		{"the other one is full", "/stream/", pausesFor(longSilence), full, whole, 2, 0},
+		{"the other one is full", "/stream/", pausesFor(longSilence), full, whole, 3, 0}, // it is asked again
 		{"the other one fails", "/stream/", pausesFor(longSilence), failing, whole, 2, 0},
 		{"the other one fails a call", "/idem/", isLateFor(longSilence, served), failing, answer, 2, 0},
 		{"the other one breaks off", "/stream/", pausesFor(longSilence), reset, whole, 2, 0},
--- a/internal/placement/retry/budget.go
+++ b/internal/placement/retry/budget.go
@@ -41,9 +41,12 @@
 	b.balance = min(b.balance+b.ratio, b.max)
 }
 
+// IsAvailable reports whether a retry may be sent, and takes none from the budget.
+func (b *Budget) IsAvailable() bool { return b.balance >= 1 }
+
 // Allow reports whether a retry may be sent, and takes it from the budget.
 func (b *Budget) Allow() bool {
-	if b.balance < 1 {
+	if !b.IsAvailable() {
 		return false
 	}
 	b.balance--
