Wait for a silent engine that accepts the resume of its stream

Callers got the beginning of a stream and a closed connection, or a 502: after 20 s (four times BetweenTokens) without an event between two tokens, 60 s before the first one, though their request has two minutes. By reading: each resume without a new event counted as failed, also one that the engine had accepted with status 200 and that stayed open and silent; after the third one the run was given up and cancelled at the engine. Nothing better was known by then: a started stream can't go on elsewhere, and before the first token the default times leave no retry (60 s against a Patience of 15 s).

A resume now fails if it is refused or not answered, or if its response breaks off or is invalid. One that is accepted shows that the engine knows the stream; its silence counts for nothing, and the request's own deadline ends the wait. So a loss is still noticed: an engine that does not know the stream at the next resume, one that refuses, does not answer or ends each response after MaxResumes. An engine that accepts resumes and runs nothing any more was noticed by the router because the runs failed. A run that ends (deadline, caller) while its engine is silent now counts as a failure of the upstream there, which gives up nothing that runs.

Price: with a FirstToken under a quarter of Patience such an engine lost a request to another one before; now the request waits.

Evidence: TestSilentEngineThatAcceptsResumesIsAwaited (both cases: Failed or Unknown instead of Completed), all four cases of TestEngineLostAfterSilentResumes (given up after 3 connections, before the loss) and TestSilentEngineIsAwaitedUntilTheDeadline failed before, pass now. TestSilentEngineIsAvoided fails without the mark for the router (third request refused at its deadline), passes with it 30 times. TestAllConnectionsStalled, TestEngineDiesMidStream and TestEngineRestartedMidStream are unchanged and pass. go test -race of upstream, pipeline, caller and settings passed; lint clean. Not measured with real processes.

--- a/internal/entry/pipeline/completion_failures_test.go
+++ b/internal/entry/pipeline/completion_failures_test.go
@@ -157,6 +157,29 @@
 	}
 }
 
+// An engine responds, but runs nothing any more: each request at it ends at its deadline. The router must learn of it, or
+// the engine would be given one request after the other.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	runInBubble(t, 2, func(f *fixture) {
+		is := is.New(t)
+		f.complete = func(ctx context.Context, sink engine.Sink) engine.Outcome {
+			sent := f.dispatchedUpstreams()
+			if sent[len(sent)-1] != sent[0] {
+				return completeStream(sink)
+			}
+			<-ctx.Done()
+			return engine.Cancelled{Err: context.Cause(ctx), StopConfirmed: true, EngineSilent: true}
+		}
+		const toNotice = 2
+		for range toNotice {
+			checkRefused(t, f.requestCompletion("bids", 10), refusal.Deadline, refusal.Unknown)
+		}
+		for range 10 {
+			is.NoErr(f.requestCompletion("bids", 10))
+		}
+	})
+}
+
 // The first attempt of a request ends without a known outcome, and the second is refused. The first attempt may have
 // run to completion. A caller that got "not run" would repeat the request, and it could run twice.
 func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
--- a/internal/entry/pipeline/completion_outcome.go
+++ b/internal/entry/pipeline/completion_outcome.go
@@ -59,11 +59,15 @@
 
 func releaseReport(outcome engine.Outcome, m *meter) holder.Released {
 	released := holder.Released{Tokens: float64(m.tokens)}
-	switch outcome.(type) {
+	switch o := outcome.(type) {
 	case engine.NotResident, engine.WrongModel:
 		released.NotResident = true // in both cases the holder's record of the loaded version is wrong
 	case engine.Failed, engine.Unknown:
 		released.UpstreamFailed = true
+	case engine.Cancelled:
+		// An engine that responds and runs nothing any more would otherwise be given one request after the other, each
+		// until its deadline.
+		released.UpstreamFailed = o.EngineSilent
 	}
 	return released
 }
--- a/internal/entry/settings/settings_fields.go
+++ b/internal/entry/settings/settings_fields.go
@@ -96,13 +96,13 @@
 		},
 		{
 			Section: "Limits", Name: "FirstToken", Default: "15s",
-			Help: "longest wait for an upstream's first token",
+			Help: "longest silence before the first token until the stream is resumed on a new connection",
 			Set: inifile.Duration(100*time.Millisecond, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.FirstToken }),
 		},
 		{
 			Section: "Limits", Name: "BetweenTokens", Default: "5s",
-			Help: "longest silence between two tokens before the stream is resumed on a new connection",
+			Help: "longest silence between two tokens until the stream is resumed on a new connection",
 			Set: inifile.Duration(100*time.Millisecond, 10*time.Minute,
 				func(s *Settings) *time.Duration { return &s.Limits.BetweenTokens }),
 		},
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -28,11 +28,13 @@
 type Limits struct {
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration
-	// FirstTokenTimeout is the longest wait from sending the request to the first event.
+	// FirstTokenTimeout is how long a connection may bring no event before the first one, until the
+	// stream is resumed on a new connection.
 	FirstTokenTimeout time.Duration
-	// InterTokenTimeout is the longest wait between two events.
+	// InterTokenTimeout is the same between two events.
 	InterTokenTimeout time.Duration
-	// MaxResumes is how many consecutive resumes may bring no new event before the run is given up.
+	// MaxResumes is how many consecutive resumes may fail before the run is given up. A resume that
+	// the engine accepts has not failed, even if no event follows.
 	MaxResumes int
 	// CancelTimeout bounds the cancellation of a stream.
 	CancelTimeout time.Duration
@@ -159,12 +161,14 @@
 	EngineLost    bool
 }
 
-// Cancelled means that the caller disconnected or the sink failed. StopConfirmed reports whether
-// the engine confirmed the cancellation.
+// Cancelled means that ctx ended, as the caller disconnected or the request's time was over, or that
+// the sink failed. StopConfirmed reports whether the engine confirmed the cancellation. EngineSilent
+// means that the engine knew the stream, but had sent no event for at least an idle timeout.
 type Cancelled struct {
 	Tokens        int
 	Err           error
 	StopConfirmed bool
+	EngineSilent  bool
 }
 
 func (Completed) outcome()   {}
--- a/internal/upstream/engine/complete.go
+++ b/internal/upstream/engine/complete.go
@@ -24,7 +24,10 @@
 
 // Reasons for abandoning a connection.
 var (
-	errIdleTimeout        = errors.New("engine: no stream event within the idle timeout")
+	errIdleTimeout = errors.New("engine: no response within the idle timeout")
+	// errSilentStream means that the engine accepted the request or the resume, and sent no further event within the
+	// idle timeout. It knows the stream and may still work on it.
+	errSilentStream       = errors.New("engine: no stream event within the idle timeout")
 	errMismatchedResponse = errors.New("engine: response to another request")
 	errWrongModel         = errors.New("engine: served a model other than the requested one")
 )
@@ -36,21 +39,32 @@
 	sink     Sink
 	position position
 	started  bool
+	// silent means that the last connection was abandoned because the engine sent nothing, and that no
+	// event has arrived since.
+	silent bool
 	// unconfirmedRefusal is a refusal without a request ID. It counts once the engine confirms that
 	// it does not know the stream.
 	unconfirmedRefusal Outcome
 }
 
 // run sends the request and resumes the stream until it has ended, or until too many consecutive
-// connections delivered no new event. Resuming covers connections that stall or are cut while
-// the engine is still working. Giving up would waste the tokens generated so far, and running the
-// request again would generate them twice.
+// resumes failed. Resuming covers connections that stall or are cut while the engine is still
+// working. Giving up would waste the tokens generated so far, and running the request again would
+// generate them twice.
+//
+// A resume that the engine accepts shows that it knows the stream, however long it then sends
+// nothing: a slow engine is waited for until ctx ends. A resume fails if it is refused or not
+// answered, or if its response breaks off or is invalid.
 func (r *completionRun) run(ctx context.Context) Outcome {
 	outcome, err := r.attempt(ctx, r.initialRequest())
 	for failedResumes := 0; outcome == nil; {
 		if ctx.Err() != nil {
 			return r.cancel(ctx, context.Cause(ctx))
 		}
+		r.silent = errors.Is(err, errSilentStream)
+		if r.silent {
+			failedResumes = 0
+		}
 		if failedResumes >= r.client.limits.MaxResumes {
 			return r.giveUp(ctx, err)
 		}
@@ -105,10 +119,14 @@
 		return r.handleMismatch(ctx, response, err)
 	}
 	outcome, err := r.readStream(ctx, response.Body, idle)
-	if outcome == nil {
-		err = r.recordConnectionFault(ctx, attemptCtx, err)
+	if outcome != nil {
+		return outcome, nil
 	}
-	return outcome, err
+	err = r.recordConnectionFault(ctx, attemptCtx, err)
+	if errors.Is(err, errIdleTimeout) {
+		err = errSilentStream
+	}
+	return nil, err
 }
 
 // idleTimeout is the longest wait for the next event: before the first token, or between tokens.
@@ -292,6 +310,7 @@
 	if !isNew {
 		return nil, nil
 	}
+	r.silent = false
 	if err := r.deliver(event, tokens); err != nil {
 		return r.cancel(ctx, err), nil
 	}
@@ -322,7 +341,12 @@
 }
 
 func (r *completionRun) cancel(ctx context.Context, cause error) Outcome {
-	return Cancelled{Tokens: r.position.tokens, Err: cause, StopConfirmed: r.cancelStream(ctx)}
+	return Cancelled{
+		Tokens:        r.position.tokens,
+		Err:           cause,
+		StopConfirmed: r.cancelStream(ctx),
+		EngineSilent:  r.silent,
+	}
 }
 
 // cancelStream cancels the stream at the engine and reports whether the engine confirmed that it no
--- a/internal/upstream/engine/complete_test.go
+++ b/internal/upstream/engine/complete_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +148,124 @@
 	is.Equal(cancels, 1)
 }
 
+// An engine accepts each resume and sends nothing for longer than all resumes may take together, because it is slow. The
+// caller must get the whole response, and the engine must neither be asked to cancel the stream nor run it again.
+func TestSilentEngineThatAcceptsResumesIsAwaited(t *testing.T) {
+	cases := []struct {
+		name   string
+		before int
+	}{
+		{"before the first token", 0},
+		{"between two tokens", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var faults faultCounter
+			limits := shortLimits()
+			silentConnections := limits.MaxResumes + 5
+			fake := &fakeEngine{tokens: 4, intercept: func(number int, w http.ResponseWriter, r *http.Request) bool {
+				if number > silentConnections {
+					return false
+				}
+				w.(http.Flusher).Flush()
+				for n := 1; number == 1 && n <= c.before; n++ {
+					sendToken(w, requestID, n)
+				}
+				<-r.Context().Done()
+				return true
+			}}
+			client := &engine.Client{Address: fake.start(t), Limits: limits, OnFault: faults.observe}
+			sink := &textSink{}
+			_, ok := client.Complete(t.Context(), dispatch(), sink).(engine.Completed)
+			is.True(ok)
+			is.Equal(sink.text, fullText(4))
+			is.Equal(faults.count(engine.FaultSilent), silentConnections)
+			runs, cancels := fake.counts()
+			is.Equal(runs, 1)
+			is.Equal(cancels, 0)
+		})
+	}
+}
+
+// An engine accepts resumes in silence until it is lost. The loss must be noticed with the next resumes, or the caller
+// would wait for a response that no engine works on any more.
+func TestEngineLostAfterSilentResumes(t *testing.T) {
+	const acceptedResumes = 4
+	cases := []struct {
+		name   string
+		lose   func(w http.ResponseWriter, r *http.Request)
+		lost   bool
+		resume int
+	}{
+		{"it does not know the stream", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusNotFound)
+		}, true, 1},
+		{"it does not respond", func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		}, false, 2},
+		{"it refuses the resume", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		}, false, 2},
+		{"it ends each response", func(w http.ResponseWriter, _ *http.Request) {
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, false, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var resumes atomic.Int32
+			fake := &fakeEngine{tokens: 4, intercept: func(number int, w http.ResponseWriter, r *http.Request) bool {
+				switch {
+				case r.Method == http.MethodDelete:
+					return false
+				case number > 1+acceptedResumes:
+					resumes.Add(1)
+					c.lose(w, r)
+					return true
+				case number == 1:
+					sendToken(w, requestID, 1)
+				}
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+				return true
+			}}
+			client := &engine.Client{Address: fake.start(t), Limits: shortLimits()}
+			failed, ok := client.Complete(t.Context(), dispatch(), &textSink{}).(engine.Failed)
+			is.True(ok)
+			is.Equal(failed.Tokens, 1)
+			is.Equal(failed.EngineLost, c.lost)
+			is.True(failed.StopConfirmed)
+			is.Equal(int(resumes.Load()), c.resume)
+		})
+	}
+}
+
+// An engine accepts each resume and never sends anything. The wait must end at the deadline of the request, with the
+// stream cancelled, or the caller and the batch slot would be held without bound.
+func TestSilentEngineIsAwaitedUntilTheDeadline(t *testing.T) {
+	is := is.New(t)
+	fake := &fakeEngine{tokens: 4, intercept: func(_ int, w http.ResponseWriter, r *http.Request) bool {
+		if r.Method == http.MethodDelete {
+			return false
+		}
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		return true
+	}}
+	client := &engine.Client{Address: fake.start(t), Limits: shortLimits()}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	cancelled, ok := client.Complete(ctx, dispatch(), &textSink{}).(engine.Cancelled)
+	is.True(ok)
+	is.Equal(cancelled.Err, context.DeadlineExceeded)
+	is.True(cancelled.StopConfirmed)
+	is.True(cancelled.EngineSilent)
+	_, cancels := fake.counts()
+	is.Equal(cancels, 1)
+}
+
 // An engine sends the response of another request, from the headers on or from the middle of a
 // stream. The caller would read the text of another workspace. The wrong part must be discarded and
 // counted, and the right one fetched.
