--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -172,6 +172,12 @@
 			}
 			results <- body
 		}()
+		for h.runs() <= number { // so that the streams are spread over the upstreams
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for _, u := range h.upstreams {
+		is.True(len(u.requests()) > 0)
 	}
 	for range callers {
 		is.Equal(<-results, event(1)+event(2)+event(3)+event(4))
