--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 )
 
@@ -165,6 +166,8 @@
 	const callers = 6
 	results := make(chan string, callers)
 	for number := range callers {
+		h.setDraining(0, number%2 == 0)
+		h.setDraining(1, number%2 == 1)
 		go func() {
 			_, body, err := h.call("/stream/", "b", headerID, fmt.Sprint("id", number))
 			if err != nil {
@@ -172,19 +175,27 @@
 			}
 			results <- body
 		}()
-		for h.runs() <= number { // so that the streams are spread over the upstreams
+		for h.runs() <= number {
 			time.Sleep(time.Millisecond)
 		}
 	}
-	for _, u := range h.upstreams {
-		is.True(len(u.requests()) > 0)
-	}
+	h.setDraining(0, false)
+	h.setDraining(1, false)
 	for range callers {
 		is.Equal(<-results, event(1)+event(2)+event(3)+event(4))
 	}
 	is.Equal(h.runs(), callers)
 }
 
+// setDraining declares whether an upstream takes new requests.
+func (h *harness) setDraining(number int, draining bool) {
+	h.handler.State.WithLock(func(state *serve.SharedState) {
+		declared, _ := state.Pool.Upstream(h.upstreams[number].id)
+		declared.Draining = draining
+		state.Pool.Declare(time.Now(), declared)
+	})
+}
+
 // Guards against an upstream that keeps working on a request that another one has finished.
 func TestReplacedUpstreamStops(t *testing.T) {
 	is := is.New(t)
