--- a/internal/upstream/engine/silent_connection_test.go
+++ b/internal/upstream/engine/silent_connection_test.go
@@ -95,8 +95,10 @@
 	is := is.New(t)
 	limits := shortLimits()
 	limits.InterTokenTimeout = time.Second
+	start := time.Now()
 	broken := make(chan struct{})
-	fake := &fakeEngine{tokens: 4, intercept: func(number int, w http.ResponseWriter, _ *http.Request) bool {
+	fake := &fakeEngine{tokens: 4, intercept: func(number int, w http.ResponseWriter, r *http.Request) bool {
+		t.Log(number, r.Method, r.URL, time.Since(start))
 		if number > 1 {
 			<-broken
 			return false
@@ -106,7 +108,7 @@
 		close(broken)
 		panic(http.ErrAbortHandler)
 	}}
-	client := &engine.Client{Address: fake.start(t), Limits: limits}
+	client := &engine.Client{Address: fake.start(t), Limits: limits, OnFault: func(f engine.Fault) { t.Log(f, time.Since(start)) }}
 	sink := &textSink{}
 	_, ok := client.Complete(t.Context(), dispatch(), sink).(engine.Completed)
 	is.True(ok)
