Keep what runs on a connection to a peer when the next one replaces it

Callers saw 502 "the upstream failed or its answer was lost" for all requests that ran through a peer which had sent nothing for 1.5 s and went on: TestSilentPeerLosesNoResponse, 3 of 3 runs on, 4 of 4 requests each in the log that was read (EndedBy=upstream, SilentMillis 1417 to 1420, "grpc: the client connection is closing").

Cause, that of docs/incidents/responses_ended_by_silence.md: a gossip link without a message for 1 s closed the gRPC connection, and with it the connections to upstreams and the other calls that it carried. LinkLost stands before the four ends in the log. The same was done by two failed reports in a row (0.4 s each) and for instances that are not in the roster for 20 s (an instance that stops may carry responses for longer, and entries expire in an outage of the store).

Now such a connection is retired: the gossip stream ends alone, new calls and the next link use a new connection, as early as before. A call takes the current connection when it begins, so that none fails because its connection was retired meanwhile. A retired connection is closed as soon as no call runs on it, at the latest after 15 minutes (claim.MaxRunTime, longer than any call may run). Members that a head of `lacewingd run` lists no more are known to be gone; their connections are closed as before, the retired ones too.

TestSilentPeerLosesNoResponse passes 3 of 3.

--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -50,7 +50,7 @@
 		p.node.overlay.recordLinkFailure(time.Now(), p.instance.Name)
 		p.node.Log.Debug().Err(err).Str("Peer", p.instance.Name).Int64("TookMillis", time.Since(start).Milliseconds()).Msg("LinkLost")
 		if errors.Is(err, errLinkTimeout) {
-			p.node.peers.Drop(p.instance.Address)
+			p.node.peers.Retire(p.instance.Address)
 		}
 		pause.For(ctx, reopenPause)
 	}
@@ -176,15 +176,17 @@
 	return now.Sub(since) > openFallbackDelay
 }
 
-// closeStalePeerConnections closes the connections to instances that are gone.
-func (n *Node) closeStalePeerConnections() {
+// retireStalePeerConnections retires the connections to instances that are gone, as far as the roster shows. They may
+// still carry responses for this instance: one that stops does so until the last is complete, and the entry of one that
+// cannot reach the store expires.
+func (n *Node) retireStalePeerConnections() {
 	n.overlay.mutex.Lock()
 	addresses := make(map[string]bool, len(n.overlay.members))
 	for _, entry := range n.overlay.members {
 		addresses[entry.instance.Address] = true
 	}
 	n.overlay.mutex.Unlock()
-	n.peers.CloseExcept(addresses)
+	n.peers.RetireExcept(addresses)
 }
 
 // silentMembers lists the silent members that this relay has to contact. The caller holds the lock.
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -57,35 +57,44 @@
 	)
 }
 
-// Links holds the connections to peers by address. Set Credentials before the first call.
+// Links holds the connections to peers by address. Set the exported fields before the first call.
 type Links struct {
 	Credentials credentials.TransportCredentials
+	// RetiredLifetime overrides the time for which calls may go on over a retired connection.
+	RetiredLifetime time.Duration
 
 	mutex       sync.Mutex
 	connections map[string]*connection
+	// retired are the connections that take no new calls, and are open because calls run on them.
+	retired map[*connection]bool
 }
 
-type connection struct {
-	client           *grpc.ClientConn
-	failedHeartbeats int
-}
-
-// Connection returns the connection to a peer. It is established by the first call that uses it.
+// Connection returns the connection to a peer. It is established by the first call that uses it. A call that begins
+// after the connection has been retired uses the next one.
 func (l *Links) Connection(address string) (client grpc.ClientConnInterface, err error) {
 	defer func() { err = errors.WithMessage(err, "link: connect") }()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if _, err := l.currentLocked(address); err != nil {
+		return nil, err
+	}
+	return calls{links: l, address: address}, nil
+}
+
+// currentLocked returns the connection that takes new calls to a peer. The caller holds the lock.
+func (l *Links) currentLocked(address string) (*connection, error) {
 	if known, found := l.connections[address]; found {
-		return known.client, nil
+		return known, nil
 	}
-	created, err := grpc.NewClient("passthrough:///"+address, l.options()...)
+	client, err := grpc.NewClient("passthrough:///"+address, l.options()...)
 	if err != nil {
 		return nil, err
 	}
 	if l.connections == nil {
 		l.connections = make(map[string]*connection)
 	}
-	l.connections[address] = &connection{client: created}
+	created := &connection{links: l, address: address, client: client, unused: make(chan struct{})}
+	l.connections[address] = created
 	return created, nil
 }
 
@@ -108,7 +117,7 @@
 	}
 }
 
-// RecordHeartbeat records the result of a heartbeat. It closes the connection after maxFailedHeartbeats consecutive
+// RecordHeartbeat records the result of a heartbeat. It retires the connection after maxFailedHeartbeats consecutive
 // failures.
 func (l *Links) RecordHeartbeat(address string, err error) {
 	l.mutex.Lock()
@@ -123,35 +132,56 @@
 	}
 	known.failedHeartbeats++
 	if known.failedHeartbeats >= maxFailedHeartbeats {
-		l.dropLocked(address)
+		l.retireLocked(known)
 	}
 }
 
-// Drop closes the connection to a peer, if there is one. The next call opens a new one.
-func (l *Links) Drop(address string) {
+// Retire has the next call to a peer open a new connection. The calls that run on the present one go on, as described
+// in retired.go.
+func (l *Links) Retire(address string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.dropLocked(address)
+	if known := l.connections[address]; known != nil {
+		l.retireLocked(known)
+	}
 }
 
-// dropLocked is Drop for callers that hold the lock.
-func (l *Links) dropLocked(address string) {
-	if known := l.connections[address]; known != nil {
-		known.client.Close()
-		delete(l.connections, address)
+// RetireExcept retires the connections to all addresses except the given ones.
+func (l *Links) RetireExcept(addresses map[string]bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for address, known := range l.connections {
+		if !addresses[address] {
+			l.retireLocked(known)
+		}
 	}
 }
 
-// CloseExcept closes the connections to all addresses except the given ones.
+// CloseExcept closes the connections to all addresses except the given ones, and ends the calls on them. It is for peers
+// that are known to be gone.
 func (l *Links) CloseExcept(addresses map[string]bool) {
+	for _, known := range l.removeExcept(addresses) {
+		known.client.Close()
+	}
+}
+
+// removeExcept takes the connections to all addresses except the given ones out of use for new calls, and returns them
+// and those that were retired before. They are closed without the lock, which calls need to end.
+func (l *Links) removeExcept(addresses map[string]bool) (removed []*connection) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for address, known := range l.connections {
 		if !addresses[address] {
-			known.client.Close()
+			removed = append(removed, known)
 			delete(l.connections, address)
 		}
 	}
+	for known := range l.retired {
+		if !addresses[known.address] {
+			removed = append(removed, known)
+		}
+	}
+	return removed
 }
 
 // Close closes all connections.
--- /dev/null
+++ b/internal/fleet/link/retired.go
@@ -0,0 +1,124 @@
+package link
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"lacewingrock.example/lacewingrock/internal/admission/claim"
+)
+
+// retired.go replaces a connection without ending the calls that run on it.
+//
+// A peer that sends nothing for a second may be gone, or may have paused. Closing its connection would cut the responses
+// that it carries for this instance, also if it goes on a moment later. A retired connection takes no new calls. It is
+// closed as soon as none runs on it: when they have ended, when their contexts are over or when the transport has found
+// the connection dead.
+
+// retiredLifetime bounds the time until a retired connection is closed, unless Links sets its own value. No call to an
+// upstream runs longer than that.
+const retiredLifetime = claim.MaxRunTime
+
+// connection is a connection to a peer. The lock of links protects what changes.
+type connection struct {
+	links            *Links
+	address          string
+	client           *grpc.ClientConn
+	failedHeartbeats int
+	// running counts the calls that have begun and not ended.
+	running int
+	// unused is closed once the connection is retired and no call runs on it.
+	unused chan struct{}
+}
+
+// retireLocked takes a connection out of use for new calls. The caller holds the lock.
+func (l *Links) retireLocked(c *connection) {
+	if l.retired == nil {
+		l.retired = make(map[*connection]bool)
+	}
+	delete(l.connections, c.address)
+	l.retired[c] = true
+	if c.running == 0 {
+		close(c.unused)
+	}
+	lifetime := l.RetiredLifetime
+	if lifetime == 0 {
+		lifetime = retiredLifetime
+	}
+	go c.run(lifetime)
+}
+
+// run closes a retired connection once no call runs on it, at the latest after the given time.
+func (c *connection) run(lifetime time.Duration) {
+	expired := time.NewTimer(lifetime)
+	defer expired.Stop()
+	select {
+	case <-c.unused:
+	case <-expired.C:
+	}
+	c.client.Close()
+	c.links.mutex.Lock()
+	defer c.links.mutex.Unlock()
+	delete(c.links.retired, c)
+}
+
+// begin returns the connection for a new call to a peer, on which the call counts as running until end.
+func (l *Links) begin(address string) (*connection, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	current, err := l.currentLocked(address)
+	if err != nil {
+		return nil, err
+	}
+	current.running++
+	return current, nil
+}
+
+// end records that a call has ended.
+func (c *connection) end() {
+	c.links.mutex.Lock()
+	defer c.links.mutex.Unlock()
+	c.running--
+	if c.running == 0 && c.links.retired[c] {
+		close(c.unused)
+	}
+}
+
+// ---------------------------------------------------------------------------------------------
+
+// calls makes calls to a peer, each over the connection that is current when the call begins.
+type calls struct {
+	links   *Links
+	address string
+}
+
+// Invoke makes a call with one request and one response.
+func (c calls) Invoke(ctx context.Context, method string, request, response any, options ...grpc.CallOption) error {
+	used, err := c.links.begin(c.address)
+	if err != nil {
+		return err
+	}
+	defer used.end()
+	return used.client.Invoke(ctx, method, request, response, options...)
+}
+
+// NewStream opens a stream. It counts as running until it fails, the peer ends it or its context ends.
+func (c calls) NewStream(
+	ctx context.Context, description *grpc.StreamDesc, method string, options ...grpc.CallOption,
+) (grpc.ClientStream, error) {
+	used, err := c.links.begin(c.address)
+	if err != nil {
+		return nil, err
+	}
+	end := sync.OnceFunc(used.end)
+	options = append(slices.Clip(options), grpc.OnFinish(func(error) { end() }))
+	stream, err := used.client.NewStream(ctx, description, method, options...)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	return stream, nil
+}
--- a/internal/fleet/mesh/connect_test.go
+++ b/internal/fleet/mesh/connect_test.go
@@ -17,13 +17,18 @@
 // openThroughPeer opens a connection through a peer and returns both ends, that of the instance and the upstream's, and
 // the peer.
 func openThroughPeer(t *testing.T) (instanceEnd net.Conn, upstreamEnd *net.TCPConn, peer *echo) {
+	t.Helper()
+	instanceEnd, upstreamEnd, peer, _, _ = openWithPeers(t)
+	return instanceEnd, upstreamEnd, peer
+}
+
+// openWithPeers also returns the links of the instance and the address of the peer.
+func openWithPeers(t *testing.T) (instanceEnd net.Conn, upstreamEnd *net.TCPConn, peer *echo, peers *mesh.Peers, address string) {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	var peers *mesh.Peers
-	var address string
 	peer, peers, address = serveEcho(t)
 	peer.connection, err = net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
@@ -34,7 +39,7 @@
 	is.NoErr(err)
 	cancel() // bounds the opening only
 	is.Equal(peer.connectRequest, mesh.ConnectRequest{Upstream: "u", Instance: "i", CallID: "id"})
-	return instanceEnd, accepted.(*net.TCPConn), peer
+	return instanceEnd, accepted.(*net.TCPConn), peer, peers, address
 }
 
 // Guards against a response of an upstream that is cut on the way through a peer and looks complete to the caller.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -46,7 +46,7 @@
 
 // ---------------------------------------------------------------------------------------------
 
-// Peers calls peers by address. Set Links.Credentials before the first call.
+// Peers calls peers by address. Set the fields of Links before the first call.
 type Peers struct{ link.Links }
 
 // Gossip opens a link. It stays open until the context ends or the peer closes it.
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -44,6 +44,8 @@
 	// connection and connectError are the result of Connect.
 	connection   net.Conn
 	connectError error
+	// accepted counts the connections of instances, open those that are not closed.
+	accepted, open atomic.Int64
 }
 
 func (e *echo) Gossip(_ context.Context, stream mesh.Stream) error {
@@ -101,7 +103,7 @@
 	}
 	peer := &echo{statements: make(chan mesh.Statement, 1)}
 	peer.server = mesh.NewServer(peer)
-	go func() { _ = peer.server.Serve(listener) }()
+	go func() { _ = peer.server.Serve(&openCountListener{Listener: listener, peer: peer}) }()
 	t.Cleanup(peer.server.Stop)
 	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	t.Cleanup(peers.Close)
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -15,7 +15,7 @@
 
 // client.go makes calls to peers.
 
-// Client calls peers by address. Set Links.Credentials before the first call.
+// Client calls peers by address. Set the fields of Links before the first call.
 type Client struct{ link.Links }
 
 func (c *Client) client(address string) (fleetpb.FleetClient, error) {
