Keep responses through a peer that acknowledges nothing for a second

By reading, not seen on callers: gRPC's keep-alive time-out is TCP_USER_TIMEOUT as well.

New calls do not wait for that. An answered or unused connection is kept.

`lacewingd run` keeps 1 s: no response of an upstream runs over its connections, and a new holder's requests for pins have no deadline and are made again when they fail.

Bounds: a connection whose peer is gone ends 30 s after the first unacknowledged byte, or 10 s + 30 s after the last message received; one on which calls go on is closed 15 minutes after it was retired. A response through a peer whose host is lost without a word is no longer broken after 1 s: the search for another upstream starts as for any silent one, and a call that may run once is waited for until its deadline.

--- a/internal/entry/daemon/assemble.go
+++ b/internal/entry/daemon/assemble.go
@@ -37,6 +37,11 @@
 
 // assemble.go creates the components of an instance from its settings and connects them.
 
+// peerSilenceTimeout is how long a member may acknowledge nothing before the connection to it is closed. The connections
+// carry no responses of upstreams. Their calls are short or are made again, and some have no deadline, such as the
+// request of a new holder for the pins of each member: they would wait for a connection that is dead.
+const peerSilenceTimeout = time.Second
+
 // assemble creates all components. The returned function closes the resources that they hold.
 func (d *Daemon) assemble() (closeParts func(), err error) {
 	serverCredentials, clientCredentials, err := peer.Credentials(d.Settings.Peers)
@@ -45,7 +50,7 @@
 	}
 	scope, exposition, scopeCloser := metrics.New("lacewingd")
 	d.scope = scope
-	d.peers = &peer.Client{Links: link.Links{Credentials: clientCredentials}}
+	d.peers = &peer.Client{Links: link.Links{Credentials: clientCredentials, SilenceTimeout: peerSilenceTimeout}}
 	d.assembleConfiguration()
 	policy := d.policy()
 	d.assemblePlacement(policy)
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -2,6 +2,7 @@
 package link
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -15,12 +16,16 @@
 )
 
 const (
-	// keepaliveInterval and keepaliveTimeout detect a dead connection while new connections to the peer work, if the
-	// failure counting in RecordHeartbeat does not. Each call on it would time out. The interval is the shortest that
-	// gRPC accepts. gRPC also sets the time-out as TCP_USER_TIMEOUT: a peer that acknowledges nothing for that long
-	// loses its connection, as its heartbeats are missing by then.
+	// keepaliveInterval is how long a connection with calls may receive nothing before gRPC checks it. The interval is the
+	// shortest that gRPC accepts.
 	keepaliveInterval = 10 * time.Second
-	keepaliveTimeout  = 1 * time.Second
+	// silenceTimeout is how long a peer may acknowledge nothing before the connection is given up with all that runs on
+	// it, unless Links sets its own value. gRPC sets it as TCP_USER_TIMEOUT. Silence does not show that the peer is lost,
+	// and the responses that come through it may go on: it is as long as most requests may take. New calls do not wait
+	// for it: they use a new connection after maxUnanswered.
+	silenceTimeout = 30 * time.Second
+	// connectTimeout bounds one attempt to connect to a peer.
+	connectTimeout = time.Second
 	// minKeepaliveInterval is the shortest ping interval that a server accepts; gRPC closes the connection of a peer
 	// that pings more often.
 	minKeepaliveInterval = 500 * time.Millisecond
@@ -49,6 +54,7 @@
 	return grpc.NewServer(
 		grpc.Creds(secured),
 		grpc.ConnectionTimeout(socket.HandshakeTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Timeout: silenceTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
@@ -62,6 +68,8 @@
 	Credentials credentials.TransportCredentials
 	// RetiredLifetime overrides the time for which calls may go on over a retired connection.
 	RetiredLifetime time.Duration
+	// SilenceTimeout overrides the time after which a connection is given up whose peer acknowledges nothing.
+	SilenceTimeout time.Duration
 
 	mutex       sync.Mutex
 	connections map[string]*connection
@@ -93,7 +101,7 @@
 	if l.connections == nil {
 		l.connections = make(map[string]*connection)
 	}
-	created := &connection{links: l, address: address, client: client, unused: make(chan struct{})}
+	created := &connection{links: l, address: address, client: client, created: time.Now(), unused: make(chan struct{})}
 	l.connections[address] = created
 	return created, nil
 }
@@ -108,11 +116,11 @@
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: cmp.Or(l.SilenceTimeout, silenceTimeout)}),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minReconnectBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectBackoff},
-			MinConnectTimeout: keepaliveTimeout,
+			MinConnectTimeout: connectTimeout,
 		}),
 	}
 }
--- a/internal/fleet/link/retired.go
+++ b/internal/fleet/link/retired.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -22,6 +24,10 @@
 // upstream runs longer than that.
 const retiredLifetime = claim.MaxRunTime
 
+// maxUnanswered is how long calls may have been without any message from the peer before the next one opens a new
+// connection. It covers peers to which this instance sends no heartbeats, as most are in a large fleet.
+const maxUnanswered = time.Second
+
 // connection is a connection to a peer. The lock of links protects what changes.
 type connection struct {
 	links            *Links
@@ -30,6 +36,10 @@
 	failedHeartbeats int
 	// running counts the calls that have begun and not ended.
 	running int
+	// created is when it was created, and unanswered when the first call began after the last message was received, as
+	// time since created; 0 if none has.
+	created    time.Time
+	unanswered atomic.Int64
 	// unused is closed once the connection is retired and no call runs on it.
 	unused chan struct{}
 }
@@ -44,11 +54,7 @@
 	if c.running == 0 {
 		close(c.unused)
 	}
-	lifetime := l.RetiredLifetime
-	if lifetime == 0 {
-		lifetime = retiredLifetime
-	}
-	go c.run(lifetime)
+	go c.run(cmp.Or(l.RetiredLifetime, retiredLifetime))
 }
 
 // run closes a retired connection once no call runs on it, at the latest after the given time.
@@ -73,10 +79,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if current.isSilent() {
+		l.retireLocked(current)
+		if current, err = l.currentLocked(address); err != nil {
+			return nil, err
+		}
+	}
 	current.running++
+	current.unanswered.CompareAndSwap(0, int64(time.Since(current.created)))
 	return current, nil
 }
 
+// isSilent reports whether calls have been without any message from the peer for too long.
+func (c *connection) isSilent() bool {
+	since := time.Duration(c.unanswered.Load())
+	return since > 0 && time.Since(c.created)-since > maxUnanswered
+}
+
 // end records that a call has ended.
 func (c *connection) end() {
 	c.links.mutex.Lock()
@@ -102,7 +121,11 @@
 		return err
 	}
 	defer used.end()
-	return used.client.Invoke(ctx, method, request, response, options...)
+	if err := used.client.Invoke(ctx, method, request, response, options...); err != nil {
+		return err
+	}
+	used.unanswered.Store(0)
+	return nil
 }
 
 // NewStream opens a stream. It counts as running until it fails, the peer ends it or its context ends.
@@ -120,5 +143,20 @@
 		end()
 		return nil, err
 	}
-	return stream, nil
+	return &receivingStream{ClientStream: stream, connection: used}, nil
+}
+
+// receivingStream records that messages are received.
+type receivingStream struct {
+	grpc.ClientStream
+	connection *connection
+}
+
+// RecvMsg waits for the next message.
+func (s *receivingStream) RecvMsg(message any) error {
+	if err := s.ClientStream.RecvMsg(message); err != nil {
+		return err
+	}
+	s.connection.unanswered.Store(0)
+	return nil
 }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -46,6 +46,8 @@
 	connectError error
 	// accepted counts the connections of instances, open those that are not closed.
 	accepted, open atomic.Int64
+	// silent: reports are answered too late.
+	silent atomic.Bool
 }
 
 func (e *echo) Gossip(_ context.Context, stream mesh.Stream) error {
@@ -62,6 +64,10 @@
 }
 
 func (e *echo) Report(report mesh.LoadReport) mesh.HeldReport {
+	if e.silent.Load() {
+		time.Sleep(2 * silentReportTimeout)
+		return mesh.HeldReport{}
+	}
 	e.report = report
 	return e.held
 }
