--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -2,6 +2,7 @@
 package link
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -15,12 +16,16 @@
 )
 
 const (
-	// keepaliveInterval and keepaliveTimeout detect a dead connection while new connections to the peer work, if the
-	// failure counting in RecordHeartbeat does not. Each call on it would time out. The interval is the shortest that
-	// gRPC accepts. gRPC also sets the time-out as TCP_USER_TIMEOUT: a peer that acknowledges nothing for that long
-	// loses its connection, as its heartbeats are missing by then.
+	// keepaliveInterval is how long a connection with calls may receive nothing before gRPC checks it. The interval is the
+	// shortest that gRPC accepts.
 	keepaliveInterval = 10 * time.Second
-	keepaliveTimeout  = 1 * time.Second
+	// silenceTimeout is how long a peer may acknowledge nothing before the connection is given up with all that runs on
+	// it, unless Links sets its own value. gRPC sets it as TCP_USER_TIMEOUT. Silence does not show that the peer is lost,
+	// and the responses that come through it may go on: it is as long as most requests may take. New calls do not wait
+	// for it: they use a new connection after maxUnanswered.
+	silenceTimeout = 30 * time.Second
+	// connectTimeout bounds one attempt to connect to a peer.
+	connectTimeout = time.Second
 	// minKeepaliveInterval is the shortest ping interval that a server accepts; gRPC closes the connection of a peer
 	// that pings more often.
 	minKeepaliveInterval = 500 * time.Millisecond
@@ -49,6 +54,7 @@
 	return grpc.NewServer(
 		grpc.Creds(secured),
 		grpc.ConnectionTimeout(socket.HandshakeTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Timeout: silenceTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
@@ -57,35 +63,46 @@
 	)
 }
 
-// Links holds the connections to peers by address. Set Credentials before the first call.
+// Links holds the connections to peers by address. Set the exported fields before the first call.
 type Links struct {
 	Credentials credentials.TransportCredentials
+	// RetiredLifetime overrides the time for which calls may go on over a retired connection.
+	RetiredLifetime time.Duration
+	// SilenceTimeout overrides the time after which a connection is given up whose peer acknowledges nothing.
+	SilenceTimeout time.Duration
 
 	mutex       sync.Mutex
 	connections map[string]*connection
+	// retired are the connections that take no new calls, and are open because calls run on them.
+	retired map[*connection]bool
 }
 
-type connection struct {
-	client           *grpc.ClientConn
-	failedHeartbeats int
-}
-
-// Connection returns the connection to a peer. It is established by the first call that uses it.
+// Connection returns the connection to a peer. It is established by the first call that uses it. A call that begins
+// after the connection has been retired uses the next one.
 func (l *Links) Connection(address string) (client grpc.ClientConnInterface, err error) {
 	defer func() { err = errors.WithMessage(err, "link: connect") }()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if _, err := l.currentLocked(address); err != nil {
+		return nil, err
+	}
+	return calls{links: l, address: address}, nil
+}
+
+// currentLocked returns the connection that takes new calls to a peer. The caller holds the lock.
+func (l *Links) currentLocked(address string) (*connection, error) {
 	if known, found := l.connections[address]; found {
-		return known.client, nil
+		return known, nil
 	}
-	created, err := grpc.NewClient("passthrough:///"+address, l.options()...)
+	client, err := grpc.NewClient("passthrough:///"+address, l.options()...)
 	if err != nil {
 		return nil, err
 	}
 	if l.connections == nil {
 		l.connections = make(map[string]*connection)
 	}
-	l.connections[address] = &connection{client: created}
+	created := &connection{links: l, address: address, client: client, created: time.Now(), unused: make(chan struct{})}
+	l.connections[address] = created
 	return created, nil
 }
 
@@ -99,16 +116,16 @@
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: cmp.Or(l.SilenceTimeout, silenceTimeout)}),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minReconnectBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectBackoff},
-			MinConnectTimeout: keepaliveTimeout,
+			MinConnectTimeout: connectTimeout,
 		}),
 	}
 }
 
-// RecordHeartbeat records the result of a heartbeat. It closes the connection after maxFailedHeartbeats consecutive
+// RecordHeartbeat records the result of a heartbeat. It retires the connection after maxFailedHeartbeats consecutive
 // failures.
 func (l *Links) RecordHeartbeat(address string, err error) {
 	l.mutex.Lock()
@@ -123,35 +140,56 @@
 	}
 	known.failedHeartbeats++
 	if known.failedHeartbeats >= maxFailedHeartbeats {
-		l.dropLocked(address)
+		l.retireLocked(known)
 	}
 }
 
-// Drop closes the connection to a peer, if there is one. The next call opens a new one.
-func (l *Links) Drop(address string) {
+// Retire has the next call to a peer open a new connection. The calls that run on the present one go on, as described
+// in retired.go.
+func (l *Links) Retire(address string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.dropLocked(address)
+	if known := l.connections[address]; known != nil {
+		l.retireLocked(known)
+	}
 }
 
-// dropLocked is Drop for callers that hold the lock.
-func (l *Links) dropLocked(address string) {
-	if known := l.connections[address]; known != nil {
-		known.client.Close()
-		delete(l.connections, address)
+// RetireExcept retires the connections to all addresses except the given ones.
+func (l *Links) RetireExcept(addresses map[string]bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for address, known := range l.connections {
+		if !addresses[address] {
+			l.retireLocked(known)
+		}
 	}
 }
 
-// CloseExcept closes the connections to all addresses except the given ones.
+// CloseExcept closes the connections to all addresses except the given ones, and ends the calls on them. It is for peers
+// that are known to be gone.
 func (l *Links) CloseExcept(addresses map[string]bool) {
+	for _, known := range l.removeExcept(addresses) {
+		known.client.Close()
+	}
+}
+
+// removeExcept takes the connections to all addresses except the given ones out of use for new calls, and returns them
+// and those that were retired before. They are closed without the lock, which calls need to end.
+func (l *Links) removeExcept(addresses map[string]bool) (removed []*connection) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for address, known := range l.connections {
 		if !addresses[address] {
-			known.client.Close()
+			removed = append(removed, known)
 			delete(l.connections, address)
 		}
 	}
+	for known := range l.retired {
+		if !addresses[known.address] {
+			removed = append(removed, known)
+		}
+	}
+	return removed
 }
 
 // Close closes all connections.
