--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -120,6 +120,7 @@
 		return false
 	}
 	urgent := false
+	configured := v.table.Load() != nil
 	for _, item := range changed {
 		if n.apply(item, source) {
 			urgent = true
@@ -127,7 +128,7 @@
 			v.urgentRevisions[item.Key] = item.Revision
 		}
 	}
-	if v.ledgerPeers == nil && v.table.Load() != nil {
+	if !configured && v.table.Load() != nil {
 		n.updateLedgerPeers(time.Now()) // the ledger grants nothing before
 	}
 	if urgent {
