Replace no silent stream by one whose end would show nothing

A stream that had begun in chunks went on, while its upstream was silent, at one that responds without a length: its end cannot be told from a break, so the caller had all events and a broken connection, although the silent upstream went on. TestSilentUpstreamIsKeptUntilAnotherResponds, the new case failed before (EOF) and passes now. A silent upstream that has failed is replaced as before.

--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -173,12 +173,18 @@
 		return errors.WithMessage(forward.ErrBrokenResponse, "stream ended inside an event")
 	}
 	if a.response.Framing == forward.FramingClose && (a.wroteAt.IsZero() || !a.job.endsWithConnection) {
-		// Without an event nothing was sent, and with chunks the end would be a claim.
+		// Without an event nothing was sent; and see canComplete.
 		return errors.WithMessage(forward.ErrBrokenResponse, "connection ended without the end of the stream")
 	}
 	return nil
 }
 
+// canComplete reports whether the end of the response can be forwarded. The end of a connection shows nothing, and in a
+// response to the caller that has chunks it would become a claim.
+func (a *attempt) canComplete() bool {
+	return a.response.Framing != forward.FramingClose || !a.job.started || a.job.endsWithConnection
+}
+
 // recordEvent records that the upstream has sent events, or the whole response.
 func (a *attempt) recordEvent() {
 	first := false
--- a/internal/gateway/serve/standby.go
+++ b/internal/gateway/serve/standby.go
@@ -237,6 +237,9 @@
 	if outcome == "" && next.response.Status >= http.StatusMultipleChoices {
 		outcome, err = resultFailed, errors.Errorf("upstream responded with status %d", next.response.Status)
 	}
+	if outcome == "" && !next.canComplete() && !s.isOrphaned() {
+		outcome, err = resultFailed, errors.New("the end of its response would show nothing to the caller")
+	}
 	if outcome == "" && s.standby.adopt(s, next) {
 		return next, nil
 	}
@@ -250,6 +253,16 @@
 	return nil, err
 }
 
+// isOrphaned reports whether the silent attempt has failed.
+func (s *search) isOrphaned() bool {
+	select {
+	case <-s.orphaned:
+		return true
+	default:
+		return false
+	}
+}
+
 // pause waits until another upstream is to be looked for, and returns false if none is needed.
 func (s *search) pause(interval time.Duration) bool {
 	timer := time.NewTimer(interval)
--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -58,6 +58,9 @@
 
 func allEvents(rw http.ResponseWriter, r *http.Request) { eventsOf(rw, r, 1, 4) }
 
+// unframedRest streams the last two events without a length or chunks.
+func unframedRest(rw http.ResponseWriter, r *http.Request) { respondUnframed(rw, r, event(3)+event(4)) }
+
 // breaksAfter streams two events, and resets its connection after a silence.
 func breaksAfter(silence time.Duration) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
@@ -90,6 +93,7 @@
 		{"the other one fails a call", "/idem/", isLateFor(longSilence, served), failing, answer, 2, 0},
 		{"the other one breaks off", "/stream/", pausesFor(longSilence), reset, whole, 2, 0},
 		{"the silent one breaks off while the other one begins", "/stream/", breaksAfter(1400 * time.Millisecond), isLateFor(500*time.Millisecond, allEvents), whole, 2, 0},
+		{"the other one's end would show nothing", "/stream/", pausesFor(longSilence), unframedRest, whole, 2, 0},
 		{"no second run is allowed", "/single/", pausesFor(longSilence), allEvents, whole, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
