End the silence of a test between two looks for another upstream

Cause, traced in the test: the search looks again 0.2 and 0.6 s after 1.2 s, which is 1.8 s, the end of the silence: an upstream whose first stream had just gone on was rightly no longer silent. The silence ends at 1.6 s now. No code of the product changed.

--- a/internal/gateway/serve/standby_test.go
+++ b/internal/gateway/serve/standby_test.go
@@ -165,9 +165,18 @@
 // Guards against requests that are sent to an upstream that is silent itself: all upstreams of a busy host are silent at
 // once, and each second run is work for nothing.
 func TestSilenceOfAllUpstreamsCausesNoRuns(t *testing.T) {
+	const (
+		callers = 6
+		// silence ends between two looks for another upstream: one that falls on the end may find an upstream that goes on already.
+		silence = 1600 * time.Millisecond
+	)
 	is := is.New(t)
-	h := newHarness(t, pausesFor(longSilence), pausesFor(longSilence))
-	const callers = 6
+	begun := make(chan struct{}) // closed once all streams have arrived, so that all are silent from the same time on
+	respond := func(rw http.ResponseWriter, r *http.Request) {
+		<-begun
+		pausesFor(silence)(rw, r)
+	}
+	h := newHarness(t, respond, respond)
 	results := make(chan string, callers)
 	for number := range callers {
 		h.setDraining(0, number%2 == 0)
@@ -185,6 +194,7 @@
 	}
 	h.setDraining(0, false)
 	h.setDraining(1, false)
+	close(begun)
 	for range callers {
 		is.Equal(<-results, event(1)+event(2)+event(3)+event(4))
 	}
