Log the prompt parts of requests in flight at a crash, and how far they were

Cause: no line names the parts of a prompt, so that a log cannot show that the requests under which upstreams end have one in common. Change: InFlightAtCrash has the fingerprints of the parts that others may share, and how long the upstream had been sending events. No decision reads them.

--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -158,7 +158,8 @@
 	})
 	for _, attempt := range inFlight {
 		n.Log.Warn().Str(logline.FieldRequest, attempt.CallID).Str("Upstream", life.Upstream).
-			Str("Fingerprint", string(attempt.Fingerprint)).Int("Crashes", crashes[attempt.Fingerprint]).Msg("InFlightAtCrash")
+			Str("Fingerprint", string(attempt.Fingerprint)).Int("Crashes", crashes[attempt.Fingerprint]).
+			Str("Parts", suspect.Join(attempt.Parts)).Int64("SendingMillis", attempt.Sending.Milliseconds()).Msg("InFlightAtCrash")
 	}
 	n.overlay.requestStateSend()
 	n.crashRecords.requestWrite()
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -49,6 +49,12 @@
 	Prompt []Part
 }
 
+// SharedParts returns the parts of the prompt that other requests may have as well. The last one is the request's or its
+// session's own.
+func (g Generation) SharedParts() []Part {
+	return g.Prompt[:max(len(g.Prompt)-1, 0)]
+}
+
 // Part is a piece of a prompt that other requests may share.
 type Part struct {
 	ID     string
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -75,8 +75,9 @@
 	dataAt   atomic.Int64
 	buffer   []byte
 	splitter stream.Splitter
-	// wroteAt is when the last events of the stream were written.
-	wroteAt time.Time
+	// firstEventAt is when the first events of the stream arrived, and wroteAt when the last ones were written.
+	firstEventAt time.Time
+	wroteAt      time.Time
 }
 
 // attemptEnd is how an attempt ended. The successor, if any, has the first part of its response and goes on in its place.
@@ -299,7 +300,9 @@
 	upstream := a.placement.choice.Upstream
 	complete := outcome == resultServed && a.received.provesCompletion()
 	if outcome.mayHaveRun() && !complete {
-		unfinished := suspect.Attempt{CallID: j.call.ID, Fingerprint: j.fingerprint, Began: a.began}
+		unfinished := suspect.Attempt{
+			CallID: j.call.ID, Fingerprint: j.fingerprint, Parts: j.promptParts, Began: a.began, Sending: a.sendingFor(),
+		}
 		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && a.requestCtx.Err() == nil)
 	}
 	cleared := 0
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -32,6 +32,8 @@
 
 	cost        float64
 	fingerprint suspect.Fingerprint
+	// promptParts are the fingerprints of the prompt parts that other requests may share.
+	promptParts []suspect.Fingerprint
 	// crashes is how many crashes of upstreams the request was in flight at, as last known.
 	crashes int
 	alone   bool
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -132,9 +132,18 @@
 		return resultBroken, err
 	}
 	a.first = events
+	a.firstEventAt = time.Now()
 	return "", nil
 }
 
+// sendingFor returns for how long the upstream has been sending events, 0 if none has arrived.
+func (a *attempt) sendingFor() time.Duration {
+	if a.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(a.firstEventAt)
+}
+
 // nextEvents receives further events of a stream, at least one unless the stream ends. They are valid until the next call.
 func (a *attempt) nextEvents() (events []byte, err error) {
 	replaced := a.standby.during(a.pauseTimeout(), func() (received bool) {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -256,6 +256,9 @@
 	now := time.Now()
 	j.cost = j.call.Cost(j.workspace)
 	j.fingerprint = suspect.FingerprintOf(j.workspace.Name, j.call.Target, j.call.Body)
+	for _, part := range j.call.Generation.SharedParts() {
+		j.promptParts = append(j.promptParts, suspect.FingerprintOfPart(part.ID))
+	}
 	if err := j.refuseSuspect(); err != nil {
 		return err
 	}
--- a/internal/placement/suspect/attempts.go
+++ b/internal/placement/suspect/attempts.go
@@ -25,7 +25,11 @@
 	// CallID is for the log.
 	CallID      string
 	Fingerprint Fingerprint
-	Began       time.Time
+	// Parts are the fingerprints of the prompt parts that other requests may share.
+	Parts []Fingerprint
+	Began time.Time
+	// Sending is how long the upstream had been sending events when the attempt ended, 0 if it had sent none.
+	Sending time.Duration
 }
 
 // unfinished is an attempt whose upstream may have ended.
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -156,6 +157,21 @@
 	return Fingerprint(hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes]))
 }
 
+// Join returns fingerprints as one text, for the log.
+func Join(fingerprints []Fingerprint) string {
+	var texts []string
+	for _, fingerprint := range fingerprints {
+		texts = append(texts, string(fingerprint))
+	}
+	return strings.Join(texts, ",")
+}
+
+// FingerprintOfPart returns the fingerprint of a part of prompts, by the id that its requests state.
+func FingerprintOfPart(id string) Fingerprint {
+	hash := sha256.Sum256([]byte("prompt part\x00" + id))
+	return Fingerprint(hex.EncodeToString(hash[:fingerprintBytes]))
+}
+
 // RecordCrash records that an upstream crashed while these requests of this instance were in flight there.
 func (t *Tracker) RecordCrash(now time.Time, crash Crash, inFlight []Fingerprint) {
 	for _, fingerprint := range inFlight {
