Refuse requests with a prompt part that crashes upstreams

Cause: records of crashes are kept by a request's caller, path and body, and no two of these are alike. Class: blame is laid on whole requests only, though what repeats may be a part of them. Change: the record of a crash is kept for each shared part of the prompts in flight too, with the requests that had it. Three crashes under two different requests refuse a part. Sound parts that were in flight as well are told apart by what completes: a request that ran to its end clears its parts, and one that did so in the last 5 s keeps them clear of new crashes; and by explanation: the part with the most crashes in the fewest requests comes first, and what it explains counts neither for other parts nor for requests that shared a batch. Parts that only ever come together are refused together only. Records are merged, passed on and stored as before. Ruled out: a threshold on parts alone (the first part is in flight at each crash); the end of an event as a completion (an engine may end after it).

--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -190,11 +190,12 @@
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
 	n.links.setPeer(record.Instance, state.Unreached)
 	outdated := !n.overlay.recordSpentVersion(record)
+	cleared := false
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		if !outdated {
 			shared.Ledger.MergeTotals(now, record.Instance, state.Incarnation, state.Spent)
 		}
-		shared.Suspects.Merge(now, state.Suspects)
+		cleared = shared.Suspects.Merge(now, state.Suspects)
 		shared.Pool.RecordPeerLoads(now, record.Instance, state.Loads)
 		shared.Pool.RecordPeerEvidence(now, record.Instance, state.Evidence)
 		shared.Pool.RecordPeerBrittleness(now, state.Brittle)
@@ -202,6 +203,9 @@
 	if len(state.Loads) > 0 {
 		n.heldUpstreams.wakeWaiting()
 	}
+	if cleared {
+		n.overlay.requestStateSend()
+	}
 	return nil
 }
 
--- a/internal/entry/pipeline/completion.go
+++ b/internal/entry/pipeline/completion.go
@@ -138,15 +138,15 @@
 // checkSuspect refuses a request that has crashed upstreams repeatedly. It marks a less certain suspect to run
 // apart from other suspects, or alone.
 func (p *Pipeline) checkSuspect(run *completionRun) error {
-	verdict, retryAfter := suspect.Free, time.Duration(0)
+	var judged suspect.Judgement
 	p.State.WithLock(func(state *SharedState) {
-		verdict, retryAfter = state.Suspects.Judge(time.Now(), run.fingerprint)
+		judged = state.Suspects.Judge(time.Now(), run.fingerprint)
 	})
-	run.runAlone = verdict == suspect.Alone
-	run.runApart = verdict == suspect.Apart
-	if verdict == suspect.Refused {
+	run.runAlone = judged.Verdict == suspect.Alone
+	run.runApart = judged.Verdict == suspect.Apart
+	if judged.Verdict == suspect.Refused {
 		return refusal.New(refusal.SuspectRefused, "upstreams crashed each time this request ran").
-			WithRetryAfter(retryAfter)
+			WithRetryAfter(judged.RetryAfter)
 	}
 	return nil
 }
--- a/internal/fleet/crashrecord/crashrecord.go
+++ b/internal/fleet/crashrecord/crashrecord.go
@@ -1,4 +1,4 @@
-// Package crashrecord reads and writes the records of requests that crash upstreams in the platform's store. They outlive the
+// Package crashrecord reads and writes the records of requests and prompt parts that crash upstreams in the platform's store. They outlive the
 // instances, which may all end at once, and reach an instance that is cut off from the others.
 package crashrecord
 
@@ -23,15 +23,16 @@
 	return suspect.Fingerprint(text), ok
 }
 
-// recordWire has the crashes in hexadecimal: JSON numbers are exact up to 53 bits only.
+// recordWire has the numbers in hexadecimal: JSON numbers are exact up to 53 bits only.
 type recordWire struct {
-	Crashes []string
-	Cleared []string
+	Crashes  []string
+	Cleared  []string
+	Requests []string `json:",omitempty"`
 }
 
 // Encode returns the value of a record's key.
 func Encode(record suspect.Record) ([]byte, error) {
-	return json.Marshal(recordWire{Crashes: toText(record.Crashes), Cleared: toText(record.Cleared)})
+	return json.Marshal(recordWire{Crashes: toText(record.Crashes), Cleared: toText(record.Cleared), Requests: toText(record.Requests)})
 }
 
 // Decode returns the record that a key holds.
@@ -42,10 +43,13 @@
 		return record, err
 	}
 	record.Fingerprint, _ = FingerprintOf(key)
-	if record.Crashes, err = fromText(wire.Crashes); err != nil {
+	if record.Crashes, err = fromText[suspect.Crash](wire.Crashes); err != nil {
 		return record, err
 	}
-	record.Cleared, err = fromText(wire.Cleared)
+	if record.Cleared, err = fromText[suspect.Crash](wire.Cleared); err != nil {
+		return record, err
+	}
+	record.Requests, err = fromText[suspect.Request](wire.Requests)
 	return record, err
 }
 
@@ -54,20 +58,20 @@
 	wordBits = 64
 )
 
-func toText(crashes []suspect.Crash) (texts []string) {
-	for _, crash := range crashes {
-		texts = append(texts, strconv.FormatUint(uint64(crash), base))
+func toText[T ~uint64](numbers []T) (texts []string) {
+	for _, number := range numbers {
+		texts = append(texts, strconv.FormatUint(uint64(number), base))
 	}
 	return texts
 }
 
-func fromText(texts []string) (crashes []suspect.Crash, err error) {
+func fromText[T ~uint64](texts []string) (numbers []T, err error) {
 	for _, text := range texts {
-		crash, err := strconv.ParseUint(text, base, wordBits)
+		number, err := strconv.ParseUint(text, base, wordBits)
 		if err != nil {
 			return nil, err
 		}
-		crashes = append(crashes, suspect.Crash(crash))
+		numbers = append(numbers, T(number))
 	}
-	return crashes, nil
+	return numbers, nil
 }
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -389,6 +389,7 @@
 			Crashes:     suspect.Numbers(record.Crashes),
 			Cleared:     suspect.Numbers(record.Cleared),
 			AgeMillis:   record.Age.Milliseconds(),
+			Requests:    suspect.Numbers(record.Requests),
 		})
 	}
 	return wire
@@ -398,8 +399,9 @@
 	for _, w := range wire {
 		records = append(records, suspect.Record{
 			Fingerprint: suspect.Fingerprint(w.GetFingerprint()),
-			Crashes:     suspect.FromNumbers(w.GetCrashes()),
-			Cleared:     suspect.FromNumbers(w.GetCleared()),
+			Crashes:     suspect.FromNumbers[suspect.Crash](w.GetCrashes()),
+			Cleared:     suspect.FromNumbers[suspect.Crash](w.GetCleared()),
+			Requests:    suspect.FromNumbers[suspect.Request](w.GetRequests()),
 			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
 		})
 	}
--- a/internal/fleet/peer/codec.go
+++ b/internal/fleet/peer/codec.go
@@ -331,8 +331,8 @@
 	for _, w := range wire {
 		records = append(records, suspect.Record{
 			Fingerprint: suspect.Fingerprint(w.GetFingerprint()),
-			Crashes:     suspect.FromNumbers(w.GetCrashes()),
-			Cleared:     suspect.FromNumbers(w.GetCleared()),
+			Crashes:     suspect.FromNumbers[suspect.Crash](w.GetCrashes()),
+			Cleared:     suspect.FromNumbers[suspect.Crash](w.GetCleared()),
 			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
 		})
 	}
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -313,7 +313,7 @@
 			state.Pool.RecordMissingAdapter(upstream.ID, a.placement.query.Adapter)
 		}
 		if complete {
-			cleared = state.Suspects.RecordCompletion(now, j.fingerprint)
+			cleared = state.Suspects.RecordCompletion(now, j.fingerprint, j.promptParts...)
 		}
 	})
 	if cleared > 0 {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -283,15 +283,22 @@
 // refuseSuspect refuses a request that has crashed several upstreams. It is asked again before each attempt: other instances
 // may have recorded a crash while the request waited or ran.
 func (j *job) refuseSuspect() error {
-	verdict, retryAfter := suspect.Free, time.Duration(0)
+	var judged suspect.Judgement
 	j.handler.State.WithLock(func(state *SharedState) {
-		verdict, retryAfter = state.Suspects.Judge(time.Now(), j.fingerprint)
+		judged = state.Suspects.Judge(time.Now(), j.fingerprint, j.promptParts...)
 		j.crashes = state.Suspects.Crashes(j.fingerprint)
 	})
-	j.alone = verdict == suspect.Alone
-	if verdict != suspect.Refused {
+	j.alone = judged.Verdict == suspect.Alone
+	if len(judged.Parts) > 0 {
+		j.step("suspect").Str("Verdict", string(judged.Verdict)).Str("Parts", suspect.Join(judged.Parts)).
+			Int("Crashes", judged.Crashes).Msg("Decision")
+	}
+	if judged.Verdict != suspect.Refused {
 		return nil
 	}
-	return refusal.New(refusal.ServiceUnavailable, "the request was in flight at several crashes of upstreams").
-		WithRetryAfter(retryAfter)
+	reason := "the request was in flight at several crashes of upstreams"
+	if len(judged.Parts) > 0 {
+		reason = "requests with a part of its prompt were in flight at several crashes of upstreams"
+	}
+	return refusal.New(refusal.ServiceUnavailable, reason).WithRetryAfter(judged.RetryAfter)
 }
--- a/internal/measure/policy/entry.go
+++ b/internal/measure/policy/entry.go
@@ -97,7 +97,7 @@
 // submit handles a first send or a retry by the caller.
 func (e *entry) submit(c *call) {
 	c.fingerprint = suspect.FingerprintOf(c.workspace(), c.request.ref.String(), []byte(c.request.id))
-	verdict, _ := e.suspects.Judge(e.sim.clock.now, c.fingerprint)
+	verdict := e.suspects.Judge(e.sim.clock.now, c.fingerprint).Verdict
 	if verdict == suspect.Refused {
 		e.refuse(c)
 		return
@@ -206,7 +206,7 @@
 		e.sim.tally.recordAnswer(c)
 		return
 	}
-	verdict, _ := e.suspects.Judge(e.sim.clock.now, c.fingerprint)
+	verdict := e.suspects.Judge(e.sim.clock.now, c.fingerprint).Verdict
 	if verdict == suspect.Refused {
 		e.refuse(c)
 		return
--- a/internal/placement/suspect/attempts.go
+++ b/internal/placement/suspect/attempts.go
@@ -50,7 +50,7 @@
 // that counts as a crash, because the upstream is known to have ended meanwhile.
 func (t *Tracker) RecordUnfinished(now time.Time, life traffic.Life, attempt Attempt) (crashed bool) {
 	if ended, found := t.ends[life]; found && !attempt.Began.After(ended.at) {
-		t.RecordCrash(now, CrashOf(life), []Fingerprint{attempt.Fingerprint})
+		t.recordAttempts(now, CrashOf(life), []Attempt{attempt})
 		return true
 	}
 	t.unfinished = append(t.unfinished, unfinished{attempt: attempt, life: life, at: now})
@@ -86,7 +86,7 @@
 	crash := CrashOf(life)
 	for _, known := range t.histories {
 		if _, found := known.crashes[crash]; found {
-			known.cleared[crash] = mark{own: true}
+			t.clearCrash(known, crash, mark{own: true})
 		}
 	}
 }
@@ -105,17 +105,15 @@
 	} else if !expired {
 		t.ends[life] = end{at: ended.at}
 	}
-	var fingerprints []Fingerprint
 	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
 		if u.life != life {
 			return now.Sub(u.at) > evidenceWindow
 		}
 		if now.Sub(u.at) <= evidenceWindow {
 			inFlight = append(inFlight, u.attempt)
-			fingerprints = append(fingerprints, u.attempt.Fingerprint)
 		}
 		return true
 	})
-	t.RecordCrash(now, CrashOf(life), fingerprints)
+	t.recordAttempts(now, CrashOf(life), inFlight)
 	return inFlight
 }
--- /dev/null
+++ b/internal/placement/suspect/blame.go
@@ -0,0 +1,176 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// blame.go decides which prompt parts crash upstreams, from the crashes that they were in flight at. A crash has one cause, and
+// other parts and requests were in flight there as well. So the part with the most crashes comes first, and crashes that it
+// explains do not count for others.
+
+const (
+	// settlingTime is how long a crash is known before it counts for a part. By then an instance where the part is in use
+	// has cleared it.
+	settlingTime = 500 * time.Millisecond
+	// maxCandidates bounds the fingerprints that are compared.
+	maxCandidates = 64
+)
+
+// candidate is a part that may be the cause of crashes, or a request that may be.
+type candidate struct {
+	fingerprint Fingerprint
+	isPart      bool
+	crashes     map[Crash]bool
+	requests    map[Request]bool
+	retryAfter  time.Duration
+}
+
+// group is one or more parts that were in flight at the same crashes, in the same requests. Which of them is the cause is not
+// known, so only requests with all of them are refused.
+type group struct {
+	candidate
+	parts []Fingerprint
+}
+
+// blame is which parts crash upstreams, from what is known at one time. It is immutable.
+type blame struct {
+	groups []group
+	// explained are the crashes that these parts explain.
+	explained map[Crash]bool
+	// validUntil is when the next crash counts, zero if none is settling.
+	validUntil time.Time
+	computedAt time.Time
+}
+
+// judge returns how requests with some prompt parts may run. RetryAfter counts from when the blame was computed.
+func (b *blame) judge(parts []Fingerprint) Judgement {
+	judgement := Judgement{Verdict: Free}
+	for _, one := range b.groups {
+		shared := 0
+		for _, part := range one.parts {
+			if slices.Contains(parts, part) {
+				shared++
+			}
+		}
+		switch {
+		case shared == len(one.parts):
+			return Judgement{Verdict: Refused, RetryAfter: one.retryAfter, Parts: one.parts, Crashes: len(one.crashes)}
+		case shared > 0:
+			judgement = Judgement{Verdict: Alone, Parts: one.parts, Crashes: len(one.crashes)}
+		}
+	}
+	return judgement
+}
+
+// blame returns which parts crash upstreams.
+func (t *Tracker) blame(now time.Time) *blame {
+	known := t.current
+	if known != nil && (known.validUntil.IsZero() || now.Before(known.validUntil)) && now.Sub(known.computedAt) < t.Settings.Retention/2 {
+		return known
+	}
+	t.current = t.computeBlame(now)
+	return t.current
+}
+
+func (t *Tracker) computeBlame(now time.Time) *blame {
+	b := &blame{explained: make(map[Crash]bool), computedAt: now}
+	var requests []candidate
+	for _, one := range t.candidates(now, &b.validUntil) {
+		switch {
+		case !one.isPart:
+			requests = append(requests, one)
+		case !b.join(one) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
+			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
+		}
+	}
+	for _, one := range b.groups {
+		maps.Copy(b.explained, one.crashes)
+	}
+	return b
+}
+
+// candidates returns the parts that may be refused and the requests that are, those with the most crashes first, and of these the
+// ones that the fewest requests have. It sets when the next crash counts.
+func (t *Tracker) candidates(now time.Time, settledAt *time.Time) (candidates []candidate) {
+	for fingerprint, known := range t.histories {
+		if len(known.crashes) < t.Settings.RefusePartAfter || t.isExpired(now, known) {
+			continue
+		}
+		one := candidate{
+			fingerprint: fingerprint, isPart: known.isPart(), requests: known.requests,
+			crashes: known.settled(now, settledAt), retryAfter: t.retryAfter(now, known),
+		}
+		if len(one.crashes) < t.Settings.RefusePartAfter || one.isPart && len(one.requests) < t.Settings.PartRequests {
+			continue
+		}
+		candidates = append(candidates, one)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(a.requests), len(b.requests)),
+			cmp.Compare(a.fingerprint, b.fingerprint),
+		)
+	})
+	return candidates[:min(len(candidates), maxCandidates)]
+}
+
+// settled returns the open crashes that have been known for long enough.
+func (h *history) settled(now time.Time, next *time.Time) map[Crash]bool {
+	settled := make(map[Crash]bool)
+	for crash, m := range h.crashes {
+		at := m.addedAt.Add(settlingTime)
+		switch {
+		case !h.isOpen(crash):
+		case !h.isPart() || !now.Before(at):
+			settled[crash] = true
+		case next.IsZero() || at.Before(*next):
+			*next = at
+		}
+	}
+	return settled
+}
+
+// join adds a part to the group with the same crashes and requests, if there is one.
+func (b *blame) join(one candidate) bool {
+	for i, other := range b.groups {
+		if maps.Equal(other.crashes, one.crashes) && maps.Equal(other.requests, one.requests) {
+			b.groups[i].parts = append(b.groups[i].parts, one.fingerprint)
+			return true
+		}
+	}
+	return false
+}
+
+// unexplained counts the crashes of a part that no better candidate explains.
+func (t *Tracker) unexplained(b *blame, requests []candidate, one candidate) (count int) {
+	rest := maps.Clone(one.crashes)
+	for _, other := range b.groups {
+		if len(other.crashes) > len(one.crashes) || isSubset(other.requests, one.requests) {
+			deleteAll(rest, other.crashes)
+		}
+	}
+	for _, other := range requests { // they have as many crashes at least
+		if one.requests[RequestOf(other.fingerprint)] {
+			deleteAll(rest, other.crashes)
+		}
+	}
+	return len(rest)
+}
+
+func isSubset(some, all map[Request]bool) bool {
+	for request := range some {
+		if !all[request] {
+			return false
+		}
+	}
+	return true
+}
+
+func deleteAll(from, crashes map[Crash]bool) {
+	for crash := range crashes {
+		delete(from, crash)
+	}
+}
--- /dev/null
+++ b/internal/placement/suspect/parts_test.go
@@ -0,0 +1,245 @@
+package suspect_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+)
+
+// settled is the time after which crashes count for prompt parts.
+const settled = time.Second
+
+// parts returns the fingerprints of prompt parts.
+func parts(ids ...string) (fingerprints []suspect.Fingerprint) {
+	for _, id := range ids {
+		fingerprints = append(fingerprints, suspect.FingerprintOfPart(id))
+	}
+	return fingerprints
+}
+
+// upstreams is a service whose upstreams end under requests, as one tracker sees it.
+type upstreams struct {
+	tracker *suspect.Tracker
+	lives   int64
+}
+
+// crash ends a life of an upstream under requests with the given prompts, no two of which are alike.
+func (u *upstreams) crash(prompts ...[]suspect.Fingerprint) {
+	u.crashUnder("", prompts...)
+}
+
+// crashUnder does so under requests of the same content, unless it is empty.
+func (u *upstreams) crashUnder(content string, prompts ...[]suspect.Fingerprint) {
+	u.lives++
+	life := traffic.Life{Upstream: fmt.Sprint("u", u.lives), StartedMillis: u.lives}
+	for number, prompt := range prompts {
+		fingerprint := suspect.Fingerprint(content)
+		if content == "" {
+			fingerprint = suspect.Fingerprint(fmt.Sprint("request ", u.lives, number))
+		}
+		u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: fingerprint, Parts: prompt, Began: time.Now()})
+	}
+	u.tracker.RecordEnd(time.Now(), life)
+}
+
+func (u *upstreams) complete(prompt []suspect.Fingerprint) {
+	u.tracker.RecordCompletion(time.Now(), "sound", prompt...)
+}
+
+func partVerdict(tracker *suspect.Tracker, prompt ...suspect.Fingerprint) suspect.Verdict {
+	return tracker.Judge(time.Now(), "new", prompt...).Verdict
+}
+
+// Guards against blame that is laid on whole requests only: no two requests are alike, and each with one prompt part crashes the
+// upstream that runs it. Callers of sound requests with the other parts must not be refused for it.
+func TestPromptPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	bad, other := parts("first", "bad"), parts("first", "sound")
+	tests := []struct {
+		name    string
+		happens func(u *upstreams)
+		refused [][]suspect.Fingerprint
+		allowed [][]suspect.Fingerprint
+	}{
+		{"the other parts are in use", func(u *upstreams) {
+			for range 3 {
+				u.complete(other)
+				u.crash(bad, other)
+			}
+		}, [][]suspect.Fingerprint{bad, parts("second", "bad")}, [][]suspect.Fingerprint{other, parts("first")}},
+		{"others complete later", func(u *upstreams) {
+			for range 5 {
+				u.crash(bad, other)
+			}
+			u.complete(other)
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other}},
+		{"nothing completes, sound requests share some batches", func(u *upstreams) {
+			u.crash(bad, other, parts("first", "third"))
+			for range 4 {
+				u.crash(bad, other)
+			}
+			u.crash(bad)
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other, parts("first", "third")}},
+		{"both parts come together only", func(u *upstreams) {
+			for range 5 {
+				u.crash(bad)
+			}
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other, parts("second", "bad")}},
+		{"one of them comes without the other later", func(u *upstreams) {
+			for range 5 {
+				u.crash(bad)
+			}
+			u.complete(other)
+		}, [][]suspect.Fingerprint{bad, parts("second", "bad")}, [][]suspect.Fingerprint{other}},
+		{"two bad parts", func(u *upstreams) {
+			for range 4 {
+				u.crash(bad, other)
+				u.crash(parts("first", "worse"), other)
+				u.complete(other)
+			}
+		}, [][]suspect.Fingerprint{bad, parts("second", "worse")}, [][]suspect.Fingerprint{other}},
+		{"one request that comes again", func(u *upstreams) {
+			for range 5 {
+				u.crashUnder("again", bad)
+			}
+		}, nil, [][]suspect.Fingerprint{bad, other}},
+		{"one request that comes again, with others of its part beside", func(u *upstreams) {
+			for range 3 {
+				u.crashUnder("again", bad)
+			}
+			u.crash(bad)
+			u.complete(parts("first"))
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				u := &upstreams{tracker: newTracker()}
+				tt.happens(u)
+				time.Sleep(settled)
+				for _, prompt := range tt.refused {
+					is.Equal(partVerdict(u.tracker, prompt...), suspect.Refused)
+				}
+				for _, prompt := range tt.allowed {
+					is.True(partVerdict(u.tracker, prompt...) != suspect.Refused)
+				}
+			})
+		})
+	}
+}
+
+// Guards against sound callers that are refused because many upstreams end at once for no request's sake.
+func TestPartsInUseAreNotRefusedWhenManyUpstreamsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		u.complete(parts("first", "subject"))
+		time.Sleep(time.Second)
+		for range 30 {
+			u.crash(parts("first", "subject"), parts("first", "other"))
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("first", "subject")...), suspect.Free)
+		is.Equal(partVerdict(u.tracker, parts("first")...), suspect.Free)
+	})
+}
+
+// Guards against instances that each blame a part by themselves: what crashes were seen at different instances adds up, and one
+// instance at which a part is in use clears it everywhere.
+func TestPartsAreJudgedAlikeByAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		bad, other := parts("first", "bad"), parts("first", "sound")
+		a, b, c := newTracker(), newTracker(), newTracker()
+		c.RecordCompletion(time.Now(), "sound", other...)
+		cleared := false
+		for crash := range int64(4) {
+			from := []*suspect.Tracker{a, b}[crash%2]
+			u := &upstreams{tracker: from, lives: 10 * crash}
+			u.crash(bad, other)
+			cleared = c.Merge(time.Now(), from.Records(time.Now())) || cleared
+		}
+		is.True(cleared) // c has to tell the others soon
+		for _, to := range []*suspect.Tracker{a, b} {
+			to.Merge(time.Now(), a.Records(time.Now()))
+			to.Merge(time.Now(), b.Records(time.Now()))
+			to.Merge(time.Now(), c.Records(time.Now()))
+		}
+		time.Sleep(settled)
+		for _, one := range []*suspect.Tracker{a, b, c} {
+			is.Equal(partVerdict(one, bad...), suspect.Refused)
+			is.Equal(partVerdict(one, other...), suspect.Free)
+		}
+	})
+}
+
+// Guards against a crash that counts for all that shared a batch with its cause: requests that were in flight at several crashes
+// of a bad part are not refused for that.
+func TestExplainedCrashesDoNotCountForRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		innocent := suspect.Fingerprint("innocent")
+		for range 4 {
+			u.lives++
+			life := traffic.Life{Upstream: "u", StartedMillis: u.lives}
+			u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: innocent, Parts: parts("x"), Began: time.Now()})
+			u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{
+				Fingerprint: suspect.Fingerprint(fmt.Sprint(u.lives)), Parts: parts("bad"), Began: time.Now(),
+			})
+			u.tracker.RecordEnd(time.Now(), life)
+		}
+		is.Equal(verdict(u.tracker, innocent), suspect.Refused)
+		time.Sleep(settled)
+		is.Equal(verdict(u.tracker, innocent), suspect.Free)
+	})
+}
+
+// Guards against a blame that ends with the process, or never does.
+func TestBlameOutlivesProcessesAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("bad"))
+		}
+		after := newTracker()
+		for _, record := range u.tracker.Unstored(time.Now(), 16) {
+			after.MergeStored(time.Now(), record)
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(after, parts("bad")...), suspect.Refused)
+		judged := after.Judge(time.Now(), "new", parts("bad")...)
+		is.True(judged.RetryAfter > 9*time.Minute && judged.RetryAfter <= 10*time.Minute)
+		time.Sleep(suspect.DefaultSettings().Retention)
+		is.Equal(partVerdict(after, parts("bad")...), suspect.Free)
+	})
+}
+
+// Guards against a part that stays suspect in the store after it was cleared: an instance that starts would refuse it.
+func TestClearedPartIsClearedInTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		for _, record := range u.tracker.Unstored(time.Now(), 16) {
+			u.tracker.MergeStored(time.Now(), record)
+		}
+		u.complete(parts("sound"))
+		cleared := u.tracker.Unstored(time.Now(), 16)
+		is.Equal(len(cleared), 1)
+		is.Equal(len(cleared[0].Cleared), 4)
+		after := newTracker()
+		after.MergeStored(time.Now(), cleared[0])
+		time.Sleep(settled)
+		is.Equal(partVerdict(after, parts("sound")...), suspect.Free)
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -1,6 +1,6 @@
-// Package suspect detects poisonous requests: requests that crash each upstream that runs them. Every instance
-// records, by the fingerprints of its own requests, the crashes that they were in flight at, and shares the records in
-// heartbeats. The caller reads the runtime's clock and passes the time in.
+// Package suspect detects poisonous requests: requests that crash each upstream that runs them, by their content as a whole or by
+// a part of their prompt. Every instance records, by the fingerprints of its own requests and of their prompt parts, the crashes
+// that they were in flight at, and shares the records in heartbeats. The caller reads the runtime's clock and passes the time in.
 package suspect
 
 import (
@@ -21,9 +21,17 @@
 // requests that a fleet serves.
 const fingerprintBytes = 16
 
-// Fingerprint identifies the content of a request, so that a retry by the caller is recognized.
+// Fingerprint identifies the content of a request, so that a retry by the caller is recognized, or a part of prompts.
 type Fingerprint string
 
+// Request is a number for the content of a request, by which the record of a prompt part tells requests apart.
+type Request uint64
+
+// RequestOf returns the number of the request with a fingerprint.
+func RequestOf(fingerprint Fingerprint) Request {
+	return Request(xxhash.Sum64String(string(fingerprint)))
+}
+
 // Crash identifies the crash of an upstream: a life ends once, whoever notices it. Two requests of the same content that
 // are in flight there, perhaps from two instances, were in flight at one crash.
 type Crash uint64
@@ -36,28 +44,30 @@
 // CrashUnder returns the crash of an upstream under a run, by the run's unique id, where it is not known which life ended.
 func CrashUnder(run string) Crash { return Crash(xxhash.Sum64String(run)) }
 
-// Numbers returns the numbers of crashes, for messages.
-func Numbers(crashes []Crash) (numbers []uint64) {
-	for _, crash := range crashes {
-		numbers = append(numbers, uint64(crash))
+// Numbers returns the numbers of crashes or requests, for messages.
+func Numbers[T ~uint64](list []T) (numbers []uint64) {
+	for _, one := range list {
+		numbers = append(numbers, uint64(one))
 	}
 	return numbers
 }
 
-// FromNumbers returns the crashes with these numbers.
-func FromNumbers(numbers []uint64) (crashes []Crash) {
+// FromNumbers returns the crashes or requests with these numbers.
+func FromNumbers[T ~uint64](numbers []uint64) (list []T) {
 	for _, number := range numbers {
-		crashes = append(crashes, Crash(number))
+		list = append(list, T(number))
 	}
-	return crashes
+	return list
 }
 
-// Record lists the crashes that a request was in flight at, and those of them that it did not cause. Records of the same
-// request are merged by union, so that it does not matter from whom and how often they come.
+// Record lists the crashes that a request, or requests with a prompt part, were in flight at, and those of them that it did not
+// cause. Records of the same fingerprint are merged by union, so that it does not matter from whom and how often they come.
 type Record struct {
 	Fingerprint Fingerprint
 	Crashes     []Crash
 	Cleared     []Crash
+	// Requests are those that had the prompt part, some of them if they are many; empty in the record of a request.
+	Requests []Request
 	// Age is the time since the last crash.
 	Age time.Duration
 }
@@ -85,15 +95,22 @@
 	ApartAfter  int
 	AloneAfter  int
 	RefuseAfter int
+	// RefusePartAfter is the number of crashes after which requests with a prompt part are refused, if it had
+	// PartRequests different requests in flight there: what one request alone causes is not the part's fault.
+	RefusePartAfter int
+	PartRequests    int
 	// Retention is how long a fingerprint is kept after its last crash.
 	Retention time.Duration
 	// MaxFingerprints is the maximum number of fingerprints that an instance keeps.
 	MaxFingerprints int
 }
 
-// DefaultSettings limit a request to three crashes within ten minutes.
+// DefaultSettings limit a request and a prompt part to three crashes within ten minutes.
 func DefaultSettings() Settings {
-	return Settings{ApartAfter: 1, AloneAfter: 2, RefuseAfter: 3, Retention: 10 * time.Minute, MaxFingerprints: 4096}
+	return Settings{
+		ApartAfter: 1, AloneAfter: 2, RefuseAfter: 3, RefusePartAfter: 3, PartRequests: 2,
+		Retention: 10 * time.Minute, MaxFingerprints: 4096,
+	}
 }
 
 // maxPassedOn bounds the records of other instances that this one passes on.
@@ -112,6 +129,10 @@
 	Settings Settings
 
 	histories map[Fingerprint]*history
+	// completedAt is when a request with a prompt part last ran to completion.
+	completedAt map[Fingerprint]time.Time
+	// current is the blame as last computed, nil if what is known has changed since.
+	current *blame
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
 	unfinished []unfinished
 	ends       map[traffic.Life]end
@@ -122,30 +143,6 @@
 // dropInterval is how often old histories are dropped. An instance merges the records of hundreds of others many times a second.
 const dropInterval = time.Second
 
-// history is what is known of one request, by any instance.
-type history struct {
-	crashes map[Crash]mark
-	cleared map[Crash]mark
-	// changedAt is when a crash was last added, here or as a peer stated it.
-	changedAt time.Time
-}
-
-// mark is what is known of a crash besides itself.
-type mark struct {
-	// own: this instance observed it. stored: the store has it.
-	own, stored bool
-}
-
-// open counts the crashes that the request may have caused.
-func (h *history) open() (count int) {
-	for crash := range h.crashes {
-		if _, cleared := h.cleared[crash]; !cleared {
-			count++
-		}
-	}
-	return count
-}
-
 // FingerprintOf returns the fingerprint of a request. Retries with the same body have the same fingerprint.
 func FingerprintOf(workspace, model string, body []byte) Fingerprint {
 	hash := sha256.New()
@@ -175,25 +172,28 @@
 // RecordCrash records that an upstream crashed while these requests of this instance were in flight there.
 func (t *Tracker) RecordCrash(now time.Time, crash Crash, inFlight []Fingerprint) {
 	for _, fingerprint := range inFlight {
-		t.add(now, fingerprint, crash, mark{own: true})
+		t.add(now, fingerprint, crash, mark{own: true, addedAt: now})
 	}
 	t.dropOld(now)
 }
 
-// RecordCompletion records that the request ran to completion, so it did not cause the crashes so far, and returns their
-// number. Peers receive that in the next heartbeat.
-func (t *Tracker) RecordCompletion(_ time.Time, fingerprint Fingerprint) (cleared int) {
-	known := t.histories[fingerprint]
-	if known == nil {
-		return 0
-	}
-	cleared = known.open()
-	for crash := range known.crashes {
-		if _, found := known.cleared[crash]; !found {
-			known.cleared[crash] = mark{own: true}
+// recordAttempts does so for attempts, and for the parts of their prompts.
+func (t *Tracker) recordAttempts(now time.Time, crash Crash, attempts []Attempt) {
+	for _, attempt := range attempts {
+		t.RecordCrash(now, crash, []Fingerprint{attempt.Fingerprint})
+		for _, part := range attempt.Parts {
+			t.addToPart(now, part, crash, mark{own: true, addedAt: now}, RequestOf(attempt.Fingerprint))
 		}
 	}
-	return cleared
+}
+
+// RecordCompletion records that a request with some prompt parts ran to completion, so that neither it nor they caused the
+// crashes so far, and returns the number of crashes that the request is cleared of. Peers receive that in the next heartbeat.
+func (t *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint, parts ...Fingerprint) (cleared int) {
+	for _, part := range parts {
+		t.recordPartCompletion(now, part)
+	}
+	return t.clear(fingerprint)
 }
 
 // Crashes returns the number of crashes that the request was in flight at and that it is not cleared of.
@@ -205,45 +205,71 @@
 	return known.open()
 }
 
-// Judge returns how the request may run, and when to retry if it is refused. A retry of a refused request does not
-// extend the retention, so the request is allowed again after the engine was repaired.
-func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint) (verdict Verdict, retryAfter time.Duration) {
+// Judgement is how a request may run.
+type Judgement struct {
+	Verdict Verdict
+	// RetryAfter is when to retry a request that is refused.
+	RetryAfter time.Duration
+	// Parts are the prompt parts for which it is refused, or runs alone; empty if that is for its content.
+	Parts []Fingerprint
+	// Crashes is the number of crashes that the request or those parts may have caused.
+	Crashes int
+}
+
+// Judge returns how a request with some prompt parts may run. A retry of a refused request does not extend the retention, so the
+// request is allowed again after the engine was repaired.
+func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint, parts ...Fingerprint) Judgement {
+	found := t.blame(now)
+	byParts := found.judge(parts)
+	if byParts.Verdict == Refused {
+		byParts.RetryAfter = byParts.RetryAfter - now.Sub(found.computedAt)
+		return byParts
+	}
+	byContent := t.judgeContent(now, fingerprint, found)
+	if byContent.Verdict == Free {
+		return byParts
+	}
+	return byContent
+}
+
+// judgeContent returns how a request may run for what is known of itself.
+func (t *Tracker) judgeContent(now time.Time, fingerprint Fingerprint, found *blame) Judgement {
 	known := t.histories[fingerprint]
 	if known == nil || t.isExpired(now, known) {
-		return Free, 0
+		return Judgement{Verdict: Free}
+	}
+	crashes := 0
+	for crash := range known.crashes {
+		if known.isOpen(crash) && !found.explained[crash] {
+			crashes++
+		}
 	}
-	crashes := known.open()
 	switch {
 	case crashes >= t.Settings.RefuseAfter:
-		return Refused, known.changedAt.Add(t.Settings.Retention).Sub(now)
+		return Judgement{Verdict: Refused, RetryAfter: t.retryAfter(now, known), Crashes: crashes}
 	case crashes >= t.Settings.AloneAfter:
-		return Alone, 0
+		return Judgement{Verdict: Alone, Crashes: crashes}
 	case crashes >= t.Settings.ApartAfter:
-		return Apart, 0
+		return Judgement{Verdict: Apart, Crashes: crashes}
 	default:
-		return Free, 0
+		return Judgement{Verdict: Free}
 	}
 }
 
+func (t *Tracker) retryAfter(now time.Time, known *history) time.Duration {
+	return known.changedAt.Add(t.Settings.Retention).Sub(now)
+}
+
 // Records returns what this instance observed, for its heartbeat, sorted by fingerprint. It also passes on what it knows
 // of requests that run alone or not at all: the instances that observed it may have ended since.
 func (t *Tracker) Records(now time.Time) (records []Record) {
 	t.dropOld(now)
-	passedOn := 0
+	passedOn := t.passedOn(now)
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) {
 			continue
 		}
-		all := known.open() >= t.Settings.AloneAfter && passedOn < maxPassedOn
-		record := Record{
-			Fingerprint: fingerprint,
-			Crashes:     list(known.crashes, func(m mark) bool { return all || m.own }),
-			Cleared:     list(known.cleared, func(m mark) bool { return all || m.own }),
-			Age:         now.Sub(known.changedAt),
-		}
-		if all {
-			passedOn++
-		}
+		record := known.record(now, fingerprint, func(m mark) bool { return m.own || passedOn[fingerprint] })
 		if len(record.Crashes)+len(record.Cleared) > 0 {
 			records = append(records, record)
 		}
@@ -252,12 +278,36 @@
 	return records
 }
 
-// Merge adds records of another instance.
-func (t *Tracker) Merge(now time.Time, records []Record) { t.merge(now, records, mark{}) }
+// passedOn returns the fingerprints of which this instance passes everything on: those with the most crashes.
+func (t *Tracker) passedOn(now time.Time) map[Fingerprint]bool {
+	var suspects []Fingerprint
+	for fingerprint, known := range t.histories {
+		if known.open() >= t.Settings.AloneAfter && !t.isExpired(now, known) {
+			suspects = append(suspects, fingerprint)
+		}
+	}
+	if len(suspects) > maxPassedOn {
+		slices.SortFunc(suspects, func(a, b Fingerprint) int {
+			return cmp.Or(cmp.Compare(t.histories[b].open(), t.histories[a].open()), cmp.Compare(a, b))
+		})
+		suspects = suspects[:maxPassedOn]
+	}
+	selected := make(map[Fingerprint]bool, len(suspects))
+	for _, fingerprint := range suspects {
+		selected[fingerprint] = true
+	}
+	return selected
+}
+
+// Merge adds records of another instance. It reports whether this instance knows something that clears a prompt part of crashes
+// in them, which peers should know soon.
+func (t *Tracker) Merge(now time.Time, records []Record) (cleared bool) {
+	return t.merge(now, records, mark{addedAt: now})
+}
 
 // MergeStored adds a record that the store has.
 func (t *Tracker) MergeStored(now time.Time, record Record) {
-	t.merge(now, []Record{record}, mark{stored: true})
+	t.merge(now, []Record{record}, mark{stored: true, addedAt: now})
 }
 
 // Unstored returns records that the store lacks something of which this instance observed, at most a given number. Those of
@@ -269,11 +319,11 @@
 		if len(records) == most {
 			break
 		}
-		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) {
+		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart() && known.open() == 0 && !known.isStored() {
 			continue
 		}
 		if len(list(known.crashes, lacking))+len(list(known.cleared, lacking)) > 0 {
-			records = append(records, Record{Fingerprint: fingerprint, Crashes: list(known.crashes, every), Cleared: list(known.cleared, every)})
+			records = append(records, known.record(now, fingerprint, every))
 		}
 	}
 	return records
@@ -281,26 +331,34 @@
 
 // ---------------------------------------------------------------------------------------------
 
-func (t *Tracker) merge(now time.Time, records []Record, as mark) {
+func (t *Tracker) merge(now time.Time, records []Record, as mark) (cleared bool) {
 	for _, record := range records {
 		if record.Age > t.Settings.Retention-minRemaining {
 			continue
 		}
 		for _, crash := range record.Crashes {
-			t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
+			if len(record.Requests) == 0 {
+				t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
+				continue
+			}
+			if t.addToPart(now.Add(-record.Age), record.Fingerprint, crash, as, record.Requests...) {
+				cleared = true
+			}
 		}
 		known := t.histories[record.Fingerprint]
 		if known == nil {
 			continue // its crashes have expired here
 		}
 		for _, crash := range record.Cleared {
-			known.cleared[crash] = known.cleared[crash].or(as)
+			t.clearCrash(known, crash, as)
 		}
 	}
 	t.dropOld(now)
+	return cleared
 }
 
-func (t *Tracker) add(at time.Time, fingerprint Fingerprint, crash Crash, as mark) {
+// add adds a crash, and reports whether it is new.
+func (t *Tracker) add(at time.Time, fingerprint Fingerprint, crash Crash, as mark) (added bool) {
 	if t.histories == nil {
 		t.histories = make(map[Fingerprint]*history)
 	}
@@ -314,21 +372,32 @@
 		known.changedAt = at
 	}
 	known.crashes[crash] = before.or(as)
+	if !found {
+		t.current = nil
+	}
+	return !found
 }
 
-func (m mark) or(other mark) mark {
-	return mark{own: m.own || other.own, stored: m.stored || other.stored}
+// clear clears a fingerprint of all crashes so far, and returns their number.
+func (t *Tracker) clear(fingerprint Fingerprint) (cleared int) {
+	known := t.histories[fingerprint]
+	if known == nil {
+		return 0
+	}
+	for crash := range known.crashes {
+		if known.isOpen(crash) {
+			t.clearCrash(known, crash, mark{own: true})
+			cleared++
+		}
+	}
+	return cleared
 }
 
-// list returns the selected crashes in ascending order.
-func list(crashes map[Crash]mark, selected func(mark) bool) (sorted []Crash) {
-	for crash, m := range crashes {
-		if selected(m) {
-			sorted = append(sorted, crash)
-		}
+func (t *Tracker) clearCrash(known *history, crash Crash, as mark) {
+	if known.isOpen(crash) {
+		t.current = nil
 	}
-	slices.Sort(sorted)
-	return sorted
+	known.cleared[crash] = known.cleared[crash].or(as)
 }
 
 func (t *Tracker) isExpired(now time.Time, known *history) bool {
@@ -341,9 +410,11 @@
 		return
 	}
 	t.droppedAt = now
+	t.dropCompletions(now)
 	for fingerprint, known := range t.histories {
-		if t.isExpired(now, known) {
+		if t.isExpired(now, known) || known.isPart() && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
 			delete(t.histories, fingerprint)
+			t.current = nil
 		}
 	}
 	excess := len(t.histories) - t.Settings.MaxFingerprints
@@ -360,4 +431,5 @@
 	for _, fingerprint := range oldest[:excess] {
 		delete(t.histories, fingerprint)
 	}
+	t.current = nil
 }
--- a/internal/placement/suspect/tracker_test.go
+++ b/internal/placement/suspect/tracker_test.go
@@ -15,8 +15,7 @@
 }
 
 func verdict(tracker *suspect.Tracker, f suspect.Fingerprint) suspect.Verdict {
-	v, _ := tracker.Judge(time.Now(), f)
-	return v
+	return tracker.Judge(time.Now(), f).Verdict
 }
 
 // Guards against counts that are not shared. A caller retries a request that crashes engines, each time at another
@@ -35,9 +34,9 @@
 		is.Equal(verdict(a, bad), suspect.Alone)
 		is.Equal(verdict(a, "innocent"), suspect.Apart)
 		a.RecordCrash(time.Now(), 3, []suspect.Fingerprint{bad})
-		refused, retryAfter := a.Judge(time.Now(), bad)
-		is.Equal(refused, suspect.Refused)
-		is.True(retryAfter > 0)
+		judged := a.Judge(time.Now(), bad)
+		is.Equal(judged.Verdict, suspect.Refused)
+		is.True(judged.RetryAfter > 0)
 		time.Sleep(suspect.DefaultSettings().Retention + time.Second)
 		b.Merge(time.Now(), a.Records(time.Now()))
 		is.Equal(verdict(b, bad), suspect.Free)
