Clear a part of a crash once, by the instance that saw it where it can

Cause: each instance at which a part is in use cleared it of each new crash and sent its state at once. Where many upstreams end together in a large fleet that is a state of each instance to all others, for parts that are in use everywhere. Change: a crash that comes with its clearing is not cleared again; the instance that saw the crash mostly has the part in use as well. TestPartThatIsClearedIsNotClearedAgainByOthers failed before (merge reported a clearing to send).

--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -16,9 +16,9 @@
 	maxPartRequests = 16
 )
 
-// addToPart adds a crash under requests with a part, and reports whether this instance clears the part of it.
-func (t *Tracker) addToPart(at time.Time, part Fingerprint, crash Crash, as mark, requests ...Request) (cleared bool) {
-	added := t.add(at, part, crash, as)
+// addToPart adds a crash under requests with a part, and reports whether it is new.
+func (t *Tracker) addToPart(at time.Time, part Fingerprint, crash Crash, as mark, requests ...Request) (added bool) {
+	added = t.add(at, part, crash, as)
 	known := t.histories[part]
 	if known.requests == nil {
 		known.requests = make(map[Request]bool)
@@ -29,11 +29,16 @@
 			t.current = nil
 		}
 	}
+	return added
+}
+
+// clearIfInUse clears a part of a crash if a request with it has just run to completion, and reports whether it did.
+func (t *Tracker) clearIfInUse(now time.Time, part Fingerprint, crash Crash) (cleared bool) {
 	completed, found := t.completedAt[part]
-	if !added || !found || as.addedAt.Sub(completed) > completionCredit {
+	if !found || now.Sub(completed) > completionCredit {
 		return false
 	}
-	t.clearCrash(known, crash, mark{own: true})
+	t.clearCrash(t.histories[part], crash, mark{own: true})
 	return true
 }
 
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -243,3 +243,19 @@
 		is.Equal(partVerdict(after, parts("sound")...), suspect.Free)
 	})
 }
+
+// Guards against a fleet in which each instance tells all others what one of them has told them: where many upstreams crash at
+// once, parts in use are cleared by the instance that saw the crash, and nobody else sends anything for it.
+func TestPartThatIsClearedIsNotClearedAgainByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u, other := &upstreams{tracker: newTracker()}, newTracker()
+		u.complete(parts("first"))
+		other.RecordCompletion(time.Now(), "sound", parts("first")...)
+		u.crash(parts("first"))
+		is.True(!other.Merge(time.Now(), u.tracker.Records(time.Now())))
+		for _, record := range other.Records(time.Now()) {
+			is.Equal(len(record.Cleared), 0)
+		}
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -182,7 +182,9 @@
 	for _, attempt := range attempts {
 		t.RecordCrash(now, crash, []Fingerprint{attempt.Fingerprint})
 		for _, part := range attempt.Parts {
-			t.addToPart(now, part, crash, mark{own: true, addedAt: now}, RequestOf(attempt.Fingerprint))
+			if t.addToPart(now, part, crash, mark{own: true, addedAt: now}, RequestOf(attempt.Fingerprint)) {
+				t.clearIfInUse(now, part, crash)
+			}
 		}
 	}
 }
@@ -341,7 +343,8 @@
 				t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
 				continue
 			}
-			if t.addToPart(now.Add(-record.Age), record.Fingerprint, crash, as, record.Requests...) {
+			added := t.addToPart(now.Add(-record.Age), record.Fingerprint, crash, as, record.Requests...)
+			if added && !slices.Contains(record.Cleared, crash) && t.clearIfInUse(now, record.Fingerprint, crash) {
 				cleared = true
 			}
 		}
