Keep prompt parts that completed before clear of many crashes at once

Cause: a completion kept a part clear of new crashes for 5 s only; after a time in which nothing completed, a part that was in use counted as one that never was. Change: a completion counts for as long as records do, for four crashes that are not at the same time; upstreams that end together do so for a common reason. What completed once and crashes upstreams since is refused after three more. TestPartsInUseAreNotRefusedWhenManyUpstreamsCrash is stricter (three times 30 crashes, 20 s apart) and failed before.

--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -1,21 +1,36 @@
 package suspect
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // parts.go records the crashes of prompt parts. What crashes upstreams may be a part that many requests share, no two of which are
 // alike. A crash makes suspects of the parts of all requests in flight there, nearly all of which are sound: those clear
-// themselves as other requests with them run to completion.
+// themselves as other requests with them run to completion, before or after.
 
 const (
-	// completionCredit is how long after a completion a part is not suspected. Crashes of many upstreams at once would otherwise
-	// make suspects of parts that are in use everywhere.
-	completionCredit = 5 * time.Second
+	// maxCredited bounds the crashes that a part is cleared of because it completed before, counted once in each
+	// creditInterval: upstreams that end together do so for a common reason, and not for that of a request at each.
+	maxCredited    = 4
+	creditInterval = 250 * time.Millisecond
+	// maxCompletions bounds the parts whose completion is remembered.
+	maxCompletions = 4096
 	// clearedPartRetention is how long the record of a part without suspicion is kept, so that all instances know it.
 	clearedPartRetention = 30 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
 
+// completion is when a request with a part last ran to completion, and the crashes that the part was cleared of since for that.
+type completion struct {
+	at       time.Time
+	credited int
+	// creditedAt is when the last of them was counted.
+	creditedAt time.Time
+}
+
 // addToPart adds a crash under requests with a part, and reports whether it is new.
 func (t *Tracker) addToPart(at time.Time, part Fingerprint, crash Crash, as mark, requests ...Request) (added bool) {
 	added = t.add(at, part, crash, as)
@@ -32,29 +47,44 @@
 	return added
 }
 
-// clearIfInUse clears a part of a crash if a request with it has just run to completion, and reports whether it did.
+// clearIfInUse clears a part of a crash if requests with it run to completion, and reports whether it did.
 func (t *Tracker) clearIfInUse(now time.Time, part Fingerprint, crash Crash) (cleared bool) {
-	completed, found := t.completedAt[part]
-	if !found || now.Sub(completed) > completionCredit {
+	known, found := t.completions[part]
+	if !found || known.credited >= maxCredited {
 		return false
 	}
+	if now.Sub(known.creditedAt) >= creditInterval {
+		known.credited++
+		known.creditedAt = now
+		t.completions[part] = known
+	}
 	t.clearCrash(t.histories[part], crash, mark{own: true})
 	return true
 }
 
 // recordPartCompletion records that a request with a part ran to completion.
 func (t *Tracker) recordPartCompletion(now time.Time, part Fingerprint) {
-	if t.completedAt == nil {
-		t.completedAt = make(map[Fingerprint]time.Time)
+	if t.completions == nil {
+		t.completions = make(map[Fingerprint]completion)
 	}
-	t.completedAt[part] = now
+	t.completions[part] = completion{at: now}
 	t.clear(part)
+	if len(t.completions) > maxCompletions {
+		t.dropCompletions(now)
+	}
 }
 
+// dropCompletions drops what has expired, and the older half if that is not enough.
 func (t *Tracker) dropCompletions(now time.Time) {
-	for part, completed := range t.completedAt {
-		if now.Sub(completed) > completionCredit {
-			delete(t.completedAt, part)
-		}
+	maps.DeleteFunc(t.completions, func(_ Fingerprint, c completion) bool { return now.Sub(c.at) > t.Settings.Retention })
+	if len(t.completions) <= maxCompletions {
+		return
+	}
+	var times []time.Time
+	for _, known := range t.completions {
+		times = append(times, known.at)
 	}
+	slices.SortFunc(times, time.Time.Compare)
+	median := times[len(times)/2]
+	maps.DeleteFunc(t.completions, func(_ Fingerprint, c completion) bool { return !c.at.After(median) })
 }
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -140,9 +140,11 @@
 		is := is.New(t)
 		u := &upstreams{tracker: newTracker()}
 		u.complete(parts("first", "subject"))
-		time.Sleep(time.Second)
-		for range 30 {
-			u.crash(parts("first", "subject"), parts("first", "other"))
+		for range 3 {
+			time.Sleep(20 * time.Second)
+			for range 30 {
+				u.crash(parts("first", "subject"), parts("first", "other"))
+			}
 		}
 		time.Sleep(settled)
 		is.Equal(partVerdict(u.tracker, parts("first", "subject")...), suspect.Free)
@@ -259,3 +261,38 @@
 		}
 	})
 }
+
+// Guards against a part that completed once and is never suspected again, as when the software of upstreams changes.
+func TestPartThatCompletedOnceIsRefusedInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		u.complete(parts("bad"))
+		for range 7 {
+			time.Sleep(time.Second)
+			u.crash(parts("bad"))
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("bad")...), suspect.Refused)
+	})
+}
+
+// Guards against unbounded memory where each request has parts of its own.
+func TestCompletionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker()
+		for i := range 20_000 {
+			tracker.RecordCompletion(time.Now(), "sound", parts(fmt.Sprint(i))...)
+			time.Sleep(time.Millisecond)
+		}
+		kept := 0
+		u := &upstreams{tracker: tracker}
+		for i := 0; i < 20_000; i += 10 {
+			u.crash(parts(fmt.Sprint(i)))
+		}
+		for _, record := range tracker.Records(time.Now()) {
+			kept += len(record.Cleared)
+		}
+		is.New(t).True(kept <= 500) // of 2,000, at most 4,096 of 20,000 being remembered
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -129,8 +129,8 @@
 	Settings Settings
 
 	histories map[Fingerprint]*history
-	// completedAt is when a request with a prompt part last ran to completion.
-	completedAt map[Fingerprint]time.Time
+	// completions are the last ones of requests with a prompt part.
+	completions map[Fingerprint]completion
 	// current is the blame as last computed, nil if what is known has changed since.
 	current *blame
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
@@ -413,7 +413,6 @@
 		return
 	}
 	t.droppedAt = now
-	t.dropCompletions(now)
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) || known.isPart() && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
 			delete(t.histories, fingerprint)
