Do not refuse a sound prompt part beside the one that crashes upstreams

What callers would see: while nothing completes, requests with a sound first part are refused for ten minutes, as nothing with it can complete any more and clear it; once the bad part itself is free. Cause: of the requests that had a part, an instance keeps the first 16 that it learns of. Which part is the narrower one, and so explains crashes, is decided by whether its requests are among the other's, which fails beyond 16, depends on the order of records, and fails if the bad part comes with several first parts. And a broad part with one crash more, for another reason, explains all of the bad part's. Change: kept are the requests with the lowest numbers, which are hashes: the same ones everywhere, their highest number estimates how many there were, and what is below it can be compared. Of parts with equal crashes, that with fewer requests explains them; a part is passed over if one with a half of its requests, all among them, explains its crashes but for one.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -15,6 +15,8 @@
 	// settlingTime is how long a crash is known before it counts for a part. By then an instance where the part is in use
 	// has cleared it.
 	settlingTime = 500 * time.Millisecond
+	// maxUnrelated is the number of crashes with another cause that a part which explains the others may leave unexplained.
+	maxUnrelated = 1
 	// maxCandidates bounds the fingerprints that are compared.
 	maxCandidates = 64
 )
@@ -78,11 +80,12 @@
 func (t *Tracker) computeBlame(now time.Time) *blame {
 	b := &blame{explained: make(map[Crash]bool), computedAt: now}
 	var requests []candidate
-	for _, one := range t.candidates(now, &b.validUntil) {
+	candidates := t.candidates(now, &b.validUntil)
+	for _, one := range candidates {
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
+		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -110,7 +113,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(a.requests), len(b.requests)),
+			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(spread(a.requests), spread(b.requests)),
 			cmp.Compare(a.fingerprint, b.fingerprint),
 		)
 	})
@@ -148,7 +151,7 @@
 func (t *Tracker) unexplained(b *blame, requests []candidate, one candidate) (count int) {
 	rest := maps.Clone(one.crashes)
 	for _, other := range b.groups {
-		if len(other.crashes) > len(one.crashes) || isSubset(other.requests, one.requests) {
+		if len(other.crashes) > len(one.crashes) || spread(other.requests) < spread(one.requests) {
 			deleteAll(rest, other.crashes)
 		}
 	}
@@ -160,13 +163,20 @@
 	return len(rest)
 }
 
-func isSubset(some, all map[Request]bool) bool {
-	for request := range some {
-		if !all[request] {
-			return false
+// hasNarrower reports whether another part, which only some of a part's requests have, was in flight at its crashes, but for a few
+// that may have another cause.
+func (c candidate) hasNarrower(candidates []candidate) bool {
+	for _, other := range candidates {
+		if !other.isPart || !isNarrower(other.requests, c.requests) {
+			continue
+		}
+		rest := maps.Clone(c.crashes)
+		deleteAll(rest, other.crashes)
+		if len(rest) <= maxUnrelated {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func deleteAll(from, crashes map[Crash]bool) {
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -10,7 +11,8 @@
 type history struct {
 	crashes map[Crash]mark
 	cleared map[Crash]mark
-	// requests are some that had the prompt part; nil for the history of a request.
+	// requests are those that had the prompt part, by the lowest numbers if they are many, so that all instances keep the same ones;
+	// nil for the history of a request.
 	requests map[Request]bool
 	// changedAt is when a crash was last added, here or as a peer stated it.
 	changedAt time.Time
@@ -82,6 +84,52 @@
 	return chosen
 }
 
+// addRequest adds a request that had the prompt part, and reports whether it is kept.
+func (h *history) addRequest(request Request) bool {
+	if h.requests[request] {
+		return false
+	}
+	if len(h.requests) == maxPartRequests {
+		highest := highestOf(h.requests)
+		if request > highest {
+			return false
+		}
+		delete(h.requests, highest)
+	}
+	h.requests[request] = true
+	return true
+}
+
+func highestOf(requests map[Request]bool) (highest Request) {
+	for request := range requests {
+		highest = max(highest, request)
+	}
+	return highest
+}
+
+// spread estimates how many requests had a prompt part. Their numbers are hashes, so that the highest one that is kept shows it.
+func spread(requests map[Request]bool) float64 {
+	if len(requests) < maxPartRequests {
+		return float64(len(requests))
+	}
+	return maxPartRequests * (math.MaxUint64 / float64(highestOf(requests)))
+}
+
+// isNarrower reports whether some requests are among others, and at most half as many: one that has been in flight at a crash for
+// another reason does not make them so.
+func isNarrower(some, others map[Request]bool) bool {
+	highest := Request(math.MaxUint64)
+	if len(others) == maxPartRequests {
+		highest = highestOf(others)
+	}
+	for request := range some {
+		if request <= highest && !others[request] {
+			return false
+		}
+	}
+	return spread(some) <= spread(others)/2
+}
+
 func sorted(requests map[Request]bool) (ascending []Request) {
 	for request := range requests {
 		ascending = append(ascending, request)
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -24,8 +24,7 @@
 		known.requests = make(map[Request]bool)
 	}
 	for _, request := range requests {
-		if len(known.requests) < maxPartRequests && !known.requests[request] {
-			known.requests[request] = true
+		if known.addRequest(request) {
 			t.current = nil
 		}
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
@@ -103,6 +105,30 @@
 				u.complete(other)
 			}
 		}, [][]suspect.Fingerprint{bad, parts("second", "worse")}, [][]suspect.Fingerprint{other}},
+		{"nothing completes, many sound requests share the batches", func(u *upstreams) {
+			for range 5 {
+				u.crash(bad, other, other, other, other, other)
+			}
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other, parts("first", "third")}},
+		{"nothing completes, the bad part comes with others as well", func(u *upstreams) {
+			for range 3 {
+				u.crash(bad, other, other)
+				u.crash(parts("second", "bad"), other, other)
+			}
+		}, [][]suspect.Fingerprint{bad, parts("second", "bad")}, [][]suspect.Fingerprint{other, parts("first", "third")}},
+		{"nothing completes, an upstream ends for another reason", func(u *upstreams) {
+			for range 5 {
+				u.crash(bad, other, other)
+			}
+			u.crash(parts("first", "third"))
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other, parts("first", "third")}},
+		{"a rare part is in flight at three of the crashes", func(u *upstreams) {
+			for range 3 {
+				u.crash(bad, parts("first", "rare"))
+				u.crash(bad, other)
+				u.complete(other)
+			}
+		}, [][]suspect.Fingerprint{bad}, [][]suspect.Fingerprint{other, parts("first", "rare"), parts("rare")}},
 		{"one request that comes again", func(u *upstreams) {
 			for range 5 {
 				u.crashUnder("again", bad)
@@ -243,3 +269,39 @@
 		is.Equal(partVerdict(after, parts("sound")...), suspect.Free)
 	})
 }
+
+// Guards against instances that judge differently by the order in which they learned of the same crashes: of the requests that had
+// a part they kept the first ones.
+func TestOrderOfRecordsDoesNotMatter(t *testing.T) {
+	prompts := [][]suspect.Fingerprint{parts("first", "bad"), parts("first", "sound"), parts("second", "bad"), parts("second")}
+	inFlight := rapid.SliceOfN(rapid.SampledFrom(prompts), 1, 12)
+	crashes := rapid.SliceOfN(rapid.SliceOfN(inFlight, 1, 6), 2, 4) // by instance
+	rapid.Check(t, func(rt *rapid.T) {
+		drawn := crashes.Draw(rt, "in flight")
+		var verdicts [2][]suspect.Verdict
+		synctest.Test(t, func(*testing.T) {
+			var records [][]suspect.Record
+			for instance, crashes := range drawn {
+				u := &upstreams{tracker: newTracker(), lives: int64(100 * instance)}
+				for _, crash := range crashes {
+					u.crash(crash...)
+				}
+				records = append(records, u.tracker.Records(time.Now()))
+			}
+			for i := range verdicts {
+				tracker := newTracker()
+				slices.Reverse(records)
+				for _, one := range records {
+					tracker.Merge(time.Now(), one)
+				}
+				time.Sleep(settled)
+				for _, prompt := range append(prompts, parts("first"), parts("bad"), parts("sound")) {
+					verdicts[i] = append(verdicts[i], partVerdict(tracker, prompt...))
+				}
+			}
+		})
+		if !slices.Equal(verdicts[0], verdicts[1]) {
+			rt.Fatalf("%v by one order, %v by the other", verdicts[0], verdicts[1])
+		}
+	})
+}
