Keep a pair of prompt parts refused while the crash that parts it settles

Change: requests do not part a pair while one of its crashes is settling. Measured, TestPairStaysRefusedWhenItsPartsComeApart: before, the bad part is free right after that crash; after, alone, then refused.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -27,7 +27,9 @@
 	isPart      bool
 	crashes     map[Crash]bool
 	requests    map[Request]bool
-	retryAfter  time.Duration
+	// settling: it was in flight at a crash that does not count yet.
+	settling   bool
+	retryAfter time.Duration
 }
 
 // group is one or more parts that were in flight at the same crashes, in the same requests. Which of them is the cause is not
@@ -104,8 +106,9 @@
 		}
 		one := candidate{
 			fingerprint: fingerprint, isPart: known.isPart(), requests: known.requests,
-			crashes: known.settled(now, settledAt), retryAfter: t.retryAfter(now, known),
+			retryAfter: t.retryAfter(now, known),
 		}
+		one.crashes, one.settling = known.settled(now, settledAt)
 		if len(one.crashes) < t.Settings.RefusePartAfter || one.isPart && len(one.requests) < t.Settings.PartRequests {
 			continue
 		}
@@ -120,26 +123,32 @@
 	return candidates[:min(len(candidates), maxCandidates)]
 }
 
-// settled returns the open crashes that have been known for long enough.
-func (h *history) settled(now time.Time, next *time.Time) map[Crash]bool {
-	settled := make(map[Crash]bool)
+// settled returns the open crashes that have been known for long enough, and whether there are others. It sets when the next counts.
+func (h *history) settled(now time.Time, next *time.Time) (settled map[Crash]bool, settling bool) {
+	settled = make(map[Crash]bool)
 	for crash, m := range h.crashes {
 		at := m.addedAt.Add(settlingTime)
 		switch {
 		case !h.isOpen(crash):
 		case !h.isPart() || !now.Before(at):
 			settled[crash] = true
-		case next.IsZero() || at.Before(*next):
-			*next = at
+		default:
+			settling = true
+			if next.IsZero() || at.Before(*next) {
+				*next = at
+			}
 		}
 	}
-	return settled
+	return settled, settling
 }
 
-// join adds a part to the group with the same crashes and requests, if there is one.
+// join adds a part to the group with the same crashes and requests, if there is one. Requests that only one of them had do not part
+// them before the crash of these counts.
 func (b *blame) join(one candidate) bool {
 	for i, other := range b.groups {
-		if maps.Equal(other.crashes, one.crashes) && maps.Equal(other.requests, one.requests) {
+		settling := one.settling || other.settling
+		if maps.Equal(other.crashes, one.crashes) && (settling || maps.Equal(other.requests, one.requests)) {
+			b.groups[i].settling = settling
 			b.groups[i].parts = append(b.groups[i].parts, one.fingerprint)
 			return true
 		}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -270,6 +270,27 @@
 	})
 }
 
+// Guards against a pair of parts that is taken apart by a crash that does not count yet: as soon as one of them had come without
+// the other, the wrong one was refused, and the cause was not.
+func TestPairStaysRefusedWhenItsPartsComeApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 5 {
+			u.crash(parts("first", "bad"))
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("second", "bad")...), suspect.Alone)
+		u.crash(parts("second", "bad"))
+		is.Equal(partVerdict(u.tracker, parts("second", "bad")...), suspect.Alone)
+		is.Equal(partVerdict(u.tracker, parts("first", "bad")...), suspect.Refused)
+		is.True(partVerdict(u.tracker, parts("first", "sound")...) != suspect.Refused)
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("second", "bad")...), suspect.Refused)
+		is.True(partVerdict(u.tracker, parts("first", "sound")...) != suspect.Refused)
+	})
+}
+
 // Guards against instances that judge differently by the order in which they learned of the same crashes: of the requests that had
 // a part they kept the first ones.
 func TestOrderOfRecordsDoesNotMatter(t *testing.T) {
