--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -15,6 +15,8 @@
 	// settlingTime is how long a crash is known before it counts for a part. By then an instance where the part is in use
 	// has cleared it.
 	settlingTime = 500 * time.Millisecond
+	// maxUnrelated is the number of crashes with another cause that a part which explains the others may leave unexplained.
+	maxUnrelated = 1
 	// maxCandidates bounds the fingerprints that are compared.
 	maxCandidates = 64
 )
@@ -25,7 +27,9 @@
 	isPart      bool
 	crashes     map[Crash]bool
 	requests    map[Request]bool
-	retryAfter  time.Duration
+	// settling: it was in flight at a crash that does not count yet.
+	settling   bool
+	retryAfter time.Duration
 }
 
 // group is one or more parts that were in flight at the same crashes, in the same requests. Which of them is the cause is not
@@ -78,11 +82,12 @@
 func (t *Tracker) computeBlame(now time.Time) *blame {
 	b := &blame{explained: make(map[Crash]bool), computedAt: now}
 	var requests []candidate
-	for _, one := range t.candidates(now, &b.validUntil) {
+	candidates := t.candidates(now, &b.validUntil)
+	for _, one := range candidates {
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
+		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -101,8 +106,9 @@
 		}
 		one := candidate{
 			fingerprint: fingerprint, isPart: known.isPart(), requests: known.requests,
-			crashes: known.settled(now, settledAt), retryAfter: t.retryAfter(now, known),
+			retryAfter: t.retryAfter(now, known),
 		}
+		one.crashes, one.settling = known.settled(now, settledAt)
 		if len(one.crashes) < t.Settings.RefusePartAfter || one.isPart && len(one.requests) < t.Settings.PartRequests {
 			continue
 		}
@@ -110,33 +116,39 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(a.requests), len(b.requests)),
+			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(spread(a.requests), spread(b.requests)),
 			cmp.Compare(a.fingerprint, b.fingerprint),
 		)
 	})
 	return candidates[:min(len(candidates), maxCandidates)]
 }
 
-// settled returns the open crashes that have been known for long enough.
-func (h *history) settled(now time.Time, next *time.Time) map[Crash]bool {
-	settled := make(map[Crash]bool)
+// settled returns the open crashes that have been known for long enough, and whether there are others. It sets when the next counts.
+func (h *history) settled(now time.Time, next *time.Time) (settled map[Crash]bool, settling bool) {
+	settled = make(map[Crash]bool)
 	for crash, m := range h.crashes {
 		at := m.addedAt.Add(settlingTime)
 		switch {
 		case !h.isOpen(crash):
 		case !h.isPart() || !now.Before(at):
 			settled[crash] = true
-		case next.IsZero() || at.Before(*next):
-			*next = at
+		default:
+			settling = true
+			if next.IsZero() || at.Before(*next) {
+				*next = at
+			}
 		}
 	}
-	return settled
+	return settled, settling
 }
 
-// join adds a part to the group with the same crashes and requests, if there is one.
+// join adds a part to the group with the same crashes and requests, if there is one. Requests that only one of them had do not part
+// them before the crash of these counts.
 func (b *blame) join(one candidate) bool {
 	for i, other := range b.groups {
-		if maps.Equal(other.crashes, one.crashes) && maps.Equal(other.requests, one.requests) {
+		settling := one.settling || other.settling
+		if maps.Equal(other.crashes, one.crashes) && (settling || maps.Equal(other.requests, one.requests)) {
+			b.groups[i].settling = settling
 			b.groups[i].parts = append(b.groups[i].parts, one.fingerprint)
 			return true
 		}
@@ -148,7 +160,7 @@
 func (t *Tracker) unexplained(b *blame, requests []candidate, one candidate) (count int) {
 	rest := maps.Clone(one.crashes)
 	for _, other := range b.groups {
-		if len(other.crashes) > len(one.crashes) || isSubset(other.requests, one.requests) {
+		if len(other.crashes) > len(one.crashes) || spread(other.requests) < spread(one.requests) {
 			deleteAll(rest, other.crashes)
 		}
 	}
@@ -160,13 +172,20 @@
 	return len(rest)
 }
 
-func isSubset(some, all map[Request]bool) bool {
-	for request := range some {
-		if !all[request] {
-			return false
+// hasNarrower reports whether another part, which only some of a part's requests have, was in flight at its crashes, but for a few
+// that may have another cause.
+func (c candidate) hasNarrower(candidates []candidate) bool {
+	for _, other := range candidates {
+		if !other.isPart || !isNarrower(other.requests, c.requests) {
+			continue
+		}
+		rest := maps.Clone(c.crashes)
+		deleteAll(rest, other.crashes)
+		if len(rest) <= maxUnrelated {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func deleteAll(from, crashes map[Crash]bool) {
