--- a/internal/fleet/crashrecord/crashrecord.go
+++ b/internal/fleet/crashrecord/crashrecord.go
@@ -4,8 +4,10 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -28,11 +30,17 @@
 	Crashes  []string
 	Cleared  []string
 	Requests []string `json:",omitempty"`
+	// BeforeLastMillis is how long each of the crashes was before the last one, in their order.
+	BeforeLastMillis []int64 `json:",omitempty"`
 }
 
 // Encode returns the value of a record's key.
 func Encode(record suspect.Record) ([]byte, error) {
-	return json.Marshal(recordWire{Crashes: toText(record.Crashes), Cleared: toText(record.Cleared), Requests: toText(record.Requests)})
+	wire := recordWire{Crashes: toText(record.Crashes), Cleared: toText(record.Cleared), Requests: toText(record.Requests)}
+	for _, age := range record.Ages {
+		wire.BeforeLastMillis = append(wire.BeforeLastMillis, (age - slices.Min(record.Ages)).Milliseconds())
+	}
+	return json.Marshal(wire)
 }
 
 // Decode returns the record that a key holds.
@@ -49,6 +57,9 @@
 	if record.Cleared, err = fromText[suspect.Crash](wire.Cleared); err != nil {
 		return record, err
 	}
+	for _, before := range wire.BeforeLastMillis {
+		record.Ages = append(record.Ages, time.Duration(before)*time.Millisecond)
+	}
 	record.Requests, err = fromText[suspect.Request](wire.Requests)
 	return record, err
 }
--- a/internal/fleet/crashrecord/crashrecord_test.go
+++ b/internal/fleet/crashrecord/crashrecord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -17,6 +18,14 @@
 	decoded, err := crashrecord.Decode(crashrecord.Key("f"), value)
 	is.NoErr(err)
 	is.Equal(decoded, record)
+	record.Requests = []suspect.Request{7, 1 << 63}
+	record.Ages = []time.Duration{5 * time.Second, 2 * time.Second}
+	value, err = crashrecord.Encode(record)
+	is.NoErr(err)
+	decoded, err = crashrecord.Decode(crashrecord.Key("f"), value)
+	is.NoErr(err)
+	is.Equal(decoded.Requests, record.Requests)
+	is.Equal(decoded.Ages, []time.Duration{3 * time.Second, 0}) // how long each was before the last one
 }
 
 // Guards against an entry of another writer that is taken for crashes.
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -385,16 +385,31 @@
 func suspectsToWire(records []suspect.Record) (wire []*meshpb.Suspect) {
 	for _, record := range records {
 		wire = append(wire, &meshpb.Suspect{
-			Fingerprint: string(record.Fingerprint),
-			Crashes:     suspect.Numbers(record.Crashes),
-			Cleared:     suspect.Numbers(record.Cleared),
-			AgeMillis:   record.Age.Milliseconds(),
-			Requests:    suspect.Numbers(record.Requests),
+			Fingerprint:    string(record.Fingerprint),
+			Crashes:        suspect.Numbers(record.Crashes),
+			Cleared:        suspect.Numbers(record.Cleared),
+			AgeMillis:      record.Age.Milliseconds(),
+			Requests:       suspect.Numbers(record.Requests),
+			CrashAgeMillis: toMillis(record.Ages),
 		})
 	}
 	return wire
 }
 
+func toMillis(durations []time.Duration) (counts []int64) {
+	for _, duration := range durations {
+		counts = append(counts, duration.Milliseconds())
+	}
+	return counts
+}
+
+func fromMillis(counts []int64) (durations []time.Duration) {
+	for _, count := range counts {
+		durations = append(durations, millis(count))
+	}
+	return durations
+}
+
 func suspectsFromWire(wire []*meshpb.Suspect) (records []suspect.Record) {
 	for _, w := range wire {
 		records = append(records, suspect.Record{
@@ -402,6 +417,7 @@
 			Crashes:     suspect.FromNumbers[suspect.Crash](w.GetCrashes()),
 			Cleared:     suspect.FromNumbers[suspect.Crash](w.GetCleared()),
 			Requests:    suspect.FromNumbers[suspect.Request](w.GetRequests()),
+			Ages:        fromMillis(w.GetCrashAgeMillis()),
 			Age:         time.Duration(w.GetAgeMillis()) * time.Millisecond,
 		})
 	}
--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -87,7 +87,7 @@
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplained(b, requests, one) >= t.Settings.RefusePartAfter:
+		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplainedMoments(b, requests, one) >= t.Settings.RefusePartAfter:
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -156,8 +156,8 @@
 	return false
 }
 
-// unexplained counts the crashes of a part that no better candidate explains.
-func (t *Tracker) unexplained(b *blame, requests []candidate, one candidate) (count int) {
+// unexplainedMoments counts the times of the crashes of a part that no better candidate explains.
+func (t *Tracker) unexplainedMoments(b *blame, requests []candidate, one candidate) (count int) {
 	rest := maps.Clone(one.crashes)
 	for _, other := range b.groups {
 		if len(other.crashes) > len(one.crashes) || spread(other.requests) < spread(one.requests) {
@@ -169,7 +169,7 @@
 			deleteAll(rest, other.crashes)
 		}
 	}
-	return len(rest)
+	return t.histories[one.fingerprint].moments(rest)
 }
 
 // hasNarrower reports whether another part, which only some of a part's requests have, was in flight at its crashes, but for a few
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -11,10 +11,11 @@
 // themselves as other requests with them run to completion, before or after.
 
 const (
-	// maxCredited bounds the crashes that a part is cleared of because it completed before, counted once in each
-	// creditInterval: upstreams that end together do so for a common reason, and not for that of a request at each.
-	maxCredited    = 4
-	creditInterval = 250 * time.Millisecond
+	// momentLength is the time within which crashes count as one: upstreams that end together do so for a common reason, and not
+	// for that of a request at each.
+	momentLength = 250 * time.Millisecond
+	// maxCredited bounds the times of crashes of which a part is cleared because it completed before.
+	maxCredited = 4
 	// maxCompletions bounds the parts whose completion is remembered.
 	maxCompletions = 4096
 	// clearedPartRetention is how long the record of a part without suspicion is kept, so that all instances know it.
@@ -52,7 +53,7 @@
 	if !found || known.credited >= maxCredited {
 		return false
 	}
-	if now.Sub(known.creditedAt) >= creditInterval {
+	if now.Sub(known.creditedAt) >= momentLength {
 		known.credited++
 		known.creditedAt = now
 		t.completions[part] = known
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -65,13 +65,23 @@
 type Record struct {
 	Fingerprint Fingerprint
 	Crashes     []Crash
-	Cleared     []Crash
+	// Ages are the times since the crashes, in their order; empty if they are not known.
+	Ages    []time.Duration
+	Cleared []Crash
 	// Requests are those that had the prompt part, some of them if they are many; empty in the record of a request.
 	Requests []Request
 	// Age is the time since the last crash.
 	Age time.Duration
 }
 
+// ageOf returns the time since a crash of the record.
+func (r Record) ageOf(i int) time.Duration {
+	if len(r.Ages) != len(r.Crashes) {
+		return r.Age // from an instance or a record that does not have them
+	}
+	return r.Ages[i]
+}
+
 // Verdict is how a request may run.
 type Verdict string
 
@@ -95,8 +105,8 @@
 	ApartAfter  int
 	AloneAfter  int
 	RefuseAfter int
-	// RefusePartAfter is the number of crashes after which requests with a prompt part are refused, if it had
-	// PartRequests different requests in flight there: what one request alone causes is not the part's fault.
+	// RefusePartAfter is the number of crashes, at different times, after which requests with a prompt part are refused, if it
+	// had PartRequests different requests in flight there: what one request alone causes is not the part's fault.
 	RefusePartAfter int
 	PartRequests    int
 	// Retention is how long a fingerprint is kept after its last crash.
@@ -338,12 +348,13 @@
 		if record.Age > t.Settings.Retention-minRemaining {
 			continue
 		}
-		for _, crash := range record.Crashes {
+		for i, crash := range record.Crashes {
+			at := now.Add(-record.ageOf(i))
 			if len(record.Requests) == 0 {
-				t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
+				t.add(at, record.Fingerprint, crash, as)
 				continue
 			}
-			added := t.addToPart(now.Add(-record.Age), record.Fingerprint, crash, as, record.Requests...)
+			added := t.addToPart(at, record.Fingerprint, crash, as, record.Requests...)
 			if added && !slices.Contains(record.Cleared, crash) && t.clearIfInUse(now, record.Fingerprint, crash) {
 				cleared = true
 			}
@@ -374,6 +385,7 @@
 	if !found && at.After(known.changedAt) {
 		known.changedAt = at
 	}
+	as.at = at
 	known.crashes[crash] = before.or(as)
 	if !found {
 		t.current = nil
