Take a stream that has gone on for two seconds as proof that its prompt parts are sound

Cause: only whole responses cleared parts. What an upstream cannot bear in a prompt ends it soon after it begins, so that a stream which has gone on for 2 s clears its parts as a whole response does. A first event still does not. TestLongStreamsMakeNoSuspectsOfTheirParts failed before.

--- a/internal/placement/suspect/attempts.go
+++ b/internal/placement/suspect/attempts.go
@@ -49,6 +49,12 @@
 // RecordUnfinished records an attempt that has ended without proof that its request ran to completion. It reports whether
 // that counts as a crash, because the upstream is known to have ended meanwhile.
 func (t *Tracker) RecordUnfinished(now time.Time, life traffic.Life, attempt Attempt) (crashed bool) {
+	if attempt.Sending >= maxBeginning {
+		for _, part := range attempt.Parts {
+			t.recordPartCompletion(now, part)
+		}
+		attempt.Parts = nil
+	}
 	if ended, found := t.ends[life]; found && !attempt.Began.After(ended.at) {
 		t.recordAttempts(now, CrashOf(life), []Attempt{attempt})
 		return true
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -16,6 +16,9 @@
 	momentLength = 250 * time.Millisecond
 	// maxCredited bounds the times of crashes of which a part is cleared because it completed before.
 	maxCredited = 4
+	// maxBeginning is how long an upstream may have been sending the response to a request whose parts are suspects. What it
+	// cannot bear in a prompt ends it soon after it begins, so that a longer stream clears its parts as a whole response does.
+	maxBeginning = 2 * time.Second
 	// maxCompletions bounds the parts whose completion is remembered.
 	maxCompletions = 4096
 	// clearedPartRetention is how long the record of a part without suspicion is kept, so that all instances know it.
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -414,3 +414,42 @@
 		}
 	})
 }
+
+// Guards against sound callers whose streams are so long that none has completed between the crashes of upstreams that end for no
+// request's sake.
+func TestLongStreamsMakeNoSuspectsOfTheirParts(t *testing.T) {
+	tests := []struct {
+		name    string
+		sending time.Duration
+		verdict suspect.Verdict
+	}{
+		{"nothing was sent", 0, suspect.Refused},
+		{"the first events were sent", 300 * time.Millisecond, suspect.Refused},
+		{"the stream went on for long", 3 * time.Second, suspect.Free},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTracker()
+				for lives := range int64(6) {
+					time.Sleep(5 * time.Second)
+					life := traffic.Life{Upstream: "u", StartedMillis: lives}
+					tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{
+						Fingerprint: suspect.Fingerprint(fmt.Sprint(lives)), Parts: parts("subject"), Began: time.Now(), Sending: tt.sending,
+					})
+					tracker.RecordEnd(time.Now(), life)
+				}
+				time.Sleep(settled)
+				is.New(t).Equal(partVerdict(tracker, parts("subject")...), tt.verdict)
+				if tt.verdict == suspect.Free { // and clears what others make of the part
+					u := &upstreams{tracker: tracker, lives: 100}
+					for range 4 {
+						u.crash(parts("subject"))
+					}
+					time.Sleep(settled)
+					is.New(t).Equal(partVerdict(tracker, parts("subject")...), tt.verdict)
+				}
+			})
+		})
+	}
+}
