Bound the time that the blame of prompt parts takes in a storm of crashes

Cause: which parts crash upstreams is computed anew for the next request after each change of what is known, in the lock that all requests share: milliseconds each, where hundreds of crashes are known and heartbeats of hundreds of instances change it many times a second. Change: it is computed every 50 ms at most, a tenth of the time in which a crash settles; the requests of a part are a sorted slice, so that estimates and comparisons need no iteration; parts whose crashes are cleared are left out first.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -15,6 +15,8 @@
 	// settlingTime is how long a crash is known before it counts for a part. By then an instance where the part is in use
 	// has cleared it.
 	settlingTime = 500 * time.Millisecond
+	// blameInterval is the time between two computations. In a storm of crashes each request would compute it anew, for milliseconds.
+	blameInterval = 50 * time.Millisecond
 	// maxUnrelated is the number of crashes with another cause that a part which explains the others may leave unexplained.
 	maxUnrelated = 1
 	// maxCandidates bounds the fingerprints that are compared.
@@ -26,7 +28,7 @@
 	fingerprint Fingerprint
 	isPart      bool
 	crashes     map[Crash]bool
-	requests    map[Request]bool
+	requests    []Request
 	// settling: it was in flight at a crash that does not count yet.
 	settling   bool
 	retryAfter time.Duration
@@ -75,7 +77,11 @@
 	if known != nil && (known.validUntil.IsZero() || now.Before(known.validUntil)) && now.Sub(known.computedAt) < t.Settings.Retention/2 {
 		return known
 	}
+	if t.last != nil && now.Sub(t.last.computedAt) < blameInterval {
+		return t.last
+	}
 	t.current = t.computeBlame(now)
+	t.last = t.current
 	return t.current
 }
 
@@ -101,11 +107,11 @@
 // ones that the fewest requests have. It sets when the next crash counts.
 func (t *Tracker) candidates(now time.Time, settledAt *time.Time) (candidates []candidate) {
 	for fingerprint, known := range t.histories {
-		if len(known.crashes) < t.Settings.RefusePartAfter || t.isExpired(now, known) {
+		if len(known.crashes) < t.Settings.RefusePartAfter || t.isExpired(now, known) || known.open() < t.Settings.RefusePartAfter {
 			continue
 		}
 		one := candidate{
-			fingerprint: fingerprint, isPart: known.isPart(), requests: known.requests,
+			fingerprint: fingerprint, isPart: known.isPart, requests: known.requests,
 			retryAfter: t.retryAfter(now, known),
 		}
 		one.crashes, one.settling = known.settled(now, settledAt)
@@ -130,7 +136,7 @@
 		at := m.addedAt.Add(settlingTime)
 		switch {
 		case !h.isOpen(crash):
-		case !h.isPart() || !now.Before(at):
+		case !h.isPart || !now.Before(at):
 			settled[crash] = true
 		default:
 			settling = true
@@ -147,7 +153,7 @@
 func (b *blame) join(one candidate) bool {
 	for i, other := range b.groups {
 		settling := one.settling || other.settling
-		if maps.Equal(other.crashes, one.crashes) && (settling || maps.Equal(other.requests, one.requests)) {
+		if maps.Equal(other.crashes, one.crashes) && (settling || slices.Equal(other.requests, one.requests)) {
 			b.groups[i].settling = settling
 			b.groups[i].parts = append(b.groups[i].parts, one.fingerprint)
 			return true
@@ -165,7 +171,7 @@
 		}
 	}
 	for _, other := range requests { // they have as many crashes at least
-		if one.requests[RequestOf(other.fingerprint)] {
+		if slices.Contains(one.requests, RequestOf(other.fingerprint)) {
 			deleteAll(rest, other.crashes)
 		}
 	}
@@ -179,9 +185,13 @@
 		if !other.isPart || !isNarrower(other.requests, c.requests) {
 			continue
 		}
-		rest := maps.Clone(c.crashes)
-		deleteAll(rest, other.crashes)
-		if len(rest) <= maxUnrelated {
+		rest := 0
+		for crash := range c.crashes {
+			if !other.crashes[crash] {
+				rest++
+			}
+		}
+		if rest <= maxUnrelated {
 			return true
 		}
 	}
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -11,9 +11,10 @@
 type history struct {
 	crashes map[Crash]mark
 	cleared map[Crash]mark
-	// requests are those that had the prompt part, by the lowest numbers if they are many, so that all instances keep the same ones;
-	// nil for the history of a request.
-	requests map[Request]bool
+	// isPart: it is of a prompt part. requests are those that had it in ascending order, the lowest numbers if they are many, so that
+	// all instances keep the same ones.
+	isPart   bool
+	requests []Request
 	// changedAt is when a crash was last added, here or as a peer stated it.
 	changedAt time.Time
 }
@@ -34,8 +35,6 @@
 	return mark{own: m.own || other.own, stored: m.stored || other.stored, addedAt: at}
 }
 
-func (h *history) isPart() bool { return h.requests != nil }
-
 // isOpen reports whether the request or part may have caused a crash that it was in flight at.
 func (h *history) isOpen(crash Crash) bool {
 	_, cleared := h.cleared[crash]
@@ -68,7 +67,7 @@
 		Fingerprint: fingerprint,
 		Crashes:     list(h.crashes, selected),
 		Cleared:     list(h.cleared, selected),
-		Requests:    sorted(h.requests),
+		Requests:    slices.Clone(h.requests),
 		Age:         now.Sub(h.changedAt),
 	}
 }
@@ -86,54 +85,34 @@
 
 // addRequest adds a request that had the prompt part, and reports whether it is kept.
 func (h *history) addRequest(request Request) bool {
-	if h.requests[request] {
+	at, found := slices.BinarySearch(h.requests, request)
+	if found || at == maxPartRequests {
 		return false
 	}
-	if len(h.requests) == maxPartRequests {
-		highest := highestOf(h.requests)
-		if request > highest {
-			return false
-		}
-		delete(h.requests, highest)
-	}
-	h.requests[request] = true
+	h.requests = slices.Insert(h.requests, at, request)
+	h.requests = h.requests[:min(len(h.requests), maxPartRequests)]
 	return true
 }
 
-func highestOf(requests map[Request]bool) (highest Request) {
-	for request := range requests {
-		highest = max(highest, request)
-	}
-	return highest
-}
-
 // spread estimates how many requests had a prompt part. Their numbers are hashes, so that the highest one that is kept shows it.
-func spread(requests map[Request]bool) float64 {
+func spread(requests []Request) float64 {
 	if len(requests) < maxPartRequests {
 		return float64(len(requests))
 	}
-	return maxPartRequests * (math.MaxUint64 / float64(highestOf(requests)))
+	return maxPartRequests * (math.MaxUint64 / float64(requests[maxPartRequests-1]))
 }
 
 // isNarrower reports whether some requests are among others, and at most half as many: one that has been in flight at a crash for
 // another reason does not make them so.
-func isNarrower(some, others map[Request]bool) bool {
-	highest := Request(math.MaxUint64)
-	if len(others) == maxPartRequests {
-		highest = highestOf(others)
-	}
-	for request := range some {
-		if request <= highest && !others[request] {
-			return false
-		}
+func isNarrower(some, others []Request) bool {
+	if spread(some) > spread(others)/2 {
+		return false
 	}
-	return spread(some) <= spread(others)/2
+	return !slices.ContainsFunc(some, func(request Request) bool { return !mayContain(others, request) })
 }
 
-func sorted(requests map[Request]bool) (ascending []Request) {
-	for request := range requests {
-		ascending = append(ascending, request)
-	}
-	slices.Sort(ascending)
-	return ascending
+// mayContain reports whether a request is one of those that had a prompt part, or is above all that are kept of them.
+func mayContain(requests []Request, request Request) bool {
+	at, found := slices.BinarySearch(requests, request)
+	return found || at == maxPartRequests
 }
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -20,9 +20,7 @@
 func (t *Tracker) addToPart(at time.Time, part Fingerprint, crash Crash, as mark, requests ...Request) (cleared bool) {
 	added := t.add(at, part, crash, as)
 	known := t.histories[part]
-	if known.requests == nil {
-		known.requests = make(map[Request]bool)
-	}
+	known.isPart = true
 	for _, request := range requests {
 		if known.addRequest(request) {
 			t.current = nil
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -131,8 +131,8 @@
 	histories map[Fingerprint]*history
 	// completedAt is when a request with a prompt part last ran to completion.
 	completedAt map[Fingerprint]time.Time
-	// current is the blame as last computed, nil if what is known has changed since.
-	current *blame
+	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
+	current, last *blame
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
 	unfinished []unfinished
 	ends       map[traffic.Life]end
@@ -319,7 +319,7 @@
 		if len(records) == most {
 			break
 		}
-		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart() && known.open() == 0 && !known.isStored() {
+		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart && known.open() == 0 && !known.isStored() {
 			continue
 		}
 		if len(list(known.crashes, lacking))+len(list(known.cleared, lacking)) > 0 {
@@ -412,7 +412,7 @@
 	t.droppedAt = now
 	t.dropCompletions(now)
 	for fingerprint, known := range t.histories {
-		if t.isExpired(now, known) || known.isPart() && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
+		if t.isExpired(now, known) || known.isPart && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
 			delete(t.histories, fingerprint)
 			t.current = nil
 		}
