Do not refuse the parts of a request that crashes upstreams by its content

Cause: crashes of a request that is refused itself do not count for its parts, if it is known to have them. Of a part in use only 16 requests are kept, so that mostly it is not: the first part of all prompts was refused in its place, and the request itself free. Change: a request above all that are kept of a part may have it. Measured, TestRequestThatComesAgainExplainsCrashesOfItsParts (20 requests): fails before, passes after.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -171,7 +171,7 @@
 		}
 	}
 	for _, other := range requests { // they have as many crashes at least
-		if slices.Contains(one.requests, RequestOf(other.fingerprint)) {
+		if mayContain(one.requests, RequestOf(other.fingerprint)) {
 			deleteAll(rest, other.crashes)
 		}
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -227,6 +227,31 @@
 	})
 }
 
+// Guards against a request that crashes upstreams by its content and gets the parts of its prompt refused, which many others share.
+func TestRequestThatComesAgainExplainsCrashesOfItsParts(t *testing.T) {
+	for first := range int64(20) { // whether it is one of those that are kept of a part depends on its number
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{tracker: newTracker()}
+			again := suspect.Fingerprint(fmt.Sprint("again ", first))
+			for crash := range int64(4) {
+				life := traffic.Life{Upstream: "u", StartedMillis: crash}
+				for number := range 10 {
+					fingerprint := suspect.Fingerprint(fmt.Sprint("sound ", first, crash, number))
+					if number == 0 {
+						fingerprint = again
+					}
+					u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: fingerprint, Parts: parts("first"), Began: time.Now()})
+				}
+				u.tracker.RecordEnd(time.Now(), life)
+			}
+			time.Sleep(settled)
+			is.Equal(verdict(u.tracker, again), suspect.Refused)
+			is.True(partVerdict(u.tracker, parts("first")...) != suspect.Refused)
+		})
+	}
+}
+
 // Guards against a blame that ends with the process, or never does.
 func TestBlameOutlivesProcessesAndExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
