Try refused prompt parts again, seldom

What callers would see: many upstreams end for no request's sake while nothing completes (streams of 1.6 s, all engines end every 1.4 s): sound requests with a part that was in flight at three of the ends are refused for the ten minutes that records are kept. Cause: what clears a part is a request with it that completes, and a refused part runs nowhere. Change: when no upstream has crashed under a part for 30 s, and for as long as its crashes had gone on, one request in 40 with it, by its content, runs alone; at an instance one at a time. Completed, it clears the part everywhere; after a crash the wait starts anew, twice as long.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -63,8 +63,13 @@
 		}
 		switch {
 		case shared == len(one.parts):
-			return Judgement{Verdict: Refused, RetryAfter: one.retryAfter, Parts: one.parts, Crashes: len(one.crashes)}
-		case shared > 0:
+			if judgement.Verdict != Refused {
+				judgement = Judgement{Verdict: Refused}
+			}
+			judgement.RetryAfter = max(judgement.RetryAfter, one.retryAfter)
+			judgement.Parts = append(judgement.Parts, one.parts...)
+			judgement.Crashes = max(judgement.Crashes, len(one.crashes))
+		case shared > 0 && judgement.Verdict != Refused:
 			judgement = Judgement{Verdict: Alone, Parts: one.parts, Crashes: len(one.crashes)}
 		}
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -351,3 +351,74 @@
 		}
 	})
 }
+
+// Guards against a sound part that is refused for as long as records are kept, since nothing that has it may run and clear it: many
+// upstreams have ended for no request's sake while nothing completed.
+func TestRefusedPartIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 5 {
+			u.crash(parts("sound"))
+		}
+		time.Sleep(settled)
+		tried := ""
+		for number := 0; tried == "" && number < 4000; number++ {
+			content := fmt.Sprint("request ", number)
+			if u.tracker.Judge(time.Now(), suspect.Fingerprint(content), parts("sound")...).Verdict == suspect.Alone {
+				tried = content
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(u.tracker.Judge(time.Now(), suspect.Fingerprint(tried), parts("sound")...).Verdict, suspect.Alone)
+		u.tracker.RecordCompletion(time.Now(), suspect.Fingerprint(tried), parts("sound")...)
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("sound")...), suspect.Free)
+	})
+}
+
+// Guards against tries that crash upstreams as often as the part did before it was refused: requests with a bad part go on coming at
+// all instances, which learn of each other's crashes late.
+func TestRefusedPartIsTriedSeldom(t *testing.T) {
+	const (
+		instances = 7
+		interval  = 250 * time.Millisecond
+		known     = 2 // intervals after which all instances know of a crash
+		watched   = time.Minute
+		most      = 3
+	)
+	for day := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			var trackers []*suspect.Tracker
+			for range instances {
+				trackers = append(trackers, newTracker())
+			}
+			u := &upstreams{tracker: trackers[0]}
+			for range 5 {
+				u.crash(parts("bad"))
+			}
+			crashes, spreadAt := 0, known
+			for number := range int(watched / interval) {
+				at := trackers[number%instances]
+				content := suspect.Fingerprint(fmt.Sprint("request ", day, number))
+				if number > 4*known && at.Judge(time.Now(), content, parts("bad")...).Verdict != suspect.Refused {
+					crashes++
+					u.tracker = at
+					u.crashUnder(string(content), parts("bad"))
+					spreadAt = number + known
+				}
+				if number == spreadAt {
+					for _, one := range trackers {
+						for _, other := range trackers {
+							one.Merge(time.Now(), other.Records(time.Now()))
+						}
+					}
+				}
+				time.Sleep(interval)
+			}
+			if crashes > most {
+				t.Errorf("%d more crashes in %s", crashes, watched)
+			}
+		})
+	}
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -133,6 +133,8 @@
 	completedAt map[Fingerprint]time.Time
 	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
 	current, last *blame
+	// tries are the latest requests by which refused parts are tried again.
+	tries map[Fingerprint]try
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
 	unfinished []unfinished
 	ends       map[traffic.Life]end
@@ -221,6 +223,9 @@
 func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint, parts ...Fingerprint) Judgement {
 	found := t.blame(now)
 	byParts := found.judge(parts)
+	if byParts.Verdict == Refused && t.mayTry(now, fingerprint, byParts.Parts) {
+		byParts.Verdict = Alone
+	}
 	if byParts.Verdict == Refused {
 		byParts.RetryAfter = byParts.RetryAfter - now.Sub(found.computedAt)
 		return byParts
@@ -411,6 +416,7 @@
 	}
 	t.droppedAt = now
 	t.dropCompletions(now)
+	t.dropTries(now)
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) || known.isPart && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
 			delete(t.histories, fingerprint)
