Remember cleared prompt parts as long as their crashes

Cause: the record of a part without suspicion is forgotten after 30 s, its crashes are kept for ten minutes by an instance that was out of reach when it was cleared. When that is back, all others take its record for new, and refuse the part. Change: it is kept as long as that of any request. Measured, TestClearedPartStaysClearedWhenAnInstanceComesBack: fails before, passes after.

--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -10,8 +10,6 @@
 	// completionCredit is how long after a completion a part is not suspected. Crashes of many upstreams at once would otherwise
 	// make suspects of parts that are in use everywhere.
 	completionCredit = 5 * time.Second
-	// clearedPartRetention is how long the record of a part without suspicion is kept, so that all instances know it.
-	clearedPartRetention = 30 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -442,3 +442,24 @@
 		is.Equal(verdict(u.tracker, "again"), suspect.Refused)
 	})
 }
+
+// Guards against a part that is suspect again, everywhere, because an instance was out of reach while it was cleared: the others had
+// forgotten the crashes that the instance still stated.
+func TestClearedPartStaysClearedWhenAnInstanceComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		away, there := u.tracker, newTracker()
+		there.Merge(time.Now(), away.Records(time.Now()))
+		there.RecordCompletion(time.Now(), "other", parts("sound")...)
+		time.Sleep(2 * time.Minute)
+		there.Merge(time.Now(), away.Records(time.Now()))
+		away.Merge(time.Now(), there.Records(time.Now()))
+		time.Sleep(settled)
+		is.Equal(partVerdict(there, parts("sound")...), suspect.Free)
+		is.Equal(partVerdict(away, parts("sound")...), suspect.Free)
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -421,7 +421,7 @@
 	t.dropCompletions(now)
 	t.dropTries(now)
 	for fingerprint, known := range t.histories {
-		if t.isExpired(now, known) || known.isPart && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
+		if t.isExpired(now, known) {
 			delete(t.histories, fingerprint)
 			t.current = nil
 		}
