Store the most suspect records of crashes first

Cause: an instance stores 16 records a second, in any order. Each crash of a bad part makes suspects of the requests beside it as well, so that in a storm the part itself may not be stored when all instances end. Change: those with the most crashes first. Measured, TestMostSuspectIsStoredFirst (100 requests of two crashes beside a part of four): fails before, passes after.

--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -463,3 +463,20 @@
 		is.Equal(partVerdict(away, parts("sound")...), suspect.Free)
 	})
 }
+
+// Guards against a bad part that is not in the store when all instances end, because requests that shared batches with it were
+// written first.
+func TestMostSuspectIsStoredFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("bad"))
+		}
+		for number := range 100 {
+			u.crashUnder(fmt.Sprint(number), nil)
+			u.crashUnder(fmt.Sprint(number), nil)
+		}
+		is.Equal(u.tracker.Unstored(time.Now(), 16)[0].Fingerprint, parts("bad")[0])
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -318,15 +318,13 @@
 	t.merge(now, []Record{record}, mark{stored: true, addedAt: now})
 }
 
-// Unstored returns records that the store lacks something of which this instance observed, at most a given number. Those of
-// one crash are not stored: each crash makes as many as requests were in flight, nearly all of which did not cause it.
+// Unstored returns records that the store lacks something of which this instance observed, at most a given number, the most
+// suspect first. Those of one crash are not stored: each crash makes as many as requests were in flight, nearly all of which did
+// not cause it.
 func (t *Tracker) Unstored(now time.Time, most int) (records []Record) {
 	every := func(mark) bool { return true }
 	lacking := func(m mark) bool { return m.own && !m.stored }
 	for fingerprint, known := range t.histories {
-		if len(records) == most {
-			break
-		}
 		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart && known.open() == 0 && !known.isStored() {
 			continue
 		}
@@ -334,7 +332,10 @@
 			records = append(records, known.record(now, fingerprint, every))
 		}
 	}
-	return records
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(t.histories[b.Fingerprint].open(), t.histories[a.Fingerprint].open()), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return records[:min(len(records), most)]
 }
 
 // ---------------------------------------------------------------------------------------------
