Clear crashes that become known after the completion that clears them

Cause: a completion is remembered for 5 s, and clears crashes that become known within these. An instance whose links were cut for longer learns later of crashes before the completion, and suspects the part. Change: completions are remembered for a minute, and clear all crashes before them. Measured, TestCompletionClearsCrashesThatAreKnownLater: fails before, passes after.

--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -10,6 +10,8 @@
 	// completionCredit is how long after a completion a part is not suspected. Crashes of many upstreams at once would otherwise
 	// make suspects of parts that are in use everywhere.
 	completionCredit = 5 * time.Second
+	// completionRetention is how long a completion is remembered for crashes before it that become known later.
+	completionRetention = time.Minute
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
@@ -25,7 +27,7 @@
 		}
 	}
 	completed, found := t.completedAt[part]
-	if !added || !found || as.addedAt.Sub(completed) > completionCredit {
+	if !added || !found || as.addedAt.Sub(completed) > completionCredit && !completed.After(at) {
 		return false
 	}
 	t.clearCrash(known, crash, mark{own: true})
@@ -43,7 +45,7 @@
 
 func (t *Tracker) dropCompletions(now time.Time) {
 	for part, completed := range t.completedAt {
-		if now.Sub(completed) > completionCredit {
+		if now.Sub(completed) > completionRetention {
 			delete(t.completedAt, part)
 		}
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -480,3 +480,22 @@
 		is.Equal(u.tracker.Unstored(time.Now(), 16)[0].Fingerprint, parts("bad")[0])
 	})
 }
+
+// Guards against a completion that is forgotten before the instance hears of the crashes which it clears: the links were cut meanwhile.
+func TestCompletionClearsCrashesThatAreKnownLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u, there := &upstreams{tracker: newTracker()}, newTracker()
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		time.Sleep(10 * time.Second)
+		there.RecordCompletion(time.Now(), "other", parts("sound")...)
+		time.Sleep(20 * time.Second)
+		is.True(there.Merge(time.Now(), u.tracker.Records(time.Now())))
+		u.tracker.Merge(time.Now(), there.Records(time.Now()))
+		is.Equal(partVerdict(u.tracker, parts("sound")...), suspect.Free)
+		time.Sleep(settled)
+		is.Equal(partVerdict(there, parts("sound")...), suspect.Free)
+	})
+}
