--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -21,8 +21,6 @@
 	maxBeginning = 2 * time.Second
 	// maxCompletions bounds the parts whose completion is remembered.
 	maxCompletions = 4096
-	// clearedPartRetention is how long the record of a part without suspicion is kept, so that all instances know it.
-	clearedPartRetention = 30 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
@@ -39,9 +37,7 @@
 func (t *Tracker) addToPart(at time.Time, part Fingerprint, crash Crash, as mark, requests ...Request) (added bool) {
 	added = t.add(at, part, crash, as)
 	known := t.histories[part]
-	if known.requests == nil {
-		known.requests = make(map[Request]bool)
-	}
+	known.isPart = true
 	for _, request := range requests {
 		if known.addRequest(request) {
 			t.current = nil
@@ -53,7 +49,14 @@
 // clearIfInUse clears a part of a crash if requests with it run to completion, and reports whether it did.
 func (t *Tracker) clearIfInUse(now time.Time, part Fingerprint, crash Crash) (cleared bool) {
 	known, found := t.completions[part]
-	if !found || known.credited >= maxCredited {
+	if !found {
+		return false
+	}
+	if known.at.After(t.histories[part].crashes[crash].at) { // the crash was not known here yet
+		t.clearCrash(t.histories[part], crash, mark{own: true})
+		return true
+	}
+	if known.credited >= maxCredited {
 		return false
 	}
 	if now.Sub(known.creditedAt) >= momentLength {
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -242,6 +242,31 @@
 	})
 }
 
+// Guards against a request that crashes upstreams by its content and gets the parts of its prompt refused, which many others share.
+func TestRequestThatComesAgainExplainsCrashesOfItsParts(t *testing.T) {
+	for first := range int64(20) { // whether it is one of those that are kept of a part depends on its number
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{tracker: newTracker()}
+			again := suspect.Fingerprint(fmt.Sprint("again ", first))
+			for crash := range int64(4) {
+				life := traffic.Life{Upstream: "u", StartedMillis: crash}
+				for number := range 10 {
+					fingerprint := suspect.Fingerprint(fmt.Sprint("sound ", first, crash, number))
+					if number == 0 {
+						fingerprint = again
+					}
+					u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: fingerprint, Parts: parts("first"), Began: time.Now()})
+				}
+				u.tracker.RecordEnd(time.Now(), life)
+			}
+			time.Sleep(settled)
+			is.Equal(verdict(u.tracker, again), suspect.Refused)
+			is.True(partVerdict(u.tracker, parts("first")...) != suspect.Refused)
+		})
+	}
+}
+
 // Guards against a blame that ends with the process, or never does.
 func TestBlameOutlivesProcessesAndExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -453,3 +478,151 @@
 		})
 	}
 }
+
+// Guards against a sound part that is refused for as long as records are kept, since nothing that has it may run and clear it: many
+// upstreams have ended for no request's sake while nothing completed.
+func TestRefusedPartIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 5 {
+			u.crash(parts("sound"))
+		}
+		time.Sleep(settled)
+		tried := ""
+		for number := 0; tried == "" && number < 4000; number++ {
+			content := fmt.Sprint("request ", number)
+			if u.tracker.Judge(time.Now(), suspect.Fingerprint(content), parts("sound")...).Verdict == suspect.Alone {
+				tried = content
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(u.tracker.Judge(time.Now(), suspect.Fingerprint(tried), parts("sound")...).Verdict, suspect.Alone)
+		u.tracker.RecordCompletion(time.Now(), suspect.Fingerprint(tried), parts("sound")...)
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("sound")...), suspect.Free)
+	})
+}
+
+// Guards against tries that crash upstreams as often as the part did before it was refused: requests with a bad part go on coming at
+// all instances, which learn of each other's crashes late.
+func TestRefusedPartIsTriedSeldom(t *testing.T) {
+	const (
+		instances = 7
+		interval  = 250 * time.Millisecond
+		known     = 2 // intervals after which all instances know of a crash
+		watched   = time.Minute
+		most      = 3
+	)
+	for day := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			var trackers []*suspect.Tracker
+			for range instances {
+				trackers = append(trackers, newTracker())
+			}
+			u := &upstreams{tracker: trackers[0]}
+			for range 5 {
+				u.crash(parts("bad"))
+			}
+			crashes, spreadAt := 0, known
+			for number := range int(watched / interval) {
+				at := trackers[number%instances]
+				content := suspect.Fingerprint(fmt.Sprint("request ", day, number))
+				if number > 4*known && at.Judge(time.Now(), content, parts("bad")...).Verdict != suspect.Refused {
+					crashes++
+					u.tracker = at
+					u.crashUnder(string(content), parts("bad"))
+					spreadAt = number + known
+				}
+				if number == spreadAt {
+					for _, one := range trackers {
+						for _, other := range trackers {
+							one.Merge(time.Now(), other.Records(time.Now()))
+						}
+					}
+				}
+				time.Sleep(interval)
+			}
+			if crashes > most {
+				t.Errorf("%d more crashes in %s", crashes, watched)
+			}
+		})
+	}
+}
+
+// Guards against a refused part that is forgotten in a storm of crashes of other causes: what is kept is bounded, and requests that
+// were in flight once pushed it out.
+func TestStormDoesNotPushOutWhatIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("bad"))
+			u.crashUnder("again", nil)
+		}
+		for range suspect.DefaultSettings().MaxFingerprints {
+			time.Sleep(time.Millisecond)
+			u.crashUnder("", nil, nil)
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, parts("bad")...), suspect.Refused)
+		is.Equal(verdict(u.tracker, "again"), suspect.Refused)
+	})
+}
+
+// Guards against a part that is suspect again, everywhere, because an instance was out of reach while it was cleared: the others had
+// forgotten the crashes that the instance still stated.
+func TestClearedPartStaysClearedWhenAnInstanceComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		away, there := u.tracker, newTracker()
+		there.Merge(time.Now(), away.Records(time.Now()))
+		there.RecordCompletion(time.Now(), "other", parts("sound")...)
+		time.Sleep(2 * time.Minute)
+		there.Merge(time.Now(), away.Records(time.Now()))
+		away.Merge(time.Now(), there.Records(time.Now()))
+		time.Sleep(settled)
+		is.Equal(partVerdict(there, parts("sound")...), suspect.Free)
+		is.Equal(partVerdict(away, parts("sound")...), suspect.Free)
+	})
+}
+
+// Guards against a bad part that is not in the store when all instances end, because requests that shared batches with it were
+// written first.
+func TestMostSuspectIsStoredFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for range 4 {
+			u.crash(parts("bad"))
+		}
+		for number := range 100 {
+			u.crashUnder(fmt.Sprint(number), nil)
+			u.crashUnder(fmt.Sprint(number), nil)
+		}
+		is.Equal(u.tracker.Unstored(time.Now(), 16)[0].Fingerprint, parts("bad")[0])
+	})
+}
+
+// Guards against a completion that is forgotten before the instance hears of the crashes which it clears: the links were cut meanwhile.
+func TestCompletionClearsCrashesThatAreKnownLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u, there := &upstreams{tracker: newTracker()}, newTracker()
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		time.Sleep(10 * time.Second)
+		there.RecordCompletion(time.Now(), "other", parts("sound")...)
+		time.Sleep(20 * time.Second)
+		is.True(there.Merge(time.Now(), u.tracker.Records(time.Now())))
+		u.tracker.Merge(time.Now(), there.Records(time.Now()))
+		is.Equal(partVerdict(u.tracker, parts("sound")...), suspect.Free)
+		time.Sleep(settled)
+		is.Equal(partVerdict(there, parts("sound")...), suspect.Free)
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -141,8 +141,10 @@
 	histories map[Fingerprint]*history
 	// completions are the last ones of requests with a prompt part.
 	completions map[Fingerprint]completion
-	// current is the blame as last computed, nil if what is known has changed since.
-	current *blame
+	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
+	current, last *blame
+	// tries are the latest requests by which refused parts are tried again.
+	tries map[Fingerprint]try
 	// unfinished are the attempts whose upstream may have ended, oldest first, and ends are the lives that have ended.
 	unfinished []unfinished
 	ends       map[traffic.Life]end
@@ -153,6 +155,9 @@
 // dropInterval is how often old histories are dropped. An instance merges the records of hundreds of others many times a second.
 const dropInterval = time.Second
 
+// droppedShare: one in so many histories is dropped at a time if there are too many, so that a storm does not sort them at each crash.
+const droppedShare = 16
+
 // FingerprintOf returns the fingerprint of a request. Retries with the same body have the same fingerprint.
 func FingerprintOf(workspace, model string, body []byte) Fingerprint {
 	hash := sha256.New()
@@ -233,6 +238,9 @@
 func (t *Tracker) Judge(now time.Time, fingerprint Fingerprint, parts ...Fingerprint) Judgement {
 	found := t.blame(now)
 	byParts := found.judge(parts)
+	if byParts.Verdict == Refused && t.mayTry(now, fingerprint, byParts.Parts) {
+		byParts.Verdict = Alone
+	}
 	if byParts.Verdict == Refused {
 		byParts.RetryAfter = byParts.RetryAfter - now.Sub(found.computedAt)
 		return byParts
@@ -322,23 +330,24 @@
 	t.merge(now, []Record{record}, mark{stored: true, addedAt: now})
 }
 
-// Unstored returns records that the store lacks something of which this instance observed, at most a given number. Those of
-// one crash are not stored: each crash makes as many as requests were in flight, nearly all of which did not cause it.
+// Unstored returns records that the store lacks something of which this instance observed, at most a given number, the most
+// suspect first. Those of one crash are not stored: each crash makes as many as requests were in flight, nearly all of which did
+// not cause it.
 func (t *Tracker) Unstored(now time.Time, most int) (records []Record) {
 	every := func(mark) bool { return true }
 	lacking := func(m mark) bool { return m.own && !m.stored }
 	for fingerprint, known := range t.histories {
-		if len(records) == most {
-			break
-		}
-		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart() && known.open() == 0 && !known.isStored() {
+		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart && known.open() == 0 && !known.isStored() {
 			continue
 		}
 		if len(list(known.crashes, lacking))+len(list(known.cleared, lacking)) > 0 {
 			records = append(records, known.record(now, fingerprint, every))
 		}
 	}
-	return records
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(t.histories[b.Fingerprint].open(), t.histories[a.Fingerprint].open()), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return records[:min(len(records), most)]
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -425,25 +434,34 @@
 		return
 	}
 	t.droppedAt = now
+	t.dropTries(now)
 	for fingerprint, known := range t.histories {
-		if t.isExpired(now, known) || known.isPart() && known.open() == 0 && now.Sub(known.changedAt) > clearedPartRetention {
+		if t.isExpired(now, known) {
 			delete(t.histories, fingerprint)
 			t.current = nil
 		}
 	}
-	excess := len(t.histories) - t.Settings.MaxFingerprints
-	if excess <= 0 {
-		return
+	if len(t.histories) > t.Settings.MaxFingerprints {
+		t.dropLeastSuspect(t.Settings.MaxFingerprints - t.Settings.MaxFingerprints/droppedShare)
 	}
-	oldest := make([]Fingerprint, 0, len(t.histories))
-	for fingerprint := range t.histories {
-		oldest = append(oldest, fingerprint)
+}
+
+// dropLeastSuspect drops the histories with the fewest crashes, and of these the oldest.
+func (t *Tracker) dropLeastSuspect(kept int) {
+	type entry struct {
+		fingerprint Fingerprint
+		crashes     int
+		changedAt   time.Time
+	}
+	entries := make([]entry, 0, len(t.histories))
+	for fingerprint, known := range t.histories {
+		entries = append(entries, entry{fingerprint: fingerprint, crashes: min(known.open(), t.Settings.RefuseAfter), changedAt: known.changedAt})
 	}
-	slices.SortFunc(oldest, func(a, b Fingerprint) int {
-		return t.histories[a].changedAt.Compare(t.histories[b].changedAt)
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), b.changedAt.Compare(a.changedAt))
 	})
-	for _, fingerprint := range oldest[:excess] {
-		delete(t.histories, fingerprint)
+	for _, one := range entries[kept:] {
+		delete(t.histories, one.fingerprint)
 	}
 	t.current = nil
 }
