Keep records of parts apart that older builds pass on

Cause: an instance of an older build passes the record of a part on without its requests, and the record is merged like that of a request: its crashes count although a completion of a moment ago clears them. Change: a fingerprint that is known as a part's stays so. Measured, TestRecordsOfOlderBuildsKeepPartsApart: fails before (4 crashes open), passes after.

--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -499,3 +499,25 @@
 		is.Equal(partVerdict(there, parts("sound")...), suspect.Free)
 	})
 }
+
+// Guards against a part that is taken for a request, because an instance of an older build passed its record on without the requests:
+// crashes that a completion had cleared counted again.
+func TestRecordsOfOlderBuildsKeepPartsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u, there := &upstreams{tracker: newTracker()}, newTracker()
+		u.crash(parts("sound"))
+		there.Merge(time.Now(), u.tracker.Records(time.Now()))
+		there.RecordCompletion(time.Now(), "other", parts("sound")...)
+		for range 4 {
+			u.crash(parts("sound"))
+		}
+		records := u.tracker.Records(time.Now())
+		for i := range records {
+			records[i].Requests = nil
+		}
+		there.Merge(time.Now(), records)
+		time.Sleep(settled)
+		is.Equal(there.Crashes(parts("sound")[0]), 0)
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -345,8 +345,10 @@
 		if record.Age > t.Settings.Retention-minRemaining {
 			continue
 		}
+		known := t.histories[record.Fingerprint]
+		isPart := len(record.Requests) > 0 || known != nil && known.isPart // older builds pass the record on without them
 		for _, crash := range record.Crashes {
-			if len(record.Requests) == 0 {
+			if !isPart {
 				t.add(now.Add(-record.Age), record.Fingerprint, crash, as)
 				continue
 			}
@@ -354,7 +356,7 @@
 				cleared = true
 			}
 		}
-		known := t.histories[record.Fingerprint]
+		known = t.histories[record.Fingerprint]
 		if known == nil {
 			continue // its crashes have expired here
 		}
