--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -357,9 +357,11 @@
 		if record.Age > t.Settings.Retention-minRemaining {
 			continue
 		}
+		known := t.histories[record.Fingerprint]
+		isPart := len(record.Requests) > 0 || known != nil && known.isPart // older builds pass the record on without them
 		for i, crash := range record.Crashes {
 			at := now.Add(-record.ageOf(i))
-			if len(record.Requests) == 0 {
+			if !isPart {
 				t.add(at, record.Fingerprint, crash, as)
 				continue
 			}
@@ -368,7 +370,7 @@
 				cleared = true
 			}
 		}
-		known := t.histories[record.Fingerprint]
+		known = t.histories[record.Fingerprint]
 		if known == nil {
 			continue // its crashes have expired here
 		}
