Follow the configuration of a held upstream's service

What callers saw: after a configuration that declares the service of an engine without its engine, or with other adapter slots, and a next one that takes that back, requests for adapters are refused with 503 for as long as that instance holds the engine. Cause: a holder takes over the engine, and whether there is one, when it begins to hold an upstream, and never again. An upstream that starts again while the other configuration is in force counts as a plain one, or one without adapter slots, for good. Class: a copy of the configuration that outlives it. Change: the planner gets the engine of the configuration in force before each step; holding starts anew where an engine becomes a plain upstream or the reverse, and after it waits as a new holder does. Idle slots are not stated below 0. Measured, TestHolderFollowsTheServiceOfItsUpstream: before, two of three cases fail (no adapter served within 20 s; a service that is removed and comes back was served at once); after, all three, the first adapter after 0.4 to 0.7 s.

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -56,21 +56,23 @@
 		node: n, upstream: upstream, fence: holder.Fence, lease: holder.Lease, stop: stop, ended: ctx.Done(),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
-	service, configured := n.Table().Configuration.Services[upstream.Service]
-	if configured && service.Engine == nil {
+	if n.isPlain(upstream.Service) {
 		h.plain = true
 		h.hasReport = true
 		return h
 	}
-	if service.Engine != nil {
-		h.planner.Engine = *service.Engine
-	}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		h.planner.LoadEstimate, h.planner.ReloadEstimate = state.Pool.LoadTimes(upstream.Service)
 	})
 	return h
 }
 
+// isPlain reports whether the configuration in force declares a service whose upstreams are no engines.
+func (n *Node) isPlain(name string) bool {
+	service, configured := n.Table().Configuration.Services[name]
+	return configured && service.Engine == nil
+}
+
 // maxIdle bounds the pause between two steps, so that newly used adapters are noticed.
 const maxIdle = 200 * time.Millisecond
 
@@ -103,15 +105,20 @@
 	return h.fenced
 }
 
-// next returns the next step of the planner, based on the adapters in use and the versions declared so far.
+// next returns the next step of the planner, based on the configuration in force, the adapters in use and the versions declared
+// so far.
 func (h *heldUpstream) next() residence.Step {
 	now := time.Now()
 	var inUse []traffic.Adapter
 	h.node.sharedState.WithLock(func(state *serve.SharedState) { inUse = state.Pool.InUse(now, h.upstream.ID) })
 	var versions map[traffic.Adapter]int64
 	versions, h.declarations = h.node.view.newestSince(h.declarations)
+	engine := h.node.Table().Configuration.Services[h.upstream.Service].Engine
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if engine != nil {
+		h.planner.Engine = *engine
+	}
 	h.planner.SetInUse(now, inUse)
 	for adapter, version := range versions {
 		h.planner.SetNewest(adapter, version)
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -342,16 +342,18 @@
 	}
 }
 
-// startHolding runs a loop for an upstream that this instance holds.
+// startHolding runs a loop for an upstream that this instance holds. It starts anew where the upstream does, and where a
+// configuration makes an engine of a plain upstream or the reverse.
 func (n *Node) startHolding(ctx context.Context, upstream traffic.Upstream, holder roster.Holder) {
 	previous := n.heldUpstreams.get(upstream.ID)
-	if previous != nil && previous.fence == holder.Fence && previous.upstream.StartedMillis == upstream.StartedMillis {
+	if previous != nil && previous.fence == holder.Fence && previous.upstream.StartedMillis == upstream.StartedMillis &&
+		previous.plain == n.isPlain(upstream.Service) {
 		return
 	}
 	n.stopHolding(upstream.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	held := newHeldUpstream(ctx, n, upstream, holder, cancel)
-	if previous == nil || previous.fence != holder.Fence {
+	if previous == nil || previous.fence != holder.Fence || previous.plain {
 		held.mayOrderFrom = n.mayOrderFrom(upstream.ID)
 	}
 	n.heldUpstreams.mutex.Lock()
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -43,7 +43,7 @@
 	maxRecent = 30
 )
 
-// Planner decides for one upstream. Set Engine before use. It is not safe for concurrent use.
+// Planner decides for one upstream. Set Engine before use, and anew when the configuration changes it. It is not safe for concurrent use.
 type Planner struct {
 	Engine traffic.Engine
 	// LoadEstimate is the time of a load from the weight store, measured at other upstreams of the service. It is used
@@ -164,7 +164,7 @@
 		})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Adapter.String() < list[j].Adapter.String() })
-	return list, p.Engine.AdapterSlots - p.occupiedAdapterSlots(now)
+	return list, max(p.Engine.AdapterSlots-p.occupiedAdapterSlots(now), 0)
 }
 
 // ---------------------------------------------------------------------------------------------
