Close the connection of a response without a length in order

What callers saw: a response that ends with its connection arrives whole and then ends with a reset, if its caller has sent more meanwhile, such as its next request. A response that is reset on the way is not complete: it is lost. Nothing answers it, and configurations play no part. Cause: closing a connection with unread bytes resets it. net/http awaits the caller's end only where it has not read a body, so that the reset overtakes nothing in a response with a length or chunks, whose end the caller knows, and breaks one that ends with its connection. Change: after a complete response of that kind the instance sends its end first, and then reads and drops what comes for at most 0.5 s, until the caller closes. Broken responses are reset as before.

--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -1,8 +1,10 @@
 package serve
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
 )
@@ -43,6 +45,29 @@
 	_ = connection.Close()
 }
 
+// lingerTime is how long the end of a response is awaited at the caller: until it has closed the connection.
+const lingerTime = 500 * time.Millisecond
+
+// closeInOrder ends a complete response that ends with its connection. Closing a connection resets it if the caller has sent
+// bytes that were not read, such as its next request, and a response that ends with a reset counts as broken. So the end is
+// sent first, and what the caller still sends is read and dropped.
+func (j *job) closeInOrder() {
+	control := http.NewResponseController(j.writer)
+	if err := control.Flush(); err != nil {
+		return // the connection is broken already
+	}
+	connection, _, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	tcp, ok := connection.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, tcp) // until the caller closes the connection
+}
+
 func (j *job) write(data []byte) error {
 	n, err := j.writer.Write(data)
 	j.bytes += int64(n)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -116,8 +116,11 @@
 		j.refuse(err)
 	}
 	j.log(err)
-	if err != nil && j.started {
+	switch {
+	case err != nil && j.started:
 		j.abort()
+	case j.endsWithConnection:
+		j.closeInOrder()
 	}
 }
 
