--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -112,12 +112,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := h.serve(r, j)
+	if err != nil && !j.started && j.failure != nil {
+		err = j.forwardFailure()
+	}
 	if err != nil {
 		j.refuse(err)
 	}
 	j.log(err)
-	if err != nil && j.started {
+	switch {
+	case err != nil && j.started:
 		j.abort()
+	case j.endsWithConnection:
+		j.closeInOrder()
 	}
 }
 
