Let no holder return to an upstream within ReturnAfter of its last order

Six returns in 40 s; each is a claim of a holder that counted as silent, none follows HandedOver, which had been suspected: two instances that do not hear each other over lossy links each take the other for lost and claim its upstream back. A hand-over does the same if links fail in turn. Class: a rule that was kept only where fences are not checked, as fences were taken to make it needless. Change: an instance that another has followed as holder orders again ReturnAfter (lease-ms) after its last order was in progress at the earliest, whether fences are checked or not. Besides, a holder that counted as silent when it became the holder is alive, and is replaced only when its lease ends. Tests changed: recordOrder takes the fence (two calls); the engines of the fleet tests also check for turns.

--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -194,6 +194,57 @@
 	}
 }
 
+// Guards against holders that take turns at an upstream because each loses its link there shortly after the other's has
+// healed: an order of the first, still on its way, would be carried out in its new tenure, and the two undo each other's
+// loads.
+func TestHoldersWithFailingLinksDoNotTakeTurns(t *testing.T) {
+	t.Parallel()
+	const returnAfter = 3 * time.Second
+	s := newStore()
+	shared := &engines{turnTime: returnAfter}
+	upstream := func(t *testing.T) string { return newUpstream(t, 5*time.Millisecond) }
+	fleet := startFleetBefore(t, s, fleetOptions{shared: shared, upstream: upstream, change: func(settings *node.Settings) {
+		settings.Upstreams.ReturnAfter = returnAfter
+	}}, "a", "b")
+	key := "fleet/holders/engine0"
+	eventually(t, 4*time.Second, "the engine has a holder", func() bool { _, found := s.get(key); return found })
+	holds := func(member *instance) bool {
+		now, found := s.get(key)
+		return found && strings.Contains(string(now.Value), fmt.Sprintf("%q", member.name))
+	}
+	number := 0
+	load := func() {
+		number++
+		for _, member := range fleet {
+			member.generate(fmt.Sprint("new", number%40))
+		}
+	}
+	for round := range 4 {
+		holder, other := fleet[0], fleet[1]
+		if holds(other) {
+			holder, other = other, holder
+		}
+		holder.links.set(linksReset)
+		eventually(t, contactTime+returnAfter, fmt.Sprint("another instance is the holder in round ", round), func() bool {
+			load()
+			return holds(other)
+		})
+		holder.links.set(linksWhole)
+		for begun := time.Now(); time.Since(begun) < 700*time.Millisecond; {
+			load()
+		}
+	}
+	eventually(t, contactTime+returnAfter, "new adapters are loaded", func() bool {
+		number++
+		return fleet[0].generate(fmt.Sprint("last", number)) == 200 && fleet[1].generate(fmt.Sprint("late", number)) == 200
+	})
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	if len(shared.violations) > 0 {
+		t.Errorf("%d orders: %v", len(shared.violations), shared.violations[:min(len(shared.violations), 5)])
+	}
+}
+
 // Guards against a fleet that takes an upstream for gone, or gives it a new holder, because it is silent for a second and
 // goes on: each change costs the requests that wait for its adapters.
 func TestSilenceOfASecondChangesNoHolder(t *testing.T) {
--- a/internal/entry/node/hand_over.go
+++ b/internal/entry/node/hand_over.go
@@ -36,7 +36,7 @@
 // mayHandOver reports whether no order of this instance can arrive at an upstream after those of the next holder, where
 // fencing tokens are not checked.
 func (n *Node) mayHandOver(upstream string, now time.Time) bool {
-	return !now.Before(n.mayOrderFrom(upstream))
+	return n.mayReplaceEarly() || !now.Before(n.mayOrderFrom(upstream))
 }
 
 // recordReleased records that this instance gave up an upstream that it held with a fencing token. Its copy of the store
--- a/internal/entry/node/hand_over_test.go
+++ b/internal/entry/node/hand_over_test.go
@@ -26,7 +26,7 @@
 				is := is.New(t)
 				n := &Node{heldUpstreams: newHeldUpstreams()}
 				n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: c.checked, ReturnAfter: 3 * time.Second}})
-				n.heldUpstreams.recordOrder("u", time.Now())
+				n.heldUpstreams.turns.recordOrder("u", 1, time.Now())
 				time.Sleep(c.after)
 				is.Equal(n.mayHandOver("u", time.Now()), c.may)
 			})
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -135,8 +135,10 @@
 		h.pause(ctx, maxIdle)
 		return
 	}
-	h.node.heldUpstreams.recordOrder(h.upstream.ID, start)
+	turns := &h.node.heldUpstreams.turns
+	turns.recordOrder(h.upstream.ID, h.fence, start)
 	response, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	turns.recordOrder(h.upstream.ID, h.fence, time.Now()) // without a response it may have arrived only now
 	outcome := response.Outcome
 	reached := h.pathAfter(ctx, outcome == residence.NoAnswer)
 	if ctx.Err() != nil {
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -41,8 +41,7 @@
 	byID  map[string]*heldUpstream
 	// vacantSince is the time since which an upstream has had no holder. Only the ownership loop uses it.
 	vacantSince map[string]time.Time
-	// lastOrders is when this instance last sent an order to an upstream, under any fencing token.
-	lastOrders map[string]time.Time
+	turns       turns
 	// released is the fencing token with which this instance last gave up an upstream.
 	released map[string]int64
 }
@@ -51,8 +50,8 @@
 // has run its first iteration.
 func newHeldUpstreams() heldUpstreams {
 	return heldUpstreams{
-		byID: make(map[string]*heldUpstream), vacantSince: make(map[string]time.Time), lastOrders: make(map[string]time.Time),
-		released: make(map[string]int64),
+		byID: make(map[string]*heldUpstream), vacantSince: make(map[string]time.Time), released: make(map[string]int64),
+		turns: turns{last: make(map[string]sentOrder), others: make(map[string]int64)},
 	}
 }
 
@@ -171,7 +170,7 @@
 		n.claim(ctx, upstream, holder.Fence) // key of this instance's previous incarnation
 		return 0, false
 	}
-	return holder.Fence, !found || n.mayReplaceEarly() && n.isHolderLost(now, holder.Instance)
+	return holder.Fence, !found || n.mayReplaceEarly() && n.isHolderLost(now, holder.Instance) && !n.isSilentClaim(holder)
 }
 
 // acceptsRequests reports whether an upstream takes new requests.
--- a/internal/entry/node/link_soak_test.go
+++ b/internal/entry/node/link_soak_test.go
@@ -32,6 +32,7 @@
 	maxSoakPressure = 2 * time.Second
 	maxLate         = 2
 	soakRecovery    = 3 * time.Second
+	soakReturnAfter = 3 * time.Second
 	statusNotRead   = -1
 )
 
@@ -177,12 +178,13 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			store := newStore()
 			counts := &runCounts{byID: map[string]int{}, stating: newStatingUpstreams(seed)}
-			shared := &engines{}
+			shared := &engines{turnTime: soakReturnAfter}
 			s := &linkSoak{
 				t: t, random: rand.New(rand.NewPCG(seed, 0)), counts: counts, stop: make(chan struct{}), statuses: map[string]int{},
 			}
 			options := fleetOptions{shared: shared, upstream: counts.upstream, change: func(settings *node.Settings) {
 				settings.Upstreams.MaxBackpressure = time.Minute
+				settings.Upstreams.ReturnAfter = soakReturnAfter
 			}}
 			s.fleet = startFleetBefore(t, store, options, "a", "b", "c", "d")
 			defer s.end()
@@ -207,7 +209,7 @@
 			s.end()
 			s.check()
 			if len(shared.violations) > 0 {
-				t.Errorf("orders of two holders with one fencing token: %v", shared.violations)
+				t.Errorf("orders of two holders with one fencing token, or that take turns: %v", shared.violations)
 			}
 		})
 	}
--- a/internal/entry/node/order_permission.go
+++ b/internal/entry/node/order_permission.go
@@ -1,6 +1,12 @@
 package node
 
-import "time"
+import (
+	"sync"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+)
 
 // order_permission.go decides when the holder of an upstream may send orders. Upstreams that check fencing tokens
 // refuse the orders of all but the latest holder, so a holder need not be certain that it is the latest. Where
@@ -12,7 +18,8 @@
 // ends, including its timeout and retransmitted packets, must not arrive after the first order of the next holder.
 const orderMargin = 500 * time.Millisecond
 
-// mayOrder reports whether this instance is still the holder, as far as it can determine.
+// mayOrder reports whether this instance is still the holder, as far as it can determine, and whether its orders may
+// follow those of others.
 //
 // Where upstreams check fencing tokens, a holder whose lease expired in an outage of the store continues: no other
 // instance can become holder during the outage, and as soon as one does, the upstream refuses the orders of the old
@@ -20,8 +27,9 @@
 // its lease expired and acquires a new one immediately, some time before it learns that other instances hold its former
 // upstreams. The new lease does not permit orders to those.
 func (h *heldUpstream) mayOrder(now time.Time) bool {
-	if h.node.current.Load().Upstreams.FencesChecked {
-		return true
+	upstreams := h.node.current.Load().Upstreams
+	if upstreams.FencesChecked {
+		return h.node.heldUpstreams.turns.mayOrder(now, h.upstream.ID, h.fence, upstreams.ReturnAfter)
 	}
 	lease, ok := h.node.lease.current(now.Add(orderMargin))
 	return ok && lease == h.lease && !now.Before(h.mayOrderFrom)
@@ -33,24 +41,89 @@
 
 // mayOrderFrom returns the earliest time at which this instance may again send orders to an upstream that it lost.
 //
-// It covers instances that restart one after the other. An upstream may pass to another instance and back within a few
-// seconds. A delayed order of the first instance, sent before the orders of the second, could then still arrive.
+// It covers instances that restart one after the other, and links that fail one after the other. An upstream may pass to
+// another instance and back within a few seconds. A delayed order of the first instance, sent before the orders of the
+// second, could then still arrive. Where upstreams check fencing tokens, an instance returns immediately if no other was
+// the holder meanwhile: its delayed orders can only arrive beside its own.
 func (n *Node) mayOrderFrom(upstream string) time.Time {
-	if n.mayReplaceEarly() {
+	upstreams := n.current.Load().Upstreams
+	turns := &n.heldUpstreams.turns
+	turns.mutex.Lock()
+	defer turns.mutex.Unlock()
+	last, found := turns.last[upstream]
+	if !found || upstreams.FencesChecked && turns.others[upstream] <= last.fence {
 		return time.Time{}
 	}
-	n.heldUpstreams.mutex.Lock()
-	defer n.heldUpstreams.mutex.Unlock()
-	lastOrder, found := n.heldUpstreams.lastOrders[upstream]
-	if !found {
-		return time.Time{}
+	return last.at.Add(upstreams.ReturnAfter)
+}
+
+// turns tracks the orders of this instance, and the upstreams that others may have held since.
+type turns struct {
+	mutex sync.Mutex
+	// last is the last order of this instance to each upstream.
+	last map[string]sentOrder
+	// others is the last revision at which another instance may have been the holder of an upstream, as far as the
+	// replicated state shows. It is complete up to the revision seen.
+	others map[string]int64
+	seen   int64
+}
+
+// sentOrder is an order of this instance: its fencing token, and the last time at which it was in progress.
+type sentOrder struct {
+	fence int64
+	at    time.Time
+}
+
+// recordOrder records that an order is in progress.
+func (t *turns) recordOrder(upstream string, fence int64, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.last[upstream] = sentOrder{fence: fence, at: now}
+}
+
+// recordOther records that another instance may have been the holder of an upstream until a revision.
+func (t *turns) recordOther(upstream string, revision int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.others != nil {
+		t.others[upstream] = max(t.others[upstream], revision)
+	}
+}
+
+func (t *turns) setSeen(revision int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.seen = max(t.seen, revision)
+}
+
+// mayOrder reports whether an order with a fencing token may follow the earlier orders of this instance: it has ordered
+// with that token already, its last order was long ago, or no other instance was the holder in between. Until the
+// replicated state includes the claim, the last is not known.
+func (t *turns) mayOrder(now time.Time, upstream string, fence int64, returnAfter time.Duration) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	last, found := t.last[upstream]
+	if !found || last.fence == fence || !now.Before(last.at.Add(returnAfter)) {
+		return true
 	}
-	return lastOrder.Add(n.current.Load().Upstreams.ReturnAfter)
+	return t.seen >= fence && t.others[upstream] <= last.fence
 }
 
-// recordOrder records that an order is sent.
-func (h *heldUpstreams) recordOrder(upstream string, now time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.lastOrders[upstream] = now
+// recordHolderChange records whether another instance may have been the holder of an upstream. An incomplete batch shows
+// only the last change of a key, which hides the holders between two changes. The caller holds the lock of the view.
+func (n *Node) recordHolderChange(item replica.Item, complete, snapshot bool) {
+	upstream, isHolder := roster.UpstreamOfHolderKey(item.Key)
+	if !isHolder {
+		return
+	}
+	holder, found := n.view.roster.Holder(upstream)
+	if found && !snapshot {
+		n.recordSilentClaim(holder, time.Now())
+	}
+	switch own := found && holder.Instance == n.self.Name; {
+	case found && !own || !found && !complete:
+		n.heldUpstreams.turns.recordOther(upstream, item.Revision)
+	case own && !complete:
+		n.heldUpstreams.turns.recordOther(upstream, item.Revision-1)
+	}
 }
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -171,7 +171,7 @@
 		is := is.New(t)
 		n, _ := nodeWithLease(t)
 		first := claimUpstream(t, n, "u")
-		first.node.heldUpstreams.recordOrder("u", time.Now())
+		first.node.heldUpstreams.turns.recordOrder("u", first.fence, time.Now())
 		n.stopHolding("u") // another instance is the holder for a while
 		time.Sleep(time.Second)
 		is.NoErr(n.renew(t.Context()))
@@ -225,3 +225,96 @@
 		is.Equal(store.conditions[roster.HolderKey("second")], int64(0))
 	})
 }
+
+// Guards against holders that take turns at an upstream within a second, because each takes the other for lost while their
+// gossip is lost, or because their links fail in turn. An order of the first that is still in transit would be carried out
+// between those of its new tenure, and the two undo each other's loads.
+func TestHolderReturnsLongAfterItsLastOrderIfAnotherCameBetween(t *testing.T) {
+	holder := func(instance string, revision int64) replica.Item {
+		value, err := roster.EncodeHolder(roster.Holder{Instance: instance, Incarnation: instance, Lease: 9})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return replica.Item{Key: roster.HolderKey("u"), Value: value, Revision: revision}
+	}
+	removed := replica.Item{Key: roster.HolderKey("u"), Revision: 12, Removed: true}
+	const fence = 20
+	for _, c := range []struct {
+		name    string
+		batches []replica.Batch
+		source  string
+		returns bool
+	}{
+		{"nobody between", []replica.Batch{{After: 10, Through: fence, Items: []replica.Item{removed, holder("self", fence)}}}, sourceStore, true},
+		{"another between", []replica.Batch{
+			{After: 10, Through: fence, Items: []replica.Item{removed, holder("other", 14), holder("self", fence)}},
+		}, sourceStore, false},
+		{"another removed", []replica.Batch{
+			{After: 10, Through: 14, Items: []replica.Item{holder("other", 14)}},
+			{After: 14, Through: fence, Items: []replica.Item{holder("self", fence)}},
+		}, sourceStore, false},
+		{"hidden between two changes", []replica.Batch{{After: 10, Through: fence, Items: []replica.Item{holder("self", fence)}}}, "peer", false},
+		{"hidden by a snapshot", []replica.Batch{{Through: 15, Snapshot: true}, {After: 15, Through: fence}}, sourceStore, false},
+		{"claim not seen yet", []replica.Batch{{After: 10, Through: 12, Items: []replica.Item{removed}}}, sourceStore, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var suspended time.Duration
+				n := nodeWithoutFenceChecks(&suspended)
+				n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: true, ReturnAfter: 3 * time.Second}})
+				n.view.wake = make(chan struct{}, 1)
+				is.True(n.merge(replica.Batch{Through: 10, Snapshot: true, Items: []replica.Item{holder("self", 10)}}, time.Time{}, sourceStore))
+				n.heldUpstreams.turns.recordOrder("u", 10, time.Now())
+				is.True((&heldUpstream{node: n, upstream: traffic.Upstream{ID: "u"}, fence: 10}).mayOrder(time.Now()))
+				for _, batch := range c.batches {
+					is.True(n.merge(batch, time.Time{}, c.source))
+				}
+				again := &heldUpstream{node: n, upstream: traffic.Upstream{ID: "u"}, fence: fence}
+				is.Equal(again.mayOrder(time.Now()), c.returns)
+				time.Sleep(3 * time.Second)
+				is.True(again.mayOrder(time.Now()))
+			})
+		})
+	}
+}
+
+// Guards against two instances that do not hear each other and each replace the other as a lost holder: one that became the
+// holder while it was silent is alive.
+func TestHolderThatClaimedInSilenceIsNotReplacedEarly(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		heard   bool
+		replace bool
+	}{{"silent since its claim", true, true}, {"silent at its claim", false, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var suspended time.Duration
+				n := nodeWithoutFenceChecks(&suspended)
+				n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: true, ReturnAfter: 3 * time.Second}})
+				n.view.wake = make(chan struct{}, 1)
+				is.True(n.merge(replica.Batch{Through: 1, Snapshot: true}, time.Time{}, sourceStore))
+				var items []replica.Item
+				for revision, name := range []string{"holder", "b", "c"} {
+					value, err := roster.EncodeInstance(roster.Instance{Name: name, Incarnation: name})
+					is.NoErr(err)
+					items = append(items, replica.Item{Key: roster.InstanceKey(name), Value: value, Revision: int64(revision) + 2})
+				}
+				value, err := roster.EncodeHolder(roster.Holder{Instance: "holder", Incarnation: "holder"})
+				is.NoErr(err)
+				items = append(items, replica.Item{Key: roster.HolderKey("u"), Value: value, Revision: 5})
+				if c.heard {
+					n.overlay.recordContact("holder", time.Now())
+				}
+				is.True(n.merge(replica.Batch{After: 1, Through: 5, Items: items}, time.Time{}, sourceStore))
+				time.Sleep(relayedTimeout + time.Second)
+				now := time.Now()
+				n.overlay.recordContact("b", now)
+				n.overlay.recordContact("c", now)
+				_, free := n.reconcileUpstream(t.Context(), traffic.Upstream{ID: "u"}, now)
+				is.Equal(free, c.replace)
+			})
+		})
+	}
+}
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -49,8 +49,8 @@
 type UpstreamSettings struct {
 	// FencesChecked: upstreams refuse orders with an outdated fencing token.
 	FencesChecked bool
-	// ReturnAfter applies where fencing tokens are not checked. It is how long after its last order to an upstream that
-	// it lost an instance may send orders there again.
+	// ReturnAfter is how long after its last order to an upstream that it lost an instance may send orders there again.
+	// Where fencing tokens are checked, it applies only if another instance was the holder meanwhile.
 	ReturnAfter time.Duration
 	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests from this instance.
 	MaxBackpressure time.Duration
@@ -149,7 +149,7 @@
 		},
 		{
 			Section: "Upstreams", Name: "ReturnAfter", Default: "3s",
-			Help: "pause before an instance sends orders again to an upstream that it lost, where fences are not checked",
+			Help: "pause before an instance sends orders again to an upstream that it lost to another",
 			Set: inifile.Duration(0, time.Minute,
 				func(s *Settings) *time.Duration { return &s.Upstreams.ReturnAfter }),
 		},
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -42,6 +42,8 @@
 	declarations int
 	// expired contains the upstreams whose entries expired around an outage.
 	expired map[string]time.Time
+	// silentClaims is the fencing token of each upstream whose holder counted as silent when it became the holder.
+	silentClaims map[string]int64
 	// holders caches the result of liveHolders. It is nil from a change of the roster until the next use.
 	holders map[string]string
 	// ledgerPeers is when each instance was last in the roster. An instance that left recently keeps its share of the
@@ -119,6 +121,7 @@
 	if !contiguous {
 		return false
 	}
+	complete := source == sourceStore && !batch.Snapshot
 	urgent := false
 	configured := v.table.Load() != nil
 	for _, item := range changed {
@@ -127,7 +130,9 @@
 			v.urgentRevision = max(v.urgentRevision, item.Revision)
 			v.urgentRevisions[item.Key] = item.Revision
 		}
+		n.recordHolderChange(item, complete, batch.Snapshot)
 	}
+	n.heldUpstreams.turns.setSeen(v.replica.Revision())
 	if !configured && v.table.Load() != nil {
 		n.updateLedgerPeers(time.Now()) // the ledger grants nothing before
 	}
--- a/internal/entry/node/upstream_links_test.go
+++ b/internal/entry/node/upstream_links_test.go
@@ -119,8 +119,9 @@
 type engines struct {
 	mutex     sync.Mutex
 	byAddress map[string]*engineState
-	// violations are orders of two holders with one fencing token.
+	// violations are orders of two holders with one fencing token, and of holders that take turns within turnTime.
 	violations []string
+	turnTime   time.Duration
 }
 
 type engineState struct {
@@ -128,6 +129,8 @@
 	fence    int64
 	holder   string
 	adapters []traffic.LoadedAdapter
+	// lastOrders is when each holder last sent an order.
+	lastOrders map[string]time.Time
 }
 
 // linkedOrders sends the orders of one instance over its links.
@@ -154,7 +157,11 @@
 	if fence == engine.fence && holder != engine.holder {
 		o.engines.violations = append(o.engines.violations, engine.holder+" and "+holder)
 	}
+	if last, found := engine.lastOrders[holder]; found && holder != engine.holder && time.Since(last) < o.engines.turnTime {
+		o.engines.violations = append(o.engines.violations, holder+" returns after "+engine.holder)
+	}
 	engine.fence, engine.holder = fence, holder
+	engine.lastOrders[holder] = time.Now()
 	has := slices.ContainsFunc(engine.adapters, func(loaded traffic.LoadedAdapter) bool { return loaded.Name == order.Adapter.Name })
 	if has != order.Unload {
 		return residence.Response{Outcome: residence.AlreadyDone}, nil
@@ -188,7 +195,7 @@
 		e.byAddress = map[string]*engineState{}
 	}
 	if e.byAddress[address] == nil {
-		e.byAddress[address] = &engineState{}
+		e.byAddress[address] = &engineState{lastOrders: map[string]time.Time{}}
 	}
 	return e.byAddress[address]
 }
