--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -245,6 +246,72 @@
 	}
 }
 
+// Guards against callers who are refused because their instance reaches the store and all upstreams but no other instance,
+// and the others hold all engines, so that nobody loads an adapter for it; and against instances that then take engines from
+// each other in turn.
+func TestInstanceCutOffFromOthersServes(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		strangers map[string][]string
+		late      []string
+	}{
+		{"from all others", map[string][]string{"a": {"b", "c"}, "b": {"a", "c"}, "c": {"a", "b"}}, []string{"b", "c"}},
+		{"from others that hear each other", map[string][]string{"a": {"c"}, "b": {"c"}, "c": {"a", "b"}}, []string{"c"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore()
+			shared := &engines{turnTime: contactTime}
+			change := func(settings *node.Settings) { settings.Upstreams.ReturnAfter = contactTime }
+			add := func(name string) *instance {
+				member := startAmongStrangers(t, s, name, shared, c.strangers[name], change)
+				eventually(t, 5*time.Second, name+" serves", func() bool { return member.ready() && member.status("/p/") == 200 })
+				return member
+			}
+			s.put(keyConfiguration, configuration(1, "/p/"))
+			s.put(prefixUpstreams+"app0", upstreamEntry("app", newUpstream(t, 0)))
+			for number := range 3 {
+				s.put(fmt.Sprintf("%sengine%d", prefixUpstreams, number), upstreamEntry("llm", newUpstream(t, 0)))
+			}
+			var fleet []*instance
+			for _, name := range []string{"a", "b", "c"} {
+				if !slices.Contains(c.late, name) {
+					fleet = append(fleet, add(name))
+				}
+			}
+			revisions := func() (list []int64) {
+				for number := range 3 {
+					item, found := s.get(fmt.Sprint("fleet/holders/engine", number))
+					if found {
+						list = append(list, item.Revision)
+					}
+				}
+				return list
+			}
+			eventually(t, 5*time.Second, "all engines have holders", func() bool { return len(revisions()) == 3 })
+			for _, name := range c.late {
+				fleet = append(fleet, add(name))
+			}
+			for _, member := range fleet {
+				eventually(t, 2*contactTime, member.name+" loads an adapter", func() bool {
+					return member.generate("of-"+member.name) == 200
+				})
+			}
+			before := revisions()
+			for begun := time.Now(); time.Since(begun) < 2*contactTime; time.Sleep(100 * time.Millisecond) {
+				for _, member := range fleet {
+					is.Equal(member.generate(fmt.Sprint("later-", member.name, time.Since(begun)/time.Second)), 200)
+				}
+			}
+			is.Equal(revisions(), before)
+			shared.mutex.Lock()
+			defer shared.mutex.Unlock()
+			is.Equal(len(shared.violations), 0)
+		})
+	}
+}
+
 // Guards against a fleet that takes an upstream for gone, or gives it a new holder, because it is silent for a second and
 // goes on: each change costs the requests that wait for its adapters.
 func TestSilenceOfASecondChangesNoHolder(t *testing.T) {
--- a/internal/entry/node/store_test.go
+++ b/internal/entry/node/store_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"regexp"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +13,9 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 )
 
+// prefixInstances is the prefix of the keys of instances.
+const prefixInstances = "fleet/instances/"
+
 // store is an in-memory version of the store of the platform.
 type store struct {
 	mutex    sync.Mutex
@@ -86,6 +92,20 @@
 	store   *store
 	mutex   sync.Mutex
 	refused bool
+	// strangers are the instances whose addresses this instance does not learn.
+	strangers []string
+}
+
+// hideAddresses replaces the addresses of strangers by one where nobody listens.
+func (c *client) hideAddresses(items []replica.Item) (visible []replica.Item) {
+	for _, item := range items {
+		name, isInstance := strings.CutPrefix(item.Key, prefixInstances)
+		if isInstance && !item.Removed && slices.Contains(c.strangers, name) {
+			item.Value = regexp.MustCompile(`"Address":"[^"]*"`).ReplaceAll(item.Value, []byte(`"Address":"127.0.0.1:1"`))
+		}
+		visible = append(visible, item)
+	}
+	return visible
 }
 
 func (c *client) setRefused(denied bool) {
@@ -118,6 +138,7 @@
 		batch.Items = append(batch.Items, item)
 	}
 	sort.Slice(batch.Items, func(i, j int) bool { return batch.Items[i].Key < batch.Items[j].Key })
+	batch.Items = c.hideAddresses(batch.Items)
 	return batch, nil
 }
 
@@ -129,7 +150,7 @@
 		}
 		batch = replica.Batch{After: after, Through: c.store.revision}
 		if after < c.store.revision {
-			batch.Items = append(batch.Items, c.store.log[after:]...)
+			batch.Items = c.hideAddresses(c.store.log[after:])
 		}
 		changed := c.store.changed
 		c.store.mutex.Unlock()
