--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -320,7 +320,7 @@
 }
 
 // Merge adds records of another instance. It reports whether this instance knows something that clears a prompt part of crashes
-// in them, which peers should know soon.
+// in them that they do not clear, which peers should know soon.
 func (t *Tracker) Merge(now time.Time, records []Record) (cleared bool) {
 	return t.merge(now, records, mark{addedAt: now})
 }
