--- a/internal/entry/node/cut_off_test.go
+++ b/internal/entry/node/cut_off_test.go
@@ -251,12 +251,12 @@
 // each other in turn.
 func TestInstanceCutOffFromOthersServes(t *testing.T) {
 	for _, c := range []struct {
-		name      string
-		strangers map[string][]string
-		late      []string
+		name        string
+		unreachable map[string][]string
+		late        []string
 	}{
 		{"from all others", map[string][]string{"a": {"b", "c"}, "b": {"a", "c"}, "c": {"a", "b"}}, []string{"b", "c"}},
-		{"from others that hear each other", map[string][]string{"a": {"c"}, "b": {"c"}, "c": {"a", "b"}}, []string{"c"}},
+		{"from others that reach each other", map[string][]string{"a": {"c"}, "b": {"c"}, "c": {"a", "b"}}, []string{"c"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -265,7 +265,7 @@
 			shared := &engines{turnTime: contactTime}
 			change := func(settings *node.Settings) { settings.Upstreams.ReturnAfter = contactTime }
 			add := func(name string) *instance {
-				member := startAmongStrangers(t, s, name, shared, c.strangers[name], change)
+				member := startWithout(t, s, name, shared, c.unreachable[name], change)
 				eventually(t, 5*time.Second, name+" serves", func() bool { return member.ready() && member.status("/p/") == 200 })
 				return member
 			}
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -87,15 +87,15 @@
 // startWith starts an instance before engines that it shares with others, with changes of its settings.
 func startWith(t testing.TB, s *store, name string, shared *engines, changes ...func(*node.Settings)) *instance {
 	t.Helper()
-	return startAmongStrangers(t, s, name, shared, nil, changes...)
+	return startWithout(t, s, name, shared, nil, changes...)
 }
 
-// startAmongStrangers is startWith for an instance that does not learn the addresses of some others.
-func startAmongStrangers(
-	t testing.TB, s *store, name string, shared *engines, strangers []string, changes ...func(*node.Settings),
+// startWithout is startWith for an instance that does not learn the addresses of some others.
+func startWithout(
+	t testing.TB, s *store, name string, shared *engines, unreachable []string, changes ...func(*node.Settings),
 ) *instance {
 	t.Helper()
-	i := &instance{name: name, client: &client{store: s, strangers: strangers}, ended: make(chan error, 1), log: &logBuffer{}, links: &upstreamLinks{}}
+	i := &instance{name: name, client: &client{store: s, unreachable: unreachable}, ended: make(chan error, 1), log: &logBuffer{}, links: &upstreamLinks{}}
 	i.settings = node.Settings{
 		Instance: node.InstanceSettings{
 			Name: name, DataCentre: "here", CallerAddress: anyPort, ReadyAddress: anyPort,
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -42,8 +42,8 @@
 	// vacantSince is the time since which an upstream has had no holder. Only the ownership loop uses it.
 	vacantSince map[string]time.Time
 	turns       turns
-	// unheardSince is the time since which no holder of a service's engines has been heard. Only the ownership loop uses it.
-	unheardSince map[string]time.Time
+	// unreachableSince is the time since which no holder of the engines of a service has been alive for this instance. Only the ownership loop uses it.
+	unreachableSince map[string]time.Time
 	// released is the fencing token with which this instance last gave up an upstream.
 	released map[string]int64
 }
@@ -53,8 +53,8 @@
 func newHeldUpstreams() heldUpstreams {
 	return heldUpstreams{
 		byID: make(map[string]*heldUpstream), vacantSince: make(map[string]time.Time), released: make(map[string]int64),
-		unheardSince: make(map[string]time.Time),
-		turns:        turns{last: make(map[string]sentOrder), others: make(map[string]int64)},
+		unreachableSince: make(map[string]time.Time),
+		turns:            turns{last: make(map[string]sentOrder), others: make(map[string]int64)},
 	}
 }
 
@@ -134,7 +134,7 @@
 	if len(free) > 0 && !n.stopping.Load() {
 		n.claimByRank(ctx, free, now)
 	}
-	n.takeUnheard(ctx, now)
+	n.claimFromUnreachable(ctx, now)
 	return len(free) > 0
 }
 
--- a/internal/entry/node/store_test.go
+++ b/internal/entry/node/store_test.go
@@ -92,15 +92,15 @@
 	store   *store
 	mutex   sync.Mutex
 	refused bool
-	// strangers are the instances whose addresses this instance does not learn.
-	strangers []string
+	// unreachable are the instances whose addresses this instance does not learn.
+	unreachable []string
 }
 
-// hideAddresses replaces the addresses of strangers by one where nobody listens.
+// hideAddresses replaces the addresses of unreachable by one where nobody listens.
 func (c *client) hideAddresses(items []replica.Item) (visible []replica.Item) {
 	for _, item := range items {
 		name, isInstance := strings.CutPrefix(item.Key, prefixInstances)
-		if isInstance && !item.Removed && slices.Contains(c.strangers, name) {
+		if isInstance && !item.Removed && slices.Contains(c.unreachable, name) {
 			item.Value = regexp.MustCompile(`"Address":"[^"]*"`).ReplaceAll(item.Value, []byte(`"Address":"127.0.0.1:1"`))
 		}
 		visible = append(visible, item)
--- a/internal/entry/node/unheard_holders.go
+++ b/internal/entry/node/unreachable_holders.go
@@ -9,60 +9,60 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
-// unheard_holders.go makes this instance the holder of an engine if it hears no holder of the engines of a service. Its
+// unreachable_holders.go makes this instance the holder of an engine if no holder of the engines of a service is alive for it. Its
 // callers, the store and the engines may reach it although the other instances do not, and without a holder that it can
 // ask it gets no adapter loaded and refuses nearly every request.
 //
 // Only a holder of several engines of the service loses one, so that instances which are all cut off from each other end
 // with at least one each, as far as there are enough, and take none from each other in turn.
 
-// unheardFor is how long no holder of a service must have been heard. A lost gossip link is open again by then.
-const unheardFor = 2 * time.Second
+// unreachableFor is how long no holder of a service must have been alive. A lost gossip link is open again by then.
+const unreachableFor = 2 * time.Second
 
-// takeUnheard claims an engine of each service none of whose holders this instance has heard for some time. Where fencing
+// claimFromUnreachable claims an engine of each service none of whose holders has been alive for this instance for some time. Where fencing
 // tokens are not checked, it may not: the holders can still send orders.
-func (n *Node) takeUnheard(ctx context.Context, now time.Time) {
-	since := n.heldUpstreams.unheardSince
-	unheard := n.unheardEngines(now)
+func (n *Node) claimFromUnreachable(ctx context.Context, now time.Time) {
+	since := n.heldUpstreams.unreachableSince
+	unreachable := n.unreachableEngines(now)
 	for service := range since {
-		if len(unheard[service]) == 0 {
+		if len(unreachable[service]) == 0 {
 			delete(since, service)
 		}
 	}
-	for service, engines := range unheard {
+	for service, engines := range unreachable {
 		if _, found := since[service]; !found {
 			since[service] = now
 		}
-		if now.Sub(since[service]) < unheardFor {
+		if now.Sub(since[service]) < unreachableFor {
 			continue
 		}
-		if engine, found := n.chooseUnheard(engines); found {
+		if engine, found := n.chooseUnreachable(engines); found {
 			since[service] = now
-			n.Log.Warn().Str("Upstream", engine.upstream.ID).Str("Service", service).Str("Holder", engine.holder.Instance).Msg("HoldersUnheard")
+			n.Log.Warn().Str("Upstream", engine.upstream.ID).Str("Service", service).Str("Holder", engine.holder.Instance).Msg("HoldersUnreachable")
 			n.claim(ctx, engine.upstream, engine.holder.Fence)
 		}
 	}
 }
 
-// unheardEngine is an engine whose holder this instance does not hear.
-type unheardEngine struct {
+// unreachableEngine is an engine whose holder is not alive for this instance.
+type unreachableEngine struct {
 	upstream traffic.Upstream
 	holder   roster.Holder
 }
 
-// unheardEngines lists the engines of each service none of whose holders this instance hears, or is.
-func (n *Node) unheardEngines(now time.Time) (unheard map[string][]unheardEngine) {
+// unreachableEngines lists the engines of each service none of whose holders is alive for this instance, or is itself.
+func (n *Node) unreachableEngines(now time.Time) (unreachable map[string][]unreachableEngine) {
 	table := n.Table()
 	if table == nil || !n.mayReplaceEarly() || n.stopping.Load() {
 		return nil
 	}
 	holders := n.view.liveHolders()
-	heard := make(map[string]bool)
+	reachable := make(map[string]bool)
 	silent := false
 	for _, instance := range holders {
-		if _, known := heard[instance]; !known {
-			heard[instance] = instance == n.self.Name || n.overlay.isAlive(now, instance)
-			silent = silent || !heard[instance]
+		if _, known := reachable[instance]; !known {
+			reachable[instance] = instance == n.self.Name || n.overlay.isAlive(now, instance)
+			silent = silent || !reachable[instance]
 		}
 	}
 	if !silent {
@@ -74,27 +74,27 @@
 			return table.Configuration.Services[upstream.Service].Engine != nil
 		})
 	})
-	withHeard := make(map[string]bool)
-	unheard = make(map[string][]unheardEngine)
+	withReachable := make(map[string]bool)
+	unreachable = make(map[string][]unreachableEngine)
 	n.view.mutex.Lock()
 	defer n.view.mutex.Unlock()
 	for _, upstream := range engines {
 		holder, held := n.view.roster.Holder(upstream.ID)
 		switch {
-		case withHeard[upstream.Service] || !held:
-		case heard[holder.Instance]:
-			withHeard[upstream.Service] = true
-			delete(unheard, upstream.Service)
+		case withReachable[upstream.Service] || !held:
+		case reachable[holder.Instance]:
+			withReachable[upstream.Service] = true
+			delete(unreachable, upstream.Service)
 		default:
-			unheard[upstream.Service] = append(unheard[upstream.Service], unheardEngine{upstream: upstream, holder: holder})
+			unreachable[upstream.Service] = append(unreachable[upstream.Service], unreachableEngine{upstream: upstream, holder: holder})
 		}
 	}
-	return unheard
+	return unreachable
 }
 
-// chooseUnheard returns the engine that this instance may take from its holder: one of those whose holder has the most, in
+// chooseUnreachable returns the engine that this instance may take from its holder: one of those whose holder has the most, in
 // an order that differs between instances. It is not found if no holder has two.
-func (n *Node) chooseUnheard(engines []unheardEngine) (chosen unheardEngine, found bool) {
+func (n *Node) chooseUnreachable(engines []unreachableEngine) (chosen unreachableEngine, found bool) {
 	counts := make(map[string]int)
 	for _, engine := range engines {
 		counts[engine.holder.Instance]++
--- a/internal/entry/node/unheard_holders_test.go
+++ b/internal/entry/node/unreachable_holders_test.go
@@ -13,23 +13,23 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
-// Guards against an instance that takes an engine although it hears a holder that it can ask, at once, from a holder that has
+// Guards against an instance that takes an engine although it reaches a holder that it can ask, at once, from a holder that has
 // no other, where fencing tokens are not checked, or more than one.
-func TestEngineIsTakenFromUnheardHoldersOnly(t *testing.T) {
+func TestEngineIsTakenFromUnreachableHoldersOnly(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		holders []string
-		heard   string
+		alive   string
 		checked bool
 		wait    time.Duration
 		taken   int
 	}{
-		{"holder of two unheard", []string{"a", "a", "b"}, "", true, unheardFor, 1},
-		{"unheard for a moment", []string{"a", "a", "b"}, "", true, unheardFor / 2, 0},
-		{"one holder heard", []string{"a", "a", "b"}, "b", true, unheardFor, 0},
-		{"one engine each", []string{"a", "b", "c"}, "", true, unheardFor, 0},
-		{"holds one itself", []string{"a", "a", "self"}, "", true, unheardFor, 0},
-		{"fences not checked", []string{"a", "a", "b"}, "", false, unheardFor, 0},
+		{"holder of two unreachable", []string{"a", "a", "b"}, "", true, unreachableFor, 1},
+		{"unreachable for a moment", []string{"a", "a", "b"}, "", true, unreachableFor / 2, 0},
+		{"one holder alive", []string{"a", "a", "b"}, "b", true, unreachableFor, 0},
+		{"one engine each", []string{"a", "b", "c"}, "", true, unreachableFor, 0},
+		{"holds one itself", []string{"a", "a", "self"}, "", true, unreachableFor, 0},
+		{"fences not checked", []string{"a", "a", "b"}, "", false, unreachableFor, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -52,13 +52,13 @@
 				}
 				ended, cancel := context.WithCancel(context.Background())
 				cancel()
-				n.takeUnheard(ended, time.Now())
+				n.claimFromUnreachable(ended, time.Now())
 				time.Sleep(c.wait)
 				for range 2 {
-					if c.heard != "" {
-						n.overlay.recordContact(c.heard, time.Now())
+					if c.alive != "" {
+						n.overlay.recordContact(c.alive, time.Now())
 					}
-					n.takeUnheard(ended, time.Now())
+					n.claimFromUnreachable(ended, time.Now())
 				}
 				is.Equal(len(n.heldUpstreams.ids()), c.taken)
 			})
