State cleared prompt parts for ten seconds only

Cause: nearly all parts in flight at a crash are cleared within a moment, and each state repeated all of them, with up to 16 requests each, for ten minutes. Change: a cleared part is stated for 10 s, with one request, and again where a record of another instance lacks its clearing.

--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -15,8 +15,13 @@
 	// all instances keep the same ones.
 	isPart   bool
 	requests []Request
-	// changedAt is when a crash was last added, here or as a peer stated it.
-	changedAt time.Time
+	// changedAt is when a crash was last added, here or as a peer stated it, and lackedAt when a record last lacked what clears it.
+	changedAt, lackedAt time.Time
+}
+
+// isKnownCleared reports whether the prompt part is cleared and all instances know that, as far as this one can tell.
+func (h *history) isKnownCleared(now time.Time) bool {
+	return h.isPart && h.open() == 0 && now.Sub(h.changedAt) > clearedStatementTime && now.Sub(h.lackedAt) > clearedStatementTime
 }
 
 // mark is what is known of a crash besides itself.
@@ -92,12 +97,16 @@
 	for i, crash := range crashes {
 		ages[i] = now.Sub(h.crashes[crash].at)
 	}
+	requests := slices.Clone(h.requests)
+	if h.open() == 0 { // one of them shows that it is of a part
+		requests = requests[:min(len(requests), 1)]
+	}
 	return Record{
 		Fingerprint: fingerprint,
 		Crashes:     crashes,
 		Ages:        ages,
 		Cleared:     list(h.cleared, selected),
-		Requests:    slices.Clone(h.requests),
+		Requests:    requests,
 		Age:         now.Sub(h.changedAt),
 	}
 }
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -21,6 +21,8 @@
 	maxBeginning = 2 * time.Second
 	// maxCompletions bounds the parts whose completion is remembered.
 	maxCompletions = 4096
+	// clearedStatementTime is how long the record of a cleared part is sent to the others.
+	clearedStatementTime = 10 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -661,3 +661,23 @@
 		is.True(!there.Merge(time.Now(), u.tracker.Records(time.Now())))
 	})
 }
+
+// Guards against states that grow with each crash: nearly all parts in flight there are cleared within a moment, and each state had
+// all of them for as long as records are kept.
+func TestClearedPartsAreStatedForAShortTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		u.complete(parts("first"))
+		u.crash(parts("first"))
+		stated := func() (parts int) {
+			for _, record := range u.tracker.Records(time.Now()) {
+				parts += len(record.Requests)
+			}
+			return parts
+		}
+		is.Equal(stated(), 1)
+		time.Sleep(20 * time.Second)
+		is.Equal(stated(), 0)
+	})
+}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -286,7 +286,7 @@
 	t.dropOld(now)
 	passedOn := t.passedOn(now)
 	for fingerprint, known := range t.histories {
-		if t.isExpired(now, known) {
+		if t.isExpired(now, known) || known.isKnownCleared(now) {
 			continue
 		}
 		record := known.record(now, fingerprint, func(m mark) bool { return m.own || passedOn[fingerprint] })
@@ -369,6 +369,9 @@
 			if added && !slices.Contains(record.Cleared, crash) && t.clearIfInUse(now, record.Fingerprint, crash) {
 				cleared = true
 			}
+			if !slices.Contains(record.Cleared, crash) && !t.histories[record.Fingerprint].isOpen(crash) {
+				t.histories[record.Fingerprint].lackedAt = now
+			}
 		}
 		known = t.histories[record.Fingerprint]
 		if known == nil {
