Keep connections whose other end acknowledges and does not read

What callers saw: a request or response larger than the buffers between is lost when its other end, alive, reads nothing for 2.5 s. Cause: TCP_USER_TIMEOUT also bounds how long a window may stay full though each probe is acknowledged. Change: a connection with 4 KiB or more written since all was seen acknowledged is checked once a second. While its window is full and the peer acknowledges (TCP_INFO), the user timeout is raised to end 2.5 s after the last segment; once the peer reads, it is set back. The kernel sends a probe at the latest when the timeout is about to expire, so that a peer which is alive goes on to show it, and it ends the connection itself when none is acknowledged. Callers' and upstreams' connections have it; those between instances keep gRPC's 30 s. Ruled out: no user timeout and probes only (the kernel sends no keep-alive probes while data waits, and retransmits for a quarter of an hour); a longer one (dead ends are noticed later); a bound by the application's progress (an end that does not read makes none); TCP_RTO_MAX_MS (new kernels only).

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -132,7 +132,6 @@
 }
 
 func (n *Node) listen(ctx context.Context) (err error) {
-	config := socket.ListenConfig()
 	addresses := n.Settings.Instance
 	for _, endpoint := range []struct {
 		address  string
@@ -141,13 +140,13 @@
 		{addresses.CallerAddress, &n.listeners.callers},
 		{addresses.ReadyAddress, &n.listeners.ready},
 		{addresses.MetricsAddress, &n.listeners.metrics},
-		{addresses.PeerAddress, &n.listeners.mesh},
 	} {
-		if *endpoint.listener, err = config.Listen(ctx, "tcp", endpoint.address); err != nil {
+		if *endpoint.listener, err = socket.Listen(ctx, endpoint.address); err != nil {
 			return err
 		}
 	}
-	return nil
+	n.listeners.mesh, err = socket.ListenConfig().Listen(ctx, "tcp", addresses.PeerAddress)
+	return err
 }
 
 // assemble creates the components and connects them.
--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"net"
 	"net/http"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
@@ -37,7 +36,7 @@
 	if err != nil {
 		return // the connection is broken already
 	}
-	if tcp, ok := connection.(*net.TCPConn); ok {
+	if tcp, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // closing resets the connection then
 	}
 	_ = connection.Close()
--- a/internal/gateway/socket/socket.go
+++ b/internal/gateway/socket/socket.go
@@ -3,7 +3,7 @@
 // A host that lost power or network sends nothing, and a connection can stop working for good while new connections to
 // the same host work. Without further settings a call on such a connection hangs until its caller times out. A limit on
 // how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT), and keep-alive probes on idle connections, make the
-// kernel close it.
+// kernel close it. A peer that acknowledges and does not read keeps its connection: the limit is raised for it.
 package socket
 
 import (
@@ -31,12 +31,7 @@
 // waits for it.
 const HandshakeTimeout = time.Second
 
-// Dialer returns a dialer whose connections detect an unreachable peer. The parameter connect is the connect timeout.
-func Dialer(connectTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive(), Control: Control}
-}
-
-// ListenConfig returns the same settings for accepted connections.
+// ListenConfig returns the settings for connections whose server sets its own user timeout.
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: Control}
 }
@@ -48,12 +43,13 @@
 // Control sets TCP_USER_TIMEOUT, which bounds how long sent bytes may stay unacknowledged.
 func Control(_, _ string, raw syscall.RawConn) error {
 	var failed error
-	err := raw.Control(func(fd uintptr) {
-		ms := int(userTimeout.Milliseconds())
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
-	})
+	err := raw.Control(func(fd uintptr) { failed = setUserTimeout(int(fd), userTimeout) })
 	if err != nil {
 		return err
 	}
 	return failed
 }
+
+func setUserTimeout(descriptor int, timeout time.Duration) error {
+	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
