--- a/internal/entry/pipeline/service_call.go
+++ b/internal/entry/pipeline/service_call.go
@@ -73,38 +73,6 @@
 	return target, nil
 }
 
-// callRepeatable tries the service's addresses in random order until one answers.
-func (p *Pipeline) callRepeatable(
-	ctx context.Context, identity api.Identity, target resource.Service, call service.Call,
-) (response service.Response, err error) {
-	ctx, done := p.RunningRequests.add(ctx, identity)
-	defer done()
-	p.State.WithLock(func(state *SharedState) {
-		state.Retries.CountFirstTry()
-	})
-	noResponse := refusal.New(refusal.ServiceUnavailable, "no address of the service answers").
-		WithRetryAfter(time.Second)
-	for i, index := range rand.Perm(len(target.Addresses)) {
-		if i > 0 && !p.allowRetry() {
-			break
-		}
-		if _, err := p.checkIdentity(identity); err != nil {
-			return service.Response{}, refusal.From(err).WithRun(noResponse.Run())
-		}
-		outcome := p.Services.Do(ctx, target.Addresses[index], call)
-		if ran, ok := outcome.(service.Ran); ok {
-			return ran.Response, nil
-		}
-		if ctx.Err() != nil {
-			return service.Response{}, contextRefusal(ctx, refusal.Unknown)
-		}
-		if _, unknown := outcome.(service.Unknown); unknown {
-			noResponse = noResponse.WithRun(refusal.Unknown)
-		}
-	}
-	return service.Response{}, noResponse
-}
-
 // callOnce claims the call's idempotency key and sends the call at most once.
 func (p *Pipeline) callOnce(
 	ctx context.Context, identity api.Identity, target resource.Service, call service.Call,
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -31,6 +32,8 @@
 	Header         http.Header
 	Body           []byte
 	IdempotencyKey string
+	// ResponseTimeout overrides that of the client's limits if set.
+	ResponseTimeout time.Duration
 }
 
 // Response is the complete response of a plain service, with the headers that may be returned to
@@ -101,7 +104,7 @@
 // the call.
 func (c *Client) Do(ctx context.Context, address string, call Call) Outcome {
 	c.initialize()
-	ctx, cancel := context.WithTimeout(ctx, c.limits.ResponseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(call.ResponseTimeout, c.limits.ResponseTimeout))
 	defer cancel()
 	response, err := c.transport.Do(ctx, exchange.Request{
 		Address: address,
