--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -39,7 +38,7 @@
 	if err != nil {
 		return // the connection is broken already
 	}
-	if tcp, ok := connection.(*net.TCPConn); ok {
+	if tcp, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // closing resets the connection then
 	}
 	_ = connection.Close()
@@ -61,11 +60,11 @@
 		return
 	}
 	defer connection.Close()
-	tcp, ok := connection.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	tcp, ok := connection.(interface{ CloseWrite() error })
+	if !ok || tcp.CloseWrite() != nil || connection.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, tcp) // until the caller closes the connection
+	_, _ = io.Copy(io.Discard, connection) // until the caller closes the connection
 }
 
 func (j *job) write(data []byte) error {
