Take the revisions of crash records from the watch only

Cause: an instance takes the revision of a transaction for that of each record in it; in a store that counts each change, the records but the last one have earlier revisions, and if the watch has brought these before, all later writes of them fail. Change: revisions come from the watch only.

--- a/internal/entry/node/crash_records.go
+++ b/internal/entry/node/crash_records.go
@@ -122,7 +122,7 @@
 		transaction.Conditions = append(transaction.Conditions, coordination.Condition{Key: key, Revision: n.crashRecords.revision(record.Fingerprint)})
 		transaction.Writes = append(transaction.Writes, coordination.Write{Key: key, Value: value, Lease: lease})
 	}
-	revision, err := n.Store.Commit(ctx, transaction)
+	_, err = n.Store.Commit(ctx, transaction) // each record has a revision of its own, which the watch brings
 	if errors.Is(err, coordination.ErrLeaseEnded) {
 		n.crashRecords.lease = 0
 	}
@@ -134,9 +134,6 @@
 			state.Suspects.MergeStored(time.Now(), record)
 		}
 	})
-	for _, record := range records {
-		n.crashRecords.setRevision(record.Fingerprint, revision, false)
-	}
 	return nil
 }
 
