Pass crash records of the store on to peers that follow this instance's reading

What it does to callers: after many crashes some instances can never store what they observed; when all instances end, it is lost. Cause: a peer that catches up takes over the revision up to which this instance has read the store, but gets the urgent changes only. Crash records were not among them, so that it never learns that they exist, and each of its writes fails for that, every second for good. Change: they are passed on with the urgent changes, without being sent for their own sake.

--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -126,6 +126,8 @@
 			urgent = true
 			v.urgentRevision = max(v.urgentRevision, item.Revision)
 			v.urgentRevisions[item.Key] = item.Revision
+		} else if _, ok := crashrecord.FingerprintOf(item.Key); ok {
+			v.urgentRevisions[item.Key] = item.Revision // a peer that lacks it could not write the record
 		}
 	}
 	if !configured && v.table.Load() != nil {
