--- a/internal/entry/node/configuration_series_test.go
+++ b/internal/entry/node/configuration_series_test.go
@@ -34,7 +34,7 @@
 	return encoded(c)
 }
 
-// Guards against a request that gets neither a response nor a refusal, because a configuration takes away its route or service
+// Guards against a request that gets neither a response nor a refusal, because a configuration removes its route or service
 // while its instance has lost its links and sends through a peer, or its link comes back.
 func TestConfigurationsInSeriesLoseNoRequestThroughPeers(t *testing.T) {
 	t.Parallel()
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -279,7 +279,7 @@
 	}
 }
 
-// Guards against two instances that do not hear each other and each replace the other as a lost holder: one that became the
+// Guards against two instances that receive nothing from each other and each replace the other as a lost holder: one that became the
 // holder while it was silent is alive.
 func TestHolderThatClaimedInSilenceIsNotReplacedEarly(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/entry/node/silent_claims.go
+++ b/internal/entry/node/silent_claims.go
@@ -6,8 +6,8 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 )
 
-// silent_claims.go tracks holders that became the holder while this instance did not hear them. Two instances that do not
-// hear each other would otherwise each take the other for lost, and take its upstreams in turn.
+// silent_claims.go tracks holders that became the holder while they were silent for this instance. Two instances that do not
+// reach each other would otherwise each take the other for lost, and take its upstreams in turn.
 
 // recordSilentClaim records whether the instance that became the holder of an upstream counted as silent then. It reaches
 // the store in spite of its silence, and is replaced only when its lease shows that it is gone. The caller holds the lock of the
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -19,7 +19,7 @@
 	changedAt, lackedAt time.Time
 }
 
-// isKnownCleared reports whether the prompt part is cleared and all instances know that, as far as this one can tell.
+// isKnownCleared reports whether the prompt part is cleared and all instances know that, as far as this one knows.
 func (h *history) isKnownCleared(now time.Time) bool {
 	return h.isPart && h.open() == 0 && now.Sub(h.changedAt) > clearedStatementTime && now.Sub(h.lackedAt) > clearedStatementTime
 }
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -205,7 +205,7 @@
 			u.crash(bad, other)
 			cleared = c.Merge(time.Now(), from.Records(time.Now())) || cleared
 		}
-		is.True(cleared) // c has to tell the others soon
+		is.True(cleared) // c has to send that to the others soon
 		for _, to := range []*suspect.Tracker{a, b} {
 			to.Merge(time.Now(), a.Records(time.Now()))
 			to.Merge(time.Now(), b.Records(time.Now()))
@@ -310,7 +310,7 @@
 	})
 }
 
-// Guards against a fleet in which each instance tells all others what one of them has told them: where many upstreams crash at
+// Guards against a fleet in which each instance sends to all others what one of them has sent them: where many upstreams crash at
 // once, parts in use are cleared by the instance that saw the crash, and nobody else sends anything for it.
 func TestPartThatIsClearedIsNotClearedAgainByOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -419,22 +419,22 @@
 }
 
 // Guards against sound callers that are refused because many upstreams end at once while nothing with their prompts has completed
-// yet, at instances that saw it and at those that were told, also when they have started since.
+// yet, at instances that saw it and at those that learned of it, also when they have started since.
 func TestCrashesAtOneTimeCountOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		u, told, started := &upstreams{tracker: newTracker()}, newTracker(), newTracker()
+		u, peer, started := &upstreams{tracker: newTracker()}, newTracker(), newTracker()
 		for range 2 {
 			time.Sleep(5 * time.Second)
 			u.crashTogether(9, parts("first", "subject"))
 		}
 		time.Sleep(2 * time.Second)
-		told.Merge(time.Now(), u.tracker.Records(time.Now()))
+		peer.Merge(time.Now(), u.tracker.Records(time.Now()))
 		for _, record := range u.tracker.Unstored(time.Now(), 16) {
 			started.MergeStored(time.Now(), record)
 		}
 		time.Sleep(settled)
-		for _, tracker := range []*suspect.Tracker{u.tracker, told, started} {
+		for _, tracker := range []*suspect.Tracker{u.tracker, peer, started} {
 			is.True(partVerdict(tracker, parts("first", "subject")...) != suspect.Refused)
 		}
 	})
@@ -608,7 +608,7 @@
 	})
 }
 
-// Guards against a completion that is forgotten before the instance hears of the crashes which it clears: the links were cut meanwhile.
+// Guards against a completion that is forgotten before the instance learns of the crashes which it clears: the links were cut meanwhile.
 func TestCompletionClearsCrashesThatAreKnownLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -24,7 +24,7 @@
 // Fingerprint identifies the content of a request, so that a retry by the caller is recognized, or a part of prompts.
 type Fingerprint string
 
-// Request is a number for the content of a request, by which the record of a prompt part tells requests apart.
+// Request is a number for the content of a request, by which the record of a prompt part distinguishes requests.
 type Request uint64
 
 // RequestOf returns the number of the request with a fingerprint.
