--- a/internal/gateway/socket/connection.go
+++ b/internal/gateway/socket/connection.go
@@ -122,7 +122,7 @@
 	c.writing--
 }
 
-// check adjusts the user timeout to what the kernel knows of the peer. Without that the user timeout stays as it is.
+// check adjusts the user timeout to the state of the peer as the kernel has it. Without that the user timeout stays as it is.
 func (c *connection) check() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/gateway/socket/limit.go
+++ b/internal/gateway/socket/limit.go
@@ -14,7 +14,7 @@
 // many, and most calls and responses are shorter, so that few connections need checks.
 const minWindow = 4 << 10
 
-// window is what the kernel knows of the peer's receive window.
+// window is the state of the peer's receive window as the kernel has it.
 type window struct {
 	// full: data waits, and the window has no room for it.
 	full bool
--- a/internal/placement/suspect/tries.go
+++ b/internal/placement/suspect/tries.go
@@ -6,7 +6,7 @@
 )
 
 // tries.go has refused parts tried again. Many upstreams may end for no request's sake while nothing completes, and nothing that has
-// a refused part would ever run and clear it. One that does crash upstreams is tried ever more seldom.
+// a refused part would ever run and clear it. One that does crash upstreams is tried less and less often.
 
 const (
 	// tryAfter is how long no upstream has crashed under a part before it is tried. It is at least the time for which the crashes
