Let a further crash show which of two prompt parts is the cause

Cause: a sound part that is in flight at the same three crashes as the bad one, in as many requests or in fewer that were sent to several upstreams, explains them as well, and was refused beside the bad one or in place of it. Change: a part with a rival, another one of other requests that was in flight at all of its crashes, is refused after five crashes and not after three. A fourth or fifth one shows which of them it is in most cases; five are what the rule allows.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -19,6 +19,10 @@
 	blameInterval = 50 * time.Millisecond
 	// maxUnrelated is the number of crashes with another cause that a part which explains the others may leave unexplained.
 	maxUnrelated = 1
+	// refuseRivalAfter replaces RefusePartAfter for a part with a rival: a further crash may show which of them is the cause.
+	refuseRivalAfter = 5
+	// rivalSpread is the number of times as many requests that no rival has.
+	rivalSpread = 3
 	// maxCandidates bounds the fingerprints that are compared.
 	maxCandidates = 64
 )
@@ -98,7 +102,7 @@
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplainedMoments(b, requests, one) >= t.Settings.RefusePartAfter:
+		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplainedMoments(b, requests, one) >= t.refusePartAfter(one, candidates):
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -203,6 +207,31 @@
 	return false
 }
 
+// refusePartAfter returns after how many crashes a part is refused.
+func (t *Tracker) refusePartAfter(one candidate, candidates []candidate) int {
+	if slices.ContainsFunc(candidates, one.isRival) {
+		return max(refuseRivalAfter, t.Settings.RefusePartAfter)
+	}
+	return t.Settings.RefusePartAfter
+}
+
+// isRival reports whether another part, of not many more and other requests, was in flight at all crashes of a part, so that they
+// do not show which of the two is the cause. Callers whose upstreams have ended send their requests to the next ones to end.
+func (c candidate) isRival(other candidate) bool {
+	if !other.isPart || spread(other.requests) >= rivalSpread*spread(c.requests) {
+		return false
+	}
+	if contains(other.requests, c.requests) || contains(c.requests, other.requests) {
+		return false
+	}
+	for crash := range c.crashes {
+		if !other.crashes[crash] {
+			return false
+		}
+	}
+	return true
+}
+
 func deleteAll(from, crashes map[Crash]bool) {
 	for crash := range crashes {
 		delete(from, crash)
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -147,6 +147,11 @@
 	if spread(some) > spread(others)/2 {
 		return false
 	}
+	return contains(others, some)
+}
+
+// contains reports whether some requests may all be among others.
+func contains(others, some []Request) bool {
 	return !slices.ContainsFunc(some, func(request Request) bool { return !mayContain(others, request) })
 }
 
