Refuse parts of different requests apart

What it does to callers: requests with a bad part are sent to engines although the part has crashed five of them (a storm of requests whose engines end in silence: Parts=OTHER,BAD Verdict=alone for a second). Cause: parts in flight at the same crashes are refused only together, as one of them may come without the other; while a crash does not count yet that was so whatever requests had them. A sound part that was in flight at all crashes of the bad one by chance made a pair with it that no request has. Change: only parts of which one comes only with the other make a pair. Measured: TestPartsOfDifferentRequestsAreRefusedApart fails before, passes after; the other tests of the package pass.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -162,7 +162,8 @@
 func (b *blame) join(one candidate) bool {
 	for i, other := range b.groups {
 		settling := one.settling || other.settling
-		if maps.Equal(other.crashes, one.crashes) && (settling || slices.Equal(other.requests, one.requests)) {
+		together := slices.Equal(other.requests, one.requests) || settling && one.overlaps(other.candidate)
+		if maps.Equal(other.crashes, one.crashes) && together {
 			b.groups[i].settling = settling
 			b.groups[i].parts = append(b.groups[i].parts, one.fingerprint)
 			return true
@@ -215,13 +216,18 @@
 	return t.Settings.RefusePartAfter
 }
 
+// overlaps reports whether all requests with one of two parts have the other one too.
+func (c candidate) overlaps(other candidate) bool {
+	return contains(other.requests, c.requests) || contains(c.requests, other.requests)
+}
+
 // isRival reports whether another part, of not many more and other requests, was in flight at all crashes of a part, so that they
 // do not show which of the two is the cause. Callers whose upstreams have ended send their requests to the next ones to end.
 func (c candidate) isRival(other candidate) bool {
 	if !other.isPart || spread(other.requests) >= rivalSpread*spread(c.requests) {
 		return false
 	}
-	if contains(other.requests, c.requests) || contains(c.requests, other.requests) {
+	if c.overlaps(other) {
 		return false
 	}
 	for crash := range c.crashes {
--- a/internal/placement/suspect/rivals_test.go
+++ b/internal/placement/suspect/rivals_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// Guards against a bad part that is let run because a part of other requests was in flight at the same crashes, and a further one does
+// not count yet: the two were refused together only, and no request has both.
+func TestPartsOfDifferentRequestsAreRefusedApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		bad, sound := parts("first", "bad"), parts("first", "sound")
+		u := &upstreams{tracker: newTracker()}
+		for crash := range 5 {
+			u.crashBeside(fmt.Sprint("bad ", crash), bad, sound, fmt.Sprint("sound ", crash))
+		}
+		time.Sleep(settled)
+		is.Equal(partVerdict(u.tracker, bad...), suspect.Refused)
+		u.crashBeside("bad 6", bad, sound, "sound 6")
+		is.Equal(partVerdict(u.tracker, bad...), suspect.Refused)
+	})
+}
+
 // crashBeside ends an upstream under a request, and under others with another prompt.
 func (u *upstreams) crashBeside(content string, prompt, other []suspect.Fingerprint, others ...string) {
 	life := u.begin(content, prompt)
