Ask a holder again when the connection to it falls silent

Callers: a request that needs an adapter waited 3 s, of the 5 it had, if the connection over which its instance had asked the adapter's holder fell silent, even though the holder answered over a new connection after one second. What was left was too short for an upstream that was silent for 1.5 s, and the stream ended at the deadline, after 128 to 224 of 256 bytes.

Cause: with a silent connection retired, new calls use another one, and those that run on it go on. That is right for responses of upstreams. A call for an adapter ran into its own limit, prepareTimeout. Ruled out for these six: changes of the configuration (they kept theirs), the instance's processor time (read at once, the 3 s are exact).

Change: as soon as the connection is retired the holder is asked again over the new one with the time that is left; the first answer counts, and the other call is withdrawn. The first call is kept, as the peer may only have paused. A holder may see the request twice, as it did before when a request gave up after 3 s and came back.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -101,7 +101,9 @@
 	if l.connections == nil {
 		l.connections = make(map[string]*connection)
 	}
-	created := &connection{links: l, address: address, client: client, created: time.Now(), unused: make(chan struct{})}
+	created := &connection{
+		links: l, address: address, client: client, created: time.Now(), retired: make(chan struct{}), unused: make(chan struct{}),
+	}
 	l.connections[address] = created
 	return created, nil
 }
--- a/internal/fleet/link/retired.go
+++ b/internal/fleet/link/retired.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"lacewingrock.example/lacewingrock/internal/admission/claim"
@@ -40,8 +41,9 @@
 	// time since created; 0 if none has.
 	created    time.Time
 	unanswered atomic.Int64
-	// unused is closed once the connection is retired and no call runs on it.
-	unused chan struct{}
+	// retired is closed once the connection is retired, unused once no call runs on it either.
+	retired chan struct{}
+	unused  chan struct{}
 }
 
 // retireLocked takes a connection out of use for new calls. The caller holds the lock.
@@ -51,6 +53,7 @@
 	}
 	delete(l.connections, c.address)
 	l.retired[c] = true
+	close(c.retired)
 	if c.running == 0 {
 		close(c.unused)
 	}
@@ -75,21 +78,38 @@
 func (l *Links) begin(address string) (*connection, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	current, err := l.currentLocked(address)
+	current, err := l.answeringLocked(address)
 	if err != nil {
 		return nil, err
 	}
-	if current.isSilent() {
-		l.retireLocked(current)
-		if current, err = l.currentLocked(address); err != nil {
-			return nil, err
-		}
-	}
 	current.running++
 	current.unanswered.CompareAndSwap(0, int64(time.Since(current.created)))
 	return current, nil
 }
 
+// answeringLocked returns the connection that takes new calls to a peer, a new one if the present one is silent. The caller
+// holds the lock.
+func (l *Links) answeringLocked(address string) (*connection, error) {
+	current, err := l.currentLocked(address)
+	if err != nil || !current.isSilent() {
+		return current, err
+	}
+	l.retireLocked(current)
+	return l.currentLocked(address)
+}
+
+// Retired returns a channel that is closed once the connection that takes new calls to a peer now has been retired.
+func (l *Links) Retired(address string) (retired <-chan struct{}, err error) {
+	defer func() { err = errors.WithMessage(err, "link: connect") }()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	current, err := l.answeringLocked(address)
+	if err != nil {
+		return nil, err
+	}
+	return current.retired, nil
+}
+
 // isSilent reports whether calls have been without any message from the peer for too long.
 func (c *connection) isSilent() bool {
 	since := time.Duration(c.unanswered.Load())
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -102,20 +102,6 @@
 	return batchFromWire(wire)
 }
 
-// Prepare asks the holder at address to load an adapter, and waits until it is loaded.
-func (p *Peers) Prepare(ctx context.Context, address string, request PrepareRequest) (_ PrepareResult, err error) {
-	defer func() { err = errors.WithMessage(err, "mesh: prepare") }()
-	client, err := p.client(address)
-	if err != nil {
-		return nil, err
-	}
-	wire, err := client.Prepare(ctx, prepareToWire(request))
-	if err != nil {
-		return nil, err
-	}
-	return prepareResultFromWire(wire), nil
-}
-
 // ---------------------------------------------------------------------------------------------
 
 func (p *Peers) client(address string) (meshpb.MeshClient, error) {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -102,18 +102,25 @@
 }
 
 func serveEcho(t testing.TB) (*echo, *mesh.Peers, string) {
+	t.Helper()
+	peer := &echo{statements: make(chan mesh.Statement, 1)}
+	peers, listener := servePeer(t, peer, peer)
+	return peer, peers, listener.Addr().String()
+}
+
+// servePeer serves a peer, which may extend an echo by calls of its own, and returns the links to it.
+func servePeer(t testing.TB, peer *echo, handler mesh.Handler) (*mesh.Peers, net.Listener) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	peer := &echo{statements: make(chan mesh.Statement, 1)}
-	peer.server = mesh.NewServer(peer)
+	peer.server = mesh.NewServer(handler)
 	go func() { _ = peer.server.Serve(&openCountListener{Listener: listener, peer: peer}) }()
 	t.Cleanup(peer.server.Stop)
 	peers := &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	t.Cleanup(peers.Close)
-	return peer, peers, listener.Addr().String()
+	return peers, listener
 }
 
 func TestGossipMessagesRoundTrip(t *testing.T) {
