Lend the unused connections of upstreams to the instance that has the callers

What callers saw: while the balancer hands nearly all new connections to one instance, it refuses with 503 (no upstream can take the request) although the upstreams have free batch slots.

Cause: an instance may have limit/parts requests at an upstream, parts being ten or 1.25 times the fleet, whoever uses the rest. A fleet of 100 before an upstream that takes 550 connections gives each instance four, of six batch slots.

Change: an instance keeps its share in any case. It may use the reserve too (the limit without the shares of the others), while the fleet's load at the upstream is known, as it holds it or has a recent report of its holder, and is below half the limit. One that borrows stays below the limit even if all others use their shares; two that do so see each other's load.

Ruled out: the workspace's rate, retries, limits that engines state, and adapters: all served, before and after.

--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -362,6 +362,7 @@
 	n.heldUpstreams.mutex.Lock()
 	n.heldUpstreams.byID[upstream.ID] = held
 	n.heldUpstreams.mutex.Unlock()
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.SetHeld(upstream.ID, true) })
 	if !held.plain {
 		go held.run(ctx)
 	}
@@ -374,6 +375,7 @@
 	delete(n.heldUpstreams.byID, id)
 	n.heldUpstreams.mutex.Unlock()
 	if held != nil {
+		n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.SetHeld(id, false) })
 		held.stop()
 		n.Log.Info().Str("Upstream", id).Int64("Fence", held.fence).Msg("HoldingEnded")
 	}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -33,7 +33,7 @@
 	homes := p.homes(query)
 	for i := range upstreams {
 		u := upstreams[(i+p.rotation)%len(upstreams)]
-		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(u) {
+		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(now, u) {
 			continue
 		}
 		if p.isFull(now, u) {
@@ -112,13 +112,6 @@
 	return p.services[service]
 }
 
-// isConnectionLimitReached reports whether this instance uses its full share of an upstream's connections. The
-// upstream would reset one more, and a request that may not be repeated would be lost with it.
-func (p *Pool) isConnectionLimitReached(u *upstream) bool {
-	limit := p.connectionLimits[u.declared.Service]
-	return limit > 0 && len(u.attempts) >= max(limit/max(p.Settings.Instances, 1), 1)
-}
-
 // estimate returns the choice of an upstream and the total cost by which upstreams are compared.
 func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -147,7 +147,9 @@
 	engines  map[string]traffic.Engine
 	// connectionLimits are the connection limits of one upstream of each service, if stated.
 	connectionLimits map[string]int
-	peers            map[source]peerLoads
+	// held are the upstreams that this instance holds.
+	held  map[string]bool
+	peers map[source]peerLoads
 	// stats are the measurements of each service's upstreams.
 	stats map[string]*serviceStats
 	// coldStarts are the stated limits of each service's cold upstreams.
@@ -305,6 +307,7 @@
 		p.upstreams = make(map[string]*upstream)
 		p.active = make(map[*upstream]bool)
 		p.peers = make(map[source]peerLoads)
+		p.held = make(map[string]bool)
 		p.stats = make(map[string]*serviceStats)
 		p.evacuated = make(map[string]bool)
 		p.statements = make(map[traffic.Life]*statement)
--- a/internal/placement/pool/pool_test.go
+++ b/internal/placement/pool/pool_test.go
@@ -256,6 +256,53 @@
 	})
 }
 
+// Guards against an instance that has nearly all callers and refuses them, because it may use only its own share of the connections
+// that an upstream accepts; and against one that takes what the others may be using.
+func TestUnusedConnectionsAreLent(t *testing.T) {
+	const limit, share, others = 100, 10, 6
+	for _, c := range []struct {
+		name string
+		know func(p *pool.Pool)
+		want int
+	}{
+		{"nothing is known of the others", func(*pool.Pool) {}, share},
+		{"the holder reports that they use none", func(p *pool.Pool) { p.RecordHolderLoad(time.Now(), "s1", pool.Load{}) }, limit - others*share},
+		{"the holder reports that they use some", func(p *pool.Pool) { p.RecordHolderLoad(time.Now(), "s1", pool.Load{Running: 30}) }, limit/2 - 30},
+		{"the holder reports that they use most", func(p *pool.Pool) { p.RecordHolderLoad(time.Now(), "s1", pool.Load{Running: 60}) }, share},
+		{"the report is old", func(p *pool.Pool) {
+			p.RecordHolderLoad(time.Now(), "s1", pool.Load{})
+			time.Sleep(time.Second)
+		}, share},
+		{"this instance is the holder", func(p *pool.Pool) { p.SetHeld("s1", true) }, limit - others*share},
+		{"this instance is the holder, and others use some", func(p *pool.Pool) {
+			p.SetHeld("s1", true)
+			p.RecordPeerReport(time.Now(), "i2", map[string]pool.Load{"s1": {Running: 30}})
+		}, limit/2 - 30},
+		{"this instance was the holder", func(p *pool.Pool) {
+			p.SetHeld("s1", true)
+			p.SetHeld("s1", false)
+		}, share},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool("s1")
+				p.Settings.LiveInstances = others + 1
+				c.know(p)
+				begun := 0
+				for ; begun < limit; begun++ {
+					choice, err := p.Choose(time.Now(), plain())
+					if err != nil {
+						break
+					}
+					p.Begin(time.Now(), choice, plain())
+				}
+				is.Equal(begun, c.want)
+			})
+		})
+	}
+}
+
 // Guards against a replaced holder that resumes and reports outdated residents. Its successor has evicted the
 // adapter since, and requests sent because of the old report would be refused.
 func TestEarlierHoldersWordIsDropped(t *testing.T) {
