Close unused connections of callers before no file is left

What callers saw: where callers keep connections that they do not use, an instance that gets most new connections accepts no more once its files are used up, and reaches no upstream, peer or store that it has no connection to.

Cause: idle connections of callers were kept for 15 s, however many.

Change: beyond half of the files that the process may open, the longest idle connections are closed, if they are idle for 0.5 s. A request that crosses such a close is not passed on, so that nothing runs whose caller has no connection.

Before and after: TestIdleCallersTakeNoConnectionFromOthers, 160 files, 300 connections: 146 served, then none; 300 served (2 of 2 runs).

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -175,8 +175,11 @@
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
 	}
+	connections := newCallerConnections(maxFiles())
 	n.callers = &http.Server{
-		Handler:           n.handler,
+		Handler:           connections.serve(n.handler),
+		ConnState:         connections.setState,
+		ConnContext:       connections.withConnection,
 		ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout,
 		IdleTimeout:       n.Settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    int(n.Settings.Callers.HeaderBytes),
