Let responses that end with their connection clear the parts of their prompts

Cause: an upstream that crashes may end such a response in the same way, so that none counted as a completion, and nothing ever cleared a part. Change: what comes next shows it. Such a response was whole if its upstream, the same life, responds to an attempt that began 1.5 s later, when another life in its place would be known, or if nothing has shown for six seconds that it ended. That clears the parts as a whole response does; the record of a request's own content is as before.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -302,6 +302,7 @@
 	if outcome.mayHaveRun() && !complete {
 		unfinished := suspect.Attempt{
 			CallID: j.call.ID, Fingerprint: j.fingerprint, Parts: j.promptParts, Began: a.began, Sending: a.sendingFor(),
+			Ended: outcome == resultServed && a.received.isWholeIfUpstreamGoesOn(),
 		}
 		j.handler.Fleet.ReportUnfinished(upstream, unfinished, outcome == resultBroken && a.requestCtx.Err() == nil)
 	}
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -45,6 +45,11 @@
 	return r.ended && r.status < http.StatusMultipleChoices && r.framing != forward.FramingClose
 }
 
+// isWholeIfUpstreamGoesOn reports whether the response ended with its connection and without a failure.
+func (r received) isWholeIfUpstreamGoesOn() bool {
+	return r.ended && r.tail == 0 && r.status < http.StatusMultipleChoices && r.framing == forward.FramingClose
+}
+
 // logLimit adds what the response states of its upstream's limit, if it states anything.
 func (r received) logLimit(event *zerolog.Event) *zerolog.Event {
 	switch limit := r.info.Limit.(type) {
--- a/internal/placement/suspect/attempts.go
+++ b/internal/placement/suspect/attempts.go
@@ -16,6 +16,9 @@
 	evidenceWindow = 6 * time.Second
 	// endRetention is how long an end is remembered for attempts that are still waiting then.
 	endRetention = time.Minute
+	// aliveAfter is how long after the end of a response without a length an attempt has to begin at the same life, so that its
+	// response shows that the end was none of the upstream. Another life that responds in its place is known by then.
+	aliveAfter = 1500 * time.Millisecond
 	// maxUnfinished bounds the attempts that are remembered. A flood of them pushes out the oldest.
 	maxUnfinished = 2048
 )
@@ -30,6 +33,8 @@
 	Began time.Time
 	// Sending is how long the upstream had been sending events when the attempt ended, 0 if it had sent none.
 	Sending time.Duration
+	// Ended: the response ended in order with its connection, without a length or chunks. It is whole if the upstream goes on.
+	Ended bool
 }
 
 // unfinished is an attempt whose upstream may have ended.
@@ -59,8 +64,11 @@
 		t.recordAttempts(now, CrashOf(life), []Attempt{attempt})
 		return true
 	}
+	if attempt.Ended {
+		t.completeEnded(life, attempt.Began)
+	}
 	t.unfinished = append(t.unfinished, unfinished{attempt: attempt, life: life, at: now})
-	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool { return now.Sub(u.at) > evidenceWindow })
+	t.dropUnfinished(now)
 	if excess := len(t.unfinished) - maxUnfinished; excess > 0 {
 		t.unfinished = slices.Delete(t.unfinished, 0, excess)
 	}
@@ -111,15 +119,39 @@
 	} else if !expired {
 		t.ends[life] = end{at: ended.at}
 	}
+	t.dropUnfinished(now)
 	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
 		if u.life != life {
-			return now.Sub(u.at) > evidenceWindow
-		}
-		if now.Sub(u.at) <= evidenceWindow {
-			inFlight = append(inFlight, u.attempt)
+			return false
 		}
+		inFlight = append(inFlight, u.attempt)
 		return true
 	})
 	t.recordAttempts(now, CrashOf(life), inFlight)
 	return inFlight
 }
+
+// dropUnfinished drops the attempts that are too old to be in flight at an end. Responses that ended in order are whole then.
+func (t *Tracker) dropUnfinished(now time.Time) {
+	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
+		if now.Sub(u.at) <= evidenceWindow {
+			return false
+		}
+		if u.attempt.Ended {
+			t.recordEndedCompletion(u)
+		}
+		return true
+	})
+}
+
+// completeEnded records that responses of a life which ended in order were whole, because it has responded to an attempt that began
+// some time later.
+func (t *Tracker) completeEnded(life traffic.Life, began time.Time) {
+	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
+		if u.life != life || !u.attempt.Ended || began.Sub(u.at) < aliveAfter {
+			return false
+		}
+		t.recordEndedCompletion(u)
+		return true
+	})
+}
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -82,6 +82,34 @@
 	}
 }
 
+// recordEndedCompletion records that a response which ended in order was whole. It clears the parts of the crashes before it, and of
+// some after it.
+func (t *Tracker) recordEndedCompletion(u unfinished) {
+	if t.completions == nil {
+		t.completions = make(map[Fingerprint]completion)
+	}
+	for _, part := range u.attempt.Parts {
+		if known, found := t.completions[part]; found && known.at.After(u.at) {
+			continue
+		}
+		t.completions[part] = completion{at: u.at}
+		known := t.histories[part]
+		if known == nil {
+			continue
+		}
+		crashes := list(known.crashes, func(mark) bool { return true })
+		slices.SortStableFunc(crashes, func(a, b Crash) int { return known.crashes[a].at.Compare(known.crashes[b].at) })
+		for _, crash := range crashes {
+			if known.isOpen(crash) {
+				t.clearIfInUse(known.crashes[crash].at, part, crash)
+			}
+		}
+	}
+	if len(t.completions) > maxCompletions {
+		t.dropCompletions(u.at)
+	}
+}
+
 // dropCompletions drops what has expired, and the older half if that is not enough.
 func (t *Tracker) dropCompletions(now time.Time) {
 	maps.DeleteFunc(t.completions, func(_ Fingerprint, c completion) bool { return now.Sub(c.at) > t.Settings.Retention })
