Blame a part for upstreams that end at one time if others complete meanwhile

Cause: ends of upstreams within a quarter of a second count as one crash of a part, as upstreams that end together mostly have a common reason. Three bursts were needed. Change: five of them under as many requests are enough if other parts go on completing for a second after the first one: a part that so many requests have would have completed by then, and one that has completed anywhere is cleared of them. Where nothing completes, as after a start of all instances, it is as before.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -21,6 +21,10 @@
 	maxUnrelated = 1
 	// refuseRivalAfter replaces RefusePartAfter for a part with a rival: a further crash may show which of them is the cause.
 	refuseRivalAfter = 5
+	// refuseAtOnceAfter is the number of crashes at one time, under as many requests, after which a part is refused, and completingTime
+	// how long others have to go on completing since.
+	refuseAtOnceAfter = 5
+	completingTime    = time.Second
 	// rivalSpread is the number of times as many requests that no rival has.
 	rivalSpread = 3
 	// maxCandidates bounds the fingerprints that are compared.
@@ -102,7 +106,7 @@
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && !one.hasNarrower(candidates) && t.unexplainedMoments(b, requests, one) >= t.refusePartAfter(one, candidates):
+		case !b.join(one) && !one.hasNarrower(candidates) && t.isCause(b, one, t.unexplained(b, requests, one), candidates):
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -172,9 +176,9 @@
 	return false
 }
 
-// unexplainedMoments counts the times of the crashes of a part that no better candidate explains.
-func (t *Tracker) unexplainedMoments(b *blame, requests []candidate, one candidate) (count int) {
-	rest := maps.Clone(one.crashes)
+// unexplained returns the crashes of a part that no better candidate explains.
+func (t *Tracker) unexplained(b *blame, requests []candidate, one candidate) (rest map[Crash]bool) {
+	rest = maps.Clone(one.crashes)
 	for _, other := range b.groups {
 		if len(other.crashes) > len(one.crashes) || spread(other.requests) < spread(one.requests) {
 			deleteAll(rest, other.crashes)
@@ -185,7 +189,7 @@
 			deleteAll(rest, other.crashes)
 		}
 	}
-	return t.histories[one.fingerprint].moments(rest)
+	return rest
 }
 
 // hasNarrower reports whether another part, which only some of a part's requests have, was in flight at its crashes, but for a few
@@ -208,12 +212,33 @@
 	return false
 }
 
-// refusePartAfter returns after how many crashes a part is refused.
-func (t *Tracker) refusePartAfter(one candidate, candidates []candidate) int {
+// isCause reports whether a part with some unexplained crashes is taken as their cause.
+func (t *Tracker) isCause(b *blame, one candidate, crashes map[Crash]bool, candidates []candidate) bool {
+	moments := t.histories[one.fingerprint].moments(crashes)
 	if slices.ContainsFunc(candidates, one.isRival) {
-		return max(refuseRivalAfter, t.Settings.RefusePartAfter)
+		return moments >= max(refuseRivalAfter, t.Settings.RefusePartAfter)
 	}
-	return t.Settings.RefusePartAfter
+	if moments >= t.Settings.RefusePartAfter {
+		return true
+	}
+	// Upstreams that end at one time may have a common reason. A part that so many requests have would have completed by now.
+	if len(crashes) < refuseAtOnceAfter || len(one.requests) < refuseAtOnceAfter {
+		return false
+	}
+	if !t.othersComplete(one) {
+		b.validUntil = earlier(b.validUntil, b.computedAt.Add(completingTime/4))
+		return false
+	}
+	return true
+}
+
+// othersComplete reports whether other parts than one in flight at crashes have completed for some time since the first of them.
+func (t *Tracker) othersComplete(one candidate) bool {
+	var first time.Time
+	for crash := range one.crashes {
+		first = earlier(first, t.histories[one.fingerprint].crashes[crash].at)
+	}
+	return !t.firstCompletionAt.IsZero() && t.lastCompletionAt.Sub(first) >= completingTime && !t.firstCompletionAt.After(first)
 }
 
 // overlaps reports whether all requests with one of two parts have the other one too.
--- a/internal/placement/suspect/rivals_test.go
+++ b/internal/placement/suspect/rivals_test.go
@@ -115,3 +115,44 @@
 func (u *upstreams) beginAt(life traffic.Life, content string, prompt []suspect.Fingerprint) {
 	u.tracker.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: suspect.Fingerprint(content), Parts: prompt, Began: time.Now()})
 }
+
+// Guards against a bad part whose requests come all at once: the upstreams that it ends at one time counted as one crash, so that it had
+// to end all of them three times.
+func TestPartOfManyRequestsThatEndUpstreamsAtOneTime(t *testing.T) {
+	bad, sound := parts("first", "bad"), parts("first", "sound")
+	tests := []struct {
+		name    string
+		upTo    int // upstreams that end
+		content string
+		happens func(u *upstreams)
+		verdict suspect.Verdict
+	}{
+		{"others complete", 7, "", func(u *upstreams) { u.complete(sound) }, suspect.Refused},
+		{"nothing completes", 7, "", func(*upstreams) {}, suspect.Free},
+		{"few upstreams end", 4, "", func(u *upstreams) { u.complete(sound) }, suspect.Free},
+		{"one request that came to all of them", 7, "again", func(u *upstreams) { u.complete(sound) }, suspect.Free},
+		{"it completes too", 7, "", func(u *upstreams) {
+			u.complete(sound)
+			u.complete(bad)
+		}, suspect.Free},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstreams{tracker: newTracker()}
+				u.complete(sound)
+				time.Sleep(time.Second)
+				for range tt.upTo {
+					u.crashUnder(tt.content, bad)
+					time.Sleep(time.Millisecond)
+				}
+				for range 10 {
+					time.Sleep(settled / 5)
+					tt.happens(u)
+					_ = partVerdict(u.tracker, bad...) // what is known is computed again in time
+				}
+				is.New(t).Equal(partVerdict(u.tracker, bad...), tt.verdict)
+			})
+		})
+	}
+}
