Check the connection to a holder whose answer is awaited

Callers: a request whose instance awaits a holder's answer over a connection that falls silent still waited 3 s if no other request of that instance needed the holder meanwhile.

Cause: a connection is found silent by the next call or by reports that fail, and reports are sent when something changes. While all callers of an instance wait, nothing does.

Two that fail retire the connection.

--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -6,6 +6,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // holder_requests.go sends requests to the holders of upstreams, whether this instance or another.
@@ -26,6 +27,7 @@
 	if !found || instance.Name == n.self.Name || !n.overlay.isAlive(time.Now(), instance.Name) {
 		return mesh.NotHolder{}
 	}
+	go linkCheck{node: n, instance: instance.Name}.run(ctx)
 	prepared, err := n.peers.Prepare(ctx, instance.Address, request)
 	if err != nil {
 		n.Log.Debug().Err(err).Str("Upstream", request.Upstream).Str("Holder", instance.Name).Msg("PrepareFailed")
@@ -34,6 +36,23 @@
 	return prepared
 }
 
+// linkCheckInterval is how often an instance sends a report to a holder whose answer it awaits. Two in a row that fail retire the
+// connection, and the holder is asked again over a new one.
+const linkCheckInterval = reportTimeout
+
+// linkCheck checks the connection to a holder whose answer is awaited. The answer may take seconds, and if no other request
+// needs the holder meanwhile, nothing else would find out that the connection has fallen silent.
+type linkCheck struct {
+	node     *Node
+	instance string
+}
+
+func (c linkCheck) run(ctx context.Context) {
+	for pause.For(ctx, linkCheckInterval) {
+		c.node.scheduleReport(c.instance)
+	}
+}
+
 // holderQueryTimeout bounds a query to a holder. A response takes a few milliseconds. A longer wait costs a request
 // more than a better choice of upstream would save.
 const holderQueryTimeout = 30 * time.Millisecond
