Let a stream go on at an upstream that was silent or not needed

What callers saw: a stream is cut (unexpected EOF) although another attempt is allowed and one of two upstreams is sound: the other one, which had replaced it while it was silent, breaks off; or the silent one went on and then breaks off, and the other one had been withdrawn. Cause: an attempt that was replaced or withdrawn excluded its upstream from the rest of the request, as one that has failed does. Change: neither is excluded. The attempts of the route, the retry budget and the check of upstreams that are silent themselves bound what is tried.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -248,12 +248,17 @@
 	return attemptEnd{outcome: outcome, err: err, successor: successor}
 }
 
-// recordTried excludes the upstream from further attempts, unless it may run the request a moment later.
+// recordTried excludes the upstream from further attempts, unless it may run the request a moment later. One that was silent and did
+// not fail, or was not needed, is sound as far as is known.
 func (a *attempt) recordTried(outcome result) {
 	j := a.job
 	upstream := a.placement.choice.Upstream.ID
+	if a.standby.successor != nil && !a.standby.failed {
+		return
+	}
 	switch outcome {
-	case resultServed, resultUnreached: // an upstream that cannot be reached is avoided for a time
+	case resultServed, resultUnneeded:
+	case resultUnreached: // an upstream that cannot be reached is avoided for a time
 	case resultNotRun:
 		j.declined = append(j.declined, upstream)
 	case resultMisdirected:
