Go on with the next life of an upstream that has started again while the store is away

Callers: while the store was away, requests to engines that had ended and started again under their id and address were refused ("the upstreams are busy") until it was back; now they are served as soon as their adapter is loaded there again.

Cause: what the holder compared was the life that the store's entry names, not the one that answers. A report of a later life was dropped like that of another upstream: the planner kept what the ended life had loaded, the holder told the others so, all pools took the adapter for loaded, each request got 421, and no order to load was given.

Change: a later start in a report begins a new life at its holder: the planner begins anew, the requests that wait go on to wait, and the report is applied. What the holder tells of its upstream names the life (a new field, started_millis, of the message Residency; zero from an older build, as before). A later life replaces the known one in the pools of all instances as its entry would, so that requests, choices and records of crashes carry it, and the end of the former one is recorded once. What is told of another life than the known one is dropped, so that a late state cannot bring back what an ended life had loaded. An entry that repeats the ended life changes nothing, that of the known life starts nothing anew, and any other counts, also an earlier one (clocks set back). Until its entry arrives such a life counts as cold, and its software as unknown: streams that it begins cannot be continued.

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -18,7 +18,8 @@
 // held_upstream.go carries out the decisions of the planner at one upstream that this instance holds.
 
 type heldUpstream struct {
-	node     *Node
+	node *Node
+	// upstream is as declared, with the start of the life that the loop goes on with. Only the loop changes that, with the lock held.
 	upstream traffic.Upstream
 	fence    int64
 	// lease is the lease that the holder key is bound to. mayOrderFrom is the earliest time at which this instance may
@@ -175,7 +176,7 @@
 	now := time.Now()
 	residency, known := h.residency(now)
 	if known {
-		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordResidency(now, residency) })
+		h.node.recordResidencies(now, []pool.Residency{residency})
 	}
 }
 
@@ -185,20 +186,21 @@
 	if ctx.Err() != nil {
 		return
 	}
-	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Sequence", report.Sequence).
+	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Born", report.Born).Int64("Sequence", report.Sequence).
 		Bool("Busy", report.Busy).Interface("Models", report.Models).Interface("Pending", report.Pending).
 		Err(err).Msg("Report")
 	h.applyPath(ctx, reached)
+	lifeKnown := report.Born != 0 && h.upstream.StartedMillis != 0
 	h.mutex.Lock()
-	if err != nil || report.Born != 0 && h.upstream.StartedMillis != 0 && report.Born != h.upstream.StartedMillis {
-		h.planner.ReportFailed(time.Now()) // no response, or the response of another upstream
+	if err != nil || lifeKnown && report.Born < h.upstream.StartedMillis {
+		h.planner.ReportFailed(time.Now()) // no response, or the response of a life that has ended
 		h.mutex.Unlock()
 		h.updateOwnPool()
-		if err == nil && report.Born > h.upstream.StartedMillis {
-			h.node.recordEnd(h.upstream.Life(), signReplaced)
-		}
 		return
 	}
+	if lifeKnown && report.Born > h.upstream.StartedMillis {
+		h.beginLife(report.Born)
+	}
 	h.hasReport = true
 	h.planner.ApplyReport(time.Now(), report)
 	h.notifyWaiters()
@@ -207,6 +209,21 @@
 	h.updateOwnPool()
 }
 
+// beginLife goes on with a later life of the upstream. The caller holds the lock.
+func (h *heldUpstream) beginLife(startedMillis int64) {
+	h.node.Log.Warn().Str("Upstream", h.upstream.ID).Int64("Fence", h.fence).Int64("Started", startedMillis).
+		Int64("Before", h.upstream.StartedMillis).Msg("LifeReplaced")
+	h.upstream.StartedMillis = startedMillis
+	h.planner.Restart()
+}
+
+// startedMillis returns the start of the life that the loop goes on with.
+func (h *heldUpstream) startedMillis() int64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.upstream.StartedMillis
+}
+
 // setUnreachable records whether the upstream is unreachable. Requests that wait for an adapter there are notified
 // immediately, so that they can be served elsewhere while there is still time.
 func (h *heldUpstream) setUnreachable(unreachable bool) {
@@ -346,7 +363,8 @@
 		return residency, false
 	}
 	residency = pool.Residency{
-		Upstream: h.upstream.ID, Fence: h.fence, Version: now.Sub(h.node.startedAt).Microseconds(), Unreachable: h.unreachable,
+		Upstream: h.upstream.ID, StartedMillis: h.upstream.StartedMillis, Fence: h.fence,
+		Version: now.Sub(h.node.startedAt).Microseconds(), Unreachable: h.unreachable,
 	}
 	residency.Loaded, residency.FreeSlots = h.planner.Residents(now)
 	residency.SlotWait = h.planner.ExpectedWait(now, traffic.Adapter{})
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -349,7 +349,7 @@
 // configuration makes an engine of a plain upstream or the reverse.
 func (n *Node) startHolding(ctx context.Context, upstream traffic.Upstream, holder roster.Holder) {
 	previous := n.heldUpstreams.get(upstream.ID)
-	if previous != nil && previous.fence == holder.Fence && previous.upstream.StartedMillis == upstream.StartedMillis &&
+	if previous != nil && previous.fence == holder.Fence && previous.startedMillis() == upstream.StartedMillis &&
 		previous.plain == n.isPlain(upstream.Service) {
 		return
 	}
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -8,6 +8,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
@@ -115,10 +116,8 @@
 // applyHeldReport applies the response of a holder.
 func (n *Node) applyHeldReport(held mesh.HeldReport) {
 	now := time.Now()
+	n.recordResidencies(now, held.Residencies)
 	n.sharedState.WithLock(func(state *serve.SharedState) {
-		for _, residency := range held.Residencies {
-			state.Pool.RecordResidency(now, residency)
-		}
 		for id, load := range held.Loads {
 			state.Pool.RecordHolderLoad(now, id, load)
 		}
@@ -126,6 +125,21 @@
 	})
 }
 
+// recordResidencies records what holders tell of their upstreams, and the ends of lives that it shows.
+func (n *Node) recordResidencies(now time.Time, residencies []pool.Residency) {
+	var ended []traffic.Life
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		for _, residency := range residencies {
+			if life := state.Pool.RecordResidency(now, residency); life != (traffic.Life{}) {
+				ended = append(ended, life)
+			}
+		}
+	})
+	for _, life := range ended {
+		n.recordEnd(life, signReplaced)
+	}
+}
+
 // Report receives the load that another instance has in flight at the upstreams that this one holds.
 func (n *Node) Report(report mesh.LoadReport) (held mesh.HeldReport) {
 	now := time.Now()
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -138,7 +138,7 @@
 // fingerprint changes with the models loaded at upstreams, regardless of the order in which they are listed.
 func fingerprint(residencies []pool.Residency) (sum uint64) {
 	for _, residency := range residencies {
-		sum += xxhash.Sum64String(fmt.Sprint(residency.Upstream, residency.Fence, residency.Unreachable))
+		sum += xxhash.Sum64String(fmt.Sprint(residency.Upstream, residency.StartedMillis, residency.Fence, residency.Unreachable))
 		for _, resident := range residency.Loaded {
 			sum += xxhash.Sum64String(fmt.Sprint(residency.Upstream, resident))
 		}
@@ -229,10 +229,8 @@
 	if !direct {
 		at = now.Add(-assumedRelayDelay)
 	}
+	n.recordResidencies(now, held.Residencies)
 	n.sharedState.WithLock(func(state *serve.SharedState) {
-		for _, residency := range held.Residencies {
-			state.Pool.RecordResidency(now, residency)
-		}
 		for id, load := range held.Loads {
 			state.Pool.RecordHolderTotal(at, id, load)
 		}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -264,6 +264,7 @@
 		WaitMillis: r.SlotWait.Milliseconds(),
 		Away:       r.Unreachable,
 		LoadMicros: r.LoadTime.Microseconds(), ReloadMicros: r.ReloadTime.Microseconds(),
+		StartedMillis: r.StartedMillis,
 	}
 	for _, resident := range r.Loaded {
 		wire.Loaded = append(wire.Loaded, &meshpb.Resident{
@@ -284,6 +285,7 @@
 		SlotWait:    millis(wire.GetWaitMillis()),
 		Unreachable: wire.GetAway(),
 		LoadTime:    micros(wire.GetLoadMicros()), ReloadTime: micros(wire.GetReloadMicros()),
+		StartedMillis: wire.GetStartedMillis(),
 	}
 	for _, resident := range wire.GetLoaded() {
 		r.Loaded = append(r.Loaded, pool.Resident{
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -174,7 +174,7 @@
 		Loads:  map[string]pool.Load{"u": {Running: 5, PromptTokens: 100, MemoryTokens: 700}},
 		Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "v", StartedMillis: 6}}},
 		Residencies: []pool.Residency{{
-			Upstream: "u", Fence: 4, Version: 17, FreeSlots: 2, SlotWait: 300 * time.Millisecond, Unreachable: true,
+			Upstream: "u", StartedMillis: 1_796_377_527_792, Fence: 4, Version: 17, FreeSlots: 2, SlotWait: 300 * time.Millisecond, Unreachable: true,
 			Loaded: []pool.Resident{{Adapter: a, Version: 2, InTransit: true}},
 		}},
 	}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -107,6 +107,8 @@
 // Residency is the report of an upstream's holder about it.
 type Residency struct {
 	Upstream string
+	// StartedMillis is the start of the life of the upstream that the report is of; 0 if it is unknown.
+	StartedMillis int64
 	// Fence is the fencing token of the holder: reports of an earlier holder are dropped. Version rises under one
 	// fencing token: a report that arrives through relays may be older than the holder's response to a report.
 	Fence   int64
@@ -179,18 +181,29 @@
 	}
 }
 
-// Declare records the declaration of an upstream. A new incarnation, or one at a new address, starts without the
-// state of the old one.
-func (p *Pool) Declare(now time.Time, declared traffic.Upstream) {
+// Declare records the entry of an upstream. A new incarnation, or one at a new address, starts without the
+// state of the old one. An entry that still names a life which has ended is dropped.
+func (p *Pool) Declare(now time.Time, entry traffic.Upstream) {
 	p.prepare()
+	if !p.upstreams[entry.ID].hasOutlived(entry) {
+		p.declare(now, entry)
+		p.upstreams[entry.ID].entryStartedMillis = entry.StartedMillis
+	}
+}
+
+func (p *Pool) declare(now time.Time, declared traffic.Upstream) {
 	if p.knownSince.IsZero() {
 		p.knownSince = now
 	}
 	u := p.upstreams[declared.ID]
 	p.trackSoftware(now, u.declaration(), &declared)
 	if u == nil || u.declared.StartedMillis != declared.StartedMillis || u.declared.Address != declared.Address {
+		next := newUpstream(now)
+		if u != nil {
+			next.replacedStartedMillis = u.declared.StartedMillis
+		}
 		delete(p.active, u)
-		u = newUpstream(now)
+		u = next
 		p.upstreams[declared.ID] = u
 		p.changes++
 		p.services = nil
@@ -270,11 +283,18 @@
 	}
 }
 
-// RecordResidency records a holder's report.
-func (p *Pool) RecordResidency(now time.Time, residency Residency) {
+// RecordResidency records a holder's report. ended is the life that the report shows to have ended unannounced, if any.
+func (p *Pool) RecordResidency(now time.Time, residency Residency) (ended traffic.Life) {
 	u := p.upstreams[residency.Upstream]
 	if u == nil || residency.Fence < u.fence || residency.Fence == u.fence && residency.Version < u.version {
-		return
+		return ended
+	}
+	if started := residency.StartedMillis; u.isOtherLife(started) {
+		ended = p.recordLife(now, u, started)
+		u = p.upstreams[residency.Upstream]
+		if u.declared.StartedMillis != started {
+			return ended // what a life had that has ended
+		}
 	}
 	u.fence = residency.Fence
 	u.version = residency.Version
@@ -292,6 +312,7 @@
 		u.unreachableUntil = now.Add(unreachableFor + p.Settings.HeartbeatInterval)
 	}
 	u.setResident(residency.Loaded)
+	return ended
 }
 
 // unreachableFor is how long an upstream counts as unreachable after its holder last reported so, in addition to
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -43,8 +43,12 @@
 	}
 	history := p.softwareOf(before.Service)
 	history.declared[before.Software]--
-	if history.declared[before.Software] == 0 {
-		delete(history.declared, before.Software)
+	if history.declared[before.Software] > 0 {
+		return
+	}
+	delete(history.declared, before.Software)
+	becameKnown := before.Software == "" && after != nil && after.Life() == before.Life()
+	if !becameKnown {
 		history.removed[before.Software] = now
 	}
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -29,7 +29,11 @@
 
 type upstream struct {
 	declared traffic.Upstream
-	// declaredAt is when the first entry of this life arrived, and crashedAt is when nothing listened there.
+	// entryStartedMillis is the start of the life that the last entry names, which may have ended.
+	entryStartedMillis int64
+	// replacedStartedMillis is the start of the life before, 0 if none is known.
+	replacedStartedMillis int64
+	// declaredAt is when this life became known, and crashedAt is when nothing listened there.
 	declaredAt time.Time
 	crashedAt  time.Time
 	fence      int64
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -117,6 +117,18 @@
 	onTimeUntil time.Time
 }
 
+// Restart begins anew with the next life of the upstream, which knows nothing of what the one before had loaded and been ordered. Requests go on to
+// wait, and measured times and declared versions still apply.
+func (p *Planner) Restart() {
+	p.ensureInitialised()
+	p.residents = make(map[traffic.Adapter]*resident)
+	p.recent = nil
+	p.unanswered = nil
+	p.stateKnown, p.reported, p.confirmed = false, false, false
+	p.sequence = 0
+	p.fetchAt = time.Time{}
+}
+
 // SetNewest records the newest version of an adapter. An older loaded version is replaced.
 func (p *Planner) SetNewest(adapter traffic.Adapter, version int64) {
 	p.ensureInitialised()
