Blame a part for upstreams that end at one time if others completed before

Cause: others had to go on completing for a second after the crash, and while all engines are down nothing completes. Change: they have to have been completing for half a second before it. A part that so many requests have would have completed by then; one that has completed at any instance is cleared of the crashes within the half second until they count.

--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -22,9 +22,9 @@
 	// refuseRivalAfter replaces RefusePartAfter for a part with a rival: a further crash may show which of them is the cause.
 	refuseRivalAfter = 5
 	// refuseAtOnceAfter is the number of crashes at one time, under as many requests, after which a part is refused, and completingTime
-	// how long others have to go on completing since.
+	// how long before the first of them requests have to have been completing.
 	refuseAtOnceAfter = 5
-	completingTime    = time.Second
+	completingTime    = 500 * time.Millisecond
 	// rivalSpread is the number of times as many requests that no rival has.
 	rivalSpread = 3
 	// maxCandidates bounds the fingerprints that are compared.
@@ -106,7 +106,7 @@
 		switch {
 		case !one.isPart:
 			requests = append(requests, one)
-		case !b.join(one) && !one.hasNarrower(candidates) && t.isCause(b, one, t.unexplained(b, requests, one), candidates):
+		case !b.join(one) && !one.hasNarrower(candidates) && t.isCause(one, t.unexplained(b, requests, one), candidates):
 			b.groups = append(b.groups, group{candidate: one, parts: []Fingerprint{one.fingerprint}})
 		}
 	}
@@ -213,7 +213,7 @@
 }
 
 // isCause reports whether a part with some unexplained crashes is taken as their cause.
-func (t *Tracker) isCause(b *blame, one candidate, crashes map[Crash]bool, candidates []candidate) bool {
+func (t *Tracker) isCause(one candidate, crashes map[Crash]bool, candidates []candidate) bool {
 	moments := t.histories[one.fingerprint].moments(crashes)
 	if slices.ContainsFunc(candidates, one.isRival) {
 		return moments >= max(refuseRivalAfter, t.Settings.RefusePartAfter)
@@ -221,24 +221,17 @@
 	if moments >= t.Settings.RefusePartAfter {
 		return true
 	}
-	// Upstreams that end at one time may have a common reason. A part that so many requests have would have completed by now.
-	if len(crashes) < refuseAtOnceAfter || len(one.requests) < refuseAtOnceAfter {
-		return false
-	}
-	if !t.othersComplete(one) {
-		b.validUntil = earlier(b.validUntil, b.computedAt.Add(completingTime/4))
-		return false
-	}
-	return true
+	// Upstreams that end at one time may have a common reason. A part that so many requests have would have completed before.
+	return len(crashes) >= refuseAtOnceAfter && len(one.requests) >= refuseAtOnceAfter && t.completedBefore(one)
 }
 
-// othersComplete reports whether other parts than one in flight at crashes have completed for some time since the first of them.
-func (t *Tracker) othersComplete(one candidate) bool {
+// completedBefore reports whether requests had been completing for some time when the first upstream crashed under a part.
+func (t *Tracker) completedBefore(one candidate) bool {
 	var first time.Time
 	for crash := range one.crashes {
 		first = earlier(first, t.histories[one.fingerprint].crashes[crash].at)
 	}
-	return !t.firstCompletionAt.IsZero() && t.lastCompletionAt.Sub(first) >= completingTime && !t.firstCompletionAt.After(first)
+	return !t.firstCompletionAt.IsZero() && first.Sub(t.firstCompletionAt) >= completingTime
 }
 
 // overlaps reports whether all requests with one of two parts have the other one too.
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -76,7 +76,7 @@
 		t.completions = make(map[Fingerprint]completion)
 	}
 	t.completions[part] = completion{at: now}
-	t.noteCompletion(now)
+	t.firstCompletionAt = earlier(t.firstCompletionAt, now)
 	t.clear(part)
 	if len(t.completions) > maxCompletions {
 		t.dropCompletions(now)
@@ -94,7 +94,7 @@
 			continue
 		}
 		t.completions[part] = completion{at: u.at}
-		t.noteCompletion(u.at)
+		t.firstCompletionAt = earlier(t.firstCompletionAt, u.at)
 		known := t.histories[part]
 		if known == nil {
 			continue
@@ -112,13 +112,6 @@
 	}
 }
 
-func (t *Tracker) noteCompletion(at time.Time) {
-	t.firstCompletionAt = earlier(t.firstCompletionAt, at)
-	if at.After(t.lastCompletionAt) {
-		t.lastCompletionAt = at
-	}
-}
-
 // dropCompletions drops what has expired, and the older half if that is not enough.
 func (t *Tracker) dropCompletions(now time.Time) {
 	maps.DeleteFunc(t.completions, func(_ Fingerprint, c completion) bool { return now.Sub(c.at) > t.Settings.Retention })
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -141,8 +141,8 @@
 	histories map[Fingerprint]*history
 	// completions are the last ones of requests with a prompt part.
 	completions map[Fingerprint]completion
-	// firstCompletionAt and lastCompletionAt are when any part first and last completed here.
-	firstCompletionAt, lastCompletionAt time.Time
+	// firstCompletionAt is when any part first completed here.
+	firstCompletionAt time.Time
 	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
 	current, last *blame
 	// tries are the latest requests by which refused parts are tried again.
