--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -125,7 +125,7 @@
 	})
 }
 
-// recordResidencies records what holders tell of their upstreams, and the ends of lives that it shows.
+// recordResidencies records what holders report of their upstreams, and the ends of lives that it shows.
 func (n *Node) recordResidencies(now time.Time, residencies []pool.Residency) {
 	var ended []traffic.Life
 	n.sharedState.WithLock(func(state *serve.SharedState) {
