State with a crash all that is known to clear it

Cause: a record held the crashes and clearings that its own instance had found. Two instances whose requests were in flight at one crash, of which a third one cleared the part, each sent a record that lacked the clearing, and each made the other (and all who knew it) send the clearing for ten more seconds, and so on for as long as records are kept.

--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -90,9 +90,16 @@
 	return count
 }
 
-// record returns the selected crashes as a record.
+// record returns the selected crashes as a record, with all that is known to clear them.
 func (h *history) record(now time.Time, fingerprint Fingerprint, selected func(mark) bool) Record {
 	crashes := list(h.crashes, selected)
+	var cleared []Crash
+	for crash, m := range h.cleared {
+		if _, listed := slices.BinarySearch(crashes, crash); listed || selected(m) {
+			cleared = append(cleared, crash)
+		}
+	}
+	slices.Sort(cleared)
 	ages := make([]time.Duration, len(crashes))
 	for i, crash := range crashes {
 		ages[i] = now.Sub(h.crashes[crash].at)
@@ -105,7 +112,7 @@
 		Fingerprint: fingerprint,
 		Crashes:     crashes,
 		Ages:        ages,
-		Cleared:     list(h.cleared, selected),
+		Cleared:     cleared,
 		Requests:    requests,
 		Age:         now.Sub(h.changedAt),
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -681,3 +681,41 @@
 		is.Equal(stated(), 0)
 	})
 }
+
+// Guards against a cleared part that instances go on stating to one another: two were in flight at the crash and a third one cleared
+// it, so that the record of each of the two lacked that, which made the other one state it again.
+func TestClearedPartsAreStatedForAShortTimeInAFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := parts("sound")
+		fleet := []*suspect.Tracker{newTracker(), newTracker(), newTracker()}
+		life := traffic.Life{Upstream: "u", StartedMillis: 1}
+		for number, one := range fleet[:2] {
+			fingerprint := suspect.Fingerprint(fmt.Sprint("request ", number))
+			one.RecordUnfinished(time.Now(), life, suspect.Attempt{Fingerprint: fingerprint, Parts: shared, Began: time.Now()})
+			one.RecordEnd(time.Now(), life)
+		}
+		exchange := func() (stated int) {
+			for _, from := range fleet {
+				records := from.Records(time.Now())
+				for _, record := range records {
+					stated += len(record.Requests)
+				}
+				for _, to := range fleet {
+					to.Merge(time.Now(), records)
+				}
+			}
+			return stated
+		}
+		is.True(exchange() > 0)
+		fleet[2].RecordCompletion(time.Now(), "other", shared...)
+		for range 30 {
+			time.Sleep(time.Second)
+			exchange()
+		}
+		is.Equal(exchange(), 0)
+		for _, one := range fleet {
+			is.Equal(one.Crashes(shared[0]), 0)
+		}
+	})
+}
