Let few instances state at once that a prompt part is cleared

Cleared requests were stated for as long as records are kept, ten minutes.

Change: a statement is urgent only when a second crash is unstated, as three make a part refused; instances wait for exponentially distributed times up to 250 ms, and those that receive the clearing meanwhile send nothing. Cleared requests are stated for ten seconds, as parts are.

--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -190,12 +191,13 @@
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
 	n.links.setPeer(record.Instance, state.Unreached)
 	outdated := !n.overlay.recordSpentVersion(record)
-	cleared := false
+	due := false
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		if !outdated {
 			shared.Ledger.MergeTotals(now, record.Instance, state.Incarnation, state.Spent)
 		}
-		cleared = shared.Suspects.Merge(now, state.Suspects)
+		shared.Suspects.Merge(now, state.Suspects)
+		due = shared.Suspects.IsStatementDue()
 		shared.Pool.RecordPeerLoads(now, record.Instance, state.Loads)
 		shared.Pool.RecordPeerEvidence(now, record.Instance, state.Evidence)
 		shared.Pool.RecordPeerBrittleness(now, state.Brittle)
@@ -203,8 +205,9 @@
 	if len(state.Loads) > 0 {
 		n.heldUpstreams.wakeWaiting()
 	}
-	if cleared {
-		n.overlay.requestStateSend()
+	if due && n.clearStatementPending.CompareAndSwap(false, true) {
+		statement := clearStatement{node: n}
+		go statement.run(context.Background())
 	}
 	return nil
 }
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -15,13 +15,14 @@
 	// all instances keep the same ones.
 	isPart   bool
 	requests []Request
-	// changedAt is when a crash was last added, here or as a peer stated it, and lackedAt when a record last lacked what clears it.
+	// changedAt is when a crash was last added, here or as a peer stated it, and lackedAt when it was last cleared
+	// here or a record of another instance lacked that.
 	changedAt, lackedAt time.Time
 }
 
-// isKnownCleared reports whether the prompt part is cleared and all instances know that, as far as this one knows.
+// isKnownCleared reports whether the request or part is cleared and all instances know that, as far as this one knows.
 func (h *history) isKnownCleared(now time.Time) bool {
-	return h.isPart && h.open() == 0 && now.Sub(h.changedAt) > clearedStatementTime && now.Sub(h.lackedAt) > clearedStatementTime
+	return h.open() == 0 && now.Sub(h.changedAt) > clearedStatementTime && now.Sub(h.lackedAt) > clearedStatementTime
 }
 
 // mark is what is known of a crash besides itself.
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -21,7 +21,7 @@
 	maxBeginning = 2 * time.Second
 	// maxCompletions bounds the parts whose completion is remembered.
 	maxCompletions = 4096
-	// clearedStatementTime is how long the record of a cleared part is sent to the others.
+	// clearedStatementTime is how long the record of a cleared request or part is sent to the others.
 	clearedStatementTime = 10 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
@@ -77,7 +77,7 @@
 	}
 	t.completions[part] = completion{at: now}
 	t.firstCompletionAt = earlier(t.firstCompletionAt, now)
-	t.clear(part)
+	t.clear(now, part)
 	if len(t.completions) > maxCompletions {
 		t.dropCompletions(now)
 	}
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -143,6 +143,8 @@
 	completions map[Fingerprint]completion
 	// firstCompletionAt is when any part first completed here.
 	firstCompletionAt time.Time
+	// unstated are the crashes in records of others that prompt parts are cleared of here, while no record is known to state that.
+	unstated map[Fingerprint]map[Crash]struct{}
 	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
 	current, last *blame
 	// tries are the latest requests by which refused parts are tried again.
@@ -212,7 +214,7 @@
 	for _, part := range parts {
 		t.recordPartCompletion(now, part)
 	}
-	return t.clear(fingerprint)
+	return t.clear(now, fingerprint)
 }
 
 // Crashes returns the number of crashes that the request was in flight at and that it is not cleared of.
@@ -286,6 +288,7 @@
 // of requests that run alone or not at all: the instances that observed it may have ended since.
 func (t *Tracker) Records(now time.Time) (records []Record) {
 	t.dropOld(now)
+	clear(t.unstated)
 	passedOn := t.passedOn(now)
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) || known.isKnownCleared(now) {
@@ -321,10 +324,18 @@
 	return selected
 }
 
-// Merge adds records of another instance. It reports whether this instance knows something that clears a prompt part of crashes
-// in them that they do not clear, which peers should know soon.
-func (t *Tracker) Merge(now time.Time, records []Record) (cleared bool) {
-	return t.merge(now, records, mark{addedAt: now})
+// Merge adds records of another instance.
+func (t *Tracker) Merge(now time.Time, records []Record) { t.merge(now, records, mark{addedAt: now}) }
+
+// IsStatementDue reports whether peers should soon know what clears a prompt part here: with one more crash, those that have no request
+// with it would refuse it for crashes in the records of others, whereas neither they nor the own records have stated that.
+func (t *Tracker) IsStatementDue() bool {
+	for _, crashes := range t.unstated {
+		if len(crashes) >= t.Settings.RefusePartAfter-1 {
+			return true
+		}
+	}
+	return false
 }
 
 // MergeStored adds a record that the store has.
@@ -354,7 +365,7 @@
 
 // ---------------------------------------------------------------------------------------------
 
-func (t *Tracker) merge(now time.Time, records []Record, as mark) (cleared bool) {
+func (t *Tracker) merge(now time.Time, records []Record, as mark) {
 	for _, record := range records {
 		if record.Age > t.Settings.Retention-minRemaining {
 			continue
@@ -363,15 +374,13 @@
 		isPart := len(record.Requests) > 0 || known != nil && known.isPart // older builds pass the record on without them
 		for i, crash := range record.Crashes {
 			at := now.Add(-record.ageOf(i))
+			lacks := !slices.Contains(record.Cleared, crash)
 			if !isPart {
 				t.add(at, record.Fingerprint, crash, as)
-				continue
+			} else if t.addToPart(at, record.Fingerprint, crash, as, record.Requests...) && lacks && t.clearIfInUse(now, record.Fingerprint, crash) {
+				t.addUnstated(record.Fingerprint, crash)
 			}
-			added := t.addToPart(at, record.Fingerprint, crash, as, record.Requests...)
-			if added && !slices.Contains(record.Cleared, crash) && t.clearIfInUse(now, record.Fingerprint, crash) {
-				cleared = true
-			}
-			if !slices.Contains(record.Cleared, crash) && !t.histories[record.Fingerprint].isOpen(crash) {
+			if lacks && !t.histories[record.Fingerprint].isOpen(crash) {
 				t.histories[record.Fingerprint].lackedAt = now
 			}
 		}
@@ -381,10 +390,20 @@
 		}
 		for _, crash := range record.Cleared {
 			t.clearCrash(known, crash, as)
+			delete(t.unstated[record.Fingerprint], crash)
 		}
 	}
 	t.dropOld(now)
-	return cleared
+}
+
+func (t *Tracker) addUnstated(part Fingerprint, crash Crash) {
+	if t.unstated == nil {
+		t.unstated = make(map[Fingerprint]map[Crash]struct{})
+	}
+	if t.unstated[part] == nil {
+		t.unstated[part] = make(map[Crash]struct{})
+	}
+	t.unstated[part][crash] = struct{}{}
 }
 
 // add adds a crash, and reports whether it is new.
@@ -410,7 +429,7 @@
 }
 
 // clear clears a fingerprint of all crashes so far, and returns their number.
-func (t *Tracker) clear(fingerprint Fingerprint) (cleared int) {
+func (t *Tracker) clear(now time.Time, fingerprint Fingerprint) (cleared int) {
 	known := t.histories[fingerprint]
 	if known == nil {
 		return 0
@@ -418,6 +437,7 @@
 	for crash := range known.crashes {
 		if known.isOpen(crash) {
 			t.clearCrash(known, crash, mark{own: true})
+			known.lackedAt = now
 			cleared++
 		}
 	}
