Store only prompt parts that may be refused

Cause: a part was written to the store with its second crash, and again with each change.

TestPartInUseIsNotStored failed before.

--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -309,6 +309,21 @@
 	})
 }
 
+// Guards against a store that is written for each crash of a part that is in use, and read by all instances for it.
+func TestPartInUseIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstreams{tracker: newTracker()}
+		for crash := range 12 {
+			u.crash(parts("sound"))
+			is.Equal(len(u.tracker.Unstored(time.Now(), 16)), 0)
+			if crash%2 == 1 {
+				u.complete(parts("sound"))
+			}
+		}
+	})
+}
+
 // Guards against a fleet in which each instance sends to all others what one of them has sent them: where many upstreams crash at
 // once, parts in use are cleared by the instance that saw the crash, and nobody else sends anything for it.
 func TestPartThatIsClearedIsNotClearedAgainByOthers(t *testing.T) {
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -350,7 +350,7 @@
 	every := func(mark) bool { return true }
 	lacking := func(m mark) bool { return m.own && !m.stored }
 	for fingerprint, known := range t.histories {
-		if len(known.crashes) < t.Settings.AloneAfter || t.isExpired(now, known) || known.isPart && known.open() == 0 && !known.isStored() {
+		if t.isExpired(now, known) || !t.isWorthStoring(known) {
 			continue
 		}
 		if len(list(known.crashes, lacking))+len(list(known.cleared, lacking)) > 0 {
@@ -363,6 +363,15 @@
 	return records[:min(len(records), most)]
 }
 
+// isWorthStoring reports whether what is known of a request or part belongs in the store. Sound parts are in flight at many crashes
+// and cleared within a moment, so that only one that may be refused is stored, and what changes of it then.
+func (t *Tracker) isWorthStoring(known *history) bool {
+	if known.isPart {
+		return known.isStored() || known.open() >= t.Settings.RefusePartAfter
+	}
+	return len(known.crashes) >= t.Settings.AloneAfter
+}
+
 // ---------------------------------------------------------------------------------------------
 
 func (t *Tracker) merge(now time.Time, records []Record, as mark) {
