Keep what clears a crash known whoever ends, and orders sent while a life is in doubt

- That an upstream goes on was stated and stored by the instances alone that had a request in flight at its supposed end.
If one ended, or had taken the loss of its link for the end, nobody did.
All state it now, those others after five seconds, and the store has it.
- Two instances that stated a clearing at one time left it to one another when a third one lacked it.
Who found it does not while records lack it.
- Once the observer and the finder had both ended, nobody answered an instance that lacked it.
Any that knows it does now.
- A clearing that was found more than ten seconds after the crash was never stated.
It is stated for ten seconds from when it is found.
- A periodic state, which takes longer than an urgent one, made an urgent statement not due.
- A doubt whose report failed waited for the next report for another reason.

--- a/internal/entry/node/clear_statement.go
+++ b/internal/entry/node/clear_statement.go
@@ -27,14 +27,14 @@
 	pause.For(ctx, clearStatementWait(rand.Float64(), n.overlay.peerCount()))
 	n.clearStatementPending.Store(false)
 	due := false
-	n.sharedState.WithLock(func(state *serve.SharedState) { due = state.Suspects.IsStatementDue() })
+	n.sharedState.WithLock(func(state *serve.SharedState) { due = state.Suspects.TakeStatementDue() })
 	if due {
 		n.overlay.requestStateSend()
 	}
 }
 
-// clearStatementWait returns how long one of some instances waits, by a random number below 1. The waits of all are distributed
-// exponentially, one of them close to zero, so that few end within the time that the first statement takes to all others.
+// clearStatementWait returns how long one of some instances waits, by a random number below 1. One of them does not, few wait for a
+// short time and most for a long one, so that few waits end before the first statement has reached all others.
 func clearStatementWait(random float64, instances int) time.Duration {
 	if random*float64(instances) <= 1 {
 		return 0
--- a/internal/entry/node/crash_detection.go
+++ b/internal/entry/node/crash_detection.go
@@ -114,14 +114,14 @@
 	n.recordEnd(c.upstream.Life(), signRefused)
 }
 
-// doubt has the holder of an upstream find out whether a life goes on. Its responses broke and something listens there: perhaps the
-// next life, which has loaded nothing and shows in no response which one it is.
+// doubt has the holder of an upstream find out whether a life goes on. Its responses broke and connections are not refused there: perhaps
+// the next life listens, which has loaded nothing and shows in no response which one it is.
 func (n *Node) doubt(life traffic.Life) {
 	if held := n.heldUpstreams.get(life.Upstream); held != nil {
 		held.doubt(life)
 		return
 	}
-	if holder, found := n.holderOf(life.Upstream); found {
+	if holder, found := n.holderOf(life.Upstream); found && holder.Name != n.self.Name {
 		n.reports.addDoubted(holder.Name, life)
 		n.scheduleReport(holder.Name)
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -97,9 +97,9 @@
 	// storeUnreachable: the last read of the store failed. storeFailedAt is the time of the last failed read, in Unix
 	// nanoseconds.
 	storeUnreachable atomic.Bool
+	storeFailedAt    atomic.Int64
 	// clearStatementPending is set while a clearStatement waits.
 	clearStatementPending atomic.Bool
-	storeFailedAt         atomic.Int64
 
 	handler    *serve.Handler
 	callers    *http.Server
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,13 @@
 	}
 }
 
+// holdersOfDoubted returns the holders whose next report names a life.
+func (r *reports) holdersOfDoubted() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Collect(maps.Keys(r.doubted))
+}
+
 func (r *reports) takeDoubted(holder string) []traffic.Life {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -206,6 +214,9 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		loads = state.Pool.OwnLoads(func(upstream string) bool { return holders[upstream] != "" })
 	})
+	for _, holder := range n.reports.holdersOfDoubted() { // the last report failed
+		n.scheduleReport(holder)
+	}
 	for upstream := range loads {
 		if holder := holders[upstream]; holder != n.self.Name {
 			n.scheduleReport(holder)
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -52,7 +52,7 @@
 	known := false
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		previous, known = state.Pool.Upstream(id)
-		state.Suspects.RecordAlive(upstream.Life())
+		state.Suspects.RecordAlive(time.Now(), upstream.Life())
 	})
 	if known {
 		n.recordNextLife(previous, &upstream)
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -61,11 +61,13 @@
 	sequence   int64
 	reportedAt time.Time
 	fetchAt    time.Time
-	residents  map[traffic.Adapter]*resident
-	waiters    map[traffic.Adapter]*waiterGroup
-	newest     map[traffic.Adapter]int64
-	inUse      map[traffic.Adapter]bool
-	recent     []traffic.Adapter
+	// doubted: the life that the state is of may have ended.
+	doubted   bool
+	residents map[traffic.Adapter]*resident
+	waiters   map[traffic.Adapter]*waiterGroup
+	newest    map[traffic.Adapter]int64
+	inUse     map[traffic.Adapter]bool
+	recent    []traffic.Adapter
 	// fullLoads and reloads predict load times from the weight store and from a copy near the upstream.
 	fullLoads forecast.LoadTime
 	reloads   forecast.LoadTime
@@ -130,10 +132,7 @@
 }
 
 // Doubt makes a report due, because the life of the upstream may have ended: the next one has loaded nothing.
-func (p *Planner) Doubt() {
-	p.fetchAt = later(p.fetchAt, p.reportedAt.Add(fetchInterval))
-	p.reportedAt = time.Time{}
-}
+func (p *Planner) Doubt() { p.doubted = true }
 
 // SetNewest records the newest version of an adapter. An older loaded version is replaced.
 func (p *Planner) SetNewest(adapter traffic.Adapter, version int64) {
@@ -202,7 +201,10 @@
 		}
 		return SendOrder{Order: *p.unanswered}
 	}
-	if !p.confirmed && !now.Before(p.confirmAt) && !now.Before(p.fetchAt) {
+	fetchAt := later(p.fetchAt, p.reportedAt.Add(fetchInterval))
+	switch {
+	case p.doubted && !now.Before(fetchAt), !p.confirmed && !now.Before(p.confirmAt) && !now.Before(p.fetchAt):
+		p.doubted = false
 		p.fetchAt = now.Add(fetchInterval)
 		return FetchReport{}
 	}
@@ -210,6 +212,9 @@
 	if !p.confirmed {
 		until = later(p.confirmAt, p.fetchAt)
 	}
+	if p.doubted && fetchAt.Before(until) {
+		until = fetchAt
+	}
 	if order, at, found := p.nextPoll(now); found {
 		return SendOrder{Order: order}
 	} else if !at.IsZero() && at.Before(until) {
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -414,3 +414,51 @@
 		}
 	})
 }
+
+// Guards against orders that are not sent while an upstream is doubted again and again, and against reports that are fetched without end
+// when the next life counts its orders from zero and does not state its start.
+func TestDoubtLeavesOrdersToBeSent(t *testing.T) {
+	tests := []struct {
+		name string
+		// again: the life is doubted every ten milliseconds. sequence is that of the reports after the first doubt.
+		again    bool
+		sequence int64
+		most     int
+	}{
+		{"doubted again and again", true, 5, 4 * 7},
+		{"doubted once, the next life has no orders", false, 0, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			p := &residence.Planner{Engine: traffic.Engine{AdapterSlots: 4}}
+			report := func(sequence int64) {
+				p.ApplyReport(now, residence.Report{Sequence: sequence, Models: []traffic.LoadedModel{{Name: model}}})
+			}
+			report(5)
+			now = now.Add(400 * time.Millisecond)
+			report(5)
+			p.AddWaiter(now, adapter("a"), 1, 0, now.Add(5*time.Second))
+			now = now.Add(200 * time.Millisecond)
+			p.Doubt()
+			orders, fetches := 0, 0
+			for range 400 {
+				if tt.again {
+					p.Doubt()
+				}
+				switch p.NextStep(now).(type) {
+				case residence.FetchReport:
+					fetches++
+					report(tt.sequence)
+				case residence.SendOrder:
+					orders++
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			is.True(orders > 0)
+			is.True(fetches > 0)
+			is.True(fetches <= tt.most)
+		})
+	}
+}
--- a/internal/placement/suspect/attempts.go
+++ b/internal/placement/suspect/attempts.go
@@ -65,7 +65,7 @@
 		return true
 	}
 	if attempt.Ended {
-		t.completeEnded(life, attempt.Began)
+		t.completeEnded(now, life, attempt.Began)
 	}
 	t.unfinished = append(t.unfinished, unfinished{attempt: attempt, life: life, at: now})
 	t.dropUnfinished(now)
@@ -92,15 +92,20 @@
 
 // RecordAlive records that a life of an upstream goes on. If the removal of its entry counted as its end, no request has
 // crashed it.
-func (t *Tracker) RecordAlive(life traffic.Life) {
+func (t *Tracker) RecordAlive(now time.Time, life traffic.Life) {
 	if ended, found := t.ends[life]; !found || !ended.expired {
 		return
 	}
 	delete(t.ends, life)
 	crash := CrashOf(life)
 	for _, known := range t.histories {
-		if counted, found := known.crashes[crash]; found { // all instances learn that the life goes on
-			t.clearCrash(known, crash, mark{own: counted.own})
+		counted, found := known.crashes[crash]
+		switch {
+		case !found:
+		case counted.own:
+			t.clearCrash(now, known, crash, mark{own: true})
+		default: // the instances that have the crash as their own learn that as well, as a rule, and state it
+			t.clearCrash(now, known, crash, mark{own: true, peerAt: now})
 		}
 	}
 }
@@ -138,7 +143,7 @@
 			return false
 		}
 		if u.attempt.Ended {
-			t.recordEndedCompletion(u)
+			t.recordEndedCompletion(now, u)
 		}
 		return true
 	})
@@ -146,12 +151,12 @@
 
 // completeEnded records that responses of a life which ended in order were whole, because it has responded to an attempt that began
 // some time later.
-func (t *Tracker) completeEnded(life traffic.Life, began time.Time) {
+func (t *Tracker) completeEnded(now time.Time, life traffic.Life, began time.Time) {
 	t.unfinished = slices.DeleteFunc(t.unfinished, func(u unfinished) bool {
 		if u.life != life || !u.attempt.Ended || began.Sub(u.at) < aliveAfter {
 			return false
 		}
-		t.recordEndedCompletion(u)
+		t.recordEndedCompletion(now, u)
 		return true
 	})
 }
--- a/internal/placement/suspect/attempts_test.go
+++ b/internal/placement/suspect/attempts_test.go
@@ -58,12 +58,12 @@
 			record(tracker, time.Now())
 			tracker.RecordExpiry(time.Now(), life)
 			time.Sleep(time.Second)
-			tracker.RecordAlive(life)
+			tracker.RecordAlive(time.Now(), life)
 		}, 0},
 		{"an old entry arrives after the end", func(tracker *suspect.Tracker) {
 			record(tracker, time.Now())
 			tracker.RecordEnd(time.Now(), life)
-			tracker.RecordAlive(life)
+			tracker.RecordAlive(time.Now(), life)
 		}, 1},
 	}
 	for _, tt := range tests {
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -16,7 +16,7 @@
 	isPart   bool
 	requests []Request
 	// changedAt is when a crash was last added, here or as a peer stated it, and lackedAt when it was last cleared
-	// here or a record of another instance lacked that.
+	// or a record of another instance lacked that.
 	changedAt, lackedAt time.Time
 }
 
@@ -29,17 +29,26 @@
 type mark struct {
 	// own: this instance observed it. stored: the store has it.
 	own, stored bool
-	// at is when the first instance knew of it, addedAt when this one did, peerAt when another one last stated it.
-	at, addedAt, peerAt time.Time
+	// at is when the first instance knew of it, addedAt when this one did.
+	at, addedAt time.Time
+	// peerAt is when another instance last stated it, and lackedAt when a record of one last lacked it.
+	peerAt, lackedAt time.Time
 }
 
-// isStatedByPeer reports whether another instance states it, so that this one need not.
-func (m mark) isStatedByPeer(now time.Time) bool { return now.Sub(m.peerAt) <= peerStatementTime }
+// isStatedByPeer reports whether another instance has stated it a moment ago, so that this one need not. An instance that found it
+// does not leave it at that if a record has lacked it since: two may have stated it at one time, and both stop.
+func (m mark) isStatedByPeer(now time.Time) bool {
+	return now.Sub(m.peerAt) <= peerStatementTime && !(m.own && m.lackedAt.After(m.peerAt))
+}
+
+// isLacked reports whether another instance lacks it.
+func (m mark) isLacked(now time.Time) bool { return now.Sub(m.lackedAt) <= clearedStatementTime }
 
 func (m mark) or(other mark) mark {
 	return mark{
 		own: m.own || other.own, stored: m.stored || other.stored,
-		at: earlier(m.at, other.at), addedAt: earlier(m.addedAt, other.addedAt), peerAt: later(m.peerAt, other.peerAt),
+		at: earlier(m.at, other.at), addedAt: earlier(m.addedAt, other.addedAt),
+		peerAt: later(m.peerAt, other.peerAt), lackedAt: later(m.lackedAt, other.lackedAt),
 	}
 }
 
@@ -64,6 +73,14 @@
 	return !cleared
 }
 
+// recordLacking records that a record of another instance lacks what clears a crash, if that is known here.
+func (h *history) recordLacking(now time.Time, crash Crash) {
+	if known, cleared := h.cleared[crash]; cleared {
+		h.lackedAt = now
+		h.cleared[crash] = known.or(mark{lackedAt: now})
+	}
+}
+
 // open counts the crashes that the request or part may have caused.
 func (h *history) open() (count int) {
 	for crash := range h.crashes {
@@ -107,7 +124,7 @@
 	crashes := list(h.crashes, selected)
 	var cleared []Crash
 	for crash, m := range h.cleared {
-		if _, listed := slices.BinarySearch(crashes, crash); listed || selected(m) && !m.isStatedByPeer(now) {
+		if _, listed := slices.BinarySearch(crashes, crash); listed || (selected(m) || m.isLacked(now)) && !m.isStatedByPeer(now) {
 			cleared = append(cleared, crash)
 		}
 	}
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -25,6 +25,8 @@
 	clearedStatementTime = 10 * time.Second
 	// peerStatementTime is how long after the statement of another instance this one leaves it at that.
 	peerStatementTime = clearedStatementTime / 2
+	// statementDelay is how long the records of an instance may take to reach all others, unless they are urgent.
+	statementDelay = 2 * time.Second
 	// maxPartRequests bounds the requests in the record of a part.
 	maxPartRequests = 16
 )
@@ -57,7 +59,7 @@
 		return false
 	}
 	if known.at.After(t.histories[part].crashes[crash].at) { // the crash was not known here yet
-		t.clearCrash(t.histories[part], crash, mark{own: true})
+		t.clearCrash(now, t.histories[part], crash, mark{own: true})
 		return true
 	}
 	if known.credited >= maxCredited {
@@ -68,7 +70,7 @@
 		known.creditedAt = now
 		t.completions[part] = known
 	}
-	t.clearCrash(t.histories[part], crash, mark{own: true})
+	t.clearCrash(now, t.histories[part], crash, mark{own: true})
 	return true
 }
 
@@ -87,7 +89,7 @@
 
 // recordEndedCompletion records that a response which ended in order was whole. It clears the parts of the crashes before it, and of
 // some after it.
-func (t *Tracker) recordEndedCompletion(u unfinished) {
+func (t *Tracker) recordEndedCompletion(now time.Time, u unfinished) {
 	if t.completions == nil {
 		t.completions = make(map[Fingerprint]completion)
 	}
@@ -104,8 +106,8 @@
 		crashes := list(known.crashes, func(mark) bool { return true })
 		slices.SortStableFunc(crashes, func(a, b Crash) int { return known.crashes[a].at.Compare(known.crashes[b].at) })
 		for _, crash := range crashes {
-			if known.isOpen(crash) {
-				t.clearIfInUse(known.crashes[crash].at, part, crash)
+			if known.isOpen(crash) && t.clearIfInUse(known.crashes[crash].at, part, crash) {
+				known.lackedAt = now
 			}
 		}
 	}
--- a/internal/placement/suspect/parts_test.go
+++ b/internal/placement/suspect/parts_test.go
@@ -699,6 +699,7 @@
 				is.Equal(user.IsStatementDue(), crash%2 == 1)
 			}
 			if crash%2 == 1 {
+				is.True(first.TakeStatementDue())
 				second.Merge(time.Now(), first.Records(time.Now()))
 				is.True(!first.IsStatementDue())
 				is.True(!second.IsStatementDue())
@@ -775,7 +776,7 @@
 		{"requests with the part complete", func(one *suspect.Tracker, _ traffic.Life) {
 			one.RecordCompletion(time.Now(), "other", parts("sound")...)
 		}},
-		{"the upstream goes on", func(one *suspect.Tracker, life traffic.Life) { one.RecordAlive(life) }},
+		{"the upstream goes on", func(one *suspect.Tracker, life traffic.Life) { one.RecordAlive(time.Now(), life) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -144,7 +145,8 @@
 	// firstCompletionAt is when any part first completed here.
 	firstCompletionAt time.Time
 	// unstated are the crashes in records of others that prompt parts are cleared of here, while no record is known to state that.
-	unstated map[Fingerprint]map[Crash]struct{}
+	// Each has the time when it was.
+	unstated map[Fingerprint]map[Crash]time.Time
 	// current is the blame as last computed, nil if what is known has changed since, and last is that in any case.
 	current, last *blame
 	// tries are the latest requests by which refused parts are tried again.
@@ -288,7 +290,7 @@
 // of requests that run alone or not at all: the instances that observed it may have ended since.
 func (t *Tracker) Records(now time.Time) (records []Record) {
 	t.dropOld(now)
-	clear(t.unstated)
+	t.dropStated(now)
 	passedOn := t.passedOn(now)
 	for fingerprint, known := range t.histories {
 		if t.isExpired(now, known) || known.isKnownCleared(now) {
@@ -338,6 +340,15 @@
 	return false
 }
 
+// TakeStatementDue is IsStatementDue for a caller that then sends its records at once.
+func (t *Tracker) TakeStatementDue() (due bool) {
+	due = t.IsStatementDue()
+	if due {
+		clear(t.unstated)
+	}
+	return due
+}
+
 // MergeStored adds a record that the store has.
 func (t *Tracker) MergeStored(now time.Time, record Record) {
 	t.merge(now, []Record{record}, mark{stored: true, addedAt: now})
@@ -387,10 +398,10 @@
 			if !isPart {
 				t.add(at, record.Fingerprint, crash, as)
 			} else if t.addToPart(at, record.Fingerprint, crash, as, record.Requests...) && lacks && t.clearIfInUse(now, record.Fingerprint, crash) {
-				t.addUnstated(record.Fingerprint, crash)
+				t.addUnstated(now, record.Fingerprint, crash)
 			}
-			if lacks && !t.histories[record.Fingerprint].isOpen(crash) {
-				t.histories[record.Fingerprint].lackedAt = now
+			if lacks {
+				t.histories[record.Fingerprint].recordLacking(now, crash)
 			}
 		}
 		known = t.histories[record.Fingerprint]
@@ -402,21 +413,31 @@
 			if !as.stored {
 				statement.peerAt = now
 			}
-			t.clearCrash(known, crash, statement)
+			t.clearCrash(now, known, crash, statement)
 			delete(t.unstated[record.Fingerprint], crash)
 		}
 	}
 	t.dropOld(now)
 }
 
-func (t *Tracker) addUnstated(part Fingerprint, crash Crash) {
+func (t *Tracker) addUnstated(now time.Time, part Fingerprint, crash Crash) {
 	if t.unstated == nil {
-		t.unstated = make(map[Fingerprint]map[Crash]struct{})
+		t.unstated = make(map[Fingerprint]map[Crash]time.Time)
 	}
 	if t.unstated[part] == nil {
-		t.unstated[part] = make(map[Crash]struct{})
+		t.unstated[part] = make(map[Crash]time.Time)
+	}
+	t.unstated[part][crash] = now
+}
+
+// dropStated drops from what is unstated what the last records had, unless they may still be on their way.
+func (t *Tracker) dropStated(now time.Time) {
+	for part, crashes := range t.unstated {
+		maps.DeleteFunc(crashes, func(_ Crash, at time.Time) bool { return now.Sub(at) > statementDelay })
+		if len(crashes) == 0 {
+			delete(t.unstated, part)
+		}
 	}
-	t.unstated[part][crash] = struct{}{}
 }
 
 // add adds a crash, and reports whether it is new.
@@ -449,17 +470,17 @@
 	}
 	for crash := range known.crashes {
 		if known.isOpen(crash) {
-			t.clearCrash(known, crash, mark{own: true})
-			known.lackedAt = now
+			t.clearCrash(now, known, crash, mark{own: true})
 			cleared++
 		}
 	}
 	return cleared
 }
 
-func (t *Tracker) clearCrash(known *history, crash Crash, as mark) {
+func (t *Tracker) clearCrash(now time.Time, known *history, crash Crash, as mark) {
 	if known.isOpen(crash) {
 		t.current = nil
+		known.lackedAt = later(known.lackedAt, now)
 	}
 	known.cleared[crash] = known.cleared[crash].or(as)
 }
