--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -174,10 +174,12 @@
 	is := is.New(t)
 	peer, peers, address := serveEcho(t)
 	a := traffic.Adapter{Model: "m", Name: "a"}
-	report := mesh.LoadReport{Instance: "i", Loads: map[string]pool.Load{
-		"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, InUse: []traffic.Adapter{a}},
-	}, Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "u", StartedMillis: 5}, Limited: true, PerSecond: 1.8, Age: time.Second}},
-		Doubted: []traffic.Life{{Upstream: "u", StartedMillis: 1_796_377_527_792}}}
+	report := mesh.LoadReport{
+		Instance: "i", Loads: map[string]pool.Load{
+			"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, InUse: []traffic.Adapter{a}},
+		}, Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "u", StartedMillis: 5}, Limited: true, PerSecond: 1.8, Age: time.Second}},
+		Doubted: []traffic.Life{{Upstream: "u", StartedMillis: 1_796_377_527_792}},
+	}
 	peer.held = mesh.HeldReport{
 		Loads:  map[string]pool.Load{"u": {Running: 5, PromptTokens: 100, MemoryTokens: 700}},
 		Limits: []pool.LimitStatement{{Life: traffic.Life{Upstream: "v", StartedMillis: 6}}},
--- a/internal/placement/suspect/statements_test.go
+++ b/internal/placement/suspect/statements_test.go
@@ -37,10 +37,7 @@
 			time.Sleep(apart)
 		}
 		other.Merge(time.Now(), observer.Records(time.Now()))
-		var stored []suspect.Record // by the observer, which ends then
-		for _, record := range observer.Unstored(time.Now(), 16) {
-			stored = append(stored, record)
-		}
+		stored := observer.Unstored(time.Now(), 16) // it ends then
 		is.True(len(stored) > 0)
 		for _, record := range stored {
 			other.MergeStored(time.Now(), record)
