Count the bytes that an instance states to all others

That states of cleared parts filled the links could be seen in no log or metric; it was found by a trial build that logged their sizes. lacewingd_state_bytes counts them by part, urgent ones apart.

--- a/internal/entry/node/reports_test.go
+++ b/internal/entry/node/reports_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
@@ -27,7 +28,7 @@
 // request in flight at each of them.
 func nodeWithPeers(t *testing.T, others int, holders map[string]string) *Node {
 	t.Helper()
-	n := &Node{self: roster.Instance{Name: "self"}, heldUpstreams: newHeldUpstreams(), Log: zerolog.Nop()}
+	n := &Node{self: roster.Instance{Name: "self"}, heldUpstreams: newHeldUpstreams(), Log: zerolog.Nop(), scope: tally.NoopScope}
 	n.overlay.initialise("self")
 	n.peers = &mesh.Peers{Links: link.Links{Credentials: insecure.NewCredentials()}}
 	n.sharedState = &serve.SharedState{
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,6 +102,8 @@
 		n.Log.Error().Err(err).Msg("StateEncodeFailed")
 		return
 	}
+	tags := map[string]string{"part": part.String(), "urgent": strconv.FormatBool(urgent)}
+	n.scope.Tagged(tags).Counter("state_bytes").Inc(int64(len(content)))
 	n.overlay.mutex.Lock()
 	defer n.overlay.mutex.Unlock()
 	n.overlay.table.SetOwn(part, content, urgent)
--- a/internal/entry/node/state_exchange_test.go
+++ b/internal/entry/node/state_exchange_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -44,3 +45,23 @@
 		is.Equal(parts, []gossip.Part{gossip.PartHeld})
 	})
 }
+
+// Guards against states that fill the links without a sign of it: what each part takes is counted, urgent sends apart.
+func TestBytesOfStatesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := nodeWithPeers(t, 2, nil)
+		scope := tally.NewTestScope("", nil)
+		n.self.Address = "127.0.0.1:1"
+		n.scope = scope
+		n.refreshState(time.Now(), false)
+		n.refreshState(time.Now(), true)
+		counted := func(urgent string) int64 {
+			counter := scope.Snapshot().Counters()["state_bytes+part=general,urgent="+urgent]
+			is.True(counter != nil)
+			return counter.Value()
+		}
+		is.True(counted("false") > 0)
+		is.Equal(counted("true"), counted("false"))
+	})
+}
--- a/internal/fleet/gossip/table.go
+++ b/internal/fleet/gossip/table.go
@@ -31,6 +31,20 @@
 	partCount = iota
 )
 
+// String returns the name of a part, for metrics.
+func (p Part) String() string {
+	switch p {
+	case PartGeneral:
+		return "general"
+	case PartHeld:
+		return "held"
+	case PartSpent:
+		return "spent"
+	default:
+		return "unknown"
+	}
+}
+
 // Record is one part of the state of an instance.
 type Record struct {
 	Instance string
