Check the connection to an awaited holder only while it answers nothing

Cause: each request that waits for a holder sent it a report every 0.4 s.

Change: one check for all that wait for a holder, and none while it has answered any of them, or a report, within 0.4 s.

TestAwaitedHolderIsCheckedInWantOfAnAnswer.

--- a/internal/entry/node/doubted_life_test.go
+++ b/internal/entry/node/doubted_life_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -69,6 +70,31 @@
 	is.Equal(r.takeDoubted("holder"), taken)
 }
 
+// Guards against many reports to one holder, where many requests wait for it: while it answers some of them, its connection is alive.
+func TestAwaitedHolderIsCheckedInWantOfAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var r reports
+		checks := func(answers bool, lasts time.Duration) (count int) {
+			for range lasts / (10 * time.Millisecond) {
+				time.Sleep(10 * time.Millisecond)
+				for range 20 { // requests that wait
+					if r.isUnanswered("holder", time.Now()) {
+						count++
+					}
+				}
+				if answers {
+					r.recordAnswer("holder", time.Now())
+				}
+			}
+			return count
+		}
+		r.recordAnswer("holder", time.Now())
+		is.Equal(checks(true, 4*time.Second), 0)
+		is.Equal(checks(false, 4*time.Second), 10)
+	})
+}
+
 // listening returns the address of a listener, as an upstream's next life has.
 func listening(t *testing.T) string {
 	t.Helper()
--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -33,11 +33,12 @@
 		n.Log.Debug().Err(err).Str("Upstream", request.Upstream).Str("Holder", instance.Name).Msg("PrepareFailed")
 		return mesh.NotHolder{}
 	}
+	n.reports.recordAnswer(instance.Name, time.Now())
 	return prepared
 }
 
-// linkCheckInterval is how often an instance sends a report to a holder whose answer it awaits. Two in a row that fail retire the
-// connection, and the holder is asked again over a new one.
+// linkCheckInterval is how often an instance sends a report to a holder whose answer it awaits and which has answered nothing
+// meanwhile. Two in a row that fail retire the connection, and the holder is asked again over a new one.
 const linkCheckInterval = reportTimeout
 
 // linkCheck checks the connection to a holder whose answer is awaited. The answer may take seconds, and if no other request
@@ -49,7 +50,9 @@
 
 func (c linkCheck) run(ctx context.Context) {
 	for pause.For(ctx, linkCheckInterval) {
-		c.node.scheduleReport(c.instance)
+		if c.node.reports.isUnanswered(c.instance, time.Now()) {
+			c.node.scheduleReport(c.instance)
+		}
 	}
 }
 
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -35,6 +35,40 @@
 	senders map[string]*reportSender
 	// doubted are the lives that the next report to each holder names, see doubt.
 	doubted map[string][]traffic.Life
+	// answeredAt is when each holder last answered a report or a request, and when a report was last scheduled in want of that.
+	answeredAt map[string]time.Time
+}
+
+// recordAnswer records that a holder has answered.
+func (r *reports) recordAnswer(holder string, at time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.answeredAt == nil {
+		r.answeredAt = make(map[string]time.Time)
+	}
+	r.answeredAt[holder] = at
+}
+
+// dropAnswers drops answers that are too old to matter.
+func (r *reports) dropAnswers(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.answeredAt, func(_ string, at time.Time) bool { return now.Sub(at) >= linkCheckInterval })
+}
+
+// isUnanswered reports whether a holder has answered nothing for linkCheckInterval. The caller then schedules a report, one for all
+// that wait for that holder.
+func (r *reports) isUnanswered(holder string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Sub(r.answeredAt[holder]) < linkCheckInterval {
+		return false
+	}
+	if r.answeredAt == nil {
+		r.answeredAt = make(map[string]time.Time)
+	}
+	r.answeredAt[holder] = now
+	return true
 }
 
 // addDoubted adds a life to the next report to a holder.
@@ -135,6 +169,7 @@
 		n.Log.Debug().Err(err).Str("Holder", r.holder).Msg("ReportFailed")
 		return
 	}
+	n.reports.recordAnswer(r.holder, time.Now())
 	n.applyHeldReport(held)
 }
 
@@ -209,6 +244,7 @@
 }
 
 func (n *Node) refreshReports() {
+	n.reports.dropAnswers(time.Now())
 	holders := n.view.liveHolders()
 	var loads map[string]pool.Load
 	n.sharedState.WithLock(func(state *serve.SharedState) {
