--- a/internal/fleet/freshness/confirmation.go
+++ b/internal/fleet/freshness/confirmation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // This file derives confirmations: the times from which on no newer head was in force everywhere.
@@ -11,12 +13,12 @@
 	t.highestReported = max(t.highestReported, revision)
 	switch {
 	case revision == t.head.Revision:
-		t.lastReadConfirmation = latest(t.lastReadConfirmation, at)
+		t.lastReadConfirmation = instant.Later(t.lastReadConfirmation, at)
 	case revision > t.head.Revision && revision >= t.newerConfirmation.revision:
 		if revision > t.newerConfirmation.revision {
 			t.newerConfirmation = confirmation{revision: revision}
 		}
-		t.newerConfirmation.confirmedAt = latest(t.newerConfirmation.confirmedAt, at)
+		t.newerConfirmation.confirmedAt = instant.Later(t.newerConfirmation.confirmedAt, at)
 	}
 }
 
@@ -44,9 +46,9 @@
 		return
 	}
 	slices.SortFunc(sentTimes, func(a, b time.Time) int { return b.Compare(a) })
-	t.lastMajorityConfirmation = latest(t.lastMajorityConfirmation, sentTimes[needed-1])
+	t.lastMajorityConfirmation = instant.Later(t.lastMajorityConfirmation, sentTimes[needed-1])
 }
 
 func (t *Tracker) confirmedAt() time.Time {
-	return latest(t.lastReadConfirmation, t.lastMajorityConfirmation)
+	return instant.Later(t.lastReadConfirmation, t.lastMajorityConfirmation)
 }
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // This file holds the Tracker: inputs arrive through Install, RecordRead, RecordReadFailure, RecordReply,
@@ -95,7 +97,7 @@
 	t.head = Head{Revision: head.Revision, Epoch: head.Epoch, Members: slices.Clone(head.Members)}
 	t.installed = time.Now()
 	if t.newerConfirmation.revision == head.Revision {
-		t.lastReadConfirmation = latest(t.lastReadConfirmation, t.newerConfirmation.confirmedAt)
+		t.lastReadConfirmation = instant.Later(t.lastReadConfirmation, t.newerConfirmation.confirmedAt)
 	}
 	t.newerConfirmation = confirmation{}
 	t.highestReported = max(t.highestReported, head.Revision)
@@ -316,13 +318,6 @@
 	return count/2 + 1
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (t *Tracker) bound() time.Duration {
 	if t.Bound > 0 {
 		return t.Bound
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -8,6 +8,7 @@
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/forecast"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 const (
@@ -201,7 +202,7 @@
 		}
 		return SendOrder{Order: *p.unanswered}
 	}
-	fetchAt := later(p.fetchAt, p.reportedAt.Add(fetchInterval))
+	fetchAt := instant.Later(p.fetchAt, p.reportedAt.Add(fetchInterval))
 	switch {
 	case p.doubted && !now.Before(fetchAt), !p.confirmed && !now.Before(p.confirmAt) && !now.Before(p.fetchAt):
 		p.doubted = false
@@ -210,7 +211,7 @@
 	}
 	until := p.reportedAt.Add(maxReportAge)
 	if !p.confirmed {
-		until = later(p.confirmAt, p.fetchAt)
+		until = instant.Later(p.confirmAt, p.fetchAt)
 	}
 	if p.doubted && fetchAt.Before(until) {
 		until = fetchAt
@@ -236,13 +237,6 @@
 // idlePollInterval is the poll interval for adapter slots that became idle while an adapter waits for one.
 const idlePollInterval = 20 * time.Millisecond
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // nextPoll repeats the order whose completion is due to be polled, or returns when the next poll is due.
 func (p *Planner) nextPoll(now time.Time) (order Order, at time.Time, found bool) {
 	for adapter, r := range p.residents {
--- a/internal/placement/suspect/blame.go
+++ b/internal/placement/suspect/blame.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // blame.go decides which prompt parts crash upstreams, from the crashes that they were in flight at. A crash has one cause, and
@@ -229,7 +231,7 @@
 func (t *Tracker) completedBefore(one candidate) bool {
 	var first time.Time
 	for crash := range one.crashes {
-		first = earlier(first, t.histories[one.fingerprint].crashes[crash].at)
+		first = instant.Earlier(first, t.histories[one.fingerprint].crashes[crash].at)
 	}
 	return !t.firstCompletionAt.IsZero() && first.Sub(t.firstCompletionAt) >= completingTime
 }
--- a/internal/placement/suspect/history.go
+++ b/internal/placement/suspect/history.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // history.go holds what is known of one request or prompt part, by any instance.
@@ -47,24 +49,9 @@
 func (m mark) or(other mark) mark {
 	return mark{
 		own: m.own || other.own, stored: m.stored || other.stored,
-		at: earlier(m.at, other.at), addedAt: earlier(m.addedAt, other.addedAt),
-		peerAt: later(m.peerAt, other.peerAt), lackedAt: later(m.lackedAt, other.lackedAt),
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// earlier returns the earlier of two times, of which one may be unknown.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
+		at: instant.Earlier(m.at, other.at), addedAt: instant.Earlier(m.addedAt, other.addedAt),
+		peerAt: instant.Later(m.peerAt, other.peerAt), lackedAt: instant.Later(m.lackedAt, other.lackedAt),
 	}
-	return a
 }
 
 // isOpen reports whether the request or part may have caused a crash that it was in flight at.
--- a/internal/placement/suspect/parts.go
+++ b/internal/placement/suspect/parts.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // parts.go records the crashes of prompt parts. What crashes upstreams may be a part that many requests share, no two of which are
@@ -80,7 +82,7 @@
 		t.completions = make(map[Fingerprint]completion)
 	}
 	t.completions[part] = completion{at: now}
-	t.firstCompletionAt = earlier(t.firstCompletionAt, now)
+	t.firstCompletionAt = instant.Earlier(t.firstCompletionAt, now)
 	t.clear(now, part)
 	if len(t.completions) > maxCompletions {
 		t.dropCompletions(now)
@@ -98,7 +100,7 @@
 			continue
 		}
 		t.completions[part] = completion{at: u.at}
-		t.firstCompletionAt = earlier(t.firstCompletionAt, u.at)
+		t.firstCompletionAt = instant.Earlier(t.firstCompletionAt, u.at)
 		known := t.histories[part]
 		if known == nil {
 			continue
--- a/internal/placement/suspect/tracker.go
+++ b/internal/placement/suspect/tracker.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // fingerprintBytes is the truncated length of the hash. With 16 bytes a collision is unlikely for any number of
@@ -480,7 +481,7 @@
 func (t *Tracker) clearCrash(now time.Time, known *history, crash Crash, as mark) {
 	if known.isOpen(crash) {
 		t.current = nil
-		known.lackedAt = later(known.lackedAt, now)
+		known.lackedAt = instant.Later(known.lackedAt, now)
 	}
 	known.cleared[crash] = known.cleared[crash].or(as)
 }
--- a/internal/placement/suspect/tries.go
+++ b/internal/placement/suspect/tries.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // tries.go has refused parts tried again. Many upstreams may end for no request's sake while nothing completes, and nothing that has
@@ -51,7 +53,7 @@
 	}
 	first := known.changedAt
 	for _, m := range known.crashes {
-		first = earlier(first, m.at)
+		first = instant.Earlier(first, m.at)
 	}
 	if now.Sub(known.changedAt) < max(tryAfter, known.changedAt.Sub(first)) {
 		return false
