--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -63,7 +63,7 @@
 	if c.file == "" || f.NArg() > 0 {
 		return c.program.fail(exitUsage, errNoSettingsFile)
 	}
-	settings, err := node.LoadSettings(c.file)
+	settings, err := c.loadSettings()
 	if err != nil {
 		return c.program.fail(exitInvalid, err)
 	}
@@ -88,7 +88,7 @@
 		ReadyPath:        platform.PathReady,
 		Log:              logger,
 		DroppedLogEvents: ring.TakeDropped,
-		ReloadSettings:   func() (node.Settings, error) { return node.LoadSettings(c.file) },
+		ReloadSettings:   c.loadSettings,
 		ApplySettings: func(changed node.Settings) {
 			store.SetEndpoint(changed.Platform.StoreAddress, changed.Platform.StoreTimeout)
 		},
@@ -133,3 +133,9 @@
 		DisableCompression:  true,
 	}}
 }
+
+// loadSettings reads the settings, and decides what the platform's contracts call for.
+func (c *serveCommand) loadSettings() (node.Settings, error) {
+	settings, err := node.LoadSettings(c.file)
+	return settings.WithContracts(platform.IsUnderPressure(settings.Platform.Contracts)), err
+}
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -15,6 +15,8 @@
 	Callers   CallerSettings
 	Upstreams UpstreamSettings
 	Retries   RetrySettings
+	Admission AdmissionSettings
+	Memory    MemorySettings
 	Log       LogSettings
 }
 
@@ -32,6 +34,8 @@
 type PlatformSettings struct {
 	StoreAddress string
 	StoreTimeout time.Duration
+	// Contracts are the parts of the platform's rules that are in force, by the platform's names.
+	Contracts string
 }
 
 // CallerSettings are the limits for callers.
@@ -63,6 +67,44 @@
 	Window time.Duration
 }
 
+// Switch is whether a feature is on: as the platform's contracts call for it, or as set.
+type Switch string
+
+// The values of a Switch.
+const (
+	SwitchAuto Switch = "auto"
+	SwitchOn   Switch = "on"
+	SwitchOff  Switch = "off"
+)
+
+// resolved returns on or off, for a feature that the contracts call for or do not.
+func (s Switch) resolved(calledFor bool) Switch {
+	switch {
+	case s != SwitchAuto:
+		return s
+	case calledFor:
+		return SwitchOn
+	}
+	return SwitchOff
+}
+
+// IsOn reports whether the feature is on. One that the contracts decide is off until WithContracts was called.
+func (s Switch) IsOn() bool { return s == SwitchOn }
+
+// AdmissionSettings are how requests are admitted where more is asked than fits.
+type AdmissionSettings struct {
+	// Contention: requests are admitted by their priority and by the share of their workspace.
+	Contention Switch
+}
+
+// MemorySettings bound the memory that requests and responses occupy.
+type MemorySettings struct {
+	// LimitMB is the memory of the instance, in MiB; 0 if it is not bounded.
+	LimitMB int64
+	// UpstreamBound: upstreams end if what they hold exceeds their memory, so that they are never sent more.
+	UpstreamBound Switch
+}
+
 // LogSettings are the log level and the limit on log events.
 type LogSettings struct {
 	Level  string
@@ -169,6 +211,26 @@
 			Help: "additional sends beyond the first, over all instances, in each window",
 			Set:  inifile.Float(0, 1e6, func(s *Settings) *float64 { return &s.Retries.Slack }),
 		},
+		{
+			Section: "Platform", Name: "Contracts", Default: "",
+			Help: "parts of the platform's rules that are in force, separated by commas",
+			Set:  inifile.String(func(s *Settings) *string { return &s.Platform.Contracts }),
+		},
+		{
+			Section: "Admission", Name: "Contention", Default: string(SwitchAuto),
+			Help: "whether requests are admitted by priority and workspace where more is asked than fits: auto (by the contracts), on or off",
+			Set:  setSwitch(func(s *Settings) *Switch { return &s.Admission.Contention }),
+		},
+		{
+			Section: "Memory", Name: "LimitMB", Default: "0",
+			Help: "memory of the instance in MiB, of which a part may hold requests and responses; 0 for no bound",
+			Set:  inifile.Int(0, 1<<20, func(s *Settings) *int64 { return &s.Memory.LimitMB }),
+		},
+		{
+			Section: "Memory", Name: "UpstreamBound", Default: string(SwitchAuto),
+			Help: "whether upstreams end if they hold more than their memory: auto (by the contracts), on or off",
+			Set:  setSwitch(func(s *Settings) *Switch { return &s.Memory.UpstreamBound }),
+		},
 		{
 			Section: "Log", Name: "Level", Default: "info",
 			Help: "debug, info, warn or error",
@@ -182,6 +244,20 @@
 	}}
 }
 
+// setSwitch accepts the values of a Switch.
+func setSwitch(target func(*Settings) *Switch) func(*Settings, string) error {
+	text := func(s *Settings) *string { return (*string)(target(s)) }
+	return inifile.OneOf(text, string(SwitchAuto), string(SwitchOn), string(SwitchOff))
+}
+
+// WithContracts returns the settings with each switch on or off. pressure: the contracts say that callers and upstreams may
+// read slowly and that upstreams end if they hold more than their memory.
+func (s Settings) WithContracts(pressure bool) Settings {
+	s.Admission.Contention = s.Admission.Contention.resolved(pressure)
+	s.Memory.UpstreamBound = s.Memory.UpstreamBound.resolved(pressure)
+	return s
+}
+
 // LoadSettings reads and validates a settings file.
 func LoadSettings(file string) (Settings, error) { return settingsFormat().Load(file) }
 
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -191,7 +191,7 @@
 }
 
 func heldToWire(r HeldReport) *meshpb.HeldReport {
-	wire := &meshpb.HeldReport{Held: loadsToWire(r.Loads), Limits: limitsToWire(r.Limits)}
+	wire := &meshpb.HeldReport{Held: loadsToWire(r.Loads), Limits: limitsToWire(r.Limits), Paces: pacesToWire(r.Paces)}
 	for _, residency := range r.Residencies {
 		wire.Residencies = append(wire.Residencies, residencyToWire(residency))
 	}
@@ -201,6 +201,7 @@
 func heldFromWire(wire *meshpb.HeldReport) HeldReport {
 	return HeldReport{
 		Loads: loadsFromWire(wire.GetHeld()), Residencies: residenciesFromWire(wire.GetResidencies()), Limits: limitsFromWire(wire.GetLimits()),
+		Paces: pacesFromWire(wire.GetPaces()),
 	}
 }
 
@@ -339,19 +340,27 @@
 		OnTimeMillis:   r.OnTime.Milliseconds(),
 		Tokens:         int64(r.Tokens),
 		Limits:         limitsToWire(r.Limits),
+		OverShare:      r.OverShare,
+		MemoryTokens:   int64(r.MemoryTokens),
+		Demand:         r.Demand,
+		Replica:        r.Replica,
 	}
 }
 
 func prepareFromWire(wire *meshpb.PrepareRequest) PrepareRequest {
 	return PrepareRequest{
-		Upstream: wire.GetUpstream(),
-		Adapter:  adapterFromWire(wire.GetAdapter()),
-		Version:  wire.GetVersion(),
-		MaxWait:  millis(wire.GetPatienceMillis()),
-		OnTime:   millis(wire.GetOnTimeMillis()),
-		Priority: int(wire.GetPriority()),
-		Tokens:   int(wire.GetTokens()),
-		Limits:   limitsFromWire(wire.GetLimits()),
+		Upstream:     wire.GetUpstream(),
+		Adapter:      adapterFromWire(wire.GetAdapter()),
+		Version:      wire.GetVersion(),
+		MaxWait:      millis(wire.GetPatienceMillis()),
+		OnTime:       millis(wire.GetOnTimeMillis()),
+		Priority:     int(wire.GetPriority()),
+		Tokens:       int(wire.GetTokens()),
+		Limits:       limitsFromWire(wire.GetLimits()),
+		OverShare:    wire.GetOverShare(),
+		MemoryTokens: int(wire.GetMemoryTokens()),
+		Demand:       wire.GetDemand(),
+		Replica:      wire.GetReplica(),
 	}
 }
 
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -34,7 +34,7 @@
 func (s service) Report(_ context.Context, wire *meshpb.LoadReport) (*meshpb.HeldReport, error) {
 	report := LoadReport{
 		Instance: wire.GetInstance(), Loads: loadsFromWire(wire.GetLoads()), Limits: limitsFromWire(wire.GetLimits()),
-		Doubted: livesFromWire(wire.GetDoubted()),
+		Doubted: livesFromWire(wire.GetDoubted()), Paces: pacesFromWire(wire.GetPaces()),
 	}
 	return heldToWire(s.handler.Report(report)), nil
 }
@@ -83,7 +83,7 @@
 	}
 	wire, err := client.Report(ctx, &meshpb.LoadReport{
 		Instance: report.Instance, Loads: loadsToWire(report.Loads), Limits: limitsToWire(report.Limits),
-		Doubted: livesToWire(report.Doubted),
+		Doubted: livesToWire(report.Doubted), Paces: pacesToWire(report.Paces),
 	})
 	if err != nil {
 		return HeldReport{}, err
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -62,6 +62,8 @@
 	Limits []pool.LimitStatement
 	// Doubted are lives of these upstreams that may have ended: responses broke, and something listens there.
 	Doubted []traffic.Life
+	// Paces are what the sender has measured and read of the pace of these upstreams.
+	Paces []pool.PaceStatement
 }
 
 // HeldReport is what is in flight at the upstreams that the sender holds, and which adapters are loaded there. As a part
@@ -70,6 +72,8 @@
 	Loads       map[string]pool.Load
 	Residencies []pool.Residency
 	Limits      []pool.LimitStatement
+	// Paces are what all instances have measured and read of the pace of these upstreams.
+	Paces []pool.PaceStatement
 }
 
 // Stream is one end of a link. At most one goroutine may send at a time, and at most one may receive.
@@ -94,6 +98,15 @@
 	Tokens int
 	// Limits are what the sender knows of the upstream's limit.
 	Limits []pool.LimitStatement
+	// OverShare: the workspace of the request uses more than its share of the service.
+	OverShare bool
+	// MemoryTokens is what the request occupies in the memory of the upstream, prompt and output; 0 if memory is not
+	// bounded there.
+	MemoryTokens int
+	// Demand is the sender's estimate of the requests in a second for the adapter over the fleet; 0 if it has none.
+	Demand float64
+	// Replica: no request waits, and the adapter is to have one more replica.
+	Replica bool
 }
 
 // PrepareResult is the response to a PrepareRequest: Loaded, NotHolder or Busy.
