Render the new platform fields in the settings test

Cause: the template names two more fields of the platform, and the test that renders it did not know them. Change: the fields, checks of their values, of bad ones, and of switches by contract.

--- a/internal/entry/node/settings_test.go
+++ b/internal/entry/node/settings_test.go
@@ -27,6 +27,8 @@
 	"bounds.config-apply-ms": "3000",
 	"bounds.retry-ratio":     "0.2",
 	"bounds.retry-slack":     "54",
+	"contracts":              "base,quota,pressure",
+	"limits.memory-mb":       "184",
 }
 
 func rendered(t *testing.T) string {
@@ -65,6 +67,32 @@
 	is.True(settings.Upstreams.FencesChecked)
 	is.Equal(settings.Callers.ChangeWithin, 3*time.Second)
 	is.Equal(settings.Retries.Slack, 54.0)
+	is.Equal(settings.Platform.Contracts, "base,quota,pressure")
+	is.Equal(settings.Memory.LimitMB, int64(184))
+}
+
+// Guards against a feature that takes effect where neither the settings nor the platform's contracts call for it, or that
+// settings cannot switch.
+func TestSwitchesFollowTheContracts(t *testing.T) {
+	tests := []struct {
+		name     string
+		setting  string
+		pressure bool
+		on       bool
+	}{
+		{"called for", "", true, true},
+		{"not called for", "", false, false},
+		{"set on", "[Admission]\nContention = on\n", false, true},
+		{"set off", "[Admission]\nContention = off\n", true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := load(t, rendered(t)+"\n"+test.setting)
+			is.NoErr(err)
+			is.Equal(settings.WithContracts(test.pressure).Admission.Contention.IsOn(), test.on)
+		})
+	}
 }
 
 func TestInvalidSettingsNameTheField(t *testing.T) {
@@ -75,6 +103,8 @@
 		{"no address", "10.200.1.7:8225", "store", "[Platform] StoreAddress:"},
 		{"no number", "Slack = 54", "Slack = many", "[Retries] Slack:"},
 		{"out of bounds", "Ratio = 0.2", "Ratio = -1", "[Retries] Ratio:"},
+		{"no switch", "[Platform]", "[Admission]\nContention = perhaps\n\n[Platform]", "[Admission] Contention:"},
+		{"no memory", "LimitMB = 184", "LimitMB = -1", "[Memory] LimitMB:"},
 		{"neither true nor false", "FencesChecked = true", "FencesChecked = perhaps", "[Upstreams] FencesChecked:"},
 	}
 	for _, test := range tests {
