Grant adapter slots by class under contention

With [Admission] Contention on, the holder orders waiting adapters by share, priority, demand and arrival, reserves half of the slots for higher priorities, and states waits by class. An instance asks at most four holders.

--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -62,6 +62,8 @@
 		h.hasReport = true
 		return h
 	}
+	h.planner.Contention = n.Settings.Admission.Contention.IsOn()
+	h.prefillQueue.Contention = h.planner.Contention
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		h.planner.LoadEstimate, h.planner.ReloadEstimate = state.Pool.LoadTimes(upstream.Service)
 	})
@@ -159,6 +161,7 @@
 	h.applyPath(ctx, reached)
 	h.mutex.Lock()
 	h.planner.RecordOutcome(time.Now(), order, outcome)
+	h.recordGrant()
 	h.fenced = outcome == residence.Fenced
 	h.notifyWaiters()
 	h.mutex.Unlock()
@@ -259,15 +262,16 @@
 // prepare waits until the adapter is loaded, then until the prompt may start its prefill. A cold, brittle or
 // limited upstream must have room for the request too.
 func (h *heldUpstream) prepare(ctx context.Context, request mesh.PrepareRequest) (prepared mesh.PrepareResult) {
-	deadline := time.Now().Add(min(request.MaxWait, request.OnTime))
+	deadline, slotDeadline := h.deadlines(time.Now(), request)
 	if len(request.Limits) > 0 {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.MergeLimits(time.Now(), request.Limits) })
 	}
 	prepared = mesh.Loaded{}
 	if !h.plain {
-		prepared = h.loadAdapter(ctx, request, deadline)
+		prepared = h.loadAdapter(ctx, request, slotDeadline)
+		h.countSlotResult(request, prepared)
 	}
-	if _, loaded := prepared.(mesh.Loaded); !loaded {
+	if _, loaded := prepared.(mesh.Loaded); !loaded || request.Replica {
 		return prepared
 	}
 	if request.Tokens > 0 {
@@ -286,7 +290,9 @@
 func (h *heldUpstream) loadAdapter(ctx context.Context, request mesh.PrepareRequest, deadline time.Time) mesh.PrepareResult {
 	h.mutex.Lock()
 	now := time.Now()
-	if version, has := h.planner.Reserve(now, request.Adapter, request.Version); has {
+	waiter := waiterOf(now, request)
+	h.planner.RecordRequest(now, waiter)
+	if version, has := h.reserve(now, request); has {
 		h.mutex.Unlock()
 		return mesh.Loaded{Version: version}
 	}
@@ -302,27 +308,29 @@
 		h.mutex.Unlock()
 		return mesh.NotHolder{}
 	}
-	if wait, tooLate := h.planner.WouldBeLate(now, request.Adapter, deadline); tooLate {
+	if wait, tooLate := h.planner.WouldBeLate(now, waiter, deadline); tooLate {
 		h.mutex.Unlock()
 		return mesh.Busy{RetryAfter: wait}
 	}
-	h.planner.AddWaiter(now, request.Adapter, request.Version, request.Priority, now.Add(request.OnTime))
+	h.planner.AddWaiter(now, waiter)
 	h.mutex.Unlock()
-	prepared := h.awaitAdapter(ctx, request, deadline)
+	prepared := h.awaitAdapter(ctx, request, waiter, deadline)
 	h.mutex.Lock()
-	h.planner.RemoveWaiter(request.Adapter)
+	h.planner.RemoveWaiter(waiter)
 	h.mutex.Unlock()
 	return prepared
 }
 
-func (h *heldUpstream) awaitAdapter(ctx context.Context, request mesh.PrepareRequest, deadline time.Time) mesh.PrepareResult {
+func (h *heldUpstream) awaitAdapter(
+	ctx context.Context, request mesh.PrepareRequest, waiter residence.Request, deadline time.Time,
+) mesh.PrepareResult {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	for {
 		h.mutex.Lock()
 		now := time.Now()
-		version, has := h.planner.Reserve(now, request.Adapter, request.Version)
-		wait, tooLate := h.planner.WouldBeLate(now, request.Adapter, deadline)
+		version, has := h.reserve(now, request)
+		wait, tooLate := h.planner.WouldBeLate(now, waiter, deadline)
 		changed := h.changed
 		fenced := h.fenced
 		unreachable := h.unreachable
@@ -380,7 +388,7 @@
 		Version: now.Sub(h.node.startedAt).Microseconds(), Unreachable: h.unreachable,
 	}
 	residency.Loaded, residency.FreeSlots = h.planner.Residents(now)
-	residency.SlotWait = h.planner.ExpectedWait(now, traffic.Adapter{})
+	residency.SlotWait = h.slotWait(now)
 	if load, reload, seen := h.planner.LoadTimes(); seen {
 		residency.LoadTime = load
 		residency.ReloadTime = reload
--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -18,7 +18,7 @@
 // Prepare has an adapter loaded by the holder of the upstream, which may be this instance.
 func (n *Node) Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.PrepareResult {
 	request.MaxWait = min(request.MaxWait, prepareTimeout)
-	ctx, cancel := context.WithTimeout(ctx, request.MaxWait)
+	ctx, cancel := context.WithTimeout(ctx, n.answerTimeout(request))
 	defer cancel()
 	if held := n.heldUpstreams.get(request.Upstream); held != nil {
 		return held.prepare(ctx, request)
@@ -37,6 +37,15 @@
 	return prepared
 }
 
+// answerTimeout is how long the holder may take to answer. Under contention MaxWait bounds the wait for an adapter slot
+// only, the load comes after it, and the sender's context bounds both.
+func (n *Node) answerTimeout(request mesh.PrepareRequest) time.Duration {
+	if n.Settings.Admission.Contention.IsOn() {
+		return prepareTimeout
+	}
+	return request.MaxWait
+}
+
 // linkCheckInterval is how often an instance sends a report to a holder whose answer it awaits and which has answered nothing
 // meanwhile. Two in a row that fail retire the connection, and the holder is asked again over a new one.
 const linkCheckInterval = reportTimeout
--- a/internal/entry/node/next_life_test.go
+++ b/internal/entry/node/next_life_test.go
@@ -103,7 +103,7 @@
 	is := is.New(t)
 	h := holderOfLife(t)
 	now := time.Now()
-	h.planner.AddWaiter(now, usedAdapter, 0, 0, now.Add(time.Second))
+	h.planner.AddWaiter(now, residence.Request{Adapter: usedAdapter, OnTimeUntil: now.Add(time.Second)})
 	h.node.Orders = statingOrders{report: reportOfLife(8)}
 	h.fetchReport(t.Context())
 	_, ordered := h.next().(residence.SendOrder)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -176,6 +176,7 @@
 	n.assembleSharedState()
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
+		Contention: n.Settings.Admission.Contention.IsOn(),
 	}
 	connections := newCallerConnections(maxFiles())
 	n.callers = &http.Server{
--- a/internal/entry/node/prefill_queue.go
+++ b/internal/entry/node/prefill_queue.go
@@ -17,7 +17,7 @@
 // the expected wait immediately.
 func (h *heldUpstream) awaitPrefillTurn(ctx context.Context, request mesh.PrepareRequest, deadline time.Time) (time.Duration, bool) {
 	prompt := &turn.Prompt{
-		Tokens: request.Tokens, Priority: request.Priority, LatestDispatch: deadline,
+		Tokens: request.Tokens, Priority: request.Priority, OverShare: request.OverShare, LatestDispatch: deadline,
 	}
 	h.node.sharedState.WithLock(func(state *serve.SharedState) { prompt.Prefill = state.Pool.Prefill(h.upstream.ID, request.Tokens) })
 	h.enqueuePrompt(prompt)
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -106,6 +106,7 @@
 func (j *job) place(ctx context.Context) (*placement, error) {
 	choice, query, err := j.chooseWithFreshLoad(ctx)
 	if err != nil {
+		j.noteNoSlot(err, choice)
 		return nil, &unplacedError{cause: err, choice: choice, query: query}
 	}
 	if len(j.inFlight) > 0 && choice.Expected > time.Until(j.deadline) {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -28,6 +28,8 @@
 	service   string
 	workspace traffic.Workspace
 	priority  int
+	// overShare: the workspace uses more than its share of the service.
+	overShare bool
 	deadline  time.Time
 
 	cost        float64
@@ -45,6 +47,8 @@
 	// shortestWait is the shortest wait for an adapter slot or a prefill turn that a holder stated when it had none; 0
 	// if none did.
 	shortestWait time.Duration
+	// slots is what the request has spent on asking for adapter slots.
+	slots slotSearch
 	// attempts counts the attempts, and inFlight has the upstreams of those that have not ended. Of those that have, arrivals
 	// counts the ones that may have reached an upstream, and runs the ones in which the request may have run.
 	attempts   int
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -58,6 +58,7 @@
 	if required {
 		query.Version = newest
 	}
+	query.Slots = j.slotBounds()
 	if len(j.inFlight) > 0 {
 		query.MaxSilence = alternativeSilence
 	}
@@ -110,16 +111,21 @@
 		limits = state.Pool.Limits(start, func(upstream string) bool { return upstream == choice.Upstream.ID })
 	})
 	waiting := j.beginPreparing(chosen)
+	ctx, cancel := j.boundAnswer(ctx, choice)
+	defer cancel()
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
 		Upstream: choice.Upstream.ID,
 		Adapter:  query.Adapter,
 		Version:  query.Version,
-		MaxWait:  j.holderTimeout(choice),
+		MaxWait:  j.slotTimeout(choice),
 		OnTime:   j.onTimeFor(choice),
 		Priority: j.priority,
 		Tokens:   tokens,
 		Limits:   limits,
+
+		OverShare: j.overShare,
 	})
+	j.countSlotRequest(choice, prepared, time.Since(start))
 	j.endPreparing(choice, waiting)
 	loaded, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
@@ -170,9 +176,7 @@
 	if busy.RetryAfter <= 0 {
 		return
 	}
-	if j.shortestWait == 0 || busy.RetryAfter < j.shortestWait {
-		j.shortestWait = busy.RetryAfter
-	}
+	j.noteWait(busy.RetryAfter)
 	j.handler.State.WithLock(func(state *SharedState) {
 		switch {
 		case choice.Limited:
@@ -182,7 +186,7 @@
 		case choice.Cold:
 			state.Pool.RecordColdRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case !choice.Loaded:
-			state.Pool.RecordSlotWait(choice.Upstream.ID, busy.RetryAfter)
+			j.recordSlotWait(state.Pool, choice, busy.RetryAfter)
 		}
 	})
 }
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -87,6 +87,8 @@
 	State   *SharedState
 	Log     zerolog.Logger
 	Scope   tally.Scope
+	// Contention: requests compete for adapter slots by class, and few holders are asked for one.
+	Contention bool
 
 	draining atomic.Bool
 	refusing atomic.Bool
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -26,7 +26,7 @@
 	p.dropExpired(now)
 	var best Choice
 	found := false
-	var full *Choice
+	var full, slotless *Choice
 	bestTotal := time.Duration(0)
 	p.rotation++
 	upstreams := p.upstreamsOf(query.Service)
@@ -43,6 +43,10 @@
 			continue
 		}
 		choice, total := p.estimate(now, u, query, homes)
+		if query.Slots.excludes(choice) {
+			slotless = soonestSlot(slotless, choice)
+			continue
+		}
 		if !found || isBetter(choice, total, best, bestTotal) {
 			best = choice
 			bestTotal = total
@@ -52,6 +56,8 @@
 	switch {
 	case found:
 		return best, nil
+	case slotless != nil:
+		return *slotless, ErrNoSlot
 	case full != nil:
 		return *full, ErrFull
 	}
@@ -127,7 +133,7 @@
 	choice.ExpectedIdle = scale(slowdown, p.typicalTime(u, query, Load{}))
 	total = scale(u.explorationFactor(now), choice.Expected) + p.occupancyCost(u, query, load)
 	if p.isGeneration(query) {
-		cost := p.loadCost(u, query, homes, &choice)
+		cost := p.loadCost(now, u, query, homes, &choice)
 		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait)
 		if engine.MemoryTokens > 0 && load.MemoryTokens+query.Tokens+query.Output > engine.MemoryTokens {
 			total += scale(slowdown, p.statsOf(query.Service).engine.PrefillTime(load.MemoryTokens))
--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -34,7 +34,7 @@
 
 // loadCost returns the wait for the adapter of a query and the cost of loading it to others, and completes the
 // choice.
-func (p *Pool) loadCost(u *upstream, query Query, homes homes, choice *Choice) (cost loadDelay) {
+func (p *Pool) loadCost(now time.Time, u *upstream, query Query, homes homes, choice *Choice) (cost loadDelay) {
 	loads := p.loadTimes(u)
 	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
 		if known.InTransit {
@@ -44,8 +44,9 @@
 		return cost
 	}
 	choice.Loaded = false
-	choice.SlotWait = u.slotWait
-	cost.wait = u.slotWait + scale(pendingLoadCost*float64(u.preparing), loads.full)
+	choice.NeedsSlot = true
+	choice.SlotWait = u.slotWaitFor(now, query)
+	cost.wait = choice.SlotWait + scale(pendingLoadCost*float64(u.preparing), loads.full)
 	cost.charge = scale(evictionCost, loads.reload)
 	if u.recent.has(query.Adapter, query.Version) {
 		cost.wait += loads.reload
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -75,6 +75,8 @@
 	MaxSilence time.Duration
 	// Alone asks for an upstream without other running requests, if there is one.
 	Alone bool
+	// Slots bounds the upstreams that lack the adapter; nil if they are not bounded.
+	Slots *SlotBounds
 }
 
 // Choice is where to send a request.
@@ -88,6 +90,8 @@
 	ExpectedIdle time.Duration
 	// SlotWait is the expected wait for an adapter slot if the adapter is not loaded.
 	SlotWait time.Duration
+	// NeedsSlot: the adapter is neither loaded nor in transit.
+	NeedsSlot bool
 	// Cold: the upstream is cold, and its holder has to admit the request first, to limit the rate.
 	Cold bool
 	// Brittle: the upstream is brittle, and its holder has to admit the request first, so that it has room.
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -42,6 +42,8 @@
 	recent     recentAdapters
 	idleSlots  int
 	slotWait   time.Duration
+	// classWaits are the waits for an adapter slot that the holder stated to classes of requests.
+	classWaits classWaits
 	// holderLoad is the load that the holder last reported, without this instance's own.
 	holderLoad   Load
 	holderLoadAt time.Time
--- a/internal/placement/residence/capacity.go
+++ b/internal/placement/residence/capacity.go
@@ -51,13 +51,13 @@
 	return 0
 }
 
-// victim returns the least recently used idle adapter.
+// victim returns the least recently used idle adapter, under contention among those with the lowest demand.
 func (p *Planner) victim(now time.Time) (victim traffic.Adapter, found bool) {
 	for adapter, r := range p.residents {
 		if adapter.Name == "" || !p.isIdle(now, adapter, r) {
 			continue
 		}
-		if !found || r.usedAt.Before(p.residents[victim].usedAt) {
+		if !found || p.isBetterVictim(now, adapter, victim) {
 			victim = adapter
 			found = true
 		}
@@ -65,6 +65,16 @@
 	return victim, found
 }
 
+// isBetterVictim reports whether an idle adapter is evicted rather than another one.
+func (p *Planner) isBetterVictim(now time.Time, adapter, other traffic.Adapter) bool {
+	if p.Contention {
+		if a, b := p.demandMagnitude(now, adapter), p.demandMagnitude(now, other); a != b {
+			return a < b
+		}
+	}
+	return p.residents[adapter].usedAt.Before(p.residents[other].usedAt)
+}
+
 func (p *Planner) isIdle(now time.Time, adapter traffic.Adapter, r *resident) bool {
 	if r.state != loaded || r.loadingVersion != 0 || p.inUse[adapter] || now.Before(r.reservedUntil) {
 		return false
--- a/internal/placement/residence/load_times_test.go
+++ b/internal/placement/residence/load_times_test.go
@@ -45,8 +45,8 @@
 // loadOne loads one adapter and returns how often the load was polled and how late its completion was detected.
 func loadOne(is *is.I, p *residence.Planner, requested traffic.Adapter, took time.Duration) (polls int, delay time.Duration) {
 	is.Helper()
-	p.AddWaiter(time.Now(), requested, 0, 0, time.Now().Add(time.Minute))
-	defer p.RemoveWaiter(requested)
+	p.AddWaiter(time.Now(), residence.Request{Adapter: requested, OnTimeUntil: time.Now().Add(time.Minute)})
+	defer p.RemoveWaiter(residence.Request{Adapter: requested})
 	var done time.Time
 	sequence := int64(0)
 	for {
--- a/internal/placement/residence/orders.go
+++ b/internal/placement/residence/orders.go
@@ -20,7 +20,7 @@
 	if adapter, version, stale := p.staleVersion(now); stale {
 		return Order{Adapter: adapter, Version: version}, true
 	}
-	for _, adapter := range p.adaptersByUrgency(now) {
+	for _, adapter := range p.grantOrder(now) {
 		r := p.residents[adapter]
 		if r != nil || adapter.Name == "" {
 			continue
--- a/internal/placement/residence/outcomes.go
+++ b/internal/placement/residence/outcomes.go
@@ -79,6 +79,7 @@
 	if r == nil {
 		r = &resident{state: loading, usedAt: now}
 		p.residents[order.Adapter] = r
+		p.recordGrant(now, order.Adapter)
 	}
 	r.loadingVersion = max(order.Version, p.newest[order.Adapter], 1)
 	r.orderedVersion = order.Version
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -44,7 +44,7 @@
 	maxRecent = 30
 )
 
-// Planner decides for one upstream. Set Engine before use, and anew when the configuration changes it. It is not safe for concurrent use.
+// Planner decides for one upstream. Set Contention and Engine before use, and Engine anew when the configuration changes it. It is not safe for concurrent use.
 type Planner struct {
 	Engine traffic.Engine
 	// LoadEstimate is the time of a load from the weight store, measured at other upstreams of the service. It is used
@@ -52,6 +52,8 @@
 	LoadEstimate time.Duration
 	// ReloadEstimate is the same for a load from a recent copy near the upstream.
 	ReloadEstimate time.Duration
+	// Contention: adapter slots are granted by class, and a part of them is reserved for higher priorities.
+	Contention bool
 
 	// stateKnown is true while sequence and residents match the upstream's state as far as its responses show.
 	stateKnown bool
@@ -78,6 +80,10 @@
 	unanswered *Order
 	repeats    int
 	repeatAt   time.Time
+	// classes, uses and the last grant are kept under contention only.
+	classes classTracker
+	uses    map[traffic.Adapter]adapterUse
+	grant   Grant
 }
 
 type state int
@@ -118,6 +124,8 @@
 	count       int
 	priority    int
 	onTimeUntil time.Time
+	// standing is kept under contention only.
+	standing standing
 }
 
 // Restart begins anew with the next life of the upstream, which knows nothing of what the one before had loaded and been ordered. Requests go on to
@@ -144,6 +152,16 @@
 // Reserve reports whether an adapter is loaded in the given version or a newer one, and reserves it for the request that
 // is about to use it. at is the loaded version.
 func (p *Planner) Reserve(now time.Time, adapter traffic.Adapter, version int64) (at int64, ok bool) {
+	if at, ok = p.LoadedVersion(adapter, version); ok {
+		r := p.residents[adapter]
+		r.usedAt = now
+		r.reservedUntil = now.Add(reservationTime)
+	}
+	return at, ok
+}
+
+// LoadedVersion returns in which version an adapter is loaded, if in the given one or a newer one.
+func (p *Planner) LoadedVersion(adapter traffic.Adapter, version int64) (at int64, ok bool) {
 	r := p.residents[adapter]
 	if !p.stateKnown || r == nil || r.state != loaded || r.version < version || r.unloadOrdered {
 		return 0, false
@@ -151,8 +169,6 @@
 	if r.loadingVersion > r.version {
 		return 0, false // being replaced: the upstream refuses its requests until that has finished
 	}
-	r.usedAt = now
-	r.reservedUntil = now.Add(reservationTime)
 	return r.version, true
 }
 
@@ -267,6 +283,7 @@
 		p.residents = make(map[traffic.Adapter]*resident)
 		p.waiters = make(map[traffic.Adapter]*waiterGroup)
 		p.newest = make(map[traffic.Adapter]int64)
+		p.uses = make(map[traffic.Adapter]adapterUse)
 		p.fullLoads.InitialEstimate = cmp.Or(p.LoadEstimate, forecast.InitialLoadTime)
 		p.reloads.InitialEstimate = cmp.Or(p.ReloadEstimate, forecast.InitialReloadTime)
 	}
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -171,7 +171,7 @@
 func noFaults() (bool, time.Duration) { return false, 0 }
 
 func want(p *residence.Planner, name string, priority int, onTime time.Duration) {
-	p.AddWaiter(time.Now(), adapter(name), 0, priority, time.Now().Add(onTime))
+	p.AddWaiter(time.Now(), residence.Request{Adapter: adapter(name), Priority: priority, OnTimeUntil: time.Now().Add(onTime)})
 }
 
 func isLoaded(p *residence.Planner, name string) bool {
@@ -248,20 +248,20 @@
 		e.inUse = map[string]bool{"a": true, "b": true}
 		drive(p, e, startUpTime, noFaults)
 		past := time.Now().Add(-time.Second)
-		wait, tooLate := p.WouldBeLate(time.Now(), adapter("c"), past)
+		wait, tooLate := p.WouldBeLate(time.Now(), residence.Request{Adapter: adapter("c")}, past)
 		is.True(!tooLate) // the third adapter slot is free
 		is.Equal(wait, time.Duration(0))
 		want(p, "c", 1, time.Second)
 		drive(p, e, 50*time.Millisecond, noFaults)
-		_, tooLate = p.WouldBeLate(time.Now(), adapter("c"), past)
+		_, tooLate = p.WouldBeLate(time.Now(), residence.Request{Adapter: adapter("c")}, past)
 		is.True(!tooLate) // it is being loaded
 		for _, name := range []string{"d", "e", "f", "g", "h", "i", "j", "k", "l"} {
 			want(p, name, 1, time.Second)
 		}
-		wait, tooLate = p.WouldBeLate(time.Now(), adapter("m"), time.Now().Add(time.Second))
+		wait, tooLate = p.WouldBeLate(time.Now(), residence.Request{Adapter: adapter("m")}, time.Now().Add(time.Second))
 		is.True(tooLate)
 		is.True(wait > time.Second)
-		_, tooLate = p.WouldBeLate(time.Now(), adapter("m"), time.Now().Add(time.Minute))
+		_, tooLate = p.WouldBeLate(time.Now(), residence.Request{Adapter: adapter("m")}, time.Now().Add(time.Minute))
 		is.True(!tooLate)
 	})
 }
@@ -295,7 +295,7 @@
 		e.inUse = map[string]bool{"a": true}
 		drive(p, e, startUpTime, noFaults)
 		want(p, "b", 1, time.Second)
-		p.RemoveWaiter(adapter("b"))
+		p.RemoveWaiter(residence.Request{Adapter: adapter("b")})
 		e.inUse = map[string]bool{}
 		drive(p, e, time.Second, noFaults)
 		is.True(isLoaded(p, "a"))
@@ -333,7 +333,7 @@
 		time.Sleep(time.Second)
 		want(p, "b", 1, time.Second)
 		drive(p, e, 200*time.Millisecond, func() (bool, time.Duration) { return false, time.Hour })
-		p.RemoveWaiter(adapter("b"))
+		p.RemoveWaiter(residence.Request{Adapter: adapter("b")})
 		is.True(!isLoaded(p, "a"))
 		drive(p, e, time.Second, func() (bool, time.Duration) { return false, time.Hour })
 		is.True(!isLoaded(p, "a")) // nor after the report that still lists it
@@ -397,7 +397,7 @@
 				if isLoaded(p, name) && rapid.Bool().Draw(rt, "use") {
 					e.inUse[name] = true
 				}
-				p.RemoveWaiter(adapter(name))
+				p.RemoveWaiter(residence.Request{Adapter: adapter(name)})
 				if rapid.IntRange(0, 5).Draw(rt, "change") == 0 {
 					p = newPlanner(adapterSlots) // a new holder
 					e.fence++
@@ -439,7 +439,7 @@
 			report(5)
 			now = now.Add(400 * time.Millisecond)
 			report(5)
-			p.AddWaiter(now, adapter("a"), 1, 0, now.Add(5*time.Second))
+			p.AddWaiter(now, residence.Request{Adapter: adapter("a"), Version: 1, OnTimeUntil: now.Add(5 * time.Second)})
 			now = now.Add(200 * time.Millisecond)
 			p.Doubt()
 			orders, fetches := 0, 0
--- a/internal/placement/residence/waiters.go
+++ b/internal/placement/residence/waiters.go
@@ -9,35 +9,55 @@
 
 // waiters.go tracks the adapters that requests wait for: their order and their expected wait.
 
-// AddWaiter registers one request that waits for an adapter, until RemoveWaiter is called for it. The request is on time
-// if it is answered by onTimeUntil.
-func (p *Planner) AddWaiter(
-	now time.Time, adapter traffic.Adapter, version int64, priority int, onTimeUntil time.Time,
-) {
+// Request is a request that waits for an adapter, or that asks for a replica of one.
+type Request struct {
+	Adapter traffic.Adapter
+	// Version is the oldest acceptable version; 0 for any.
+	Version  int64
+	Priority int
+	// OverShare: the workspace of the request uses more than its share of the service.
+	OverShare bool
+	// OnTimeUntil is the latest time by which an answer is on time.
+	OnTimeUntil time.Time
+	// Demand is the requests in a second for the adapter over the fleet; 0 if it is unknown.
+	Demand float64
+	// Replica: no request waits, and the adapter is to have one more replica.
+	Replica bool
+}
+
+// AddWaiter registers one request that waits for an adapter, until RemoveWaiter is called for it.
+func (p *Planner) AddWaiter(now time.Time, request Request) {
 	p.ensureInitialised()
-	w := p.waiters[adapter]
+	w := p.waiters[request.Adapter]
 	if w == nil {
-		w = &waiterGroup{since: now, priority: priority}
-		p.waiters[adapter] = w
+		w = &waiterGroup{since: now, priority: request.Priority}
+		p.waiters[request.Adapter] = w
 	}
 	w.count++
-	w.version = max(w.version, version)
-	w.priority = min(w.priority, priority)
-	if onTimeUntil.After(w.onTimeUntil) {
-		w.onTimeUntil = onTimeUntil
+	w.version = max(w.version, request.Version)
+	w.priority = min(w.priority, request.Priority)
+	if request.OnTimeUntil.After(w.onTimeUntil) {
+		w.onTimeUntil = request.OnTimeUntil
+	}
+	if p.Contention {
+		p.addToClass(now, w, request)
 	}
 }
 
 // RemoveWaiter removes one request that waited for an adapter: it has its adapter, or no longer waits. Otherwise the
 // upstream would load an adapter that no request uses, and evict another for it.
-func (p *Planner) RemoveWaiter(adapter traffic.Adapter) {
-	w := p.waiters[adapter]
+func (p *Planner) RemoveWaiter(request Request) {
+	w := p.waiters[request.Adapter]
 	if w == nil {
 		return
 	}
 	w.count--
 	if w.count <= 0 {
-		delete(p.waiters, adapter)
+		delete(p.waiters, request.Adapter)
+		return
+	}
+	if p.Contention {
+		w.removeFromClass(request)
 	}
 }
 
@@ -71,8 +91,11 @@
 // on time go first, so one that cannot waits until they are all served: for seconds, mostly until its deadline, and
 // if it gets an adapter slot it takes it from the next caller. Refused at once, its caller can retry when there is
 // room. While an adapter slot is available, or expected within acceptableWait, late requests get it.
-func (p *Planner) WouldBeLate(now time.Time, adapter traffic.Adapter, worthUntil time.Time) (time.Duration, bool) {
-	wait := p.ExpectedWait(now, adapter)
+func (p *Planner) WouldBeLate(now time.Time, request Request, worthUntil time.Time) (time.Duration, bool) {
+	if p.Contention {
+		return p.wouldBeLateInClass(now, request, worthUntil)
+	}
+	wait := p.ExpectedWait(now, request.Adapter)
 	return wait, wait > acceptableWait && now.Add(wait).After(worthUntil)
 }
 
--- a/internal/placement/turn/queue.go
+++ b/internal/placement/turn/queue.go
@@ -33,6 +33,8 @@
 	// Tokens is the length of the prompt.
 	Tokens   int
 	Priority int
+	// OverShare: the workspace of the request uses more than its share of the service.
+	OverShare bool
 	// LatestDispatch is the latest dispatch time with which the answer is on time.
 	LatestDispatch time.Time
 
@@ -41,6 +43,9 @@
 
 // Queue is the queue of prompts for one engine. The zero value is ready for use. It is not safe for concurrent use.
 type Queue struct {
+	// Contention: prompts are ordered by class. Set it before use.
+	Contention bool
+
 	waiting []*Prompt
 	// prefillEnd is the predicted end of the prefill of all dispatched prompts. nextDispatch is the earliest time of
 	// the next dispatch, and lastDispatch the time of the latest one.
@@ -131,6 +136,9 @@
 // precedes orders prompts that can still be on time before late ones, then by priority, then by arrival. A late
 // prompt has lost most of the value of its answer. Dispatched first, it would make the others late as well.
 func (q *Queue) precedes(now time.Time, a, b *Prompt) bool {
+	if q.Contention {
+		return precedesByClass(now, a, b)
+	}
 	if late := now.After(a.LatestDispatch); late != now.After(b.LatestDispatch) {
 		return !late
 	}
