--- a/internal/placement/residence/class_tracker.go
+++ b/internal/placement/residence/class_tracker.go
@@ -17,7 +17,10 @@
 	// or waited.
 	pressureFor = 2 * time.Second
 	// pressureGap is the pause between two requests that found no adapter slot after which a class counts as served.
-	pressureGap = time.Second
+	pressureGap = 2 * time.Second
+	// starvedRequests is how many requests of a class above the lowest must have found no adapter slot since its last grant
+	// for the floor to count it as starved. One that is seldom requested is seldom granted any.
+	starvedRequests = 10
 	// maxClasses bounds the tracked classes. Those that have been unused for longest are dropped beyond it.
 	maxClasses = 64
 )
@@ -29,6 +32,8 @@
 	// or the class's last grant since.
 	pressedAt    time.Time
 	pressedSince time.Time
+	// pressed counts such requests since the last grant.
+	pressed int
 	// interval is the time between two grants to the class while it had requests that found no adapter slot, and
 	// deviation how much it varies; moving means.
 	interval  time.Duration
@@ -78,8 +83,10 @@
 	s.seenAt = now
 	if now.Sub(s.pressedAt) > pressureGap {
 		s.pressedSince = now
+		s.pressed = 0
 	}
 	s.pressedAt = now
+	s.pressed++
 }
 
 // recordGrant records a grant to a class. contended: the adapter had found no free adapter slot.
@@ -89,6 +96,7 @@
 		s.observe(now.Sub(s.pressedSince))
 	}
 	s.pressedSince = now
+	s.pressed = 0
 }
 
 // observe updates the interval between grants.
@@ -102,8 +110,8 @@
 	s.interval += time.Duration(paceWeight * float64(interval-s.interval))
 }
 
-// starvedFor is how long requests of a class have found no adapter slot without a grant to one of them.
-func (t *classTracker) starvedFor(now time.Time, class Class) time.Duration {
+// pressedFor is how long requests of a class have found no adapter slot without a grant to one of them.
+func (t *classTracker) pressedFor(now time.Time, class Class) time.Duration {
 	s := t.states[class]
 	if s == nil || now.Sub(s.pressedAt) > pressureGap {
 		return 0
@@ -111,6 +119,15 @@
 	return now.Sub(s.pressedSince)
 }
 
+// starvedFor is how long a class has been starved: the lowest, or one of which several requests have found no adapter slot.
+func (t *classTracker) starvedFor(now time.Time, class Class) time.Duration {
+	s := t.states[class]
+	if s == nil || s.pressed < starvedRequests && class.level(t.lowest(now)) < t.lowest(now) {
+		return 0
+	}
+	return t.pressedFor(now, class)
+}
+
 // lowest is the lowest priority among the requests of the last knownFor, 0 if there were none.
 func (t *classTracker) lowest(now time.Time) (lowest int) {
 	for class, s := range t.states {
--- a/internal/placement/residence/class_wait.go
+++ b/internal/placement/residence/class_wait.go
@@ -74,7 +74,7 @@
 	if ahead < free {
 		return classWait{}
 	}
-	expected := time.Duration(ahead-free+1) * p.pace()
+	expected := min(time.Duration(ahead-free+1)*p.pace(), p.floorWait(now, own.class, sameClass))
 	s := p.classes.states[own.class]
 	if s == nil || s.interval == 0 || now.Sub(s.pressedAt) > knownFor {
 		if p.isReserveClosed(now) && free == 0 && own.class.level(p.classes.lowest(now)) >= p.classes.lowest(now) {
@@ -82,12 +82,22 @@
 		}
 		return classWait{expected: expected, next: p.pace(), stated: expected + expected/2}
 	}
-	next := max(s.interval-p.classes.starvedFor(now, own.class), p.pace())
+	next := max(s.interval-p.classes.pressedFor(now, own.class), p.pace())
 	expected = max(expected, time.Duration(sameClass)*s.interval+next)
 	margin := waitMargin * math.Sqrt(float64(sameClass+1)) * float64(s.deviation)
 	return classWait{expected: expected, next: next, stated: expected + time.Duration(margin)}
 }
 
+// floorWait is how long a request of a class waits until the floor puts it first, after the given number of its class.
+func (p *Planner) floorWait(now time.Time, class Class, sameClass int) time.Duration {
+	if p.classes.starvedFor(now, class) == 0 && class.level(p.classes.lowest(now)) < p.classes.lowest(now) {
+		return math.MaxInt64 / 2
+	}
+	turns := time.Duration(floorInterval-min(p.classes.sinceFloor, floorInterval-1)) * p.pace()
+	starving := max(starvationWait-p.classes.starvedFor(now, class), 0)
+	return max(turns, starving+p.pace()) + time.Duration(sameClass)*max(floorInterval*p.pace(), starvationWait)
+}
+
 // standingOf is the standing of a request, together with those that wait for the same adapter.
 func (p *Planner) standingOf(now time.Time, request Request) standing {
 	own := standing{adapter: request.Adapter, since: now}
--- a/internal/placement/residence/classes.go
+++ b/internal/placement/residence/classes.go
@@ -193,23 +193,23 @@
 	return list
 }
 
-// starved returns the adapter that the floor puts first, nil if there is none: the one that has waited longest, or else the
-// first of the class that has waited longest for a grant while requests of it waited or were refused.
+// starved returns the adapter that the floor puts first, nil if there is none. It is one that has waited for too long itself,
+// or is of a class that has: of the class that has been without a grant for longest, the one that has waited longest.
 //
 // Requests wait only for a part of their objective, and most of those of the lowest class are refused, so that no single
-// one may ever have waited for starvationWait.
+// one may ever wait for starvationWait.
 func (p *Planner) starved(now time.Time, order []*standing) (first *standing) {
 	if p.classes.sinceFloor < floorInterval-1 {
 		return nil
 	}
-	longest := starvationWait
+	var classWaited time.Duration
 	for _, s := range order {
-		if s.replica {
+		without := p.classes.starvedFor(now, s.class)
+		if s.replica || max(now.Sub(s.since), without) <= starvationWait {
 			continue
 		}
-		waited := max(now.Sub(s.since), p.classes.starvedFor(now, s.class))
-		if waited > longest {
-			longest, first = waited, s
+		if first == nil || without > classWaited || without == classWaited && s.since.Before(first.since) {
+			classWaited, first = without, s
 		}
 	}
 	return first
