--- a/internal/placement/residence/class_wait.go
+++ b/internal/placement/residence/class_wait.go
@@ -29,7 +29,7 @@
 	if p.isWaiting(request) {
 		needed -= wait.next
 	}
-	late := now.Add(needed).After(worthUntil)
+	late := !now.Add(needed).Before(worthUntil)
 	if late && !request.Replica {
 		p.classes.recordPressure(now, request.class())
 	}
