--- a/internal/placement/residence/contention_sim_test.go
+++ b/internal/placement/residence/contention_sim_test.go
@@ -12,7 +12,7 @@
 
 // contention_sim_test.go simulates one holder whose adapter slots are scarce.
 
-// traffic is a kind of requests in a simulation.
+// requests is a kind of requests in a simulation.
 type requests struct {
 	kind     string
 	rate     float64 // in a second
@@ -29,7 +29,7 @@
 	from, to time.Duration
 }
 
-// tally is what became of the requests of a kind.
+// outcomes is what became of the requests of a kind.
 type outcomes struct {
 	arrived, served, refused int
 	wait                     time.Duration
@@ -58,8 +58,7 @@
 	ends    map[string][]time.Time
 	results map[string]*outcomes
 	count   int
-	// mostLow is the most adapter slots in use at once by adapters of the kind "low", idleWhileWaiting the ticks in which a
-	// slot was idle while a request waited.
+	// inUse is the kind that uses each adapter, and peak the most adapter slots that each kind has had in use at once.
 	inUse map[string]string
 	peak  map[string]int
 }
