--- a/internal/placement/demand/tracker.go
+++ b/internal/placement/demand/tracker.go
@@ -92,10 +92,11 @@
 	latest    count
 	steady    count
 	// tokens is the sum of the prompts of the latest requests.
-	tokens   float64
-	lastAt   time.Time
-	duration time.Duration
-	priority int
+	tokens float64
+	// expectedUntil is until when the next request is expected.
+	expectedUntil time.Time
+	duration      time.Duration
+	priority      int
 	// popularSince is when the number of counted requests last reached minRequests; zero if it is lower.
 	popularSince time.Time
 }
@@ -137,7 +138,7 @@
 	a.latest.requests++
 	a.steady.requests++
 	a.tokens += float64(tokens)
-	a.lastAt = now
+	a.expectedUntil = now.Add(max(time.Duration(stoppedGaps/a.latest.rate()*float64(time.Second)), minStoppedAfter))
 	if a.popularSince.IsZero() && a.latest.requests >= minRequests {
 		a.popularSince = now
 	}
@@ -181,8 +182,8 @@
 	return list
 }
 
-// Reset forgets all requests.
-func (t *Tracker) Reset() { t.adapters = nil }
+// Len returns the number of tracked adapters.
+func (t *Tracker) Len() int { return len(t.adapters) }
 
 // ---------------------------------------------------------------------------------------------
 
@@ -271,9 +272,5 @@
 // isPopular reports whether enough requests are counted and further ones are likely.
 func (a *adapter) isPopular(now time.Time) bool {
 	a.decay(now)
-	if a.latest.requests < minRequests {
-		return false
-	}
-	stoppedAfter := max(time.Duration(stoppedGaps/a.latest.rate()*float64(time.Second)), minStoppedAfter)
-	return now.Sub(a.lastAt) <= stoppedAfter
+	return a.latest.requests >= minRequests && now.Before(a.expectedUntil)
 }
--- a/internal/placement/pool/choose_benchmark_test.go
+++ b/internal/placement/pool/choose_benchmark_test.go
@@ -44,3 +44,38 @@
 		})
 	}
 }
+
+// BenchmarkChoosePopular is BenchmarkChoose for an adapter that needs more replicas than upstreams are ranked for others.
+func BenchmarkChoosePopular(b *testing.B) {
+	for _, size := range []struct{ upstreams, instances int }{{140, 63}, {810, 330}} {
+		b.Run(fmt.Sprintf("upstreams=%d", size.upstreams), func(b *testing.B) {
+			p := largePool(size.upstreams, size.instances)
+			query := generation("cold")
+			p.PlanReplicas(time.Now(), popularDemand("cold"))
+			p.FinishReplicaPlans()
+			for b.Loop() {
+				if _, err := p.Choose(time.Now(), query); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPlanReplicas measures the plan for one popular adapter.
+func BenchmarkPlanReplicas(b *testing.B) {
+	for _, size := range []struct{ upstreams, instances int }{{140, 63}, {810, 330}} {
+		b.Run(fmt.Sprintf("upstreams=%d", size.upstreams), func(b *testing.B) {
+			p := largePool(size.upstreams, size.instances)
+			for b.Loop() {
+				if plan := p.PlanReplicas(time.Now(), popularDemand("cold")); plan.Needed <= 4 {
+					b.Fatal(plan.Needed)
+				}
+			}
+		})
+	}
+}
+
+func popularDemand(name string) pool.ReplicaDemand {
+	return pool.ReplicaDemand{Service: engines, Adapter: adapter(name), Rate: 120, Tokens: 1000}
+}
