--- a/internal/placement/pool/replicas.go
+++ b/internal/placement/pool/replicas.go
@@ -141,7 +141,7 @@
 // MayReplicate reports whether an upstream may get replicas of popular adapters.
 func (p *Pool) MayReplicate(now time.Time, id string) bool {
 	u := p.upstreams[id]
-	return u != nil && p.mayReplicateAt(now, u)
+	return u != nil && !p.Brittleness(now, u.declared.Service).Brittle && p.mayReplicateAt(now, u)
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -159,6 +159,9 @@
 // rankReplicas completes a plan by the upstreams for the missing replicas, and records the homes of all replicas if the
 // ranking of each adapter is too short for them.
 func (p *Pool) rankReplicas(now time.Time, demand ReplicaDemand, upstreams []*upstream, plan *ReplicaPlan) {
+	if p.Brittleness(now, demand.Service).Brittle {
+		return
+	}
 	hash := homeHash(demand.Adapter)
 	ranking := make([]home, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -201,12 +204,13 @@
 	return !now.Before(p.replicas.refused[replicaAt{upstream: u.declared.ID, adapter: demand.Adapter}])
 }
 
-// mayReplicateAt reports whether an upstream may get replicas. A cold, brittle or limited one takes few requests.
+// mayReplicateAt reports whether an upstream of a service that is not brittle may get replicas. A cold or limited one takes
+// few requests.
 func (p *Pool) mayReplicateAt(now time.Time, u *upstream) bool {
 	if !p.accepts(u) || !u.isConnectable(now) || u.isUnderBackpressure(now) {
 		return false
 	}
-	return !p.isCold(now, u) && !u.isLimited(now) && !p.Brittleness(now, u.declared.Service).Brittle
+	return !p.isCold(now, u) && !u.isLimited(now)
 }
 
 // isConnectable reports whether the upstream can be reached, as far as is known.
