--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -266,12 +266,15 @@
 	if len(request.Limits) > 0 {
 		h.node.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.MergeLimits(time.Now(), request.Limits) })
 	}
+	if request.Replica {
+		return h.loadReplica(ctx, request, slotDeadline)
+	}
 	prepared = mesh.Loaded{}
 	if !h.plain {
 		prepared = h.loadAdapter(ctx, request, slotDeadline)
 		h.countSlotResult(request, prepared)
 	}
-	if _, loaded := prepared.(mesh.Loaded); !loaded || request.Replica {
+	if _, loaded := prepared.(mesh.Loaded); !loaded {
 		return prepared
 	}
 	if request.Tokens > 0 {
