Learn and use the pace of upstreams

Cause: upstreams differ lastingly and for moments. A load header with four figures was dropped, and an instance forgot slowness within seconds and kept it to itself. Change: tolerant parsing of the load header; lasting and momentary pace per life of an upstream, exchanged through its holder, and used in estimates, prefill times, forecasts and the ranking of homes.

--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -69,8 +69,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderQueryTimeout)
 	defer cancel()
-	held, err := n.peers.Query(ctx, instance.Address, n.loadReport(instance.Name))
+	report := n.loadReport(instance.Name)
+	held, err := n.peers.Query(ctx, instance.Address, n.withPaceQuestion(report, upstream))
 	if err != nil {
+		n.restorePaceNews(report)
 		n.Log.Debug().Err(err).Str("Upstream", upstream).Str("Holder", instance.Name).Msg("HolderQueryFailed")
 		return
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -91,6 +91,8 @@
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
 	upstreamChanges int
+	// pacesShown are the held upstreams whose pace the metrics show. Only runPeriodic uses it.
+	pacesShown map[string]bool
 
 	scope    tally.Scope
 	stopping atomic.Bool
--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -33,6 +33,7 @@
 		n.sendUnsentOrigins()
 		n.probeLostLinks(now)
 		n.retireStalePeerConnections()
+		n.updateHeldPaces(now)
 		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
 		if dropped := n.DroppedLogEvents(); dropped > 0 {
 			n.Log.Error().Int("Events", dropped).Msg("LogDropped")
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -166,6 +166,7 @@
 	held, err := n.peers.Report(ctx, instance.Address, report)
 	if err != nil {
 		n.reports.addDoubted(r.holder, doubted...)
+		n.restorePaceNews(report)
 		n.Log.Debug().Err(err).Str("Holder", r.holder).Msg("ReportFailed")
 		return
 	}
@@ -181,6 +182,7 @@
 		selected := func(upstream string) bool { return holders[upstream] == holder }
 		report.Loads = state.Pool.Report(selected)
 		report.Limits = state.Pool.Limits(time.Now(), selected)
+		report.Paces = state.Pool.PaceNews(time.Now(), selected)
 	})
 	return report
 }
@@ -194,6 +196,7 @@
 			state.Pool.RecordHolderLoad(now, id, load)
 		}
 		state.Pool.MergeLimits(now, held.Limits)
+		state.Pool.MergePaces(now, held.Paces)
 	})
 }
 
@@ -227,6 +230,8 @@
 		state.Pool.RecordPeerReport(now, report.Instance, report.Loads)
 		state.Pool.MergeLimits(now, report.Limits)
 		held.Limits = state.Pool.Limits(now, func(upstream string) bool { return ids[upstream] })
+		state.Pool.RecordPeerPaces(now, report.Instance, report.Paces)
+		held.Paces = state.Pool.HeldPaces(now, namedIn(report))
 		for _, residency := range held.Residencies {
 			held.Loads[residency.Upstream] = state.Pool.TotalExcluding(now, residency.Upstream, report.Instance)
 		}
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -49,7 +49,7 @@
 		n.setPart(gossip.PartGeneral, urgent, func() ([]byte, error) { return mesh.EncodeState(n.state(now)) })
 	}
 	residencies := n.heldUpstreams.residencies(now)
-	loaded := fingerprint(residencies) + n.limitsFingerprint(now)
+	loaded := fingerprint(residencies) + n.limitsFingerprint(now) + n.pacesFingerprint()
 	changed := loaded != n.refreshed.loadedFingerprint && now.Sub(n.refreshed.held) >= heldInterval-heartbeatInterval/2
 	if changed || !n.refreshed.held.After(since) {
 		n.refreshed.held = now
@@ -135,6 +135,7 @@
 		for _, residency := range residencies {
 			held.Loads[residency.Upstream] = state.Pool.Total(now, residency.Upstream)
 		}
+		held.Paces = state.Pool.HeldPaces(now, func(string) bool { return true })
 	})
 	return held
 }
@@ -241,6 +242,7 @@
 			state.Pool.RecordHolderTotal(at, id, load)
 		}
 		state.Pool.MergeLimits(at, held.Limits)
+		state.Pool.MergePaces(at, held.Paces)
 	})
 	return nil
 }
--- a/internal/gateway/call/call.go
+++ b/internal/gateway/call/call.go
@@ -133,6 +133,8 @@
 	Running    int
 	Waiting    int
 	BatchSlots int
+	// Pace is how long work takes at this moment, 1 for as usual and more for slower; 0 if it is not stated.
+	Pace float64
 }
 
 type idKey struct{}
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -210,13 +210,13 @@
 	if !info.Misdirected { // another upstream may have answered
 		j.handler.RecordStatement(j.call.ID, upstream, info.RetryAfter, info.Leaving)
 		j.recordLimit(upstream, info.Limit, a.began)
+		a.recordStatedLoad(info.Load)
 	}
 	switch {
 	case info.Misdirected:
 		return resultMisdirected, errors.New("upstream lacks the model or version, or another upstream has its address")
 	case info.NotRun:
 		load := info.Load
-		j.handler.State.WithLock(func(*SharedState) { a.counted.RecordStatedLoad(load.Running + load.Waiting) })
 		return resultNotRun, errors.Errorf("upstream refused with status %d: %d running and %d waiting requests, %d batch slots",
 			a.response.Status, load.Running, load.Waiting, load.BatchSlots)
 	}
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -31,6 +31,7 @@
 	p.rotation++
 	upstreams := p.upstreamsOf(query.Service)
 	homes := p.homes(query)
+	margin := p.choiceMargin(now, query.Service)
 	for i := range upstreams {
 		u := upstreams[(i+p.rotation)%len(upstreams)]
 		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(now, u) {
@@ -43,7 +44,7 @@
 			continue
 		}
 		choice, total := p.estimate(now, u, query, homes)
-		if !found || isBetter(choice, total, best, bestTotal) {
+		if !found || isBetter(choice, total+scale(margin, bestTotal), best, bestTotal) {
 			best = choice
 			bestTotal = total
 			found = true
@@ -116,7 +117,8 @@
 func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
 	failureRate := u.failureRate(now)
-	slowdown := u.slowness(now)
+	pace := p.paceOf(now, u)
+	slowdown := pace * u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
@@ -125,7 +127,7 @@
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
 	choice.ExpectedIdle = scale(slowdown, p.typicalTime(u, query, Load{}))
-	total = scale(u.explorationFactor(now), choice.Expected) + p.occupancyCost(u, query, load)
+	total = scale(u.explorationFactor(now), choice.Expected) + scale(pace, p.occupancyCost(u, query, load))
 	if p.isGeneration(query) {
 		cost := p.loadCost(u, query, homes, &choice)
 		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait)
--- a/internal/placement/pool/homes.go
+++ b/internal/placement/pool/homes.go
@@ -26,13 +26,14 @@
 	adapter.Reset()
 	_, _ = adapter.WriteString(query.Adapter.String()) // never fails
 	_, _ = adapter.WriteString("\x00")
+	paced := p.StatesPace(query.Service)
 	for _, u := range p.upstreamsOf(query.Service) {
 		if !p.mayRun(u, query) {
 			continue
 		}
 		weight := adapter
 		_, _ = weight.WriteString(u.declared.ID)
-		highest.insert(home{upstream: u, weight: weight.Sum64()})
+		highest.insert(home{upstream: u, weight: p.homeWeight(u, weight.Sum64(), paced)})
 	}
 	return highest
 }
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -101,6 +101,7 @@
 
 // dropExpired removes loads and rejections that are too old.
 func (p *Pool) dropExpired(now time.Time) {
+	p.advance(now)
 	p.dropOldRejections(now)
 	for from, peer := range p.peers {
 		if now.Sub(peer.at) > p.Settings.PeerLoadTTL {
@@ -178,7 +179,7 @@
 	if u == nil {
 		return 0
 	}
-	return p.statsOf(u.declared.Service).engine.PrefillTime(tokens)
+	return scale(p.paceOf(p.clock, u), p.statsOf(u.declared.Service).engine.PrefillTime(tokens))
 }
 
 // OwnLoads is what this instance has in flight at the selected upstreams, for its heartbeats.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -166,6 +166,13 @@
 	knownSince time.Time
 	// rotation is the index at which the next choice starts, so that equal upstreams take turns.
 	rotation int
+	// clock is the latest time that was passed in.
+	clock time.Time
+	// pacesUnsent are the upstreams of whose pace this instance knows more than it has reported.
+	pacesUnsent map[string]bool
+	// ratioChanges counts the changes of the lasting ratios of upstreams, paceAnnouncements those at held upstreams.
+	ratioChanges      int
+	paceAnnouncements int
 }
 
 // Configure sets the limits of the services, and which of them are engines.
--- a/internal/placement/pool/service_stats.go
+++ b/internal/placement/pool/service_stats.go
@@ -39,6 +39,7 @@
 	// pauseRate is the fraction of the latest streams that paused for too long. inTurn: prompts take prefill turns.
 	pauseRate float64
 	inTurn    bool
+	pace      servicePace
 }
 
 const (
@@ -102,8 +103,9 @@
 	return stats.service.Latency(u.queued(load))
 }
 
-// observe records how long a request took until its first event or response.
-func (p *Pool) observe(attempt *Attempt, took time.Duration) {
+// observe records how long a request took until its first event or response at an upstream of a given pace.
+func (p *Pool) observe(attempt *Attempt, took time.Duration, pace float64) {
+	took = scale(1/pace, took)
 	stats := p.statsOf(attempt.query.Service)
 	if p.isGeneration(attempt.query) {
 		stats.engine.Observe(attempt.query.Tokens, backlog(attempt.found), took)
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -75,6 +75,7 @@
 	cold    cold
 	brittle brittleUpstream
 	limited limitedUpstream
+	pace    upstreamPace
 	// stated is what the upstream has stated about itself, nil if nothing.
 	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
@@ -99,6 +100,8 @@
 	// stated is the load that the upstream stated in its response, zero if it stated none.
 	stated   Load
 	answered bool
+	// statedPace is the pace that the upstream stated in its response, 0 if it stated none.
+	statedPace float64
 	// silent: the upstream has sent nothing for too long.
 	silent bool
 }
@@ -162,11 +165,12 @@
 		u.own.PromptTokens -= a.query.Tokens
 	}
 	took := now.Sub(a.began)
-	a.pool.observe(a, took)
+	pace := a.pool.recordPaceSample(now, a, took)
+	a.pool.observe(a, took, pace)
 	if a.typical <= 0 {
 		return true
 	}
-	sample := float64(took) / float64(a.typical)
+	sample := float64(took) / float64(a.typical) / pace
 	slow := u.slowness(now)
 	u.slow = slow + slownessSampleWeight*(min(sample, maxSample)-slow)
 	u.measured = now
