Spread requests over upstreams of nearly equal pace, and test the pace of upstreams

Cause: all instances know the same paces, and with loads that are some seconds old they choose the same upstream. Change: a time has to be a quarter shorter than at an upstream that costs the same otherwise; the usual statement is a median, as a mean takes slow moments for lasting until there are many statements.

--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		choice, total := p.estimate(now, u, query, homes)
-		if !found || isBetter(choice, total+scale(margin, bestTotal), best, bestTotal) {
+		if !found || isBetter(choice, total+choice.spread(margin, total, best, bestTotal), best, bestTotal) {
 			best = choice
 			bestTotal = total
 			found = true
@@ -127,7 +127,8 @@
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
 	choice.ExpectedIdle = scale(slowdown, p.typicalTime(u, query, Load{}))
-	total = scale(u.explorationFactor(now), choice.Expected) + scale(pace, p.occupancyCost(u, query, load))
+	choice.weighed = scale(u.explorationFactor(now), choice.Expected) + scale(pace, p.occupancyCost(u, query, load))
+	total = choice.weighed
 	if p.isGeneration(query) {
 		cost := p.loadCost(u, query, homes, &choice)
 		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait)
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -25,10 +25,10 @@
 	momentaryTTL = 1500 * time.Millisecond
 	// paceNews is the factor by which a pace has to change to be news.
 	paceNews = 1.1
-	// equalPaceMargin is the fraction by which an upstream of a service that states paces has to look faster than another one
-	// to be preferred. All instances have the same paces, and without it all would choose the one that looks fastest by a
-	// hundredth.
-	equalPaceMargin = 0.1
+	// equalTimeMargin is the fraction by which the time at one upstream has to be shorter than at another one that costs the
+	// same otherwise, to be preferred. All instances know the same paces, and without the margin all would choose the upstream
+	// that looks fastest by a hundredth, until its holder states what is in flight there.
+	equalTimeMargin = 0.25
 )
 
 // PaceStatement is what one or all instances know of the pace of an upstream's life.
@@ -130,12 +130,21 @@
 	return u.pace.lasting() * u.pace.momentary(now) / p.typicalPace(u.declared.Service)
 }
 
-// choiceMargin is the fraction by which the estimates of two upstreams of a service have to differ to count as different.
+// choiceMargin is the fraction by which times at the upstreams of a service have to differ to count as different.
 func (p *Pool) choiceMargin(now time.Time, service string) float64 {
 	if !p.statesPace(now, service) {
 		return 0
 	}
-	return equalPaceMargin
+	return equalTimeMargin
+}
+
+// spread is added to the cost of a choice that is compared with the best one so far, so that of several upstreams which differ by
+// little, in nothing but the time, the first one in the rotation is chosen.
+func (c Choice) spread(margin float64, total time.Duration, best Choice, bestTotal time.Duration) time.Duration {
+	if margin == 0 || total-c.weighed != bestTotal-best.weighed {
+		return 0
+	}
+	return scale(margin, best.weighed)
 }
 
 // typicalPace is the geometric mean of the lasting ratios of the upstreams of a service.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -102,6 +102,8 @@
 	Waiting     int
 	FailureRate float64
 	Slowdown    float64
+	// weighed is the part of the cost that depends on the load and the speed of the upstream.
+	weighed time.Duration
 }
 
 // Residency is the report of an upstream's holder about it.
--- a/internal/placement/pool/upstream_pace.go
+++ b/internal/placement/pool/upstream_pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,11 @@
 	// minLasting and maxLasting bound the lasting ratio.
 	minLasting = 1.0 / 32
 	maxLasting = 32
-	// minStatementGap keeps a statement that arrives twice, by different ways, from counting twice.
-	minStatementGap = 20 * time.Millisecond
+	// keptStatements is the number of statements whose median is the usual one, together with assumedStatements of 1. They are
+	// at least minStatementGap apart, so that one slow moment is not most of them.
+	keptStatements    = 31
+	assumedStatements = 7
+	minStatementGap   = 200 * time.Millisecond
 )
 
 // paceMean is a mean of logarithms of paces that decays with the time.
@@ -58,11 +62,14 @@
 	// of the other instances, if this one holds the upstream.
 	own   paceMean
 	peers map[string]paceMean
-	// stated is the last statement, and usual the mean of the statements: an upstream may state its lasting pace as well.
-	stated    float64
-	statedAt  time.Time
-	usual     paceMean
-	usualMean float64
+	// stated is the last statement, and usual the median of the latest ones, 0 if there is none. It is not 1 at an upstream that
+	// states its lasting pace as well. A mean would take moments for lasting until there are many statements.
+	stated     float64
+	statedAt   time.Time
+	statements []float64
+	kept       int
+	keptAt     time.Time
+	usual      float64
 	// published is the last lasting ratio that a holder has stated, with its weight.
 	published       float64
 	publishedWeight float64
@@ -93,12 +100,12 @@
 	return 1
 }
 
-// usualPace is what the upstream states on average.
+// usualPace is what the upstream mostly states.
 func (u *upstreamPace) usualPace() float64 {
-	if u.usualMean <= 0 {
+	if u.usual <= 0 {
 		return 1
 	}
-	return u.usualMean
+	return u.usual
 }
 
 // momentary is the deviation of the moment from the lasting pace. It decays to 1 with the age of the last statement.
@@ -112,16 +119,36 @@
 
 // state records a statement of the upstream. Older ones than the last are dropped.
 func (u *upstreamPace) state(at time.Time, pace float64) {
-	gap := at.Sub(u.statedAt)
-	if u.stated > 0 && gap <= 0 {
+	if !at.After(u.statedAt) {
 		return
 	}
-	if u.stated <= 0 || gap >= minStatementGap || pace != u.stated {
-		u.usual = u.usual.with(at, math.Log(pace))
-		u.usualMean = u.usual.value()
-	}
 	u.stated = pace
 	u.statedAt = at
+	if at.Sub(u.keptAt) >= minStatementGap {
+		u.keptAt = at
+		u.keep(pace)
+	}
+}
+
+// keep replaces the oldest of the kept statements, and updates their median.
+func (u *upstreamPace) keep(pace float64) {
+	if u.statements == nil {
+		u.statements = make([]float64, 0, keptStatements)
+	}
+	if len(u.statements) < keptStatements {
+		u.statements = append(u.statements, pace)
+	} else {
+		u.statements[u.kept%keptStatements] = pace
+	}
+	u.kept++
+	var sorted [keptStatements + assumedStatements]float64
+	count := copy(sorted[:], u.statements)
+	for range assumedStatements {
+		sorted[count] = 1
+		count++
+	}
+	slices.Sort(sorted[:count])
+	u.usual = sorted[(count-1)/2]
 }
 
 // isPublished reports whether a holder has stated the lasting ratio lately.
