--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -74,7 +74,11 @@
 
 func (p *Pool) statesPace(now time.Time, service string) bool {
 	stats := p.stats[service]
-	return stats != nil && !stats.pace.statedAt.IsZero() && now.Sub(stats.pace.statedAt) < statedPaceTTL
+	return stats != nil && stats.pace.isStated(now)
+}
+
+func (s *servicePace) isStated(now time.Time) bool {
+	return !s.statedAt.IsZero() && now.Sub(s.statedAt) < statedPaceTTL
 }
 
 // advance records the latest time that was passed in, for decisions that get none.
@@ -103,11 +107,12 @@
 // at that moment.
 func (p *Pool) recordPaceSample(now time.Time, a *Attempt, took time.Duration) (pace float64) {
 	u := a.upstream
-	if !p.statesPace(now, a.query.Service) {
+	stats := p.statsOf(a.query.Service)
+	if !stats.pace.isStated(now) {
 		return 1
 	}
 	p.advance(now)
-	pace = u.pace.lasting() / p.typicalPace(a.query.Service)
+	pace = u.pace.lasting() / p.typicalPace(a.query.Service, &stats.pace)
 	stated := u.pace.usualPace()
 	if a.statedPace > 0 {
 		pace *= a.statedPace / stated
@@ -124,10 +129,11 @@
 
 // paceOf is the factor by which work at an upstream takes longer now than at a typical one of its service.
 func (p *Pool) paceOf(now time.Time, u *upstream) float64 {
-	if !p.statesPace(now, u.declared.Service) {
+	stats := p.stats[u.declared.Service]
+	if stats == nil || !stats.pace.isStated(now) {
 		return 1
 	}
-	return u.pace.lasting() * u.pace.momentary(now) / p.typicalPace(u.declared.Service)
+	return u.pace.lasting() * u.pace.momentary(now) / p.typicalPace(u.declared.Service, &stats.pace)
 }
 
 // choiceMargin is the fraction by which times at the upstreams of a service have to differ to count as different.
@@ -148,8 +154,7 @@
 }
 
 // typicalPace is the geometric mean of the lasting ratios of the upstreams of a service.
-func (p *Pool) typicalPace(service string) float64 {
-	pace := &p.statsOf(service).pace
+func (p *Pool) typicalPace(service string, pace *servicePace) float64 {
 	current := paceChanges{upstreams: p.changes, ratios: p.ratioChanges}
 	if pace.typical > 0 && pace.known == current {
 		return pace.typical
--- a/internal/placement/pool/upstream_pace.go
+++ b/internal/placement/pool/upstream_pace.go
@@ -111,7 +111,7 @@
 // momentary is the deviation of the moment from the lasting pace. It decays to 1 with the age of the last statement.
 func (u *upstreamPace) momentary(now time.Time) float64 {
 	age := max(now.Sub(u.statedAt), 0)
-	if u.stated <= 0 || age > momentaryTTL {
+	if u.stated <= 0 || u.stated == u.usual || age > momentaryTTL {
 		return 1
 	}
 	return math.Pow(u.stated/u.usualPace(), math.Exp2(-age.Seconds()/momentaryHalfLife.Seconds()))
