Cheaper choices by pace, and a simulation with the same result in each run

Change: the service is looked up once for each choice; three assumed statements instead of seven; the simulation uses a paused clock.

--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -31,7 +31,7 @@
 	p.rotation++
 	upstreams := p.upstreamsOf(query.Service)
 	homes := p.homes(query)
-	margin := p.choiceMargin(now, query.Service)
+	paces := p.pacesOf(now, query.Service)
 	for i := range upstreams {
 		u := upstreams[(i+p.rotation)%len(upstreams)]
 		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(now, u) {
@@ -43,8 +43,8 @@
 			}
 			continue
 		}
-		choice, total := p.estimate(now, u, query, homes)
-		if !found || isBetter(choice, total+choice.spread(margin, total, best, bestTotal), best, bestTotal) {
+		choice, total := p.estimate(now, u, query, homes, paces)
+		if !found || isBetter(choice, total+paces.margin(choice, total, best, bestTotal), best, bestTotal) {
 			best = choice
 			bestTotal = total
 			found = true
@@ -114,10 +114,10 @@
 }
 
 // estimate returns the choice of an upstream and the total cost by which upstreams are compared.
-func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
+func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes, paces paces) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
 	failureRate := u.failureRate(now)
-	pace := p.paceOf(now, u)
+	pace := paces.of(now, u)
 	slowdown := pace * u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
--- a/internal/placement/pool/homes.go
+++ b/internal/placement/pool/homes.go
@@ -33,7 +33,11 @@
 		}
 		weight := adapter
 		_, _ = weight.WriteString(u.declared.ID)
-		highest.insert(home{upstream: u, weight: p.homeWeight(u, weight.Sum64(), paced)})
+		rank := weight.Sum64()
+		if paced {
+			rank = homeWeight(u, rank)
+		}
+		highest.insert(home{upstream: u, weight: rank})
 	}
 	return highest
 }
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -179,7 +179,7 @@
 	if u == nil {
 		return 0
 	}
-	return scale(p.paceOf(p.clock, u), p.statsOf(u.declared.Service).engine.PrefillTime(tokens))
+	return scale(p.pacesOf(p.clock, u.declared.Service).of(p.clock, u), p.statsOf(u.declared.Service).engine.PrefillTime(tokens))
 }
 
 // OwnLoads is what this instance has in flight at the selected upstreams, for its heartbeats.
--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -127,30 +127,33 @@
 	return pace
 }
 
-// paceOf is the factor by which work at an upstream takes longer now than at a typical one of its service.
-func (p *Pool) paceOf(now time.Time, u *upstream) float64 {
-	stats := p.stats[u.declared.Service]
+// paces are the paces of the upstreams of a service: their typical pace, or 0 if they state none.
+type paces struct{ typical float64 }
+
+// pacesOf returns the paces of the upstreams of a service.
+func (p *Pool) pacesOf(now time.Time, service string) paces {
+	stats := p.stats[service]
 	if stats == nil || !stats.pace.isStated(now) {
-		return 1
+		return paces{}
 	}
-	return u.pace.lasting() * u.pace.momentary(now) / p.typicalPace(u.declared.Service, &stats.pace)
+	return paces{typical: p.typicalPace(service, &stats.pace)}
 }
 
-// choiceMargin is the fraction by which times at the upstreams of a service have to differ to count as different.
-func (p *Pool) choiceMargin(now time.Time, service string) float64 {
-	if !p.statesPace(now, service) {
-		return 0
+// of is the factor by which work at an upstream takes longer now than at a typical one of its service.
+func (s paces) of(now time.Time, u *upstream) float64 {
+	if s.typical == 0 {
+		return 1
 	}
-	return equalTimeMargin
+	return u.pace.lasting() * u.pace.momentary(now) / s.typical
 }
 
-// spread is added to the cost of a choice that is compared with the best one so far, so that of several upstreams which differ by
+// margin is added to the cost of a choice that is compared with the best one so far, so that of several upstreams which differ by
 // little, in nothing but the time, the first one in the rotation is chosen.
-func (c Choice) spread(margin float64, total time.Duration, best Choice, bestTotal time.Duration) time.Duration {
-	if margin == 0 || total-c.weighed != bestTotal-best.weighed {
+func (s paces) margin(choice Choice, total time.Duration, best Choice, bestTotal time.Duration) time.Duration {
+	if s.typical == 0 || total-choice.weighed != bestTotal-best.weighed {
 		return 0
 	}
-	return scale(margin, best.weighed)
+	return scale(equalTimeMargin, best.weighed)
 }
 
 // typicalPace is the geometric mean of the lasting ratios of the upstreams of a service.
@@ -207,10 +210,7 @@
 
 // homeWeight is the weight of an upstream in the ranking of an adapter's homes, from their common hash. An upstream is ranked
 // first as often as it is faster than the others (weighted rendezvous hashing).
-func (p *Pool) homeWeight(u *upstream, hash uint64, paced bool) uint64 {
-	if !paced {
-		return hash
-	}
+func homeWeight(u *upstream, hash uint64) uint64 {
 	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
 	return math.Float64bits(-1 / (math.Log(uniform) * u.pace.lasting())) // the bits of positive numbers are in their order
 }
--- a/internal/placement/pool/pace_exchange.go
+++ b/internal/placement/pool/pace_exchange.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		p.learnPace(now, u)
-		pace := HeldPace{Upstream: id, Stated: u.pace.stated, Learnt: u.pace.lasting(), Used: p.paceOf(now, u), Previous: u.pace.lastAnnounced()}
+		pace := HeldPace{Upstream: id, Stated: u.pace.stated, Learnt: u.pace.lasting(), Used: p.pacesOf(now, u.declared.Service).of(now, u), Previous: u.pace.lastAnnounced()}
 		pace.Changed = pace.Learnt != pace.Previous
 		if pace.Changed {
 			u.pace.announced = pace.Learnt
--- a/internal/placement/pool/uneven_engines_test.go
+++ b/internal/placement/pool/uneven_engines_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -396,15 +397,17 @@
 func unevenPercentile(t *testing.T, change func(f *unevenFleet)) (mean time.Duration) {
 	t.Helper()
 	const warmUp, rate, burst = 1000, 75, 2.4
-	for seed := range uint64(unevenRuns) {
-		f := newUnevenFleet(seed, 40, 30)
-		change(f)
-		f.hold()
-		f.run(is.New(t), seed, 32*time.Second, rate, burst)
-		if f.ended != nil {
-			f.ended()
+	synctest.Test(t, func(t *testing.T) { // the clock is that of the simulation, so that each run has the same result
+		for seed := range uint64(unevenRuns) {
+			f := newUnevenFleet(seed, 40, 30)
+			change(f)
+			f.hold()
+			f.run(is.New(t), seed, 32*time.Second, rate, burst)
+			if f.ended != nil {
+				f.ended()
+			}
+			mean += f.percentile(warmUp, 0.95) / unevenRuns
 		}
-		mean += f.percentile(warmUp, 0.95) / unevenRuns
-	}
+	})
 	return mean
 }
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -75,7 +75,6 @@
 	cold    cold
 	brittle brittleUpstream
 	limited limitedUpstream
-	pace    upstreamPace
 	// stated is what the upstream has stated about itself, nil if nothing.
 	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
@@ -83,6 +82,7 @@
 	// retryAt is when an upstream that could not be reached is tried again.
 	retryAt time.Time
 	backoff time.Duration
+	pace    upstreamPace
 }
 
 // Attempt is an attempt to run a request at an upstream.
--- a/internal/placement/pool/upstream_pace.go
+++ b/internal/placement/pool/upstream_pace.go
@@ -24,7 +24,7 @@
 	// keptStatements is the number of statements whose median is the usual one, together with assumedStatements of 1. They are
 	// at least minStatementGap apart, so that one slow moment is not most of them.
 	keptStatements    = 31
-	assumedStatements = 7
+	assumedStatements = 3
 	minStatementGap   = 200 * time.Millisecond
 )
 
@@ -110,8 +110,11 @@
 
 // momentary is the deviation of the moment from the lasting pace. It decays to 1 with the age of the last statement.
 func (u *upstreamPace) momentary(now time.Time) float64 {
+	if u.stated == u.usual { // also if nothing is stated
+		return 1
+	}
 	age := max(now.Sub(u.statedAt), 0)
-	if u.stated <= 0 || u.stated == u.usual || age > momentaryTTL {
+	if age > momentaryTTL {
 		return 1
 	}
 	return math.Pow(u.stated/u.usualPace(), math.Exp2(-age.Seconds()/momentaryHalfLife.Seconds()))
