--- a/internal/placement/pool/uneven_engines_test.go
+++ b/internal/placement/pool/uneven_engines_test.go
@@ -37,7 +37,6 @@
 	free time.Duration
 	// load is what the instances that reach the holder have in flight.
 	load  pool.Load
-	inUse int
 	total int
 }
 
@@ -114,9 +113,9 @@
 
 // stateMomentary is an engine that states its momentary pace, stateTotal one that states its lasting pace with it.
 func stateMomentary(e *unevenEngine, at time.Duration) float64 { return e.momentary(at) }
-func stateTotal(e *unevenEngine, at time.Duration) float64     { return e.lasting * e.momentary(at) }
-func stateNothing(*unevenEngine, time.Duration) float64        { return 0 }
-func stateOne(*unevenEngine, time.Duration) float64            { return 1 }
+
+func stateTotal(e *unevenEngine, at time.Duration) float64 { return e.lasting * e.momentary(at) }
+func stateNothing(*unevenEngine, time.Duration) float64    { return 0 }
 
 // newUnevenFleet returns a fleet whose engines have a lasting pace of 0.7, 0.7 and 1.7 in turn.
 func newUnevenFleet(seed uint64, instances, engineCount int) *unevenFleet {
