--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -31,6 +31,7 @@
 	p.rotation++
 	upstreams := p.upstreamsOf(query.Service)
 	homes := p.homes(query)
+	paces := p.pacesOf(now, query.Service)
 	for i := range upstreams {
 		u := upstreams[(i+p.rotation)%len(upstreams)]
 		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(now, u) {
@@ -42,12 +43,12 @@
 			}
 			continue
 		}
-		choice, total := p.estimate(now, u, query, homes)
+		choice, total := p.estimate(now, u, query, homes, paces)
 		if query.Slots.excludes(choice) {
 			slotless = soonestSlot(slotless, choice)
 			continue
 		}
-		if !found || isBetter(choice, total, best, bestTotal) {
+		if !found || isBetter(choice, total+paces.margin(choice, total, best, bestTotal), best, bestTotal) {
 			best = choice
 			bestTotal = total
 			found = true
@@ -119,10 +120,11 @@
 }
 
 // estimate returns the choice of an upstream and the total cost by which upstreams are compared.
-func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes) (choice Choice, total time.Duration) {
+func (p *Pool) estimate(now time.Time, u *upstream, query Query, homes homes, paces paces) (choice Choice, total time.Duration) {
 	load := p.load(now, u)
 	failureRate := u.failureRate(now)
-	slowdown := u.slowness(now)
+	pace := paces.of(now, u)
+	slowdown := pace * u.slowness(now)
 	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
@@ -131,7 +133,8 @@
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
 	choice.ExpectedIdle = scale(slowdown, p.typicalTime(u, query, Load{}))
-	total = scale(u.explorationFactor(now), choice.Expected) + p.occupancyCost(u, query, load)
+	choice.weighed = scale(u.explorationFactor(now), choice.Expected) + scale(pace, p.occupancyCost(u, query, load))
+	total = choice.weighed
 	if p.isGeneration(query) {
 		cost := p.loadCost(now, u, query, homes, &choice)
 		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait)
--- a/internal/placement/pool/homes.go
+++ b/internal/placement/pool/homes.go
@@ -34,11 +34,12 @@
 		return ranking
 	}
 	adapter := homeHash(query.Adapter)
+	paced := p.StatesPace(query.Service)
 	for _, u := range p.upstreamsOf(query.Service) {
 		if !p.mayRun(u, query) {
 			continue
 		}
-		ranking.insert(home{upstream: u, weight: homeWeight(&adapter, u)})
+		ranking.insert(home{upstream: u, weight: homeWeight(&adapter, u, paced)})
 	}
 	return ranking
 }
@@ -51,11 +52,15 @@
 	return hash
 }
 
-// homeWeight is the weight by which an upstream is ranked for the adapter of a hash.
-func homeWeight(adapter *xxhash.Digest, u *upstream) uint64 {
+// homeWeight is the weight by which an upstream is ranked for the adapter of a hash. paced: the upstreams of the service state
+// their pace.
+func homeWeight(adapter *xxhash.Digest, u *upstream, paced bool) uint64 {
 	weight := *adapter
 	_, _ = weight.WriteString(u.declared.ID)
-	return weight.Sum64()
+	if !paced {
+		return weight.Sum64()
+	}
+	return u.pacedWeight(weight.Sum64())
 }
 
 // insert adds an upstream if it ranks high enough, and keeps the order.
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -106,6 +106,8 @@
 	Waiting     int
 	FailureRate float64
 	Slowdown    float64
+	// weighed is the part of the cost that depends on the load and the speed of the upstream.
+	weighed time.Duration
 }
 
 // Residency is the report of an upstream's holder about it.
@@ -172,6 +174,13 @@
 	replicas replicas
 	// rotation is the index at which the next choice starts, so that equal upstreams take turns.
 	rotation int
+	// clock is the latest time that was passed in.
+	clock time.Time
+	// pacesUnsent are the upstreams of whose pace this instance knows more than it has reported.
+	pacesUnsent map[string]bool
+	// ratioChanges counts the changes of the lasting ratios of upstreams, paceAnnouncements those at held upstreams.
+	ratioChanges      int
+	paceAnnouncements int
 }
 
 // Configure sets the limits of the services, and which of them are engines.
--- a/internal/placement/pool/replicas.go
+++ b/internal/placement/pool/replicas.go
@@ -73,12 +73,13 @@
 // replicaHomes are the homes of the replicas that an adapter needs: those with the lowest weight or a higher one.
 type replicaHomes struct {
 	hash   xxhash.Digest
+	paced  bool
 	lowest uint64
 }
 
 // rank is 0 for a home of a replica, and rankedHomes for another upstream.
 func (h *replicaHomes) rank(u *upstream) int {
-	if homeWeight(&h.hash, u) >= h.lowest {
+	if homeWeight(&h.hash, u, h.paced) >= h.lowest {
 		return 0
 	}
 	return rankedHomes
@@ -93,9 +94,6 @@
 	return p.replicas.homes[replicated{service: query.Service, adapter: query.Adapter}]
 }
 
-// StatesPace reports whether the upstreams of a service state their pace. None does yet.
-func (p *Pool) StatesPace(string) bool { return false }
-
 // PlanReplicas returns the replicas that an adapter needs and has, and where the missing ones should be. After the
 // plans for all popular adapters, call FinishReplicaPlans.
 func (p *Pool) PlanReplicas(now time.Time, demand ReplicaDemand) (plan ReplicaPlan) {
@@ -163,10 +161,11 @@
 		return
 	}
 	hash := homeHash(demand.Adapter)
+	paced := p.StatesPace(demand.Service)
 	ranking := make([]home, 0, len(upstreams))
 	for _, u := range upstreams {
 		if p.mayReplicateAt(now, u) {
-			ranking = append(ranking, home{upstream: u, weight: homeWeight(&hash, u)})
+			ranking = append(ranking, home{upstream: u, weight: homeWeight(&hash, u, paced)})
 		}
 	}
 	slices.SortFunc(ranking, func(a, b home) int {
@@ -188,7 +187,7 @@
 			p.replicas.planned = make(map[replicated]*replicaHomes)
 		}
 		p.replicas.planned[replicated{service: demand.Service, adapter: demand.Adapter}] = &replicaHomes{
-			hash: hash, lowest: ranking[plan.Needed-1].weight,
+			hash: hash, paced: paced, lowest: ranking[plan.Needed-1].weight,
 		}
 	}
 }
