--- /dev/null
+++ b/internal/admission/contention/contention.go
@@ -0,0 +1,220 @@
+// Package contention decides which requests are refused while more is asked of a service than fits, and when their callers
+// come back. The decision covers the priority of a request, the share of its workspace in what the fleet has admitted, the
+// queue that the request would find, the time that its caller has left, and its cost. It does no I/O; the caller reads the
+// clock and passes the time in.
+//
+// The highest class of a service may find the queue that placement allows without this package. Each lower class may find
+// half of the queue of the class above it, and workspaces that use more than their share as much as the lowest class. Lower
+// classes are only refused while the service is contended. Of each class one in ten of those that would be refused is
+// admitted, so that none starves.
+package contention
+
+import (
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// Request is what a decision is about.
+type Request struct {
+	Service   string
+	Workspace string
+	Priority  int
+	// Cost is the work of the request, in any unit that is the same for all requests of a service.
+	Cost float64
+	// Queue is how long the request would wait before its work begins. Limit is how long it may wait in the highest
+	// class, and Objective how long it can take from its start and still be on time.
+	Queue     time.Duration
+	Limit     time.Duration
+	Objective time.Duration
+	// Remaining is the time until nobody waits for the request any more. Waited is how much of the time that its route
+	// allows had passed when it arrived, as far as its caller states it: one that comes back after a refusal has less
+	// time left. 0 if nothing is stated.
+	Remaining time.Duration
+	Waited    time.Duration
+	// Verdict is what placement says without regard to classes.
+	Verdict Verdict
+}
+
+// Verdict is what placement says of a request without regard to classes.
+type Verdict int
+
+const (
+	// Fits: the request may be sent.
+	Fits Verdict = iota
+	// TooLong: the queue is too long for the highest class, too.
+	TooLong
+	// Impossible: the request cannot be run, since each upstream is full or its caller would be gone.
+	Impossible
+)
+
+// Decision is Admit or Refuse.
+type Decision interface{ isDecision() }
+
+// Admit means that the request is sent.
+type Admit struct {
+	Class Class
+	// Floor: it is the one in ten of its class that would otherwise be refused.
+	Floor bool
+	// Returned: it takes the turn of a caller that was told to come back.
+	Returned bool
+}
+
+// Refuse means that the request is not sent.
+type Refuse struct {
+	Class  Class
+	Reason Reason
+	// RetryAfter is when the caller should come back; at most a third of the time that it has left. Scheduled: a turn is
+	// kept for it then. Otherwise all turns within that time are taken.
+	RetryAfter time.Duration
+	Scheduled  bool
+}
+
+func (Admit) isDecision()  {}
+func (Refuse) isDecision() {}
+
+// Reason is why a request is refused.
+type Reason string
+
+const (
+	// ReasonFull: the request cannot be run now, whatever its class.
+	ReasonFull Reason = "full"
+	// ReasonQueue: the queue is too long for the highest class, too.
+	ReasonQueue Reason = "queue"
+	// ReasonClass: the queue is too long for the class of the request.
+	ReasonClass Reason = "class"
+	// ReasonShare: the queue is too long for a workspace that is over its share.
+	ReasonShare Reason = "share"
+)
+
+// Class is the position of a request among those that compete for a service.
+type Class struct {
+	// Level is the position of its priority among those of the service, 0 for the highest.
+	Level int
+	// Over: its workspace is over its share. All classes within their share come before those over it.
+	Over bool
+}
+
+// Controller decides for one instance. Its zero value is ready for use. It is not safe for concurrent use.
+type Controller struct {
+	version    int64
+	configured bool
+	levels     map[string][]int
+	shares     shares
+	services   map[string]*service
+	labels     map[string]bool
+}
+
+// Configure sets the priorities of the services and the rates of the workspaces. A version that is not newer than the one
+// in force is ignored.
+func (c *Controller) Configure(configuration *traffic.Configuration) {
+	if c.configured && configuration.Version <= c.version {
+		return
+	}
+	c.configured = true
+	c.version = configuration.Version
+	c.levels = levelsOf(configuration.Routes)
+	c.shares.setRates(configuration.Workspaces)
+}
+
+// Decide decides about a request and records the decision.
+func (c *Controller) Decide(now time.Time, request Request) Decision {
+	s := c.service(request.Service)
+	class := c.classOf(now, s, request.Service, request.Workspace, request.Priority)
+	reason := s.refusalOf(now, class, request)
+	s.recordQueue(now, request)
+	if reason == "" {
+		return Admit{Class: class}
+	}
+	if reason != ReasonFull {
+		if s.takeTurn(now, class, request) {
+			return Admit{Class: class, Returned: true}
+		}
+		if s.takeFloor(class) {
+			return Admit{Class: class, Floor: true}
+		}
+	}
+	retryAfter, scheduled := s.schedule.add(now, class, request)
+	return Refuse{Class: class, Reason: reason, RetryAfter: retryAfter, Scheduled: scheduled}
+}
+
+// RecordCompletion records that a request was served.
+func (c *Controller) RecordCompletion(now time.Time, service string, class Class, cost float64) {
+	c.service(service).schedule.recordCompletion(now, class, cost)
+}
+
+// RecordRefusal records that a request was refused for lack of capacity elsewhere, such as by the holders of all upstreams.
+func (c *Controller) RecordRefusal(now time.Time, service string) {
+	c.service(service).contendedAt = now
+}
+
+// ClassOf returns the class of a request.
+func (c *Controller) ClassOf(now time.Time, service, workspace string, priority int) Class {
+	return c.classOf(now, c.service(service), service, workspace, priority)
+}
+
+func (c *Controller) classOf(now time.Time, s *service, name, workspace string, priority int) Class {
+	class := Class{}
+	levels := c.levels[name]
+	for class.Level < len(levels) && levels[class.Level] < priority {
+		class.Level++
+	}
+	if s.isContended(now) && c.shares.isOver(workspace) {
+		// A service with one level has no lower one, so that a workspace over its share would not be told from others.
+		class = Class{Level: max(class.Level, len(levels)-1, 1), Over: true}
+	}
+	class.Level = min(class.Level, maxLevel)
+	return class
+}
+
+// IsUseDue reports whether the totals of the fleet are to be recorded again.
+func (c *Controller) IsUseDue(now time.Time) bool { return now.Sub(c.shares.updatedAt) >= useInterval }
+
+// RecordUse records what the fleet has admitted in total.
+func (c *Controller) RecordUse(now time.Time, fleet quota.FleetTotals) {
+	contended := false
+	for _, s := range c.services {
+		contended = contended || s.isContended(now)
+	}
+	c.shares.update(now, fleet.Totals, contended)
+}
+
+// Share returns the share of a workspace and its use, both as fractions of all that the fleet admits, and whether it is over
+// its share.
+func (c *Controller) Share(workspace string) (share, use float64, over bool) {
+	return c.shares.of(workspace)
+}
+
+// maxLabels bounds the workspaces that metrics name.
+const maxLabels = 32
+
+// otherLabel stands for the workspaces beyond maxLabels.
+const otherLabel = "other"
+
+// Label returns the name of a workspace in metrics. The first workspaces have their own, the others share one.
+func (c *Controller) Label(workspace string) string {
+	if c.labels[workspace] {
+		return workspace
+	}
+	if len(c.labels) >= maxLabels {
+		return otherLabel
+	}
+	if c.labels == nil {
+		c.labels = make(map[string]bool)
+	}
+	c.labels[workspace] = true
+	return workspace
+}
+
+func (c *Controller) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{}
+		if c.services == nil {
+			c.services = make(map[string]*service)
+		}
+		c.services[name] = s
+	}
+	return s
+}
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -46,6 +46,8 @@
 	// sentToAll is when the totals were last sent urgently to all peers because of a workspace, and not only to the
 	// peers that admit for it.
 	sentToAll map[string]time.Time
+	// fleet is what FleetTotals has added up.
+	fleet fleetCount
 }
 
 // bucket is the estimate for one workspace. Its level is negative while it is in debt.
