--- a/internal/admission/contention/contention.go
+++ b/internal/admission/contention/contention.go
@@ -5,8 +5,8 @@
 //
 // The highest class of a service may find the queue that placement allows without this package. Each lower class may find
 // half of the queue of the class above it, and workspaces that use more than their share as much as the lowest class. Lower
-// classes are only refused while the service is contended. Of each class one in ten of those that would be refused is
-// admitted, so that none starves.
+// classes are only refused while the service is contended. Of ten consecutive requests of a class that would be refused,
+// one is admitted, so that no class starves.
 package contention
 
 import (
@@ -55,7 +55,7 @@
 // Admit means that the request is sent.
 type Admit struct {
 	Class Class
-	// Floor: it is the one in ten of its class that would otherwise be refused.
+	// Floor: it is the one in ten of its class that would otherwise have been refused.
 	Floor bool
 	// Returned: it takes the turn of a caller that was told to come back.
 	Returned bool
@@ -100,7 +100,7 @@
 type Controller struct {
 	version    int64
 	configured bool
-	levels     map[string][]int
+	levels     map[string]levels
 	shares     shares
 	services   map[string]*service
 	labels     map[string]bool
@@ -125,17 +125,22 @@
 	reason := s.refusalOf(now, class, request)
 	s.recordQueue(now, request)
 	if reason == "" {
+		s.refused[class.index()] = 0
 		return Admit{Class: class}
 	}
+	highest := c.levels[request.Service].objective
 	if reason != ReasonFull {
-		if s.takeTurn(now, class, request) {
+		if s.takeTurn(now, class, request, highest) {
+			s.refused[class.index()] = 0
 			return Admit{Class: class, Returned: true}
 		}
 		if s.takeFloor(class) {
 			return Admit{Class: class, Floor: true}
 		}
 	}
-	retryAfter, scheduled := s.schedule.add(now, class, request)
+	// Where higher classes fill the queue, a lower class would hardly find a shorter one at its turn.
+	turns := class.Level == 0 || request.Queue <= scale(turnMargin, turnQueue(class, request, highest))
+	retryAfter, scheduled := s.schedule.add(now, class, request, turns)
 	return Refuse{Class: class, Reason: reason, RetryAfter: retryAfter, Scheduled: scheduled}
 }
 
@@ -157,12 +162,12 @@
 func (c *Controller) classOf(now time.Time, s *service, name, workspace string, priority int) Class {
 	class := Class{}
 	levels := c.levels[name]
-	for class.Level < len(levels) && levels[class.Level] < priority {
+	for class.Level < len(levels.priorities) && levels.priorities[class.Level] < priority {
 		class.Level++
 	}
 	if s.isContended(now) && c.shares.isOver(workspace) {
 		// A service with one level has no lower one, so that a workspace over its share would not be told from others.
-		class = Class{Level: max(class.Level, len(levels)-1, 1), Over: true}
+		class = Class{Level: max(class.Level, len(levels.priorities)-1, 1), Over: true}
 	}
 	class.Level = min(class.Level, maxLevel)
 	return class
--- a/internal/admission/contention/schedule.go
+++ b/internal/admission/contention/schedule.go
@@ -12,26 +12,44 @@
 	minRetryAfter = 50 * time.Millisecond
 	// maxTimeFraction is the fraction of the time that a caller has left up to which it waits before it comes back.
 	maxTimeFraction = 1.0 / 3
+	// maxTurnFraction is the same for callers with a turn. It is less, so that any instance can tell a caller that has
+	// waited for its turn from one that was told to come back without one: only the latter has waited for a third.
+	maxTurnFraction = 1.0 / 4
+	// maxTurnDelay bounds how far ahead turns are given: it shows soon whether they can be kept.
+	maxTurnDelay = 1500 * time.Millisecond
+	// waitedTolerance is how much later than told a caller may arrive.
+	waitedTolerance = 0.04
+	// maxTurnsUsed and minTurnsUsed bound the part of the completions that turns are given for. The rest is left to
+	// requests that were never refused, and the turns of a class do not add so much to its completions that these give it
+	// ever more turns.
+	maxTurnsUsed = 0.25
+	minTurnsUsed = 0.02
+	// turnsUsedUp is added to that part for each turn that was kept, and turnsUsedDown multiplies it for each that was
+	// not. They balance where some nine of ten turns are kept.
+	turnsUsedUp   = 0.004
+	turnsUsedDown = 0.5
 	// completionHalfLife is the half-life of the measured rate of completions.
 	completionHalfLife = time.Second
-	// maxInterval is the time between two turns where no completions are known.
+	// maxInterval is the time between two turns where hardly any completions are known.
 	maxInterval = time.Second
-	// earlyTurn and lateTurn are how much before and after its time a caller may take its turn.
-	earlyTurn = 100 * time.Millisecond
-	lateTurn  = 500 * time.Millisecond
+	// maxOverdraft is how many more callers may take their turns at this instance than got them here: callers come back to
+	// any instance. balanceHalfLife is the half-life of the difference.
+	maxOverdraft    = 16
+	balanceHalfLife = 5 * time.Second
 	// minCostFactor and maxCostFactor bound the cost of a request in relation to the mean.
 	minCostFactor = 0.25
 	maxCostFactor = 4
-	// maxTurns bounds the turns that are kept of one class.
-	maxTurns = 512
 )
 
 // schedule are the turns of one service.
 type schedule struct {
 	// next is when the next turn of a class begins. A turn moves those of the same class and of all lower ones.
 	next [classes]time.Time
-	// turns are the times of the turns that were not taken yet, in order.
-	turns [classes][]time.Time
+	// balance is the decayed number of the turns that this instance has given, less those that were taken here.
+	balance [classes]float64
+	// turnsUsed is the part of the completions that turns of a class are given for, less maxTurnsUsed, so that zero is the
+	// most.
+	turnsUsed [classes]float64
 	// completed is the decayed number of completions of each class, and cost their decayed cost.
 	completed   [classes]float64
 	cost        float64
@@ -50,15 +68,17 @@
 	if s.completedAt.IsZero() {
 		factor = 0
 	}
+	kept := math.Exp2(-now.Sub(s.completedAt).Seconds() / balanceHalfLife.Seconds())
 	s.completedAt = now
 	s.cost *= factor
 	for i := range s.completed {
 		s.completed[i] *= factor
+		s.balance[i] *= kept
 	}
 }
 
-// interval is how long the service takes for a request of a class: at the rate of the completions of this class and of the
-// lower ones, since the classes above it are served first.
+// interval is the time between two turns of a class. It follows from the completions of this class and of the lower ones,
+// since the classes above it are served first.
 func (s *schedule) interval(class Class, cost float64) time.Duration {
 	completed, all := 0.0, 0.0
 	for i, count := range s.completed {
@@ -67,7 +87,7 @@
 			completed += count
 		}
 	}
-	rate := completed * math.Ln2 / completionHalfLife.Seconds()
+	rate := (maxTurnsUsed + s.turnsUsed[class.index()]) * completed * math.Ln2 / completionHalfLife.Seconds()
 	if rate*maxInterval.Seconds() <= 1 {
 		return maxInterval
 	}
@@ -79,22 +99,22 @@
 }
 
 // add returns when a refused caller should come back, and whether it has a turn then: after the turns of those that were
-// refused before it in the same or a higher class.
-func (s *schedule) add(now time.Time, class Class, request Request) (retryAfter time.Duration, scheduled bool) {
+// refused before it in the same or a higher class. Only callers that were not refused before get one, and only if turns is set.
+func (s *schedule) add(now time.Time, class Class, request Request, turns bool) (retryAfter time.Duration, scheduled bool) {
 	s.decay(now)
 	first := class.index()
-	latest := scale(maxTimeFraction, max(request.Remaining, 0))
+	remaining := max(request.Remaining, 0)
 	interval := s.interval(class, request.Cost)
 	due := now.Add(minRetryAfter + interval)
 	if due.Before(s.next[first]) {
 		due = s.next[first]
 	}
-	s.dropExpired(now, first)
 	retryAfter = due.Sub(now)
-	if retryAfter > latest || len(s.turns[first]) >= maxTurns {
-		return latest, false
+	latest := min(scale(maxTurnFraction, remaining), maxTurnDelay)
+	if !turns || request.Waited >= minRetryAfter || retryAfter > latest {
+		return scale(maxTimeFraction, remaining), false
 	}
-	s.turns[first] = append(s.turns[first], due)
+	s.balance[first]++
 	for i := first; i < classes; i++ {
 		if s.next[i].Before(now) {
 			s.next[i] = now
@@ -105,22 +125,25 @@
 	return retryAfter, true
 }
 
-// take takes the turn of a class that is due.
-func (s *schedule) take(now time.Time, class Class) bool {
-	i := class.index()
-	s.dropExpired(now, i)
-	if len(s.turns[i]) == 0 || s.turns[i][0].After(now.Add(earlyTurn)) {
+// isReturned reports whether the caller of a request has waited as long as one that was told to come back for its turn.
+func (s *schedule) isReturned(now time.Time, class Class, request Request) bool {
+	allowed := request.Waited + request.Remaining
+	if request.Waited < minRetryAfter || request.Waited > scale(maxTurnFraction+waitedTolerance, allowed) {
 		return false
 	}
-	s.turns[i] = s.turns[i][1:]
-	return true
+	s.decay(now)
+	return s.balance[class.index()] > -maxOverdraft
 }
 
-// dropExpired drops the turns that nobody has taken.
-func (s *schedule) dropExpired(now time.Time, class int) {
-	turns := s.turns[class]
-	for len(turns) > 0 && now.Sub(turns[0]) > lateTurn {
-		turns = turns[1:]
+// recordTurn records whether a turn was kept.
+func (s *schedule) recordTurn(class Class, kept bool) {
+	i := class.index()
+	s.balance[i]--
+	used := maxTurnsUsed + s.turnsUsed[i]
+	if kept {
+		used += turnsUsedUp
+	} else {
+		used *= turnsUsedDown
 	}
-	s.turns[class] = turns
+	s.turnsUsed[i] = min(max(used, minTurnsUsed), maxTurnsUsed) - maxTurnsUsed
 }
--- a/internal/admission/contention/service.go
+++ b/internal/admission/contention/service.go
@@ -30,27 +30,44 @@
 	return c.Level
 }
 
-// levelsOf returns the distinct priorities of the routes to each service, in order.
-func levelsOf(routes []traffic.Route) map[string][]int {
-	levels := make(map[string][]int)
+// levels are the distinct priorities of the routes to a service, in order, and the shortest objective of the highest; 0 if
+// its routes state none.
+type levels struct {
+	priorities []int
+	objective  time.Duration
+}
+
+// levelsOf returns the levels of all services.
+func levelsOf(routes []traffic.Route) map[string]levels {
+	all := make(map[string]levels)
 	for _, route := range routes {
 		for _, target := range route.Targets {
-			levels[target.Service] = append(levels[target.Service], route.Priority)
+			l := all[target.Service]
+			l.add(route)
+			all[target.Service] = l
 		}
 	}
-	for name, list := range levels {
-		slices.Sort(list)
-		levels[name] = slices.Compact(list)
+	return all
+}
+
+func (l *levels) add(route traffic.Route) {
+	highest := len(l.priorities) == 0 || route.Priority < l.priorities[0]
+	same := !highest && route.Priority == l.priorities[0]
+	switch {
+	case route.Objective <= 0:
+	case highest || same && (l.objective == 0 || route.Objective < l.objective):
+		l.objective = route.Objective
+	}
+	if i, found := slices.BinarySearch(l.priorities, route.Priority); !found {
+		l.priorities = slices.Insert(l.priorities, i, route.Priority)
 	}
-	return levels
 }
 
 // service is the state of one service.
 type service struct {
 	// contendedAt is when a request last showed that the service is contended; zero if none did.
 	contendedAt time.Time
-	// refused counts the requests of each class that would have been refused since the last that was admitted as the
-	// floor of its class.
+	// refused counts the requests of each class that would have been refused since the last one that was admitted.
 	refused  [classes]int
 	schedule schedule
 }
@@ -85,16 +102,36 @@
 	return ReasonClass
 }
 
-// takeTurn admits a request in place of a caller that was told to come back about now. It goes before the others of its
-// class: it may find the queue that the class above may.
-func (s *service) takeTurn(now time.Time, class Class, request Request) bool {
-	if request.Waited < minRetryAfter || request.Queue > request.Limit*2>>class.Level {
+const (
+	// turnLimit is the fraction of its objective that a request of the highest class may spend in the queue if its caller
+	// has a turn. It is more than other requests of the class find, so that the turn is kept.
+	turnLimit = 1.5
+	// lowerTurnLimit is the fraction of the objective of the highest class for turns of lower classes, so that those of
+	// the highest are not late because of them.
+	lowerTurnLimit = 0.75
+	// turnMargin is the fraction of such a queue up to which a lower class gets further turns.
+	turnMargin = 0.6
+)
+
+// takeTurn admits a request of a caller that was told to come back now, if the queue allows it.
+func (s *service) takeTurn(now time.Time, class Class, request Request, highest time.Duration) bool {
+	if !s.schedule.isReturned(now, class, request) {
 		return false
 	}
-	return s.schedule.take(now, class)
+	kept := request.Queue <= turnQueue(class, request, highest)
+	s.schedule.recordTurn(class, kept)
+	return kept
+}
+
+// turnQueue is the longest queue for a request whose caller has a turn.
+func turnQueue(class Class, request Request, highest time.Duration) time.Duration {
+	if class.Level == 0 {
+		return scale(turnLimit, request.Objective)
+	}
+	return scale(lowerTurnLimit, max(highest, request.Objective>>class.Level))
 }
 
-// takeFloor admits one of ten consecutive requests of a class that would be refused.
+// takeFloor admits the last of ten consecutive requests of a class that would be refused.
 func (s *service) takeFloor(class Class) bool {
 	i := class.index()
 	s.refused[i]++
