--- a/internal/admission/contention/contention.go
+++ b/internal/admission/contention/contention.go
@@ -129,14 +129,12 @@
 		return Admit{Class: class}
 	}
 	highest := c.levels[request.Service].objective
-	if reason != ReasonFull {
-		if s.takeTurn(now, class, request, highest) {
-			s.refused[class.index()] = 0
-			return Admit{Class: class, Returned: true}
-		}
-		if s.takeFloor(class) {
-			return Admit{Class: class, Floor: true}
-		}
+	if s.takeTurn(now, class, request, highest) {
+		s.refused[class.index()] = 0
+		return Admit{Class: class, Returned: true}
+	}
+	if reason != ReasonFull && s.takeFloor(class) {
+		return Admit{Class: class, Floor: true}
 	}
 	// Where higher classes fill the queue, a lower class would hardly find a shorter one at its turn.
 	turns := class.Level == 0 || request.Queue <= scale(turnMargin, turnQueue(class, request, highest))
--- a/internal/admission/contention/contention_test.go
+++ b/internal/admission/contention/contention_test.go
@@ -66,21 +66,6 @@
 				onTimeBefore[i] = onTimePart(unordered, ofPriority(i))
 			}
 			t.Logf("served by priority: %.3f, on time %.3f; without classes %.3f, %.3f", served, onTime, servedBefore, onTimeBefore)
-			for i := range served {
-				floors, turns, attempts := 0, 0, 0
-				for _, c := range callers {
-					if c.kind.priority == i {
-						attempts += c.attempts
-						if c.floor {
-							floors++
-						}
-						if c.turn {
-							turns++
-						}
-					}
-				}
-				t.Logf("priority %d: %d attempts %d floors %d turns", i, attempts, floors, turns)
-			}
 			is.True(served[0] >= served[1]-0.03)
 			is.True(served[1] >= served[2]-0.03)
 			is.True(served[2] >= 0.09) // one in ten
@@ -159,6 +144,9 @@
 			t.Logf("%d of %d told callers served at that time, %d refused; by priority %v", served, told, refused, byPriority)
 			is.True(float64(served) >= 0.9*float64(told))
 			is.True(told > 100)
+			for _, one := range byPriority {
+				is.True(one[0] < 50 || float64(one[1]) >= 0.9*float64(one[0]))
+			}
 		})
 	}
 }
@@ -196,3 +184,49 @@
 		is.True(admitted)
 	}
 }
+
+// Guards against a plain service whose slots are given out without regard to classes, and against refused callers that leave
+// slots idle.
+func TestTwiceWhatFitsOfAPlainServiceWithThirtySlots(t *testing.T) {
+	plain := kind{priority: 2, objective: 300 * time.Millisecond, timeout: 4 * time.Second, part: 1}
+	for _, c := range []struct {
+		name   string
+		kinds  []kind
+		flood  bool
+		served float64 // the least of the highest priority, or of those within their share
+	}{
+		{"one priority", []kind{plain}, false, 0.4},
+		{"two priorities", []kind{
+			{priority: 0, objective: plain.objective, timeout: plain.timeout, part: 0.4},
+			{priority: 2, objective: plain.objective, timeout: plain.timeout, part: 0.6},
+		}, false, 0.95},
+		{"one workspace at six times its usual", []kind{plain}, true, 0.95},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			list := customers(16, 1000)
+			if c.flood {
+				list = customers(16, 400)
+				list[0].rate *= 4
+				list[0].sends *= 24
+			}
+			f := fleet{instances: 30, capacity: 500, slots: 30, kinds: c.kinds, load: steady(list), gossip: time.Second}
+			all := f.run(16 * time.Second)
+			callers := f.arrivedBetween(all, 4*time.Second, 11*time.Second)
+			selected := ofPriority(c.kinds[0].priority)
+			others := func(one *caller) bool { return !selected(one) }
+			if c.flood {
+				selected = func(one *caller) bool { return one.workspace != "w0" }
+				others = func(one *caller) bool { return one.workspace == "w0" }
+			}
+			ended := part(all, func(one *caller) bool { return one.served }, func(one *caller) bool {
+				at := one.endedAt.Sub(f.begun)
+				return at >= 4*time.Second && at < 12*time.Second
+			}) * servedPart(all, func(*caller) bool { return true }) * float64(len(all))
+			t.Logf("served %.3f, on time %.3f; others %.3f, %.3f; %.0f of 4000 slots' worth used", servedPart(callers, selected),
+				onTimePart(callers, selected), servedPart(callers, others), onTimePart(callers, others), ended)
+			is.True(servedPart(callers, selected) >= c.served)
+			is.True(ended >= 0.95*8*500)
+		})
+	}
+}
--- a/internal/admission/contention/harness_test.go
+++ b/internal/admission/contention/harness_test.go
@@ -48,6 +48,7 @@
 	// noRetries: callers do not come back. off: no classes, as without a controller.
 	noRetries bool
 	off       bool
+	seed      uint64
 	random    *rand.Rand
 
 	now     time.Time
@@ -75,6 +76,7 @@
 	scheduled bool
 	refusals  []refusalSeen
 	served    bool
+	endedAt   time.Time
 	onTime    bool
 	floor     bool
 	turn      bool
@@ -113,7 +115,7 @@
 
 // run simulates the fleet for some time and returns all callers.
 func (f *fleet) run(span time.Duration) (callers []*caller) {
-	f.random = rand.New(rand.NewPCG(1, 2))
+	f.random = rand.New(rand.NewPCG(f.seed, 2))
 	f.begun = time.Unix(1e9, 0)
 	f.now = f.begun
 	f.start()
@@ -221,6 +223,14 @@
 	return time.Duration(float64(max(f.slots, 1)) / f.capacity * float64(time.Second))
 }
 
+// limit is how long a request may wait in the highest class. The queue of slots is full with two requests for each.
+func (f *fleet) limit(k kind) time.Duration {
+	if f.slots > 0 {
+		return min(k.objective/2, f.workTime())
+	}
+	return k.objective / 2
+}
+
 // inFlight is how many requests are at the service.
 func (f *fleet) inFlight() int {
 	still := f.running[:0]
@@ -263,7 +273,7 @@
 		}
 		decision := n.controller.Decide(f.now, contention.Request{
 			Service: service, Workspace: c.workspace, Priority: c.kind.priority, Cost: 1, Queue: queue,
-			Limit: c.kind.objective / 2, Objective: c.kind.objective, Remaining: remaining, Waited: waited, Verdict: verdict,
+			Limit: f.limit(c.kind), Objective: c.kind.objective, Remaining: remaining, Waited: waited, Verdict: verdict,
 		})
 		switch decision := decision.(type) {
 		case contention.Admit:
@@ -292,6 +302,7 @@
 	f.running = append(f.running, ends)
 	f.after(queue+work, func() {
 		c.served = true
+		c.endedAt = f.now
 		c.onTime = f.now.Sub(c.arrived) <= c.kind.objective
 		n.controller.RecordCompletion(f.now, service, class, 1)
 	})
--- a/internal/admission/contention/service.go
+++ b/internal/admission/contention/service.go
@@ -103,12 +103,15 @@
 }
 
 const (
-	// turnLimit is the fraction of its objective that a request of the highest class may spend in the queue if its caller
-	// has a turn. It is more than other requests of the class find, so that the turn is kept.
-	turnLimit = 1.5
-	// lowerTurnLimit is the fraction of the objective of the highest class for turns of lower classes, so that those of
-	// the highest are not late because of them.
-	lowerTurnLimit = 0.75
+	// turnLimit is how much longer than the limit of the highest class the queue may be for a request of that class whose
+	// caller has a turn. It is more than other requests of the class find, so that the turn is kept.
+	turnLimit = 3
+	// maxTurnQueue bounds it as a fraction of the objective.
+	maxTurnQueue = 1.5
+	// lowerTurnLimit and maxLowerTurnQueue are the same for lower classes, but as a fraction of the objective of the highest
+	// class, so that its requests are not late because of the turns of others.
+	lowerTurnLimit    = 1.5
+	maxLowerTurnQueue = 0.75
 	// turnMargin is the fraction of such a queue up to which a lower class gets further turns.
 	turnMargin = 0.6
 )
@@ -118,7 +121,7 @@
 	if !s.schedule.isReturned(now, class, request) {
 		return false
 	}
-	kept := request.Queue <= turnQueue(class, request, highest)
+	kept := request.Verdict != Impossible && request.Queue <= turnQueue(class, request, highest)
 	s.schedule.recordTurn(class, kept)
 	return kept
 }
@@ -126,9 +129,12 @@
 // turnQueue is the longest queue for a request whose caller has a turn.
 func turnQueue(class Class, request Request, highest time.Duration) time.Duration {
 	if class.Level == 0 {
-		return scale(turnLimit, request.Objective)
+		return min(scale(turnLimit, request.Limit), scale(maxTurnQueue, request.Objective))
 	}
-	return scale(lowerTurnLimit, max(highest, request.Objective>>class.Level))
+	if highest <= 0 {
+		highest = request.Objective
+	}
+	return min(scale(lowerTurnLimit, request.Limit), scale(maxLowerTurnQueue, highest))
 }
 
 // takeFloor admits the last of ten consecutive requests of a class that would be refused.
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 )
 
@@ -48,6 +49,8 @@
 	sentToAll map[string]time.Time
 	// fleet is what FleetTotals has added up.
 	fleet fleetCount
+	// random decides which requests are thinned.
+	random *rand.Rand
 }
 
 // bucket is the estimate for one workspace. Its level is negative while it is in debt.
@@ -57,6 +60,7 @@
 	// scheduled are the refused requests that got a retry time, and scheduledCost is their total cost.
 	scheduled     []scheduledRetry
 	scheduledCost float64
+	demand        demand
 }
 
 // scheduledRetry is a refused request that got a retry time.
@@ -198,7 +202,8 @@
 	}
 	l.refill(now)
 	b := l.buckets[workspace]
-	if b.level <= 0 {
+	b.demand.record(now, cost)
+	if b.level <= 0 || l.isThinned(now, workspace, b) {
 		return l.scheduleRetry(now, workspace, cost), false
 	}
 	b.level -= cost
@@ -241,7 +246,7 @@
 // instances, each would admit against the same tokens until the next heartbeat.
 func (l *Ledger) TakeUrgentRecipients(now time.Time) (names []string) {
 	for workspace, total := range l.own {
-		if l.isLow(workspace) && total-l.sentTotals[workspace] >= l.unsentLimit(now, workspace)*l.limits[workspace].Rate {
+		if l.mustSend(now, workspace) && total-l.sentTotals[workspace] >= l.unsentLimit(now, workspace)*l.limits[workspace].Rate {
 			l.sentTotals = maps.Clone(l.own)
 			return l.urgentRecipients(now, workspace)
 		}
@@ -256,9 +261,10 @@
 }
 
 // urgentRecipients returns the peers that admitted for a workspace recently, or all peers if the last update to all
-// is longer ago than activeWindow.
+// is longer ago than activeWindow, or if requests are thinned.
 func (l *Ledger) urgentRecipients(now time.Time, workspace string) (names []string) {
-	all := now.Sub(l.sentToAll[workspace]) > activeWindow
+	b := l.buckets[workspace]
+	all := now.Sub(l.sentToAll[workspace]) > activeWindow || b != nil && b.demand.isHigh(now)
 	if all {
 		l.sentToAll[workspace] = now
 	}
@@ -291,6 +297,13 @@
 	return b != nil && limit.Rate > 0 && b.level <= lowLevel*limit.Burst
 }
 
+// mustSend reports whether other instances need to learn at once what this instance admits for a workspace. While requests
+// are thinned, the level may be anywhere.
+func (l *Ledger) mustSend(now time.Time, workspace string) bool {
+	b := l.buckets[workspace]
+	return l.isLow(workspace) || b != nil && b.demand.isHigh(now)
+}
+
 // ---------------------------------------------------------------------------------------------
 
 // minRetryAfter keeps callers from retrying at once when a bucket is almost out of debt.
@@ -314,8 +327,11 @@
 	b.dropDue(now)
 	costAhead := b.scheduledCost * float64(1+l.activePeerCount(now, workspace))
 	stagger := time.Duration(costAhead / rate * float64(time.Second))
-	wait := minRetryAfter + time.Duration(-b.level/rate*float64(time.Second))
+	wait := minRetryAfter + time.Duration(max(-b.level, 0)/rate*float64(time.Second))
 	if stagger > maxStagger {
+		if b.level > 0 {
+			wait += maxStagger // chance decides, and coming back sooner would only add to the demand
+		}
 		return wait
 	}
 	wait += stagger
