--- a/internal/admission/contention/contention.go
+++ b/internal/admission/contention/contention.go
@@ -4,8 +4,9 @@
 // clock and passes the time in.
 //
 // The highest class of a service may find the queue that placement allows without this package. Each lower class may find
-// half of the queue of the class above it, and workspaces that use more than their share as much as the lowest class. Lower
-// classes are only refused while the service is contended. Of ten consecutive requests of a class that would be refused,
+// half of the queue of the class above it, and workspaces that use more than their share as much as the lowest class. Within a
+// class, callers that have been waiting for longer than their objective may find three quarters of what the others may. All of
+// this applies only while the service is contended. Of ten consecutive requests of a class that would be refused,
 // one is admitted, so that no class starves.
 package contention
 
@@ -28,11 +29,11 @@
 	Queue     time.Duration
 	Limit     time.Duration
 	Objective time.Duration
-	// Remaining is the time until nobody waits for the request any more. Waited is how much of the time that its route
-	// allows had passed when it arrived, as far as its caller states it: one that comes back after a refusal has less
-	// time left. 0 if nothing is stated.
+	// Remaining is the time until nobody waits for the request any more. Allowed is the same at its arrival, and Route
+	// what its callers have in common: of those of one route, a caller that comes back has less time left than others.
 	Remaining time.Duration
-	Waited    time.Duration
+	Allowed   time.Duration
+	Route     string
 	// Verdict is what placement says without regard to classes.
 	Verdict Verdict
 }
@@ -84,6 +85,9 @@
 	ReasonQueue Reason = "queue"
 	// ReasonClass: the queue is too long for the class of the request.
 	ReasonClass Reason = "class"
+	// ReasonLate: the queue is too long for a request that is late, since its caller has been waiting for longer than its
+	// objective.
+	ReasonLate Reason = "late"
 	// ReasonShare: the queue is too long for a workspace that is over its share.
 	ReasonShare Reason = "share"
 )
@@ -104,6 +108,7 @@
 	shares     shares
 	services   map[string]*service
 	labels     map[string]bool
+	allowances map[string]*allowance
 }
 
 // Configure sets the priorities of the services and the rates of the workspaces. A version that is not newer than the one
@@ -115,6 +120,7 @@
 	c.configured = true
 	c.version = configuration.Version
 	c.levels = levelsOf(configuration.Routes)
+	c.allowances = nil // of routes that may be gone
 	c.shares.setRates(configuration.Workspaces)
 }
 
@@ -122,14 +128,15 @@
 func (c *Controller) Decide(now time.Time, request Request) Decision {
 	s := c.service(request.Service)
 	class := c.classOf(now, s, request.Service, request.Workspace, request.Priority)
-	reason := s.refusalOf(now, class, request)
-	s.recordQueue(now, request)
+	waited := c.waited(now, request)
+	reason := s.refusalOf(now, class, request, waited)
+	s.recordQueue(now, request, reason)
 	if reason == "" {
 		s.refused[class.index()] = 0
 		return Admit{Class: class}
 	}
 	highest := c.levels[request.Service].objective
-	if s.takeTurn(now, class, request, highest) {
+	if s.takeTurn(now, class, request, waited, highest) {
 		s.refused[class.index()] = 0
 		return Admit{Class: class, Returned: true}
 	}
@@ -138,7 +145,7 @@
 	}
 	// Where higher classes fill the queue, a lower class would hardly find a shorter one at its turn.
 	turns := class.Level == 0 || request.Queue <= scale(turnMargin, turnQueue(class, request, highest))
-	retryAfter, scheduled := s.schedule.add(now, class, request, turns)
+	retryAfter, scheduled := s.schedule.add(now, class, request, turns && waited < minRetryAfter)
 	return Refuse{Class: class, Reason: reason, RetryAfter: retryAfter, Scheduled: scheduled}
 }
 
--- a/internal/admission/contention/contention_test.go
+++ b/internal/admission/contention/contention_test.go
@@ -178,7 +178,7 @@
 	for range 100 {
 		decision := c.Decide(now, contention.Request{
 			Service: service, Workspace: "w", Priority: 9, Cost: 1, Queue: 400 * time.Millisecond,
-			Limit: 500 * time.Millisecond, Objective: time.Second, Remaining: time.Second,
+			Limit: 500 * time.Millisecond, Objective: time.Second, Remaining: time.Second, Allowed: time.Second, Route: "r",
 		})
 		_, admitted := decision.(contention.Admit)
 		is.True(admitted)
--- a/internal/admission/contention/harness_test.go
+++ b/internal/admission/contention/harness_test.go
@@ -273,7 +273,7 @@
 		}
 		decision := n.controller.Decide(f.now, contention.Request{
 			Service: service, Workspace: c.workspace, Priority: c.kind.priority, Cost: 1, Queue: queue,
-			Limit: f.limit(c.kind), Objective: c.kind.objective, Remaining: remaining, Waited: waited, Verdict: verdict,
+			Limit: f.limit(c.kind), Objective: c.kind.objective, Remaining: remaining, Allowed: remaining, Route: fmt.Sprint(c.kind), Verdict: verdict,
 		})
 		switch decision := decision.(type) {
 		case contention.Admit:
--- a/internal/admission/contention/schedule.go
+++ b/internal/admission/contention/schedule.go
@@ -99,7 +99,7 @@
 }
 
 // add returns when a refused caller should come back, and whether it has a turn then: after the turns of those that were
-// refused before it in the same or a higher class. Only callers that were not refused before get one, and only if turns is set.
+// refused before it in the same or a higher class. It has none unless turns is set.
 func (s *schedule) add(now time.Time, class Class, request Request, turns bool) (retryAfter time.Duration, scheduled bool) {
 	s.decay(now)
 	first := class.index()
@@ -111,7 +111,7 @@
 	}
 	retryAfter = due.Sub(now)
 	latest := min(scale(maxTurnFraction, remaining), maxTurnDelay)
-	if !turns || request.Waited >= minRetryAfter || retryAfter > latest {
+	if !turns || retryAfter > latest {
 		return scale(maxTimeFraction, remaining), false
 	}
 	s.balance[first]++
@@ -125,10 +125,9 @@
 	return retryAfter, true
 }
 
-// isReturned reports whether the caller of a request has waited as long as one that was told to come back for its turn.
-func (s *schedule) isReturned(now time.Time, class Class, request Request) bool {
-	allowed := request.Waited + request.Remaining
-	if request.Waited < minRetryAfter || request.Waited > scale(maxTurnFraction+waitedTolerance, allowed) {
+// isReturned reports whether a caller has waited as long as one that was told to come back for its turn.
+func (s *schedule) isReturned(now time.Time, class Class, waited, allowed time.Duration) bool {
+	if waited < minRetryAfter || waited > scale(maxTurnFraction+waitedTolerance, allowed) {
 		return false
 	}
 	s.decay(now)
--- a/internal/admission/contention/service.go
+++ b/internal/admission/contention/service.go
@@ -14,6 +14,13 @@
 	contendedFor = 2 * time.Second
 	// contendedFraction is the fraction of its objective that a request spends in a queue which is such a sign.
 	contendedFraction = 0.5
+	// refusedSampleWeight is the weight of the newest request in the part that is refused, and frequentPart the part from
+	// which on refusals are frequent.
+	refusedSampleWeight = 0.05
+	frequentPart        = 0.2
+	// lateFraction is the fraction of the limit of its class for a request that is late. It is more than the lower class
+	// may find.
+	lateFraction = 0.75
 	// floorInterval is the number of consecutive requests that would be refused of which one is admitted.
 	floorInterval = 10
 	// maxLevel bounds the levels; priorities are from 0 to 9.
@@ -68,38 +75,49 @@
 	// contendedAt is when a request last showed that the service is contended; zero if none did.
 	contendedAt time.Time
 	// refused counts the requests of each class that would have been refused since the last one that was admitted.
-	refused  [classes]int
-	schedule schedule
+	refused [classes]int
+	// refusedPart is the part of the latest requests that would have been refused.
+	refusedPart float64
+	schedule    schedule
 }
 
 func (s *service) isContended(now time.Time) bool {
 	return !s.contendedAt.IsZero() && now.Sub(s.contendedAt) <= contendedFor
 }
 
-// recordQueue records whether a request shows that the service is contended. Refusals that are due to its class alone are no
-// such sign: they would keep a service contended after the load has ended, as long as its queue is not quite empty.
-func (s *service) recordQueue(now time.Time, request Request) {
+// recordQueue records whether a request shows that the service is contended. Refusals that are due to a class alone do so
+// only while they are frequent. If they never did, lower classes would fill the queue again each two seconds; if each did,
+// a service would stay contended after the load has ended, as long as its queue is not quite empty.
+func (s *service) recordQueue(now time.Time, request Request, reason Reason) {
+	sample := 0.0
+	if reason != "" {
+		sample = 1
+	}
+	s.refusedPart += refusedSampleWeight * (sample - s.refusedPart)
 	long := request.Objective > 0 && request.Queue > scale(contendedFraction, request.Objective)
-	if long || request.Verdict != Fits {
+	if long || request.Verdict != Fits || reason != "" && s.refusedPart > frequentPart {
 		s.contendedAt = now
 	}
 }
 
 // refusalOf returns why a request would be refused, empty if it would not.
-func (s *service) refusalOf(now time.Time, class Class, request Request) Reason {
+func (s *service) refusalOf(now time.Time, class Class, request Request, waited time.Duration) Reason {
 	switch {
 	case request.Verdict == Impossible:
 		return ReasonFull
 	case request.Verdict == TooLong:
 		return ReasonQueue
-	case class.Level == 0 || request.Objective <= 0 || !s.isContended(now):
-		return ""
-	case request.Queue <= request.Limit>>class.Level:
+	case request.Objective <= 0 || !s.isContended(now):
 		return ""
-	case class.Over:
-		return ReasonShare
+	case class.Level > 0 && request.Queue > request.Limit>>class.Level:
+		if class.Over {
+			return ReasonShare
+		}
+		return ReasonClass
+	case waited > request.Objective && request.Queue > scale(lateFraction, request.Limit>>class.Level):
+		return ReasonLate
 	}
-	return ReasonClass
+	return ""
 }
 
 const (
@@ -117,8 +135,8 @@
 )
 
 // takeTurn admits a request of a caller that was told to come back now, if the queue allows it.
-func (s *service) takeTurn(now time.Time, class Class, request Request, highest time.Duration) bool {
-	if !s.schedule.isReturned(now, class, request) {
+func (s *service) takeTurn(now time.Time, class Class, request Request, waited, highest time.Duration) bool {
+	if !s.schedule.isReturned(now, class, waited, waited+request.Allowed) {
 		return false
 	}
 	kept := request.Verdict != Impossible && request.Queue <= turnQueue(class, request, highest)
--- a/internal/admission/quota/thinning.go
+++ b/internal/admission/quota/thinning.go
@@ -52,7 +52,9 @@
 
 // isHigh reports whether requests were thinned recently. Instances then admit so rarely that those that have not admitted
 // lately are likely to do so next.
-func (d *demand) isHigh(now time.Time) bool { return !d.highAt.IsZero() && now.Sub(d.highAt) <= activeWindow }
+func (d *demand) isHigh(now time.Time) bool {
+	return !d.highAt.IsZero() && now.Sub(d.highAt) <= activeWindow
+}
 
 // rate returns the demand in units a second without some requests.
 func (d *demand) rate(ignored int) float64 {
