--- a/internal/admission/contention/contention.go
+++ b/internal/admission/contention/contention.go
@@ -140,7 +140,8 @@
 		s.refused[class.index()] = 0
 		return Admit{Class: class, Returned: true}
 	}
-	if reason != ReasonFull && s.takeFloor(class) {
+	// Those that come back are not counted: under overload they come so often that the floor alone would fill the service.
+	if reason != ReasonFull && waited < minRetryAfter && s.takeFloor(class) {
 		return Admit{Class: class, Floor: true}
 	}
 	// Where higher classes fill the queue, a lower class would hardly find a shorter one at its turn.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
@@ -177,6 +178,9 @@
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
 	}
+	if n.Settings.Admission.Contention.IsOn() {
+		n.handler.Admission = &contention.Controller{}
+	}
 	connections := newCallerConnections(maxFiles())
 	n.callers = &http.Server{
 		Handler:           connections.serve(n.handler),
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -181,7 +181,7 @@
 		Upstream:    upstream.ID,
 		Workspace:   j.workspace.Name,
 		Remaining:   time.Until(j.deadline),
-		Priority:    j.priority,
+		Priority:    j.enginePriority(),
 		Version:     a.placement.query.Version,
 		LastEventID: j.call.LastEventID,
 	}
@@ -315,6 +315,9 @@
 	j.handler.State.WithLock(func(state *SharedState) {
 		now := time.Now()
 		state.Pool.Finish(now, a.counted, a.poolEnd(outcome))
+		if outcome == resultServed {
+			j.recordServed(now)
+		}
 		if outcome == resultMisdirected {
 			state.Pool.RecordMissingAdapter(upstream.ID, a.placement.query.Adapter)
 		}
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -27,6 +27,7 @@
 	if err := j.bindResumed(ctx); err != nil {
 		return err
 	}
+	j.findClass()
 	j.handler.State.WithLock(func(state *SharedState) { state.Retries.For(j.service).CountFirstTry() })
 	var last error
 	for j.hasAttemptsLeft() {
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -30,6 +31,11 @@
 	priority  int
 	deadline  time.Time
 
+	// class is that of the request among those that compete for its service, as it was before the first attempt.
+	// overShare: its workspace is over its share there.
+	class     contention.Class
+	overShare bool
+
 	cost        float64
 	fingerprint suspect.Fingerprint
 	// promptParts are the fingerprints of the prompt parts that other requests may share.
--- a/internal/gateway/serve/job_refusals.go
+++ b/internal/gateway/serve/job_refusals.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
@@ -59,6 +60,9 @@
 	if wait := j.limitWait(); wait > 0 {
 		return refusal.New(refusal.Busy, "the upstreams have limited their requests").WithRetryAfter(wait)
 	}
+	if errors.Is(unplaced.cause, pool.ErrFull) && j.handler.Admission != nil {
+		return j.shedByClass(unplaced.choice, unplaced.query, contention.Impossible)
+	}
 	if errors.Is(unplaced.cause, pool.ErrFull) {
 		var retryAfter time.Duration
 		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), unplaced.query) })
@@ -99,6 +103,7 @@
 // exhausted returns the refusal for a request that may not be sent again, or that has used up its attempts.
 func (j *job) exhausted(last error) error {
 	if !j.mayHaveRun {
+		j.recordBusyService()
 		j.cause = last
 		wait := j.backpressureWait()
 		if wait == 0 {
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -67,11 +68,10 @@
 
 // shedLoad refuses a request that would be late because of the requests queued before it.
 func (j *job) shedLoad(choice pool.Choice, query pool.Query) error {
-	budget := pool.TimeBudget{
-		OnTime:    time.Until(j.startedAt.Add(j.route.Objective)),
-		Remaining: time.Until(j.deadline),
-		Objective: j.route.Objective,
+	if j.handler.Admission != nil {
+		return j.shedByClass(choice, query, contention.Fits)
 	}
+	budget := j.timeBudget()
 	var retryAfter time.Duration
 	refused := false
 	j.handler.State.WithLock(func(state *SharedState) {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
@@ -87,6 +88,9 @@
 	State   *SharedState
 	Log     zerolog.Logger
 	Scope   tally.Scope
+	// Admission decides by priority and workspace which requests are refused under contention; nil if that is off. It is
+	// guarded by the mutex of State.
+	Admission *contention.Controller
 
 	draining atomic.Bool
 	refusing atomic.Bool
--- a/internal/placement/pool/overload.go
+++ b/internal/placement/pool/overload.go
@@ -45,11 +45,7 @@
 	if query.Software != "" && !pastDeadline {
 		return 0, false // its caller has a part of the stream, and its queue is that of a few upstreams
 	}
-	maxQueued := scale(maxQueueFraction, budget.Objective)
-	if choice.ExpectedIdle > budget.OnTime-maxQueued {
-		maxQueued = budget.Objective
-	}
-	late := budget.Objective > 0 && eta > budget.OnTime && queued > maxQueued
+	late := budget.Objective > 0 && eta > budget.OnTime && queued > maxQueue(choice, budget)
 	short := queued <= scale(shortQueueFraction, budget.Objective)
 	standing := p.statsOf(query.Service).recordQueue(now, late, short) > budget.Objective
 	if !pastDeadline && !(late && standing) {
