--- a/internal/admission/contention/share.go
+++ b/internal/admission/contention/share.go
@@ -11,7 +11,7 @@
 
 const (
 	// useInterval is how often the totals of the fleet are recorded.
-	useInterval = 100 * time.Millisecond
+	useInterval = 250 * time.Millisecond
 	// useHalfLife is the half-life of what was admitted.
 	useHalfLife = 1500 * time.Millisecond
 	// activeFor is how long a workspace counts as active after something was admitted for it.
--- a/internal/gateway/serve/contention.go
+++ b/internal/gateway/serve/contention.go
@@ -60,8 +60,8 @@
 		if choice.Expected+choice.SlotWait > budget.Remaining {
 			verdict = contention.Impossible
 		}
-		if query.Software != "" && verdict == contention.Fits {
-			return // its caller has a part of the stream
+		if j.isAdmitted(verdict) || query.Software != "" && verdict == contention.Fits {
+			return // it was decided, or its caller has a part of the stream
 		}
 		queue, limit = state.Pool.QueueFound(now, query, choice, budget)
 		decision = j.handler.Admission.Decide(now, contention.Request{
@@ -74,6 +74,7 @@
 	})
 	switch decision := decision.(type) {
 	case contention.Admit:
+		j.admitted = &decision
 		j.countAdmission(label, "admitted", decision.Class)
 	case contention.Refuse:
 		j.countAdmission(label, "refused", decision.Class)
@@ -87,6 +88,18 @@
 	return nil
 }
 
+// isAdmitted reports whether an earlier decision about the request holds: it looks for another upstream. One that was admitted
+// although the queue was too long stays admitted.
+func (j *job) isAdmitted(verdict contention.Verdict) bool {
+	switch {
+	case j.admitted == nil || verdict == contention.Impossible:
+		return false
+	case verdict == contention.Fits:
+		return true
+	}
+	return j.admitted.Floor || j.admitted.Returned
+}
+
 // timeBudget returns how long from now the request can wait.
 func (j *job) timeBudget() pool.TimeBudget {
 	return pool.TimeBudget{
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -35,6 +35,8 @@
 	// overShare: its workspace is over its share there.
 	class     contention.Class
 	overShare bool
+	// admitted is the controller's decision to admit the request; nil before there is one.
+	admitted *contention.Admit
 
 	cost        float64
 	fingerprint suspect.Fingerprint
