--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/coordination"
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
@@ -182,6 +183,9 @@
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
 		Contention: n.Settings.Admission.Contention.IsOn(),
 	}
+	if n.Settings.Admission.Contention.IsOn() {
+		n.handler.Admission = &contention.Controller{}
+	}
 	connections := newCallerConnections(maxFiles())
 	n.callers = &http.Server{
 		Handler:           connections.serve(n.handler),
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -28,10 +29,15 @@
 	service   string
 	workspace traffic.Workspace
 	priority  int
-	// overShare: the workspace uses more than its share of the service.
-	overShare bool
 	deadline  time.Time
 
+	// class is that of the request among those that compete for its service, as it was before the first attempt.
+	// overShare: its workspace is over its share there.
+	class     contention.Class
+	overShare bool
+	// admitted is the controller's decision to admit the request; nil before there is one.
+	admitted *contention.Admit
+
 	cost        float64
 	fingerprint suspect.Fingerprint
 	// promptParts are the fingerprints of the prompt parts that other requests may share.
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"lacewingrock.example/lacewingrock/internal/admission/contention"
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
@@ -94,6 +95,9 @@
 	Scope   tally.Scope
 	// Contention: requests compete for adapter slots by class, and few holders are asked for one.
 	Contention bool
+	// Admission decides by priority and workspace which requests are refused under contention; nil if that is off. It is
+	// guarded by the mutex of State.
+	Admission *contention.Controller
 
 	draining atomic.Bool
 	refusing atomic.Bool
