Account of the bytes held, backlogs of slow callers, bounds on endless responses

The connections of callers keep what the kernel does not take at once, so that upstreams are read on. Heads, events, bodies and failures of upstreams have bounds.

--- a/internal/caller/stream/splitter.go
+++ b/internal/caller/stream/splitter.go
@@ -49,3 +49,6 @@
 
 // Incomplete returns the number of bytes after the last complete event.
 func (s *Splitter) Incomplete() int { return len(s.received) - s.complete }
+
+// Rest returns the bytes after the last complete event. They are valid until the next call of Add.
+func (s *Splitter) Rest() []byte { return s.received[s.complete:] }
--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -117,6 +117,8 @@
 	// maxIdleConnections are kept to each address, each for idleConnectionTimeout.
 	maxIdleConnections    = 4
 	idleConnectionTimeout = 5 * time.Second
+	// maxHeadBytes bounds the head of a response. Without a bound, one without an end would fill the memory.
+	maxHeadBytes = 64 << 10
 )
 
 // dialUpstream opens a connection to the address of an upstream. The caller's context bounds the time for it.
@@ -127,10 +129,11 @@
 // newHTTPClient returns an HTTP client whose connections detect that the other end is gone.
 func newHTTPClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         socket.Dialer(connectTimeout).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleConnectionTimeout,
-		DisableCompression:  true,
+		DialContext:            socket.Dialer(connectTimeout).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleConnectionTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -22,8 +22,10 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/backlog"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+	"lacewingrock.example/lacewingrock/internal/gateway/memory"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -102,6 +104,7 @@
 	clearStatementPending atomic.Bool
 
 	handler    *serve.Handler
+	backlogs   *backlog.Backlogs
 	callers    *http.Server
 	ready      *http.Server
 	metrics    *http.Server
@@ -176,7 +179,9 @@
 	n.assembleSharedState()
 	n.handler = &serve.Handler{
 		Dialect: n.Dialect, Fleet: n, Forward: n.forward, State: n.sharedState, Log: n.Log, Scope: scope,
+		Memory: &memory.Account{Limit: memory.LimitOf(n.Settings.Memory.LimitMB), Scope: scope},
 	}
+	n.keepBacklogs()
 	connections := newCallerConnections(maxFiles())
 	n.callers = &http.Server{
 		Handler:           connections.serve(n.handler),
@@ -194,6 +199,15 @@
 	n.mesh = mesh.NewServer(n)
 }
 
+// keepBacklogs lets callers read slowly while their upstreams are read on. Without a bound for what is kept of responses,
+// nothing is: the upstreams are read as slowly as the callers read.
+func (n *Node) keepBacklogs() {
+	n.backlogs = &backlog.Backlogs{Account: n.handler.Memory, Log: n.Log, Scope: n.scope}
+	if n.handler.Memory.IsBounded() {
+		n.listeners.callers = n.backlogs.Listener(n.listeners.callers)
+	}
+}
+
 func (n *Node) assembleSharedState() {
 	settings := pool.DefaultSettings()
 	settings.DataCentre = n.self.DataCentre
@@ -294,6 +308,7 @@
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(shutdownCtx)
+	n.backlogs.Await(shutdownCtx)
 	n.awaitPeerConnections(shutdownCtx)
 	n.handOverOrigins(shutdownCtx)
 	pause.For(tasksCtx, responseFlushDelay)
--- a/internal/gateway/forward/exchange.go
+++ b/internal/gateway/forward/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -69,12 +70,18 @@
 	}
 }
 
+// headTooLongText is in the error of net/http for a head beyond MaxResponseHeaderBytes, which has no type of its own.
+const headTooLongText = "server response headers exceeded"
+
 // classify returns ErrNotConnected only if no connection carried the request.
 func (e *exchange) classify(err error) error {
 	var dial dialError
 	if e.connection.Load() == nil || errors.As(err, &dial) && !e.sent.Load() {
 		return errors.WithMessage(ErrNotConnected, err.Error())
 	}
+	if strings.Contains(err.Error(), headTooLongText) {
+		return errors.WithMessage(ErrHeadTooLong, err.Error())
+	}
 	return errors.WithMessage(ErrBrokenResponse, err.Error())
 }
 
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -23,8 +23,14 @@
 	ErrNotConnected = errors.New("forward: could not connect to upstream")
 	// ErrBrokenResponse: the connection or the response broke, and the call may have run.
 	ErrBrokenResponse = errors.New("forward: answer broken")
+	// ErrHeadTooLong is an ErrBrokenResponse: the head of the response, or what was sent in its place, exceeds maxHeadBytes.
+	ErrHeadTooLong = errors.WithMessage(ErrBrokenResponse, "head too long")
 )
 
+// maxHeadBytes bounds the head of a response. Without a bound, an upstream in trouble that sends no end of it would fill the
+// memory of the instance.
+const maxHeadBytes = 64 << 10
+
 const (
 	// idleTimeout is how long an idle connection is kept. Upstreams close idle connections after some seconds, and a
 	// call sent on a connection that is being closed is lost, so the instance closes it well before that.
@@ -93,7 +99,9 @@
 	Header  http.Header
 	Body    io.ReadCloser
 	Framing Framing
-	Info    call.ResponseInfo
+	// Length is the length of the body that the upstream states, negative if it states none.
+	Length int64
+	Info   call.ResponseInfo
 }
 
 // Do sends a call. If newConnection is set, it opens a new connection: on a reused connection the call could cross with
@@ -130,6 +138,7 @@
 		Header:  response.Header,
 		Body:    response.Body,
 		Framing: framingOf(response),
+		Length:  response.ContentLength,
 		Info:    c.Dialect.ParseResponse(response),
 	}
 	if err := c.check(outgoing, result); err != nil {
@@ -212,9 +221,10 @@
 			}
 			return connection, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -75,6 +75,12 @@
 	dataAt   atomic.Int64
 	buffer   []byte
 	splitter stream.Splitter
+	// withoutData is the number of bytes of complete events since the last one that had data.
+	withoutData int
+	// held is the number of bytes that are reserved for the first part of the response, or an incomplete event. noRoom: there
+	// was no room for more.
+	held   int64
+	noRoom bool
 	// firstEventAt is when the first events of the stream arrived, and wroteAt when the last ones were written.
 	firstEventAt time.Time
 	wroteAt      time.Time
@@ -240,7 +246,11 @@
 		j.runs++
 		j.mayHaveRun = true
 	}
+	if j.failure != a {
+		a.releaseHeld()
+	}
 	a.recordEnd(outcome, err)
+	a.recordExcess(err)
 	a.finish(outcome)
 	a.log(outcome, err)
 	a.recordTried(outcome)
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -56,6 +56,8 @@
 	retryTaken bool
 	// acceptsChunks: the caller speaks HTTP/1.1.
 	acceptsChunks bool
+	// body is what is reserved for the body of the request.
+	body bodyReservation
 	// started: the header of the response was sent to the caller.
 	started bool
 	// endsWithConnection: the response to the caller has neither a length nor chunks.
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -18,14 +18,12 @@
 // relay.go receives an upstream's response and forwards it to the caller: complete, or event by event.
 
 const (
-	// maxBuffered is the maximum length of a response that is read completely before any of it is forwarded. If such a
-	// response breaks, the request can be retried, and the caller never sees a partial response.
+	// maxBuffered is the maximum length of a response with a stated length that is read completely before any of it is
+	// forwarded. If such a response breaks, the request can be retried, and the caller never sees a partial response.
 	maxBuffered = 256 << 10
 	// chunkBytes is the size of one read of a stream, and bodyChunkBytes that of another response, most of which are short.
 	chunkBytes     = 16 << 10
 	bodyChunkBytes = 4 << 10
-	// maxEventBytes bounds one event of a stream, which is held until it is complete.
-	maxEventBytes = 4 << 20
 )
 
 // received describes the response to an attempt, for the log.
@@ -78,14 +76,20 @@
 	return outcome, err
 }
 
-// receiveBody receives a response that is not a stream, up to maxBuffered.
+// receiveBody receives a response that is not a stream, as far as it is held before any of it is forwarded.
 func (a *attempt) receiveBody() (result, error) {
-	for len(a.first) < maxBuffered && !a.ended {
+	if err := a.checkStatedLength(); err != nil {
+		return resultBroken, err
+	}
+	for !a.ended && !a.mayForwardPart() {
 		data, err := a.read()
 		if err != nil {
 			return resultBroken, err
 		}
 		a.first = append(a.first, data...)
+		if err := a.checkBody(len(a.first)); err != nil {
+			return resultBroken, err
+		}
 	}
 	a.received.ended = a.ended
 	if a.job.started {
@@ -171,7 +175,10 @@
 			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
 		}
 		if events, err = a.splitter.Add(data); err != nil {
-			return nil, errors.WithMessage(forward.ErrBrokenResponse, err.Error())
+			return nil, &excessError{reason: excessEvent, limit: maxEventBytes}
+		}
+		if err := a.checkEvents(events); err != nil {
+			return nil, err
 		}
 	}
 	if len(events) == 0 {
@@ -274,11 +281,18 @@
 
 // relayRemainder forwards the rest of a long response.
 func (a *attempt) relayRemainder() error {
+	length := len(a.first)
+	a.first = nil
+	a.releaseHeld()
 	for !a.ended {
 		data, err := a.read()
 		if err != nil {
 			return err
 		}
+		length += len(data)
+		if err := a.checkBody(length); err != nil {
+			return err
+		}
 		if err := a.job.write(data); err != nil {
 			return err
 		}
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -5,13 +5,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -20,6 +18,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
 	"lacewingrock.example/lacewingrock/internal/gateway/forward"
+	"lacewingrock.example/lacewingrock/internal/gateway/memory"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -87,6 +86,8 @@
 	State   *SharedState
 	Log     zerolog.Logger
 	Scope   tally.Scope
+	// Memory is the account of what is held for requests and responses. Without one, nothing is refused for its size alone.
+	Memory *memory.Account
 
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -101,12 +102,10 @@
 // lost.
 func (h *Handler) RefuseRequests() { h.refusing.Store(true) }
 
-// defaultBodyBytes bounds a body if the configuration states no limit.
-const defaultBodyBytes = 4 << 20
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{handler: h, writer: w, startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
+	defer j.releaseMemory()
 	j.setDeadlines(maxRequestTime)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -233,29 +232,6 @@
 	return refusal.New(code, reason)
 }
 
-// readBody reads the whole body before the request is sent: a retry needs it, and a slow caller must not occupy an
-// upstream while it sends its body.
-func (j *job) readBody(r *http.Request) error {
-	limit := j.table.Configuration.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return refusal.New(refusal.BodyTooLarge, "the body is longer than the limit")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.writer, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refusal.New(refusal.BodyTooLarge, "the body is longer than the limit")
-	case err != nil:
-		return refusal.New(refusal.BadRequest, "the body could not be read")
-	}
-	j.call.Body = body
-	j.clearReadDeadline()
-	return nil
-}
-
 // admit charges the request's cost to its workspace's rate limit, and refuses requests that are suspected of crashing
 // upstreams.
 func (j *job) admit() error {
--- a/internal/gateway/socket/connection.go
+++ b/internal/gateway/socket/connection.go
@@ -62,6 +62,8 @@
 	// unchecked counts the bytes written since all data was last seen acknowledged.
 	unchecked int
 	limit     limit
+
+	immediate immediateWrite
 }
 
 func newConnection(opened net.Conn) net.Conn {
