--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -60,8 +60,10 @@
 	requestCtx context.Context
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
-	began      time.Time
-	standby    standby
+	// unbind ends the binding of ctx to the request, nil if there is none.
+	unbind  func() bool
+	began   time.Time
+	standby standby
 
 	response *forward.Response
 	received received
@@ -115,7 +117,7 @@
 		return nil
 	}
 	j.inFlight = append(j.inFlight, upstream.ID)
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.bindContext(ctx)
 	j.handler.Fleet.NotifyHolder(upstream.ID)
 	return a
 }
@@ -236,6 +238,9 @@
 	if a.response != nil {
 		a.response.Body.Close()
 	}
+	if a.unbind != nil {
+		a.unbind()
+	}
 	a.cancel(nil)
 	j.upstream = a.placement.choice.Upstream.ID
 	j.inFlight = slices.DeleteFunc(j.inFlight, func(id string) bool { return id == j.upstream })
--- a/internal/gateway/serve/bounds.go
+++ b/internal/gateway/serve/bounds.go
@@ -95,6 +95,15 @@
 	return nil
 }
 
+// allocateFirst makes room at once for what is held of a response with a stated length. To grow it would take several times as
+// much until the next garbage collection.
+func (a *attempt) allocateFirst() {
+	length := min(int(a.response.Length), maxBuffered)
+	if length > 0 && a.hold(length) {
+		a.first = make([]byte, 0, length+bodyChunkBytes) // the last read may exceed maxBuffered by a part of a chunk
+	}
+}
+
 // checkBody returns an error if a response that is not a stream exceeds its bound, and reserves what of it is held.
 func (a *attempt) checkBody(length int) error {
 	if limit, reason := a.bodyBound(); length > limit {
@@ -117,7 +126,7 @@
 	case a.isFailure():
 		return false
 	case a.noRoom:
-		return true
+		return len(a.first) > 0
 	case a.response.Framing == forward.FramingLength, !a.job.handler.Memory.IsBounded():
 		return len(a.first) >= maxBuffered
 	}
--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -68,6 +68,10 @@
 }
 
 func (j *job) write(data []byte) error {
+	if j.handler.Memory.IsBounded() {
+		j.writing.begin()
+		defer j.writing.end()
+	}
 	n, err := j.writer.Write(data)
 	j.bytes += int64(n)
 	return err
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -58,6 +58,8 @@
 	acceptsChunks bool
 	// body is what is reserved for the body of the request.
 	body bodyReservation
+	// writing is how long writes to the caller have taken.
+	writing writeTime
 	// started: the header of the response was sent to the caller.
 	started bool
 	// endsWithConnection: the response to the caller has neither a length nor chunks.
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -81,6 +81,7 @@
 	if err := a.checkStatedLength(); err != nil {
 		return resultBroken, err
 	}
+	a.allocateFirst()
 	for !a.ended && !a.mayForwardPart() {
 		data, err := a.read()
 		if err != nil {
@@ -224,7 +225,9 @@
 func (a *attempt) keepFailure() {
 	timer := time.AfterFunc(keptFailureTime, func() { a.cancel(errNoData) })
 	defer timer.Stop()
-	if outcome, _ := a.receiveBody(); outcome == "" && a.ended {
+	outcome, err := a.receiveBody()
+	a.recordExcess(err)
+	if outcome == "" && a.ended {
 		a.job.failure = a
 	}
 }
