--- a/internal/gateway/serve/body.go
+++ b/internal/gateway/serve/body.go
@@ -63,7 +63,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
-		return j.refuseForMemory(r.ContentLength)
+		return j.refuseForMemory(r)
 	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.BodyTooLarge, "the body is longer than the limit")
 	case err != nil:
@@ -105,15 +105,32 @@
 	return body, nil
 }
 
-// refuseForMemory refuses a request whose body has no room, and closes its connection: reading the rest of the body would
-// hold the bytes that there is no room for.
-func (j *job) refuseForMemory(length int64) error {
+// refuseForMemory refuses a request whose body has no room, and closes its connection.
+func (j *job) refuseForMemory(r *http.Request) error {
+	length := r.ContentLength
 	j.writer.Header().Set("Connection", "close")
+	j.refusedBody = r.Body
+	if err := http.NewResponseController(j.writer).EnableFullDuplex(); err != nil {
+		j.handler.Log.Debug().Err(err).Msg("NoFullDuplex")
+	}
 	held, _ := j.handler.Memory.Total()
 	j.step("memory").Int64("Bytes", length).Int64("Held", held).Int64("Limit", j.handler.Memory.Limit).Msg("Decision")
 	return refusal.New(refusal.Busy, "the instance has no memory left for the body").WithRetryAfter(memoryRetryAfter)
 }
 
+// discardTime bounds how long the rest of a refused body is read.
+const discardTime = time.Second
+
+// discardBody reads what the caller still sends of a body that was refused, and drops it. Many callers read no response until
+// they have sent their body, and would see nothing but a broken connection.
+func (j *job) discardBody() {
+	control := http.NewResponseController(j.writer)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return // the connection is broken already
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(j.refusedBody, defaultBodyBytes)) // until the caller ends it, or closes the connection
+}
+
 // releaseMemory releases what is reserved for the request and for a failure that was kept.
 func (j *job) releaseMemory() {
 	j.body.release(j.handler.Memory)
--- a/internal/gateway/serve/bounds.go
+++ b/internal/gateway/serve/bounds.go
@@ -98,9 +98,12 @@
 // allocateFirst makes room at once for what is held of a response with a stated length. To grow it would take several times as
 // much until the next garbage collection.
 func (a *attempt) allocateFirst() {
-	length := min(int(a.response.Length), maxBuffered)
-	if length > 0 && a.hold(length) {
-		a.first = make([]byte, 0, length+bodyChunkBytes) // the last read may exceed maxBuffered by a part of a chunk
+	length := int(a.response.Length)
+	if length >= maxBuffered {
+		length = maxBuffered + bodyChunkBytes // the last read may exceed maxBuffered by a part of a chunk
+	}
+	if length > bodyChunkBytes && a.hold(length) {
+		a.first = make([]byte, 0, length)
 	}
 }
 
--- a/internal/gateway/serve/bytes_harness_test.go
+++ b/internal/gateway/serve/bytes_harness_test.go
@@ -45,9 +45,19 @@
 	configuration := h.fleet.table.Load().Configuration
 	configuration.Limits.BodyBytes = 4 << 20
 	configuration.Workspaces = []traffic.Workspace{{Name: "own", Keys: []string{key}, Rate: 1e9, Burst: 1e9, DefaultCost: 1}}
+	// Services of their own, so that requests of one kind say nothing of the queues of the others.
+	services := map[string]traffic.Service{"app": {Name: "app"}}
+	for _, name := range []string{"slow", "large"} {
+		services[name] = traffic.Service{Name: name}
+		configuration.Routes = append(configuration.Routes, traffic.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Execution: traffic.AtMostOnce, MaxAttempts: 1,
+			Timeout: 3 * time.Second, Targets: []traffic.Target{{Service: name, Weight: 1}},
+		})
+	}
+	h.handler.State.WithLock(func(state *serve.SharedState) { state.Pool.Configure(services) })
 	h.fleet.table.Store(traffic.NewTable(configuration))
 	for i, respond := range responders {
-		h.declare(fmt.Sprint("u", i), respond)
+		h.declare("app", fmt.Sprint("u", i), respond)
 	}
 	listener, err := socket.Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
@@ -73,7 +83,7 @@
 }
 
 // declare starts an upstream that keeps nothing of what it receives.
-func (h *bytesHarness) declare(id string, respond http.HandlerFunc) {
+func (h *bytesHarness) declare(service, id string, respond http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
@@ -84,7 +94,7 @@
 	h.t.Cleanup(server.Close)
 	h.handler.State.WithLock(func(state *serve.SharedState) {
 		state.Pool.Declare(time.Now(), traffic.Upstream{
-			ID: id, Service: "app", Address: strings.TrimPrefix(server.URL, "http://"), BatchSlots: 1000, Software: "v1",
+			ID: id, Service: service, Address: strings.TrimPrefix(server.URL, "http://"), BatchSlots: 1000, Software: "v1",
 		})
 	})
 }
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,6 +59,8 @@
 	acceptsChunks bool
 	// body is what is reserved for the body of the request.
 	body bodyReservation
+	// refusedBody is the body of a request that was refused before it was read, nil if it was not.
+	refusedBody io.Reader
 	// writing is how long writes to the caller have taken.
 	writing writeTime
 	// started: the header of the response was sent to the caller.
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -119,6 +119,8 @@
 	}
 	j.log(err)
 	switch {
+	case j.refusedBody != nil:
+		j.discardBody()
 	case err != nil && j.started:
 		j.abort()
 	case j.endsWithConnection:
--- a/internal/gateway/serve/slow_callers_test.go
+++ b/internal/gateway/serve/slow_callers_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -69,7 +70,7 @@
 				rw.Header().Set(headerSigned, "s1")
 				_, _ = io.WriteString(rw, strings.Repeat("data: "+strings.Repeat("x", 1016)+"\n\n", sent>>10))
 				rw.(http.Flusher).Flush()
-				time.Sleep(30 * time.Millisecond)
+				time.Sleep(time.Second) // so that all of it is read: a reset drops what is not
 				reset(rw, r)
 				close(broke)
 			})
@@ -176,30 +177,46 @@
 }
 
 // crowd counts how requests ended.
-type crowd struct{ served, refused, failed atomic.Int32 }
+type crowd struct {
+	served, refused, failed atomic.Int32
+	// last is the last response that was not served.
+	last atomic.Pointer[string]
+}
 
 func (c *crowd) String() string {
-	return fmt.Sprintf("%d served, %d refused, %d failed", c.served.Load(), c.refused.Load(), c.failed.Load())
+	last := "-"
+	if text := c.last.Load(); text != nil {
+		last = *text
+	}
+	return fmt.Sprintf("%d served, %d refused, %d failed (%s)", c.served.Load(), c.refused.Load(), c.failed.Load(), last)
+}
+
+// fail counts a request that was not served.
+func (c *crowd) fail(response *http.Response, body string, err error) {
+	c.failed.Add(1)
+	text := fmt.Sprint(err)
+	if response != nil {
+		text = fmt.Sprint(response.Status, " ", body, err)
+	}
+	c.last.Store(&text)
 }
 
 // Guards against an instance that ends, or serves nobody else, because callers read slowly and others send large bodies.
 func TestSlowReadersAndLargeBodiesAtOnce(t *testing.T) {
 	is := is.New(t)
 	const count = 200
-	respond := func(rw http.ResponseWriter, r *http.Request) {
-		switch r.Header.Get("Call-Letter") {
-		case "large": // the body was read by the harness
-			time.Sleep(200 * time.Millisecond)
-			served(rw, r)
-		case "":
-			served(rw, r)
-		default:
+	h := newBytesHarness(t, 144, served, served, served)
+	for i := range 3 {
+		h.declare("slow", fmt.Sprint("s", i), func(rw http.ResponseWriter, r *http.Request) {
 			var length int
-			_, _ = fmt.Sscan(r.Header.Get("Call-Letter"), &length)
+			_, _ = fmt.Sscan(r.Header.Get("Call-Length"), &length)
 			(&impatient{length: length, patience: 3 * time.Second}).respond(rw, r)
-		}
+		})
+		h.declare("large", fmt.Sprint("l", i), func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(200 * time.Millisecond)
+			served(rw, r)
+		})
 	}
-	h := newBytesHarness(t, 144, respond, respond, respond)
 	body := strings.Repeat("b", 4<<20)
 	heap := watchHeap()
 	var slow, large, others crowd
@@ -207,27 +224,29 @@
 	for i := range count {
 		group.Go(func() {
 			length := 256<<10 + i*(768<<10)/(count-1)
-			request := h.request("/once/", "b", "Call-Letter", fmt.Sprint(length), headerTimeout, "2900")
+			request := h.request("/slow/", "b", "Call-Length", fmt.Sprint(length), headerTimeout, "2900")
 			response, err := slowClient(t).Do(request)
 			if err != nil {
-				slow.failed.Add(1)
+				slow.fail(nil, "", err)
 				return
 			}
 			defer response.Body.Close()
 			if response.StatusCode != http.StatusOK {
-				slow.refused.Add(1)
+				text, _ := io.ReadAll(response.Body)
+				slow.fail(response, string(text), nil)
 				return
 			}
 			// Each takes 4 seconds, longer than the deadline of its request.
 			got, err := readSlowly(response.Body, length/20, 200*time.Millisecond)
 			if err != nil || got != length {
-				slow.failed.Add(1)
+				slow.fail(response, fmt.Sprint(got), err)
 				return
 			}
 			slow.served.Add(1)
 		})
+		time.Sleep(2 * time.Millisecond)
 		group.Go(func() {
-			response, _, err := h.call("/once/", body, "Call-Letter", "large")
+			response, text, err := h.call("/large/", body)
 			switch {
 			case err == nil && response.StatusCode == http.StatusOK:
 				large.served.Add(1)
@@ -235,18 +254,18 @@
 				response.Header.Get("Retry-After") != "":
 				large.refused.Add(1)
 			default:
-				large.failed.Add(1)
+				large.fail(response, text, err)
 			}
 		})
 	}
 	for begun := time.Now(); time.Since(begun) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
 		group.Go(func() {
-			response, _, err := h.call("/once/", strings.Repeat("b", 2<<10))
+			response, text, err := h.call("/once/", strings.Repeat("b", 2<<10))
 			if err == nil && response.StatusCode == http.StatusOK {
 				others.served.Add(1)
 				return
 			}
-			others.failed.Add(1)
+			others.fail(response, text, err)
 		})
 	}
 	group.Wait()
@@ -283,3 +302,49 @@
 	}
 	is.Equal(h.backlogs.Count(), int64(0))
 }
+
+// Guards against a refusal that is lost, because the connection is closed while the caller still sends its body.
+func TestCallerThatSendsItsBodyFirstGetsTheRefusal(t *testing.T) {
+	is := is.New(t)
+	h := newBytesHarness(t, 8, served)
+	connection, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = fmt.Fprintf(connection, "POST /once/ HTTP/1.1\r\nHost: a.example\r\n%s: id1\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+		headerID, headerKey, key, 4<<20)
+	is.NoErr(err)
+	_, err = connection.Write(make([]byte, 4<<20))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("X-Run"), "not-run")
+	is.True(response.Close)
+	is.Equal(h.account.Held("large_bodies"), int64(0))
+}
+
+// Guards against a planned stop that cuts off responses which are complete but not read yet.
+func TestPlannedStopWaitsForBacklogs(t *testing.T) {
+	is := is.New(t)
+	const length = 6 << 20
+	u := &impatient{length: length, patience: time.Second}
+	h := newBytesHarness(t, 144, u.respond)
+	response, err := slowClient(t).Do(h.request("/once/", "b"))
+	is.NoErr(err)
+	defer response.Body.Close()
+	for u.whole.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan bool, 1)
+	go func() {
+		_ = h.server.Config.Shutdown(t.Context())
+		stopped <- h.backlogs.Await(t.Context())
+	}()
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(len(stopped), 0)
+	got, err := readSlowly(response.Body, 512<<10, 20*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(got, length)
+	is.True(<-stopped)
+}
