--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -1,7 +1,6 @@
 package backlog
 
 import (
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -137,6 +136,7 @@
 			c.drop(len(data))
 		}
 	}
+	defer c.backlogs.add(-1)
 	c.endDraining()
 	ending, closed, failed := c.ending, c.closed, c.err
 	c.mutex.Unlock()
@@ -159,7 +159,6 @@
 	}
 	c.queue.clear()
 	c.draining, c.refused = false, false
-	c.backlogs.add(-1)
 	c.signal()
 }
 
@@ -251,9 +250,12 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	if !c.draining {
+	if !c.draining && (c.dropped || c.err != nil || !c.hasUnread()) {
 		return c.socketConnection.Close()
 	}
+	if !c.draining {
+		c.startDraining()
+	}
 	if c.dropped {
 		c.fail(net.ErrClosed)
 		return c.socketConnection.Close()
@@ -261,12 +263,36 @@
 	return c.socketConnection.SetReadDeadline(time.Now()) // no further request is read
 }
 
-// closeInOrder sends the end and closes the connection. Closing it resets it if the caller has sent bytes that were not read,
-// so these are read and dropped until the caller has closed it.
+// hasUnread reports whether the caller has not got all that was written.
+func (c *connection) hasUnread() bool {
+	unread, err := c.Unacknowledged()
+	return err == nil && unread > 0
+}
+
+// closeInOrder sends the end and closes the connection once the caller has got all, or makes no progress. Closing it resets it
+// if the caller has sent bytes that were not read, so these are read and dropped until the caller has closed it. Before all is
+// acknowledged, the kernel would give up a caller that reads slowly: the user timeout is raised only until the connection is
+// closed, see package socket.
 func (c *connection) closeInOrder() {
 	defer c.socketConnection.Close()
-	if c.socketConnection.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if c.socketConnection.CloseWrite() != nil {
 		return // the connection is broken already
 	}
-	_, _ = io.Copy(io.Discard, c.socketConnection) // until the caller closes the connection
+	before, progress := -1, time.Now()
+	for dropped := make([]byte, 512); time.Since(progress) < maxStalls*c.backlogs.interval(); {
+		if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+			return
+		}
+		_, err := c.socketConnection.Read(dropped)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // the caller has closed the connection
+		}
+		unread, failed := c.Unacknowledged()
+		if failed != nil || err != nil && unread == 0 {
+			return
+		}
+		if unread != before {
+			before, progress = unread, time.Now()
+		}
+	}
 }
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -83,6 +83,8 @@
 	// was no room for more.
 	held   int64
 	noRoom bool
+	// relaysLength: a response with a stated length is being forwarded.
+	relaysLength atomic.Bool
 	// firstEventAt is when the first events of the stream arrived, and wroteAt when the last ones were written.
 	firstEventAt time.Time
 	wroteAt      time.Time
--- a/internal/gateway/serve/body.go
+++ b/internal/gateway/serve/body.go
@@ -131,6 +131,14 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(j.refusedBody, defaultBodyBytes)) // until the caller ends it, or closes the connection
 }
 
+// keep keeps the failure of an attempt in place of an earlier one.
+func (j *job) keep(failed *attempt) {
+	if j.failure != nil {
+		j.failure.releaseHeld()
+	}
+	j.failure = failed
+}
+
 // releaseMemory releases what is reserved for the request and for a failure that was kept.
 func (j *job) releaseMemory() {
 	j.body.release(j.handler.Memory)
--- a/internal/gateway/serve/bytes_harness_test.go
+++ b/internal/gateway/serve/bytes_harness_test.go
@@ -105,6 +105,20 @@
 	return is
 }
 
+// awaitEmptyAccount fails the test unless all is released soon: a handler may end after its response.
+func (h *bytesHarness) awaitEmptyAccount() {
+	h.t.Helper()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		now, _ := h.account.Total()
+		switch {
+		case now == 0:
+			return
+		case time.Since(begun) > time.Second:
+			h.t.Fatalf("%d bytes are still held", now)
+		}
+	}
+}
+
 // excesses returns how many attempts were ended because an upstream sent too much, for a reason.
 func (h *bytesHarness) excesses(reason string) int64 {
 	counter := h.scope.Snapshot().Counters()["excessive_responses+reason="+reason]
@@ -137,6 +151,9 @@
 		n, err := io.ReadFull(body, buffer)
 		length += n
 		if err == io.EOF || err == io.ErrUnexpectedEOF && n > 0 {
+			_, err = body.Read(buffer) // a body that broke off says so again
+		}
+		if err == io.EOF {
 			return length, nil
 		}
 		if err != nil {
--- a/internal/gateway/serve/held_back.go
+++ b/internal/gateway/serve/held_back.go
@@ -6,10 +6,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
 // held_back.go lets a response go on after the deadline of its request for as long as this instance held it back. While the
-// account has no room, an upstream is read as slowly as the caller reads; its response may be ready, and would be lost.
+// account has no room, an upstream is read as slowly as the caller reads; its response may be ready, and would be lost. That
+// is only for responses with a stated length: one without may have no end.
 
 // minHeldBack is the least time that counts: writes take some time also where nothing is held back.
 const minHeldBack = 50 * time.Millisecond
@@ -38,7 +41,8 @@
 }
 
 // bindContext creates the context of the attempt. It ends with the request, and after a deadline only once the time is over
-// for which the response was held back.
+// for which the response was held back. That time ends, because a response has a bound, and a caller that makes no progress
+// is given up.
 func (a *attempt) bindContext(ctx context.Context) {
 	if !a.job.handler.Memory.IsBounded() {
 		a.ctx, a.cancel = context.WithCancelCause(ctx)
@@ -50,11 +54,17 @@
 
 // end cancels the attempt, at once unless its response was held back.
 func (a *attempt) end(cause error) {
-	heldBack := a.job.writing.elapsed()
-	if !errors.Is(cause, context.DeadlineExceeded) || heldBack < minHeldBack {
+	if !errors.Is(cause, context.DeadlineExceeded) || !a.relaysLength.Load() {
 		a.cancel(cause)
 		return
 	}
-	timer := time.AfterFunc(heldBack, func() { a.cancel(cause) })
-	context.AfterFunc(a.ctx, func() { timer.Stop() })
+	granted := minHeldBack // the part that does not count
+	for {
+		heldBack := a.job.writing.elapsed()
+		if heldBack <= granted || !pause.For(a.ctx, heldBack-granted) {
+			break
+		}
+		granted = heldBack
+	}
+	a.cancel(cause)
 }
--- a/internal/gateway/serve/relay.go
+++ b/internal/gateway/serve/relay.go
@@ -228,7 +228,7 @@
 	outcome, err := a.receiveBody()
 	a.recordExcess(err)
 	if outcome == "" && a.ended {
-		a.job.failure = a
+		a.job.keep(a)
 	}
 }
 
@@ -256,6 +256,7 @@
 	j := a.job
 	a.recordEvent()
 	j.recordFirstByte()
+	a.relaysLength.Store(a.response.Framing == forward.FramingLength)
 	if err := a.writeBody(); err != nil {
 		if a.ended {
 			return resultServed, nil // the caller has disconnected; the upstream's response was complete
