--- a/internal/gateway/serve/endless_test.go
+++ b/internal/gateway/serve/endless_test.go
@@ -109,6 +109,9 @@
 					}
 				})
 				time.Sleep(5 * time.Millisecond)
+				if tt.most >= 34 {
+					group.Wait() // several at once would reach the deadline before the bound on a busy machine
+				}
 			}
 			group.Wait()
 			growth := heap.growth()
@@ -120,10 +123,7 @@
 			is.True(requests > 0)
 			is.Equal(u.closed.Load(), requests) // each connection was closed
 			is.True(time.Duration(u.longest.Load()) < 3*time.Second)
-			excesses := h.excesses(tt.reason)
-			is.True(excesses > 0)
-			// A long response may reach the deadline before its bound.
-			is.True(excesses == int64(requests) || tt.most >= 34 && excesses < int64(requests))
+			is.Equal(h.excesses(tt.reason), int64(requests))
 			is.True(float64(u.sent.Load()) <= float64(requests)*tt.most*(1<<20))
 			is.True(growth < 72)
 			is.Equal(wrong.Load(), int32(0))
--- a/internal/gateway/serve/slow_callers_test.go
+++ b/internal/gateway/serve/slow_callers_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // Guards against a response that its upstream ends, because the caller reads slowly and the instance does not read on
@@ -214,6 +215,7 @@
 			served(rw, r)
 		})
 	}
+	h.backlogs.Log = zerolog.New(zerolog.NewTestWriter(t))
 	body := strings.Repeat("b", 4<<20)
 	heap := watchHeap()
 	var slow, large, others crowd
