--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -99,12 +99,22 @@
 
 // MemorySettings bound the memory that requests and responses occupy.
 type MemorySettings struct {
-	// LimitMB is the memory of the instance, in MiB; 0 if it is not bounded.
+	// LimitMB is the memory of the instance, in MiB; 0 if it is unknown.
 	LimitMB int64
+	// Account: what is held for requests and responses is bounded by a part of LimitMB.
+	Account Switch
 	// UpstreamBound: upstreams end if what they hold exceeds their memory, so that they are never sent more.
 	UpstreamBound Switch
 }
 
+// accountedMB is the memory of which a part may hold requests and responses; 0 if that is not bounded.
+func (s MemorySettings) accountedMB() int64 {
+	if !s.Account.IsOn() {
+		return 0
+	}
+	return s.LimitMB
+}
+
 // LogSettings are the log level and the limit on log events.
 type LogSettings struct {
 	Level  string
@@ -223,9 +233,14 @@
 		},
 		{
 			Section: "Memory", Name: "LimitMB", Default: "0",
-			Help: "memory of the instance in MiB, of which a part may hold requests and responses; 0 for no bound",
+			Help: "memory of the instance in MiB; 0 if it is unknown",
 			Set:  inifile.Int(0, 1<<20, func(s *Settings) *int64 { return &s.Memory.LimitMB }),
 		},
+		{
+			Section: "Memory", Name: "Account", Default: string(SwitchAuto),
+			Help: "whether requests and responses may hold no more than a part of LimitMB: auto (by the contracts), on or off",
+			Set:  setSwitch(func(s *Settings) *Switch { return &s.Memory.Account }),
+		},
 		{
 			Section: "Memory", Name: "UpstreamBound", Default: string(SwitchAuto),
 			Help: "whether upstreams end if they hold more than their memory: auto (by the contracts), on or off",
@@ -254,6 +269,7 @@
 // read slowly and that upstreams end if they hold more than their memory.
 func (s Settings) WithContracts(pressure bool) Settings {
 	s.Admission.Contention = s.Admission.Contention.resolved(pressure)
+	s.Memory.Account = s.Memory.Account.resolved(pressure)
 	s.Memory.UpstreamBound = s.Memory.UpstreamBound.resolved(pressure)
 	return s
 }
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -60,8 +60,10 @@
 	requestCtx context.Context
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
-	began      time.Time
-	standby    standby
+	// unbind ends the binding of ctx to the request, nil if there is none.
+	unbind  func() bool
+	began   time.Time
+	standby standby
 
 	response *forward.Response
 	received received
@@ -75,6 +77,14 @@
 	dataAt   atomic.Int64
 	buffer   []byte
 	splitter stream.Splitter
+	// withoutData is the number of bytes of complete events since the last one that had data.
+	withoutData int
+	// held is the number of bytes that are reserved for the first part of the response, or an incomplete event. noRoom: there
+	// was no room for more.
+	held   int64
+	noRoom bool
+	// relaysLength: a response with a stated length is being forwarded.
+	relaysLength atomic.Bool
 	// firstEventAt is when the first events of the stream arrived, and wroteAt when the last ones were written.
 	firstEventAt time.Time
 	wroteAt      time.Time
@@ -109,7 +119,7 @@
 		return nil
 	}
 	j.inFlight = append(j.inFlight, upstream.ID)
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.bindContext(ctx)
 	j.handler.Fleet.NotifyHolder(upstream.ID)
 	return a
 }
@@ -230,6 +240,9 @@
 	if a.response != nil {
 		a.response.Body.Close()
 	}
+	if a.unbind != nil {
+		a.unbind()
+	}
 	a.cancel(nil)
 	j.upstream = a.placement.choice.Upstream.ID
 	j.inFlight = slices.DeleteFunc(j.inFlight, func(id string) bool { return id == j.upstream })
@@ -240,7 +253,11 @@
 		j.runs++
 		j.mayHaveRun = true
 	}
+	if j.failure != a {
+		a.releaseHeld()
+	}
 	a.recordEnd(outcome, err)
+	a.recordExcess(err)
 	a.finish(outcome)
 	a.log(outcome, err)
 	a.recordTried(outcome)
