--- a/internal/entry/node/reload.go
+++ b/internal/entry/node/reload.go
@@ -57,8 +57,8 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Settings.MaxBackpressure = settings.Upstreams.MaxBackpressure
 	})
-	if settings.Instance != previous.Instance {
-		n.Log.Warn().Msg("RestartNeeded") // addresses and names change only with a restart
+	if settings.Instance != previous.Instance || settings.Admission != previous.Admission || settings.Memory != previous.Memory {
+		n.Log.Warn().Msg("RestartNeeded") // addresses, names and what requests are admitted by change only with a restart
 	}
 	n.Log.Info().Bool("Changed", true).Msg("Reloaded")
 }
