Tell callers of the highest class to return when a slot of a full service is free

Cause: with the admission controller on, a refused caller without a turn was told to come back in a third of its time; at a plain service whose calls take 60 ms that is after the objective. Before, it was told when the next slot is expected. Change: callers of the highest class, within their share, get that time again; lower classes and workspaces over their share yield.

--- a/internal/gateway/serve/contention.go
+++ b/internal/gateway/serve/contention.go
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// yieldsToClasses reports whether others go before the request at a full service. One of the highest class comes back when the
+// next slot is expected to be free, which may still be on time, and not in a third of the time that it has left.
+func (j *job) yieldsToClasses() bool {
+	return j.handler.Admission != nil && j.class != (contention.Class{})
+}
+
 // isAdmitted reports whether an earlier decision about the request holds: it looks for another upstream. One that was admitted
 // although the queue was too long stays admitted.
 func (j *job) isAdmitted(verdict contention.Verdict) bool {
--- a/internal/gateway/serve/job_refusals.go
+++ b/internal/gateway/serve/job_refusals.go
@@ -60,12 +60,17 @@
 	if wait := j.limitWait(); wait > 0 {
 		return refusal.New(refusal.Busy, "the upstreams have limited their requests").WithRetryAfter(wait)
 	}
-	if errors.Is(unplaced.cause, pool.ErrFull) && j.handler.Admission != nil {
+	if errors.Is(unplaced.cause, pool.ErrFull) && j.yieldsToClasses() {
 		return j.shedByClass(unplaced.choice, unplaced.query, contention.Impossible)
 	}
 	if errors.Is(unplaced.cause, pool.ErrFull) {
 		var retryAfter time.Duration
-		j.handler.State.WithLock(func(state *SharedState) { retryAfter = state.Pool.RetryWhenFull(time.Now(), unplaced.query) })
+		j.handler.State.WithLock(func(state *SharedState) {
+			retryAfter = state.Pool.RetryWhenFull(time.Now(), unplaced.query)
+			if j.handler.Admission != nil {
+				j.handler.Admission.RecordRefusal(time.Now(), j.service)
+			}
+		})
 		j.step("full").Str("Upstream", unplaced.choice.Upstream.ID).Int("Running", unplaced.choice.Running).
 			Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
 		return refusal.New(refusal.Busy, "the upstreams are full").WithRetryAfter(retryAfter)
