Ask further holders where the queried ones have no adapter slot

Before a request is placed, up to three holders with an old load report are queried, and the last choice was made among these only. If all of them stated a long wait for an adapter slot, the request was refused although others had not been asked. The choice is then made among all upstreams.

--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lacewingrock.example/lacewingrock/internal/caller/refusal"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
@@ -34,8 +36,12 @@
 		queried = append(queried, choice.Upstream.ID)
 	}
 	// An upstream that was not queried would look idle just because its load is stale, so choose among the queried
-	// ones.
-	return j.choose(queried)
+	// ones, unless none of them has an adapter slot in time.
+	choice, query, err = j.choose(queried)
+	if errors.Is(err, pool.ErrNoSlot) {
+		return j.choose(nil)
+	}
+	return choice, query, err
 }
 
 // choose picks an upstream, from the candidates if any are given. While an attempt is in flight at a silent upstream, it picks
