Let a request that may have run ask for adapter slots again

One request asks at most four holders and waits for a third of its objective. The counts went on after an attempt had failed and while an upstream was silent, so that a request which had spent them on its first upstream was lost although others had free slots. They now begin anew after an attempt that may have run, and with each try beside a silent upstream.

--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -74,6 +74,7 @@
 	if !j.mayRunAgain() {
 		return j.exhausted(end.err)
 	}
+	j.slots = slotSearch{} // refused now, the request would be lost
 	return nil
 }
 
--- a/internal/gateway/serve/slot_search.go
+++ b/internal/gateway/serve/slot_search.go
@@ -22,7 +22,8 @@
 	refusedWaitFraction = 1.0 / 3
 )
 
-// slotSearch is what a request has spent on asking for adapter slots.
+// slotSearch is what a request has spent on asking for adapter slots. It begins anew once the request may have run, and with
+// each try to find an upstream in place of a silent one.
 type slotSearch struct {
 	// asked counts the holders that were asked for an adapter slot, and refusedAfter is the sum of the waits for holders
 	// that refused.
--- a/internal/gateway/serve/standby.go
+++ b/internal/gateway/serve/standby.go
@@ -201,6 +201,7 @@
 			break
 		}
 		j.declined = nil // they may have room by now
+		j.slots = slotSearch{}
 	}
 	s.log(next, reason)
 }
