Drop stated slot waits once the holder reports idle adapter slots

A wait that a holder stated to a class kept the class and lower ones from asking until that time, for seconds after the overload had ended and whatever the holder had reported since. If all holders had been asked in the overload, requests were refused at once beside idle engines. A report without a slot wait and with so many idle slots that the reserve cannot be closed now ends them.

--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -317,6 +317,7 @@
 	u.version = residency.Version
 	u.idleSlots = residency.FreeSlots
 	u.slotWait = residency.SlotWait
+	u.dropClassWaits(p.engines[u.declared.Service].AdapterSlots)
 	if residency.LoadTime > 0 && residency.ReloadTime > 0 {
 		u.loads = loadTimes{full: residency.LoadTime, reload: residency.ReloadTime}
 		p.statsOf(u.declared.Service).loads = u.loads
--- a/internal/placement/pool/slot_wait.go
+++ b/internal/placement/pool/slot_wait.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// dropClassWaits drops the stated waits once a later report of the holder shows that no class waits any more: so many adapter
+// slots are idle that those in use are fewer than the half which the lowest class may occupy (residence/reserve.go).
+func (u *upstream) dropClassWaits(adapterSlots int) {
+	if u.slotWait == 0 && adapterSlots-u.idleSlots < max(adapterSlots/2, 1) {
+		u.classWaits = nil
+	}
+}
+
 // slotWaitFor is the wait for an adapter slot that is known for a query.
 func (u *upstream) slotWaitFor(now time.Time, query Query) time.Duration {
 	wait := u.slotWait
