--- a/internal/placement/residence/class_tracker.go
+++ b/internal/placement/residence/class_tracker.go
@@ -32,8 +32,11 @@
 	// or the class's last grant since.
 	pressedAt    time.Time
 	pressedSince time.Time
-	// pressed counts such requests since the last grant.
-	pressed int
+	// toldUntil is the latest time at which a refused request was told to come back. The pauses until then do not show that
+	// the class is served: ungrantedSince is like pressedSince, but goes on over them. pressed counts the requests since.
+	toldUntil      time.Time
+	ungrantedSince time.Time
+	pressed        int
 	// interval is the time between two grants to the class while it had requests that found no adapter slot, and
 	// deviation how much it varies; moving means.
 	interval  time.Duration
@@ -85,17 +88,36 @@
 		s.pressedSince = now
 		s.pressed = 0
 	}
+	if s.isServed(now) {
+		s.ungrantedSince = now
+	}
 	s.pressedAt = now
 	s.pressed++
 }
 
+// recordRefusal records that a request of a class was refused, and the wait that it was told.
+func (t *classTracker) recordRefusal(now time.Time, class Class, told time.Duration) {
+	t.recordPressure(now, class)
+	s := t.state(now, class)
+	if told > pressureGap {
+		s.toldUntil = now.Add(min(told, knownFor))
+	}
+}
+
+// isServed reports whether a class has paused for so long that it counts as served. One whose requests come back when they
+// were told to does not.
+func (s *classState) isServed(now time.Time) bool {
+	cameBack := !now.Before(s.toldUntil) && now.Sub(s.toldUntil) <= pressureGap
+	return now.Sub(s.pressedAt) > pressureGap && !cameBack
+}
+
 // recordGrant records a grant to a class. contended: the adapter had found no free adapter slot.
 func (t *classTracker) recordGrant(now time.Time, class Class, contended bool) {
 	s := t.state(now, class)
 	if contended && !s.pressedSince.IsZero() {
 		s.observe(now.Sub(s.pressedSince))
 	}
-	s.pressedSince = now
+	s.pressedSince, s.ungrantedSince = now, now
 	s.pressed = 0
 }
 
@@ -113,10 +135,10 @@
 // pressedFor is how long requests of a class have found no adapter slot without a grant to one of them.
 func (t *classTracker) pressedFor(now time.Time, class Class) time.Duration {
 	s := t.states[class]
-	if s == nil || now.Sub(s.pressedAt) > pressureGap {
+	if s == nil || s.isServed(now) {
 		return 0
 	}
-	return now.Sub(s.pressedSince)
+	return now.Sub(s.ungrantedSince)
 }
 
 // starvedFor is how long a class has been starved: the lowest, or one of which several requests have found no adapter slot.
--- a/internal/placement/residence/class_wait.go
+++ b/internal/placement/residence/class_wait.go
@@ -31,7 +31,7 @@
 	}
 	late := !now.Add(needed).Before(worthUntil)
 	if late && !request.Replica {
-		p.classes.recordPressure(now, request.class())
+		p.classes.recordRefusal(now, request.class(), wait.stated)
 	}
 	return wait.stated, late
 }
