Hold a replica off for a second where a holder had no slot for it

Cause: the hold-off was for each upstream, so that an instance asked all holders in turn, ten times a second, while slots were scarce (found by a review). Also: instances excluded holders by the wait that is stated to callers, which is longer than the one by which the holder decides; and replicas were ranked for adapters that need one. Change: a hold-off for each adapter; the residency states the expected wait; no ranking below two replicas. Measured: TestReplicaIsNotOrderedEverywhereWhileSlotsAreScarce failed before; tests of pool and residence pass. The expected wait has no test of its own.

--- a/internal/entry/node/replicas.go
+++ b/internal/entry/node/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 	// minReplicas is the number of needed replicas from which on they are ordered. The first one is loaded by the requests
 	// themselves, and an order at the same time may load the adapter at another upstream.
 	minReplicas = 2
-	// replicaRetryAfter is when another order is worthwhile at an upstream that takes no replicas.
+	// replicaRetryAfter is when another order is worthwhile after a holder had no slot for a replica.
 	replicaRetryAfter = time.Second
 )
 
@@ -37,6 +38,9 @@
 type replicaOrders struct {
 	mutex    sync.Mutex
 	inFlight map[demand.Key]bool
+	// busyUntil is until when no order is given for an adapter, because a holder had no slot for it: while slots are scarce
+	// all holders would be asked in turn, ten times a second by each instance.
+	busyUntil map[demand.Key]time.Time
 	// share is the part of the fleet's requests that this instance gets. Only the loop uses it.
 	share demand.Share
 	// prepare sends an order, Node.Prepare unless a test replaces it.
@@ -77,7 +81,7 @@
 		}
 		needed += order.plan.Needed
 		known += order.plan.Known
-		if len(order.plan.Next) == 0 || !n.replicas.begin(popular.Key) {
+		if len(order.plan.Next) == 0 || !n.replicas.begin(now, popular.Key) {
 			continue
 		}
 		order.upstream = order.plan.Pick(n.self.Name, popular.Key.Adapter)
@@ -110,12 +114,13 @@
 const shareInterval = time.Second
 
 // begin reports whether a replica of an adapter may be ordered, and counts the order as in flight.
-func (r *replicaOrders) begin(key demand.Key) bool {
+func (r *replicaOrders) begin(now time.Time, key demand.Key) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.inFlight[key] || len(r.inFlight) >= maxReplicaOrders {
+	if r.inFlight[key] || len(r.inFlight) >= maxReplicaOrders || now.Before(r.busyUntil[key]) {
 		return false
 	}
+	delete(r.busyUntil, key)
 	if r.inFlight == nil {
 		r.inFlight = make(map[demand.Key]bool)
 	}
@@ -123,6 +128,17 @@
 	return true
 }
 
+// recordBusy records that a holder had no slot for a replica.
+func (r *replicaOrders) recordBusy(now time.Time, key demand.Key) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.busyUntil, func(_ demand.Key, until time.Time) bool { return !now.Before(until) })
+	if r.busyUntil == nil {
+		r.busyUntil = make(map[demand.Key]time.Time)
+	}
+	r.busyUntil[key] = now.Add(replicaRetryAfter)
+}
+
 func (r *replicaOrders) end(key demand.Key) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -166,6 +182,7 @@
 			}
 		case mesh.Busy:
 			outcome = "busy"
+			n.replicas.recordBusy(time.Now(), o.demand.Key)
 			state.Pool.RecordReplicaRefusal(time.Now(), o.upstream.ID, o.demand.Key.Adapter)
 		case mesh.NotHolder:
 			outcome = "not_holder"
--- a/internal/entry/node/replicas_test.go
+++ b/internal/entry/node/replicas_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -345,6 +346,40 @@
 	})
 }
 
+// Guards against instances that ask all holders in turn, many times a second, for a replica that none has a slot for.
+func TestReplicaIsNotOrderedEverywhereWhileSlotsAreScarce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newOrderingFleet(t, SwitchOn, "a", "b")
+		defer f.stop()
+		f.run(2*time.Second, "hot", hotRate) // one replica is known, and the demand is certain
+		var orders atomic.Int32
+		for _, n := range f.nodes {
+			n.replicas.prepare = func(context.Context, mesh.PrepareRequest) mesh.PrepareResult {
+				orders.Add(1)
+				return mesh.Busy{}
+			}
+		}
+		for _, upstream := range f.upstreams { // what was loaded is gone
+			for _, n := range f.nodes {
+				n.sharedState.WithLock(func(state *serve.SharedState) {
+					state.Pool.RecordMissingAdapter(upstream.ID, hotAdapter("hot").Adapter)
+				})
+			}
+		}
+		for range 300 {
+			for _, n := range f.nodes {
+				n.sharedState.WithLock(func(state *serve.SharedState) {
+					state.Demand.Record(time.Now(), hotAdapter("hot"), hotTokens, 1)
+				})
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(orders.Load() > 0)
+		is.True(int(orders.Load()) <= 4*len(f.nodes)) // in three seconds, one a second from each instance
+	})
+}
+
 // Guards against replicas in deployments that do not call for them.
 func TestNoReplicasWhereContentionIsOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/node/slot_classes.go
+++ b/internal/entry/node/slot_classes.go
@@ -45,7 +45,7 @@
 // Those of other classes learn theirs when they are refused. The caller holds the lock.
 func (h *heldUpstream) slotWait(now time.Time) time.Duration {
 	if h.planner.Contention {
-		return h.planner.ClassWait(now, residence.Request{OnTimeUntil: now.Add(time.Second)})
+		return h.planner.ExpectedClassWait(now, residence.Request{OnTimeUntil: now.Add(time.Second)})
 	}
 	return h.planner.ExpectedWait(now, traffic.Adapter{})
 }
--- a/internal/placement/pool/replicas.go
+++ b/internal/placement/pool/replicas.go
@@ -110,7 +110,7 @@
 		}
 	}
 	plan.Needed = p.neededReplicas(demand, accepting)
-	if plan.Needed > plan.Known || plan.Needed > rankedHomes {
+	if plan.Needed > 1 && (plan.Needed > plan.Known || plan.Needed > rankedHomes) {
 		p.rankReplicas(now, demand, upstreams, &plan)
 	}
 	return plan
--- a/internal/placement/residence/class_wait.go
+++ b/internal/placement/residence/class_wait.go
@@ -47,6 +47,12 @@
 	return p.classWait(now, request).stated
 }
 
+// ExpectedClassWait returns the mean time until a request gets an adapter slot, by which the planner decides whether it is
+// late. What is stated to callers is longer, and would keep requests from upstreams that take them.
+func (p *Planner) ExpectedClassWait(now time.Time, request Request) time.Duration {
+	return p.classWait(now, request).expected
+}
+
 // classWait is how long a request waits until its adapter's load begins: expected on average, and the wait to state. next
 // is the part of the expected wait that follows the grants to all adapters before it.
 type classWait struct{ expected, next, stated time.Duration }
