Totals of a peer's workspace count from when they are first heard

An instance that has just started hears the totals of its peers workspace by workspace, in partial updates, and all of them only with their general state. FleetTotals took a workspace that was missing in an earlier partial update for one that had admitted nothing, and counted all that the peer had admitted since its start as admitted just now. For tens of seconds the shares of workspaces followed these totals.

--- a/internal/admission/quota/fleet_totals.go
+++ b/internal/admission/quota/fleet_totals.go
@@ -23,6 +23,8 @@
 	incarnation string
 	totals      Totals
 	silent      bool
+	// whole: all totals of the peer are known. Before, a workspace that is missing in totals may have any total.
+	whole bool
 }
 
 // FleetTotals returns the totals of this instance and of its peers. They grow by what was admitted since the last call. Its
@@ -80,16 +82,26 @@
 		totals = p.partialTotals
 	}
 	if counted.silent {
-		counted.silent = false
-		for workspace, total := range totals {
-			counted.totals[workspace] = total
-		}
-		return true
+		clear(counted.totals)
+	}
+	if counted.silent || !counted.whole {
+		counted.recordNew(totals)
 	}
+	counted.silent = false
+	counted.whole = p.totals != nil
 	c.add(totals, counted.totals)
 	return true
 }
 
+// recordNew records the totals of workspaces that were not known as counted: when these were admitted is not known.
+func (c *countedTotals) recordNew(totals Totals) {
+	for workspace, total := range totals {
+		if _, known := c.totals[workspace]; !known {
+			c.totals[workspace] = total
+		}
+	}
+}
+
 // add adds the difference between totals and those already counted.
 func (c *fleetCount) add(totals, counted Totals) {
 	for workspace, total := range totals {
