Uneven callers within the rate are not thinned

An instance that was asked for several times as much as the others assumed that all were asked for as much, and refused requests of workspaces within their rate. It now compares what it admitted in the last seconds with the mean of the fleet. The estimate of a lasting demand is then at most twice the demand, which is less than the 2.5 times from which on requests are thinned.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -137,7 +137,7 @@
 	}
 	if !first {
 		for workspace, total := range totals {
-			l.deduct(workspace, total-before[workspace])
+			l.deductAdmitted(now, workspace, total-before[workspace])
 			if total > before[workspace] {
 				p.lastAdmitted[workspace] = now
 			}
@@ -173,7 +173,7 @@
 			before, known = p.partialTotals[workspace]
 		}
 		if known || p.totals != nil {
-			l.deduct(workspace, total-before)
+			l.deductAdmitted(now, workspace, total-before)
 			p.lastAdmitted[workspace] = now
 		}
 		p.setTotal(workspace, total)
@@ -207,6 +207,7 @@
 		return l.scheduleRetry(now, workspace, cost), false
 	}
 	b.level -= cost
+	b.demand.recordAdmitted(now, cost, 0)
 	l.own[workspace] += cost
 	return 0, true
 }
@@ -394,6 +395,14 @@
 	return now.Sub(p.lastSeen) > max(l.PeerTimeout, minPeerTimeout)
 }
 
+// deductAdmitted subtracts what a peer has admitted from the level.
+func (l *Ledger) deductAdmitted(now time.Time, workspace string, amount float64) {
+	l.deduct(workspace, amount)
+	if b := l.buckets[workspace]; b != nil {
+		b.demand.recordAdmitted(now, 0, amount)
+	}
+}
+
 // deduct subtracts what was admitted elsewhere from the level.
 func (l *Ledger) deduct(workspace string, amount float64) {
 	b := l.buckets[workspace]
--- a/internal/admission/quota/thinning.go
+++ b/internal/admission/quota/thinning.go
@@ -31,6 +31,9 @@
 	totalsDelay = 700 * time.Millisecond
 	// demandHalfLife is the half-life of the demand.
 	demandHalfLife = 2 * time.Second
+	// spreadHalfLife is the half-life of what was admitted, from which the spread of the callers follows. It is longer than
+	// demandHalfLife, as an instance admits about one request of a workspace in a second.
+	spreadHalfLife = 8 * time.Second
 )
 
 // demand is what this instance was asked for recently for one workspace.
@@ -40,6 +43,10 @@
 	at      time.Time
 	// highAt is when requests were last thinned, or could have been.
 	highAt time.Time
+	// own is what this instance admitted recently, and fleet the same for all instances. unheard is the part of what this
+	// instance admitted that is not in them yet.
+	own, fleet, unheard float64
+	admittedAt          time.Time
 }
 
 // record adds the cost of a request.
@@ -50,6 +57,31 @@
 	d.at = now
 }
 
+// recordAdmitted adds what this instance or another one has admitted. It is negative for the costs of requests that never ran.
+// What this instance admitted counts with a delay, as that of the others does: when a flood begins, it would look as if only
+// this instance were asked for more.
+func (d *demand) recordAdmitted(now time.Time, own, peers float64) {
+	passed := now.Sub(d.admittedAt).Seconds()
+	kept := math.Exp2(-passed / spreadHalfLife.Seconds())
+	heard := d.unheard * (1 - math.Exp2(-passed/totalsDelay.Seconds()))
+	d.unheard += own - heard
+	d.own = max(d.own*kept+heard, 0)
+	d.fleet = max(d.fleet*kept+heard+peers, 0)
+	d.admittedAt = now
+}
+
+// instances is the number of instances that a workspace would have if each were asked for as much as this one. count is how
+// many there are. It is less where this one admits more than the mean, since load balancers spread callers unevenly. The mean
+// is added to both sides: an instance admits too few requests to be compared with it exactly, and the demand is thus never
+// estimated at more than twice what the fleet is asked for lastingly, which is less than thinningAbove.
+func (d *demand) instances(count float64) float64 {
+	mean := d.fleet / count
+	if mean <= 0 || d.own <= mean {
+		return count
+	}
+	return count * 2 * mean / (d.own + mean)
+}
+
 // isHigh reports whether requests were thinned recently. Instances then admit so rarely that those that have not admitted
 // lately are likely to do so next.
 func (d *demand) isHigh(now time.Time) bool {
@@ -63,7 +95,7 @@
 
 // isThinned reports whether a request is refused although the bucket is not in debt. The fleet then admits about as much as
 // the level allows until its totals have arrived everywhere. The active peers are assumed to be asked for as much as this
-// instance.
+// instance, or for less if it has admitted more than they have.
 func (l *Ledger) isThinned(now time.Time, workspace string, b *bucket) bool {
 	ignored := ignoredRequests
 	if !l.isLow(workspace) {
@@ -75,7 +107,7 @@
 		return false
 	}
 	peers := l.activePeerCount(now, workspace)
-	asked := own * float64(1+peers)
+	asked := own * b.demand.instances(float64(1+peers))
 	if peers < minThinningPeers || asked < limit {
 		return false
 	}
