Paces of upstreams that are gone are not kept for a report

The set of upstreams with unreported paces kept the name of each upstream that ever was: it is emptied by reports to the holder, and nobody holds an upstream that is gone.

--- a/internal/placement/pool/pace.go
+++ b/internal/placement/pool/pace.go
@@ -180,8 +180,12 @@
 	}
 }
 
-// markPaceUnsent marks the knowledge of this instance of an upstream's pace as not reported to the holder.
+// markPaceUnsent marks the knowledge of this instance of an upstream's pace as not reported to the holder. An attempt may end
+// after its upstream is gone; nobody holds it then.
 func (p *Pool) markPaceUnsent(u *upstream) {
+	if p.upstreams[u.declared.ID] != u {
+		return
+	}
 	if p.pacesUnsent == nil {
 		p.pacesUnsent = make(map[string]bool)
 	}
--- a/internal/placement/pool/pace_test.go
+++ b/internal/placement/pool/pace_test.go
@@ -346,3 +346,16 @@
 	t.Logf("before %v, with a slow e1 %v", before, after)
 	is.True(float64(after["e1"]) < 0.8*float64(before["e1"]))
 }
+
+// Guards against memory for each upstream that ever was: the pace of one that is gone is reported to nobody.
+func TestPaceOfAnUpstreamThatIsGoneIsNotKept(t *testing.T) {
+	is := is.New(t)
+	p := pacedPool("e1", "e2")
+	now := answer(p, time.Now(), "e1", 50*time.Millisecond, 1)
+	upstream, _ := p.Upstream("e1")
+	running := p.Begin(now, pool.Choice{Upstream: upstream}, generation("a"))
+	p.Remove(now, "e1")
+	running.RecordStatedPace(now, 1)
+	declare(p, "e1", func(u *traffic.Upstream) { u.StartedMillis = 2 })
+	is.Equal(len(p.PaceNews(now, anyUpstream)), 0)
+}
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -245,6 +245,7 @@
 	p.trackSoftware(now, p.upstreams[id].declaration(), nil)
 	delete(p.active, p.upstreams[id])
 	delete(p.upstreams, id)
+	delete(p.pacesUnsent, id)
 	p.changes++
 	p.services = nil
 }
