The quota looks at its peers only when one may be silent

Each request and each message looked at all peers, under the mutex of the shared state. The time since which all were heard shows that none can be silent.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -42,6 +42,8 @@
 	// peers are the other instances. They are nil until they are known, and no bucket gains anything before: with whom the
 	// rates are shared is not known then.
 	peers map[string]*peer
+	// oldestSeen is a time since which all peers have been heard, so that refill need not look at each of them; zero if unknown.
+	oldestSeen time.Time
 	// sentTotals are this instance's totals when it last sent them urgently.
 	sentTotals Totals
 	// sentToAll is when the totals were last sent urgently to all peers because of a workspace, and not only to the
@@ -117,6 +119,7 @@
 		peers[name] = p
 	}
 	l.peers = peers
+	l.oldestSeen = time.Time{}
 }
 
 // MergeTotals merges a peer's totals. The share that was reserved for the peer while it was silent is replaced by
@@ -367,12 +370,7 @@
 // not hand that share out, and the bucket's level is capped at the shares of the reachable instances. An instance
 // that reaches no peer hands out only its own share, whatever the others do.
 func (l *Ledger) refill(now time.Time) {
-	var silent []*peer
-	for _, p := range l.peers {
-		if l.isSilent(now, p) {
-			silent = append(silent, p)
-		}
-	}
+	silent := l.silentPeers(now)
 	share := 1 / float64(len(l.peers)+1)
 	reachable := 1 - float64(len(silent))*share
 	for workspace, b := range l.buckets {
@@ -391,8 +389,26 @@
 	}
 }
 
-func (l *Ledger) isSilent(now time.Time, p *peer) bool {
-	return now.Sub(p.lastSeen) > max(l.PeerTimeout, minPeerTimeout)
+// silentPeers returns the peers that have been silent for too long. It is called for each request and message, and looks at the
+// peers only if one may be silent.
+func (l *Ledger) silentPeers(now time.Time) (silent []*peer) {
+	if !l.oldestSeen.IsZero() && !l.isSilent(now, l.oldestSeen) {
+		return nil
+	}
+	l.oldestSeen = now
+	for _, p := range l.peers {
+		if p.lastSeen.Before(l.oldestSeen) {
+			l.oldestSeen = p.lastSeen
+		}
+		if l.isSilent(now, p.lastSeen) {
+			silent = append(silent, p)
+		}
+	}
+	return silent
+}
+
+func (l *Ledger) isSilent(now, lastSeen time.Time) bool {
+	return now.Sub(lastSeen) > max(l.PeerTimeout, minPeerTimeout)
 }
 
 // deductAdmitted subtracts what a peer has admitted from the level.
