Callers with minutes of time are told to come back within 10 s

A refused caller without a turn was told a third of its time, which is minutes where a route allows ten of them and its caller states no deadline. Without the bound on the turns of such callers, those told 10 s would have been taken for ones with a turn: turns are given for at most 1.5 s ahead.

--- a/internal/admission/contention/controller_test.go
+++ b/internal/admission/contention/controller_test.go
@@ -143,3 +143,43 @@
 	share, _, _ := c.Share("b")
 	is.Equal(share, 1.0) // nobody else is active
 }
+
+// Guards against callers with minutes of time that are told to come back long after the load has ended.
+func TestCallersWithMuchTimeComeBackSoon(t *testing.T) {
+	is := is.New(t)
+	c, _ := largeController(2, 4)
+	now := time.Now()
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		request := overloaded(i)
+		request.Remaining, request.Allowed = 10*time.Minute, 10*time.Minute
+		request.Verdict = contention.TooLong
+		if refused, ok := c.Decide(now, request).(contention.Refuse); ok {
+			is.True(refused.RetryAfter > 0 && refused.RetryAfter <= 10*time.Second)
+		}
+	}
+}
+
+// Guards against callers that take turns for which nobody was told to come back: turns are given for at most 1.5 s ahead,
+// whatever time a caller has.
+func TestCallersThatComeBackAfterTheLastTurnHaveNone(t *testing.T) {
+	is := is.New(t)
+	c, _ := largeController(2, 4)
+	now := time.Now()
+	request := overloaded(0)
+	request.Verdict = contention.TooLong
+	request.Remaining, request.Allowed = time.Minute, time.Minute
+	_, refused := c.Decide(now, request).(contention.Refuse)
+	is.True(refused)
+	for _, tt := range []struct {
+		waited time.Duration
+		turn   bool
+	}{
+		{time.Second, true},
+		{10 * time.Second, false},
+	} {
+		request.Remaining, request.Allowed = time.Minute-tt.waited, time.Minute-tt.waited
+		admitted, _ := c.Decide(now.Add(tt.waited), request).(contention.Admit)
+		is.Equal(admitted.Returned, tt.turn)
+	}
+}
--- a/internal/admission/contention/schedule.go
+++ b/internal/admission/contention/schedule.go
@@ -17,6 +17,8 @@
 	maxTurnFraction = 1.0 / 4
 	// maxTurnDelay bounds how far ahead turns are given: it shows soon whether they can be kept.
 	maxTurnDelay = 1500 * time.Millisecond
+	// maxRetryAfter bounds the time of callers without a turn that wait for minutes: the load may have changed long before.
+	maxRetryAfter = 10 * time.Second
 	// waitedTolerance is how much later than told a caller may arrive.
 	waitedTolerance = 0.04
 	// maxTurnsUsed and minTurnsUsed bound the part of the completions that turns are given for. The rest is left to
@@ -112,7 +114,7 @@
 	retryAfter = due.Sub(now)
 	latest := min(scale(maxTurnFraction, remaining), maxTurnDelay)
 	if !turns || retryAfter > latest {
-		return scale(maxTimeFraction, remaining), false
+		return min(scale(maxTimeFraction, remaining), maxRetryAfter), false
 	}
 	s.balance[first]++
 	for i := first; i < classes; i++ {
@@ -127,7 +129,8 @@
 
 // isReturned reports whether a caller has waited as long as one that was told to come back for its turn.
 func (s *schedule) isReturned(now time.Time, class Class, waited, allowed time.Duration) bool {
-	if waited < minRetryAfter || waited > scale(maxTurnFraction+waitedTolerance, allowed) {
+	latest := min(scale(maxTurnFraction, allowed), maxTurnDelay) + scale(waitedTolerance, allowed)
+	if waited < minRetryAfter || waited > latest {
 		return false
 	}
 	s.decay(now)
