Long simulations run beside each other

The simulations of contention, quotas and paces have their own clock, so their results do not depend on what else runs.

--- a/internal/admission/contention/contention_test.go
+++ b/internal/admission/contention/contention_test.go
@@ -37,6 +37,7 @@
 
 // Guards against high priorities that are served worse than low ones under load, and against a lowest one that gets nothing.
 func TestTwiceWhatFitsOfThreePrioritiesServesTheHighestFirst(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		parts [3]float64
@@ -48,6 +49,7 @@
 		{"hardly more than fits", [3]float64{0.4, 0.3, 0.3}, 1.1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			kinds := threeKinds()
 			for i := range kinds {
@@ -76,6 +78,7 @@
 // Guards against a flood of one workspace at the cost of the others, also where a tenth of the instances know only what they
 // admit themselves.
 func TestOneWorkspaceAtSixTimesItsUsualCostsOthersNothing(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		large  float64
@@ -87,6 +90,7 @@
 		{"one priority", 5, 0, []kind{{priority: 2, objective: time.Second, timeout: 5 * time.Second, part: 1}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			usual := customers(16, 360)
 			usual[0].sends *= c.large
@@ -116,6 +120,7 @@
 
 // Guards against callers that are told a time at which they are refused again.
 func TestCallersToldATimeAreServedThen(t *testing.T) {
+	t.Parallel()
 	for _, times := range []float64{1.2, 1.5, 2} {
 		t.Run(fmt.Sprint(times, " times what fits"), func(t *testing.T) {
 			is := is.New(t)
@@ -187,6 +192,7 @@
 // Guards against a plain service whose slots are given out without regard to classes, and against refused callers that leave
 // slots idle.
 func TestTwiceWhatFitsOfAPlainServiceWithThirtySlots(t *testing.T) {
+	t.Parallel()
 	plain := kind{priority: 2, objective: 300 * time.Millisecond, timeout: 4 * time.Second, part: 1}
 	for _, c := range []struct {
 		name   string
@@ -202,6 +208,7 @@
 		{"one workspace at six times its usual", []kind{plain}, true, 0.95},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			list := customers(16, 1000)
 			if c.flood {
--- a/internal/admission/quota/flood_test.go
+++ b/internal/admission/quota/flood_test.go
@@ -124,6 +124,7 @@
 // Guards against spending above the rate when two large workspaces send seven times their usual while one kind of requests
 // comes three times as often. Each of 66 instances admits so little that it alone changes nothing.
 func TestFloodOfSeveralWorkspacesStaysWithinTheirRates(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name            string
 		delay, periodic time.Duration
@@ -136,6 +137,7 @@
 		{"messages take 250 ms, large requests", 250 * time.Millisecond, 250 * time.Millisecond, 60_000, 4000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				random := rand.New(rand.NewPCG(3, 4))
@@ -191,6 +193,7 @@
 // Guards against refusals within the rate: each of 66 instances is sent so few requests of a workspace that it at times has
 // several times its part of them.
 func TestManyInstancesRefuseNobodyWithinTheRate(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		random := rand.New(rand.NewPCG(5, 6))
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -229,6 +229,7 @@
 // same tokens for those two seconds. Instances that admit from a low bucket must send their totals at once; a
 // workspace with a full bucket must cause no messages.
 func TestFloodStaysWithinTheRateOfALargeFleet(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(quota.Limit{Rate: 60_000, Burst: 60_000}, 80)
@@ -258,6 +259,7 @@
 // Guards against a large fleet in which each instance admits so little for a workspace that it sends no urgent
 // update, while all together admit several times the rate.
 func TestFloodOverManyInstancesStaysWithinTheRate(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(quota.Limit{Rate: 500_000, Burst: 500_000}, 195)
--- a/internal/admission/quota/skew_test.go
+++ b/internal/admission/quota/skew_test.go
@@ -15,6 +15,7 @@
 // Guards against refusals within the rate where load balancers spread callers unevenly: an instance that is sent several times
 // as much as the others must not assume that the others are sent as much.
 func TestUnevenlySpreadCallersAreNotRefusedWithinTheRate(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		// favoured instances get part of all requests.
--- a/internal/placement/pool/pace_test.go
+++ b/internal/placement/pool/pace_test.go
@@ -262,6 +262,7 @@
 // Guards against instances that have the same knowledge and all choose the engine that looks fastest. The paces of equal
 // engines are known with some error, and nothing is known of what the others send meanwhile.
 func TestInstancesWithTheSamePacesSpread(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const instances, engineCount, each, rounds = 83, 90, 3, 2
--- a/internal/placement/pool/replicas_test.go
+++ b/internal/placement/pool/replicas_test.go
@@ -298,6 +298,7 @@
 // against a replica at each engine because 66 instances order them. Needed replicas are used for half of the time, so that
 // two thirds of them are used for three quarters of it.
 func TestPopularAdapterAppears(t *testing.T) {
+	t.Parallel()
 	for _, tokens := range []int{400, 1000} {
 		t.Run(fmt.Sprint("tokens=", tokens), func(t *testing.T) {
 			simulate(t, func(t *testing.T, is *is.I, f *replicaFleet) {
--- a/internal/placement/pool/uneven_engines_test.go
+++ b/internal/placement/pool/uneven_engines_test.go
@@ -329,6 +329,7 @@
 // and each takes 2.5 times its own for moments. The bound is that of instances that know all speeds at each choice, with the
 // same knowledge of the queues. That of a plan that knows all queues as well is logged.
 func TestUnevenEnginesUnderBursts(t *testing.T) {
+	t.Parallel()
 	const bound = 1.2
 	plan := unevenPercentile(t, func(f *unevenFleet) { f.planned = true })
 	knowing := make(map[int]time.Duration)
@@ -362,6 +363,7 @@
 // Guards against an engine that attracts requests by a false statement. One engine of 1.7 times the usual time states the usual
 // pace, or a quarter of it, all the time.
 func TestFalseStatedPaceCostsItsOwnShare(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const falseOne = 2 // the index of an engine of 1.7
 	honest := unevenPercentile(t, func(*unevenFleet) {})
