Costs that are returned to a bucket are no demand

Callers that a contended service refuses come back several times, and each time their workspace seemed to ask for the cost again, although it was returned. The demand then exceeded what thinning allows to a workspace within its rate.

--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -221,6 +221,9 @@
 		return
 	}
 	l.deduct(workspace, -cost)
+	if b := l.buckets[workspace]; b != nil {
+		b.demand.refund(cost)
+	}
 	l.own[workspace] -= cost
 }
 
--- a/internal/admission/quota/skew_test.go
+++ b/internal/admission/quota/skew_test.go
@@ -60,3 +60,31 @@
 		})
 	}
 }
+
+// Guards against refusals within the rate while a service is contended: callers that are refused there come back several times,
+// and what they did not use is returned to the bucket.
+func TestReturnedCostsAreNoDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(9, 10))
+		limits := map[string]quota.Limit{"w": {Rate: 400_000, Burst: 400_000}}
+		f := newFloodedFleet(66, limits, 250*time.Millisecond, time.Second)
+		for tick := range 400 {
+			f.advance(tick) // a new bucket is empty
+		}
+		refused := 0
+		for tick := range 800 {
+			for left := random.ExpFloat64(); left < 5*400_000.0/1200*0.01; left += random.ExpFloat64() {
+				at := random.IntN(len(f.ledgers))
+				switch {
+				case !f.admit(at, "w", 1200):
+					refused++
+				case random.Float64() > 0.1: // refused by another part
+					f.ledgers[at].Refund("w", 1200)
+				}
+			}
+			f.advance(400 + tick)
+		}
+		is.Equal(refused, 0)
+	})
+}
--- a/internal/admission/quota/thinning.go
+++ b/internal/admission/quota/thinning.go
@@ -57,7 +57,14 @@
 	d.at = now
 }
 
-// recordAdmitted adds what this instance or another one has admitted. It is negative for the costs of requests that never ran.
+// refund subtracts the cost of an admitted request that never ran. Callers that are refused elsewhere come back several times,
+// and a workspace within its rate would look like one that asks for several times its rate.
+func (d *demand) refund(cost float64) {
+	d.cost = max(d.cost-cost, 0)
+	d.unheard -= cost
+}
+
+// recordAdmitted adds what this instance or another one has admitted. It is negative where a peer returned more than that.
 // What this instance admitted counts with a delay, as that of the others does: when a flood begins, it would look as if only
 // this instance were asked for more.
 func (d *demand) recordAdmitted(now time.Time, own, peers float64) {
