--- a/internal/admission/contention/contention.go
+++ b/internal/admission/contention/contention.go
@@ -165,6 +165,9 @@
 	return c.classOf(now, c.service(service), service, workspace, priority)
 }
 
+// HasClasses reports whether the routes to a service have several priorities.
+func (c *Controller) HasClasses(service string) bool { return len(c.levels[service].priorities) > 1 }
+
 func (c *Controller) classOf(now time.Time, s *service, name, workspace string, priority int) Class {
 	class := Class{}
 	levels := c.levels[name]
--- a/internal/admission/contention/controller_test.go
+++ b/internal/admission/contention/controller_test.go
@@ -183,3 +183,16 @@
 		is.Equal(admitted.Returned, tt.turn)
 	}
 }
+
+// Guards against a service with one priority whose callers are refused by class although there is no other class.
+func TestOnePriorityIsOneClass(t *testing.T) {
+	is := is.New(t)
+	c := &contention.Controller{}
+	to := func(service string, priority int) traffic.Route {
+		return traffic.Route{Priority: priority, Targets: []traffic.Target{{Service: service, Weight: 1}}}
+	}
+	c.Configure(&traffic.Configuration{Version: 1, Routes: []traffic.Route{to("one", 2), to("one", 2), to("two", 0), to("two", 2)}})
+	is.True(!c.HasClasses("one"))
+	is.True(c.HasClasses("two"))
+	is.True(!c.HasClasses("none"))
+}
--- a/internal/gateway/serve/contention.go
+++ b/internal/gateway/serve/contention.go
@@ -24,6 +24,7 @@
 			admission.RecordUse(now, state.Ledger.FleetTotals(now))
 		}
 		j.class = admission.ClassOf(now, j.service, j.workspace.Name, j.priority)
+		j.competes = j.yieldsToClasses() || admission.HasClasses(j.service)
 	})
 	j.overShare = j.class.Over
 }
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -75,7 +75,7 @@
 
 // shedLoad refuses a request that would be late because of the requests queued before it.
 func (j *job) shedLoad(choice pool.Choice, query pool.Query) error {
-	if j.handler.Admission != nil {
+	if j.competes {
 		return j.shedByClass(choice, query, contention.Fits)
 	}
 	budget := j.timeBudget()
@@ -83,6 +83,9 @@
 	refused := false
 	j.handler.State.WithLock(func(state *SharedState) {
 		retryAfter, refused = state.Pool.Refuse(time.Now(), query, choice, budget)
+		if refused && j.handler.Admission != nil {
+			j.handler.Admission.RecordRefusal(time.Now(), j.service)
+		}
 	})
 	if !refused {
 		return nil
