--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -116,11 +116,11 @@
 	c.since = time.Now()
 	c.queue.peak = 0
 	c.backlogs.add(1)
-	go c.drain()
+	go c.run()
 }
 
-// drain writes the queue until it is empty.
-func (c *connection) drain() {
+// run writes the queue until it is empty, and then ends the connection if that is due.
+func (c *connection) run() {
 	var err error
 	for {
 		c.mutex.Lock()
