Read nothing more from a caller's connection that was closed with a backlog

Such a connection stays open until its queue was written. The HTTP server could read, and run, a further request there: it sets the deadline of its next read after an idle connection was closed, and the deadline of the orderly end replaced the expired one. The response would have been lost. The test failed before.

--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,9 +30,10 @@
 	// refused: the account had no room since the queue was last empty.
 	refused bool
 	err     error
-	// ending: the end is to be sent after the queue. closed: the connection is to be closed then. dropped: it was closed
-	// with what it had queued.
-	ending, closed, dropped bool
+	// ending: the end is to be sent after the queue. dropped: the connection was closed with what it had queued.
+	ending, dropped bool
+	// closed: the connection is to be closed after the queue. It is set with the lock held.
+	closed atomic.Bool
 	// changed gets a value when a write that waits for room should look again.
 	changed chan struct{}
 }
@@ -51,7 +53,7 @@
 		switch {
 		case c.err != nil:
 			return length - len(data), c.err
-		case c.closed:
+		case c.closed.Load():
 			return length - len(data), net.ErrClosed
 		case !c.draining:
 			if data, err = c.writeDirectly(data); err != nil {
@@ -138,7 +140,7 @@
 	}
 	defer c.backlogs.add(-1)
 	c.endDraining()
-	ending, closed, failed := c.ending, c.closed, c.err
+	ending, closed, failed := c.ending, c.closed.Load(), c.err
 	c.mutex.Unlock()
 	switch {
 	case failed != nil:
@@ -220,6 +222,27 @@
 // SetWriteDeadline does nothing: a response is written while its caller makes progress, also after the deadline of its request.
 func (c *connection) SetWriteDeadline(time.Time) error { return nil }
 
+// Read reads what the caller sends, and nothing once the connection was closed: a request that arrives then would be run in vain.
+func (c *connection) Read(data []byte) (n int, err error) {
+	if !c.closed.Load() {
+		n, err = c.socketConnection.Read(data)
+	}
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the deadline of reads. Once the connection was closed, only closeInOrder reads.
+func (c *connection) SetReadDeadline(at time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	return c.socketConnection.SetReadDeadline(at)
+}
+
 // SetDeadline sets the deadline of reads.
 func (c *connection) SetDeadline(at time.Time) error { return c.SetReadDeadline(at) }
 
@@ -246,10 +269,9 @@
 func (c *connection) Close() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closed {
+	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	c.closed = true
 	if !c.draining && (c.dropped || c.err != nil || !c.hasUnread()) {
 		return c.socketConnection.Close()
 	}
@@ -280,7 +302,7 @@
 	}
 	before, progress := -1, time.Now()
 	for dropped := make([]byte, 512); time.Since(progress) < maxStalls*c.backlogs.interval(); {
-		if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		if c.socketConnection.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 			return
 		}
 		_, err := c.socketConnection.Read(dropped)
