Deliver the rest to callers that end what they send

An end of the caller's requests was taken for the end of its connection. The connection was closed with what the kernel still held, and the kernel gives up a closed connection whose caller reads nothing for some seconds: the test got a reset 6 s after the last read before. Whether the caller has closed the connection is now seen by its reset.

--- a/internal/gateway/backlog/backlog.go
+++ b/internal/gateway/backlog/backlog.go
@@ -28,6 +28,8 @@
 	roomInterval = 100 * time.Millisecond
 	// lingerTime is how long the end of a response is awaited at the caller. See closeInOrder in package serve.
 	lingerTime = 500 * time.Millisecond
+	// endInterval is how often it is checked whether a caller that sends nothing more has got the rest.
+	endInterval = 50 * time.Millisecond
 	// awaitInterval is how often a planned stop checks for backlogs.
 	awaitInterval = 20 * time.Millisecond
 )
--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -1,6 +1,7 @@
 package backlog
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -306,12 +307,17 @@
 			return
 		}
 		_, err := c.socketConnection.Read(dropped)
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return // the caller has closed the connection
-		}
 		unread, failed := c.Unacknowledged()
-		if failed != nil || err != nil && unread == 0 {
+		switch {
+		case failed != nil || err != nil && unread == 0:
 			return
+		case errors.Is(err, io.EOF): // it may have ended only what it sends
+			time.Sleep(endInterval)
+			if c.socketConnection.CloseWrite() != nil {
+				return // the caller has closed the connection
+			}
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			return // the caller has closed the connection
 		}
 		if unread != before {
 			before, progress = unread, time.Now()
