Close callers that go on to send after they have got all

A caller that sent without a pause kept its closed connection, and so a planned stop, for 20 s. It now has lingerTime after it has got all. The test failed before.

--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -293,9 +293,9 @@
 }
 
 // closeInOrder sends the end and closes the connection once the caller has got all, or makes no progress. Closing it resets it
-// if the caller has sent bytes that were not read, so these are read and dropped until the caller has closed it. Before all is
-// acknowledged, the kernel would give up a caller that reads slowly: the user timeout is raised only until the connection is
-// closed, see package socket.
+// if the caller has sent bytes that were not read, so these are read and dropped until the caller has closed it, or lingerTime
+// after it has got all. Before all is acknowledged, the kernel would give up a caller that reads slowly: the user timeout is
+// raised only until the connection is closed, see package socket.
 func (c *connection) closeInOrder() {
 	defer c.socketConnection.Close()
 	if c.socketConnection.CloseWrite() != nil {
@@ -309,7 +309,7 @@
 		_, err := c.socketConnection.Read(dropped)
 		unread, failed := c.Unacknowledged()
 		switch {
-		case failed != nil || err != nil && unread == 0:
+		case failed != nil || unread == 0 && (err != nil || unread == before && time.Since(progress) > lingerTime):
 			return
 		case errors.Is(err, io.EOF): // it may have ended only what it sends
 			time.Sleep(endInterval)
--- a/internal/gateway/backlog/end_test.go
+++ b/internal/gateway/backlog/end_test.go
@@ -33,3 +33,23 @@
 	is.NoErr(err)
 	is.Equal(received+len(rest), length)
 }
+
+// Guards against a planned stop that is held up by a caller which has got its response and goes on to send.
+func TestCallerThatGoesOnToSendIsClosed(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	is.NoErr(p.caller.SetReadBuffer(1 << 20))
+	_, err := p.server.Write(make([]byte, 2<<20))
+	is.NoErr(err)
+	is.NoErr(p.server.Close())
+	go p.run()
+	begun := time.Now()
+	for p.backlogs.Count() > 0 {
+		is.True(time.Since(begun) < 4*lingerTime)
+		_, _ = p.caller.Write([]byte("x"))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// run reads until the connection ends.
+func (p *pair) run() { _, _ = io.Copy(io.Discard, p.caller) }
