End attempts whose callers leave after the deadline

A response that was held back goes on after the deadline of its request. The context of the caller's connection now ends the attempt.

--- a/internal/gateway/serve/held_back.go
+++ b/internal/gateway/serve/held_back.go
@@ -52,12 +52,14 @@
 	a.unbind = context.AfterFunc(ctx, func() { a.end(context.Cause(ctx)) })
 }
 
-// end cancels the attempt, at once unless its response was held back.
+// end cancels the attempt, at once unless its response was held back, and its caller stays.
 func (a *attempt) end(cause error) {
 	if !errors.Is(cause, context.DeadlineExceeded) || !a.relaysLength.Load() {
 		a.cancel(cause)
 		return
 	}
+	caller := a.job.caller
+	defer context.AfterFunc(caller, func() { a.cancel(context.Cause(caller)) })()
 	granted := minHeldBack // the part that does not count
 	for {
 		heldBack := a.job.writing.elapsed()
--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,8 +21,10 @@
 // job.go holds the state of one request and writes its log line and metrics.
 
 type job struct {
-	handler   *Handler
-	writer    http.ResponseWriter
+	handler *Handler
+	writer  http.ResponseWriter
+	// caller ends when the caller leaves.
+	caller    context.Context
 	startedAt time.Time
 
 	table     *traffic.Table
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -115,7 +115,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{handler: h, writer: w, startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
+	j := &job{handler: h, writer: w, caller: r.Context(), startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
 	defer j.releaseMemory()
 	j.setDeadlines(maxRequestTime)
 	if h.draining.Load() {
