Count the silence of an upstream only while it is read

Without room in the account, an event or a failure waits and its upstream is not read. After 1.2 s it counted as silent, and a repeatable request was run a second time elsewhere. The test counted 2 runs before, and 1 now.

--- a/internal/gateway/serve/bounds.go
+++ b/internal/gateway/serve/bounds.go
@@ -174,13 +174,15 @@
 	return true
 }
 
-// awaitRoom waits until there is room for a number of bytes, or the attempt ends.
+// awaitRoom waits until there is room for a number of bytes, or the attempt ends. The upstream is not silent meanwhile: it is not
+// read.
 func (a *attempt) awaitRoom(length int) error {
 	a.job.handler.Memory.RecordRefusal(memory.Response)
 	for !a.hold(length) {
 		if !pause.For(a.ctx, holdInterval) {
 			return errors.WithMessage(forward.ErrBrokenResponse, a.ctx.Err().Error())
 		}
+		a.standby.extend()
 	}
 	return nil
 }
--- a/internal/gateway/serve/held_back_test.go
+++ b/internal/gateway/serve/held_back_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,3 +53,22 @@
 	response.Body.Close()
 	is.True((<-ended).Sub(left) < 500*time.Millisecond)
 }
+
+// Guards against a second run of a request whose upstream is not silent: this instance does not read on for lack of room.
+func TestUpstreamThatIsHeldBackIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	long := "id: 1\ndata: " + strings.Repeat("x", 200<<10) + "\n\n"
+	respond := func(rw http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		respondInChunks(rw, r, long)
+	}
+	h := newBytesHarness(t, 16, respond, respond)
+	release := h.fillAccount()
+	time.AfterFunc(2*time.Second, release)
+	response, body, err := h.call("/stream/", "b")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(body == long)
+	is.Equal(requests.Load(), int32(1))
+}
