Bound only bodies that follow, not the length in a response to a HEAD request

A response to a HEAD request states the length of a body that is not sent. Lengths beyond the bounds broke the attempt (502), also without an account, and room was made for the others.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -93,13 +93,21 @@
 	return FramingClose
 }
 
+// bodyLength returns the stated length of the body that follows, which is none for a request of the head only.
+func bodyLength(response *http.Response) int64 {
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return 0
+	}
+	return response.ContentLength
+}
+
 // Response is an upstream's response whose body has not been read yet.
 type Response struct {
 	Status  int
 	Header  http.Header
 	Body    io.ReadCloser
 	Framing Framing
-	// Length is the length of the body that the upstream states, negative if it states none.
+	// Length is the length of the body that follows as the upstream states it, negative if it states none.
 	Length int64
 	Info   call.ResponseInfo
 }
@@ -138,7 +146,7 @@
 		Header:  response.Header,
 		Body:    response.Body,
 		Framing: framingOf(response),
-		Length:  response.ContentLength,
+		Length:  bodyLength(response),
 		Info:    c.Dialect.ParseResponse(response),
 	}
 	if err := c.check(outgoing, result); err != nil {
