Hand over stream records before slow callers are awaited

A planned stop awaited the backlogs first. One slow caller took all of StopWithin, and the hand-over had 100 ms left.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -321,9 +321,9 @@
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(n.current.Load().Callers.StopWithin))
 	defer cancel()
 	err := n.callers.Shutdown(shutdownCtx)
-	n.backlogs.Await(shutdownCtx)
 	n.awaitPeerConnections(shutdownCtx)
 	n.handOverOrigins(shutdownCtx)
+	n.backlogs.Await(shutdownCtx) // last, because slow callers may take all the time that is left
 	pause.For(tasksCtx, responseFlushDelay)
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("StoppedWithRequestsRunning")
