--- a/internal/entry/node/slow_caller_stop_test.go
+++ b/internal/entry/node/slow_caller_stop_test.go
@@ -32,7 +32,9 @@
 	s := newStore()
 	s.put(keyConfiguration, configuration(1, "/p/"))
 	s.put(prefixUpstreams+"u", upstreamEntry("app", strings.TrimPrefix(upstream.URL, "http://")))
-	member := startWith(t, s, "a", &engines{}, func(settings *node.Settings) { settings.Memory = node.MemorySettings{LimitMB: 144, Account: node.SwitchOn} })
+	member := startWith(t, s, "a", &engines{}, func(settings *node.Settings) {
+		settings.Memory = node.MemorySettings{LimitMB: 144, Account: node.SwitchOn}
+	})
 	eventually(t, 2*time.Second, "the instance serves", func() bool { return member.ready() && member.status("/p/") == 200 })
 	caller, err := net.Dial("tcp", member.address("CallerAddress"))
 	is.NoErr(err)
