Release what was reserved for a refused body at once

The part of a body without a stated length that was read before its refusal stayed reserved for up to a second, while the rest was read and dropped. Others were refused for it. The test found 1088 KiB held before.

--- a/internal/gateway/serve/body.go
+++ b/internal/gateway/serve/body.go
@@ -110,6 +110,7 @@
 	length := r.ContentLength
 	j.writer.Header().Set("Connection", "close")
 	j.refusedBody = r.Body
+	j.body.release(j.handler.Memory) // what was read is dropped
 	if err := http.NewResponseController(j.writer).EnableFullDuplex(); err != nil {
 		j.handler.Log.Debug().Err(err).Msg("NoFullDuplex")
 	}
