--- a/internal/entry/node/held_room.go
+++ b/internal/entry/node/held_room.go
@@ -4,32 +4,42 @@
 	"context"
 	"time"
 
+	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/timing/pause"
 )
 
-// held_room.go admits requests to a held upstream that can take few: one that is cold, brittle or limited.
+// held_room.go admits requests to a held upstream that can take few: one that is cold, brittle or limited, or whose memory
+// is bounded.
 
 // maxRoomWait bounds how long a request waits until a brittle upstream has room, before it is tried elsewhere.
 const maxRoomWait = 60 * time.Millisecond
 
-// awaitRoom waits until the upstream has room for a request, if that is expected to be soon.
-func (h *heldUpstream) awaitRoom(ctx context.Context, deadline time.Time) (wait time.Duration, admitted bool) {
+// awaitRoom waits until the upstream has room for a request, if that is expected to be soon. It returns nil when it has.
+func (h *heldUpstream) awaitRoom(ctx context.Context, deadline time.Time, request mesh.PrepareRequest) mesh.PrepareResult {
 	if latest := time.Now().Add(maxRoomWait); latest.Before(deadline) {
 		deadline = latest
 	}
 	for {
-		wait, admitted = h.admit()
-		if admitted || time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
-			return wait, admitted
+		refused, wait := h.admit(request)
+		if refused == nil || time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
+			return refused
 		}
 	}
 }
 
-// admit counts a request against the load that the upstream can take while it is cold, brittle or limited.
-func (h *heldUpstream) admit() (wait time.Duration, admitted bool) {
+// admit counts a request against the memory of the upstream, and against the load that it can take while it is cold, brittle or
+// limited. It returns nil if the request is admitted.
+func (h *heldUpstream) admit(request mesh.PrepareRequest) (refused mesh.PrepareResult, wait time.Duration) {
+	var verdict pool.MemoryVerdict
+	admitted := true
 	h.node.sharedState.WithLock(func(state *serve.SharedState) {
 		now := time.Now()
+		verdict = state.Pool.AdmitMemory(now, h.upstream.ID, h.node.memoryRequest(request))
+		if !verdict.Admitted {
+			return
+		}
 		for _, admit := range []func(time.Time, string) (time.Duration, bool){
 			state.Pool.AdmitLimited, state.Pool.AdmitCold, state.Pool.AdmitBrittle,
 		} {
@@ -38,5 +48,14 @@
 			}
 		}
 	})
-	return wait, admitted
+	switch {
+	case verdict.Starting:
+		return mesh.NotHolder{}, verdict.RetryAfter
+	case !verdict.Admitted:
+		h.node.scope.Tagged(map[string]string{"cause": "full"}).Counter("memory_refusals").Inc(1)
+		return mesh.Busy{RetryAfter: verdict.RetryAfter}, verdict.RetryAfter
+	case !admitted:
+		return mesh.Busy{RetryAfter: wait}, wait
+	}
+	return nil, 0
 }
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -282,8 +282,8 @@
 			return mesh.Busy{RetryAfter: wait}
 		}
 	}
-	if wait, admitted := h.awaitRoom(ctx, deadline); !admitted {
-		return mesh.Busy{RetryAfter: wait}
+	if refused := h.awaitRoom(ctx, deadline, request); refused != nil {
+		return refused
 	}
 	return prepared
 }
--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -18,6 +18,7 @@
 // Prepare has an adapter loaded by the holder of the upstream, which may be this instance.
 func (n *Node) Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.PrepareResult {
 	request.MaxWait = min(request.MaxWait, prepareTimeout)
+	request = n.withSender(request)
 	ctx, cancel := context.WithTimeout(ctx, n.answerTimeout(request))
 	defer cancel()
 	if held := n.heldUpstreams.get(request.Upstream); held != nil {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -95,6 +95,8 @@
 	upstreamChanges int
 	// pacesShown are the held upstreams whose pace the metrics show. Only runPeriodic uses it.
 	pacesShown map[string]bool
+	// memoryShown are the upstreams whose memory the metrics show. Only the periodic tasks use it.
+	memoryShown map[string]float64
 
 	scope    tally.Scope
 	stopping atomic.Bool
@@ -203,6 +205,7 @@
 	settings := pool.DefaultSettings()
 	settings.DataCentre = n.self.DataCentre
 	settings.MaxBackpressure = n.Settings.Upstreams.MaxBackpressure
+	settings.BoundMemory = n.Settings.Memory.UpstreamBound.IsOn()
 	n.sharedState = &serve.SharedState{
 		Pool:     &pool.Pool{Settings: settings},
 		Ledger:   &quota.Ledger{Self: n.self.Name},
--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -34,6 +34,7 @@
 		n.probeLostLinks(now)
 		n.retireStalePeerConnections()
 		n.updateHeldPaces(now)
+		n.updateMemory(now)
 		n.scope.Gauge("confirmed_age_seconds").Update(n.ConfirmedAge().Seconds())
 		if dropped := n.DroppedLogEvents(); dropped > 0 {
 			n.Log.Error().Int("Events", dropped).Msg("LogDropped")
--- a/internal/entry/node/reload.go
+++ b/internal/entry/node/reload.go
@@ -56,6 +56,7 @@
 	}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Settings.MaxBackpressure = settings.Upstreams.MaxBackpressure
+		state.Pool.Settings.BoundMemory = settings.Memory.UpstreamBound.IsOn()
 	})
 	if settings.Instance != previous.Instance {
 		n.Log.Warn().Msg("RestartNeeded") // addresses and names change only with a restart
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -37,6 +37,8 @@
 	doubted map[string][]traffic.Life
 	// answeredAt is when each holder last answered a report or a request, and when a report was last scheduled in want of that.
 	answeredAt map[string]time.Time
+	// unsent are the holders to which a report failed that is to be repeated even if nothing is in flight any more.
+	unsent map[string]bool
 }
 
 // recordAnswer records that a holder has answered.
@@ -167,6 +169,7 @@
 	if err != nil {
 		n.reports.addDoubted(r.holder, doubted...)
 		n.restorePaceNews(report)
+		n.reports.addUnsent(r.holder, report)
 		n.Log.Debug().Err(err).Str("Holder", r.holder).Msg("ReportFailed")
 		return
 	}
@@ -181,6 +184,7 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		selected := func(upstream string) bool { return holders[upstream] == holder }
 		report.Loads = state.Pool.Report(selected)
+		report.Memory = state.Pool.MemoryStatement(time.Now(), selected)
 		report.Limits = state.Pool.Limits(time.Now(), selected)
 		report.Paces = state.Pool.PaceNews(time.Now(), selected)
 	})
@@ -228,6 +232,7 @@
 	ids := n.heldUpstreams.ids()
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.RecordPeerReport(now, report.Instance, report.Loads)
+		state.Pool.RecordMemoryReport(now, report.Instance, report.Memory, report.Loads)
 		state.Pool.MergeLimits(now, report.Limits)
 		held.Limits = state.Pool.Limits(now, func(upstream string) bool { return ids[upstream] })
 		state.Pool.RecordPeerPaces(now, report.Instance, report.Paces)
@@ -255,6 +260,9 @@
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		loads = state.Pool.OwnLoads(func(upstream string) bool { return holders[upstream] != "" })
 	})
+	for _, holder := range n.reports.takeUnsent() {
+		n.scheduleReport(holder)
+	}
 	for _, holder := range n.reports.holdersOfDoubted() { // the last report failed
 		n.scheduleReport(holder)
 	}
@@ -275,7 +283,11 @@
 		return
 	}
 	inFlight := false
-	n.sharedState.WithLock(func(state *serve.SharedState) { inFlight = state.Pool.HasOwnLoad(upstream) })
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		state.Pool.RecordNewHolder(time.Now(), upstream)
+		declared, _ := state.Pool.Upstream(upstream)
+		inFlight = state.Pool.HasOwnLoad(upstream) || state.Pool.IsMemoryBounded(declared.Service)
+	})
 	if inFlight {
 		n.scheduleReport(holder.Instance)
 	}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -344,6 +344,8 @@
 		MemoryTokens:   int64(r.MemoryTokens),
 		Demand:         r.Demand,
 		Replica:        r.Replica,
+		Instance:       r.Instance,
+		MemoryAsk:      r.MemoryAsk,
 	}
 }
 
@@ -361,6 +363,8 @@
 		MemoryTokens: int(wire.GetMemoryTokens()),
 		Demand:       wire.GetDemand(),
 		Replica:      wire.GetReplica(),
+		Instance:     wire.GetInstance(),
+		MemoryAsk:    wire.GetMemoryAsk(),
 	}
 }
 
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -9,6 +9,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/fleet/link"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
+	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/wire/meshpb"
 )
 
@@ -35,6 +36,7 @@
 	report := LoadReport{
 		Instance: wire.GetInstance(), Loads: loadsFromWire(wire.GetLoads()), Limits: limitsFromWire(wire.GetLimits()),
 		Doubted: livesFromWire(wire.GetDoubted()), Paces: pacesFromWire(wire.GetPaces()),
+		Memory: pool.MemoryStatement{Sequence: wire.GetMemorySequence(), Asks: wire.GetMemoryAsks(), Upstreams: wire.GetMemoryUpstreams()},
 	}
 	return heldToWire(s.handler.Report(report)), nil
 }
@@ -84,6 +86,7 @@
 	wire, err := client.Report(ctx, &meshpb.LoadReport{
 		Instance: report.Instance, Loads: loadsToWire(report.Loads), Limits: limitsToWire(report.Limits),
 		Doubted: livesToWire(report.Doubted), Paces: pacesToWire(report.Paces),
+		MemorySequence: report.Memory.Sequence, MemoryAsks: report.Memory.Asks, MemoryUpstreams: report.Memory.Upstreams,
 	})
 	if err != nil {
 		return HeldReport{}, err
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -64,6 +64,8 @@
 	Doubted []traffic.Life
 	// Paces are what the sender has measured and read of the pace of these upstreams.
 	Paces []pool.PaceStatement
+	// Memory relates the loads to the sender's questions of memory; zero if memory is not bounded.
+	Memory pool.MemoryStatement
 }
 
 // HeldReport is what is in flight at the upstreams that the sender holds, and which adapters are loaded there. As a part
@@ -103,6 +105,9 @@
 	// MemoryTokens is what the request occupies in the memory of the upstream, prompt and output; 0 if memory is not
 	// bounded there.
 	MemoryTokens int
+	// Instance is the sender, and MemoryAsk its number for this question of memory; unset if memory is not bounded there.
+	Instance  string
+	MemoryAsk int64
 	// Demand is the sender's estimate of the requests in a second for the adapter over the fleet; 0 if it has none.
 	Demand float64
 	// Replica: no request waits, and the adapter is to have one more replica.
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -97,11 +97,12 @@
 	j.attempts++
 	j.handler.State.WithLock(func(state *SharedState) {
 		unadmitted := state.Pool.IsLimited(now, upstream) && !chosen.choice.Limited
-		if state.Pool.IsChoiceValid(now, upstream) && !unadmitted {
+		if state.Pool.IsChoiceValid(now, upstream) && !unadmitted && state.Pool.MayUseMemory(now, chosen.choice, chosen.query) {
 			a.counted = state.Pool.Begin(now, chosen.choice, chosen.query)
 		}
 	})
 	if a.counted == nil {
+		j.giveUpMemory(chosen.choice)
 		j.retryTaken = j.isRetry() // the retry that was taken was not made
 		j.declined = append(j.declined, upstream.ID)
 		j.endedBy = ""
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -107,6 +107,9 @@
 // before. It returns nil if the chosen upstream could not be prepared; the next call chooses another. The error is an
 // *unplacedError.
 func (j *job) place(ctx context.Context) (*placement, error) {
+	if err := j.refuseOversized(); err != nil {
+		return nil, &unplacedError{cause: err, refused: err}
+	}
 	choice, query, err := j.chooseWithFreshLoad(ctx)
 	if err != nil {
 		j.noteNoSlot(err, choice)
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -88,14 +88,24 @@
 }
 
 // ensureReady has the adapter loaded at the chosen upstream, waits for the prefill turn if prompts take turns there, and
-// has the request admitted if the upstream is cold, brittle or limited.
+// has the request admitted if the upstream is cold, brittle or limited, or its memory is bounded.
 func (j *job) ensureReady(ctx context.Context, chosen *placement) bool {
 	choice, query := chosen.choice, chosen.query
 	j.handler.State.WithLock(func(state *SharedState) {
 		chosen.inTurn = query.Adapter.Model != "" && state.Pool.PromptsTakeTurns(query.Service)
 	})
-	needsHolder := !choice.Loaded || chosen.inTurn || choice.Cold || choice.Brittle || choice.Limited
-	return !needsHolder || j.prepare(ctx, *chosen)
+	needsHolder := !choice.Loaded || chosen.inTurn || choice.Cold || choice.Brittle || choice.Limited || choice.MightNotFit
+	if !needsHolder {
+		return true
+	}
+	if choice.MightNotFit {
+		j.askMemory(chosen)
+	}
+	ready := j.prepare(ctx, *chosen)
+	if !ready {
+		j.giveUpMemory(chosen.choice)
+	}
+	return ready
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if prompts take turns.
@@ -126,7 +136,9 @@
 		Limits:   limits,
 		Demand:   demanded,
 
-		OverShare: j.overShare,
+		OverShare:    j.overShare,
+		MemoryTokens: memoryTokens(chosen),
+		MemoryAsk:    choice.MemoryAsk,
 	})
 	j.countSlotRequest(choice, prepared, time.Since(start))
 	j.endPreparing(choice, waiting)
@@ -145,6 +157,12 @@
 		if notHeld && choice.Limited && !state.Pool.AdmitLimitedShare(time.Now(), choice.Upstream.ID) {
 			return
 		}
+		if ok {
+			state.Pool.RecordMemoryGrant(time.Now(), choice.MemoryAsk)
+		}
+		if !state.Pool.MayUseMemory(time.Now(), choice, query) {
+			return
+		}
 		if ok && query.Adapter.Model != "" {
 			state.Pool.RecordLoadedAdapter(choice.Upstream.ID, query.Adapter, loaded.Version)
 		}
@@ -190,6 +208,8 @@
 			state.Pool.RecordColdRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		case !choice.Loaded:
 			j.recordSlotWait(state.Pool, choice, busy.RetryAfter)
+		case choice.MightNotFit:
+			state.Pool.RecordMemoryRefusal(time.Now(), choice.Upstream.ID, busy.RetryAfter)
 		}
 	})
 }
--- a/internal/placement/pool/connections.go
+++ b/internal/placement/pool/connections.go
@@ -38,5 +38,8 @@
 		delete(p.held, id)
 		return
 	}
+	if u := p.upstreams[id]; u != nil && !p.held[id] {
+		p.beginHolding(p.clock, u)
+	}
 	p.held[id] = true
 }
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -140,6 +140,9 @@
 	for _, from := range []source{{instance: instance}, {instance: instance, reported: true}} {
 		total = total.minus(p.peers[from].loads[id])
 	}
+	if u := p.upstreams[id]; u != nil {
+		total = p.boundedLoad(u, total, instance)
+	}
 	return total
 }
 
@@ -152,7 +155,7 @@
 	}
 	total = p.Sent(now, id)
 	total.PromptTokens += u.awaitingTurn
-	return total
+	return p.boundedLoad(u, total, self)
 }
 
 // Sent is what all instances have in flight at an upstream, for the instance that holds it.
@@ -207,6 +210,7 @@
 	for u := range p.active {
 		if selected(u.declared.ID) {
 			u.reported = u.own
+			u.recordMemoryReported()
 		}
 		if u.own.isZero() && u.reported.isZero() {
 			delete(p.active, u)
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -30,6 +30,8 @@
 	MaxBackpressure time.Duration
 	// StreamLifetime is the longest time from the first event of a stream until its caller resumes it.
 	StreamLifetime time.Duration
+	// BoundMemory: requests are kept within the memory of engines.
+	BoundMemory bool
 }
 
 // DefaultSettings are those of a small fleet.
@@ -98,6 +100,10 @@
 	Brittle bool
 	// Limited: the upstream states how many requests it takes, and its holder has to admit the request first.
 	Limited bool
+	// MightNotFit: the tokens of the request might not fit into the memory of the upstream, and its holder has to admit it.
+	MightNotFit bool
+	// MemoryAsk is the number of the question to the holder, 0 if none was asked.
+	MemoryAsk int64
 	// LoadStale: the load that the holder reported is so old that it is worth asking the holder again before the
 	// request is sent.
 	LoadStale bool
@@ -181,6 +187,8 @@
 	// ratioChanges counts the changes of the lasting ratios of upstreams, paceAnnouncements those at held upstreams.
 	ratioChanges      int
 	paceAnnouncements int
+	// memory is what is known about the memory of engines.
+	memory poolMemory
 }
 
 // Configure sets the limits of the services, and which of them are engines.
@@ -224,6 +232,7 @@
 		p.upstreams[declared.ID] = u
 		p.changes++
 		p.services = nil
+		p.restoreMemory(u, declared.Life())
 		for _, peer := range p.peers {
 			u.peerLoad = u.peerLoad.plus(peer.loads[declared.ID])
 		}
@@ -243,6 +252,7 @@
 func (p *Pool) Remove(now time.Time, id string) {
 	p.prepare()
 	p.trackSoftware(now, p.upstreams[id].declaration(), nil)
+	p.keepMemory(p.upstreams[id])
 	delete(p.active, p.upstreams[id])
 	delete(p.upstreams, id)
 	p.changes++
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -77,6 +77,9 @@
 	cold    cold
 	brittle brittleUpstream
 	limited limitedUpstream
+	// memory is what this instance may use, and heldMemory what all use if it holds the upstream.
+	memory     ownMemory
+	heldMemory heldMemory
 	// stated is what the upstream has stated about itself, nil if nothing.
 	stated *statement
 	// indirect: this instance has lost its link there, and sends through another instance.
@@ -136,6 +139,7 @@
 		attempt.typical = p.typicalTime(u, query, attempt.found)
 		u.attempts[attempt] = true
 		u.own = u.own.plus(attempt.load())
+		p.beginMemory(choice.MemoryAsk)
 		p.activate(u)
 	}
 	return attempt
