--- a/internal/entry/node/memory.go
+++ b/internal/entry/node/memory.go
@@ -12,15 +12,15 @@
 
 // withSender adds this instance to a request that its holder admits by the memory of the upstream.
 func (n *Node) withSender(request mesh.PrepareRequest) mesh.PrepareRequest {
-	if request.MemoryAsk != 0 {
-		request.Instance = n.self.Name
+	if request.Memory.Ask != 0 {
+		request.Memory.Instance = n.self.Name
 	}
 	return request
 }
 
 // memoryRequest returns the question of a request to this instance as the holder.
 func (n *Node) memoryRequest(request mesh.PrepareRequest) pool.MemoryRequest {
-	asked := pool.MemoryRequest{Instance: request.Instance, Ask: request.MemoryAsk, Tokens: request.MemoryTokens}
+	asked := request.Memory
 	if asked.Instance == n.self.Name {
 		asked.Instance = ""
 	}
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -344,11 +344,21 @@
 		MemoryTokens:   int64(r.MemoryTokens),
 		Demand:         r.Demand,
 		Replica:        r.Replica,
-		Instance:       r.Instance,
-		MemoryAsk:      r.MemoryAsk,
+		Instance:       r.Memory.Instance,
+		MemoryAsk:      r.Memory.Ask,
+		MemoryHeld:     int64(r.Memory.Held),
+		MemoryAsks:     r.Memory.Open,
 	}
 }
 
+// memoryOf returns the tokens of a question of memory.
+func memoryOf(wire *meshpb.PrepareRequest) int {
+	if wire.GetMemoryAsk() == 0 {
+		return 0
+	}
+	return int(wire.GetMemoryTokens())
+}
+
 func prepareFromWire(wire *meshpb.PrepareRequest) PrepareRequest {
 	return PrepareRequest{
 		Upstream:     wire.GetUpstream(),
@@ -363,8 +373,9 @@
 		MemoryTokens: int(wire.GetMemoryTokens()),
 		Demand:       wire.GetDemand(),
 		Replica:      wire.GetReplica(),
-		Instance:     wire.GetInstance(),
-		MemoryAsk:    wire.GetMemoryAsk(),
+		Memory: pool.MemoryRequest{
+			Instance: wire.GetInstance(), Ask: wire.GetMemoryAsk(), Tokens: memoryOf(wire), Held: int(wire.GetMemoryHeld()), Open: wire.GetMemoryAsks(),
+		},
 	}
 }
 
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -105,9 +105,8 @@
 	// MemoryTokens is what the request occupies in the memory of the upstream, prompt and output; 0 if memory is not
 	// bounded there.
 	MemoryTokens int
-	// Instance is the sender, and MemoryAsk its number for this question of memory; unset if memory is not bounded there.
-	Instance  string
-	MemoryAsk int64
+	// Memory is the question of memory, which has MemoryTokens too; zero if memory is not bounded there.
+	Memory pool.MemoryRequest
 	// Demand is the sender's estimate of the requests in a second for the adapter over the fleet; 0 if it has none.
 	Demand float64
 	// Replica: no request waits, and the adapter is to have one more replica.
--- a/internal/gateway/serve/memory.go
+++ b/internal/gateway/serve/memory.go
@@ -26,23 +26,15 @@
 // askMemory numbers the question to the holder of the chosen upstream.
 func (j *job) askMemory(chosen *placement) {
 	j.handler.State.WithLock(func(state *SharedState) {
-		chosen.choice.MemoryAsk = state.Pool.AskMemory(time.Now(), chosen.choice.Upstream.ID, chosen.query)
+		chosen.choice.Memory = state.Pool.AskMemory(time.Now(), chosen.choice.Upstream.ID, chosen.query)
 	})
 }
 
 // giveUpMemory ends the question of a request that is not sent.
 func (j *job) giveUpMemory(choice pool.Choice) {
-	if choice.MemoryAsk == 0 {
+	if choice.Memory.Ask == 0 {
 		return
 	}
-	j.handler.State.WithLock(func(state *SharedState) { state.Pool.GiveUpMemory(choice.MemoryAsk) })
+	j.handler.State.WithLock(func(state *SharedState) { state.Pool.GiveUpMemory(choice.Memory.Ask) })
 	j.handler.Fleet.NotifyHolder(choice.Upstream.ID)
 }
-
-// memoryTokens is what the request would occupy, 0 if the holder is not asked.
-func memoryTokens(chosen placement) int {
-	if chosen.choice.MemoryAsk == 0 {
-		return 0
-	}
-	return chosen.query.Tokens + chosen.query.Output
-}
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -137,8 +137,8 @@
 		Demand:   demanded,
 
 		OverShare:    j.overShare,
-		MemoryTokens: memoryTokens(chosen),
-		MemoryAsk:    choice.MemoryAsk,
+		MemoryTokens: choice.Memory.Tokens,
+		Memory:       choice.Memory,
 	})
 	j.countSlotRequest(choice, prepared, time.Since(start))
 	j.endPreparing(choice, waiting)
@@ -158,7 +158,7 @@
 			return
 		}
 		if ok {
-			state.Pool.RecordMemoryGrant(time.Now(), choice.MemoryAsk)
+			state.Pool.RecordMemoryGrant(time.Now(), choice.Memory.Ask)
 		}
 		if !state.Pool.MayUseMemory(time.Now(), choice, query) {
 			return
--- a/internal/placement/pool/held_memory.go
+++ b/internal/placement/pool/held_memory.go
@@ -40,6 +40,9 @@
 	// Ask is the number of the question; 0 if none was asked.
 	Ask    int64
 	Tokens int
+	// Held is what the instance has in flight at the upstream, and Open are its other questions there, as in a report.
+	Held int
+	Open []int64
 }
 
 // MemoryVerdict is the answer of a holder.
@@ -93,6 +96,10 @@
 	if _, granted := account.grants[request.Ask]; granted {
 		return MemoryVerdict{Admitted: true}
 	}
+	if request.Instance != self {
+		account.reported = true
+		m.settle(account, now, request.Ask, openAsks(append(request.Open, request.Ask)), request.Held)
+	}
 	inFlight := u.countMemory()
 	starting := p.isMemoryStarting(now, u)
 	if !m.since.IsZero() && now.Sub(m.since) < memorySilence && !p.haveAllReported(u) {
@@ -124,10 +131,7 @@
 	if !p.Settings.BoundMemory || statement.Sequence == 0 {
 		return
 	}
-	open := make(map[int64]bool, len(statement.Asks))
-	for _, ask := range statement.Asks {
-		open[ask] = true
-	}
+	open := openAsks(statement.Asks)
 	for _, id := range statement.Upstreams {
 		if u := p.upstreams[id]; u != nil && p.held[id] {
 			u.heldMemory.openAccount(instance, now).reported = true
@@ -264,6 +268,14 @@
 	}
 }
 
+func openAsks(asks []int64) map[int64]bool {
+	open := make(map[int64]bool, len(asks))
+	for _, ask := range asks {
+		open[ask] = true
+	}
+	return open
+}
+
 func (m *heldMemory) openAccount(instance string, now time.Time) *memoryAccount {
 	if m.accounts == nil {
 		m.accounts = make(map[string]*memoryAccount)
--- a/internal/placement/pool/in_flight.go
+++ b/internal/placement/pool/in_flight.go
@@ -190,7 +190,7 @@
 	loads := make(map[string]Load)
 	for u := range p.active {
 		id := u.declared.ID
-		if own := u.own; (own.isInFlight() || own.Rejected > 0) && selected(id) {
+		if own := u.statedLoad(); (own.isInFlight() || own.Rejected > 0 || own.MemoryTokens > 0) && selected(id) {
 			own.InUse = u.inUse()
 			loads[id] = own
 		}
@@ -212,7 +212,7 @@
 			u.reported = u.own
 			u.recordMemoryReported()
 		}
-		if u.own.isZero() && u.reported.isZero() {
+		if u.statedLoad().isZero() && u.reported.isZero() {
 			delete(p.active, u)
 		}
 	}
--- a/internal/placement/pool/memory.go
+++ b/internal/placement/pool/memory.go
@@ -75,20 +75,27 @@
 	return p.isMemoryBoundedFor(query) && query.memoryTokens() > p.engines[query.Service].MemoryTokens
 }
 
-// AskMemory counts a question to the holder of an upstream, and returns its number; 0 if memory is not bounded there. The
-// question ends with Begin or GiveUpMemory.
-func (p *Pool) AskMemory(now time.Time, id string, query Query) (ask int64) {
+// AskMemory counts a question to the holder of an upstream, and returns it; the zero value if memory is not bounded there. The
+// question ends with Begin or GiveUpMemory. It states what this instance has in flight, as it may be ahead of the reports.
+func (p *Pool) AskMemory(now time.Time, id string, query Query) (request MemoryRequest) {
 	u := p.upstreams[id]
 	if u == nil || !p.IsMemoryBounded(u.declared.Service) {
-		return 0
+		return request
 	}
 	p.dropOldAsks(now)
-	ask = p.nextMemorySequence(now)
+	ask := p.nextMemorySequence(now)
+	u.recordMemoryReported()
+	request = MemoryRequest{Ask: ask, Tokens: query.memoryTokens(), Held: u.statedLoad().MemoryTokens}
+	for number, other := range p.memory.asks {
+		if other.upstream == u {
+			request.Open = append(request.Open, number)
+		}
+	}
 	if p.memory.asks == nil {
 		p.memory.asks = make(map[int64]memoryAsk)
 	}
 	p.memory.asks[ask] = memoryAsk{upstream: u, tokens: query.memoryTokens(), at: now}
-	return ask
+	return request
 }
 
 // RecordMemoryGrant records that the holder has admitted the request of a question.
@@ -121,7 +128,7 @@
 	if u == nil || !p.isMemoryBoundedFor(query) {
 		return true
 	}
-	ask, open := p.memory.asks[choice.MemoryAsk]
+	ask, open := p.memory.asks[choice.Memory.Ask]
 	if open && ask.granted && ask.upstream == u && now.Sub(ask.at) <= memoryAskTTL {
 		return true
 	}
@@ -136,6 +143,8 @@
 			u.memory.lostSince = time.Time{}
 		case u.memory.lostSince.IsZero():
 			u.memory.lostSince = now
+		case now.Sub(u.memory.lostSince) > memorySilence:
+			u.memory.granted = min(u.memory.granted, p.memoryShare(u.declared.Service, memoryLimit))
 		}
 	}
 }
@@ -216,7 +225,17 @@
 
 // recordMemoryReported lowers what the holder may count to what a report states.
 func (u *upstream) recordMemoryReported() {
-	u.memory.granted = min(u.memory.granted, u.own.MemoryTokens)
+	u.memory.granted = min(u.memory.granted, u.statedLoad().MemoryTokens)
+}
+
+// statedLoad is the load that this instance states. Without the holder it replaces its requests as they end, so it states what it
+// may hold: a report may arrive all the same.
+func (u *upstream) statedLoad() Load {
+	load := u.own
+	if !u.memory.lostSince.IsZero() {
+		load.MemoryTokens = max(load.MemoryTokens, u.memory.granted)
+	}
+	return load
 }
 
 // memoryShare is the part of an instance in a fraction of an engine's memory.
@@ -231,11 +250,8 @@
 	counted := u.memory.granted
 	if lost := u.memory.lostSince; !lost.IsZero() {
 		share := p.memoryShare(service, memoryLimit)
-		switch age := now.Sub(lost); {
-		case age > memorySilence+memoryDrain:
+		if now.Sub(lost) > memorySilence+memoryDrain {
 			counted = share
-		case age > memorySilence:
-			counted = min(counted, share)
 		}
 	}
 	return u.own.MemoryTokens+query.memoryTokens() <= counted+p.memoryShare(service, 1-memoryLimit)
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -102,8 +102,8 @@
 	Limited bool
 	// MightNotFit: the tokens of the request might not fit into the memory of the upstream, and its holder has to admit it.
 	MightNotFit bool
-	// MemoryAsk is the number of the question to the holder, 0 if none was asked.
-	MemoryAsk int64
+	// Memory is the question to the holder, zero if none was asked.
+	Memory MemoryRequest
 	// LoadStale: the load that the holder reported is so old that it is worth asking the holder again before the
 	// request is sent.
 	LoadStale bool
--- a/internal/placement/pool/upstream.go
+++ b/internal/placement/pool/upstream.go
@@ -139,7 +139,7 @@
 		attempt.typical = p.typicalTime(u, query, attempt.found)
 		u.attempts[attempt] = true
 		u.own = u.own.plus(attempt.load())
-		p.beginMemory(choice.MemoryAsk)
+		p.beginMemory(choice.Memory.Ask)
 		p.activate(u)
 	}
 	return attempt
