--- a/internal/entry/node/held_room.go
+++ b/internal/entry/node/held_room.go
@@ -22,16 +22,22 @@
 		deadline = latest
 	}
 	for {
-		refused, wait := h.admit(request)
-		if refused == nil || time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
+		refused, wait, full := h.admit(request)
+		if refused == nil {
+			return nil
+		}
+		if time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
+			if full {
+				h.node.scope.Tagged(map[string]string{"cause": "full"}).Counter("memory_refusals").Inc(1)
+			}
 			return refused
 		}
 	}
 }
 
 // admit counts a request against the memory of the upstream, and against the load that it can take while it is cold, brittle or
-// limited. It returns nil if the request is admitted.
-func (h *heldUpstream) admit(request mesh.PrepareRequest) (refused mesh.PrepareResult, wait time.Duration) {
+// limited. It returns nil if the request is admitted; full: the memory is why it is not.
+func (h *heldUpstream) admit(request mesh.PrepareRequest) (refused mesh.PrepareResult, wait time.Duration, full bool) {
 	var verdict pool.MemoryVerdict
 	admitted := true
 	h.node.sharedState.WithLock(func(state *serve.SharedState) {
@@ -50,12 +56,11 @@
 	})
 	switch {
 	case verdict.Starting:
-		return mesh.NotHolder{}, verdict.RetryAfter
+		return mesh.NotHolder{}, verdict.RetryAfter, false
 	case !verdict.Admitted:
-		h.node.scope.Tagged(map[string]string{"cause": "full"}).Counter("memory_refusals").Inc(1)
-		return mesh.Busy{RetryAfter: verdict.RetryAfter}, verdict.RetryAfter
+		return mesh.Busy{RetryAfter: verdict.RetryAfter}, verdict.RetryAfter, true
 	case !admitted:
-		return mesh.Busy{RetryAfter: wait}, wait
+		return mesh.Busy{RetryAfter: wait}, wait, false
 	}
-	return nil, 0
+	return nil, 0, false
 }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -251,6 +251,26 @@
 	}
 }
 
+// Guards against questions of memory that reach the holder without what it counts by.
+func TestMemoryRoundTrip(t *testing.T) {
+	is := is.New(t)
+	peer, peers, address := serveEcho(t)
+	peer.prepared = mesh.Loaded{}
+	request := mesh.PrepareRequest{
+		Upstream: "u", MemoryTokens: 700, Memory: pool.MemoryRequest{Instance: "i", Ask: 1 << 60, Tokens: 700, Held: 9000, Open: []int64{5, 1 << 61}},
+	}
+	_, err := peers.Prepare(t.Context(), address, request)
+	is.NoErr(err)
+	is.Equal(peer.prepareRequest, request)
+	report := mesh.LoadReport{
+		Instance: "i", Loads: map[string]pool.Load{"u": {Running: 1, MemoryTokens: 900}},
+		Memory: pool.MemoryStatement{Sequence: 1 << 62, Asks: []int64{5, 1 << 61}, Upstreams: []string{"u", "v"}},
+	}
+	_, err = peers.Report(t.Context(), address, report)
+	is.NoErr(err)
+	is.Equal(peer.report, report)
+}
+
 // slowPeer is a peer that responds late.
 type slowPeer struct{ echo }
 
--- a/internal/placement/pool/held_memory.go
+++ b/internal/placement/pool/held_memory.go
@@ -29,6 +29,8 @@
 	incarnation string
 	alive       bool
 	aliveAt     time.Time
+	// wasAlive: it has been alive for this instance, which may have started a moment ago.
+	wasAlive bool
 	// restartedAt is when another incarnation of it became known.
 	restartedAt time.Time
 }
@@ -167,7 +169,7 @@
 		if peer.Alive || !found {
 			known.aliveAt = now
 		}
-		known.incarnation, known.alive = peer.Incarnation, peer.Alive
+		known.incarnation, known.alive, known.wasAlive = peer.Incarnation, peer.Alive, known.wasAlive || peer.Alive
 		next[name] = known
 		if now.Sub(known.aliveAt) > memorySilence {
 			p.memory.silent[name] = true
@@ -251,10 +253,11 @@
 	return !since.IsZero() && now.Sub(since) < memoryStart && !p.haveAllReported(u)
 }
 
+// haveAllReported reports whether all instances that may be alive have stated what they have in flight.
 func (p *Pool) haveAllReported(u *upstream) bool {
 	for instance, peer := range p.memory.peers {
 		account := u.heldMemory.accounts[instance]
-		if peer.alive && (account == nil || !account.reported) {
+		if (peer.alive || !peer.wasAlive) && (account == nil || !account.reported) {
 			return false
 		}
 	}
