--- a/internal/placement/pool/choose_benchmark_test.go
+++ b/internal/placement/pool/choose_benchmark_test.go
@@ -79,3 +79,39 @@
 func popularDemand(name string) pool.ReplicaDemand {
 	return pool.ReplicaDemand{Service: engines, Adapter: adapter(name), Rate: 120, Tokens: 1000}
 }
+
+// BenchmarkChooseInMemory is BenchmarkChoose where the memory of engines is bounded.
+func BenchmarkChooseInMemory(b *testing.B) {
+	for _, size := range []struct{ upstreams, instances int }{{9, 8}, {140, 63}, {810, 330}} {
+		b.Run(fmt.Sprintf("upstreams=%d", size.upstreams), func(b *testing.B) {
+			p := largePool(size.upstreams, size.instances)
+			p.Settings.BoundMemory = true
+			query := generation("cold")
+			for b.Loop() {
+				if _, err := p.Choose(time.Now(), query); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAdmitMemory measures a question to a holder with requests of many instances.
+func BenchmarkAdmitMemory(b *testing.B) {
+	for _, instances := range []int{8, 66, 330} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			now := time.Now()
+			p := memoryPool(now)
+			p.SetHeld("u", true)
+			now = now.Add(5 * time.Second)
+			for i := range instances {
+				p.AdmitMemory(now, "u", pool.MemoryRequest{Instance: fmt.Sprint(i), Ask: 1, Tokens: 1})
+			}
+			ask := int64(1)
+			for b.Loop() {
+				ask++
+				p.AdmitMemory(now, "u", pool.MemoryRequest{Instance: "0", Ask: ask, Tokens: 9000})
+			}
+		})
+	}
+}
