--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -37,7 +37,7 @@
 		if !p.isCandidate(now, u, query) || p.isConnectionLimitReached(now, u) {
 			continue
 		}
-		if p.isFull(now, u) || p.isMemoryFull(now, u, query) {
+		if p.isFull(now, u) || p.Settings.BoundMemory && p.isMemoryFull(now, u, query) {
 			if running := p.load(now, u).Running; full == nil || running < full.Running {
 				full = &Choice{Upstream: u.declared, Running: running}
 			}
@@ -129,7 +129,7 @@
 	choice.Cold = p.isCold(now, u)
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
 	choice.Limited = u.isLimited(now)
-	choice.MightNotFit = p.mightNotFit(now, u, query, load)
+	choice.MightNotFit = p.Settings.BoundMemory && p.mightNotFit(now, u, query, load)
 	engine := p.engines[u.declared.Service]
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
