--- a/internal/entry/node/reload.go
+++ b/internal/entry/node/reload.go
@@ -56,6 +56,7 @@
 	}
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Settings.MaxBackpressure = settings.Upstreams.MaxBackpressure
+		state.Pool.Settings.BoundMemory = settings.Memory.UpstreamBound.IsOn()
 	})
 	if settings.Instance != previous.Instance || settings.Admission != previous.Admission || settings.Memory != previous.Memory {
 		n.Log.Warn().Msg("RestartNeeded") // addresses, names and what requests are admitted by change only with a restart
