Empty the buckets of an instance that skipped a head while stale

The property test found 1.705 tokens above the limit: an instance was frozen with burst 100, burst 50 came into force everywhere, burst 200 was stored, and the instance read only the last head. It kept 15.005 tokens under the smaller of the two shares that it knew (25), while the head that it had skipped allowed it 12.5. The same happened with a skipped head that added a member, and with a workspace declared in a skipped head, whose bucket started full.

An instance that skips heads after its configuration went stale now starts over with empty buckets, as one that was removed and added again. An instance that is still fresh keeps its tokens, since none of the skipped heads was in force.

--- a/internal/admission/rate/ledger.go
+++ b/internal/admission/rate/ledger.go
@@ -38,6 +38,7 @@
 	}
 	before := l.head
 	now := time.Now()
+	isContinuous := l.isContinuous(head)
 	for _, b := range l.buckets {
 		l.advance(b)
 		b.refilledAt = now
@@ -50,7 +51,7 @@
 	declared := map[string]bool{}
 	for _, limit := range head.Limits {
 		declared[limit.Workspace] = true
-		l.declare(limit, before, now)
+		l.declare(limit, before, isContinuous, now)
 	}
 	for name, b := range l.buckets {
 		if !declared[name] {
@@ -62,22 +63,35 @@
 	}
 }
 
+// isContinuous reports whether this process knows every share that was in force since the installed head, so that its
+// buckets may keep their tokens under the next one. It may miss a head that it skips. None of the skipped heads was in
+// force if the installed one may still be relied on. Otherwise one of them may have lowered the limit or added members,
+// and the others spend what that took away from this process. A process that was removed from the members and added
+// again has missed the heads between.
+func (l *Ledger) isContinuous(next Head) bool {
+	if l.head.Revision == 0 || next.Since > l.head.Revision {
+		return false
+	}
+	revision, _ := l.Freshness.FreshUntil()
+	return next.Revision == l.head.Revision+1 || revision == l.head.Revision && l.Freshness.Fresh() == nil
+}
+
 // declare assigns a workspace its share under the new head. A workspace that is declared while this process runs
 // has not been spent by any instance yet and starts full. All others start empty, since their tokens may be held by
-// members that this process has no information about. The same applies to a process that was removed from the
-// members and added again: others may hold its old share meanwhile.
-func (l *Ledger) declare(limit Limit, before Head, now time.Time) {
+// members that this process has no information about. The same applies to all buckets of a process that may have
+// missed a head that was in force: others may hold its old share meanwhile.
+func (l *Ledger) declare(limit Limit, before Head, isContinuous bool, now time.Time) {
 	next := share{revision: l.head.Revision, rate: limit.Rate, burst: limit.Burst, fraction: l.fraction()}
 	emptyShare := share{revision: before.Revision, rate: limit.Rate, burst: limit.Burst}
 	b, found := l.buckets[limit.Workspace]
 	switch {
-	case found && l.head.Since > before.Revision:
+	case found && !isContinuous:
 		b.shares = append(b.shares, emptyShare, next)
 	case found && b.current().equal(next):
 		return
 	case found:
 		b.shares = append(b.shares, next)
-	case before.Revision == 0:
+	case !isContinuous:
 		b = newBucket(limit.Workspace, now)
 		b.shares = []share{emptyShare, next}
 	default:
--- a/internal/admission/rate/rate.go
+++ b/internal/admission/rate/rate.go
@@ -17,7 +17,9 @@
 //     certainly ended.
 //   - Refill counts only time in which the instance's configuration was fresh: a frozen or partitioned instance
 //     does not accrue a share that others have taken over meanwhile.
-//   - A process starts with empty buckets, except for workspaces declared while it runs.
+//   - A process starts with empty buckets, except for workspaces declared while it runs. Its buckets are emptied
+//     when it skips heads after its configuration went stale: one of them may have been in force and lowered its
+//     share.
 package rate
 
 import (
