Start a workspace declared in a skipped head at the smaller known share

A workspace is declared, then a member is removed, and a fresh instance learns of both with one head. It started the workspace with a full bucket at its share without that member (33.3 of 100 tokens in a fleet of four), while the removed member could still spend its own 25 until the head was in force. It now starts at the smaller of its shares under the two heads that it knows (25), and grows once the newer one is in force.

--- a/internal/admission/rate/ledger.go
+++ b/internal/admission/rate/ledger.go
@@ -81,7 +81,7 @@
 // members that this process has no information about. The same applies to all buckets of a process that may have
 // missed a head that was in force: others may hold its old share meanwhile.
 func (l *Ledger) declare(limit Limit, before Head, isContinuous bool, now time.Time) {
-	next := share{revision: l.head.Revision, rate: limit.Rate, burst: limit.Burst, fraction: l.fraction()}
+	next := share{revision: l.head.Revision, rate: limit.Rate, burst: limit.Burst, fraction: l.fraction(l.head)}
 	emptyShare := share{revision: before.Revision, rate: limit.Rate, burst: limit.Burst}
 	b, found := l.buckets[limit.Workspace]
 	switch {
@@ -96,18 +96,24 @@
 		b.shares = []share{emptyShare, next}
 	default:
 		b = newBucket(limit.Workspace, now)
-		b.shares = []share{next}
+		// A skipped head may have declared the workspace before a member was removed, which may still spend its share.
+		earlier := next
+		earlier.revision, earlier.fraction = before.Revision, l.fraction(before)
+		b.shares = []share{earlier, next}
+		if earlier.fraction >= next.fraction {
+			b.shares = b.shares[1:]
+		}
 		b.level = b.capacity()
 	}
 	l.buckets[limit.Workspace] = b
 }
 
-// fraction returns this process's fraction of each limit under the installed head.
-func (l *Ledger) fraction() float64 {
-	if !slices.Contains(l.head.Members, l.Self) {
+// fraction returns this process's fraction of each limit under a head.
+func (l *Ledger) fraction(head Head) float64 {
+	if !slices.Contains(head.Members, l.Self) {
 		return 0
 	}
-	return 1 / float64(len(l.head.Members))
+	return 1 / float64(len(head.Members))
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/internal/admission/rate/skipped_heads_test.go
+++ b/internal/admission/rate/skipped_heads_test.go
@@ -79,6 +79,25 @@
 	})
 }
 
+// Guards against tokens of a member that may still spend them: a workspace is declared, a member is removed, and a
+// fresh instance learns of both with one head. Its share under that head is larger than the one that the others hold.
+func TestWorkspaceDeclaredInASkippedHeadStartsAtTheSmallerShare(t *testing.T) {
+	otherLimit := rate.Limit{Workspace: "other", Rate: 20, Burst: 100}
+	withFleet(t, otherLimit, []string{"a", "b", "c", "d"}, func(is *is.I, w *simulation) {
+		behind := w.nodes[2]
+		w.changeLimit(smallLimit())
+		for _, n := range w.nodes {
+			if n != behind {
+				w.read(n)()
+			}
+		}
+		w.expelUnreachable(w.nodes[3])
+		w.read(behind)()
+		is.Equal(behind.ledger.Available(workspace), 25.0)
+		is.True(w.oracle.excess(w) < tolerance)
+	})
+}
+
 func (w *simulation) changeLimit(limit rate.Limit) { w.swap(w.stored().head, limit) }
 
 // expelUnreachable has the first instance remove a member that is live but can no longer reach the store.
