Refill only into room that there was at the time

An instance with a full bucket, 10 tokens and 15 reserved, was frozen. Its request spent the 15, and the reservation ended at 6.0 s while it was frozen. Awake at 6.5 s it first voided the reservation and then refilled for the whole time, so that the 15 tokens came back at once in place of 1.9 s of refill (9.7 tokens). The same happened when a loan to a peer ended while the lender was frozen.

The bucket now refills up to the end of each reservation and loan before it makes the room of it. An advance that passes no end does what it did.

--- a/internal/admission/rate/bucket.go
+++ b/internal/admission/rate/bucket.go
@@ -5,6 +5,8 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"lacewingrock.example/lacewingrock/internal/timing/instant"
 )
 
 // This file implements one workspace's bucket on one instance. Every method keeps this invariant: level and
@@ -185,14 +187,27 @@
 // ---------------------------------------------------------------------------------------------
 // Time.
 
-// advance brings the bucket up to the current time. First it refills, at the shares that held until now, into the
-// room that spending made; only then shares grow and loans are returned.
+// advance brings the bucket up to the current time. At the end of each overdue reservation and loan it first refills,
+// into the room that there was until then; only then the room grows. If a frozen instance refilled for the whole time
+// at once, refill that overflowed before the end would fill the room that the end has made.
 func (b *bucket) advance(now, freshUntil time.Time) {
-	b.voidOverdue(now)
-	b.expireLoans(now)
+	for end := b.nextEnd(); !end.IsZero() && !now.Before(end); end = b.nextEnd() {
+		b.refill(end, freshUntil)
+		b.voidOverdue(end)
+		b.expireLoans(end)
+	}
 	b.refill(now, freshUntil)
 }
 
+// nextEnd returns when the next reservation or loan ends; zero if there is none.
+func (b *bucket) nextEnd() time.Time {
+	first := b.openReservations.Front()
+	if first == nil {
+		return b.totals.nextExpiry
+	}
+	return instant.Earlier(first.Value.(*Reservation).deadline, b.totals.nextExpiry)
+}
+
 // refill counts the time since the last refill during which the configuration was fresh. The rest is lost, even if
 // the configuration later proves to have been valid: requests that end meanwhile make room, and the lost refill
 // would fill that room although the bucket would have overflowed long before.
