--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -151,17 +151,23 @@
 	})
 	j.countSlotRequest(choice, prepared, time.Since(start))
 	j.endPreparing(choice, waiting)
-	loaded, ok := prepared.(mesh.Loaded)
+	_, ok := prepared.(mesh.Loaded)
 	j.step("prepared").Str("Upstream", choice.Upstream.ID).Str("Adapter", query.Adapter.String()).
 		Bool("Loaded", ok).Int64("WaitMillis", choice.SlotWait.Milliseconds()).Int64("TookMillis", time.Since(start).Milliseconds()).Msg("Decision")
 	if busy, refused := prepared.(mesh.Busy); refused {
 		j.recordBusy(choice, busy)
 	}
+	return j.confirm(choice, query, prepared)
+}
+
+// confirm records what the holder of the chosen upstream has answered, and reports whether the request may be sent
+// there.
+func (j *job) confirm(choice pool.Choice, query pool.Query, prepared mesh.PrepareResult) (valid bool) {
+	loaded, ok := prepared.(mesh.Loaded)
 	_, notHeld := prepared.(mesh.NotHolder)
 	if !ok && (!notHeld || !choice.Loaded || choice.Cold || choice.Brittle) { // without a holder no prefill turns are granted
 		return false
 	}
-	valid := false
 	j.handler.State.WithLock(func(state *SharedState) {
 		if notHeld && choice.Limited && !state.Pool.AdmitLimitedShare(time.Now(), choice.Upstream.ID) {
 			return
