--- a/internal/placement/demand/tracker.go
+++ b/internal/placement/demand/tracker.go
@@ -14,8 +14,9 @@
 const (
 	// halfLife is the half-life of a counted request. An adapter becomes popular within a second or two.
 	halfLife = 2 * time.Second
-	// steadyHalfLife is the same for the second count of each adapter, which varies less. Where replicas of an adapter
-	// that has been popular for long are lost, it shows sooner how many are needed.
+	// steadyHalfLife is the half-life of a request in the slower one of the two counts of an adapter, which varies
+	// less. If replicas of an adapter that has long been popular are lost, this count shows at once how many are
+	// needed.
 	steadyHalfLife = 10 * time.Second
 	// steadyFraction is the part of the steady rate that the latest one must have for the steady one to count.
 	steadyFraction = 0.5
@@ -28,7 +29,7 @@
 	maxAdapters = 512
 	// minCount is the count below which an adapter is dropped: one request, five half-lives ago.
 	minCount = 0.03
-	// sweepInterval is how often such adapters are dropped.
+	// sweepInterval is how often adapters below minCount are dropped.
 	sweepInterval = 5 * time.Second
 	// durationWeight is the weight of the newest stream in the mean duration.
 	durationWeight = 0.2
@@ -37,11 +38,10 @@
 	// fifty is longer than four mean ones.
 	stoppedGaps     = 4
 	minStoppedAfter = 500 * time.Millisecond
-	// marginFactor is the distance of Demand.Certain from the mean, in standard deviations, relative to the one that the
-	// largest of the estimates of all instances is expected to have. The instance with the largest estimate decides how
-	// many replicas there are. In the simulation of pool/replicas_test.go (66 instances, 120 requests a second, prompts
-	// of 1000 tokens, 12 needed replicas, ten seeds) there were 7.7 replicas after 2 s, 9.9 after 3 s and at most 13
-	// after 20 s; with a factor of 0.8 there were 10.9, 13 and at most 16.
+	// marginFactor multiplies the distance by which the largest of the estimates of all instances is expected to
+	// exceed the mean, in standard deviations. Demand.Certain is below the mean by the product. The instance with the
+	// largest estimate decides how many replicas there are. A lower factor orders the replicas sooner, but then more
+	// of them than are needed.
 	marginFactor = 0.9
 )
 
@@ -107,7 +107,7 @@
 	seconds  float64
 }
 
-// decay lets the given number of seconds pass and returns the factor by which the count has decreased.
+// decay applies the decay of the given number of seconds and returns the factor by which the count has decreased.
 func (c *count) decay(passed float64, halfLife time.Duration) (factor float64) {
 	factor = math.Exp2(-passed / halfLife.Seconds())
 	c.requests *= factor
@@ -118,8 +118,8 @@
 // rate returns the requests a second.
 func (c count) rate() float64 { return c.requests / max(c.seconds, minObserved.Seconds()) }
 
-// certain returns a rate that is lower by a margin in standard deviations. variance is that of the count relative to it: a
-// sum of n that decays has a variance of n/2 once it has been decaying for long, and of n at first.
+// certain returns a rate that is lower by a margin in standard deviations. variance is that of the count relative to
+// it: a sum of n that decays has a variance of n/2 once it has been decaying for long, and of n at first.
 func (c count) certain(margin, variance float64) float64 {
 	if c.requests <= 0 {
 		return 0
--- a/internal/placement/residence/class_wait.go
+++ b/internal/placement/residence/class_wait.go
@@ -9,17 +9,18 @@
 // class_wait.go estimates how long a request of a class waits for an adapter slot under contention.
 
 const (
-	// waitMargin is how many mean deviations a stated wait is above the expected one. In the simulation of one holder
-	// over nine of ten stated waits of all classes are kept with it, and 0.75 to 0.9 of those of the lowest class.
+	// waitMargin is how many mean deviations a stated wait is above the expected one, so that most callers find an
+	// adapter slot when they come back.
 	waitMargin = 3
-	// reserveTurnover is how long an adapter of the lowest priority is assumed to occupy its adapter slot while the reserve
-	// applies and no grant to its class was measured: a long answer takes 2 to 5 s.
+	// reserveTurnover is how long an adapter of the lowest priority is assumed to occupy its adapter slot while the
+	// reserve applies and the interval between grants to its class is unknown. Long answers take 2 to 5 s.
 	reserveTurnover = 3 * time.Second
 )
 
-// wouldBeLateInClass is WouldBeLate under contention. Its wait is the one to state to the caller. A request that does not
-// get its adapter slot in time is refused even if one is expected soon after: it has other upstreams to ask. One that
-// waits already is kept until its time is up, unless others have gone before it: the next slot may be its own.
+// wouldBeLateInClass is WouldBeLate under contention. The wait that it returns is the one to state to the caller. A
+// request that does not get its adapter slot in time is refused even if one is expected soon after: it has other
+// upstreams to ask. One that waits already is kept until its time is up, unless others have gone before it: the next
+// slot may be its own.
 func (p *Planner) wouldBeLateInClass(now time.Time, request Request, worthUntil time.Time) (time.Duration, bool) {
 	wait := p.classWait(now, request)
 	if wait.expected == 0 {
@@ -47,20 +48,21 @@
 	return p.classWait(now, request).stated
 }
 
-// ExpectedClassWait returns the mean time until a request gets an adapter slot, by which the planner decides whether it is
-// late. What is stated to callers is longer, and would keep requests from upstreams that take them.
+// ExpectedClassWait returns the mean time until a request gets an adapter slot, by which the planner decides whether
+// it is late. The wait that is stated to callers is longer, and would keep requests from upstreams that would grant
+// them a slot in time.
 func (p *Planner) ExpectedClassWait(now time.Time, request Request) time.Duration {
 	return p.classWait(now, request).expected
 }
 
-// classWait is how long a request waits until its adapter's load begins: expected on average, and the wait to state. next
-// is the part of the expected wait that follows the grants to all adapters before it.
+// classWait is how long a request waits until its adapter's load begins: expected on average, and the wait to state.
+// next is the part of the expected wait that follows the grants to all adapters before it.
 type classWait struct{ expected, next, stated time.Duration }
 
 // classWait estimates how long a request waits.
 //
-// It counts the adapters that go before it. Those of its own class get a slot at the measured interval of the class, which
-// includes the grants to higher classes that arrive meanwhile, and the effects of the reserve and the floor.
+// It counts the adapters that go before it. Those of its own class get a slot at the measured interval of the class,
+// which includes the grants to higher classes that arrive meanwhile, and the effects of the reserve and the floor.
 func (p *Planner) classWait(now time.Time, request Request) classWait {
 	if r := p.residents[request.Adapter]; r != nil && r.state == loading {
 		return classWait{}
