Keep the memory bound of engines off unless it is set

Engines preempt requests where tokens exceed their memory and do not end, so that the bound refuses what they bear.

--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -243,7 +243,7 @@
 		},
 		{
 			Section: "Memory", Name: "UpstreamBound", Default: string(SwitchAuto),
-			Help: "whether upstreams end if they hold more than their memory: auto (by the contracts), on or off",
+			Help: "whether engines end if the tokens of their requests exceed their memory: auto (off, as no contract says so), on or off",
 			Set:  setSwitch(func(s *Settings) *Switch { return &s.Memory.UpstreamBound }),
 		},
 		{
@@ -270,7 +270,7 @@
 func (s Settings) WithContracts(pressure bool) Settings {
 	s.Admission.Contention = s.Admission.Contention.resolved(pressure)
 	s.Memory.Account = s.Memory.Account.resolved(pressure)
-	s.Memory.UpstreamBound = s.Memory.UpstreamBound.resolved(pressure)
+	s.Memory.UpstreamBound = s.Memory.UpstreamBound.resolved(false) // no contract says that engines end at MemoryTokens
 	return s
 }
 
