Name unreported paces and totals in transit by what they are

Cause: a reader who had not seen the code stumbled on news and heard. Change: unexported and package names and comments only. Measured: build, vet, the tests of quota and of paces in entry/node.

--- a/internal/admission/quota/fleet_totals.go
+++ b/internal/admission/quota/fleet_totals.go
@@ -5,16 +5,16 @@
 // fleet_totals.go adds up what the whole fleet has admitted.
 
 // silentAfter is how old the totals of a peer may be. What a peer admitted while it was silent for longer is not
-// counted when it is heard again: it would look as if it had been admitted at once.
+// counted when its totals arrive again: it would look as if it had been admitted at once.
 const silentAfter = 3 * time.Second
 
 // FleetTotals is what the fleet has admitted for each workspace since this ledger was created, as far as it is known.
 type FleetTotals struct {
 	Totals Totals
-	// Age is how long ago the peer was heard that has been silent for longest, without those that count as silent; 0 if
+	// Age is how long ago totals arrived from the peer that has been silent for longest, without those that count as silent; 0 if
 	// there is none.
 	Age time.Duration
-	// Silent is the number of peers that have never been heard, or were silent for longer than silentAfter.
+	// Silent is the number of peers whose totals have never arrived, or not for longer than silentAfter.
 	Silent int
 }
 
@@ -41,8 +41,8 @@
 		}
 	}
 	for name, p := range l.peers {
-		age, heard := p.age(now)
-		if l.fleet.count(name, p, !heard || age > max(silentAfter, l.PeerTimeout)) {
+		age, known := p.age(now)
+		if l.fleet.count(name, p, !known || age > max(silentAfter, l.PeerTimeout)) {
 			fleet.Age = max(fleet.Age, age)
 		} else {
 			fleet.Silent++
@@ -60,7 +60,7 @@
 }
 
 // count adds what a peer has admitted since the last call, and reports whether its totals are recent. The totals of a
-// peer that is heard for the first time, or again after it was silent, are only recorded.
+// peer whose totals arrive for the first time, or again after it was silent, are only recorded.
 func (c *fleetCount) count(name string, p *peer, silent bool) (recent bool) {
 	counted := c.peers[name]
 	if counted == nil {
@@ -113,7 +113,7 @@
 }
 
 // age returns how long ago totals of the peer were last received, in full or in part.
-func (p *peer) age(now time.Time) (age time.Duration, heard bool) {
+func (p *peer) age(now time.Time) (age time.Duration, known bool) {
 	if p.totals == nil && p.partialTotals == nil {
 		return 0, false
 	}
--- a/internal/admission/quota/thinning.go
+++ b/internal/admission/quota/thinning.go
@@ -43,10 +43,10 @@
 	at      time.Time
 	// highAt is when requests were last thinned, or could have been.
 	highAt time.Time
-	// own is what this instance admitted recently, and fleet the same for all instances. unheard is the part of what
+	// own is what this instance admitted recently, and fleet the same for all instances. inTransit is the part of what
 	// this instance admitted that is not contained in own and fleet yet.
-	own, fleet, unheard float64
-	admittedAt          time.Time
+	own, fleet, inTransit float64
+	admittedAt            time.Time
 }
 
 // record adds the cost of a request.
@@ -61,7 +61,7 @@
 // several times, and a workspace within its rate would look like one that asks for several times its rate.
 func (d *demand) refund(cost float64) {
 	d.cost = max(d.cost-cost, 0)
-	d.unheard -= cost
+	d.inTransit -= cost
 }
 
 // recordAdmitted adds what this instance or another one has admitted. It is negative where a peer returned more than
@@ -70,10 +70,10 @@
 func (d *demand) recordAdmitted(now time.Time, own, peers float64) {
 	passed := now.Sub(d.admittedAt).Seconds()
 	kept := math.Exp2(-passed / spreadHalfLife.Seconds())
-	heard := d.unheard * (1 - math.Exp2(-passed/totalsDelay.Seconds()))
-	d.unheard += own - heard
-	d.own = max(d.own*kept+heard, 0)
-	d.fleet = max(d.fleet*kept+heard+peers, 0)
+	arrived := d.inTransit * (1 - math.Exp2(-passed/totalsDelay.Seconds()))
+	d.inTransit += own - arrived
+	d.own = max(d.own*kept+arrived, 0)
+	d.fleet = max(d.fleet*kept+arrived+peers, 0)
 	d.admittedAt = now
 }
 
--- a/internal/entry/node/holder_requests.go
+++ b/internal/entry/node/holder_requests.go
@@ -82,7 +82,7 @@
 	report := n.loadReport(instance.Name)
 	held, err := n.peers.Query(ctx, instance.Address, n.withPaceQuestion(report, upstream))
 	if err != nil {
-		n.restorePaceNews(report)
+		n.restoreUnreportedPaces(report)
 		n.Log.Debug().Err(err).Str("Upstream", upstream).Str("Holder", instance.Name).Msg("HolderQueryFailed")
 		return
 	}
--- a/internal/entry/node/paces.go
+++ b/internal/entry/node/paces.go
@@ -28,9 +28,9 @@
 	return report
 }
 
-// restorePaceNews has the paces of a report that may not have arrived reported again.
-func (n *Node) restorePaceNews(report mesh.LoadReport) {
-	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RestorePaceNews(report.Paces) })
+// restoreUnreportedPaces has the paces of a report that may not have arrived reported again.
+func (n *Node) restoreUnreportedPaces(report mesh.LoadReport) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RestoreUnreportedPaces(report.Paces) })
 }
 
 // namedIn selects the upstreams at which the sender of a report has something in flight, or whose pace it states or
--- a/internal/entry/node/paces_test.go
+++ b/internal/entry/node/paces_test.go
@@ -103,7 +103,7 @@
 		is.Equal(len(report.Paces), 1)
 		holder.Report(report)
 		is.Equal(len(measuring.loadReport("peer0").Paces), 0) // nothing new
-		measuring.restorePaceNews(report)
+		measuring.restoreUnreportedPaces(report)
 		is.Equal(len(measuring.loadReport("peer0").Paces), 1) // the report was lost
 		is.Equal(len(holder.Report(other.loadReport("peer0")).Paces), 0)
 		other.sharedState.Pool.Begin(time.Now(), pool.Choice{Upstream: traffic.Upstream{ID: "u"}}, pool.Query{Service: "s"})
--- a/internal/entry/node/reports.go
+++ b/internal/entry/node/reports.go
@@ -168,7 +168,7 @@
 	held, err := n.peers.Report(ctx, instance.Address, report)
 	if err != nil {
 		n.reports.addDoubted(r.holder, doubted...)
-		n.restorePaceNews(report)
+		n.restoreUnreportedPaces(report)
 		n.reports.addUnsent(r.holder, report)
 		n.Log.Debug().Err(err).Str("Holder", r.holder).Msg("ReportFailed")
 		return
@@ -186,7 +186,7 @@
 		report.Loads = state.Pool.Report(selected)
 		report.Memory = state.Pool.MemoryStatement(time.Now(), selected)
 		report.Limits = state.Pool.Limits(time.Now(), selected)
-		report.Paces = state.Pool.PaceNews(time.Now(), selected)
+		report.Paces = state.Pool.UnreportedPaces(time.Now(), selected)
 	})
 	return report
 }
--- a/internal/placement/pool/pace_exchange.go
+++ b/internal/placement/pool/pace_exchange.go
@@ -8,9 +8,9 @@
 // pace_exchange.go exchanges the paces of upstreams: instances report what they measured to the holder, and the
 // holder states the result.
 
-// PaceNews returns what this instance has measured and read of the pace of the selected upstreams since it was last
+// UnreportedPaces returns what this instance has measured and read of the pace of the selected upstreams since it was last
 // reported.
-func (p *Pool) PaceNews(now time.Time, selected func(upstream string) bool) (statements []PaceStatement) {
+func (p *Pool) UnreportedPaces(now time.Time, selected func(upstream string) bool) (statements []PaceStatement) {
 	for id := range p.pacesUnsent {
 		if !selected(id) {
 			continue
@@ -31,8 +31,8 @@
 	return statements
 }
 
-// RestorePaceNews marks statements that did not reach the holder as not reported.
-func (p *Pool) RestorePaceNews(statements []PaceStatement) {
+// RestoreUnreportedPaces marks statements that did not reach the holder as not reported.
+func (p *Pool) RestoreUnreportedPaces(statements []PaceStatement) {
 	for _, stated := range statements {
 		if u := p.upstreams[stated.Life.Upstream]; u != nil && u.declared.Life() == stated.Life {
 			p.markPaceUnsent(u)
--- a/internal/placement/pool/pace_test.go
+++ b/internal/placement/pool/pace_test.go
@@ -66,7 +66,7 @@
 		now = answer(p, now, "e2", 500*time.Millisecond, 0)
 	}
 	is.True(!p.StatesPace(engines))
-	is.Equal(len(p.PaceNews(now, anyUpstream)), 0)
+	is.Equal(len(p.UnreportedPaces(now, anyUpstream)), 0)
 	is.Equal(len(p.HeldPaces(now, anyUpstream)), 0)
 	is.Equal(len(p.UpdateHeldPaces(now)), 0)
 	is.Equal(len(p.PaceQuestion(now, "e1")), 0)
@@ -210,12 +210,12 @@
 	is := is.New(t)
 	p := pacedPool("e1", "e2")
 	now := answer(p, time.Now(), "e1", 100*time.Millisecond, 1)
-	news := p.PaceNews(now, anyUpstream)
+	news := p.UnreportedPaces(now, anyUpstream)
 	is.Equal(len(news), 1)
 	is.Equal(news[0].Weight, 1.0)
-	is.Equal(len(p.PaceNews(now, anyUpstream)), 0) // only once
-	p.RestorePaceNews(news)
-	is.Equal(p.PaceNews(now, anyUpstream), news)
+	is.Equal(len(p.UnreportedPaces(now, anyUpstream)), 0) // only once
+	p.RestoreUnreportedPaces(news)
+	is.Equal(p.UnreportedPaces(now, anyUpstream), news)
 }
 
 // Guards against a restart of all instances after which the engines count as equal for long: with five responses in a second
@@ -358,5 +358,5 @@
 	p.Remove(now, "e1")
 	running.RecordStatedPace(now, 1)
 	declare(p, "e1", func(u *traffic.Upstream) { u.StartedMillis = 2 })
-	is.Equal(len(p.PaceNews(now, anyUpstream)), 0)
+	is.Equal(len(p.UnreportedPaces(now, anyUpstream)), 0)
 }
--- a/internal/placement/pool/uneven_engines_test.go
+++ b/internal/placement/pool/uneven_engines_test.go
@@ -269,7 +269,7 @@
 // report sends what an instance measured at an engine to its holder.
 func (f *unevenFleet) report(at time.Duration, instance, engine int) {
 	id := f.engines[engine].id
-	news := f.instances[instance].PaceNews(f.time(at), func(upstream string) bool { return upstream == id })
+	news := f.instances[instance].UnreportedPaces(f.time(at), func(upstream string) bool { return upstream == id })
 	f.holder(engine).RecordPeerPaces(f.time(at), fmt.Sprint(instance), news)
 }
 
