Hold of a stated body only what has arrived where memory is not bounded

Cause: since the account of held bytes a buffer of the stated length was allocated at once, also with the account off; some thirty callers that state 4 MiB and send nothing would fill an instance of 144 MB (found by a review). Change: without a bound the buffer grows with what arrives, as before the account.

--- a/internal/gateway/serve/body.go
+++ b/internal/gateway/serve/body.go
@@ -82,9 +82,7 @@
 		if !j.body.reserve(j.handler.Memory, length) {
 			return nil, errNoMemory
 		}
-		body = make([]byte, length)
-		_, err = io.ReadFull(reader, body)
-		return body, err
+		return j.receiveStatedBody(length, reader)
 	}
 	for !errors.Is(err, io.EOF) {
 		if len(body) == cap(body) {
@@ -105,6 +103,22 @@
 	return body, nil
 }
 
+// receiveStatedBody reads a body with a stated length. Within a bounded account its room is reserved, and one buffer of that
+// length spares the copies of a growing one. Without a bound the buffer grows with what has arrived: a few callers that state
+// a length and send nothing would otherwise hold more memory than a small instance has.
+func (j *job) receiveStatedBody(length int64, reader io.Reader) (body []byte, err error) {
+	if j.handler.Memory.IsBounded() {
+		body = make([]byte, length)
+		_, err = io.ReadFull(reader, body)
+		return body, err
+	}
+	body, err = io.ReadAll(reader)
+	if err == nil && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
 // refuseForMemory refuses a request whose body has no room, and closes its connection.
 func (j *job) refuseForMemory(r *http.Request) error {
 	length := r.ContentLength
