Log what a refusal over the rate was based on

Change: Request has Cost, and a refusal over the rate has a line Decision Step=rateLimited with the level, the number of active peers and the age of the oldest of their totals. No decision changes.

--- a/internal/gateway/serve/job.go
+++ b/internal/gateway/serve/job.go
@@ -138,6 +138,7 @@
 		Str(logline.FieldRequest, j.call.ID).
 		Str("Route", j.route.Name).
 		Str(logline.FieldWorkspace, j.workspace.Name).
+		Float64("Cost", j.cost).
 		Int("Status", j.status).
 		Int("Sends", j.attempts).
 		Int("Runs", j.runs).
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
+	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // Fleet is the interface to the rest of the instance.
@@ -261,21 +263,32 @@
 	var retryAfter time.Duration
 	admitted := false
 	publishSpent := false
+	var estimate quota.Estimate
 	j.handler.State.WithLock(func(state *SharedState) {
 		retryAfter, admitted = state.Ledger.Admit(now, j.workspace.Name, j.cost)
 		if admitted {
 			publishSpent = len(state.Ledger.TakeUrgentRecipients(now)) > 0
+		} else {
+			estimate = state.Ledger.Estimate(now, j.workspace.Name)
 		}
 	})
 	if publishSpent {
 		j.handler.Fleet.PublishSpent()
 	}
 	if !admitted {
+		j.logRateLimited(estimate, retryAfter)
 		return refusal.New(refusal.RateLimited, "the workspace is over its rate").WithRetryAfter(retryAfter)
 	}
 	return nil
 }
 
+// logRateLimited logs what the refusal of a request over its workspace's rate was based on.
+func (j *job) logRateLimited(estimate quota.Estimate, retryAfter time.Duration) {
+	j.step("rateLimited").Str(logline.FieldWorkspace, j.workspace.Name).Float64("Cost", j.cost).Float64("Level", math.Round(estimate.Level)).
+		Float64("Rate", estimate.Rate).Int("ActivePeers", estimate.ActivePeers).
+		Int64("OldestTotalMillis", estimate.OldestTotal.Milliseconds()).Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
+}
+
 // refuseSuspect refuses a request that has crashed several upstreams. It is asked again before each attempt: other instances
 // may have recorded a crash while the request waited or ran.
 func (j *job) refuseSuspect() error {
