Add failing tests of a flood out of normal use

Cause: each instance admits against its own estimate of the bucket until it has received the totals of the others. With 0.7 to 1.5 s of delay a flood of several times the rate is over the limit before any instance knows.

--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -32,6 +32,8 @@
 	headerLastEvent = "Call-Last-Event"
 	headerResumes   = "Call-Resumes"
 	pathReady       = "/ready"
+	// headerKey is the key of the caller.
+	headerKey = "Call-Key"
 )
 
 // pathLong is the path of requests that take longDelay at the upstreams of newUpstream, longer than callers still arrive
@@ -120,6 +122,7 @@
 		ID: request.Header.Get(headerID), Method: request.Method, Host: request.Host, Target: request.RequestURI,
 		Path: request.URL.Path, Header: request.Header.Clone(),
 		LastEventID: request.Header.Get(headerLastEvent), Resumes: request.Header.Get(headerResumes),
+		Key: request.Header.Get(headerKey),
 	}
 	if name := request.Header.Get(headerAdapter); name != "" {
 		c.Generation.Adapter = traffic.Adapter{Model: "m", Name: name}
--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -156,15 +156,26 @@
 
 // sendAs sends a request with an id and returns the status of the response to it, 0 if there was none.
 func (i *instance) sendAs(id, path, adapter string) int {
+	header := http.Header{}
+	if adapter != "" {
+		header.Set(headerAdapter, adapter)
+	}
+	return i.sendWith(id, path, header)
+}
+
+// sendWithKey is sendAs for a request that needs a key.
+func (i *instance) sendWithKey(id, path, key string) int {
+	return i.sendWith(id, path, http.Header{headerKey: {key}})
+}
+
+func (i *instance) sendWith(id, path string, header http.Header) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+i.address("CallerAddress")+path, nil)
 	if err != nil {
 		return 0
 	}
 	request.Host = "a.example"
+	request.Header = header
 	request.Header.Set(headerID, id)
-	if adapter != "" {
-		request.Header.Set(headerAdapter, adapter)
-	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
--- /dev/null
+++ b/internal/entry/node/rate_test.go
@@ -0,0 +1,121 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
+)
+
+// limitedKey is the key of the workspace with a rate.
+const limitedKey = "limited"
+
+// limitedConfiguration has one route, which needs a key, and one workspace with a rate.
+func limitedConfiguration(rate, burst float64) string {
+	return encoded(traffic.Configuration{
+		Version: 1,
+		Routes: []traffic.Route{{
+			Name: "r", Host: "a.example", Prefix: "/p/", Execution: traffic.Idempotent, Timeout: 2 * time.Second, Objective: time.Second,
+			Targets: []traffic.Target{{Service: "app", Weight: 1}}, MaxAttempts: 1,
+		}},
+		Services:   map[string]traffic.Service{"app": {Name: "app"}},
+		Workspaces: []traffic.Workspace{{Name: "w", Keys: []string{limitedKey}, Rate: rate, Burst: burst}},
+	})
+}
+
+// runs records when requests ran.
+type runs struct {
+	mutex sync.Mutex
+	at    []time.Time
+}
+
+func (r *runs) add() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.at = append(r.at, time.Now())
+}
+
+// most returns the most that ran in a window.
+func (r *runs) most(window time.Duration) (most int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	first := 0
+	for last, at := range r.at {
+		for at.Sub(r.at[first]) > window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// newCountedUpstream starts a plain service that responds at once and records each run.
+func newCountedUpstream(t *testing.T, ran *runs) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.add()
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerSigned, "s")
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// flood is requests that come to all instances of a fleet at a constant rate, whether the earlier ones are answered or not.
+type flood struct {
+	fleet   []*instance
+	waiting sync.WaitGroup
+}
+
+// send sends requests for a time, one at a time to one instance after the other.
+func (f *flood) send(perSecond int, during time.Duration) {
+	began := time.Now()
+	for number := 0; time.Since(began) < during; number++ {
+		time.Sleep(time.Until(began.Add(time.Duration(number) * time.Second / time.Duration(perSecond))))
+		f.waiting.Add(1)
+		go f.runOne(number)
+	}
+}
+
+func (f *flood) runOne(number int) {
+	defer f.waiting.Done()
+	f.fleet[number*7%len(f.fleet)].sendWithKey(fmt.Sprint("id", number), "/p/", limitedKey)
+}
+
+// Guards against a workspace that gets more than its rate when it floods many instances out of normal use: the bucket is
+// full, and each instance admits against the same tokens until it has received the totals of the others.
+func TestFloodOverAllInstancesStaysWithinTheRate(t *testing.T) {
+	is := is.New(t)
+	const (
+		instances   = 24
+		rate, burst = 40, 40
+		window      = 2 * time.Second
+		allowed     = (rate*2+burst)*1.1 + 4
+	)
+	s := newStore()
+	s.put(keyConfiguration, limitedConfiguration(rate, burst))
+	ran := &runs{}
+	s.put(prefixUpstreams+"u", upstreamEntry("app", newCountedUpstream(t, ran)))
+	f := &flood{}
+	for i := range instances {
+		f.fleet = append(f.fleet, start(t, s, fmt.Sprintf("instance%02d", i)))
+	}
+	for _, member := range f.fleet {
+		eventually(t, 20*time.Second, member.name+" is ready", member.ready)
+	}
+	time.Sleep(5 * time.Second) // the buckets fill
+	f.send(rate/2, 2*time.Second)
+	f.send(20*rate, 2*time.Second)
+	f.waiting.Wait()
+	most := ran.most(window)
+	t.Logf("at most %d requests ran in %s, %.0f are allowed", most, window, float64(allowed))
+	is.True(float64(most) <= allowed)
+	is.True(most >= rate*2)
+}
