Charge rates at a coordinator for each workspace

Cause: each instance admitted against its own estimate of the bucket, made from totals of the others that are 0.1 to 1.5 s old. 195 instances see about two requests a second each, so that neither the level nor the own demand shows the flood in time, and thinning is too late.

Change: the live instance that ranks highest for a workspace decides about it for the fleet. A charge states the total of the asking instance, so that a coordinator has no state that another could not take over, and lost replies need no repair. An instance that was refused refuses by itself until its turn. The harness of the flood tests charges as the entry layer does; the test with real instances now floods for 4 s and also checks that the rate is used afterwards.

--- a/internal/admission/quota/flood_scale_test.go
+++ b/internal/admission/quota/flood_scale_test.go
@@ -35,6 +35,7 @@
 				const rate, normal = 200_000, 0.55
 				random := rand.New(rand.NewPCG(11, 12))
 				f := newFloodedFleet(c.instances, map[string]quota.Limit{"w": {Rate: rate, Burst: rate}}, c.delay, time.Second)
+				f.coordinated = true
 				for tick := range 400 {
 					f.advance(tick) // a new bucket is empty
 				}
@@ -56,7 +57,7 @@
 				for _, one := range f.admitted["w"][before:] {
 					flooded += one.cost
 				}
-				t.Logf("most in %s %.3f of what is allowed, %.2f of the rate used in the flood, %d urgent messages", window, f.excess("w"), flooded/(10*rate), f.urgent)
+				t.Logf("most in %s %.3f of what is allowed, %.2f of the rate used in the flood, %d urgent messages, %d charges", window, f.excess("w"), flooded/(10*rate), f.urgent, f.charges)
 				is.Equal(refused, 0)
 				is.True(f.excess("w") <= 1)
 				is.True(flooded >= 0.9*10*rate)
--- a/internal/admission/quota/flood_test.go
+++ b/internal/admission/quota/flood_test.go
@@ -23,6 +23,14 @@
 	transit  []floodMessage
 	admitted map[string][]admission
 	urgent   int
+	// coordinated: requests are charged at the coordinator of their workspace, where the instance reaches it. cutOff are
+	// the instances that reach none, and coordinator is the one of all workspaces.
+	coordinated bool
+	cutOff      map[int]bool
+	coordinator int
+	charges     int
+	// ticks counts the calls of advance, where the test does not.
+	ticks int
 }
 
 // floodMessage is a message of one instance to all others.
@@ -32,6 +40,8 @@
 	totals quota.Totals
 	// whole: these are all totals of the instance.
 	whole bool
+	// version is later than that of all charges of the instance that the totals contain.
+	version int64
 }
 
 func newFloodedFleet(count int, limits map[string]quota.Limit, delay, periodic time.Duration) *floodedFleet {
@@ -66,7 +76,7 @@
 	changed := own.ChangedSince(f.sent[from])
 	f.sent[from] = own
 	if len(changed) > 0 {
-		f.transit = append(f.transit, floodMessage{due: time.Now().Add(f.delay), from: from, totals: changed})
+		f.transit = append(f.transit, floodMessage{due: time.Now().Add(f.delay), from: from, totals: changed, version: int64(f.charges)})
 	}
 }
 
@@ -75,13 +85,15 @@
 	for len(f.transit) > 0 && !time.Now().Before(f.transit[0].due) {
 		message := f.transit[0]
 		f.transit = f.transit[1:]
+		name := fmt.Sprint(message.from)
 		for to, ledger := range f.ledgers {
+			totals := ledger.WithCharged(name, message.version, message.totals)
 			switch {
 			case to == message.from:
 			case message.whole:
-				ledger.MergeTotals(time.Now(), fmt.Sprint(message.from), "1", message.totals)
+				ledger.MergeTotals(time.Now(), name, "1", totals)
 			default:
-				ledger.MergePartialTotals(time.Now(), fmt.Sprint(message.from), "1", message.totals)
+				ledger.MergePartialTotals(time.Now(), name, "1", totals)
 			}
 		}
 	}
@@ -93,7 +105,7 @@
 	time.Sleep(10 * time.Millisecond)
 	for i, from := range f.ledgers {
 		if (tick+i*7)%490 == 0 {
-			f.transit = append(f.transit, floodMessage{due: time.Now().Add(f.delay), from: i, totals: from.OwnTotals(), whole: true})
+			f.transit = append(f.transit, floodMessage{due: time.Now().Add(f.delay), from: i, totals: from.OwnTotals(), whole: true, version: int64(f.charges)})
 		}
 		if (tick+i*7)%int(f.periodic/(10*time.Millisecond)) == 0 {
 			f.send(i)
@@ -102,13 +114,35 @@
 	f.deliver()
 }
 
+// coordinatorOf returns the coordinator that an instance asks, as the entry layer does.
+func (f *floodedFleet) coordinatorOf(at int) quota.Coordinator {
+	switch {
+	case !f.coordinated || f.cutOff[at]:
+		return nil
+	case at == f.coordinator:
+		return quota.Self{}
+	}
+	return quota.Peer{Name: fmt.Sprint(f.coordinator)}
+}
+
+// charge has the coordinator decide about a request.
+func (f *floodedFleet) charge(charge quota.Charge) quota.Verdict {
+	f.charges++
+	charge.Incarnation, charge.Version = "1", int64(f.charges)
+	return f.ledgers[f.coordinator].Decide(time.Now(), charge)
+}
+
 func (f *floodedFleet) admit(at int, name string, cost float64) bool {
-	_, admitted := f.ledgers[at].Admit(time.Now(), name, cost)
-	if !admitted {
+	decision := f.ledgers[at].Begin(time.Now(), name, cost, f.coordinatorOf(at))
+	if asked, pending := decision.(quota.Asked); pending {
+		decision = f.ledgers[at].Finish(time.Now(), asked.Charge, f.charge(asked.Charge))
+	}
+	admitted, found := decision.(quota.Admitted)
+	if !found {
 		return false
 	}
 	f.admitted[name] = append(f.admitted[name], admission{at: time.Now(), cost: cost})
-	if len(f.ledgers[at].TakeUrgentRecipients(time.Now())) > 0 {
+	if admitted.Estimated && len(f.ledgers[at].TakeUrgentRecipients(time.Now())) > 0 {
 		f.urgent++
 		f.send(at)
 	}
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -1,13 +1,13 @@
-// Package quota enforces each workspace's rate and burst across all instances. Every instance sends the others, in
-// its heartbeats, the total that it has admitted. Each keeps its own estimate of the fleet-wide token bucket from
-// these totals. The caller reads the clock and passes the time in.
+// Package quota enforces each workspace's rate and burst across all instances. One instance coordinates each workspace:
+// the others charge their requests there, see coordinator.go. Every instance also sends the others, in its heartbeats,
+// the total that it has admitted. Each keeps its own estimate of the fleet-wide token bucket from these totals, and
+// decides from it where no coordinator answers. The caller reads the clock and passes the time in.
 //
 // The design handles load balancers that spread callers unevenly, and a workspace that sends many times its rate.
-// Equal shares would refuse a workspace whose callers all reach one instance. Asking another instance first would
-// cause refusals or delays whenever that instance is unreachable. With an estimate, two instances can admit against
-// the same tokens until they receive each other's totals; the bucket is then in debt, and nothing is admitted until
-// the debt is paid. So over any period the fleet admits at most rate times time, plus the burst, plus what arrives
-// within one heartbeat.
+// Equal shares would refuse a workspace whose callers all reach one instance. Without a coordinator, two instances can
+// admit against the same tokens until they receive each other's totals; the bucket is then in debt, and nothing is
+// admitted until the debt is paid. So over any period the fleet then admits at most rate times time, plus the burst, plus
+// what arrives within one heartbeat.
 package quota
 
 import (
@@ -54,6 +54,8 @@
 	fleet fleetCount
 	// random decides which requests are thinned.
 	random *rand.Rand
+	// completeSince is since when limits and peers have been known; zero if they are not.
+	completeSince time.Time
 }
 
 // bucket is the estimate for one workspace. Its level is negative while it is in debt.
@@ -64,6 +66,10 @@
 	scheduled     []scheduledRetry
 	scheduledCost float64
 	demand        demand
+	// closedUntil is how long this instance refuses requests itself, as the coordinator has said.
+	closedUntil time.Time
+	// asked is the total of this instance up to which the coordinator was asked.
+	asked float64
 }
 
 // scheduledRetry is a refused request that got a retry time.
@@ -83,6 +89,8 @@
 	reserved      Totals
 	// lastAdmitted is when a received total of a workspace last showed that the peer had admitted something.
 	lastAdmitted map[string]time.Time
+	// chargeVersions are the versions of the last charges of the peer, until a newer record of it arrives.
+	chargeVersions map[string]int64
 }
 
 // SetLimits installs the declared limits. A new bucket starts empty: an instance that has just started does not
@@ -105,6 +113,7 @@
 			delete(l.buckets, workspace)
 		}
 	}
+	l.recordComplete(now)
 }
 
 // SetPeers sets which other instances may be admitting requests.
@@ -121,6 +130,7 @@
 	}
 	l.peers = peers
 	l.oldestSeen = time.Time{}
+	l.recordComplete(now)
 }
 
 // MergeTotals merges a peer's totals. The share that was reserved for the peer while it was silent is replaced by
@@ -210,9 +220,7 @@
 	if b.level <= 0 || l.isThinned(now, workspace, b) {
 		return l.scheduleRetry(now, workspace, cost), false
 	}
-	b.level -= cost
-	b.demand.recordAdmitted(now, cost, 0)
-	l.own[workspace] += cost
+	l.charge(now, workspace, cost)
 	return 0, true
 }
 
@@ -331,21 +339,28 @@
 // The other instances that admit for the workspace are assumed to refuse as many requests as this one.
 func (l *Ledger) scheduleRetry(now time.Time, workspace string, cost float64) time.Duration {
 	b := l.buckets[workspace]
-	rate := l.limits[workspace].Rate
+	wait, scheduled := l.scheduleAfter(now, workspace, cost, l.debt(workspace), 1+l.activePeerCount(now, workspace))
+	if !scheduled && b.level > 0 {
+		wait += maxStagger // chance decides, and coming back sooner would only add to the demand
+	}
+	return wait
+}
+
+// scheduleAfter schedules a request that may come back after a debt, where a number of instances refuse as many requests
+// as this one. If the schedule is full, it returns the end of the debt.
+func (l *Ledger) scheduleAfter(now time.Time, workspace string, cost float64, debt time.Duration, instances int) (wait time.Duration, scheduled bool) {
+	b := l.buckets[workspace]
 	b.dropDue(now)
-	costAhead := b.scheduledCost * float64(1+l.activePeerCount(now, workspace))
-	stagger := time.Duration(costAhead / rate * float64(time.Second))
-	wait := minRetryAfter + time.Duration(max(-b.level, 0)/rate*float64(time.Second))
+	costAhead := b.scheduledCost * float64(instances)
+	stagger := time.Duration(costAhead / l.limits[workspace].Rate * float64(time.Second))
+	wait = minRetryAfter + debt
 	if stagger > maxStagger {
-		if b.level > 0 {
-			wait += maxStagger // chance decides, and coming back sooner would only add to the demand
-		}
-		return wait
+		return wait, false
 	}
 	wait += stagger
 	b.scheduled = append(b.scheduled, scheduledRetry{due: now.Add(wait), cost: cost})
 	b.scheduledCost += cost
-	return wait
+	return wait, true
 }
 
 // dropDue drops the retries that are due. Each is due after the one before it, unless the bucket has gained in
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -92,6 +92,7 @@
 	forward       *forward.Client
 	links         links
 	origins       streamOrigins
+	coordinators  rateCoordinators
 	replicas      replicaOrders
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
--- /dev/null
+++ b/internal/entry/node/rate_coordinators.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingrock.example/lacewingrock/internal/admission/quota"
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+)
+
+// rate_coordinators.go chooses which instance coordinates the rate of a workspace, and asks it. All instances choose by
+// rendezvous hashing among those that are alive, so that they mostly agree. Where they do not, each coordinator decides
+// from what it was asked and from the totals of the others.
+
+const (
+	// coordinatorTTL is how long a choice is kept. A choice looks at all members.
+	coordinatorTTL = 250 * time.Millisecond
+	// coordinatorAvoidance is how long an instance that did not decide is not asked.
+	coordinatorAvoidance = time.Second
+	// maxUnansweredCharges is the number of consecutive charges without an answer after which an instance is not asked.
+	// One is late where a processor is short of time for a moment.
+	maxUnansweredCharges = 2
+)
+
+// rateCoordinators is safe for concurrent use.
+type rateCoordinators struct {
+	mutex  sync.Mutex
+	chosen map[string]coordinatorChoice
+	// unanswered counts the consecutive charges that an instance has not answered. avoided is until when an instance is
+	// not asked.
+	unanswered map[string]int
+	avoided    map[string]time.Time
+}
+
+type coordinatorChoice struct {
+	coordinator quota.Coordinator
+	until       time.Time
+}
+
+// RateCoordinator returns the instance that decides about the rate of a workspace, nil if there is none.
+func (n *Node) RateCoordinator(workspace string) quota.Coordinator {
+	c := &n.coordinators
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if choice, found := c.chosen[workspace]; found && now.Before(choice.until) {
+		return choice.coordinator
+	}
+	if c.chosen == nil {
+		c.chosen = make(map[string]coordinatorChoice)
+	}
+	coordinator := n.chooseCoordinator(now, workspace)
+	c.chosen[workspace] = coordinatorChoice{coordinator: coordinator, until: now.Add(coordinatorTTL)}
+	return coordinator
+}
+
+// chooseCoordinator makes the choice. The caller holds the lock of the coordinators. Only members of the roster are
+// chosen: the others have just started or are about to stop.
+func (n *Node) chooseCoordinator(now time.Time, workspace string) quota.Coordinator {
+	n.view.mutex.Lock()
+	joined := n.view.roster.Instances()
+	n.view.mutex.Unlock()
+	avoided := n.coordinators.avoided
+	chosen, found := n.overlay.firstAlive(now, rateSubject+workspace, joined, func(name string) bool { return now.Before(avoided[name]) })
+	switch {
+	case !found:
+		return nil
+	case chosen.Name == n.self.Name:
+		return quota.Self{}
+	}
+	return quota.Peer{Name: chosen.Name, Address: chosen.Address}
+}
+
+// rateSubject is the prefix of the rendezvous-hashing subjects of workspaces.
+const rateSubject = "rate\x00"
+
+// firstAlive returns the live instance that ranks highest for a subject among some instances, this one included, without
+// those that are avoided.
+func (o *overlay) firstAlive(now time.Time, subject string, instances []roster.Instance, avoided func(name string) bool) (first roster.Instance, found bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var highest uint64
+	for _, instance := range instances {
+		weight := roster.Weight(subject, instance.Name)
+		if found && weight <= highest {
+			continue
+		}
+		if instance.Name != o.table.Self && (avoided(instance.Name) || !o.isAliveLocked(now, instance.Name)) {
+			continue
+		}
+		first, highest, found = instance, weight, true
+	}
+	return first, found
+}
+
+// ChargeCoordinator asks a coordinator for its verdict. The context bounds the wait.
+func (n *Node) ChargeCoordinator(ctx context.Context, coordinator quota.Peer, charge quota.Charge) quota.Verdict {
+	charge.Incarnation = n.self.Incarnation
+	charge.Version = n.overlay.nextVersion()
+	start := time.Now()
+	verdict, err := n.peers.ChargeRate(ctx, coordinator.Address, charge)
+	if err != nil {
+		verdict = quota.Unanswered{}
+	}
+	_, unanswered := verdict.(quota.Unanswered)
+	n.scope.Tagged(map[string]string{"verdict": verdictName(verdict)}).Counter("rate_charges").Inc(1)
+	if !unanswered {
+		n.coordinators.recordAnswer(coordinator.Name)
+		return verdict
+	}
+	avoided := n.coordinators.recordUnanswered(start, coordinator.Name, err == nil)
+	if avoided && err != nil {
+		n.peers.Retire(coordinator.Address)
+	}
+	n.Log.Info().Err(err).Str("Workspace", charge.Workspace).Str("Coordinator", coordinator.Name).Bool("Avoided", avoided).
+		Int64("TookMillis", time.Since(start).Milliseconds()).Msg("ChargeUnanswered")
+	return verdict
+}
+
+// ChargeRate decides about a charge of another instance.
+func (n *Node) ChargeRate(charge quota.Charge) (verdict quota.Verdict) {
+	n.sharedState.WithLock(func(state *serve.SharedState) { verdict = state.Ledger.Decide(time.Now(), charge) })
+	return verdict
+}
+
+func verdictName(verdict quota.Verdict) string {
+	switch verdict.(type) {
+	case quota.Charged:
+		return "charged"
+	case quota.OverRate:
+		return "over_rate"
+	}
+	return "unanswered"
+}
+
+// recordAnswer records that an instance has decided.
+func (c *rateCoordinators) recordAnswer(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.unanswered, name)
+}
+
+// recordUnanswered records that an instance has not decided, and reports whether it is avoided from now on: at once if it
+// said that it does not decide.
+func (c *rateCoordinators) recordUnanswered(now time.Time, name string, declined bool) (avoided bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.unanswered == nil {
+		c.unanswered = make(map[string]int)
+		c.avoided = make(map[string]time.Time)
+	}
+	c.unanswered[name]++
+	if !declined && c.unanswered[name] < maxUnansweredCharges {
+		return false
+	}
+	delete(c.unanswered, name)
+	c.avoided[name] = now.Add(coordinatorAvoidance)
+	clear(c.chosen)
+	return true
+}
+
+// nextVersion returns a version for a statement of this instance that is no record.
+func (o *overlay) nextVersion() int64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.table.Version++
+	return o.table.Version
+}
--- a/internal/entry/node/rate_test.go
+++ b/internal/entry/node/rate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -42,6 +43,12 @@
 	r.at = append(r.at, time.Now())
 }
 
+func (r *runs) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.at)
+}
+
 // most returns the most that ran in a window.
 func (r *runs) most(window time.Duration) (most int) {
 	r.mutex.Lock()
@@ -92,6 +99,28 @@
 // Guards against a workspace that gets more than its rate when it floods many instances out of normal use: the bucket is
 // full, and each instance admits against the same tokens until it has received the totals of the others.
 func TestFloodOverAllInstancesStaysWithinTheRate(t *testing.T) {
+	testFloodOverAllInstances(t, nil)
+}
+
+// Guards against a workspace that gets more than its rate, or nothing, when the instance that decides about it stops in the
+// middle of a flood.
+func TestFloodStaysWithinTheRateAsItsCoordinatorStops(t *testing.T) {
+	testFloodOverAllInstances(t, func(f *flood) {
+		var names []string
+		for _, member := range f.fleet {
+			names = append(names, member.name)
+		}
+		first := roster.SortByRank("rate\x00w", names)[0]
+		for _, member := range f.fleet {
+			if member.name == first {
+				member.stop()
+			}
+		}
+	})
+}
+
+func testFloodOverAllInstances(t *testing.T, disturb func(f *flood)) {
+	t.Helper()
 	is := is.New(t)
 	const (
 		instances   = 24
@@ -112,10 +141,16 @@
 	}
 	time.Sleep(5 * time.Second) // the buckets fill
 	f.send(rate/2, 2*time.Second)
-	f.send(20*rate, 2*time.Second)
+	f.send(20*rate, time.Second)
+	if disturb != nil {
+		disturb(f)
+	}
+	before := ran.count()
+	f.send(20*rate, 3*time.Second)
 	f.waiting.Wait()
 	most := ran.most(window)
-	t.Logf("at most %d requests ran in %s, %.0f are allowed", most, window, float64(allowed))
+	t.Logf("at most %d requests ran in %s, %.0f are allowed; %d in the last 3 s", most, window, float64(allowed), ran.count()-before)
 	is.True(float64(most) <= allowed)
 	is.True(most >= rate*2)
+	is.True(ran.count()-before >= rate*2)
 }
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -198,7 +198,8 @@
 	due := false
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
 		if !outdated {
-			shared.Ledger.MergeTotals(now, record.Instance, state.Incarnation, state.Spent)
+			spent := shared.Ledger.WithCharged(record.Instance, record.Version, state.Spent)
+			shared.Ledger.MergeTotals(now, record.Instance, state.Incarnation, spent)
 		}
 		shared.Suspects.Merge(now, state.Suspects)
 		due = shared.Suspects.IsStatementDue()
@@ -222,7 +223,8 @@
 		return err
 	}
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
-		shared.Ledger.MergePartialTotals(now, record.Instance, state.Incarnation, state.Spent)
+		spent := shared.Ledger.WithCharged(record.Instance, record.Version, state.Spent)
+		shared.Ledger.MergePartialTotals(now, record.Instance, state.Incarnation, spent)
 	})
 	return nil
 }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -41,6 +41,8 @@
 	proofs         []pool.SoleSoftware
 	question       mesh.StreamQuestion
 	answer         mesh.StreamAnswer
+	charge         quota.Charge
+	verdict        quota.Verdict
 	// connection and connectError are the result of Connect.
 	connection   net.Conn
 	connectError error
@@ -101,6 +103,11 @@
 	return e.answer
 }
 
+func (e *echo) ChargeRate(charge quota.Charge) quota.Verdict {
+	e.charge = charge
+	return e.verdict
+}
+
 func serveEcho(t testing.TB) (*echo, *mesh.Peers, string) {
 	t.Helper()
 	peer := &echo{statements: make(chan mesh.Statement, 1)}
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -145,6 +145,8 @@
 	KeepStreams(records []origin.Record) []pool.SoleSoftware
 	// FindStream returns what this instance knows of a stream.
 	FindStream(question StreamQuestion) StreamAnswer
+	// ChargeRate decides about the charge of a request of a peer.
+	ChargeRate(charge quota.Charge) quota.Verdict
 }
 
 // Statement is what an upstream has stated about itself in a response. The receiver has carried it over a connection for
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -63,6 +63,11 @@
 func (f *fleet) MayBeStale() bool                            { return f.stale }
 func (f *fleet) PublishSpent()                               {}
 func (f *fleet) NotifyHolder(string)                         {}
+func (f *fleet) RateCoordinator(string) quota.Coordinator    { return nil }
+func (f *fleet) ChargeCoordinator(context.Context, quota.Peer, quota.Charge) quota.Verdict {
+	return quota.Unanswered{}
+}
+
 func (f *fleet) ReportUnfinished(u traffic.Upstream, attempt suspect.Attempt, broken bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -27,7 +26,6 @@
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 	"lacewingrock.example/lacewingrock/internal/placement/retry"
 	"lacewingrock.example/lacewingrock/internal/placement/suspect"
-	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 )
 
 // Fleet is the interface to the rest of the instance.
@@ -47,6 +45,10 @@
 	// QueryHolder asks the holder of an upstream for the loaded adapters and the requests in flight there, for the next
 	// choice.
 	QueryHolder(ctx context.Context, upstream string)
+	// RateCoordinator returns the instance that decides about the rate of a workspace, nil if there is none.
+	RateCoordinator(workspace string) quota.Coordinator
+	// ChargeCoordinator asks a coordinator for its verdict on a charge. The context bounds the wait.
+	ChargeCoordinator(ctx context.Context, coordinator quota.Peer, charge quota.Charge) quota.Verdict
 	// PublishSpent sends the totals that this instance has admitted to the other instances at once.
 	PublishSpent()
 	// NotifyHolder reports to the holder that the load of this instance at the upstream has changed (preparation,
@@ -163,7 +165,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
-	if err := j.admit(); err != nil {
+	if err := j.admit(ctx); err != nil {
 		return err
 	}
 	err = j.run(ctx)
@@ -250,8 +252,7 @@
 
 // admit charges the request's cost to its workspace's rate limit, and refuses requests that are suspected of crashing
 // upstreams.
-func (j *job) admit() error {
-	now := time.Now()
+func (j *job) admit(ctx context.Context) error {
 	j.cost = j.call.Cost(j.workspace)
 	j.fingerprint = suspect.FingerprintOf(j.workspace.Name, j.call.Target, j.call.Body)
 	for _, part := range j.call.Generation.SharedParts() {
@@ -260,33 +261,7 @@
 	if err := j.refuseSuspect(); err != nil {
 		return err
 	}
-	var retryAfter time.Duration
-	admitted := false
-	publishSpent := false
-	var estimate quota.Estimate
-	j.handler.State.WithLock(func(state *SharedState) {
-		retryAfter, admitted = state.Ledger.Admit(now, j.workspace.Name, j.cost)
-		if admitted {
-			publishSpent = len(state.Ledger.TakeUrgentRecipients(now)) > 0
-		} else {
-			estimate = state.Ledger.Estimate(now, j.workspace.Name)
-		}
-	})
-	if publishSpent {
-		j.handler.Fleet.PublishSpent()
-	}
-	if !admitted {
-		j.logRateLimited(estimate, retryAfter)
-		return refusal.New(refusal.RateLimited, "the workspace is over its rate").WithRetryAfter(retryAfter)
-	}
-	return nil
-}
-
-// logRateLimited logs what the refusal of a request over its workspace's rate was based on.
-func (j *job) logRateLimited(estimate quota.Estimate, retryAfter time.Duration) {
-	j.step("rateLimited").Str(logline.FieldWorkspace, j.workspace.Name).Float64("Cost", j.cost).Float64("Level", math.Round(estimate.Level)).
-		Float64("Rate", estimate.Rate).Int("ActivePeers", estimate.ActivePeers).
-		Int64("OldestTotalMillis", estimate.OldestTotal.Milliseconds()).Int64("RetryAfterMillis", retryAfter.Milliseconds()).Msg("Decision")
+	return j.chargeRate(ctx)
 }
 
 // refuseSuspect refuses a request that has crashed several upstreams. It is asked again before each attempt: other instances
