Send admitted usage until a whole state has it

Cause: the usage that an instance sends between its whole states named only the workspaces that had changed since it last sent one. The gossip table keeps the latest version of a part, so that one which was replaced before a relay passed it on was lost, for up to five seconds in a large fleet. A receiver also skipped a whole state as outdated if newer usage in the same message was applied first.

Change: the usage names all workspaces that the last whole state lacks, and records of a message are applied by version.

Result: TestAdmittedUsageIsNotLostWhenItIsReplaced and TestRecordsAreAppliedInTheirOrder fail before (one of two workspaces; 0 of 30 units known) and pass.

--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -156,6 +157,8 @@
 		confirmed = now.Add(-transit - message.ConfirmedAge)
 	}
 	urgent := false
+	// A general part holds totals that a later usage part does not repeat, and would be skipped as outdated after it.
+	slices.SortFunc(changed, func(a, b gossip.Record) int { return cmp.Compare(a.Version, b.Version) })
 	for _, record := range changed {
 		n.applyRecord(now, record, record.Instance == end.peer)
 		urgent = urgent || record.Urgent
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -21,8 +21,10 @@
 type refresh struct {
 	general time.Time
 	held    time.Time
-	// spent is the admitted usage when it was last sent to the others.
+	// spent is the admitted usage when it was last sent to the others, at spentAt, and stated as it was in the general
+	// part.
 	spent   quota.Totals
+	stated  quota.Totals
 	spentAt time.Time
 	// loadedFingerprint is a fingerprint of the models loaded at the held upstreams at that time.
 	loadedFingerprint uint64
@@ -79,7 +81,8 @@
 	spentWithState
 )
 
-// refreshSpent sends the recently admitted usage to the others.
+// refreshSpent sends the recently admitted usage to the others: all totals that the last general part lacks, and not only
+// those that changed since the usage was last sent. A part that is replaced before it was passed on is lost.
 func (n *Node) refreshSpent(now time.Time, delivery spentDelivery) {
 	if delivery == spentPeriodic && now.Sub(n.refreshed.spentAt) < spentInterval {
 		return
@@ -87,9 +90,14 @@
 	n.refreshed.spentAt = now
 	var spent quota.Totals
 	n.sharedState.WithLock(func(state *serve.SharedState) { spent = state.Ledger.OwnTotals() })
-	recent := spent.ChangedSince(n.refreshed.spent)
+	changed := len(spent.ChangedSince(n.refreshed.spent)) > 0
 	n.refreshed.spent = spent
-	if delivery != spentWithState && len(recent) > 0 {
+	if delivery == spentWithState {
+		n.refreshed.stated = spent
+		return
+	}
+	if changed {
+		recent := spent.ChangedSince(n.refreshed.stated)
 		n.setPart(gossip.PartSpent, delivery == spentImmediate, func() ([]byte, error) {
 			return mesh.EncodeState(mesh.State{Incarnation: n.self.Incarnation, Spent: recent})
 		})
