Coordinate rates in groups of workspaces, and wait longer for an answer

Cause: with a coordinator for each workspace an instance of a large fleet charges one of them every few seconds, and its connections there are closed as idle in between.

Change: workspaces are coordinated in groups, one for 20 instances or so, and a charge waits for 200 ms (at most a quarter of the objective).

--- a/internal/entry/node/rate_coordinators.go
+++ b/internal/entry/node/rate_coordinators.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
@@ -63,7 +66,7 @@
 	joined := n.view.roster.Instances()
 	n.view.mutex.Unlock()
 	avoided := n.coordinators.avoided
-	chosen, found := n.overlay.firstAlive(now, rateSubject+workspace, joined, func(name string) bool { return now.Before(avoided[name]) })
+	chosen, found := n.overlay.firstAlive(now, rateGroupSubject(workspace, len(joined)), joined, func(name string) bool { return now.Before(avoided[name]) })
 	switch {
 	case !found:
 		return nil
@@ -73,8 +76,27 @@
 	return quota.Peer{Name: chosen.Name, Address: chosen.Address}
 }
 
-// rateSubject is the prefix of the rendezvous-hashing subjects of workspaces.
-const rateSubject = "rate\x00"
+func rateGroupSubject(workspace string, instances int) string {
+	return rateSubject + strconv.FormatUint(rateGroup(workspace, instances), 10)
+}
+
+const (
+	// rateSubject is the prefix of the rendezvous-hashing subjects of groups of workspaces.
+	rateSubject = "rate\x00"
+	// instancesPerGroup is the number of instances for which there is one more group of workspaces.
+	instancesPerGroup = 20
+)
+
+// rateGroup returns the group of a workspace, whose rates one instance coordinates, in a fleet of some size. With a group
+// for each workspace, connections to coordinators would mostly be idle and closed when a charge is due. The number of
+// groups is a power of two, so that it seldom changes as instances come and go.
+func rateGroup(workspace string, instances int) uint64 {
+	groups := uint64(1)
+	for groups*2*instancesPerGroup <= uint64(instances) {
+		groups *= 2
+	}
+	return xxhash.Sum64String(workspace) % groups
+}
 
 // firstAlive returns the live instance that ranks highest for a subject among some instances, this one included, without
 // those that are avoided.
--- a/internal/gateway/serve/rate.go
+++ b/internal/gateway/serve/rate.go
@@ -13,8 +13,9 @@
 // rate.go charges a request to the rate of its workspace.
 
 const (
-	// maxChargeTime bounds the wait for a coordinator. An answer takes some milliseconds.
-	maxChargeTime = 100 * time.Millisecond
+	// maxChargeTime bounds the wait for a coordinator. An answer takes some milliseconds, and more where processors are
+	// short of time; to decide without it is to decide from totals that are older.
+	maxChargeTime = 200 * time.Millisecond
 	// chargeTimeOfObjective is the part of a route's objective that a request may wait for a coordinator.
 	chargeTimeOfObjective = 0.25
 )
