Ask for what is admitted in place of returned costs

Cause: an instance asks its coordinator once it has admitted more than a small amount since it last asked. A cost that was returned lowered what it had admitted, so that as much was admitted again without asking; once the coordinator had learned of the return, it did not know of it for a second.

Result: TestReturnedCostsAreAskedForAgain fails before and passes.

--- a/internal/admission/quota/coordinator_test.go
+++ b/internal/admission/quota/coordinator_test.go
@@ -107,6 +107,43 @@
 	}
 }
 
+// Guards against a workspace that gets more than its rate while most of its requests are refused elsewhere after they were
+// charged: costs that were returned would be admitted again without asking, on top of what the coordinator admits.
+func TestReturnedCostsAreAskedForAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const rate = 200_000
+		random := rand.New(rand.NewPCG(19, 20))
+		f := newCoordinatedFleet(195, rate, 700*time.Millisecond)
+		for range 1500 {
+			for left := random.ExpFloat64(); left < 9*rate/2400*0.01; left += random.ExpFloat64() {
+				at := random.IntN(len(f.ledgers))
+				if f.admit(at, "w", 2400) && random.Float64() < 0.6 {
+					f.admitted["w"] = f.admitted["w"][:len(f.admitted["w"])-1]
+					f.ledgers[at].Refund("w", 2400)
+				}
+			}
+			f.advance(f.ticks)
+			f.ticks++
+		}
+		one := f.ledgers[1]
+		asked, pending := one.Begin(time.Now(), "w", 2400, quota.Peer{Name: "0"}).(quota.Asked)
+		for ; !pending; asked, pending = one.Begin(time.Now(), "w", 2400, quota.Peer{Name: "0"}).(quota.Asked) {
+			f.advance(f.ticks)
+			f.ticks++
+		}
+		one.Finish(time.Now(), asked.Charge, quota.Charged{})
+		one.Refund("w", 2400)
+		_, pending = one.Begin(time.Now(), "w", 2400, quota.Peer{Name: "0"}).(quota.Asked)
+		is.True(pending)
+		used := 2400 * float64(len(f.admitted["w"])) / (15 * rate)
+		t.Logf("most in %s %.3f of what is allowed, %.2f of the rate used", window, f.excess("w"), used)
+		is.True(f.excess("w") <= 1)
+		is.True(used >= 0.9)
+	})
+}
+
 // Guards against a coordinator that has just started and decides from a bucket that is empty or does not contain what the
 // others have admitted.
 func TestNewLedgerDecidesForNobody(t *testing.T) {
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -230,10 +230,11 @@
 		return
 	}
 	l.deduct(workspace, -cost)
+	l.own[workspace] -= cost
 	if b := l.buckets[workspace]; b != nil {
 		b.demand.refund(cost)
+		b.asked = min(b.asked, l.own[workspace]) // what is admitted in its place has to be asked for
 	}
-	l.own[workspace] -= cost
 }
 
 const (
