--- a/internal/entry/node/rate_coordinators.go
+++ b/internal/entry/node/rate_coordinators.go
@@ -89,7 +89,7 @@
 
 // rateGroup returns the group of a workspace, whose rates one instance coordinates, in a fleet of some size. With a group
 // for each workspace, connections to coordinators would mostly be idle and closed when a charge is due. The number of
-// groups is a power of two, so that it seldom changes as instances come and go.
+// groups is a power of two, so that it rarely changes as instances come and go.
 func rateGroup(workspace string, instances int) uint64 {
 	groups := uint64(1)
 	for groups*2*instancesPerGroup <= uint64(instances) {
--- a/internal/gateway/serve/rate.go
+++ b/internal/gateway/serve/rate.go
@@ -64,7 +64,7 @@
 	return min(maxChargeTime, time.Duration(chargeTimeOfObjective*float64(j.route.Objective)))
 }
 
-// publishEstimated sends the totals of this instance to the others at once where no coordinator knows of the request, and
+// publishEstimated sends the totals of this instance to the others at once where no coordinator has charged the request, and
 // the others may admit against the same tokens.
 func (j *job) publishEstimated(admitted quota.Admitted) {
 	if !admitted.Estimated {
