Add a failing test of floods with unanswered charges

Cause: a fleet that is short of processor time leaves many charges of a rate without an answer in time. The instances that asked then decide from estimates that are 1.5 to 2 s old, as all did before there were coordinators.

--- a/internal/admission/quota/flood_test.go
+++ b/internal/admission/quota/flood_test.go
@@ -31,6 +31,8 @@
 	silent      map[int]bool
 	coordinator int
 	charges     int
+	// unanswered: a part of the charges gets no verdict in time. It is nil if all do.
+	unanswered *unansweredCharges
 	// ticks counts the calls of advance, where the test does not.
 	ticks int
 }
@@ -124,23 +126,37 @@
 	switch {
 	case !f.coordinated || f.cutOff[at]:
 		return nil
+	case f.unanswered != nil:
+		return f.chosenByAvoidance(at)
 	case at == f.coordinator || f.silent[at]:
 		return quota.Self{}
 	}
 	return quota.Peer{Name: fmt.Sprint(f.coordinator)}
 }
 
+func (f *floodedFleet) chosenByAvoidance(at int) quota.Coordinator {
+	chosen := f.unanswered.coordinatorOf(at)
+	if chosen == at {
+		return quota.Self{}
+	}
+	return quota.Peer{Name: fmt.Sprint(chosen)}
+}
+
 // charge has the coordinator decide about a request.
-func (f *floodedFleet) charge(charge quota.Charge) quota.Verdict {
+func (f *floodedFleet) charge(at int, charge quota.Charge) quota.Verdict {
 	f.charges++
 	charge.Incarnation, charge.Version = "1", int64(f.charges)
-	return f.ledgers[f.coordinator].Decide(time.Now(), charge)
+	if f.unanswered == nil {
+		return f.ledgers[f.coordinator].Decide(time.Now(), charge)
+	}
+	chosen := f.unanswered.coordinatorOf(at)
+	return f.unanswered.verdict(at, chosen, func() quota.Verdict { return f.ledgers[chosen].Decide(time.Now(), charge) })
 }
 
 func (f *floodedFleet) admit(at int, name string, cost float64) bool {
 	decision := f.ledgers[at].Begin(time.Now(), name, cost, f.coordinatorOf(at))
 	if asked, pending := decision.(quota.Asked); pending {
-		decision = f.ledgers[at].Finish(time.Now(), asked.Charge, f.charge(asked.Charge))
+		decision = f.ledgers[at].Finish(time.Now(), asked.Charge, f.charge(at, asked.Charge))
 	}
 	admitted, found := decision.(quota.Admitted)
 	if !found {
