Ask a coordinator that is slow less often

Cause: a coordinator that left two charges unanswered was asked again a second later, by each instance and for each of its groups.

Change: the time for which an instance does not ask doubles up to 8 s, until the coordinator decides in time. One that says that it has just started is asked again after a second, as before.

--- a/internal/entry/node/rate_charge_test.go
+++ b/internal/entry/node/rate_charge_test.go
@@ -103,3 +103,30 @@
 	chargeBriefly(t, n, coordinator)
 	is.Equal(c.connections.Load(), int32(2))
 }
+
+// Guards against requests that wait again and again for a coordinator that does not answer in time, and against one that is
+// never asked again.
+func TestSlowCoordinatorIsAskedLessOften(t *testing.T) {
+	is := is.New(t)
+	c := &rateCoordinators{}
+	began := time.Now()
+	asked := 0
+	// charge asks ten times a second where the coordinator is not avoided.
+	charge := func(from, until time.Duration, answer func(now time.Time)) {
+		for at := from; at < until; at += 100 * time.Millisecond {
+			if now := began.Add(at); !now.Before(c.avoided["slow"].until) {
+				asked++
+				answer(now)
+			}
+		}
+	}
+	late := func(now time.Time) { c.recordUnanswered(now, "slow", false) }
+	charge(0, 60*time.Second, late)
+	is.True(asked <= 22) // two each after 1, 2, 4 and then 8 s
+	asked = 0
+	charge(60*time.Second, 69*time.Second, func(now time.Time) { c.recordAnswer(now, "slow", true) })
+	is.True(asked >= 9)
+	asked = 0
+	charge(69*time.Second, 71*time.Second, late)
+	is.True(asked >= 3) // it begins with a second again
+}
--- a/internal/entry/node/rate_coordinators.go
+++ b/internal/entry/node/rate_coordinators.go
@@ -20,8 +20,10 @@
 const (
 	// coordinatorTTL is how long a choice is kept. A choice looks at all members.
 	coordinatorTTL = 250 * time.Millisecond
-	// coordinatorAvoidance is how long an instance that did not decide is not asked.
-	coordinatorAvoidance = time.Second
+	// minCoordinatorAvoidance is how long an instance that did not decide is not asked. The time doubles each time until it
+	// decides in time again, up to maxCoordinatorAvoidance: each charge that it leaves unanswered delays a request.
+	minCoordinatorAvoidance = time.Second
+	maxCoordinatorAvoidance = 8 * time.Second
 	// maxUnansweredCharges is the number of consecutive charges without an answer after which an instance is not asked.
 	// One is late where a processor is short of time for a moment.
 	maxUnansweredCharges = 2
@@ -31,14 +33,20 @@
 type rateCoordinators struct {
 	mutex  sync.Mutex
 	chosen map[string]coordinatorChoice
-	// unanswered counts the consecutive charges that an instance has not answered. avoided is until when an instance is
-	// not asked.
+	// unanswered counts the consecutive charges that an instance has not answered. avoided has the instances that did not
+	// decide when they were last asked.
 	unanswered map[string]int
-	avoided    map[string]time.Time
+	avoided    map[string]avoidance
 	// usableAt is when the connection to an instance last carried an answer or was replaced.
 	usableAt map[string]time.Time
 }
 
+// avoidance is until when an instance is not asked, and for how long it was not.
+type avoidance struct {
+	until time.Time
+	lasts time.Duration
+}
+
 type coordinatorChoice struct {
 	coordinator quota.Coordinator
 	until       time.Time
@@ -68,7 +76,7 @@
 	joined := n.view.roster.Instances()
 	n.view.mutex.Unlock()
 	avoided := n.coordinators.avoided
-	chosen, found := n.overlay.firstAlive(now, rateGroupSubject(workspace, len(joined)), joined, func(name string) bool { return now.Before(avoided[name]) })
+	chosen, found := n.overlay.firstAlive(now, rateGroupSubject(workspace, len(joined)), joined, func(name string) bool { return now.Before(avoided[name].until) })
 	switch {
 	case !found:
 		return nil
@@ -142,25 +150,35 @@
 	c.recordUsable(now, name)
 	if inTime {
 		delete(c.unanswered, name)
+		delete(c.avoided, name)
 	}
 }
 
-// recordUnanswered records that an instance has not decided, and reports whether it is avoided from now on: at once if it
-// said that it does not decide.
-func (c *rateCoordinators) recordUnanswered(now time.Time, name string, declined bool) (avoided bool) {
+// recordUnanswered records that an instance has not decided about a charge that began at some time, and reports whether it
+// is avoided from now on: at once if it said that it does not decide.
+func (c *rateCoordinators) recordUnanswered(began time.Time, name string, declined bool) (avoided bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.unanswered == nil {
 		c.unanswered = make(map[string]int)
-		c.avoided = make(map[string]time.Time)
+		c.avoided = make(map[string]avoidance)
+	}
+	before := c.avoided[name]
+	if began.Before(before.until) {
+		return true // it is avoided for a charge that began earlier
 	}
 	c.unanswered[name]++
 	if !declined && c.unanswered[name] < maxUnansweredCharges {
 		return false
 	}
 	delete(c.unanswered, name)
-	maps.DeleteFunc(c.avoided, func(_ string, until time.Time) bool { return now.After(until) })
-	c.avoided[name] = now.Add(coordinatorAvoidance)
+	next := avoidance{lasts: minCoordinatorAvoidance}
+	if !declined {
+		next.lasts = min(max(2*before.lasts, minCoordinatorAvoidance), maxCoordinatorAvoidance)
+	}
+	next.until = began.Add(next.lasts)
+	maps.DeleteFunc(c.avoided, func(_ string, a avoidance) bool { return began.Sub(a.until) > maxCoordinatorAvoidance })
+	c.avoided[name] = next
 	clear(c.chosen)
 	return true
 }
