Return no cost that a full bucket has regained

Cause: the cost of a request that never ran was returned whatever the bucket had gained since. If the bucket was full in between, it had regained the cost already, and the return let more than the burst through.

Change: the bucket keeps when it was last full, and a cost that was charged before is not returned. A workspace within its rate loses nothing: the bucket was full.

Other tests of quota and serve are unchanged but for the argument.

--- a/internal/admission/contention/harness_test.go
+++ b/internal/admission/contention/harness_test.go
@@ -293,7 +293,7 @@
 		}
 	}
 	if refused {
-		n.ledger.Refund(c.workspace, 1)
+		n.ledger.Refund(c.workspace, 1, f.now)
 		c.refusals = append(c.refusals, seen)
 		if !f.noRetries && seen.after <= remaining/3 && remaining > 50*time.Millisecond && c.attempts < 10 {
 			f.after(seen.after, func() { f.send(c) })
--- a/internal/admission/quota/coordinator_test.go
+++ b/internal/admission/quota/coordinator_test.go
@@ -121,7 +121,7 @@
 				at := random.IntN(len(f.ledgers))
 				if f.admit(at, "w", 2400) && random.Float64() < 0.6 {
 					f.admitted["w"] = f.admitted["w"][:len(f.admitted["w"])-1]
-					f.ledgers[at].Refund("w", 2400)
+					f.ledgers[at].Refund("w", 2400, time.Now())
 				}
 			}
 			f.advance(f.ticks)
@@ -134,7 +134,7 @@
 			f.ticks++
 		}
 		one.Finish(time.Now(), asked.Charge, quota.Charged{})
-		one.Refund("w", 2400)
+		one.Refund("w", 2400, time.Now())
 		_, pending = one.Begin(time.Now(), "w", 2400, quota.Peer{Name: "0"}).(quota.Asked)
 		is.True(pending)
 		used := 2400 * float64(len(f.admitted["w"])) / (15 * rate)
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -64,6 +64,8 @@
 type bucket struct {
 	level     float64
 	updatedAt time.Time
+	// fullAt is when the bucket was last full.
+	fullAt time.Time
 	// scheduled are the refused requests that got a retry time, and scheduledCost is their total cost.
 	scheduled     []scheduledRetry
 	scheduledCost float64
@@ -236,17 +238,20 @@
 	return 0, true
 }
 
-// Refund returns the cost of an admitted request that never ran.
-func (l *Ledger) Refund(workspace string, cost float64) {
-	if _, limited := l.limits[workspace]; !limited {
+// Refund returns the cost of a request that was charged at some time and never ran. If the bucket has been full since then,
+// it has regained the cost already, and to return it again would admit more than the burst.
+func (l *Ledger) Refund(workspace string, cost float64, chargedAt time.Time) {
+	b := l.buckets[workspace]
+	if b == nil {
+		return
+	}
+	b.demand.refund(cost)
+	if b.fullAt.After(chargedAt) {
 		return
 	}
 	l.deduct(workspace, -cost)
 	l.own[workspace] -= cost
-	if b := l.buckets[workspace]; b != nil {
-		b.demand.refund(cost)
-		b.asked = min(b.asked, l.own[workspace]) // what is admitted in its place has to be asked for
-	}
+	b.asked = min(b.asked, l.own[workspace]) // what is admitted in its place has to be asked for
 }
 
 const (
@@ -417,7 +422,9 @@
 			p.reserved[workspace] += gained * share
 			b.level -= gained * share
 		}
-		b.level = min(b.level, limit.Burst*reachable)
+		if full := limit.Burst * reachable; b.level >= full {
+			b.level, b.fullAt = full, now
+		}
 	}
 }
 
--- a/internal/admission/quota/quota_test.go
+++ b/internal/admission/quota/quota_test.go
@@ -395,7 +395,7 @@
 		f.advance(2 * time.Second)
 		is.True(f.admit("instance0", 1000))
 		is.True(!f.admit("instance0", 1000))
-		f.ledgers["instance0"].Refund(workspace, 1000)
+		f.ledgers["instance0"].Refund(workspace, 1000, time.Now())
 		is.True(f.admit("instance0", 1000))
 		is.Equal(f.ledgers["instance0"].OwnTotals()[workspace], 1000.0)
 	})
--- a/internal/admission/quota/skew_test.go
+++ b/internal/admission/quota/skew_test.go
@@ -80,7 +80,7 @@
 				case !f.admit(at, "w", 1200):
 					refused++
 				case random.Float64() > 0.1: // refused by another part
-					f.ledgers[at].Refund("w", 1200)
+					f.ledgers[at].Refund("w", 1200, time.Now())
 				}
 			}
 			f.advance(400 + tick)
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -168,9 +168,10 @@
 	if err := j.admit(ctx); err != nil {
 		return err
 	}
+	chargedAt := time.Now()
 	err = j.run(ctx)
 	if !j.mayHaveRun {
-		h.State.WithLock(func(state *SharedState) { state.Ledger.Refund(j.workspace.Name, j.cost) })
+		h.State.WithLock(func(state *SharedState) { state.Ledger.Refund(j.workspace.Name, j.cost, chargedAt) })
 	}
 	return err
 }
