Count only a debt of a quarter of the burst as over the rate

Cause: without a verdict an instance kept to its share for 4 s after its estimate had been in debt at all. A workspace within its rate is in a small debt at times, also while its bucket begins to fill. Found by reading the change; no test or run showed a refusal by it.

Change: the estimate counts from a debt of a quarter of the burst on; verdicts count as before.

Result: TestUnansweredChargesRefuseNobodyWithinTheRate, eight cases: nobody is refused, before and after.

--- a/internal/admission/quota/unanswered.go
+++ b/internal/admission/quota/unanswered.go
@@ -15,6 +15,10 @@
 // the time that totals take in a busy fleet, so that the debt has reached every estimate.
 const overRateWindow = 4 * time.Second
 
+// overRateDebt is the debt of an estimate, as a part of the burst, from which on the workspace counts as over its rate. A
+// workspace within its rate has a smaller one at times, also when its bucket has just begun to fill.
+const overRateDebt = 0.25
+
 // unansweredShare is what an instance may still admit of its share of a workspace's rate. It is negative after a request
 // that costs more than the share had gained.
 type unansweredShare struct {
@@ -31,8 +35,8 @@
 }
 
 // wasOverRate reports whether the workspace was over its rate a moment ago, by a verdict or by this estimate.
-func (b *bucket) wasOverRate(now time.Time) bool {
-	if b.level <= 0 && b.overRateAt.Before(now) {
+func (b *bucket) wasOverRate(now time.Time, limit Limit) bool {
+	if b.level <= -overRateDebt*limit.Burst && b.overRateAt.Before(now) {
 		b.overRateAt = now
 	}
 	return !b.overRateAt.IsZero() && now.Sub(b.overRateAt) <= overRateWindow
@@ -41,7 +45,7 @@
 // admitUnanswered decides about a request for which the coordinator gave no verdict.
 func (l *Ledger) admitUnanswered(now time.Time, workspace string, cost float64) Decision {
 	b := l.buckets[workspace]
-	if !b.wasOverRate(now) {
+	if !b.wasOverRate(now, l.limits[workspace]) {
 		b.share = unansweredShare{}
 		return l.admitEstimated(now, workspace, cost)
 	}
--- a/internal/admission/quota/unanswered_test.go
+++ b/internal/admission/quota/unanswered_test.go
@@ -124,3 +124,39 @@
 		})
 	}
 }
+
+// Guards against refusals within the rate where half of the charges get no answer, in normal use and right after all
+// buckets have begun to fill: a small debt is no sign that the workspace is over its rate.
+func TestUnansweredChargesRefuseNobodyWithinTheRate(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		instances int
+		rate, use float64
+		// filling: the requests begin when the buckets do.
+		filling bool
+	}{
+		{66, 10_000, 0.5, false},
+		{66, 10_000, 0.5, true},
+		{195, 30_000, 0.5, false},
+		{195, 30_000, 0.5, true},
+		{66, 100_000, 0.8, false},
+		{66, 100_000, 0.8, true},
+		{195, 200_000, 0.8, false},
+		{195, 200_000, 0.8, true},
+	} {
+		t.Run(fmt.Sprintf("%d instances, %.1f of %.0f a second, filling %t", c.instances, c.use, c.rate, c.filling), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(31, 32))
+				f := newFloodedFleet(c.instances, map[string]quota.Limit{"w": {Rate: c.rate, Burst: c.rate}}, 700*time.Millisecond, time.Second)
+				if !c.filling {
+					f = newCoordinatedFleet(c.instances, c.rate, 700*time.Millisecond)
+				}
+				f.coordinated = true
+				f.unanswered = newUnansweredCharges(0.5)
+				is.Equal(f.sendRandomly(random, c.use*c.rate, 2000, func() int { return random.IntN(c.instances) }), 0)
+			})
+		})
+	}
+}
