--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,6 +17,7 @@
 	"unframed-stream": unframedStream,
 	"unframed-body":   unframedBody,
 	"stale":           stale,
+	"versions":        versions,
 	"path":            path,
 	// These are no cases of the review, see REPORT.md.
 	"crash":    crash,
@@ -40,6 +41,11 @@
 	note("with the disruption: %v", disrupted())
 	outcome := run()
 	note("%s", map[verdict]string{ruleHeld: "the rule held", ruleBroken: "the rule was broken", couldNotRun: "the case could not run"}[outcome])
+	if os.Getenv("LOGS") != "" {
+		for _, b := range everyBed {
+			_ = os.CopyFS(os.Getenv("LOGS"), os.DirFS(b.directory))
+		}
+	}
 	cleanUp()
 	os.Exit(int(outcome))
 }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -24,13 +24,19 @@
 // whether the connection goes on.
 type runner struct {
 	id, service, zone, address string
-	slots                      int
-	born                       int64
-	run                        func(c *runnerConnection, r *http.Request, body []byte) bool
+	// version is that of the runner's software.
+	version string
+	slots   int
+	born    int64
+	run     func(c *runnerConnection, r *http.Request, body []byte) bool
 	// models lists what the runner holds, for its entry and its report; nil for a runner without models.
 	models func() []any
 
+	listener net.Listener
+	gone     chan struct{}
+
 	mutex    sync.Mutex
+	open     []net.Conn
 	sequence int
 	ran      map[string]int
 }
@@ -45,7 +51,7 @@
 	must(err)
 	r := &runner{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, run: run, born: time.Now().UnixMilli(),
-		ran: map[string]int{},
+		ran: map[string]int{}, version: "v1", listener: listener, gone: make(chan struct{}),
 	}
 	go func() {
 		for {
@@ -53,18 +59,42 @@
 			if err != nil {
 				return
 			}
+			r.mutex.Lock()
+			r.open = append(r.open, connection)
+			r.mutex.Unlock()
 			go r.serve(connection)
 		}
 	}()
 	return r
 }
 
+// exit ends the runner: it listens no more, and all its connections are closed.
+func (r *runner) exit() {
+	r.listener.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, connection := range r.open {
+		connection.Close()
+	}
+}
+
+// unregister ends the heartbeats and removes the entry, as for a runner that leaves without a word and goes on serving for a time.
+func (r *runner) unregister(s *store) {
+	close(r.gone)
+	s.remove("servers/" + r.id)
+}
+
 // register writes the runner's entry now and with each heartbeat.
 func (r *runner) register(s *store) {
 	s.put("servers/"+r.id, r.entry())
 	go func() {
-		for range time.Tick(heartbeat) {
-			s.put("servers/"+r.id, r.entry())
+		for {
+			select {
+			case <-r.gone:
+				return
+			case <-time.After(heartbeat):
+				s.put("servers/"+r.id, r.entry())
+			}
 		}
 	}()
 }
@@ -77,7 +107,7 @@
 		models = r.models()
 	}
 	return map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
 		"cold-remaining-ms": 0, "sequence": r.sequence, "born": r.born, "models": models,
 	}
 }
