--- a/review/stand/unlisted.go
+++ b/review/stand/unlisted.go
@@ -54,8 +54,7 @@
 		return false
 	}
 	var tokens [100]atomic.Int64
-	var app *runner
-	app = newRunner("app-1", "coop-app", "kgn", 64, func(c *runnerConnection, r *http.Request, _ []byte) bool {
+	app := newRunner("app-1", "coop-app", "kgn", 64, func(c *runnerConnection, r *http.Request, _ []byte) bool {
 		tokens[min(int(time.Since(started).Seconds()), len(tokens)-1)].Add(unlistedCost)
 		return c.answer(r, 200, "X-Server-Stamp: s\r\n", "ok")
 	})
