--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"crash":    crash,
 	"unlisted": unlisted,
 	"encoded":  encoded,
+	"taken-up": takenUp,
 }
 
 func main() {
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -62,6 +62,8 @@
 type heldStream struct {
 	versions []string
 	last     string
+	// leaves is when the client's connection breaks, unless it is zero.
+	leaves time.Time
 }
 
 // send sends one attempt and adds the whole events that come to the stream. It reports whether the stream is complete, and when the client
@@ -78,7 +80,11 @@
 	}
 	note("client: sends request %s to %s: %s, last event %q", id, m.name, target, t.last)
 	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: lines.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: 2\r\n\r\n{}", target, id, left.Milliseconds(), header)
-	_ = connection.SetReadDeadline(time.Now().Add(left))
+	until := time.Now().Add(left)
+	if !t.leaves.IsZero() {
+		until = t.leaves
+	}
+	_ = connection.SetReadDeadline(until)
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		note("client: request %s: %v", id, err)
