Log responses that begin without a length or chunks

An incident's record has no line of a request whose process ended under it, so that its loss and its framing cannot be told from the log. A line is written now when such a response begins, and a planned stop that runs out of time says how many of the requests it cuts have one.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -332,7 +332,8 @@
 	n.backlogs.Await(shutdownCtx) // last, because slow callers may take all the time that is left
 	pause.For(tasksCtx, responseFlushDelay)
 	if err != nil {
-		n.Log.Warn().Err(err).Msg("StoppedWithRequestsRunning")
+		running, unframed := n.handler.Running()
+		n.Log.Warn().Err(err).Int64("Running", running).Int64("Unframed", unframed).Msg("StoppedWithRequestsRunning")
 	}
 	return nil
 }
--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -21,9 +21,25 @@
 	}
 	framed := header.Get("Content-Length") != "" || j.acceptsChunks && response.Framing != forward.FramingClose
 	j.endsWithConnection = !framed
+	if j.endsWithConnection {
+		j.beginUnframed(response)
+	}
 	j.writer.WriteHeader(response.Status)
 }
 
+// beginUnframed records a response that ends with its connection. If this process ends before the response does, this line is the
+// only one about it.
+func (j *job) beginUnframed(response *forward.Response) {
+	j.handler.unframed.Add(1)
+	j.step("unframed").Str("Framing", string(response.Framing)).Bool("CallerTakesChunks", j.acceptsChunks).Msg("Decision")
+}
+
+func (j *job) endUnframed() {
+	if j.endsWithConnection {
+		j.handler.unframed.Add(-1)
+	}
+}
+
 // abort ends a started response that cannot be completed, so that it does not look complete. If it ends with its
 // connection, the connection has to be reset.
 func (j *job) abort() {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -107,8 +107,14 @@
 
 	draining atomic.Bool
 	refusing atomic.Bool
+	running  atomic.Int64
+	unframed atomic.Int64
 }
 
+// Running returns the number of requests that run, and how many of them have a response in progress that ends with its
+// connection.
+func (h *Handler) Running() (requests, unframed int64) { return h.running.Load(), h.unframed.Load() }
+
 // StartDraining adds Connection: close to all further responses, so that callers move to another connection.
 func (h *Handler) StartDraining() { h.draining.Store(true) }
 
@@ -122,6 +128,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{handler: h, writer: w, caller: r.Context(), startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
 	defer j.releaseMemory()
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	defer j.endUnframed()
 	j.setDeadlines(maxRequestTime)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
