Have unframed responses reset whatever ends their process

A caller got the beginning of a stream or body with status 200 and a regular end. A response without a length or chunks ends with its connection, and the kernel closes the connections of an ended process in order: after SIGKILL, after a planned stop that ran out of time, after a panic. abort() reset such a connection only while the process ran, and a backlog that gave a stalled caller up closed it in order as well.

The connection gets a linger time of 0 when such a response begins, so that closing it by anyone resets it. It is set back once the response is whole; with a backlog, once its last byte is at the kernel.

--- a/internal/entry/node/caller_connections.go
+++ b/internal/entry/node/caller_connections.go
@@ -2,13 +2,14 @@
 
 import (
 	"container/list"
-	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 )
 
 // caller_connections.go closes connections that callers keep and do not use, before this process has no file left. Without one it
@@ -67,14 +68,6 @@
 	return int(min(limit.Cur, 1<<20)) // unlimited is a number that int may not hold
 }
 
-// connectionKey is the key of a request's connection in its context.
-type connectionKey struct{}
-
-// withConnection is called by the server for each connection.
-func (*callerConnections) withConnection(ctx context.Context, connection net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, connection)
-}
-
 // setState is called by the server when the state of a connection changes: before the handler of a request, and after it.
 func (c *callerConnections) setState(connection net.Conn, state http.ConnState) {
 	for _, unused := range c.track(time.Now(), connection, state) {
@@ -122,8 +115,7 @@
 // and its caller cannot get a response: an upstream would run it in vain.
 func (c *callerConnections) serve(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		connection, _ := r.Context().Value(connectionKey{}).(net.Conn)
-		if c.isClosing(connection) {
+		if c.isClosing(serve.ConnectionOf(r.Context())) {
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/entry/node/caller_connections_test.go
+++ b/internal/entry/node/caller_connections_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/serve"
 )
 
 // connectionServer is a server of callers with some files.
@@ -21,7 +23,7 @@
 	connections.minUnused = 0
 	server := httptest.NewUnstartedServer(connections.serve(handler))
 	server.Config.ConnState = connections.setState
-	server.Config.ConnContext = connections.withConnection
+	server.Config.ConnContext = serve.WithConnection
 	server.Start()
 	t.Cleanup(server.Close)
 	return server, connections
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -199,7 +199,7 @@
 	n.callers = &http.Server{
 		Handler:           connections.serve(n.handler),
 		ConnState:         connections.setState,
-		ConnContext:       connections.withConnection,
+		ConnContext:       serve.WithConnection,
 		ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout,
 		IdleTimeout:       n.Settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    int(n.Settings.Callers.HeaderBytes),
--- a/internal/gateway/backlog/connection.go
+++ b/internal/gateway/backlog/connection.go
@@ -33,6 +33,10 @@
 	err     error
 	// ending: the end is to be sent after the queue. dropped: the connection was closed with what it had queued.
 	ending, dropped bool
+	// resets: closing drops what is queued and resets the connection. linger, if set, is the linger time that the socket gets
+	// after the queue: until then the response is not whole at the kernel either, and is reset if the process ends.
+	resets bool
+	linger *int
 	// closed: the connection is to be closed after the queue. It is set with the lock held.
 	closed atomic.Bool
 	// changed gets a value when a write that waits for room should look again.
@@ -143,6 +147,7 @@
 	defer c.backlogs.add(-1)
 	c.endDraining()
 	ending, closed, failed := c.ending, c.closed.Load(), c.err
+	c.applyLinger()
 	c.mutex.Unlock()
 	switch {
 	case failed != nil:
@@ -250,14 +255,29 @@
 // SetDeadline sets the deadline of reads.
 func (c *connection) SetDeadline(at time.Time) error { return c.SetReadDeadline(at) }
 
-// SetLinger sets what closing does with data that was not acknowledged. If that is to be dropped, so is what is queued.
+// SetLinger sets what closing does with data that was not acknowledged. If that is to be dropped, so is what is queued; if not,
+// the socket gets its linger time once all that is queued was written.
 func (c *connection) SetLinger(seconds int) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.dropped = seconds == 0
+	c.resets = seconds == 0
+	c.linger = nil
+	if c.draining && !c.resets {
+		c.linger = &seconds
+		return nil
+	}
 	return c.socketConnection.SetLinger(seconds)
 }
 
+// applyLinger sets the linger time that waited for the queue. The lock is held.
+func (c *connection) applyLinger() {
+	if c.linger == nil || c.err != nil {
+		return
+	}
+	_ = c.socketConnection.SetLinger(*c.linger) // fails if the connection is broken
+	c.linger = nil
+}
+
 // CloseWrite sends the end after what is queued.
 func (c *connection) CloseWrite() error {
 	c.mutex.Lock()
@@ -276,6 +296,7 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
+	c.dropped = c.resets
 	if !c.draining && (c.dropped || c.err != nil || !c.hasUnread()) {
 		return c.socketConnection.Close()
 	}
--- a/internal/gateway/serve/caller_response.go
+++ b/internal/gateway/serve/caller_response.go
@@ -27,9 +27,10 @@
 	j.writer.WriteHeader(response.Status)
 }
 
-// beginUnframed records a response that ends with its connection. If this process ends before the response does, this line is the
+// beginUnframed prepares and records a response that ends with its connection. If this process ends before the response does, this line is the
 // only one about it.
 func (j *job) beginUnframed(response *forward.Response) {
+	j.resetUntilWhole()
 	j.handler.unframed.Add(1)
 	j.step("unframed").Str("Framing", string(response.Framing)).Bool("CallerTakesChunks", j.acceptsChunks).Msg("Decision")
 }
@@ -50,14 +51,10 @@
 }
 
 func (j *job) resetConnection() {
-	connection, _, err := http.NewResponseController(j.writer).Hijack()
-	if err != nil {
-		return // the connection is broken already
-	}
-	if tcp, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(0) // closing resets the connection then
+	if connection := j.hijack(); connection != nil {
+		setLinger(connection, resetsOnClose)
+		_ = connection.Close()
 	}
-	_ = connection.Close()
 }
 
 // lingerTime is how long the end of a response is awaited at the caller: until it has closed the connection.
@@ -65,17 +62,19 @@
 
 // closeInOrder ends a complete response that ends with its connection. Closing a connection resets it if the caller has sent
 // bytes that were not read, such as its next request, and a response that ends with a reset counts as broken. So the end is
-// sent first, and what the caller still sends is read and dropped.
+// sent first, and what the caller still sends is read and dropped. Only here is the response whole, so that closing the
+// connection may no longer reset it.
 func (j *job) closeInOrder() {
 	control := http.NewResponseController(j.writer)
 	if err := control.Flush(); err != nil {
 		return // the connection is broken already
 	}
-	connection, _, err := control.Hijack()
-	if err != nil {
+	connection := j.hijack()
+	if connection == nil {
 		return
 	}
 	defer connection.Close()
+	setLinger(connection, sendsOnClose)
 	tcp, ok := connection.(interface{ CloseWrite() error })
 	if !ok || tcp.CloseWrite() != nil || connection.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
