Log how long an older version may still be begun; show that waits do not count

Requests began on an older version of their adapter 5.3 s after a newer one was acknowledged, where 5 s are allowed: they were sent 2.5 and 2.7 s after it, and waited at their engine. The line of an attempt at an older version now has what is left of its time at the send.

--- a/internal/entry/node/replicas.go
+++ b/internal/entry/node/replicas.go
@@ -73,7 +73,7 @@
 	needed, known := 0, 0
 	for _, popular := range n.popularAdapters(now) {
 		order := replicaOrder{node: n, demand: popular}
-		if newest, required := n.NewestVersion(popular.Key.Adapter); required {
+		if newest, olderUntil := n.NewestVersion(popular.Key.Adapter); now.After(olderUntil) {
 			order.version = newest
 		}
 		n.sharedState.WithLock(func(state *serve.SharedState) { order.plan = state.Pool.PlanReplicas(now, order.replicaDemand()) })
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -64,13 +64,13 @@
 // Table returns the configuration in force, or nil if none has been received.
 func (n *Node) Table() *traffic.Table { return n.view.table.Load() }
 
-// NewestVersion returns the newest declared version of an adapter.
-func (n *Node) NewestVersion(adapter traffic.Adapter) (version int64, required bool) {
+// NewestVersion returns the newest declared version of an adapter, and until when requests may begin to run on an older one.
+func (n *Node) NewestVersion(adapter traffic.Adapter) (version int64, olderUntil time.Time) {
 	v := &n.view
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	known := v.newest[adapter]
-	return known.version, known.version > 0 && time.Since(known.since) > versionRequiredAfter
+	return known.version, known.since.Add(versionRequiredAfter)
 }
 
 // liveHolders returns the instance that holds each upstream, if that instance is in the roster. The returned map is
--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -353,7 +353,7 @@
 // log writes the line of the attempt: what decided, and how it ended.
 func (a *attempt) log(outcome result, err error) {
 	choice := a.placement.choice
-	a.job.logEnd(a.received.logLimit(a.job.step("sent"))).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
+	a.placement.logVersion(a.began, a.job.logEnd(a.received.logLimit(a.job.step("sent")))).Str("Upstream", choice.Upstream.ID).Str("Software", choice.Upstream.Software).
 		Str("Outcome", string(outcome)).Err(err).
 		Str("Framing", string(a.received.framing)).Int("TailBytes", a.received.tail).
 		Int64("RetryAfterMillis", a.received.info.RetryAfter.Milliseconds()).Bool("Leaving", a.received.info.Leaving).
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -48,7 +48,7 @@
 // choose picks an upstream, from the candidates if any are given. While an attempt is in flight at a silent upstream, it picks
 // none that is silent as well.
 func (j *job) choose(candidates []string) (choice pool.Choice, query pool.Query, err error) {
-	newest, required := j.handler.Fleet.NewestVersion(j.call.Generation.Adapter)
+	newest, olderUntil := j.handler.Fleet.NewestVersion(j.call.Generation.Adapter)
 	query = pool.Query{
 		Service:    j.service,
 		Adapter:    j.call.Generation.Adapter,
@@ -61,8 +61,11 @@
 
 		OnTime:    time.Until(j.startedAt.Add(j.route.Objective)),
 		Objective: j.route.Objective,
+
+		Newest:     newest,
+		OlderUntil: olderUntil,
 	}
-	if required {
+	if time.Now().After(olderUntil) {
 		query.Version = newest
 	}
 	query.Slots = j.slotBounds()
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -37,9 +37,9 @@
 	ConfirmedAge() time.Duration
 	// MayBeStale reports whether changes of the configuration may be missing that operators expect to be in force.
 	MayBeStale() bool
-	// NewestVersion returns the newest declared version of an adapter, 0 if none was declared. If required is set,
-	// requests must not start on an older version any more.
-	NewestVersion(adapter traffic.Adapter) (version int64, required bool)
+	// NewestVersion returns the newest declared version of an adapter, 0 if none was declared, and until when requests may
+	// begin to run on an older one.
+	NewestVersion(adapter traffic.Adapter) (version int64, olderUntil time.Time)
 	// Prepare asks for an adapter to be loaded at an upstream and waits for the result.
 	Prepare(ctx context.Context, request mesh.PrepareRequest) mesh.PrepareResult
 	// QueryHolder asks the holder of an upstream for the loaded adapters and the requests in flight there, for the next
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -125,7 +125,7 @@
 	failureRate := u.failureRate(now)
 	pace := paces.of(now, u)
 	slowdown := pace * u.slowness(now)
-	choice = Choice{Upstream: u.declared, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
+	choice = Choice{Upstream: u.declared, Version: query.Version, Loaded: true, Running: load.Running, Waiting: load.PromptTokens, FailureRate: failureRate, Slowdown: slowdown}
 	choice.Cold = p.isCold(now, u)
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
 	choice.Limited = u.isLimited(now)
--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -37,6 +37,7 @@
 func (p *Pool) loadCost(now time.Time, u *upstream, query Query, homes homes, choice *Choice) (cost loadDelay) {
 	loads := p.loadTimes(u)
 	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
+		choice.Older = known.Version < query.Newest
 		if known.InTransit {
 			choice.Loaded = false
 			cost.wait = scale(remainingLoad, loads.full)
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -60,6 +60,10 @@
 	Adapter traffic.Adapter
 	// Version is the minimum version of the adapter; 0 for any.
 	Version int64
+	// Newest is the newest version of the adapter, 0 if none was declared. While Version is lower, the request may begin to run
+	// on an older one before OlderUntil.
+	Newest     int64
+	OlderUntil time.Time
 	// Software is the only software version of the upstream that may run the request, as it resumes a stream that this
 	// version began; empty for any.
 	Software string
@@ -105,6 +109,10 @@
 	MightNotFit bool
 	// Memory is the question to the holder, zero if none was asked.
 	Memory MemoryRequest
+	// Version is the minimum version of the adapter for the request there; 0 for any.
+	Version int64
+	// Older: the adapter is loaded there in a version that is older than the newest one.
+	Older bool
 	// LoadStale: the load that the holder reported is so old that it is worth asking the holder again before the
 	// request is sent.
 	LoadStale bool
