Count the wait at the engine against the time of an older version

Requests began to run on an older version of their adapter more than 5 s after a newer one was acknowledged. An instance sent requests for any version until 2.5 s after it had learnt of the newer one, however long their engine was expected to have them wait; a request that waited for its prefill turn kept what it had been allowed at the choice.

The choice now requires the newest version at each upstream where the request is expected to begin to run after that time, the wait for memory included, and the time is checked again at the send. Such a request is not lost: it has the newest version loaded there, or runs elsewhere.

--- a/internal/gateway/serve/attempt.go
+++ b/internal/gateway/serve/attempt.go
@@ -102,19 +102,22 @@
 func (j *job) begin(ctx context.Context, chosen placement) *attempt {
 	now := time.Now()
 	upstream := chosen.choice.Upstream
+	tooOld := chosen.isTooOld(now)
 	a := &attempt{job: j, placement: chosen, requestCtx: ctx, began: now, splitter: stream.Splitter{Limit: maxEventBytes}}
 	a.standby.attempt = a
 	j.attempts++
 	j.handler.State.WithLock(func(state *SharedState) {
 		unadmitted := state.Pool.IsLimited(now, upstream) && !chosen.choice.Limited
-		if state.Pool.IsChoiceValid(now, upstream) && !unadmitted && state.Pool.MayUseMemory(now, chosen.choice, chosen.query) {
+		if state.Pool.IsChoiceValid(now, upstream) && !tooOld && !unadmitted && state.Pool.MayUseMemory(now, chosen.choice, chosen.query) {
 			a.counted = state.Pool.Begin(now, chosen.choice, chosen.query)
 		}
 	})
 	if a.counted == nil {
 		j.giveUpMemory(chosen.choice)
 		j.retryTaken = j.isRetry() // the retry that was taken was not made
-		j.declined = append(j.declined, upstream.ID)
+		if !tooOld {               // otherwise it can load the newest version
+			j.declined = append(j.declined, upstream.ID)
+		}
 		j.endedBy = ""
 		a.log(resultWithdrawn, nil)
 		return nil
--- a/internal/gateway/serve/placement.go
+++ b/internal/gateway/serve/placement.go
@@ -65,14 +65,12 @@
 		Newest:     newest,
 		OlderUntil: olderUntil,
 	}
-	if time.Now().After(olderUntil) {
-		query.Version = newest
-	}
 	query.Slots = j.slotBounds()
 	if len(j.inFlight) > 0 {
 		query.MaxSilence = alternativeSilence
 	}
 	j.handler.State.WithLock(func(state *SharedState) { choice, err = state.Pool.Choose(time.Now(), query) })
+	query.Version = choice.Version
 	return choice, query, err
 }
 
@@ -113,7 +111,7 @@
 	if choice.MightNotFit {
 		j.askMemory(chosen)
 	}
-	ready := j.prepare(ctx, *chosen)
+	ready := j.prepare(ctx, chosen)
 	if !ready {
 		j.giveUpMemory(chosen.choice)
 	}
@@ -121,7 +119,7 @@
 }
 
 // prepare asks the holder of the chosen upstream for the adapter, and for a prefill turn if prompts take turns.
-func (j *job) prepare(ctx context.Context, chosen placement) bool {
+func (j *job) prepare(ctx context.Context, chosen *placement) bool {
 	choice, query := chosen.choice, chosen.query
 	tokens := 0
 	if chosen.inTurn {
@@ -134,7 +132,7 @@
 		demanded = state.demandFor(start, j.demandKey())
 		limits = state.Pool.Limits(start, func(upstream string) bool { return upstream == choice.Upstream.ID })
 	})
-	waiting := j.beginPreparing(chosen)
+	waiting := j.beginPreparing(*chosen)
 	ctx, cancel := j.boundAnswer(ctx, choice)
 	defer cancel()
 	prepared := j.handler.Fleet.Prepare(ctx, mesh.PrepareRequest{
@@ -160,6 +158,7 @@
 	if busy, refused := prepared.(mesh.Busy); refused {
 		j.recordBusy(choice, busy)
 	}
+	chosen.recordVersion(prepared)
 	return j.confirm(choice, query, prepared)
 }
 
--- a/internal/placement/pool/choose.go
+++ b/internal/placement/pool/choose.go
@@ -130,18 +130,15 @@
 	choice.Brittle = p.Brittleness(now, u.declared.Service).Brittle
 	choice.Limited = u.isLimited(now)
 	choice.MightNotFit = p.Settings.BoundMemory && p.mightNotFit(now, u, query, load)
-	engine := p.engines[u.declared.Service]
 	choice.LoadStale = p.isLoadStale(now, u)
 	choice.Expected = scale(slowdown, p.typicalTime(u, query, load))
 	choice.ExpectedIdle = scale(slowdown, p.typicalTime(u, query, Load{}))
 	choice.weighed = scale(u.explorationFactor(now), choice.Expected) + scale(pace, p.occupancyCost(u, query, load))
 	total = choice.weighed
 	if p.isGeneration(query) {
-		cost := p.loadCost(now, u, query, homes, &choice)
-		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait)
-		if engine.MemoryTokens > 0 && load.MemoryTokens+query.Tokens+query.Output > engine.MemoryTokens {
-			total += scale(slowdown, p.statsOf(query.Service).engine.PrefillTime(load.MemoryTokens))
-		}
+		memoryWait := scale(slowdown, p.memoryWait(query, load))
+		cost := p.loadCost(now, u, query, homes, memoryWait, &choice)
+		total += cost.wait + cost.charge + query.lateness(choice.Expected+cost.wait) + memoryWait
 	}
 	total += time.Duration(failureRate * float64(failureCost))
 	if u.declared.DataCentre != p.Settings.DataCentre {
@@ -159,6 +156,15 @@
 	return choice, total
 }
 
+// memoryWait is the wait for the memory of an engine that has no room for the request.
+func (p *Pool) memoryWait(query Query, load Load) time.Duration {
+	total := p.engines[query.Service].MemoryTokens
+	if total <= 0 || load.MemoryTokens+query.Tokens+query.Output <= total {
+		return 0
+	}
+	return p.statsOf(query.Service).engine.PrefillTime(load.MemoryTokens)
+}
+
 // occupancyCost is the cost of the slots in use at an upstream: where all are, as much as an idle upstream takes to respond,
 // at an engine to an empty prompt.
 //
--- a/internal/placement/pool/load_cost.go
+++ b/internal/placement/pool/load_cost.go
@@ -32,11 +32,20 @@
 	charge time.Duration
 }
 
+// versionAfter returns the minimum version of the adapter for a request that begins to run after a wait.
+func (q Query) versionAfter(now time.Time, wait time.Duration) int64 {
+	if q.Newest > q.Version && !now.Add(wait).Before(q.OlderUntil) {
+		return q.Newest
+	}
+	return q.Version
+}
+
 // loadCost returns the wait for the adapter of a query and the cost of loading it to others, and completes the
-// choice.
-func (p *Pool) loadCost(now time.Time, u *upstream, query Query, homes homes, choice *Choice) (cost loadDelay) {
+// choice. The request waits for memory before it begins to run.
+func (p *Pool) loadCost(now time.Time, u *upstream, query Query, homes homes, memoryWait time.Duration, choice *Choice) (cost loadDelay) {
 	loads := p.loadTimes(u)
-	if known, found := u.resident[query.Adapter]; found && known.Version >= query.Version {
+	choice.Version = query.versionAfter(now, choice.Expected+memoryWait)
+	if known, found := u.resident[query.Adapter]; found && known.Version >= choice.Version {
 		choice.Older = known.Version < query.Newest
 		if known.InTransit {
 			choice.Loaded = false
@@ -49,7 +58,7 @@
 	choice.SlotWait = u.slotWaitFor(now, query)
 	cost.wait = choice.SlotWait + scale(pendingLoadCost*float64(u.preparing), loads.full)
 	cost.charge = scale(evictionCost, loads.reload)
-	if u.recent.has(query.Adapter, query.Version) {
+	if u.recent.has(query.Adapter, choice.Version) {
 		cost.wait += loads.reload
 	} else {
 		cost.wait += loads.full
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -90,7 +90,7 @@
 	Upstream traffic.Upstream
 	// Loaded: the adapter is loaded there in a sufficient version. If not, it has to be prepared first.
 	Loaded bool
-	// Expected is the time until the first event or the response.
+	// Expected is the time until the first event or the response, without a wait for memory.
 	Expected time.Duration
 	// ExpectedIdle is the same for an upstream with nothing in flight.
 	ExpectedIdle time.Duration
