Have an instance restore its entry in the list of instances

An instance whose entry is gone is counted by nobody until it is restarted: the upstreams that it holds have no live holder, and each such instance admits the whole rate of a workspace. The write of the entry had no answer and was repeated under a new lease, so that the store could carry the first one out late, bound to a lease that nobody renews; a write of an earlier life could be as late; and nothing noticed that the entry was gone.

A write without an answer is now repeated under the same lease, and an instance that has no entry of its present life, by a current view, writes it again (EntryLost). TestInstanceReturnsToTheListByItself: all three instances were out of the list for good in each of its cases before, and are back within 6 s now.

--- a/internal/entry/node/lease.go
+++ b/internal/entry/node/lease.go
@@ -22,6 +22,8 @@
 	renewInterval = time.Second
 	// leaseRetryPause is the pause after a failure.
 	leaseRetryPause = 250 * time.Millisecond
+	// entryViewDelay is how long a write of this instance may take to appear in its own view of the store.
+	entryViewDelay = 3 * time.Second
 )
 
 // lease is safe for concurrent use.
@@ -36,6 +38,12 @@
 	// is the total suspended time when the lease was granted or renewed.
 	expires         time.Time
 	suspendedBefore time.Duration
+
+	// unbound is a granted lease to which the entry of the instance may or may not be bound: the write was not acknowledged.
+	// It is used again, because the store may carry the write out late. Only runLease uses it and writtenAt, which is when the
+	// entry was last written.
+	unbound   int64
+	writtenAt time.Time
 }
 
 // current returns the lease if it is certain not to have expired.
@@ -104,7 +112,7 @@
 		err := n.Store.Renew(ctx, id)
 		if err == nil {
 			n.lease.set(id, start)
-			return nil
+			return n.restoreEntry(ctx, id)
 		}
 		if !errors.Is(err, coordination.ErrLeaseEnded) {
 			return err
@@ -117,10 +125,33 @@
 
 // register acquires a lease and adds the instance to the roster.
 func (n *Node) register(ctx context.Context, start callStart) error {
-	id, err := n.Store.Grant(ctx, leaseTTL)
+	id, err := n.acquire(ctx)
 	if err != nil {
 		return err
 	}
+	n.lease.unbound = id
+	if err := n.writeEntry(ctx, id); err != nil {
+		return err
+	}
+	n.lease.unbound = 0
+	n.lease.set(id, start)
+	n.Log.Info().Int64("Lease", id).Msg("Joined")
+	return nil
+}
+
+// acquire returns the lease of the last attempt to register, or a new one if that has ended.
+func (n *Node) acquire(ctx context.Context) (id int64, err error) {
+	if n.lease.unbound != 0 {
+		err := n.Store.Renew(ctx, n.lease.unbound)
+		if !errors.Is(err, coordination.ErrLeaseEnded) {
+			return n.lease.unbound, err
+		}
+	}
+	return n.Store.Grant(ctx, leaseTTL)
+}
+
+// writeEntry writes the entry of the instance, bound to a lease.
+func (n *Node) writeEntry(ctx context.Context, id int64) error {
 	value, err := roster.EncodeInstance(n.self)
 	if err != nil {
 		return err
@@ -128,12 +159,32 @@
 	_, err = n.Store.Commit(ctx, coordination.Transaction{
 		Writes: []coordination.Write{{Key: roster.InstanceKey(n.self.Name), Value: value, Lease: id}},
 	})
-	if err != nil {
-		return err
+	if err == nil {
+		n.lease.writtenAt = time.Now()
 	}
-	n.lease.set(id, start)
-	n.Log.Info().Int64("Lease", id).Msg("Joined")
-	return nil
+	return err
+}
+
+// restoreEntry writes the entry of the instance again if the store has lost it or has that of an earlier life. A write of an earlier
+// life, or one without an answer, can be carried out late and bind the entry to a lease that nobody renews.
+func (n *Node) restoreEntry(ctx context.Context, id int64) (err error) {
+	defer func() { err = errors.WithMessage(err, "restore the entry") }()
+	if !n.isEntryLost(time.Now()) {
+		return nil
+	}
+	n.Log.Warn().Int64("Lease", id).Msg("EntryLost")
+	return n.writeEntry(ctx, id)
+}
+
+// isEntryLost reports whether the store, as far as this instance knows, has no entry of this life of the instance.
+func (n *Node) isEntryLost(now time.Time) bool {
+	n.view.mutex.Lock()
+	own, listed := n.view.roster.Instance(n.self.Name)
+	n.view.mutex.Unlock()
+	if listed && own.Incarnation == n.self.Incarnation {
+		return false
+	}
+	return now.Sub(n.lease.writtenAt) > entryViewDelay && n.isViewCurrent()
 }
 
 // revokeLease removes the instance from the roster immediately, so that other instances claim its upstreams without
