Send a path that begins with two slashes unchanged

An upstream got POST http://order/17 for a caller's POST //order/17, so another host and path: net/http writes an opaque URL that begins with two slashes in absolute form. Such a target is now sent as a path, and not at all if that would change it.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,9 +119,13 @@
 func (c *Client) Do(
 	ctx context.Context, upstream traffic.Upstream, outgoing call.Call, attempt call.Attempt, newConnection bool,
 ) (result *Response, err error) {
+	target, err := targetURL(upstream.Address, outgoing.Target)
+	if err != nil {
+		return nil, err
+	}
 	request := &http.Request{
 		Method:        outgoing.Method,
-		URL:           &url.URL{Scheme: "http", Host: upstream.Address, Opaque: outgoing.Target},
+		URL:           target,
 		Host:          outgoing.Host,
 		Header:        c.Dialect.RequestHeader(outgoing, attempt),
 		ContentLength: int64(len(outgoing.Body)),
@@ -157,6 +162,24 @@
 	return result, nil
 }
 
+// targetURL returns the URL with which net/http sends the given request target unchanged. It would send an opaque one that begins with
+// two slashes in absolute form, which names another host and path.
+func targetURL(address, target string) (*url.URL, error) {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}, nil
+	}
+	raw, query, hasQuery := strings.Cut(target, "?")
+	path, err := url.PathUnescape(raw)
+	if err != nil {
+		return nil, errors.WithMessage(ErrNotConnected, err.Error())
+	}
+	result := &url.URL{Scheme: "http", Host: address, Path: path, RawPath: raw, RawQuery: query, ForceQuery: hasQuery}
+	if result.RequestURI() != target {
+		return nil, errors.WithMessage(ErrNotConnected, "the path cannot be sent unchanged")
+	}
+	return result, nil
+}
+
 // check rejects a response that does not belong to this call. A late second response to an earlier call can arrive
 // where this call's response is expected, and the caller would get the response of another caller.
 func (c *Client) check(outgoing call.Call, response *Response) error {
