Drop a metric that cannot be registered in place of ending the process

The counter memory_refusals had the label kind in one place and cause in two, and the metrics library panics at the second set: a holder with bounded memory ended. As a class: a metric that cannot be registered is dropped and counted in unregistered_metrics. No other counter has two sets of labels within a program.

--- a/internal/entry/node/held_room.go
+++ b/internal/entry/node/held_room.go
@@ -29,7 +29,7 @@
 		}
 		if time.Now().Add(wait).After(deadline) || !pause.For(ctx, wait) {
 			if full {
-				h.node.scope.Tagged(map[string]string{"cause": "full"}).Counter("memory_refusals").Inc(1)
+				h.node.scope.Tagged(map[string]string{"kind": "full"}).Counter("memory_refusals").Inc(1)
 			}
 			return refused
 		}
--- a/internal/gateway/serve/memory.go
+++ b/internal/gateway/serve/memory.go
@@ -18,7 +18,7 @@
 	if !exceeds {
 		return nil
 	}
-	j.handler.Scope.Tagged(map[string]string{"cause": "oversized"}).Counter("memory_refusals").Inc(1)
+	j.handler.Scope.Tagged(map[string]string{"kind": "oversized"}).Counter("memory_refusals").Inc(1)
 	j.step("oversized").Int("Tokens", query.Tokens).Int("Output", query.Output).Msg("Decision")
 	return refusal.New(refusal.ServiceUnavailable, "the request is larger than the memory of an upstream")
 }
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -23,7 +23,14 @@
 func New(program string) (tally.Scope, http.Handler, io.Closer) {
 	own := registry.NewRegistry()
 	own.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: own, Gatherer: own})
+	unregistered := registry.NewCounter(registry.CounterOpts{
+		Name: program + "_unregistered_metrics", Help: "Metrics that could not be registered, such as one whose name is in use with other labels.",
+	})
+	own.MustRegister(unregistered)
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: own, Gatherer: own,
+		OnRegisterError: func(error) { unregistered.Inc() }, // by default it ends the process
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 program,
 		CachedReporter:         reporter,
--- a/internal/telemetry/metrics/metrics_test.go
+++ b/internal/telemetry/metrics/metrics_test.go
@@ -38,3 +38,15 @@
 		is.New(t).NoErr(closer.Close())
 	}
 }
+
+// Guards against a process that ends because a counter is used with another set of labels than before.
+func TestCounterWithOtherLabelsDoesNotEndTheProcess(t *testing.T) {
+	is := is.New(t)
+	scope, handler, closer := metrics.New("lacewingd")
+	scope.Tagged(map[string]string{"kind": "body"}).Counter("refusals").Inc(1)
+	scope.Tagged(map[string]string{"cause": "full"}).Counter("refusals").Inc(1)
+	is.NoErr(closer.Close())
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.True(strings.Contains(answer.Body.String(), "lacewingd_unregistered_metrics 1"))
+}
