Refuse a target that cannot be sent unchanged before an upstream is chosen

It is refused with 400 now, with nothing tried (TestTargetThatCannotBeSentIsRefusedBeforeAnUpstreamIsChosen).

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -162,6 +162,13 @@
 	return result, nil
 }
 
+// CheckTarget returns an error for a request target that cannot be sent unchanged: one that begins with two slashes and has bytes that
+// are not allowed in a path.
+func CheckTarget(target string) error {
+	_, err := targetURL("", target)
+	return err
+}
+
 // targetURL returns the URL with which net/http sends the given request target unchanged. It would send an opaque one that begins with
 // two slashes in absolute form, which names another host and path.
 func targetURL(address, target string) (*url.URL, error) {
@@ -171,11 +178,11 @@
 	raw, query, hasQuery := strings.Cut(target, "?")
 	path, err := url.PathUnescape(raw)
 	if err != nil {
-		return nil, errors.WithMessage(ErrNotConnected, err.Error())
+		return nil, errors.WithMessage(err, "forward")
 	}
 	result := &url.URL{Scheme: "http", Host: address, Path: path, RawPath: raw, RawQuery: query, ForceQuery: hasQuery}
 	if result.RequestURI() != target {
-		return nil, errors.WithMessage(ErrNotConnected, "the path cannot be sent unchanged")
+		return nil, errors.New("forward: the path cannot be sent unchanged")
 	}
 	return result, nil
 }
--- a/internal/gateway/forward/target_test.go
+++ b/internal/gateway/forward/target_test.go
@@ -26,8 +26,7 @@
 	for _, target := range []string{`//a"b`, "//a%zz"} {
 		t.Run(target, func(t *testing.T) {
 			is := is.New(t)
-			_, err := targetURL("10.0.0.1:80", target)
-			is.True(err != nil)
+			is.True(CheckTarget(target) != nil)
 		})
 	}
 }
--- a/internal/gateway/serve/refusals_test.go
+++ b/internal/gateway/serve/refusals_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -223,3 +226,18 @@
 	is.Equal(<-running, http.StatusOK)
 	is.Equal(h.runs(), 1)
 }
+
+// Guards against a caller whose path cannot be sent unchanged and counts as a failure of each upstream that is tried.
+func TestTargetThatCannotBeSentIsRefusedBeforeAnUpstreamIsChosen(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, served)
+	connection, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = fmt.Fprintf(connection, "POST //once/\"b HTTP/1.0\r\nHost: a.example\r\n%s: id1\r\n%s: %s\r\n\r\n", headerID, headerKey, key)
+	is.NoErr(err)
+	response, err := io.ReadAll(connection)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(response), "HTTP/1.0 400 "))
+	is.Equal(h.runs(), 0)
+}
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -166,6 +166,9 @@
 	if err != nil {
 		return refusal.New(refusal.BadRequest, err.Error())
 	}
+	if err := forward.CheckTarget(j.call.Target); err != nil {
+		return refusal.New(refusal.BadRequest, err.Error())
+	}
 	if err := j.resolve(); err != nil {
 		return err
 	}
