Keep streams at their software when a configuration shortens the timeout

Cause: the lifetime of streams was that of the configuration in force. It bounds the records of origins, the history of versions and the proof of a sole version. With the shorter timeout it fell from 20 s to 6 s for streams that had begun under the longer one as well: their records were dropped, v1 left the history, and v2 was proven.

Evidence: Step=resumed From=proof Software=v2 at the instances, for streams that v1 began; never From=own or From=peer. The new TestStreamStaysWithItsSoftwareAfterAShorterTimeout failed before in both cases (of 12 streams 12 mixed, 0 refused) and has 0 mixed, 12 refused now.

Change: the lifetime is the longest of all configurations under which a stream that may still be resumed can have begun. The record of versions in the store states it, so that an instance that starts after the change has it too. How long a stream may be resumed is settled when it begins, so no later configuration can make its record or the version that began it too old. ConfigurationInForce logs the lifetime.

--- a/internal/entry/node/periodic.go
+++ b/internal/entry/node/periodic.go
@@ -28,6 +28,7 @@
 	for pause.For(ctx, tickInterval) {
 		now := time.Now()
 		n.removeExpired(now)
+		n.updateStreamLifetime(now)
 		n.setLedgerPeers(now)
 		n.closeStaleUpstreamConnections()
 		n.sendUnsentOrigins()
--- a/internal/entry/node/software_records.go
+++ b/internal/entry/node/software_records.go
@@ -56,12 +56,14 @@
 	if item.Removed {
 		revision = 0
 	} else {
-		versions, err := softwarerecord.Decode(item.Key, item.Value)
+		record, err := softwarerecord.Decode(item.Key, item.Value)
 		if err != nil {
 			n.Log.Warn().Err(err).Int64("Revision", item.Revision).Msg("EntryUnreadable")
 		}
-		stored.Versions = versions
+		stored.Versions = record.Versions
+		stored.StreamLifetime = record.StreamLifetime
 	}
+	n.extendStreamLifetime(time.Now(), stored.StreamLifetime)
 	n.softwareRecords.setRevision(service, revision)
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.RecordStoredSoftware(time.Now(), stored) })
 }
@@ -76,7 +78,8 @@
 				continue
 			}
 			err := n.writeSoftwareRecord(ctx, record)
-			n.Log.Info().Str("Service", record.Service).Strs("Versions", record.Versions).Err(err).Msg("SoftwareRecordWritten")
+			n.Log.Info().Str("Service", record.Service).Strs("Versions", record.Versions).
+				Int64("StreamLifetimeMillis", record.StreamLifetime.Milliseconds()).Err(err).Msg("SoftwareRecordWritten")
 			if err != nil {
 				pause.For(ctx, softwareRecordPause)
 			}
@@ -103,7 +106,7 @@
 	defer func() { err = errors.WithMessage(err, "write software record") }()
 	ctx, cancel := context.WithTimeout(ctx, n.current.Load().Platform.StoreTimeout)
 	defer cancel()
-	value, err := softwarerecord.Encode(record.Versions)
+	value, err := softwarerecord.Encode(softwarerecord.Record{Versions: record.Versions, StreamLifetime: record.StreamLifetime})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -213,15 +213,17 @@
 	for _, workspace := range configuration.Workspaces {
 		limits[workspace.Name] = quota.Limit{Rate: workspace.Rate, Burst: workspace.Burst}
 	}
+	now := time.Now()
+	n.origins.setLifetime(now, configuration.StreamLifetime())
+	lifetime := n.updateStreamLifetime(now)
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Configure(configuration.Services)
-		state.Pool.Settings.StreamLifetime = configuration.StreamLifetime()
-		state.Pool.RecordSharedServices(time.Now(), configuration.SharedServices(previous))
-		state.Ledger.SetLimits(time.Now(), limits)
+		state.Pool.RecordSharedServices(now, configuration.SharedServices(previous))
+		state.Ledger.SetLimits(now, limits)
 	})
-	n.origins.setRetention(configuration.StreamLifetime())
 	n.Log.Info().Int64("Version", configuration.Version).Int64("Revision", revision).
 		Int("Routes", len(configuration.Routes)).Int("Workspaces", len(configuration.Workspaces)).
+		Int64("StreamLifetimeMillis", lifetime.Milliseconds()).
 		Str("From", source).Int64("ConfirmedMillis", n.ConfirmedAge().Milliseconds()).
 		Msg("ConfigurationInForce")
 }
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -38,16 +38,50 @@
 
 // streamOrigins is safe for concurrent use.
 type streamOrigins struct {
-	mutex   sync.Mutex
-	records origin.Records
+	mutex     sync.Mutex
+	records   origin.Records
+	lifetimes origin.Lifetimes
 	// senders send records, one for each peer to which some are due.
 	senders map[string]*recordSender
 }
 
-func (o *streamOrigins) setRetention(retention time.Duration) {
+// setLifetime records the lifetime of streams that begin from now on.
+func (o *streamOrigins) setLifetime(now time.Time, lifetime time.Duration) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.records.Retention = retention
+	o.lifetimes.Set(now, lifetime)
+}
+
+// extendLifetime records that streams with a lifetime may have begun until now.
+func (o *streamOrigins) extendLifetime(now time.Time, lifetime time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.lifetimes.Extend(now, lifetime)
+}
+
+// updateRetention keeps records for the longest lifetime of a stream that may still be resumed, and returns it.
+func (o *streamOrigins) updateRetention(now time.Time) time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.records.Retention = o.lifetimes.Longest(now)
+	return o.records.Retention
+}
+
+// updateStreamLifetime bounds by time what may have begun the streams that callers still resume: the records and the
+// history of software versions.
+func (n *Node) updateStreamLifetime(now time.Time) (lifetime time.Duration) {
+	n.sharedState.WithLock(func(state *serve.SharedState) {
+		lifetime = n.origins.updateRetention(now)
+		state.Pool.Settings.StreamLifetime = lifetime
+	})
+	return lifetime
+}
+
+// extendStreamLifetime records that streams with a lifetime may have begun until now, as the record of a service in the store
+// says. An instance that has just started knows only the configuration in force, which may have shortened it.
+func (n *Node) extendStreamLifetime(now time.Time, lifetime time.Duration) {
+	n.origins.extendLifetime(now, lifetime)
+	n.updateStreamLifetime(now)
 }
 
 func (o *streamOrigins) addOwn(now time.Time, stream origin.Stream, began origin.Origin) {
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -171,18 +171,25 @@
 
 // routeTo makes services the targets of the route of streams.
 func (s *streams) routeTo(t *testing.T, version int, services ...string) {
+	t.Helper()
+	s.changeRoute(t, version, func(route *traffic.Route) {
+		route.Targets = nil
+		for _, service := range services {
+			route.Targets = append(route.Targets, traffic.Target{Service: service, Weight: 1})
+		}
+	})
+}
+
+// changeRoute writes a configuration in which the route of streams is changed.
+func (s *streams) changeRoute(t *testing.T, version int, change func(*traffic.Route)) {
 	t.Helper()
 	var declared traffic.Configuration
 	if err := json.Unmarshal([]byte(configuration(version, "/p/")), &declared); err != nil {
 		t.Fatal(err)
 	}
 	for i := range declared.Routes {
-		if declared.Routes[i].Prefix != pathStream {
-			continue
-		}
-		declared.Routes[i].Targets = nil
-		for _, service := range services {
-			declared.Routes[i].Targets = append(declared.Routes[i].Targets, traffic.Target{Service: service, Weight: 1})
+		if declared.Routes[i].Prefix == pathStream {
+			change(&declared.Routes[i])
 		}
 	}
 	s.store.put(keyConfiguration, encoded(declared))
@@ -354,6 +361,56 @@
 	is.Equal([]int{complete, mixed}, []int{streamsEach, 0})
 }
 
+// Guards against a stream that goes on at another software version, because a configuration has shortened the timeout of its
+// route, or made the route's streams no longer resumable for a moment, after the stream began.
+func TestStreamStaysWithItsSoftwareAfterAShorterTimeout(t *testing.T) {
+	const (
+		longTimeout  = 15 * time.Second
+		shortTimeout = 500 * time.Millisecond
+		// forgottenAfter is when a stream that began under the short timeout is forgotten at the latest.
+		forgottenAfter = 2*(shortTimeout+5*time.Second) + 500*time.Millisecond
+	)
+	shorten := func(route *traffic.Route) { route.Timeout = shortTimeout }
+	for _, c := range []struct {
+		name    string
+		changes []func(route *traffic.Route)
+	}{
+		{"shortened", []func(*traffic.Route){shorten}},
+		{"not resumable for a moment, then shortened", []func(*traffic.Route){func(route *traffic.Route) { route.Resumable = false }, shorten}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			upstreams, fleet := startStreaming(t, []string{"v1", "v1"}, "a", "b", "c")
+			apply := func(version int, change func(*traffic.Route)) {
+				upstreams.changeRoute(t, version, change)
+				for _, member := range fleet {
+					eventually(t, 5*time.Second, "the configuration is in force", func() bool {
+						return member.log.hasLine("ConfigurationInForce", fmt.Sprintf(`"Version":%d,`, version))
+					})
+				}
+			}
+			apply(2, func(route *traffic.Route) { route.Timeout = longTimeout })
+			broken := upstreams.begin(t, fleet[0], streamsEach)
+			upstreams.declare(t, "stream2", "v2")
+			for number, change := range c.changes {
+				apply(3+number, change)
+			}
+			upstreams.store.drop(prefixUpstreams + "stream0")
+			upstreams.store.drop(prefixUpstreams + "stream1")
+			for end := time.Now().Add(forgottenAfter); time.Now().Before(end); time.Sleep(shortTimeout) {
+				for _, member := range fleet {
+					upstreams.request(member, taken{}) // records of new streams replace those of older ones
+				}
+			}
+			for _, member := range fleet {
+				_, mixed, refused := upstreams.takeUp(member, broken)
+				is.Equal([]int{mixed, refused}, []int{0, streamsEach})
+			}
+		})
+	}
+}
+
 // Guards against streams that go on nowhere after a rolling restart: their instance stops, and one after the other those
 // that keep their records.
 func TestStreamIsTakenUpAfterARollingRestart(t *testing.T) {
--- a/internal/entry/node/unsent_origins_test.go
+++ b/internal/entry/node/unsent_origins_test.go
@@ -19,7 +19,8 @@
 		is := is.New(t)
 		var suspended time.Duration
 		n := nodeWithoutFenceChecks(&suspended)
-		n.origins.setRetention(time.Minute)
+		n.origins.setLifetime(time.Now(), time.Minute)
+		n.updateStreamLifetime(time.Now())
 		stream := origin.Stream{Workspace: "w", ID: "r"}
 		n.RecordOrigin(stream, origin.Origin{Service: "s", Software: "v1"})
 		n.sendUnsentOrigins()
@@ -34,8 +35,8 @@
 		is := is.New(t)
 		var suspended time.Duration
 		n := nodeWithoutFenceChecks(&suspended)
-		n.origins.setRetention(time.Minute)
-		n.sharedState.Pool.Settings.StreamLifetime = time.Minute
+		n.origins.setLifetime(time.Now(), time.Minute)
+		n.updateStreamLifetime(time.Now())
 		n.sharedState.Pool.Declare(time.Now(), traffic.Upstream{ID: "u", Service: "s", Software: "v1"})
 		time.Sleep(time.Minute) // the store has not confirmed anything for long
 		n.overlay.setMembers(time.Now(), []roster.Instance{{Name: n.self.Name}, {Name: "b"}})
--- a/internal/fleet/softwarerecord/softwarerecord.go
+++ b/internal/fleet/softwarerecord/softwarerecord.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -17,16 +18,31 @@
 // ServiceOf returns the service whose record a key holds.
 func ServiceOf(key string) (service string, ok bool) { return strings.CutPrefix(key, prefix) }
 
-type recordWire struct{ Versions []string }
+// Record is what is kept of a service.
+type Record struct {
+	// Versions are those that may have begun a stream which its caller may still resume. One is empty for upstreams that
+	// state none.
+	Versions []string
+	// StreamLifetime is the longest time from the first event of such a stream until its caller resumes it, in whole
+	// milliseconds; 0 if it is not known.
+	StreamLifetime time.Duration
+}
+
+type recordWire struct {
+	Versions       []string
+	LifetimeMillis int64
+}
 
-// Encode returns the value of a record's key. The version is empty for upstreams that state none.
-func Encode(versions []string) ([]byte, error) { return json.Marshal(recordWire{Versions: versions}) }
+// Encode returns the value of a record's key.
+func Encode(record Record) ([]byte, error) {
+	return json.Marshal(recordWire{Versions: record.Versions, LifetimeMillis: record.StreamLifetime.Milliseconds()})
+}
 
-// Decode returns the versions of a record.
-func Decode(key string, value []byte) (versions []string, err error) {
+// Decode returns the record of a key.
+func Decode(key string, value []byte) (record Record, err error) {
 	var wire recordWire
 	if err := json.Unmarshal(value, &wire); err != nil {
-		return nil, errors.WithMessagef(err, "software record %s", key)
+		return Record{}, errors.WithMessagef(err, "software record %s", key)
 	}
-	return wire.Versions, nil
+	return Record{Versions: wire.Versions, StreamLifetime: time.Duration(wire.LifetimeMillis) * time.Millisecond}, nil
 }
--- a/internal/fleet/softwarerecord/softwarerecord_test.go
+++ b/internal/fleet/softwarerecord/softwarerecord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -11,12 +12,13 @@
 // Guards against versions that change in the store, where a stream may go on at the wrong one.
 func TestRecordIsReadAsWritten(t *testing.T) {
 	is := is.New(t)
-	value, err := softwarerecord.Encode([]string{"", "v1", "v1.1"})
+	written := softwarerecord.Record{Versions: []string{"", "v1", "v1.1"}, StreamLifetime: 20 * time.Second}
+	value, err := softwarerecord.Encode(written)
 	is.NoErr(err)
 	key := softwarerecord.Key("s/1")
-	versions, err := softwarerecord.Decode(key, value)
+	read, err := softwarerecord.Decode(key, value)
 	is.NoErr(err)
-	is.Equal(versions, []string{"", "v1", "v1.1"})
+	is.Equal(read, written)
 	service, ok := softwarerecord.ServiceOf(key)
 	is.True(ok)
 	is.Equal(service, "s/1")
--- a/internal/placement/pool/pool.go
+++ b/internal/placement/pool/pool.go
@@ -28,7 +28,8 @@
 	PeerLoadTTL time.Duration
 	// MaxBackpressure is the longest time for which an upstream that asks for it gets no requests.
 	MaxBackpressure time.Duration
-	// StreamLifetime is the longest time from the first event of a stream until its caller resumes it.
+	// StreamLifetime is the longest time from the first event of a stream until its caller resumes it, over all
+	// configurations under which one that is still resumable may have begun.
 	StreamLifetime time.Duration
 	// BoundMemory: requests are kept within the memory of engines.
 	BoundMemory bool
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -18,8 +18,10 @@
 	removed  map[string]time.Time
 	// adoptedSince is the beginning of the history as a peer stated it; zero if none did.
 	adoptedSince time.Time
-	// stored are the versions that the record in the store names; nil if there is none.
-	stored []string
+	// stored are the versions that the record in the store names; nil if there is none. storedLifetime is the time of a
+	// stream there.
+	stored         []string
+	storedLifetime time.Duration
 	// split: the service shares routes of streams with others. movedAt is when it last lost or gained such a route.
 	split   bool
 	movedAt time.Time
--- a/internal/placement/pool/software_record.go
+++ b/internal/placement/pool/software_record.go
@@ -14,6 +14,8 @@
 type SoftwareVersions struct {
 	Service  string
 	Versions []string
+	// StreamLifetime is the time of a stream that the versions cover.
+	StreamLifetime time.Duration
 }
 
 // RecordStoredSoftware records what the store says of a service; nil if it has no record. A version that is not declared
@@ -22,6 +24,7 @@
 	p.prepare()
 	history := p.softwareOf(stored.Service)
 	history.stored = stored.Versions
+	history.storedLifetime = stored.StreamLifetime
 	for _, version := range stored.Versions {
 		if _, known := history.removed[version]; !known && history.declared[version] == 0 {
 			history.removed[version] = now
@@ -29,8 +32,8 @@
 	}
 }
 
-// UnstoredSoftware lists the services whose record in the store does not have the versions of the time of a stream. The
-// first record of a service is due once this instance has known it for that long: an earlier one might lack a version.
+// UnstoredSoftware lists the services whose record in the store does not have the versions of the time of a stream, or
+// that time. The first record of a service is due once this instance has known it for that long: an earlier one might lack a version.
 func (p *Pool) UnstoredSoftware(now time.Time) (due []SoftwareVersions) {
 	if p.Settings.StreamLifetime <= 0 {
 		return nil
@@ -38,10 +41,11 @@
 	for service, history := range p.software {
 		versions := slices.Sorted(maps.Keys(history.versions(now, p.Settings.StreamLifetime)))
 		isFirst := history.stored == nil
-		if len(versions) == 0 || slices.Equal(versions, history.stored) || isFirst && !p.isSoftwareKnown(now) {
+		isStored := slices.Equal(versions, history.stored) && history.storedLifetime == p.Settings.StreamLifetime
+		if len(versions) == 0 || isStored || isFirst && !p.isSoftwareKnown(now) {
 			continue
 		}
-		due = append(due, SoftwareVersions{Service: service, Versions: versions})
+		due = append(due, SoftwareVersions{Service: service, Versions: versions, StreamLifetime: p.Settings.StreamLifetime})
 	}
 	return due
 }
