Answer requests that wait for an upstream before a stopping instance ends

Cause: a planned stop refuses requests that arrive after 2.6 s, and lets those that it has run until 7 s. Requests that wait for an upstream counted as running, and nothing ended their waits before the process.

Evidence: on the instance logs Stopping, then Step=prepared TookMillis=3000 of the three requests at one holder after the other, then StoppedWithRequestsRunning Running=3 and Stopped; no Request line.

Change: what a request waits for before it is sent is bound to the stop, in the one function that each attempt passes. When the instance begins to refuse requests, those that were not sent are refused as not run, to come back after 50 ms: other instances can serve them. Requests that may have run go on, as a further upstream may serve them, and are answered 0.5 s before the process ends.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -307,10 +307,14 @@
 	// responseFlushDelay is the pause between the end of the last request and the end of the process, for responses
 	// that are still in transit.
 	responseFlushDelay = 100 * time.Millisecond
+	// lastAnswerTime is the time before the end of the process in which requests that were not sent to a further upstream are
+	// answered.
+	lastAnswerTime = 500 * time.Millisecond
 )
 
 // runStop waits for the stop signal and then drains the instance. The readiness check fails, callers are served until
-// the balancer has reacted, the held upstreams are released, and running requests finish.
+// the balancer has reacted, the held upstreams are released, and running requests finish. Those that still wait for an
+// upstream then are refused.
 func (n *Node) runStop(stopRequested, tasksCtx context.Context) error {
 	select {
 	case <-stopRequested.Done():
@@ -324,8 +328,11 @@
 	n.revokeLease()
 	pause.For(tasksCtx, readinessDelay-time.Since(start))
 	n.handler.RefuseRequests()
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), start.Add(n.current.Load().Callers.StopWithin))
+	end := start.Add(n.current.Load().Callers.StopWithin)
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	waits := time.AfterFunc(time.Until(end)-lastAnswerTime, n.handler.EndWaits)
+	defer waits.Stop()
 	err := n.callers.Shutdown(shutdownCtx)
 	n.awaitPeerConnections(shutdownCtx)
 	n.handOverOrigins(shutdownCtx)
--- a/internal/gateway/serve/dispatch.go
+++ b/internal/gateway/serve/dispatch.go
@@ -107,8 +107,21 @@
 
 // place chooses an upstream for the next attempt, has it prepared, and takes a retry from the budget if the request was sent
 // before. It returns nil if the chosen upstream could not be prepared; the next call chooses another. The error is an
-// *unplacedError.
-func (j *job) place(ctx context.Context) (*placement, error) {
+// *unplacedError. A planned stop ends the wait.
+func (j *job) place(ctx context.Context) (chosen *placement, err error) {
+	bound, release := j.bindWait(ctx)
+	defer release()
+	if bound.Err() == nil {
+		chosen, err = j.placeBefore(bound)
+	}
+	if chosen == nil && err == nil && errors.Is(context.Cause(bound), errStopping) {
+		return nil, refuseStopping()
+	}
+	return chosen, err
+}
+
+// placeBefore places the request before the context ends.
+func (j *job) placeBefore(ctx context.Context) (*placement, error) {
 	if err := j.refuseOversized(); err != nil {
 		return nil, &unplacedError{cause: err, refused: err}
 	}
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -107,6 +107,7 @@
 
 	draining atomic.Bool
 	refusing atomic.Bool
+	stop     stop
 	running  atomic.Int64
 	unframed atomic.Int64
 }
@@ -118,12 +119,6 @@
 // StartDraining adds Connection: close to all further responses, so that callers move to another connection.
 func (h *Handler) StartDraining() { h.draining.Store(true) }
 
-// RefuseRequests refuses all further requests; running requests continue. Call it before idle connections are closed. A
-// connection counts as idle until the complete header of its next request was read, so a connection can be closed while
-// a request is arriving on it. If that request were forwarded to an upstream, it would run and its response would be
-// lost.
-func (h *Handler) RefuseRequests() { h.refusing.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{handler: h, writer: w, caller: r.Context(), startedAt: time.Now(), acceptsChunks: r.ProtoAtLeast(1, 1)}
