Keep an upstream in a planned stop until no order of the holder can arrive

Cause: a planned stop revoked the lease at once, so that other instances claimed its upstreams within half a second. A hand-over waits for ReturnAfter after the last order, a lease that lapses for orderMargin; the stop went past both.

Evidence: of the stopping instance only the delayed order arrives late (edge-1 with fence 111 after edge-3 with 119).

Change: in a stop no further order is sent, and the responses to those in progress are awaited. Upstreams whose orders were all answered are given up at once, as before. The holder key of one with an order that was not answered stays until ReturnAfter after it, and the lease is renewed until then; the instance leaves the roster at once. So no other holder can order before the last order can have arrived. Where fencing tokens are checked nothing waits.

--- a/internal/entry/node/hand_over.go
+++ b/internal/entry/node/hand_over.go
@@ -19,12 +19,7 @@
 	if !h.node.mayHandOver(id, time.Now()) {
 		return
 	}
-	key := roster.HolderKey(id)
-	_, err := h.node.Store.Commit(ctx, coordination.Transaction{
-		Conditions: []coordination.Condition{{Key: key, Revision: h.fence}},
-		Removals:   []string{key},
-	})
-	if err != nil && !errors.Is(err, coordination.ErrConflict) { // in a conflict the key is not this instance's any more
+	if err := h.removeKey(ctx); err != nil {
 		h.node.Log.Warn().Err(err).Str("Upstream", id).Int64("Fence", h.fence).Msg("HandOverFailed")
 		return
 	}
@@ -33,6 +28,19 @@
 	h.node.stopHolding(id)
 }
 
+// removeKey removes the holder key of the upstream, unless it is not this instance's any more.
+func (h *heldUpstream) removeKey(ctx context.Context) error {
+	key := roster.HolderKey(h.upstream.ID)
+	_, err := h.node.Store.Commit(ctx, coordination.Transaction{
+		Conditions: []coordination.Condition{{Key: key, Revision: h.fence}},
+		Removals:   []string{key},
+	})
+	if errors.Is(err, coordination.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 // mayHandOver reports whether no order of this instance can arrive at an upstream after those of the next holder, where
 // fencing tokens are not checked.
 func (n *Node) mayHandOver(upstream string, now time.Time) bool {
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -141,15 +141,14 @@
 
 func (h *heldUpstream) sendOrder(ctx context.Context, order residence.Order) {
 	start := time.Now()
-	if !h.mayOrder(start) {
+	turns := &h.node.heldUpstreams.turns
+	if !h.mayOrder(start) || !turns.begin(h.upstream.ID, h.fence, start) {
 		h.pause(ctx, maxIdle)
 		return
 	}
-	turns := &h.node.heldUpstreams.turns
-	turns.recordOrder(h.upstream.ID, h.fence, start)
 	response, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
-	turns.recordOrder(h.upstream.ID, h.fence, time.Now()) // without a response it may have arrived only now
 	outcome := response.Outcome
+	turns.end(h.upstream.ID, h.fence, time.Now(), outcome != residence.NoAnswer)
 	reached := h.pathAfter(ctx, outcome == residence.NoAnswer)
 	if ctx.Err() != nil {
 		return
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -54,7 +54,10 @@
 	return heldUpstreams{
 		byID: make(map[string]*heldUpstream), vacantSince: make(map[string]time.Time), released: make(map[string]int64),
 		unreachableSince: make(map[string]time.Time),
-		turns:            turns{last: make(map[string]sentOrder), others: make(map[string]int64)},
+		turns: turns{
+			last: make(map[string]sentOrder), others: make(map[string]int64),
+			inProgress: make(map[string]int), unansweredAt: make(map[string]time.Time),
+		},
 	}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -325,17 +325,19 @@
 	n.stopping.Store(true)
 	n.Log.Info().Msg("Stopping")
 	n.handler.StartDraining()
-	n.revokeLease()
-	pause.For(tasksCtx, readinessDelay-time.Since(start))
-	n.handler.RefuseRequests()
 	end := start.Add(n.current.Load().Callers.StopWithin)
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	release := &release{node: n, done: make(chan struct{})}
+	go release.run(shutdownCtx)
+	pause.For(tasksCtx, readinessDelay-time.Since(start))
+	n.handler.RefuseRequests()
 	waits := time.AfterFunc(time.Until(end)-lastAnswerTime, n.handler.EndWaits)
 	defer waits.Stop()
 	err := n.callers.Shutdown(shutdownCtx)
 	n.awaitPeerConnections(shutdownCtx)
 	n.handOverOrigins(shutdownCtx)
+	<-release.done
 	n.backlogs.Await(shutdownCtx) // last, because slow callers may take all the time that is left
 	pause.For(tasksCtx, responseFlushDelay)
 	if err != nil {
--- a/internal/entry/node/order_permission.go
+++ b/internal/entry/node/order_permission.go
@@ -32,7 +32,7 @@
 		return h.node.heldUpstreams.turns.mayOrder(now, h.upstream.ID, h.fence, upstreams.ReturnAfter)
 	}
 	lease, ok := h.node.lease.current(now.Add(orderMargin))
-	return ok && lease == h.lease && !now.Before(h.mayOrderFrom)
+	return ok && lease == h.lease && !now.Before(h.mayOrderFrom) && !h.node.heldUpstreams.turns.isClosed()
 }
 
 // mayReplaceEarly reports whether a holder may be replaced before its lease expires. It may still send orders until
@@ -62,6 +62,12 @@
 	mutex sync.Mutex
 	// last is the last order of this instance to each upstream.
 	last map[string]sentOrder
+	// inProgress counts the orders to each upstream whose response is awaited, and unansweredAt is when the wait for one last
+	// ended without a response. Such an order may still arrive.
+	inProgress   map[string]int
+	unansweredAt map[string]time.Time
+	// closed: no order is sent any more, as the instance stops.
+	closed bool
 	// others is the last revision at which another instance may have been the holder of an upstream, as far as the
 	// replicated state shows. It is complete up to the revision seen.
 	others map[string]int64
@@ -74,11 +80,67 @@
 	at    time.Time
 }
 
-// recordOrder records that an order is in progress.
-func (t *turns) recordOrder(upstream string, fence int64, now time.Time) {
+// begin records that an order is sent, and reports whether it may be.
+func (t *turns) begin(upstream string, fence int64, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.closed {
+		return false
+	}
 	t.last[upstream] = sentOrder{fence: fence, at: now}
+	t.inProgress[upstream]++
+	return true
+}
+
+// end records that the wait for the response to an order is over. Without a response the order may have arrived only now, or
+// may arrive later.
+func (t *turns) end(upstream string, fence int64, now time.Time, answered bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.last[upstream] = sentOrder{fence: fence, at: now}
+	t.inProgress[upstream]--
+	if !answered {
+		t.unansweredAt[upstream] = now
+	}
+}
+
+// close ends the orders of this instance: none begins from now on.
+func (t *turns) close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.closed = true
+}
+
+func (t *turns) isClosed() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.closed
+}
+
+// isAwaiting reports whether the response to any order is awaited.
+func (t *turns) isAwaiting() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, count := range t.inProgress {
+		if count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// settledAt returns when no earlier order of this instance to an upstream can arrive any more: one without a response may
+// arrive for returnAfter.
+func (t *turns) settledAt(upstream string, now time.Time, returnAfter time.Duration) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.inProgress[upstream] > 0 {
+		return now.Add(returnAfter)
+	}
+	if at, found := t.unansweredAt[upstream]; found {
+		return at.Add(returnAfter)
+	}
+	return time.Time{}
 }
 
 // recordOther records that another instance may have been the holder of an upstream until a revision.
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -77,6 +77,12 @@
 	return n, suspended
 }
 
+// recordOrder records an order whose response has just arrived.
+func (t *turns) recordOrder(upstream string, fence int64, now time.Time) {
+	t.begin(upstream, fence, now)
+	t.end(upstream, fence, now, true)
+}
+
 // claimUpstream claims an upstream and returns it. Its loop has already ended, so that tests control its steps.
 func claimUpstream(t *testing.T, n *Node, upstream string) *heldUpstream {
 	t.Helper()
--- a/internal/entry/node/upstream_links_test.go
+++ b/internal/entry/node/upstream_links_test.go
@@ -115,13 +115,36 @@
 	return c.Conn.Write(p)
 }
 
-// engines are the engines of a fleet. They carry out each order at once, and check fencing tokens.
+// engines are the engines of a fleet. They carry out each order at once, and check fencing tokens unless they are unfenced.
 type engines struct {
 	mutex     sync.Mutex
 	byAddress map[string]*engineState
-	// violations are orders of two holders with one fencing token, and of holders that take turns within turnTime.
+	// violations are orders of two holders with one fencing token, of holders that take turns within turnTime, and of an earlier
+	// holder after the next one where no fencing tokens are checked.
 	violations []string
 	turnTime   time.Duration
+	unfenced   bool
+	// delayNext makes the next order arrive late; its sender has given it up by then. delayed receives who sent it.
+	delayNext time.Duration
+	delayed   chan string
+}
+
+// orderTimeout is how long the sender of an order waits for the response.
+const orderTimeout = 80 * time.Millisecond
+
+// takeDelay returns the delay of the order that is sent now.
+func (e *engines) takeDelay() (delay time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delay, e.delayNext = e.delayNext, 0
+	return delay
+}
+
+// violationsFound returns the violations until now.
+func (e *engines) violationsFound() []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.violations)
 }
 
 type engineState struct {
@@ -148,10 +171,24 @@
 	if !o.links.is(linksWhole) {
 		return residence.Response{Outcome: residence.NoAnswer}, errNoResponse
 	}
+	if delay := o.engines.takeDelay(); delay > 0 {
+		time.AfterFunc(delay, func() { o.carryOut(upstream, holder, fence, order) })
+		o.engines.delayed <- holder
+		time.Sleep(orderTimeout)
+		return residence.Response{Outcome: residence.NoAnswer}, errNoResponse
+	}
+	return o.carryOut(upstream, holder, fence, order)
+}
+
+// carryOut carries out an order that has arrived.
+func (o *linkedOrders) carryOut(upstream traffic.Upstream, holder string, fence int64, order residence.Order) (residence.Response, error) {
 	o.engines.mutex.Lock()
 	defer o.engines.mutex.Unlock()
 	engine := o.engines.at(upstream.Address)
 	if fence < engine.fence {
+		if o.engines.unfenced {
+			o.engines.violations = append(o.engines.violations, holder+" after "+engine.holder)
+		}
 		return residence.Response{Outcome: residence.Fenced}, nil
 	}
 	if fence == engine.fence && holder != engine.holder {
