--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -83,7 +83,7 @@
 		Store:            store,
 		Decoder:          platform.Decoder{},
 		Dialect:          platform.Dialect{},
-		Orders:           &platform.Orders{Client: newHTTPClient(), Timeout: orderTimeout},
+		Orders:           &platform.Orders{Client: newOrderClient(), Timeout: orderTimeout},
 		DialUpstream:     dialUpstream,
 		ReadyPath:        platform.PathReady,
 		Log:              logger,
@@ -127,9 +127,15 @@
 }
 
 // newHTTPClient returns an HTTP client whose connections detect that the other end is gone.
-func newHTTPClient() *http.Client {
+func newHTTPClient() *http.Client { return newClient(socket.Dialer(connectTimeout)) }
+
+// newOrderClient returns an HTTP client for orders. One that is given up must not arrive later, when another instance sends
+// orders.
+func newOrderClient() *http.Client { return newClient(socket.Dialer(connectTimeout).WithReset()) }
+
+func newClient(dialer *socket.ContextDialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            socket.Dialer(connectTimeout).DialContext,
+		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        idleConnectionTimeout,
 		DisableCompression:     true,
--- a/internal/gateway/socket/connection.go
+++ b/internal/gateway/socket/connection.go
@@ -11,19 +11,35 @@
 )
 
 // ContextDialer opens TCP connections.
-type ContextDialer struct{ dialer net.Dialer }
+type ContextDialer struct {
+	dialer net.Dialer
+	// resets: connections are reset when they are closed.
+	resets bool
+}
 
 // Dialer returns a dialer whose connections detect an unreachable peer.
 func Dialer(connectTimeout time.Duration) *ContextDialer {
 	return &ContextDialer{dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive(), Control: Control}}
 }
 
+// WithReset returns a dialer whose connections are reset when they are closed, also by the end of the process. Otherwise the
+// kernel goes on sending what the other end has not acknowledged, and it may arrive seconds later.
+func (d *ContextDialer) WithReset() *ContextDialer {
+	return &ContextDialer{dialer: d.dialer, resets: true}
+}
+
 // DialContext opens a connection. The context bounds the time for it.
 func (d *ContextDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	opened, err := d.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
+	if tcp, is := opened.(*net.TCPConn); is && d.resets {
+		if err := tcp.SetLinger(0); err != nil {
+			_ = opened.Close()
+			return nil, err
+		}
+	}
 	return newConnection(opened), nil
 }
 
