Keep records of streams at all peers of a small fleet

Cause: a record of where a stream began is kept there and at two peers, in a fleet of any size, and is gone with these three.

Change: in a fleet of up to ten instances every peer keeps each record, and all are asked for one. Nothing is sent while one version serves, as before.

--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -19,11 +19,15 @@
 // only, nothing is sent.
 
 const (
-	// recordKeepers is the number of peers that keep a record. One of them may be lost together with the sender.
+	// recordKeepers is the number of peers that keep a record in a large fleet. One of them may be lost together with the
+	// sender.
 	recordKeepers = 2
-	// askedKeepers is the number of peers that are asked for a record. It is higher because instances may differ in
-	// which peers are alive.
-	askedKeepers = recordKeepers + 1
+	// maxFullKeepers is the number of peers up to which all of them keep each record, so that any one instance that is left
+	// has it. In a larger fleet the messages would grow with the square of its size.
+	maxFullKeepers = 9
+	// furtherAsked is by how many more peers are asked for a record than keep it, because instances may differ in which peers
+	// are alive.
+	furtherAsked = 1
 	// keepTimeout bounds the sending of records to a peer.
 	keepTimeout = 400 * time.Millisecond
 	// findTimeout bounds one round of questions. An answer takes a few milliseconds.
@@ -151,12 +155,20 @@
 		return
 	}
 	for _, record := range n.origins.takeUnsent(time.Now(), service) {
-		for _, keeper := range n.keepers(record.Stream, recordKeepers, "") {
+		for _, keeper := range n.keepers(record.Stream, n.keeperCount(), "") {
 			n.origins.send(n, keeper, record)
 		}
 	}
 }
 
+// keeperCount returns the number of peers that keep a record.
+func (n *Node) keeperCount() int {
+	if peers := n.overlay.peerCount(); peers <= maxFullKeepers {
+		return max(peers, recordKeepers)
+	}
+	return recordKeepers
+}
+
 // handOverOrigins sends the records that this instance keeps to other peers, before it ends: in a rolling restart all
 // that keep a record would be gone within the time of a stream.
 func (n *Node) handOverOrigins(ctx context.Context) {
@@ -168,7 +180,7 @@
 			continue
 		}
 		sent++
-		for _, keeper := range n.keepers(record.Stream, recordKeepers, "") {
+		for _, keeper := range n.keepers(record.Stream, n.keeperCount(), "") {
 			n.origins.send(n, keeper, record)
 		}
 	}
@@ -346,7 +358,7 @@
 func (n *Node) askKeepers(ctx context.Context, question mesh.StreamQuestion) (record origin.Record, found bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	keepers := n.keepers(question.Stream, askedKeepers, "")
+	keepers := n.keepers(question.Stream, n.keeperCount()+furtherAsked, "")
 	answers := make(chan mesh.StreamAnswer, len(keepers))
 	for _, keeper := range keepers {
 		asker := keeperAsker{node: n, keeper: keeper, question: question, answers: answers}
