--- a/internal/entry/node/release.go
+++ b/internal/entry/node/release.go
@@ -41,7 +41,7 @@
 	}
 	start := time.Now()
 	n.awaitOrders(ctx)
-	held := n.heldUpstreams.stopAll(n)
+	held := n.stopHoldingAll()
 	doubtful := n.withOrdersInDoubt(held, time.Now())
 	inDoubt := len(doubtful)
 	if inDoubt > 0 {
@@ -73,8 +73,9 @@
 	}
 }
 
-// stopAll stops holding all upstreams and returns them. Requests that wait there look for another upstream at once.
-func (h *heldUpstreams) stopAll(n *Node) (held []*heldUpstream) {
+// stopHoldingAll stops holding all upstreams and returns them. Requests that wait there look for another upstream at once.
+func (n *Node) stopHoldingAll() (held []*heldUpstream) {
+	h := &n.heldUpstreams
 	h.mutex.Lock()
 	held = slices.Collect(maps.Values(h.byID))
 	h.mutex.Unlock()
