Record the lifetime of streams in the store from the first second of a deployment

Cause: the record of versions in the store, which states how long streams may live, was first written after the lifetime of a stream. Before that an instance that started knew the shorter timeout only, and proved the new version after that. Ruled out: a wrong record at a peer (Step=resumed has From=proof).

The first record of a service is now due after one second. It is partial until an instance has known the upstreams for the lifetime of a stream: it states the lifetime, so that nobody proves a version too early, and proves nothing itself. That costs one more write per service at the first start of a deployment; one second, so that the instances know each other and one of them writes.

TestRecordOfSoftwareHasAllVersionsOfAStream stated that nothing is written before the lifetime is over. It now states that what is written then is partial, that a partial record proves nothing, and the rest as before. awaitSoftwareRecord of platform/proof waits for a record that is whole, as it did.

--- a/internal/entry/node/software_records.go
+++ b/internal/entry/node/software_records.go
@@ -62,6 +62,7 @@
 		}
 		stored.Versions = record.Versions
 		stored.StreamLifetime = record.StreamLifetime
+		stored.Partial = record.Partial
 	}
 	n.extendStreamLifetime(time.Now(), stored.StreamLifetime)
 	n.softwareRecords.setRevision(service, revision)
@@ -79,7 +80,8 @@
 			}
 			err := n.writeSoftwareRecord(ctx, record)
 			n.Log.Info().Str("Service", record.Service).Strs("Versions", record.Versions).
-				Int64("StreamLifetimeMillis", record.StreamLifetime.Milliseconds()).Err(err).Msg("SoftwareRecordWritten")
+				Int64("StreamLifetimeMillis", record.StreamLifetime.Milliseconds()).Bool("Partial", record.Partial).
+				Err(err).Msg("SoftwareRecordWritten")
 			if err != nil {
 				pause.For(ctx, softwareRecordPause)
 			}
@@ -106,7 +108,9 @@
 	defer func() { err = errors.WithMessage(err, "write software record") }()
 	ctx, cancel := context.WithTimeout(ctx, n.current.Load().Platform.StoreTimeout)
 	defer cancel()
-	value, err := softwarerecord.Encode(softwarerecord.Record{Versions: record.Versions, StreamLifetime: record.StreamLifetime})
+	value, err := softwarerecord.Encode(softwarerecord.Record{
+		Versions: record.Versions, StreamLifetime: record.StreamLifetime, Partial: record.Partial,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -411,6 +411,43 @@
 	}
 }
 
+// Guards against a stream that goes on at another software version at an instance that has started after a configuration
+// shortened the timeout of its route, in a deployment that is younger than the stream may become: all that the instance sees is the
+// new version and the shorter timeout.
+func TestInstanceThatStartsInAYoungDeploymentContinuesNoStreamOfAnotherSoftware(t *testing.T) {
+	const (
+		longTimeout  = 15 * time.Second
+		shortTimeout = 500 * time.Millisecond
+		// age is that of the deployment when the streams begin.
+		age = 2 * time.Second
+		// provenAfter is when an instance proves a version that is the only one under the short timeout.
+		provenAfter = shortTimeout + 5*time.Second
+	)
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1"}, "a", "b", "c")
+	apply := func(version int, timeout time.Duration, member *instance) {
+		upstreams.changeRoute(t, version, func(route *traffic.Route) { route.Timeout = timeout })
+		eventually(t, 5*time.Second, "the configuration is in force", func() bool {
+			return member.log.hasLine("ConfigurationInForce", fmt.Sprintf(`"Version":%d,`, version))
+		})
+	}
+	apply(2, longTimeout, fleet[0])
+	time.Sleep(age)
+	broken := upstreams.begin(t, fleet[0], streamsEach)
+	upstreams.declare(t, "stream2", "v2")
+	apply(3, shortTimeout, fleet[0])
+	upstreams.store.drop(prefixUpstreams + "stream0")
+	upstreams.store.drop(prefixUpstreams + "stream1")
+	started := startWith(t, upstreams.store, "d", &engines{})
+	eventually(t, 5*time.Second, "the instance serves", func() bool {
+		return started.ready() && upstreams.request(started, taken{}).isComplete()
+	})
+	time.Sleep(provenAfter + time.Second)
+	_, mixed, refused := upstreams.takeUp(started, broken)
+	is.Equal([]int{mixed, refused}, []int{0, streamsEach})
+}
+
 // Guards against streams that go on nowhere after a rolling restart: their instance stops, and one after the other those
 // that keep their records.
 func TestStreamIsTakenUpAfterARollingRestart(t *testing.T) {
--- a/internal/fleet/softwarerecord/softwarerecord.go
+++ b/internal/fleet/softwarerecord/softwarerecord.go
@@ -26,16 +26,22 @@
 	// StreamLifetime is the longest time from the first event of such a stream until its caller resumes it, in whole
 	// milliseconds; 0 if it is not known.
 	StreamLifetime time.Duration
+	// Partial: the deployment is younger than StreamLifetime, and a version that left before the record was first written
+	// may be missing.
+	Partial bool
 }
 
 type recordWire struct {
 	Versions       []string
 	LifetimeMillis int64
+	Partial        bool
 }
 
 // Encode returns the value of a record's key.
 func Encode(record Record) ([]byte, error) {
-	return json.Marshal(recordWire{Versions: record.Versions, LifetimeMillis: record.StreamLifetime.Milliseconds()})
+	return json.Marshal(recordWire{
+		Versions: record.Versions, LifetimeMillis: record.StreamLifetime.Milliseconds(), Partial: record.Partial,
+	})
 }
 
 // Decode returns the record of a key.
@@ -44,5 +50,6 @@
 	if err := json.Unmarshal(value, &wire); err != nil {
 		return Record{}, errors.WithMessagef(err, "software record %s", key)
 	}
-	return Record{Versions: wire.Versions, StreamLifetime: time.Duration(wire.LifetimeMillis) * time.Millisecond}, nil
+	lifetime := time.Duration(wire.LifetimeMillis) * time.Millisecond
+	return Record{Versions: wire.Versions, StreamLifetime: lifetime, Partial: wire.Partial}, nil
 }
--- a/internal/fleet/softwarerecord/softwarerecord_test.go
+++ b/internal/fleet/softwarerecord/softwarerecord_test.go
@@ -12,7 +12,7 @@
 // Guards against versions that change in the store, where a stream may go on at the wrong one.
 func TestRecordIsReadAsWritten(t *testing.T) {
 	is := is.New(t)
-	written := softwarerecord.Record{Versions: []string{"", "v1", "v1.1"}, StreamLifetime: 20 * time.Second}
+	written := softwarerecord.Record{Versions: []string{"", "v1", "v1.1"}, StreamLifetime: 20 * time.Second, Partial: true}
 	value, err := softwarerecord.Encode(written)
 	is.NoErr(err)
 	key := softwarerecord.Key("s/1")
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -19,9 +19,10 @@
 	// adoptedSince is the beginning of the history as a peer stated it; zero if none did.
 	adoptedSince time.Time
 	// stored are the versions that the record in the store names; nil if there is none. storedLifetime is the time of a
-	// stream there.
+	// stream there, and storedPartial is whether a version may be missing there, so that the record proves nothing.
 	stored         []string
 	storedLifetime time.Duration
+	storedPartial  bool
 	// split: the service shares routes of streams with others. movedAt is when it last lost or gained such a route.
 	split   bool
 	movedAt time.Time
@@ -119,7 +120,7 @@
 	for version := range versions {
 		sole.Software = version
 	}
-	if slices.Equal(history.stored, []string{sole.Software}) {
+	if !history.storedPartial && slices.Equal(history.stored, []string{sole.Software}) {
 		sole.For = max(sole.For, p.Settings.StreamLifetime)
 	}
 	return sole, !p.knownSince.IsZero() && sole.For >= p.Settings.StreamLifetime
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -125,6 +125,10 @@
 			p.RecordStoredSoftware(time.Now(), pool.SoftwareVersions{Service: engines, Versions: []string{"v1"}})
 			p.RecordStoredSoftware(time.Now(), pool.SoftwareVersions{Service: engines})
 		}, false},
+		{"the store has no other, but may lack one", func(p *pool.Pool) {
+			p.RecordStoredSoftware(time.Now(), pool.SoftwareVersions{Service: engines, Versions: []string{"v1"}, Partial: true})
+			time.Sleep(streamLifetime - time.Second)
+		}, false},
 		{"the store has an unknown version", func(p *pool.Pool) {
 			p.RecordStoredSoftware(time.Now(), pool.SoftwareVersions{Service: engines, Versions: []string{"", "v1"}})
 		}, false},
@@ -283,25 +287,35 @@
 	})
 }
 
-// Guards against a record in the store that lacks a version: one is written for the first time only by an instance that has
-// seen the upstreams for the time of a stream, and a version stays in it for as long after it has gone.
+// Guards against a record in the store that lacks a version and still proves something: it is partial until an instance has seen
+// the upstreams for the time of a stream, and a version stays in it for as long after it has gone.
 func TestRecordOfSoftwareHasAllVersionsOfAStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newPool()
 		p.Settings.StreamLifetime = streamLifetime
+		partial := true
 		due := func() (versions [][]string) {
 			for _, record := range p.UnstoredSoftware(time.Now()) {
 				is.Equal(record.Service, engines)
+				is.Equal(record.Partial, partial)
 				p.RecordStoredSoftware(time.Now(), record)
 				versions = append(versions, record.Versions)
 			}
 			return versions
 		}
 		withSoftware(p, "e1", "v1")
-		time.Sleep(streamLifetime - time.Second)
+		is.Equal(due(), nil) // the instances of a fleet that starts do not know each other yet
+		time.Sleep(time.Second)
+		is.Equal(due(), [][]string{{"v1"}})
+		_, known := p.SoleSoftware(time.Now(), engines)
+		is.True(!known)
+		time.Sleep(streamLifetime - 2*time.Second)
 		is.Equal(due(), nil)
+		_, known = p.SoleSoftware(time.Now(), engines)
+		is.True(!known)
 		time.Sleep(time.Second)
+		partial = false
 		is.Equal(due(), [][]string{{"v1"}})
 		is.Equal(due(), nil)
 		withSoftware(p, "e2", "v2")
