Send no order in the next life of an instance before those of the last can have arrived

Cause: an instance that finds its own holder key takes it over and sends orders at once. ReturnAfter and the release of a stop, which cover every other end of a holder's right, look only at orders of the same process.

The earlier life may have sent orders until this one began, none of which is known to be answered. That is recorded as an unanswered order of that moment, so that the waits which exist apply: no order until ReturnAfter after it, and a planned stop in that time keeps the key. Where fencing tokens are checked the upstream refuses the late order, and nothing waits.

--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -174,6 +174,9 @@
 	}
 	n.stopHolding(id)
 	if found && holder.Instance == n.self.Name && !n.stopping.Load() {
+		if !n.current.Load().Upstreams.FencesChecked {
+			n.heldUpstreams.turns.recordEarlierLife(id, holder.Fence, n.startedAt)
+		}
 		n.claim(ctx, upstream, holder.Fence) // key of this instance's previous incarnation
 		return 0, false
 	}
--- a/internal/entry/node/order_permission.go
+++ b/internal/entry/node/order_permission.go
@@ -104,6 +104,18 @@
 	}
 }
 
+// recordEarlierLife records that an earlier life of this instance held an upstream with a fencing token, and may have sent
+// an order there until this life began. Whether it was answered is not known.
+func (t *turns) recordEarlierLife(upstream string, fence int64, began time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if _, found := t.last[upstream]; found {
+		return
+	}
+	t.last[upstream] = sentOrder{fence: fence, at: began}
+	t.unansweredAt[upstream] = began
+}
+
 // close ends the orders of this instance: none begins from now on.
 func (t *turns) close() {
 	t.mutex.Lock()
--- a/internal/entry/node/order_permission_test.go
+++ b/internal/entry/node/order_permission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -190,6 +191,43 @@
 	})
 }
 
+// Guards against an order of the earlier life of an instance that arrives after those of its next life, where upstreams check no
+// fencing tokens: the instance was killed, and takes its holder key over when it starts again within its lease.
+func TestNextLifeOrdersOnlyAfterReturnAfter(t *testing.T) {
+	const returnAfter, startTime = 3 * time.Second, 300 * time.Millisecond
+	for _, checked := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fences checked: %v", checked), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n, _ := nodeWithLease(t)
+				n.current.Store(&Settings{Upstreams: UpstreamSettings{FencesChecked: checked, ReturnAfter: returnAfter}})
+				n.startedAt = time.Now()
+				value, err := roster.EncodeHolder(roster.Holder{Instance: "self", Incarnation: "earlier"})
+				is.NoErr(err)
+				_, err = n.view.roster.Apply(roster.HolderKey("u"), value, 1, false)
+				is.NoErr(err)
+				time.Sleep(startTime)
+				ended, cancel := context.WithCancel(t.Context())
+				cancel() // the loop of the upstream sends nothing by itself
+				_, free := n.reconcileUpstream(ended, traffic.Upstream{ID: "u"}, time.Now())
+				is.True(!free)
+				held := n.heldUpstreams.get("u")
+				is.Equal(held.mayOrder(time.Now()), checked)
+				is.Equal(len(n.withOrdersInDoubt([]*heldUpstream{held}, time.Now())) == 0, checked) // a stop keeps the key as well
+				for time.Since(n.startedAt) < returnAfter-time.Second {
+					time.Sleep(renewInterval)
+					is.NoErr(n.renew(t.Context()))
+				}
+				time.Sleep(returnAfter - time.Since(n.startedAt) - time.Millisecond)
+				is.Equal(held.mayOrder(time.Now()), checked)
+				time.Sleep(time.Millisecond)
+				is.True(held.mayOrder(time.Now()))
+				is.Equal(len(n.withOrdersInDoubt([]*heldUpstream{held}, time.Now())), 0)
+			})
+		})
+	}
+}
+
 // concurrentClaimStore is a store in which another instance claims an upstream while a claim of this instance for an
 // earlier upstream is in progress. This instance learns of that immediately.
 type concurrentClaimStore struct {
