Believe an upstream that counts fewer orders than it has said to accept

Callers saw requests for adapters wait until their deadline, at sound upstreams with free adapter slots: upstreams that had answered orders and reports with an empty success for some seconds got no order any more.

Cause: a holder drops reports that count fewer orders than the upstream has said to accept, as a report may be 0.3 s old. If the upstream's word was false, or a conflict belonged to another order, the count stays too high and all reports are dropped; after 10 s without one no order is sent that could correct it. Evidence: Report events every 150 ms with Sequence=0, and no Order.

Such a report is now dropped for one second after the last accepted order only. No adapter slot counts as free until a second report agrees, as before.

TestFewerOrdersThanAcceptedAreBelievedInTheEnd failed before in both cases.

--- a/internal/placement/residence/outcomes.go
+++ b/internal/placement/residence/outcomes.go
@@ -68,7 +68,7 @@
 		r.pollAt = now.Add(p.pollDelay(order.Adapter, r)) // the response to a poll: the order is still being executed
 		return
 	}
-	p.sequence = order.Sequence + 1
+	p.countAccepted(now, order)
 	if order.Unload {
 		if r != nil {
 			r.state = unloading
@@ -90,12 +90,18 @@
 	p.rememberRecent(order.Adapter)
 }
 
+// countAccepted records that the upstream has accepted an order, by its response.
+func (p *Planner) countAccepted(now time.Time, order Order) {
+	p.sequence = order.Sequence + 1
+	p.acceptedAt = now
+}
+
 // recordDone records that a load or unload has finished, by this order or an earlier one.
 func (p *Planner) recordDone(now time.Time, order Order, repeated bool) {
 	r := p.residents[order.Adapter]
 	if order.Unload {
 		if r == nil || r.state != unloading {
-			p.sequence = order.Sequence + 1
+			p.countAccepted(now, order)
 		}
 		delete(p.residents, order.Adapter)
 		return
@@ -105,7 +111,7 @@
 		p.residents[order.Adapter] = r
 	}
 	if repeated && r.loadingVersion == 0 {
-		p.sequence = order.Sequence + 1
+		p.countAccepted(now, order)
 	}
 	p.recordLoadTime(now, order.Adapter, r)
 	r.state = loaded
--- a/internal/placement/residence/planner.go
+++ b/internal/placement/residence/planner.go
@@ -15,6 +15,9 @@
 	// reportLag is the maximum age of a report on arrival, according to the upstreams' documentation. A report
 	// fetched sooner after an order may not show that order's effect.
 	reportLag = 300 * time.Millisecond
+	// fewerOrdersAfter is how long after an accepted order a report that counts fewer orders counts as older than it:
+	// several times reportLag.
+	fewerOrdersAfter = time.Second
 	// fetchInterval is the interval between two report requests while the state is unknown: each request is billed.
 	fetchInterval = 150 * time.Millisecond
 	// maxReportAge is the maximum age of the last report. Refreshing it detects changes that no order made, such
@@ -58,11 +61,13 @@
 
 	// stateKnown is true while sequence and residents match the upstream's state as far as its responses show.
 	stateKnown bool
-	// reported is true once a report was applied, confirmed once a second one agreed; see ApplyReport.
+	// reported is true once a report was applied, confirmed once a second one agreed; see ApplyReport. acceptedAt is when the
+	// response to an order last raised sequence.
 	reported   bool
 	confirmed  bool
 	confirmAt  time.Time
 	sequence   int64
+	acceptedAt time.Time
 	reportedAt time.Time
 	fetchAt    time.Time
 	// doubted: the life that the state is of may have ended.
--- a/internal/placement/residence/planner_test.go
+++ b/internal/placement/residence/planner_test.go
@@ -462,3 +462,32 @@
 		})
 	}
 }
+
+// Guards against a holder that sends no order any more, because the upstream has said that it accepted one and counts fewer in
+// all its reports: a faulty upstream answered, or the response belonged to another order. Requests for its adapters wait in vain.
+func TestFewerOrdersThanAcceptedAreBelievedInTheEnd(t *testing.T) {
+	const outage = 12 * time.Second // longer than the state of a report is used
+	for _, c := range []struct {
+		name    string
+		outcome residence.Outcome
+	}{{"accepted", residence.Accepted}, {"unloaded", residence.AlreadyDone}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, e := newPlanner(2), newEngine(2)
+				drive(p, e, startUpTime, noFaults)
+				notAccepted := residence.Order{Adapter: adapter("a1"), Unload: c.outcome == residence.AlreadyDone, Sequence: e.sequence}
+				p.RecordOutcome(time.Now(), notAccepted, c.outcome)
+				time.Sleep(900 * time.Millisecond)
+				p.ApplyReport(time.Now(), e.report()) // it may be older than the order
+				residents, _ := p.Residents(time.Now())
+				is.Equal(len(residents) == 2, c.outcome == residence.Accepted) // the model, and what has been accepted
+				time.Sleep(outage)
+				want(p, "a2", 1, time.Minute)
+				drive(p, e, 2*time.Second, noFaults)
+				is.True(isLoaded(p, "a2"))
+				is.Equal(e.faults, nil)
+			})
+		})
+	}
+}
--- a/internal/placement/residence/reports.go
+++ b/internal/placement/residence/reports.go
@@ -8,7 +8,9 @@
 
 // reports.go applies the upstream's reports to the planner's state.
 
-// ApplyReport applies a report. A report that is older than the last accepted order is dropped.
+// ApplyReport applies a report. A report that may be older than the last accepted order is dropped. Long after that order, one
+// that counts fewer orders is right: the upstream's response to an order was false, or that of another one. Dropping it again
+// and again would leave the upstream without orders.
 //
 // Reports lag: an adapter whose load has just finished may be listed neither as pending nor as loaded. Its adapter slot
 // would look free, and an upstream that is ordered to load more adapters than it has adapter slots for crashes. So
@@ -16,7 +18,7 @@
 // as free until a second report agrees.
 func (p *Planner) ApplyReport(now time.Time, report Report) {
 	p.ensureInitialised()
-	if p.stateKnown && report.Sequence < p.sequence {
+	if p.stateKnown && report.Sequence < p.sequence && now.Sub(p.acceptedAt) < fewerOrdersAfter {
 		p.fetchAt = now.Add(fetchInterval)
 		return
 	}
