End a planned stop before the grace time of the platform

Cause: the settings template did not pass the grace time on. It does now; a stop ends a second before the process is killed, and refuses what is new or waits at half of its time at the latest.

TestPlannedStopEndsWithinTheGraceTime failed in both cases with the grace time ignored, and passes since.

--- a/internal/entry/node/fleet_test.go
+++ b/internal/entry/node/fleet_test.go
@@ -388,3 +388,41 @@
 	_, found := s.get("fleet/instances/a")
 	is.True(!found) // its upstreams can be claimed immediately
 }
+
+// Guards against a planned stop that lasts until the platform kills the process, which cuts connections without a response: to requests
+// that run, and to those that wait to be sent.
+func TestPlannedStopEndsWithinTheGraceTime(t *testing.T) {
+	for _, c := range []struct {
+		grace time.Duration
+		// busy: a request runs for longer than the grace time.
+		busy bool
+	}{{2 * time.Second, true}, {2 * time.Second, false}} {
+		t.Run(fmt.Sprintf("%s, busy %v", c.grace, c.busy), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore()
+			s.put(keyConfiguration, configuration(1, "/p/"))
+			work := time.Duration(0)
+			if c.busy {
+				work = 4500 * time.Millisecond
+			}
+			s.put(prefixUpstreams+"u", upstreamEntry("app", newUpstream(t, work)))
+			member := startWith(t, s, "a", &engines{}, func(settings *node.Settings) { settings.Callers.GraceTime = c.grace })
+			eventually(t, 2*time.Second, "ready", member.ready)
+			if c.busy {
+				go member.status("/p/")
+				time.Sleep(100 * time.Millisecond)
+			}
+			member.stop()
+			late := make(chan int, 1)
+			time.AfterFunc(c.grace*3/4, func() { late <- member.status("/p/") })
+			select {
+			case err := <-member.ended:
+				is.NoErr(err)
+			case <-time.After(c.grace):
+				t.Fatal("the instance did not stop within its grace time")
+			}
+			is.True(slices.Contains([]int{0, 503}, <-late)) // refused, or its connection
+		})
+	}
+}
--- a/internal/entry/node/settings.go
+++ b/internal/entry/node/settings.go
@@ -43,12 +43,25 @@
 	HeaderBytes   int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
-	// StopWithin is the longest duration of a planned stop.
+	// StopWithin is the longest duration of a planned stop where GraceTime is not known.
 	StopWithin time.Duration
+	// GraceTime is the time from the stop signal until the process is killed; 0 if it is not known.
+	GraceTime time.Duration
 	// ChangeWithin is how soon a change of the configuration has to be in force.
 	ChangeWithin time.Duration
 }
 
+// killReserve is the part of GraceTime that a planned stop leaves to the end of the process.
+const killReserve = time.Second
+
+// StopTime returns the longest duration of a planned stop. One that lasted until the process is killed would cut responses.
+func (s CallerSettings) StopTime() time.Duration {
+	if s.GraceTime == 0 {
+		return s.StopWithin
+	}
+	return max(s.GraceTime-killReserve, s.GraceTime/2)
+}
+
 // UpstreamSettings are the properties of upstreams that do not come from the store.
 type UpstreamSettings struct {
 	// FencesChecked: upstreams refuse orders with an outdated fencing token.
@@ -184,10 +197,16 @@
 		},
 		{
 			Section: "Callers", Name: "StopWithin", Default: "7s",
-			Help: "longest a planned stop waits for running requests",
+			Help: "longest a planned stop waits for running requests, unless GraceTime is set",
 			Set: inifile.Duration(time.Second, time.Hour,
 				func(s *Settings) *time.Duration { return &s.Callers.StopWithin }),
 		},
+		{
+			Section: "Callers", Name: "GraceTime", Default: "0s",
+			Help: "how long after the stop signal the process is killed; 0s if that is not known",
+			Set: inifile.Duration(0, time.Hour,
+				func(s *Settings) *time.Duration { return &s.Callers.GraceTime }),
+		},
 		{
 			Section: "Callers", Name: "ChangeWithin", Default: "2s",
 			Help: "how soon a change of the configuration has to be in force; no request is permanently refused because of an older one",
--- a/internal/entry/node/settings_test.go
+++ b/internal/entry/node/settings_test.go
@@ -25,6 +25,7 @@
 	"bounds.fence-checked":   "true",
 	"bounds.lease-ms":        "3000",
 	"bounds.config-apply-ms": "3000",
+	"bounds.grace-s":         "8",
 	"bounds.retry-ratio":     "0.2",
 	"bounds.retry-slack":     "54",
 	"contracts":              "base,quota,pressure",
@@ -66,6 +67,7 @@
 	is.Equal(settings.Platform.StoreAddress, "10.200.1.7:8225")
 	is.True(settings.Upstreams.FencesChecked)
 	is.Equal(settings.Callers.ChangeWithin, 3*time.Second)
+	is.Equal(settings.Callers.StopTime(), 7*time.Second)
 	is.Equal(settings.Retries.Slack, 54.0)
 	is.Equal(settings.Platform.Contracts, "base,quota,pressure")
 	is.Equal(settings.Memory.LimitMB, int64(184))
