Let the record of versions prove nothing for a time after a route has moved

Instances that have seen the move prove nothing for the lifetime of a stream.

The record of a service is now partial for that long after it has lost or gained such a route, so that instances that start ask their peers instead, or refuse. Two more writes per service and move.

TestRecordOfSoftwareProvesNothingAfterAMove failed before: nothing was written.

--- a/internal/fleet/softwarerecord/softwarerecord.go
+++ b/internal/fleet/softwarerecord/softwarerecord.go
@@ -26,8 +26,9 @@
 	// StreamLifetime is the longest time from the first event of such a stream until its caller resumes it, in whole
 	// milliseconds; 0 if it is not known.
 	StreamLifetime time.Duration
-	// Partial: the deployment is younger than StreamLifetime, and a version that left before the record was first written
-	// may be missing.
+	// Partial: the record proves nothing. The deployment is younger than StreamLifetime, and a version that left before the
+	// record was first written may be missing; or a route was moved within that time, and its streams may have begun at another
+	// service.
 	Partial bool
 }
 
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -84,6 +84,11 @@
 	return versions
 }
 
+// hasMoved reports whether the service has lost or gained a route of streams within some time until now.
+func (h *softwareHistory) hasMoved(now time.Time, within time.Duration) bool {
+	return !h.movedAt.IsZero() && now.Sub(h.movedAt) < within
+}
+
 // RecordSharedServices records which services have streams that may also have begun at another service. Nothing can be
 // proven of them without a record: as long as their routes are split, and for the time of a stream after a change.
 func (p *Pool) RecordSharedServices(now time.Time, shared traffic.SharedServices) {
@@ -109,8 +114,7 @@
 	p.prepare()
 	history := p.softwareOf(service)
 	versions := history.versions(now, p.Settings.StreamLifetime)
-	moved := !history.movedAt.IsZero() && now.Sub(history.movedAt) < p.Settings.StreamLifetime
-	if len(versions) != 1 || versions[""] || history.split || moved {
+	if len(versions) != 1 || versions[""] || history.split || history.hasMoved(now, p.Settings.StreamLifetime) {
 		return SoleSoftware{}, false
 	}
 	sole = SoleSoftware{Service: service, For: now.Sub(p.knownSince)}
--- a/internal/placement/pool/software_record.go
+++ b/internal/placement/pool/software_record.go
@@ -20,7 +20,8 @@
 	Versions []string
 	// StreamLifetime is the time of a stream that the versions cover.
 	StreamLifetime time.Duration
-	// Partial: a version that left before the record was first written may be missing.
+	// Partial: a version that left before the record was first written may be missing, or streams may have begun at another
+	// service.
 	Partial bool
 }
 
@@ -41,7 +42,8 @@
 
 // UnstoredSoftware lists the services whose record in the store does not have the versions of the time of a stream, or
 // that time. The record of a new deployment is partial until an instance has known the upstreams for that long: an instance
-// that starts earlier needs the lifetime of the streams, which a configuration may have shortened since they began.
+// that starts earlier needs the lifetime of the streams, which a configuration may have shortened since they began. A record is
+// also partial for that long after the service has lost or gained a route of streams: an instance that starts has not seen that.
 func (p *Pool) UnstoredSoftware(now time.Time) (due []SoftwareVersions) {
 	if p.Settings.StreamLifetime <= 0 || !p.hasKnownUpstreamsFor(now, firstRecordDelay) {
 		return nil
@@ -50,7 +52,8 @@
 	for service, history := range p.software {
 		record := SoftwareVersions{
 			Service: service, Versions: slices.Sorted(maps.Keys(history.versions(now, p.Settings.StreamLifetime))),
-			StreamLifetime: p.Settings.StreamLifetime, Partial: history.isRecordPartial() && !known,
+			StreamLifetime: p.Settings.StreamLifetime,
+			Partial:        history.isRecordPartial() && !known || history.hasMoved(now, p.Settings.StreamLifetime),
 		}
 		if len(record.Versions) > 0 && !history.isStored(record) {
 			due = append(due, record)
--- a/internal/placement/pool/software_test.go
+++ b/internal/placement/pool/software_test.go
@@ -327,3 +327,46 @@
 		is.Equal(due(), [][]string{{"v2"}})
 	})
 }
+
+// Guards against a stream that goes on at the service which its route was moved to, at an instance that has started since: it has not
+// seen the move, and the record in the store says that the service has had one version only.
+func TestRecordOfSoftwareProvesNothingAfterAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before := newPool()
+		before.Settings.StreamLifetime = streamLifetime
+		withSoftware(before, "e1", "v1")
+		time.Sleep(streamLifetime)
+		store := func(to ...*pool.Pool) (written int) {
+			for _, record := range before.UnstoredSoftware(time.Now()) {
+				for _, p := range append(to, before) {
+					p.RecordStoredSoftware(time.Now(), record)
+				}
+				written++
+			}
+			return written
+		}
+		is.Equal(store(), 1)
+		before.RecordSharedServices(time.Now(), traffic.SharedServices{Moved: map[string]bool{engines: true}})
+		started := newPool()
+		started.Settings.StreamLifetime = streamLifetime
+		withSoftware(started, "e1", "v1")
+		is.Equal(store(started), 1)
+		_, known := started.SoleSoftware(time.Now(), engines)
+		is.True(!known)
+		time.Sleep(streamLifetime - time.Millisecond)
+		is.Equal(store(started), 0)
+		_, known = started.SoleSoftware(time.Now(), engines)
+		is.True(!known)
+		time.Sleep(time.Millisecond)
+		is.Equal(store(started), 1)
+		_, known = started.SoleSoftware(time.Now(), engines)
+		is.True(known)
+		next := newPool()
+		next.Settings.StreamLifetime = streamLifetime
+		withSoftware(next, "e1", "v1")
+		next.RecordStoredSoftware(time.Now(), pool.SoftwareVersions{Service: engines, Versions: []string{"v1"}, StreamLifetime: streamLifetime})
+		_, known = next.SoleSoftware(time.Now(), engines)
+		is.True(known)
+	})
+}
