Count a route that comes back with another service as moved

Instances compared each configuration with the one before only, saw no move, and proved the other service for a stream without a record.

Removed routes are now remembered for the lifetime of their streams and added to the configuration that the next one is compared with.

--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -54,6 +54,8 @@
 	ledgerRoster       []roster.Instance
 
 	table atomic.Pointer[traffic.Table]
+	// formerRoutes are routes of streams that were removed.
+	formerRoutes traffic.FormerRoutes
 }
 
 type declaredVersion struct {
@@ -216,9 +218,11 @@
 	now := time.Now()
 	n.origins.setLifetime(now, configuration.StreamLifetime())
 	lifetime := n.updateStreamLifetime(now)
+	shared := configuration.SharedServices(v.formerRoutes.Before(now, previous))
+	v.formerRoutes = v.formerRoutes.With(now, lifetime, previous, configuration)
 	n.sharedState.WithLock(func(state *serve.SharedState) {
 		state.Pool.Configure(configuration.Services)
-		state.Pool.RecordSharedServices(now, configuration.SharedServices(previous))
+		state.Pool.RecordSharedServices(now, shared)
 		state.Ledger.SetLimits(now, limits)
 	})
 	n.Log.Info().Int64("Version", configuration.Version).Int64("Revision", revision).
