Keep the fencing token in the next life of an instance where none is checked

Cause: the wait. The order that may arrive late has a lower token only because the next life takes another one. It is the same holder: no other one can have had the key in between, as it still is the earlier life's.

The key now has the token beside its revision, and the next life goes on with it; conditions on the key and the order of claims use the revision, as before. A late order is then one more of the same holder, and its precondition no longer holds once the upstream has accepted another. A stop and a hand-over wait for it as before.

--- a/internal/entry/node/hand_over.go
+++ b/internal/entry/node/hand_over.go
@@ -44,7 +44,7 @@
 // mayHandOver reports whether no order of this instance can arrive at an upstream after those of the next holder, where
 // fencing tokens are not checked.
 func (n *Node) mayHandOver(upstream string, now time.Time) bool {
-	return n.mayReplaceEarly() || !now.Before(n.mayOrderFrom(upstream))
+	return n.mayReplaceEarly() || !now.Before(n.mayOrderFrom(upstream, 0))
 }
 
 // recordReleased records that this instance gave up an upstream that it held with a fencing token. Its copy of the store
--- a/internal/entry/node/held_upstream.go
+++ b/internal/entry/node/held_upstream.go
@@ -21,7 +21,8 @@
 	node *Node
 	// upstream is as declared, with the start of the life that the loop goes on with. Only the loop changes that, with the lock held.
 	upstream traffic.Upstream
-	fence    int64
+	// fence is the revision of the holder key, and token the fencing token of orders.
+	fence, token int64
 	// lease is the lease that the holder key is bound to. mayOrderFrom is the earliest time at which this instance may
 	// send orders again if it sent orders to this upstream before.
 	lease        int64
@@ -54,7 +55,7 @@
 	ctx context.Context, n *Node, upstream traffic.Upstream, holder roster.Holder, stop context.CancelFunc,
 ) *heldUpstream {
 	h := &heldUpstream{
-		node: n, upstream: upstream, fence: holder.Fence, lease: holder.Lease, stop: stop, ended: ctx.Done(),
+		node: n, upstream: upstream, fence: holder.Fence, token: holder.Token, lease: holder.Lease, stop: stop, ended: ctx.Done(),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	if n.isPlain(upstream.Service) {
@@ -142,18 +143,18 @@
 func (h *heldUpstream) sendOrder(ctx context.Context, order residence.Order) {
 	start := time.Now()
 	turns := &h.node.heldUpstreams.turns
-	if !h.mayOrder(start) || !turns.begin(h.upstream.ID, h.fence, start) {
+	if !h.mayOrder(start) || !turns.begin(h.upstream.ID, h.token, start) {
 		h.pause(ctx, maxIdle)
 		return
 	}
-	response, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.fence, order)
+	response, err := h.node.Orders.Order(ctx, h.upstream, h.node.self.Name, h.token, order)
 	outcome := response.Outcome
-	turns.end(h.upstream.ID, h.fence, time.Now(), outcome != residence.NoAnswer)
+	turns.end(h.upstream.ID, h.token, time.Now(), outcome != residence.NoAnswer)
 	reached := h.pathAfter(ctx, outcome == residence.NoAnswer)
 	if ctx.Err() != nil {
 		return
 	}
-	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Fence", h.fence).Bool("Unload", order.Unload).
+	h.node.Log.Info().Str("Upstream", h.upstream.ID).Int64("Fence", h.token).Bool("Unload", order.Unload).
 		Str("Adapter", order.Adapter.String()).Int64("Version", order.Version).Int64("Sequence", order.Sequence).
 		Str("Outcome", string(outcome)).Err(err).Int64("TookMillis", time.Since(start).Milliseconds()).Msg("Order")
 	h.node.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("orders").Inc(1)
--- a/internal/entry/node/held_upstreams.go
+++ b/internal/entry/node/held_upstreams.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"strings"
@@ -174,10 +175,7 @@
 	}
 	n.stopHolding(id)
 	if found && holder.Instance == n.self.Name && !n.stopping.Load() {
-		if !n.current.Load().Upstreams.FencesChecked {
-			n.heldUpstreams.turns.recordEarlierLife(id, holder.Fence, n.startedAt)
-		}
-		n.claim(ctx, upstream, holder.Fence) // key of this instance's previous incarnation
+		n.takeOver(ctx, upstream, holder)
 		return 0, false
 	}
 	return holder.Fence, !found || n.mayReplaceEarly() && n.isHolderLost(now, holder.Instance) && !n.isSilentClaim(holder)
@@ -289,7 +287,7 @@
 			}
 			continue
 		}
-		if now.Sub(since) >= claimDelay+time.Duration(rank)*claimRankDelay && !now.Before(n.mayOrderFrom(id)) {
+		if now.Sub(since) >= claimDelay+time.Duration(rank)*claimRankDelay && !now.Before(n.mayOrderFrom(id, 0)) {
 			n.claim(ctx, vacant.upstream, vacant.revision)
 		}
 	}
@@ -318,9 +316,31 @@
 	return ranks
 }
 
+// takeOver claims an upstream that an earlier life of this instance held. An order of that life may still arrive. Where upstreams
+// check fencing tokens, they refuse it for its lower token. Elsewhere this life goes on with the token of the earlier one, so that
+// the late order is one more of the same holder, whose precondition no longer holds once the upstream has accepted another. Another
+// machine of the same name is another holder, and waits until no order of the earlier one can arrive.
+func (n *Node) takeOver(ctx context.Context, upstream traffic.Upstream, earlier roster.Holder) {
+	if n.current.Load().Upstreams.FencesChecked {
+		n.claim(ctx, upstream, earlier.Fence)
+		return
+	}
+	n.heldUpstreams.turns.recordEarlierLife(upstream.ID, earlier.Token, n.startedAt)
+	token := earlier.Token
+	if earlier.Address != n.self.Address {
+		token = 0
+	}
+	n.claimWithToken(ctx, upstream, earlier.Fence, token)
+}
+
 // claim makes this instance the holder if the key is unchanged. The instance sends orders from then on, without waiting
 // until the claim appears in the replicated state: after a restart of the whole fleet every adapter waits for a holder.
 func (n *Node) claim(ctx context.Context, upstream traffic.Upstream, revision int64) {
+	n.claimWithToken(ctx, upstream, revision, 0)
+}
+
+// claimWithToken is claim with the fencing token of the orders; 0 for that of the claim.
+func (n *Node) claimWithToken(ctx context.Context, upstream traffic.Upstream, revision, token int64) {
 	id := upstream.ID
 	now := time.Now()
 	leaseID, ok := n.lease.current(now)
@@ -328,7 +348,7 @@
 		return
 	}
 	key := roster.HolderKey(id)
-	holder := roster.Holder{Instance: n.self.Name, Incarnation: n.self.Incarnation, Lease: leaseID}
+	holder := roster.Holder{Instance: n.self.Name, Incarnation: n.self.Incarnation, Lease: leaseID, Token: token, Address: n.self.Address}
 	value, err := roster.EncodeHolder(holder)
 	if err != nil {
 		n.Log.Error().Err(err).Msg("ClaimFailed")
@@ -345,8 +365,8 @@
 	case err != nil:
 		n.Log.Warn().Err(err).Str("Upstream", id).Msg("ClaimFailed")
 	default:
-		n.Log.Info().Str("Upstream", id).Int64("Fence", fence).Msg("Claimed")
-		holder.Fence = fence
+		holder.Fence, holder.Token = fence, cmp.Or(token, fence)
+		n.Log.Info().Str("Upstream", id).Int64("Fence", fence).Int64("Token", holder.Token).Msg("Claimed")
 		n.startHolding(ctx, upstream, holder)
 	}
 }
@@ -363,7 +383,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	held := newHeldUpstream(ctx, n, upstream, holder, cancel)
 	if previous == nil || previous.fence != holder.Fence || previous.plain {
-		held.mayOrderFrom = n.mayOrderFrom(upstream.ID)
+		held.mayOrderFrom = n.mayOrderFrom(upstream.ID, holder.Token)
 	}
 	n.heldUpstreams.mutex.Lock()
 	n.heldUpstreams.byID[upstream.ID] = held
--- a/internal/entry/node/order_permission.go
+++ b/internal/entry/node/order_permission.go
@@ -29,7 +29,7 @@
 func (h *heldUpstream) mayOrder(now time.Time) bool {
 	upstreams := h.node.current.Load().Upstreams
 	if upstreams.FencesChecked {
-		return h.node.heldUpstreams.turns.mayOrder(now, h.upstream.ID, h.fence, upstreams.ReturnAfter)
+		return h.node.heldUpstreams.turns.mayOrder(now, h.upstream.ID, h.token, upstreams.ReturnAfter)
 	}
 	lease, ok := h.node.lease.current(now.Add(orderMargin))
 	return ok && lease == h.lease && !now.Before(h.mayOrderFrom) && !h.node.heldUpstreams.turns.isClosed()
@@ -39,19 +39,20 @@
 // then.
 func (n *Node) mayReplaceEarly() bool { return n.current.Load().Upstreams.FencesChecked }
 
-// mayOrderFrom returns the earliest time at which this instance may again send orders to an upstream that it lost.
+// mayOrderFrom returns the earliest time at which this instance may again send orders to an upstream that it lost. With the
+// token of its last order it may at once, as no other instance was the holder; 0 stands for any other token.
 //
 // It covers instances that restart one after the other, and links that fail one after the other. An upstream may pass to
 // another instance and back within a few seconds. A delayed order of the first instance, sent before the orders of the
 // second, could then still arrive. Where upstreams check fencing tokens, an instance returns immediately if no other was
 // the holder meanwhile: its delayed orders can only arrive beside its own.
-func (n *Node) mayOrderFrom(upstream string) time.Time {
+func (n *Node) mayOrderFrom(upstream string, token int64) time.Time {
 	upstreams := n.current.Load().Upstreams
 	turns := &n.heldUpstreams.turns
 	turns.mutex.Lock()
 	defer turns.mutex.Unlock()
 	last, found := turns.last[upstream]
-	if !found || upstreams.FencesChecked && turns.others[upstream] <= last.fence {
+	if !found || token == last.fence || upstreams.FencesChecked && turns.others[upstream] <= last.fence {
 		return time.Time{}
 	}
 	return last.at.Add(upstreams.ReturnAfter)
@@ -105,7 +106,7 @@
 }
 
 // recordEarlierLife records that an earlier life of this instance held an upstream with a fencing token, and may have sent
-// an order there until this life began. Whether it was answered is not known.
+// an order there until this life began. Whether it was answered is not known, so that a stop and a hand-over wait for it.
 func (t *turns) recordEarlierLife(upstream string, fence int64, began time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -36,8 +36,12 @@
 	Incarnation string
 	// Lease is the lease that the key is bound to.
 	Lease int64
-	// Fence is the fencing token: the revision of the key, which rises with each change of holder.
+	// Fence is the revision of the key, which rises with each change of holder.
 	Fence int64
+	// Token is the fencing token of orders: Fence, unless the holder goes on with that of its earlier life.
+	Token int64
+	// Address is where the other instances reach the holder; another machine of that name has another one.
+	Address string
 }
 
 // InstanceKey returns the key of an instance.
@@ -56,6 +60,8 @@
 	Instance    string
 	Incarnation string
 	Lease       int64
+	Token       int64  `json:",omitempty"`
+	Address     string `json:",omitempty"`
 }
 
 // EncodeInstance returns the value of an instance's key.
@@ -63,9 +69,11 @@
 	return json.Marshal(instanceWire{Incarnation: i.Incarnation, DataCentre: i.DataCentre, Address: i.Address})
 }
 
-// EncodeHolder returns the value of a holder's key.
+// EncodeHolder returns the value of a holder's key. A token of 0 stands for the revision that the key gets.
 func EncodeHolder(h Holder) ([]byte, error) {
-	return json.Marshal(holderWire{Instance: h.Instance, Incarnation: h.Incarnation, Lease: h.Lease})
+	return json.Marshal(holderWire{
+		Instance: h.Instance, Incarnation: h.Incarnation, Lease: h.Lease, Token: h.Token, Address: h.Address,
+	})
 }
 
 // Roster holds the decoded keys. The zero value is empty. It is not safe for concurrent use.
@@ -118,6 +126,7 @@
 	}
 	r.holders[upstream] = Holder{
 		Upstream: upstream, Instance: wire.Instance, Incarnation: wire.Incarnation, Lease: wire.Lease, Fence: revision,
+		Token: cmp.Or(wire.Token, revision), Address: wire.Address,
 	}
 	return nil
 }
