Relay entries of upstreams by what the store says, not by what the reader knows

Cause: whether a change is relayed was decided by comparing the entry with the pool of the instance that reads the store. The pool is shaped by more than the store: the grace time after an outage keeps an upstream whose removal was relayed, so that its entry was no news when it came back; a report of the holder states a life whose software nobody knows, so that the entry with the software was no news either. The others took the batch to be complete.

Whether a change is relayed follows from the entry and the one before it in the store now, which are the same at each instance. Removed keys and unreadable entries of other kinds are relayed with the next batch; they were not at all.

--- a/internal/entry/node/link_end.go
+++ b/internal/entry/node/link_end.go
@@ -212,7 +212,7 @@
 	c.node.merge(batch, c.confirmed, c.peer)
 }
 
-// CatchUp returns the urgent changes that a peer lacks.
+// CatchUp returns the changes that a peer lacks, without those that no other instance needs.
 //
 // In a fleet of a hundred upstreams each upstream changes its entry every second or so as it loads adapters. The
 // holders have more recent information about loaded adapters and send it to all instances. If the entries were relayed
@@ -223,7 +223,7 @@
 	batch := n.view.replica.ChangesSince(after)
 	if !batch.Snapshot {
 		batch.Items = slices.DeleteFunc(batch.Items, func(item replica.Item) bool {
-			return n.view.urgentRevisions[item.Key] <= after
+			return n.view.relayRevisions[item.Key] <= after
 		})
 	}
 	return batch
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -29,8 +29,11 @@
 	roster  roster.Roster
 	// urgentRevision is the revision of the last change that all instances need immediately.
 	urgentRevision int64
-	// urgentRevisions is the revision of the last urgent change of each key.
-	urgentRevisions map[string]int64
+	// relayRevisions is the revision of the last change of each key that other instances may need.
+	relayRevisions map[string]int64
+	// entries are the declarations in the entries of upstreams, as the store has them. The pool is no substitute: reports
+	// and grace periods change it too.
+	entries map[string]traffic.Upstream
 	// confirmed is set with the lock held.
 	confirmed confirmation
 	// reader: this instance had rank 0 among readerCandidates when the ranks were last computed, so it reads the store.
@@ -117,8 +120,8 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	n.confirm(confirmed)
-	if v.urgentRevisions == nil {
-		v.urgentRevisions = make(map[string]int64)
+	if v.relayRevisions == nil {
+		v.relayRevisions = make(map[string]int64)
 	}
 	changed, contiguous := v.replica.Merge(batch)
 	if !contiguous {
@@ -128,12 +131,16 @@
 	urgent := false
 	configured := v.table.Load() != nil
 	for _, item := range changed {
-		if n.apply(item, source) {
+		relayed := n.apply(item, source)
+		if relayed == relayNone && !complete {
+			relayed = relayNow // a change in between may be missing here that another instance has
+		}
+		if relayed != relayNone {
+			v.relayRevisions[item.Key] = item.Revision
+		}
+		if relayed == relayNow {
 			urgent = true
 			v.urgentRevision = max(v.urgentRevision, item.Revision)
-			v.urgentRevisions[item.Key] = item.Revision
-		} else if _, ok := crashrecord.FingerprintOf(item.Key); ok {
-			v.urgentRevisions[item.Key] = item.Revision // a peer that lacks it could not write the record
 		}
 		n.recordHolderChange(item, complete, batch.Snapshot)
 	}
@@ -155,9 +162,21 @@
 	}
 }
 
-// apply passes one change on. The caller holds the lock. It reports whether the change is urgent: the other instances
-// should get it immediately, and not with the next heartbeat.
-func (n *Node) apply(item replica.Item, source string) (urgent bool) {
+// relay is how a change of the store is relayed to the other instances. It follows from the entry and the one before it
+// in the store alone, and not from anything else that an instance knows: others may know something else.
+type relay int
+
+const (
+	// relayNone: no other instance needs the change.
+	relayNone relay = iota
+	// relayLater: an instance that lacks the change gets it with the next batch.
+	relayLater
+	// relayNow: all instances need the change immediately.
+	relayNow
+)
+
+// apply passes one change on to the components that depend on it. The caller holds the lock.
+func (n *Node) apply(item replica.Item, source string) relay {
 	v := &n.view
 	fleetKey, err := v.roster.Apply(item.Key, item.Value, item.Revision, item.Removed)
 	if err != nil {
@@ -166,30 +185,30 @@
 	if fleetKey {
 		v.holders = nil
 		n.reportToNewHolder(item.Key)
-		return true
+		return relayNow
 	}
 	if fingerprint, ok := crashrecord.FingerprintOf(item.Key); ok {
 		n.applyCrashRecord(fingerprint, item)
-		return false // the links carry it as well
+		return relayLater // the links carry it as well, but a peer that lacks it could not write the record
 	}
 	if service, ok := softwarerecord.ServiceOf(item.Key); ok {
 		n.applySoftwareRecord(service, item)
-		return true // an instance that is cut off from the store must not prove less than the others know
+		return relayNow // an instance that is cut off from the store must not prove less than the others know
 	}
 	if id, ok := n.Decoder.UpstreamID(item.Key); ok {
 		return n.applyUpstream(id, item)
 	}
 	if dataCentre, ok := n.Decoder.EvacuatedDataCentre(item.Key); ok {
 		n.applyEvacuation(dataCentre, !item.Removed, item.Revision)
-		return true
+		return relayNow
 	}
 	if item.Removed {
-		return false
+		return relayLater
 	}
 	declaration, err := n.Decoder.Decode(item.Key, item.Value)
 	if err != nil {
 		n.Log.Warn().Err(err).Int64("Revision", item.Revision).Msg("EntryUnreadable")
-		return false
+		return relayLater
 	}
 	switch d := declaration.(type) {
 	case traffic.Configuration:
@@ -197,7 +216,7 @@
 	case traffic.AdapterVersion:
 		n.applyVersion(d, item.Revision)
 	}
-	return true
+	return relayNow
 }
 
 func (n *Node) applyConfiguration(configuration traffic.Configuration, revision int64, source string) {
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -23,51 +23,67 @@
 
 // applyUpstream applies the entry of an upstream. Entries expire while the store is down although their upstreams are
 // alive. An entry that is missing around an outage is therefore kept until the upstream has had time to write it again.
-//
-// An entry that only changes the list of loaded models is not urgent: the holder of the upstream has more recent
-// information and sends it. In a fleet of a hundred upstreams such entries arrive several times a second. Sent
-// immediately, they were a quarter of all messages between instances.
-func (n *Node) applyUpstream(id string, item replica.Item) (urgent bool) {
+func (n *Node) applyUpstream(id string, item replica.Item) relay {
 	v := &n.view
 	if item.Removed {
+		delete(v.entries, id)
 		if time.Since(v.outageEnded) < entryGracePeriod {
 			if v.expired == nil {
 				v.expired = make(map[string]time.Time)
 			}
 			v.expired[id] = v.outageEnded.Add(entryGracePeriod)
-			return true
+			return relayNow
 		}
 		n.removeUpstream(id, "removed", item.Revision)
-		return true
+		return relayNow
 	}
 	delete(v.expired, id)
 	declaration, err := n.Decoder.Decode(item.Key, item.Value)
 	upstream, ok := declaration.(traffic.Upstream)
 	if err != nil || !ok {
 		n.Log.Warn().Err(err).Str("Upstream", id).Int64("Revision", item.Revision).Msg("EntryUnreadable")
+		delete(v.entries, id)
 		n.removeUpstream(id, "unreadable", item.Revision)
-		return true
-	}
-	var previous traffic.Upstream
-	known := false
-	n.sharedState.WithLock(func(state *serve.SharedState) {
-		previous, known = state.Pool.Upstream(id)
-		state.Suspects.RecordAlive(time.Now(), upstream.Life())
-	})
-	if known {
-		n.recordNextLife(previous, &upstream)
+		return relayNow
 	}
-	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Declare(time.Now(), upstream) })
-	urgent = !known || previous.Draining != upstream.Draining || previous.StartedMillis != upstream.StartedMillis ||
-		previous.Address != upstream.Address || previous.Service != upstream.Service ||
-		(previous.ColdRemaining > 0) != (upstream.ColdRemaining > 0)
-	if urgent {
+	relayed := v.setEntry(id, upstream)
+	n.declareUpstream(id, upstream)
+	if relayed == relayNow {
 		n.Log.Info().Str("Upstream", id).Str("Service", upstream.Service).Str("Address", upstream.Address).
 			Str("Software", upstream.Software).
 			Bool("Draining", upstream.Draining).Int64("ColdMillis", upstream.ColdRemaining.Milliseconds()).
 			Int64("Revision", item.Revision).Msg("UpstreamDeclared")
 	}
-	return urgent
+	return relayed
+}
+
+// setEntry replaces the entry of an upstream.
+//
+// An entry that only changes the list of loaded models is not relayed: the holder of the upstream has more recent
+// information and sends it. In a fleet of a hundred upstreams such entries arrive several times a second. Sent
+// immediately, they were a quarter of all messages between instances.
+func (v *storeView) setEntry(id string, upstream traffic.Upstream) relay {
+	if v.entries == nil {
+		v.entries = make(map[string]traffic.Upstream)
+	}
+	previous, found := v.entries[id]
+	upstream.Models = nil
+	v.entries[id] = upstream
+	if !found || previous.Draining != upstream.Draining || previous.StartedMillis != upstream.StartedMillis ||
+		previous.Address != upstream.Address || previous.Service != upstream.Service ||
+		(previous.ColdRemaining > 0) != (upstream.ColdRemaining > 0) {
+		return relayNow
+	}
+	return relayNone
+}
+
+func (n *Node) declareUpstream(id string, upstream traffic.Upstream) {
+	previous, known := n.declaredUpstream(id)
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Suspects.RecordAlive(time.Now(), upstream.Life()) })
+	if known {
+		n.recordNextLife(previous, &upstream)
+	}
+	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.Declare(time.Now(), upstream) })
 }
 
 func (n *Node) removeUpstream(id, reason string, revision int64) {
