Relay every change of an upstream's entry but its loaded models

An instance that does not read the store kept the software version, the data centre or the number of slots that an upstream had before, for as long as nothing else of its entry changed: a stream that began there was recorded with the version before, or refused where it was resumed.

Cause: the fields that count were listed, and these three were not on the list.

Three cases of TestEntriesReachInstancesThatLackThem, one for each field, failed before and pass now.

--- a/internal/entry/node/relayed_entries_test.go
+++ b/internal/entry/node/relayed_entries_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
@@ -110,7 +111,9 @@
 }
 
 func describeRelayed(u traffic.Upstream) string {
-	return fmt.Sprintf("%s started %d at %s, %s, draining %t, cold %t", u.ID, u.StartedMillis, u.Address, u.Software, u.Draining, u.ColdRemaining > 0)
+	u.Models = nil
+	u.ColdRemaining = min(u.ColdRemaining, 1)
+	return fmt.Sprintf("%+v", u)
 }
 
 // stored returns the same of the store.
@@ -131,6 +134,16 @@
 func TestEntriesReachInstancesThatLackThem(t *testing.T) {
 	upstream := upstreamOfLife(7)
 	next := upstreamOfLife(8)
+	software, moved, wider := upstream, upstream, upstream
+	software.Software = "v2"
+	moved.DataCentre = "there"
+	wider.BatchSlots = 2
+	rewrite := func(entry traffic.Upstream) func(f *relayFleet) {
+		return func(f *relayFleet) {
+			f.put(entry)
+			f.read(0)
+		}
+	}
 	for _, c := range []struct {
 		name    string
 		happens func(f *relayFleet)
@@ -178,6 +191,9 @@
 			f.put(next)
 			f.read(0)
 		}},
+		{"with another software version only", rewrite(software)},
+		{"with another data centre only", rewrite(moved)},
+		{"with more slots only", rewrite(wider)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -197,3 +213,110 @@
 		})
 	}
 }
+
+// relayStep is one event of a random history.
+type relayStep struct {
+	what     int
+	instance int
+	peer     int
+	upstream traffic.Upstream
+}
+
+func drawRelayStep(t *rapid.T) relayStep {
+	return relayStep{
+		what:     rapid.IntRange(0, 7).Draw(t, "what"),
+		instance: rapid.IntRange(0, 2).Draw(t, "instance"),
+		peer:     rapid.IntRange(0, 2).Draw(t, "peer"),
+		upstream: traffic.Upstream{
+			ID: rapid.SampledFrom([]string{"u", "v"}).Draw(t, "upstream"), Service: "s",
+			Address:       rapid.SampledFrom([]string{"127.0.0.1:1", "127.0.0.1:2"}).Draw(t, "address"),
+			Software:      rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "software"),
+			Draining:      rapid.Bool().Draw(t, "draining"),
+			DataCentre:    rapid.SampledFrom([]string{"here", "there"}).Draw(t, "data centre"),
+			BatchSlots:    rapid.IntRange(1, 2).Draw(t, "slots"),
+			ColdRemaining: time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Minute,
+			Models:        []traffic.LoadedModel{{Name: "m", Version: int64(rapid.IntRange(1, 2).Draw(t, "model"))}},
+		},
+	}
+}
+
+// relayHistory plays a random history. lives is the latest life of each upstream that the store or a report has named.
+type relayHistory struct {
+	fleet *relayFleet
+	lives map[string]int64
+}
+
+func (h *relayHistory) play(step relayStep) {
+	f := h.fleet
+	id := step.upstream.ID
+	switch step.what {
+	case 0, 1:
+		upstream := step.upstream
+		upstream.StartedMillis = h.lives[id]
+		f.put(upstream)
+	case 2:
+		f.remove(id)
+	case 3:
+		h.lives[id]++
+		f.report(step.instance, traffic.Life{Upstream: id, StartedMillis: h.lives[id]})
+	case 4:
+		f.endOutage()
+	case 5:
+		f.readSnapshot(step.instance)
+	case 6:
+		f.read(step.instance)
+	case 7:
+		f.catchUp(step.instance, step.peer)
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// end has the upstreams of reported lives write their entries, and all instances get them from one that reads the store.
+func (h *relayHistory) end() {
+	f := h.fleet
+	for id, item := range f.current() {
+		declaration, err := upstreamDecoder{}.Decode(id, item.Value)
+		if err != nil {
+			panic(err)
+		}
+		upstream := declaration.(traffic.Upstream)
+		if upstream.StartedMillis != h.lives[id] {
+			upstream.StartedMillis = h.lives[id]
+			f.put(upstream)
+		}
+	}
+	f.read(0)
+	f.catchUp(1, 0)
+	f.catchUp(2, 1)
+	f.endGracePeriod()
+}
+
+// Guards against a difference between instances that lasts: whatever has shaped what each of them knows, and in whatever order
+// changes reached them, all know the same upstreams once they have caught up with the store.
+func TestInstancesThatCaughtUpKnowTheSameUpstreams(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var steps []relayStep
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			steps = append(steps, drawRelayStep(rt))
+		}
+		var known [][]string
+		var stored []string
+		synctest.Test(t, func(*testing.T) {
+			h := relayHistory{fleet: newRelayFleet(3), lives: map[string]int64{"u": 1, "v": 1}}
+			time.Sleep(time.Minute)
+			for _, step := range steps {
+				h.play(step)
+			}
+			h.end()
+			stored = h.fleet.stored()
+			for instance := range h.fleet.instances {
+				known = append(known, h.fleet.known(instance))
+			}
+		})
+		for instance := range known {
+			if !slices.Equal(known[instance], stored) {
+				rt.Fatalf("instance %d knows %q, the store has %q", instance, known[instance], stored)
+			}
+		}
+	})
+}
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"reflect"
 	"time"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
@@ -58,23 +59,28 @@
 }
 
 // setEntry replaces the entry of an upstream.
-//
-// An entry that only changes the list of loaded models is not relayed: the holder of the upstream has more recent
-// information and sends it. In a fleet of a hundred upstreams such entries arrive several times a second. Sent
-// immediately, they were a quarter of all messages between instances.
 func (v *storeView) setEntry(id string, upstream traffic.Upstream) relay {
 	if v.entries == nil {
 		v.entries = make(map[string]traffic.Upstream)
 	}
 	previous, found := v.entries[id]
-	upstream.Models = nil
-	v.entries[id] = upstream
-	if !found || previous.Draining != upstream.Draining || previous.StartedMillis != upstream.StartedMillis ||
-		previous.Address != upstream.Address || previous.Service != upstream.Service ||
-		(previous.ColdRemaining > 0) != (upstream.ColdRemaining > 0) {
-		return relayNow
+	v.entries[id] = relayedFields(upstream)
+	if found && reflect.DeepEqual(previous, v.entries[id]) {
+		return relayNone
 	}
-	return relayNone
+	return relayNow
+}
+
+// relayedFields returns an entry without what other instances do not need of it.
+//
+// An entry that only changes the list of loaded models is not relayed: the holder of the upstream has more recent
+// information and sends it. In a fleet of a hundred upstreams such entries arrive several times a second. Sent
+// immediately, they were a quarter of all messages between instances. A cold upstream writes a shorter time with each
+// entry, which the others count down themselves.
+func relayedFields(upstream traffic.Upstream) traffic.Upstream {
+	upstream.Models = nil
+	upstream.ColdRemaining = min(upstream.ColdRemaining, 1)
+	return upstream
 }
 
 func (n *Node) declareUpstream(id string, upstream traffic.Upstream) {
