Keep where streams began for as long as their callers wait

Cause: the time for which records of streams are kept, for which versions that have left count, and that a proof of the only version has to cover, was taken from the configuration alone. What bounds the return of a caller is the deadline that it states with the request that begins the stream.

The instance that begins a stream extends the lifetime of streams by the caller's deadline, rounded up to 10 s and bounded by ten minutes, and states it to the others with its state, at once if none was known to live as long. The record of versions in the store has it by the way that it has that of an earlier configuration, for instances that start. A record in the store that covers a shorter time proves no version for the longer one any more.

--- a/internal/entry/node/declarations_test.go
+++ b/internal/entry/node/declarations_test.go
@@ -34,6 +34,8 @@
 	pathReady       = "/ready"
 	// headerKey is the key of the caller.
 	headerKey = "Call-Key"
+	// headerCallerTimeout is how long the caller waits, as a Go duration.
+	headerCallerTimeout = "Call-Timeout"
 )
 
 // pathLong is the path of requests that take longDelay at the upstreams of newUpstream, longer than callers still arrive
@@ -124,6 +126,7 @@
 		LastEventID: request.Header.Get(headerLastEvent), Resumes: request.Header.Get(headerResumes),
 		Key: request.Header.Get(headerKey),
 	}
+	c.CallerTimeout, _ = time.ParseDuration(request.Header.Get(headerCallerTimeout)) // 0 without the header
 	if name := request.Header.Get(headerAdapter); name != "" {
 		c.Generation.Adapter = traffic.Adapter{Model: "m", Name: name}
 	}
--- a/internal/entry/node/state_exchange.go
+++ b/internal/entry/node/state_exchange.go
@@ -12,6 +12,7 @@
 	"lacewingrock.example/lacewingrock/internal/fleet/gossip"
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
 	"lacewingrock.example/lacewingrock/internal/gateway/serve"
+	"lacewingrock.example/lacewingrock/internal/placement/origin"
 	"lacewingrock.example/lacewingrock/internal/placement/pool"
 )
 
@@ -124,6 +125,7 @@
 		Address:          n.self.Address,
 		StoreUnreachable: n.storeUnreachable.Load(),
 		Unreached:        n.unreached(),
+		StreamLifetime:   n.origins.ownLifetime(now),
 	}
 	holders := n.view.liveHolders()
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
@@ -202,6 +204,9 @@
 	}
 	n.overlay.setStoreUnreachable(now, record.Instance, state.StoreUnreachable)
 	n.links.setPeer(record.Instance, state.Unreached)
+	if state.StreamLifetime > 0 {
+		n.extendStreamLifetime(now, min(state.StreamLifetime, origin.MaxLifetime))
+	}
 	outdated := !n.overlay.recordSpentVersion(record)
 	due := false
 	n.sharedState.WithLock(func(shared *serve.SharedState) {
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -45,6 +45,8 @@
 	mutex     sync.Mutex
 	records   origin.Records
 	lifetimes origin.Lifetimes
+	// own are the lifetimes of the streams that this instance has begun and whose callers state how long they wait.
+	own origin.Lifetimes
 	// senders send records, one for each peer to which some are due.
 	senders map[string]*recordSender
 }
@@ -63,6 +65,26 @@
 	o.lifetimes.Extend(now, lifetime)
 }
 
+// extendOwnLifetime records that this instance has begun a stream with a lifetime, and reports whether none of the streams
+// that may still be resumed, here or at peers, was known to live as long.
+func (o *streamOrigins) extendOwnLifetime(now time.Time, lifetime time.Duration) (longest bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	longest = lifetime > o.lifetimes.Longest(now)
+	if lifetime > o.lifetimes.Current() {
+		o.own.Extend(now, lifetime)
+		o.lifetimes.Extend(now, lifetime)
+	}
+	return longest
+}
+
+// ownLifetime returns the longest lifetime of the streams that this instance has begun; 0 if it is that of the configuration.
+func (o *streamOrigins) ownLifetime(now time.Time) time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.own.Longest(now)
+}
+
 // updateRetention keeps records for the longest lifetime of a stream that may still be resumed, and returns it.
 func (o *streamOrigins) updateRetention(now time.Time) time.Duration {
 	o.mutex.Lock()
@@ -133,9 +155,18 @@
 }
 
 // RecordOrigin keeps where a stream of this instance began. The first event does not wait until peers have the record:
-// if this instance ends within about a millisecond, the stream's origin is unknown, and its caller is refused.
-func (n *Node) RecordOrigin(stream origin.Stream, began origin.Origin) {
-	n.origins.addOwn(time.Now(), stream, began)
+// if this instance ends within about a millisecond, the stream's origin is unknown, and its caller is refused. The caller
+// may resume the stream for callerTimeout from its request on, which may be longer than its route allows; 0 if it has not
+// stated that.
+func (n *Node) RecordOrigin(stream origin.Stream, began origin.Origin, callerTimeout time.Duration) {
+	now := time.Now()
+	if n.origins.extendOwnLifetime(now, origin.LifetimeOf(callerTimeout)) {
+		lifetime := n.updateStreamLifetime(now)
+		n.Log.Info().Str("Stream", stream.ID).Int64("CallerTimeoutMillis", callerTimeout.Milliseconds()).
+			Int64("StreamLifetimeMillis", lifetime.Milliseconds()).Msg("StreamLifetimeExtended")
+		n.overlay.requestStateSend() // the others must not prove a version by a shorter history
+	}
+	n.origins.addOwn(now, stream, began)
 	n.sendOrigins(began.Service)
 }
 
--- a/internal/entry/node/stream_origins_test.go
+++ b/internal/entry/node/stream_origins_test.go
@@ -26,6 +26,9 @@
 	// breaking: streams break after half of their events.
 	breaking atomic.Bool
 	begun    atomic.Int64
+	// callerTimeout is what callers state when they begin a stream, if it is not 0. They state what is left of it when they
+	// take the stream up.
+	callerTimeout time.Duration
 }
 
 // streamEvents is the number of events of a stream.
@@ -77,6 +80,7 @@
 	status int
 	// software are the versions that wrote its events, one for each.
 	software []string
+	began    time.Time
 }
 
 func (c taken) isComplete() bool { return c.status == http.StatusOK && len(c.software) == streamEvents }
@@ -99,6 +103,13 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set(headerID, after.id)
+	after.began = before.began
+	if after.began.IsZero() {
+		after.began = time.Now()
+	}
+	if s.callerTimeout > 0 {
+		request.Header.Set(headerCallerTimeout, time.Until(after.began.Add(s.callerTimeout)).String())
+	}
 	if before.id != "" {
 		request.Header.Set(headerResumes, before.id)
 		request.Header.Set(headerLastEvent, fmt.Sprint(len(before.software)))
@@ -448,6 +459,42 @@
 	is.Equal([]int{mixed, refused}, []int{0, streamsEach})
 }
 
+// Guards against a stream that goes on at another software version because its caller waits for longer than its route
+// allows, and takes it up when the instances have forgotten the stream and the version that began it.
+func TestStreamStaysWithItsSoftwareAsLongAsItsCallerWaits(t *testing.T) {
+	const (
+		timeout       = 500 * time.Millisecond
+		callerTimeout = 15 * time.Second
+		// forgottenAfter is when a stream whose caller waits for the timeout of its route is forgotten at the latest.
+		forgottenAfter = 2*(timeout+5*time.Second) + 500*time.Millisecond
+	)
+	t.Parallel()
+	is := is.New(t)
+	upstreams, fleet := startStreaming(t, []string{"v1", "v1"}, "a", "b", "c")
+	upstreams.callerTimeout = callerTimeout
+	upstreams.changeRoute(t, 2, func(route *traffic.Route) { route.Timeout = timeout })
+	for _, member := range fleet {
+		eventually(t, 5*time.Second, "the configuration is in force", func() bool {
+			return member.log.hasLine("ConfigurationInForce", `"Version":2,`)
+		})
+	}
+	time.Sleep(timeout + 6*time.Second) // the time of a stream under the configuration, so that the store has a record for it
+	broken := upstreams.begin(t, fleet[0], streamsEach)
+	upstreams.declare(t, "stream2", "v2")
+	upstreams.store.drop(prefixUpstreams + "stream0")
+	upstreams.store.drop(prefixUpstreams + "stream1")
+	fleet = append(fleet, startWith(t, upstreams.store, "d", &engines{}))
+	for end := time.Now().Add(forgottenAfter); time.Now().Before(end); time.Sleep(timeout) {
+		for _, member := range fleet {
+			upstreams.request(member, taken{}) // records of new streams replace those of older ones
+		}
+	}
+	for _, member := range fleet {
+		_, mixed, refused := upstreams.takeUp(member, broken)
+		is.Equal([]int{mixed, refused}, []int{0, streamsEach})
+	}
+}
+
 // Guards against streams that go on nowhere after a rolling restart: their instance stops, and one after the other those
 // that keep their records.
 func TestStreamIsTakenUpAfterARollingRestart(t *testing.T) {
--- a/internal/entry/node/unsent_origins_test.go
+++ b/internal/entry/node/unsent_origins_test.go
@@ -22,7 +22,7 @@
 		n.origins.setLifetime(time.Now(), time.Minute)
 		n.updateStreamLifetime(time.Now())
 		stream := origin.Stream{Workspace: "w", ID: "r"}
-		n.RecordOrigin(stream, origin.Origin{Service: "s", Software: "v1"})
+		n.RecordOrigin(stream, origin.Origin{Service: "s", Software: "v1"}, 0)
 		n.sendUnsentOrigins()
 		is.Equal(len(n.origins.takeUnsent(time.Now(), "s")), 1)
 	})
@@ -41,7 +41,7 @@
 		time.Sleep(time.Minute) // the store has not confirmed anything for long
 		n.overlay.setMembers(time.Now(), []roster.Instance{{Name: n.self.Name}, {Name: "b"}})
 		n.overlay.recordContact("b", time.Now())
-		n.RecordOrigin(origin.Stream{Workspace: "w", ID: "r"}, origin.Origin{Service: "s", Software: "v1"})
+		n.RecordOrigin(origin.Stream{Workspace: "w", ID: "r"}, origin.Origin{Service: "s", Software: "v1"}, 0)
 		n.sendUnsentOrigins()
 		_, proven := n.provenSoftware("s")
 		is.True(!proven)
--- a/internal/fleet/mesh/codec.go
+++ b/internal/fleet/mesh/codec.go
@@ -101,6 +101,8 @@
 		StoreUnreachable: s.StoreUnreachable,
 		Loads:            loadsToWire(s.Loads),
 		Unreached:        s.Unreached,
+
+		StreamLifetimeMillis: s.StreamLifetime.Milliseconds(),
 	}
 	for workspace, units := range s.Spent {
 		wire.Spent = append(wire.Spent, &meshpb.Spent{Workspace: workspace, Units: units})
@@ -129,6 +131,7 @@
 		Spent:            make(quota.Totals, len(wire.GetSpent())),
 		Loads:            loadsFromWire(wire.GetLoads()),
 		Unreached:        wire.GetUnreached(),
+		StreamLifetime:   time.Duration(wire.GetStreamLifetimeMillis()) * time.Millisecond,
 	}
 	for _, spent := range wire.GetSpent() {
 		s.Spent[spent.GetWorkspace()] = spent.GetUnits()
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -158,7 +158,7 @@
 	var engine forecast.Engine
 	engine.Observe(1500, forecast.Backlog{Prefill: 300, Running: 2}, 90*time.Millisecond)
 	state := mesh.State{
-		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true, Unreached: []string{"u", "v"},
+		Incarnation: "x", Address: "10.0.0.1:1", StoreUnreachable: true, StreamLifetime: 20 * time.Second, Unreached: []string{"u", "v"},
 		Brittle: map[string]pool.Brittleness{"s": {Brittle: true, Rejections: 3}},
 		Spent:   quota.Totals{"w": 12.5},
 		Loads:   map[string]pool.Load{"u": {Running: 3, PromptTokens: 4000, MemoryTokens: 9000, Rejected: 2, InUse: []traffic.Adapter{a}}},
--- a/internal/fleet/mesh/messages.go
+++ b/internal/fleet/mesh/messages.go
@@ -52,6 +52,9 @@
 	Unreached []string
 	// Brittle are the services whose upstreams have stated to the instance that they are brittle.
 	Brittle map[string]pool.Brittleness
+	// StreamLifetime is the longest lifetime of streams that the instance has begun, if their callers wait for longer than
+	// the configuration says; 0 otherwise.
+	StreamLifetime time.Duration
 }
 
 // LoadReport is what an instance has in flight at the upstreams that the receiver holds.
--- a/internal/gateway/serve/harness_test.go
+++ b/internal/gateway/serve/harness_test.go
@@ -79,7 +79,7 @@
 	f.broken = append(f.broken, u.ID)
 }
 
-func (f *fleet) RecordOrigin(stream origin.Stream, began origin.Origin) {
+func (f *fleet) RecordOrigin(stream origin.Stream, began origin.Origin, _ time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.origins == nil {
--- a/internal/gateway/serve/server.go
+++ b/internal/gateway/serve/server.go
@@ -59,8 +59,9 @@
 	ReportUnfinished(upstream traffic.Upstream, attempt suspect.Attempt, broken bool)
 	// VerifyLink reports that an upstream has not responded: the link of this instance to it may be lost.
 	VerifyLink(upstream traffic.Upstream)
-	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event.
-	RecordOrigin(stream origin.Stream, began origin.Origin)
+	// RecordOrigin keeps where a stream has begun, just before its caller gets the first event. callerTimeout is how long
+	// the caller waits from its request on, 0 if it has not stated that.
+	RecordOrigin(stream origin.Stream, began origin.Origin, callerTimeout time.Duration)
 	// FindOrigin returns where a stream began that a caller resumes, here or at another instance. service is the only one
 	// that the stream can belong to, empty if there are several.
 	FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding
--- a/internal/gateway/serve/software_test.go
+++ b/internal/gateway/serve/software_test.go
@@ -158,7 +158,7 @@
 			h := newHarness(t, respond, respond, respond, respond)
 			h.declareSoftware(software...)
 			for stream, began := range known {
-				h.fleet.RecordOrigin(stream, began)
+				h.fleet.RecordOrigin(stream, began, 0)
 			}
 			h.fleet.sole = c.sole
 			for number := range 8 {
@@ -197,7 +197,7 @@
 	}
 	h := newHarness(t, responders...)
 	h.declareSoftware(software...)
-	h.fleet.RecordOrigin(origin.Stream{Workspace: "own", ID: "first"}, origin.Origin{Service: "app", Software: "v2"})
+	h.fleet.RecordOrigin(origin.Stream{Workspace: "own", ID: "first"}, origin.Origin{Service: "app", Software: "v2"}, 0)
 	for number := range 12 {
 		id := fmt.Sprint("again", number)
 		_, body, err := h.call("/stream/", "b", headerID, id, headerResumes, "first", headerHas, "1")
--- a/internal/gateway/serve/stream_origin.go
+++ b/internal/gateway/serve/stream_origin.go
@@ -28,7 +28,7 @@
 		j.recorded = true
 		j.handler.Fleet.RecordOrigin(j.stream(j.call.ID), origin.Origin{
 			Service: j.service, Software: j.software, Upstream: upstream.ID, StartedMillis: upstream.StartedMillis,
-		})
+		}, j.call.CallerTimeout)
 	}
 	if j.software != "" && j.software != upstream.Software && !j.mixed {
 		j.mixed = true
--- a/internal/placement/origin/lifetimes_test.go
+++ b/internal/placement/origin/lifetimes_test.go
@@ -84,3 +84,23 @@
 		})
 	}
 }
+
+// Guards against a stream that is forgotten while its caller waits, and against lifetimes that callers choose freely: each
+// change of the longest one is written to the store.
+func TestLifetimeOfCallersThatWait(t *testing.T) {
+	for _, c := range []struct {
+		waits    time.Duration
+		lifetime time.Duration
+	}{
+		{0, 0},
+		{time.Millisecond, 10 * time.Second},
+		{10 * time.Second, 10 * time.Second},
+		{14983 * time.Millisecond, 20 * time.Second},
+		{15 * time.Second, 20 * time.Second},
+		{origin.MaxLifetime - time.Millisecond, origin.MaxLifetime},
+		{24 * time.Hour, origin.MaxLifetime},
+	} {
+		is := is.New(t)
+		is.Equal(origin.LifetimeOf(c.waits), c.lifetime)
+	}
+}
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -124,7 +124,7 @@
 	for version := range versions {
 		sole.Software = version
 	}
-	if !history.storedPartial && slices.Equal(history.stored, []string{sole.Software}) {
+	if history.isStoredFor(p.Settings.StreamLifetime) && slices.Equal(history.stored, []string{sole.Software}) {
 		sole.For = max(sole.For, p.Settings.StreamLifetime)
 	}
 	return sole, !p.knownSince.IsZero() && sole.For >= p.Settings.StreamLifetime
--- a/internal/placement/pool/software_record.go
+++ b/internal/placement/pool/software_record.go
@@ -62,6 +62,12 @@
 	return due
 }
 
+// isStoredFor reports whether the record in the store names all versions of some time. Streams that live longer may have begun
+// since it was written. One that states no time was written for that of the configuration.
+func (h *softwareHistory) isStoredFor(length time.Duration) bool {
+	return !h.storedPartial && (h.storedLifetime == 0 || h.storedLifetime >= length)
+}
+
 // isRecordPartial reports whether the store has no record that names all versions of the time of a stream.
 func (h *softwareHistory) isRecordPartial() bool { return h.stored == nil || h.storedPartial }
 
