Keep in the store where streams began while several versions serve

Cause: where a stream began was in the memory of instances only. The store has the list of versions of a service, which says nothing if there are two.

Each instance writes the records of its own latest streams into one key of the store, at most every half second and 80 times a second for the whole fleet, and only while the service has had several versions for the time of a stream or its routes do not tell the service. The keys are not relayed and end with a lease. Records in the store were weighed before and left, as one key for each batch: 330 instances would have made thousands of keys, each end of which is a change that all have to know; one key that is replaced has none. A version computed from the id of the request was weighed and left: it takes the choice between versions from each new stream.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -94,6 +94,7 @@
 	origins         streamOrigins
 	coordinators    rateCoordinators
 	softwareRecords softwareRecords
+	storedOrigins   storedOrigins
 	replicas        replicaOrders
 	// upstreamChanges is the count of upstream changes when stale connections were last closed. Only runPeriodic uses
 	// it.
@@ -264,6 +265,7 @@
 	add(n.runReload)
 	add(n.runCrashRecords)
 	add(n.runSoftwareRecords)
+	add(n.runStoredOrigins)
 	group.Add(func() error { return n.mesh.Serve(n.listeners.mesh) }, func(error) { n.mesh.Stop() })
 	group.Add(func() error { return serveUntilClosed(n.ready, n.listeners.ready) }, func(error) { _ = n.ready.Close() })
 	group.Add(func() error { return serveUntilClosed(n.metrics, n.listeners.metrics) }, func(error) { _ = n.metrics.Close() })
--- a/internal/entry/node/store_view.go
+++ b/internal/entry/node/store_view.go
@@ -7,6 +7,7 @@
 
 	"lacewingrock.example/lacewingrock/internal/admission/quota"
 	"lacewingrock.example/lacewingrock/internal/fleet/crashrecord"
+	"lacewingrock.example/lacewingrock/internal/fleet/originrecord"
 	"lacewingrock.example/lacewingrock/internal/fleet/replica"
 	"lacewingrock.example/lacewingrock/internal/fleet/roster"
 	"lacewingrock.example/lacewingrock/internal/fleet/softwarerecord"
@@ -131,6 +132,9 @@
 	urgent := false
 	configured := v.table.Load() != nil
 	for _, item := range changed {
+		if _, ok := originrecord.InstanceOf(item.Key); ok {
+			continue
+		}
 		relayed := n.apply(item, source)
 		if relayed == relayNone && !complete {
 			relayed = relayNow // a change in between may be missing here that another instance has
@@ -145,6 +149,9 @@
 		n.recordHolderChange(item, complete, batch.Snapshot)
 	}
 	n.heldUpstreams.turns.setSeen(v.replica.Revision())
+	if !complete { // an instance that gets change by change has been running, and peers keep the records
+		n.restoreOrigins(changed)
+	}
 	if !configured && v.table.Load() != nil {
 		n.updateLedgerPeers(time.Now()) // the ledger grants nothing before
 	}
--- a/internal/entry/node/stream_origins.go
+++ b/internal/entry/node/stream_origins.go
@@ -167,6 +167,7 @@
 		n.overlay.requestStateSend() // the others must not prove a version by a shorter history
 	}
 	n.origins.addOwn(now, stream, began)
+	n.storedOrigins.add(now, stream, began)
 	n.sendOrigins(began.Service)
 }
 
--- a/internal/placement/pool/software.go
+++ b/internal/placement/pool/software.go
@@ -130,6 +130,21 @@
 	return sole, !p.knownSince.IsZero() && sole.For >= p.Settings.StreamLifetime
 }
 
+// ServicesWithoutProof returns the services of which SoleSoftware says nothing for a reason that lasts: they have had several
+// software versions for the time of a stream, or a stream may have begun at another service.
+func (p *Pool) ServicesWithoutProof(now time.Time) (services map[string]bool) {
+	p.prepare()
+	services = make(map[string]bool)
+	for service, history := range p.software {
+		versions := history.versions(now, p.Settings.StreamLifetime)
+		delete(versions, "")
+		if len(versions) > 1 || history.split || history.hasMoved(now, p.Settings.StreamLifetime) {
+			services[service] = true
+		}
+	}
+	return services
+}
+
 // AdoptSoftware extends the history of a service by what a peer has just proved. An instance that has just started has
 // seen nothing, which proves nothing.
 func (p *Pool) AdoptSoftware(now time.Time, sole SoleSoftware) {
