Take a connection that is reset during the upload for broken, not for ended

A runner answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. If a write that waits gets it, the next read returns the end of the input, which is the end of a body that has neither a length nor chunks.

A connection keeps its failure now, whichever direction has got it, and its reads return that in place of the end of the input. A write that is still in progress at the end is waited for, unless the kernel says that the other end has ended what it sends and has not reset the connection; then the answer is whole and nothing waits. That the other end takes nothing any more (EPIPE) is no failure: it has ended what it sent before.

--- a/internal/gateway/serve/bytes_harness_test.go
+++ b/internal/gateway/serve/bytes_harness_test.go
@@ -84,13 +84,18 @@
 
 // declare starts an upstream that keeps nothing of what it receives.
 func (h *bytesHarness) declare(service, id string, respond http.HandlerFunc) {
-	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	h.declareUnread(service, id, func(rw http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		rw.Header().Set(headerID, r.Header.Get(headerID))
 		respond(rw, r)
-	}))
+	})
+}
+
+// declareUnread starts an upstream that reads no body by itself.
+func (h *bytesHarness) declareUnread(service, id string, respond http.HandlerFunc) {
+	server := httptest.NewServer(respond)
 	h.t.Cleanup(server.Close)
 	h.handler.State.WithLock(func(state *serve.SharedState) {
 		state.Pool.Declare(time.Now(), traffic.Upstream{
--- a/internal/gateway/socket/connection.go
+++ b/internal/gateway/socket/connection.go
@@ -87,7 +87,7 @@
 	if !is {
 		return opened
 	}
-	return &connection{Conn: tcp, tcp: tcp}
+	return &connection{Conn: WithFailure(tcp), tcp: tcp}
 }
 
 // SyscallConn gives access to the socket.
@@ -100,10 +100,10 @@
 func (c *connection) SetLinger(seconds int) error { return c.tcp.SetLinger(seconds) }
 
 // Write sends data.
-func (c *connection) Write(data []byte) (int, error) {
+func (c *connection) Write(data []byte) (n int, err error) {
 	c.startWrite(len(data))
 	defer c.endWrite()
-	return c.tcp.Write(data)
+	return c.Conn.Write(data)
 }
 
 // Close closes the connection.
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 )
 
 const (
@@ -272,7 +274,13 @@
 	c.once.Do(func() {
 		dialer := &net.Dialer{Timeout: c.timeout(), KeepAlive: idleTimeout}
 		c.transport = &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				opened, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return socket.WithFailure(opened), nil
+			},
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- a/internal/upstream/exchange/exchange.go
+++ b/internal/upstream/exchange/exchange.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 )
 
 // maxHeaderBytes bounds the headers of a response. Without a bound, a faulty upstream could exhaust
@@ -74,7 +76,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &sealableConn{Conn: conn}, nil
+				return &sealableConn{Conn: socket.WithFailure(conn)}, nil
 			},
 		}
 	})
