Reject responses that are none although the library parses them

A runner in trouble sent a status 000, or a head in which a name held a blank. Callers got a closed connection in place of an answer for 000, 001 and 099 (3 of 3 at that runner on each kind of route, and nothing was tried elsewhere), 999 as a status, and heads with "X-Bad Name: v", "Content-Length : 5" or a malformed trailer as answers (3 of 3 non-idempotent, 3 of 3 idempotent, 9 of 9 streaming), in a scratch stand-in beside the real binary.

Cause: net/http takes any three digits for a status, and names with blanks; "Content-Length :" is then another field than the length, so that the body is delimited by something else than its sender meant. What it parsed was believed, and a status below 100 makes the server's side end the caller's connection.

One transport checks each response before anything of it is believed: protocol, status 200 to 599, names and values of fields by golang.org/x/net/http/httpguts (in the module graph already), and those of the trailer at the end of a body in chunks. What fails is a broken response that may have run: tried elsewhere where that is allowed, 502 where not, counted against its upstream, with a log line that names what is malformed. Its connection is closed. All HTTP clients use it: calls, orders, reports and the store of serve, engines, services, the store and the list of run, and the operator's client. What the library rejects by itself stays so (control bytes and tabs in names); folded lines are joined by it.

TestMalformedResponsesFail has 30 forms; 16 cases of TestMalformedResponseIsNoAnswer and the tests of the other clients failed before and pass now. FuzzHead: 20,000 heads, none let through.

--- a/internal/command/daemon/serve.go
+++ b/internal/command/daemon/serve.go
@@ -14,6 +14,7 @@
 
 	_ "lacewingrock.example/lacewingrock/internal/command/hangup" // ignores SIGHUP until catchHangups
 	"lacewingrock.example/lacewingrock/internal/entry/node"
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 	"lacewingrock.example/lacewingrock/internal/telemetry/logline"
 	"lacewingrock.example/lacewingrock/internal/telemetry/logring"
@@ -134,13 +135,13 @@
 func newOrderClient() *http.Client { return newClient(socket.Dialer(connectTimeout).WithReset()) }
 
 func newClient(dialer *socket.ContextDialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: responsehead.Transport{Base: &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        idleConnectionTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}}}
 }
 
 // loadSettings reads the settings, and decides what the platform's contracts call for.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/gateway/call"
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 	"lacewingrock.example/lacewingrock/internal/gateway/traffic"
 )
 
@@ -141,7 +142,7 @@
 	}
 	exchange := newExchange(call.WithID(ctx, outgoing.ID))
 	transport := c.transport(upstream, newConnection || !c.KeepsConnections(upstream.ID))
-	response, err := transport.RoundTrip(request.WithContext(exchange.ctx))
+	response, err := responsehead.Transport{Base: transport}.RoundTrip(request.WithContext(exchange.ctx))
 	if err != nil {
 		exchange.cancel(nil)
 		return nil, exchange.classify(err)
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 	"lacewingrock.example/lacewingrock/internal/operator/message"
 )
 
@@ -173,7 +174,7 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := responsehead.Transport{Base: http.DefaultTransport}.RoundTrip(request)
 	if err != nil {
 		return &NoResponseError{Sent: !dialFailed(err), Cause: err}
 	}
--- a/internal/platform/listing/client.go
+++ b/internal/platform/listing/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 )
 
 const (
@@ -55,7 +57,7 @@
 	// connection that has stopped responding since the previous read.
 	request.Close = true
 	c.Calls.Add(1)
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := responsehead.Transport{Base: http.DefaultTransport}.RoundTrip(request)
 	if err != nil {
 		return nil, errors.WithMessage(ErrUnavailable, err.Error())
 	}
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 )
 
@@ -193,7 +194,7 @@
 		return result{}, withCause(ErrUnavailable, err)
 	}
 	c.Calls.Add(1)
-	response, err := c.roundTripper().RoundTrip(httpRequest)
+	response, err := responsehead.Transport{Base: c.roundTripper()}.RoundTrip(httpRequest)
 	if err != nil {
 		c.closeIdleOnTimeout(err)
 		return result{}, lostResponse(r.writes && sent.Load(), err)
--- a/internal/upstream/exchange/exchange.go
+++ b/internal/upstream/exchange/exchange.go
@@ -22,6 +22,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingrock.example/lacewingrock/internal/gateway/responsehead"
 	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 )
 
@@ -100,7 +101,7 @@
 	if request.Header != nil {
 		raw.Header = request.Header.Clone()
 	}
-	response, err := t.httpTransport().RoundTrip(raw)
+	response, err := responsehead.Transport{Base: t.httpTransport()}.RoundTrip(raw)
 	if err != nil {
 		return nil, &Failure{Err: err, MaybeSent: tracker.seal()}
 	}
