Keep expired entries through an outage that begins before they can be written again

An instance refused its callers through the second of two outages of the store that follow each other within about two seconds: the entries that had expired around the first one were dropped while the store was away again and nobody could write them.

Cause: the grace period is counted from the end of an outage, whatever the store does meanwhile. No entry is dropped now while the last confirmation of the store is older than 0.9 s, and the end of a further outage gives the entries that are still missing the whole period again.

TestEntryExpiredBeforeTheNextOutage: both cases failed before and pass now.

--- a/internal/entry/node/confirmation.go
+++ b/internal/entry/node/confirmation.go
@@ -55,6 +55,7 @@
 		outage := n.wasOutage(previous)
 		if outage {
 			v.outageEnded = time.Now()
+			v.extendGracePeriods()
 		}
 		n.Log.Warn().Int64("GapMillis", gap.Milliseconds()).Bool("Outage", outage).Msg("StoreReturned")
 	}
--- a/internal/entry/node/outage_test.go
+++ b/internal/entry/node/outage_test.go
@@ -56,6 +56,69 @@
 	}
 }
 
+// Guards against callers that are refused through an outage of the store that begins soon after another one: the entry of a
+// living upstream has expired, and there was no time to write it again.
+func TestEntryExpiredBeforeTheNextOutage(t *testing.T) {
+	const between, outage = 1400 * time.Millisecond, 4 * time.Second
+	for _, c := range []struct {
+		name    string
+		returns bool
+	}{{"the upstream lives", true}, {"the upstream has gone", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var suspended time.Duration
+				n := nodeWithoutFenceChecks(&suspended)
+				n.Decoder = upstreamDecoder{}
+				revision := int64(1)
+				n.merge(replica.Batch{Snapshot: true, Through: revision}, time.Now(), sourceStore)
+				change := func(items ...replica.Item) {
+					batch := replica.Batch{After: revision}
+					for _, item := range items {
+						revision++
+						item.Revision = revision
+						batch.Items = append(batch.Items, item)
+					}
+					batch.Through = revision
+					is.True(n.merge(batch, time.Now(), sourceStore))
+				}
+				pass := func(length time.Duration, reached bool) {
+					for range length / (100 * time.Millisecond) {
+						time.Sleep(100 * time.Millisecond)
+						if reached {
+							change()
+						} else {
+							n.storeFailedAt.Store(time.Now().UnixNano())
+						}
+						n.removeExpired(time.Now())
+					}
+				}
+				upstream := upstreamOfLife(7)
+				entry := upstreamChange(t, 1, &upstream).Items[0]
+				isKnown := func() bool {
+					_, known := n.sharedState.Pool.Upstream("u")
+					return known
+				}
+				change(entry)
+				pass(outage, false)
+				change(replica.Item{Key: "u", Removed: true})
+				pass(between, true)
+				is.True(isKnown())
+				pass(outage, false)
+				is.True(isKnown())
+				change()
+				pass(2*time.Second, true)
+				is.True(isKnown())
+				if c.returns {
+					change(entry)
+				}
+				pass(entryGracePeriod, true)
+				is.Equal(isKnown(), c.returns)
+			})
+		})
+	}
+}
+
 // keysAsUpstreams treats each key as the key of an upstream.
 type keysAsUpstreams struct{ Decoder }
 
--- a/internal/entry/node/relayed_entries_test.go
+++ b/internal/entry/node/relayed_entries_test.go
@@ -97,6 +97,8 @@
 func (f *relayFleet) endGracePeriod() {
 	time.Sleep(entryGracePeriod + time.Millisecond)
 	for _, n := range f.instances {
+		revision := n.view.replica.Revision()
+		n.merge(replica.Batch{After: revision, Through: revision}, time.Now(), sourceStore) // the store is still there
 		n.removeExpired(time.Now())
 	}
 }
--- a/internal/entry/node/upstream_entries.go
+++ b/internal/entry/node/upstream_entries.go
@@ -15,6 +15,17 @@
 // write their entry again within two seconds.
 const entryGracePeriod = 2300 * time.Millisecond
 
+// expiryConfirmedWithin is the age of the last confirmation of the store beyond which the store may be away. It is longer than
+// a watch.
+const expiryConfirmedWithin = 900 * time.Millisecond
+
+// extendGracePeriods gives the upstreams whose entries expired around the outage before the time to write it after this one.
+func (v *storeView) extendGracePeriods() {
+	for id := range v.expired {
+		v.expired[id] = v.outageEnded.Add(entryGracePeriod)
+	}
+}
+
 // applyEvacuation begins or ends the evacuation of a data centre.
 func (n *Node) applyEvacuation(dataCentre string, evacuated bool, revision int64) {
 	n.sharedState.WithLock(func(state *serve.SharedState) { state.Pool.SetEvacuated(time.Now(), dataCentre, evacuated) })
@@ -100,11 +111,15 @@
 	n.Log.Info().Str("Upstream", id).Str("Why", reason).Int64("Revision", revision).Msg("UpstreamGone")
 }
 
-// removeExpired removes the upstreams that have not written their entry again after an outage.
+// removeExpired removes the upstreams that have not written their entry again after an outage. None is removed while the store
+// may be away again: until it returns, nobody can write an entry.
 func (n *Node) removeExpired(now time.Time) {
 	v := &n.view
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	if v.confirmed.age(now) > expiryConfirmedWithin {
+		return
+	}
 	for id, until := range v.expired {
 		if now.After(until) {
 			delete(v.expired, id)
