Test a reset during an upload through a peer

The connection through a peer ended in order if the upstream reset it while the peer was writing the request: the peer passes on what it reads. Its peer opens the connection with the dialer of the product now.

--- a/internal/fleet/mesh/connect_test.go
+++ b/internal/fleet/mesh/connect_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingrock.example/lacewingrock/internal/fleet/mesh"
+	"lacewingrock.example/lacewingrock/internal/gateway/socket"
 )
 
 // openThroughPeer opens a connection through a peer and returns both ends, that of the instance and the upstream's, and
@@ -30,7 +31,7 @@
 	is.NoErr(err)
 	defer listener.Close()
 	peer, peers, address = serveEcho(t)
-	peer.connection, err = net.Dial("tcp", listener.Addr().String())
+	peer.connection, err = socket.Dialer(time.Second).DialContext(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	accepted, err := listener.Accept()
 	is.NoErr(err)
@@ -80,6 +81,25 @@
 	}
 }
 
+// Guards against a part of a response that looks complete to the caller of an instance which sends through a peer: the upstream
+// resets the connection while the request is being written.
+func TestResetDuringAnUploadThroughAPeerIsNoEnd(t *testing.T) {
+	const uploadBytes = 16 << 20 // more than the buffers of the connections take
+	for range 10 {
+		is := is.New(t)
+		instance, upstream, _ := openThroughPeer(t)
+		go func() { _, _ = instance.Write(make([]byte, uploadBytes)) }()
+		_, err := upstream.Write([]byte("part"))
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+		_ = upstream.SetLinger(0)
+		upstream.Close()
+		_, err = io.ReadAll(instance)
+		is.True(err != nil)
+		instance.Close()
+	}
+}
+
 // Guards against an upstream that works on for a caller who has left an instance that sends through a peer.
 func TestClosingAConnectionThroughAPeerReachesTheUpstream(t *testing.T) {
 	is := is.New(t)
