Write the records of streams when another service gets a second version

The records of one instance were not written when the only service with several versions was replaced by another one and no stream had begun meanwhile: the number of services was compared, not which they are. Found by reading the change. TestOriginsOfTheNextServiceAreStored failed before and passes now.

--- a/internal/entry/node/stored_origins.go
+++ b/internal/entry/node/stored_origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -37,10 +38,10 @@
 	mutex   sync.Mutex
 	records origin.OwnRecords
 
-	// written is the number of records that had been added at the last write, of as many services. lease is the lease of
-	// the key, granted at leasedAt for leasedFor. Only runStoredOrigins uses them.
+	// written is the number of records that had been added at the last write, which was of some services. lease is the lease
+	// of the key, granted at leasedAt for leasedFor. Only runStoredOrigins uses them.
 	written   int
-	services  int
+	services  map[string]bool
 	lease     int64
 	leasedAt  time.Time
 	leasedFor time.Duration
@@ -118,7 +119,7 @@
 		lifetime = state.Pool.Settings.StreamLifetime
 	})
 	records, added := o.recent(now, lifetime, services)
-	if len(records) == 0 || added == o.written && len(services) == o.services {
+	if len(records) == 0 || added == o.written && maps.Equal(services, o.services) {
 		return nil
 	}
 	value, err := originrecord.Encode(records)
@@ -139,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	o.written, o.services = added, len(services)
+	o.written, o.services = added, services
 	return nil
 }
 
--- a/internal/entry/node/stored_origins_test.go
+++ b/internal/entry/node/stored_origins_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// Guards against streams of a service whose records are not written because those of another one were, in whose place it has
+// several versions now.
+func TestOriginsOfTheNextServiceAreStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &valueStore{values: make(map[string][]byte)}
+		n := nodeWithStreams(s, "v1", "v2")
+		n.sharedState.Pool.Declare(time.Now(), traffic.Upstream{ID: "other1", Service: "other", Software: "v1"})
+		n.sharedState.Pool.Remove(time.Now(), "uv2")
+		time.Sleep(15 * time.Second) // the second version of the first service still counts
+		first, second := origin.Stream{Workspace: "w", ID: "1"}, origin.Stream{Workspace: "w", ID: "2"}
+		n.RecordOrigin(first, origin.Origin{Service: "s", Software: "v1"}, 0)
+		n.RecordOrigin(second, origin.Origin{Service: "other", Software: "v1"}, 0)
+		is.NoErr(n.storeOrigins(t.Context(), time.Now()))
+		time.Sleep(6 * time.Second)
+		n.sharedState.Pool.Declare(time.Now(), traffic.Upstream{ID: "other2", Service: "other", Software: "v2"})
+		is.NoErr(n.storeOrigins(t.Context(), time.Now()))
+		records, err := originrecord.Decode("", s.values[originrecord.Key("self")])
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(records[0].Stream, second)
+	})
+}
+
 // Guards against records that are lost with the second end of all instances: the first write of an instance replaces the
 // records of its life before.
 func TestOriginsOfTheLifeBeforeAreStoredAgain(t *testing.T) {
